--- a/src/common/clock.h
+++ b/src/common/clock.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <ctime>
 
 namespace Gypsumtally
 {
@@ -39,6 +40,18 @@
     }
 };
 
+/// Like SteadyClock, but also counts the time that the machine was suspended, as lease holders must. Thread-safe.
+class BootClock
+{
+public:
+    Instant now() const
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return Instant{std::chrono::seconds{time.tv_sec} + Duration{time.tv_nsec / 1000}};
+    }
+};
+
 /// A clock that moves only when it is told to. Not thread-safe.
 class VirtualClock
 {
--- a/src/daemon/platformduty.h
+++ b/src/daemon/platformduty.h
@@ -3,9 +3,9 @@
 #include "daemon/outbox.h"
 #include "http/client.h"
 #include "node/events.h"
-#include "platform/keyvalueclient.h"
-#include "platform/nodelease.h"
-#include "platform/storewatcher.h"
+#include "keyvalue/keyvalueclient.h"
+#include "keyvalue/nodelease.h"
+#include "keyvalue/storewatcher.h"
 #include "settings/settings.h"
 
 namespace Gypsumtally
--- /dev/null
+++ b/src/gateway/adapterplacer.cpp
@@ -0,0 +1,455 @@
+#include "gateway/adapterplacer.h"
+
+#include "routing/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+constexpr double demandHalfLifeSeconds = 4; ///< Demand moves to other adapters within seconds.
+constexpr Duration wantLifetime = std::chrono::milliseconds{600}; ///< Nodes repeat what they want more often.
+constexpr Duration inspectPause = std::chrono::milliseconds{250}; ///< A report is some 200 ms old.
+constexpr Duration routineInspection = std::chrono::seconds{8}; ///< Finds what was lost otherwise; a priced call.
+constexpr Duration wantedVictimIdle = std::chrono::milliseconds{400}; ///< Longer than usage takes to be told.
+constexpr Duration routineVictimIdle = std::chrono::milliseconds{1500};
+constexpr double victimRateFactor = 0.8; ///< An adapter yields only to one that is asked for clearly more.
+constexpr double crowdedFactor = 1.4; ///< Of the mean load; above this an engine gets no new adapters.
+constexpr double crowdedSlack = 4; ///< Requests.
+constexpr std::size_t maxDemand = 20000;
+constexpr double forgottenWeight = 0.01;
+constexpr std::size_t cachedAdapters = 120; ///< What an engine keeps in its memory; the platform's sheet.
+
+bool isAdapter(const ModelTarget &target)
+{
+    return !adapterOf(target).empty();
+}
+
+} // namespace
+
+AdapterPlacer::AdapterPlacer(PlacerSettings settings)
+    : m_settings(settings)
+{
+}
+
+void AdapterPlacer::setEngines(const std::vector<PlacedEngine> &engines, const std::vector<PlacedModel> &models)
+{
+    m_models = models;
+    std::set<std::string> present;
+    for (const auto &placed : engines) {
+        present.insert(placed.instance);
+        m_engines[placed.instance].placed = placed;
+    }
+    std::erase_if(m_engines, [&](const auto &item) { return !present.contains(item.first); });
+}
+
+double AdapterPlacer::rateOf(const ModelTarget &target, Instant now) const
+{
+    const auto it = m_demand.find(target);
+    if (it == m_demand.end())
+        return 0;
+    const double seconds = std::chrono::duration<double>(now - it->second.updated).count();
+    return it->second.weight * std::exp2(-seconds / demandHalfLifeSeconds) * std::log(2.0) / demandHalfLifeSeconds;
+}
+
+void AdapterPlacer::count(const std::string &service, const ModelTarget &target, double requests, Instant now)
+{
+    auto &demand = m_demand[target];
+    const double seconds = std::chrono::duration<double>(now - demand.updated).count();
+    demand.weight = demand.weight * std::exp2(-seconds / demandHalfLifeSeconds) + requests;
+    demand.updated = now;
+    demand.service = service;
+}
+
+void AdapterPlacer::onWanted(const std::string &service, const ModelTarget &target, unsigned requests, Instant now)
+{
+    auto &demand = m_demand[target];
+    if (now - demand.wantedAt > wantLifetime)
+        count(service, target, requests, now);
+    demand.service = service;
+    demand.wantedAt = now;
+}
+
+void AdapterPlacer::onUsed(const std::string &service, const ModelTarget &target, double requests, Instant now)
+{
+    count(service, target, requests, now);
+    for (auto &[instance, engine] : m_engines) {
+        if (const auto copy = engine.copies.find(target); copy != engine.copies.end())
+            copy->second.lastUsed = now;
+    }
+}
+
+void AdapterPlacer::onVersionDeclared(const ModelTarget &target, std::uint64_t version)
+{
+    auto &declared = m_declared[target];
+    declared = std::max(declared, version);
+}
+
+std::uint64_t AdapterPlacer::newestVersion(const ModelTarget &target) const
+{
+    const auto it = m_declared.find(target);
+    return it == m_declared.end() ? 0 : it->second;
+}
+
+bool AdapterPlacer::canOrder(const Engine &engine) const
+{
+    return engine.known && !engine.open && engine.placed.takesOrders;
+}
+
+unsigned AdapterPlacer::used(const Engine &engine) const
+{
+    std::set<ModelTarget> extra;
+    const auto add = [&](const EngineOrder &order) {
+        if (order.kind == OrderKind::Load && isAdapter(order.target) && !engine.copies.contains(order.target))
+            extra.insert(order.target);
+    };
+    if (engine.open)
+        add(engine.open->order);
+    std::ranges::for_each(engine.late, add);
+    return static_cast<unsigned>(engine.copies.size() + extra.size());
+}
+
+unsigned AdapterPlacer::usedSlots(const std::string &instance) const
+{
+    const auto it = m_engines.find(instance);
+    return it == m_engines.end() ? 0 : used(it->second);
+}
+
+unsigned AdapterPlacer::coming(const Engine &engine, Instant now) const
+{
+    const auto onTheirWay = std::ranges::count_if(
+        engine.copies, [&](const auto &item) { return !item.second.leaving && item.second.usableAt > now; });
+    return static_cast<unsigned>(onTheirWay) + static_cast<unsigned>(engine.late.size());
+}
+
+unsigned AdapterPlacer::comingEverywhere(Instant now) const
+{
+    unsigned sum = 0;
+    for (const auto &[instance, engine] : m_engines)
+        sum += coming(engine, now);
+    return sum;
+}
+
+bool AdapterPlacer::serves(const Engine &engine, const ModelTarget &target) const
+{
+    const auto copy = engine.copies.find(target);
+    return copy != engine.copies.end() && !copy->second.leaving && copy->second.version >= newestVersion(target);
+}
+
+unsigned AdapterPlacer::copiesOf(const std::string &service, const ModelTarget &target) const
+{
+    return static_cast<unsigned>(std::ranges::count_if(m_engines, [&](const auto &item) {
+        const auto &engine = item.second;
+        if (engine.placed.service != service || !engine.placed.takesOrders)
+            return false;
+        return serves(engine, target)
+               || (engine.open && engine.open->order.kind == OrderKind::Load && engine.open->order.target == target);
+    }));
+}
+
+std::optional<ModelTarget> AdapterPlacer::victimOf(const Engine &engine, double rate, Duration idleTime,
+                                                   Instant now) const
+{
+    std::optional<ModelTarget> victim;
+    double lowest = rate;
+    for (const auto &[target, copy] : engine.copies) {
+        if (copy.leaving || copy.usableAt > now || now - std::max(copy.lastUsed, copy.usableAt) < idleTime)
+            continue;
+        const bool outdated = copy.version < newestVersion(target);
+        const double own = outdated ? -1 : rateOf(target, now);
+        if (own >= lowest)
+            continue;
+        lowest = own;
+        victim = target;
+    }
+    return victim;
+}
+
+void AdapterPlacer::order(Engine &engine, OrderKind kind, const ModelTarget &target, Instant now,
+                          PlacerActions &actions)
+{
+    EngineOrder order{++m_lastOrder, engine.placed.instance, kind, target, 0, engine.orders};
+    if (kind == OrderKind::Load && isAdapter(target))
+        order.version = newestVersion(target);
+    if (kind == OrderKind::Unload) {
+        engine.copies[target].leaving = true;
+        m_news.push_back({engine.placed.instance, target, 0, true, {}});
+    }
+    engine.open = OpenOrder{order, false, now};
+    actions.orders.push_back(order);
+}
+
+void AdapterPlacer::place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions)
+{
+    const std::string model(baseOf(target));
+    double total = 0;
+    unsigned count = 0;
+    for (const auto &[instance, engine] : m_engines) {
+        if (engine.placed.service != service)
+            continue;
+        total += engine.placed.load;
+        ++count;
+    }
+    const double crowded = crowdedFactor * total / std::max(1U, count) + crowdedSlack;
+    Engine *best = nullptr;
+    double bestScore = 0;
+    const auto key = XXH3_64bits(target.data(), target.size());
+    for (auto &[instance, engine] : m_engines) {
+        if (engine.placed.service != service || !canOrder(engine) || !engine.models.contains(model)
+            || coming(engine, now) >= m_settings.loadsPerEngine || serves(engine, target))
+            continue;
+        const bool full = used(engine) >= engine.placed.adapterSlots;
+        if (full && !victimOf(engine, std::max(rateOf(target, now), 0.1), wantedVictimIdle, now))
+            continue;
+        double score = rendezvousScore(key, instance);
+        if (engine.placed.load > crowded)
+            score *= 0.01;
+        if (full)
+            score *= 0.1;
+        if (engine.copies.contains(target))
+            score *= 0.001; // It would have to wait for the requests of the older version.
+        if (!best || score > bestScore) {
+            best = &engine;
+            bestScore = score;
+        }
+    }
+    if (!best)
+        return;
+    if (best->copies.contains(target) || used(*best) < best->placed.adapterSlots)
+        return order(*best, OrderKind::Load, target, now, actions);
+    if (const auto victim = victimOf(*best, std::max(rateOf(target, now), 0.1), wantedVictimIdle, now))
+        order(*best, OrderKind::Unload, *victim, now, actions);
+}
+
+void AdapterPlacer::placeWanted(Instant now, PlacerActions &actions)
+{
+    std::vector<std::pair<double, ModelTarget>> wanted;
+    for (const auto &[target, demand] : m_demand) {
+        if (isAdapter(target) && demand.wantedAt != Instant{} && now - demand.wantedAt <= wantLifetime)
+            wanted.emplace_back(-rateOf(target, now), target);
+    }
+    std::ranges::sort(wanted);
+    for (const auto &[rate, target] : wanted) {
+        auto &demand = m_demand[target];
+        if (copiesOf(demand.service, target) > 0) {
+            demand.wantedAt = {};
+            for (const auto &[instance, engine] : m_engines) {
+                if (const auto copy = engine.copies.find(target); copy != engine.copies.end() && serves(engine, target))
+                    m_news.push_back({instance, target, copy->second.version, false, copy->second.usableAt});
+            }
+            continue;
+        }
+        place(demand.service, target, now, actions);
+    }
+}
+
+void AdapterPlacer::placeFurtherCopies(Instant now, PlacerActions &actions)
+{
+    if (comingEverywhere(now) >= m_settings.loadsAtFullSpeed)
+        return;
+    std::optional<ModelTarget> neediest;
+    double worst = 1;
+    for (const auto &[target, demand] : m_demand) {
+        if (!isAdapter(target))
+            continue;
+        const double rate = rateOf(target, now);
+        const bool outdated = newestVersion(target) > 0 && rate > 0.2 && copiesOf(demand.service, target) == 0;
+        if (rate < m_settings.requestsPerCopy && !outdated)
+            continue;
+        const auto engines = std::ranges::count_if(
+            m_engines, [&](const auto &item) { return item.second.placed.service == demand.service; });
+        const auto copies = copiesOf(demand.service, target);
+        if (copies >= engines)
+            continue;
+        const double need = outdated ? 1000 + rate : rate / (m_settings.requestsPerCopy * std::max(1U, copies));
+        if (need > worst) {
+            worst = need;
+            neediest = target;
+        }
+    }
+    if (neediest)
+        place(m_demand[*neediest].service, *neediest, now, actions);
+}
+
+void AdapterPlacer::freeSlots(Instant now, PlacerActions &actions)
+{
+    for (auto &[instance, engine] : m_engines) {
+        if (!canOrder(engine) || used(engine) + m_settings.spareSlots <= engine.placed.adapterSlots)
+            continue;
+        if (const auto victim = victimOf(engine, std::numeric_limits<double>::infinity(), routineVictimIdle, now))
+            order(engine, OrderKind::Unload, *victim, now, actions);
+    }
+}
+
+void AdapterPlacer::placeModels(Instant now, PlacerActions &actions)
+{
+    while (!m_weightLoads.empty() && now - m_weightLoads.front() > m_settings.weightLoadWindow)
+        m_weightLoads.pop_front();
+    auto fromStore = static_cast<unsigned>(std::ranges::count_if(m_engines, [&](const auto &item) {
+        return item.second.busyUntil > now && item.second.placed.storedModels.empty();
+    }));
+    for (auto &[instance, engine] : m_engines) {
+        if (!canOrder(engine) || !engine.models.empty() || engine.busyUntil > now)
+            continue;
+        for (const auto &model : m_models) {
+            if (model.service != engine.placed.service)
+                continue;
+            if (!engine.placed.storedModels.contains(model.model)) {
+                if (fromStore >= m_settings.weightLoadsAtOnce
+                    || m_weightLoads.size() >= m_settings.weightLoadsPerWindow)
+                    break;
+                ++fromStore;
+                m_weightLoads.push_back(now);
+            }
+            order(engine, OrderKind::Load, model.model, now, actions);
+            break;
+        }
+    }
+}
+
+void AdapterPlacer::inspect(Engine &engine, Instant now, PlacerActions &actions)
+{
+    engine.inspecting = true;
+    engine.inspectAt = now + routineInspection;
+    actions.inspections.push_back(engine.placed.instance);
+}
+
+PlacerActions AdapterPlacer::plan(Instant now)
+{
+    PlacerActions actions;
+    for (auto &[instance, engine] : m_engines) {
+        if (!engine.inspecting && now >= engine.inspectAt && engine.placed.takesOrders)
+            inspect(engine, now, actions);
+    }
+    placeModels(now, actions);
+    placeWanted(now, actions);
+    placeFurtherCopies(now, actions);
+    freeSlots(now, actions);
+    if (m_demand.size() > maxDemand)
+        std::erase_if(m_demand, [&](const auto &item) { return rateOf(item.first, now) < forgottenWeight; });
+    actions.news = std::exchange(m_news, {});
+    return actions;
+}
+
+void AdapterPlacer::applyStarted(Engine &engine, const EngineOrder &order, Instant now)
+{
+    if (order.kind == OrderKind::Unload)
+        return;
+    if (!isAdapter(order.target)) {
+        engine.busyUntil = now + m_settings.weightLoadWindow;
+        return;
+    }
+    const bool cached = engine.cached.contains(order.target) && order.version == 0;
+    const double crowding = std::max(1.0, (comingEverywhere(now) + 1.0) / m_settings.loadsAtFullSpeed);
+    const auto time = cached ? m_settings.adapterReloadTime : m_settings.adapterLoadTime;
+    const auto usableAt = now + std::chrono::duration_cast<Duration>(time * crowding);
+    engine.copies[order.target] = Copy{order.version, usableAt, usableAt, false};
+    if (engine.cached.size() >= cachedAdapters)
+        engine.cached.clear();
+    engine.cached.insert(order.target);
+    m_news.push_back({engine.placed.instance, order.target, order.version, false, usableAt});
+}
+
+void AdapterPlacer::settleLate(Engine &engine)
+{
+    // A late order is carried out only while the counter is what it expects.
+    std::erase_if(engine.late, [&](const EngineOrder &order) { return order.expected < engine.orders; });
+}
+
+void AdapterPlacer::onAnswer(const EngineOrder &order, OrderOutcome outcome, Instant now)
+{
+    const auto it = m_engines.find(order.instance);
+    if (it == m_engines.end() || !it->second.open || it->second.open->order.id != order.id)
+        return;
+    auto &engine = it->second;
+    engine.open.reset();
+    switch (outcome) {
+    case OrderOutcome::Started:
+        engine.orders = order.expected + 1;
+        settleLate(engine);
+        applyStarted(engine, order, now);
+        if (order.kind == OrderKind::Unload || !isAdapter(order.target))
+            engine.inspectAt = std::min(engine.inspectAt, now + 4 * inspectPause);
+        return;
+    case OrderOutcome::Done:
+        if (order.kind == OrderKind::Unload) {
+            engine.copies.erase(order.target);
+            engine.orders = order.expected + 1;
+            settleLate(engine);
+            return;
+        }
+        break;
+    case OrderOutcome::Unknown:
+        engine.late.push_back(order);
+        break;
+    case OrderOutcome::Conflict:
+    case OrderOutcome::Refused:
+        break;
+    }
+    engine.known = false;
+    engine.inspectAt = outcome == OrderOutcome::Refused ? now + 4 * inspectPause : now;
+}
+
+void AdapterPlacer::onReport(const std::string &instance, const std::optional<EngineReport> &report, Instant now)
+{
+    const auto it = m_engines.find(instance);
+    if (it == m_engines.end())
+        return;
+    auto &engine = it->second;
+    engine.inspecting = false;
+    if (!report) {
+        engine.inspectAt = now + 2 * inspectPause;
+        return;
+    }
+    const bool isOld = report->orders < engine.orders && engine.known;
+    if (isOld || engine.open) {
+        engine.inspectAt = now + inspectPause;
+        return;
+    }
+    engine.orders = report->orders;
+    engine.known = true;
+    settleLate(engine);
+    const auto before = std::exchange(engine.copies, {});
+    engine.models.clear();
+    const auto take = [&](const ListedTarget &listed, bool isComing) {
+        if (!isAdapter(listed.target)) {
+            engine.models.insert(listed.target);
+            return;
+        }
+        const auto known = before.find(listed.target);
+        Copy copy{listed.version, now, now - routineVictimIdle, false};
+        if (known != before.end()) {
+            copy.lastUsed = known->second.lastUsed;
+            copy.leaving = known->second.leaving;
+            if (known->second.version > listed.version)
+                copy.version = known->second.version;
+        }
+        if (isComing)
+            copy.usableAt
+                = known != before.end() ? std::max(known->second.usableAt, now) : now + m_settings.adapterLoadTime;
+        engine.copies[listed.target] = copy;
+    };
+    for (const auto &listed : report->held)
+        take(listed, false);
+    for (const auto &listed : report->coming)
+        take(listed, true);
+    for (const auto &[target, copy] : before) {
+        // The report may be from before the last orders took effect.
+        if (!copy.leaving && now - copy.usableAt < inspectPause)
+            engine.copies.try_emplace(target, copy);
+    }
+    engine.busyUntil = report->busy ? now + 2 * inspectPause : now;
+    engine.inspectAt = now + routineInspection;
+    const bool unsettled = report->busy || engine.models.empty()
+                           || std::ranges::any_of(engine.copies, [](const auto &item) { return item.second.leaving; });
+    if (unsettled)
+        engine.inspectAt = now + 2 * inspectPause;
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/adapterplacer.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "common/clock.h"
+#include "gateway/residency.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+enum class OrderKind {
+    Load,
+    Unload,
+};
+
+/// An order to one engine. It is to be carried out only if the engine's counter of orders is @c expected.
+struct EngineOrder {
+    std::uint64_t id = 0; ///< Of this process; answers name it.
+    std::string instance;
+    OrderKind kind = OrderKind::Load;
+    ModelTarget target;
+    std::uint64_t version = 0; ///< Of an adapter to load; 0: the newest.
+    std::uint64_t expected = 0;
+};
+
+enum class OrderOutcome {
+    Started, ///< Accepted; it is being carried out.
+    Done, ///< It holds already.
+    Conflict, ///< The engine's counter differs, or another order is under way. It was not accepted.
+    Refused, ///< The engine will not carry it out.
+    Unknown, ///< No answer: it may be carried out, also later.
+};
+
+/// What an engine says of itself when it is asked.
+struct EngineReport {
+    std::uint64_t orders = 0; ///< Counter of orders accepted.
+    bool busy = false; ///< A base model is on its way.
+    std::vector<ListedTarget> held;
+    std::vector<ListedTarget> coming; ///< Adapters on their way.
+};
+
+/// What the placer needs to know of an engine.
+struct PlacedEngine {
+    std::string instance;
+    std::string service;
+    bool takesOrders = true; ///< False for one that is draining.
+    unsigned adapterSlots = 0;
+    double load = 0; ///< Requests at work, of the whole fleet.
+    std::set<std::string> storedModels; ///< Loaded from its own disk or memory.
+};
+
+/// A base model that engines of a service are to hold.
+struct PlacedModel {
+    std::string service;
+    std::string model;
+    Duration loadTime{};
+};
+
+/// A change of what an engine holds, to be told to all nodes.
+struct PlacementNews {
+    std::string instance;
+    ModelTarget target;
+    std::uint64_t version = 0;
+    bool dropped = false;
+    Instant usableAt{}; ///< Of a load.
+};
+
+/// What is to be done now.
+struct PlacerActions {
+    std::vector<EngineOrder> orders;
+    std::vector<std::string> inspections; ///< Engines to ask for a report.
+    std::vector<PlacementNews> news;
+};
+
+struct PlacerSettings {
+    Duration adapterLoadTime = std::chrono::milliseconds{250}; ///< From the weight store; the platform's sheet.
+    Duration adapterReloadTime = std::chrono::milliseconds{25}; ///< Of one that the engine held recently: a tenth.
+    unsigned loadsAtFullSpeed = 8; ///< Over all engines; the platform's sheet.
+    unsigned loadsPerEngine = 4; ///< What an engine takes at once; the platform's sheet.
+    unsigned spareSlots = 2; ///< Kept free on each engine, so that a miss needs no eviction first.
+    double requestsPerCopy = 3; ///< A second; above this an adapter gets a further copy.
+    unsigned weightLoadsAtOnce = 1; ///< Base models from the weight store; more would only slow each other down.
+    unsigned weightLoadsPerWindow = 7; ///< Within the platform's bound also for two holders in a row.
+    Duration weightLoadWindow = std::chrono::seconds{5};
+};
+
+/// Decides which engine holds which adapters, and orders it. Run by the one holder of the order lease; a new holder
+/// starts with an empty one, which asks every engine before it orders anything.
+///
+/// Answers load that misses: an adapter has a home by rendezvous hashing, hot ones have several, cold ones make way.
+/// No engine is ever ordered beyond its slots: an order that was not answered counts as carried out and as not
+/// carried out, until the engine's counter settles it. Not thread-safe; does no I/O.
+class AdapterPlacer
+{
+public:
+    explicit AdapterPlacer(PlacerSettings settings = {});
+
+    /// Replaces the list of engines and models. Engines that are not in it any more are forgotten.
+    void setEngines(const std::vector<PlacedEngine> &engines, const std::vector<PlacedModel> &models);
+
+    /// Requests wait for @p target of @p service, which no engine holds as far as their node knows.
+    void onWanted(const std::string &service, const ModelTarget &target, unsigned requests, Instant now);
+
+    /// @p requests were sent for @p target, or are still at work.
+    void onUsed(const std::string &service, const ModelTarget &target, double requests, Instant now);
+
+    /// @p version of an adapter was declared; older ones are to go.
+    void onVersionDeclared(const ModelTarget &target, std::uint64_t version);
+
+    void onAnswer(const EngineOrder &order, OrderOutcome outcome, Instant now);
+
+    /// An engine has answered an inspection, or has not (no @p report).
+    void onReport(const std::string &instance, const std::optional<EngineReport> &report, Instant now);
+
+    /// Returns what is to be done. Orders are to be sent at once or answered as Conflict.
+    PlacerActions plan(Instant now);
+
+    /// Returns how many adapter slots of an engine are used or may be.
+    unsigned usedSlots(const std::string &instance) const;
+
+private:
+    struct Copy {
+        std::uint64_t version = 0;
+        Instant usableAt{};
+        Instant lastUsed{};
+        bool leaving = false; ///< An unload waits for its requests.
+    };
+
+    /// An order whose outcome is open.
+    struct OpenOrder {
+        EngineOrder order;
+        bool answered = false; ///< False while its answer may still come.
+        Instant since{};
+    };
+
+    struct Engine {
+        PlacedEngine placed;
+        bool known = false; ///< The counter and the lists below are up to date.
+        std::uint64_t orders = 0;
+        std::map<ModelTarget, Copy> copies; ///< Adapters held or on their way.
+        std::set<std::string> models;
+        std::optional<OpenOrder> open; ///< The one that an answer is awaited for.
+        std::vector<EngineOrder> late; ///< Without an answer: may still be carried out.
+        std::set<ModelTarget> cached; ///< Held before, so that they load faster.
+        bool inspecting = false;
+        Instant inspectAt{};
+        Instant busyUntil{}; ///< A base model is on its way.
+    };
+
+    struct Demand {
+        std::string service;
+        double weight = 0; ///< Decayed number of requests.
+        Instant updated{};
+        Instant wantedAt{}; ///< Zero: no request waits.
+    };
+
+    double rateOf(const ModelTarget &target, Instant now) const;
+    void count(const std::string &service, const ModelTarget &target, double requests, Instant now);
+    std::uint64_t newestVersion(const ModelTarget &target) const;
+    bool canOrder(const Engine &engine) const;
+    unsigned used(const Engine &engine) const;
+    unsigned coming(const Engine &engine, Instant now) const;
+    unsigned comingEverywhere(Instant now) const;
+    bool serves(const Engine &engine, const ModelTarget &target) const;
+    unsigned copiesOf(const std::string &service, const ModelTarget &target) const;
+    void place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions);
+    std::optional<ModelTarget> victimOf(const Engine &engine, double rate, Duration idleTime, Instant now) const;
+    void order(Engine &engine, OrderKind kind, const ModelTarget &target, Instant now, PlacerActions &actions);
+    void inspect(Engine &engine, Instant now, PlacerActions &actions);
+    void placeModels(Instant now, PlacerActions &actions);
+    void placeWanted(Instant now, PlacerActions &actions);
+    void placeFurtherCopies(Instant now, PlacerActions &actions);
+    void freeSlots(Instant now, PlacerActions &actions);
+    void applyStarted(Engine &engine, const EngineOrder &order, Instant now);
+    void settleLate(Engine &engine);
+
+    PlacerSettings m_settings;
+    std::map<std::string, Engine> m_engines;
+    std::vector<PlacedModel> m_models;
+    std::unordered_map<ModelTarget, Demand> m_demand;
+    std::unordered_map<ModelTarget, std::uint64_t> m_declared;
+    std::deque<Instant> m_weightLoads; ///< Begun within the window.
+    std::vector<PlacementNews> m_news;
+    std::uint64_t m_lastOrder = 0;
+};
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/callcontext.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gateway/crashledger.h"
+#include "gateway/enginechoice.h"
+#include "gateway/retryallowance.h"
+#include "gateway/trafficpolicy.h"
+#include "gateway/upstreamtable.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace Gypsumtally::Gateway
+{
+
+/// A version of an adapter that was declared, and when this node learned of it.
+struct DeclaredVersion {
+    std::uint64_t version = 0;
+    Instant learned{};
+};
+
+/// How often and how many of the requests for one target are at work at this node.
+struct TargetUse {
+    std::string service;
+    unsigned inFlight = 0;
+    unsigned started = 0; ///< Since the last message to the holder.
+    unsigned waiting = 0; ///< For a load.
+};
+
+/// What this node believes when it decides on a request. Loop's thread only.
+struct CallContext {
+    std::string failureDomain;
+    std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
+    UpstreamTable upstreams;
+    RetryAllowance allowance{RetryBound{}};
+    CrashLedger crashes;
+    std::unordered_map<ModelTarget, DeclaredVersion> declared;
+    std::unordered_map<ModelTarget, TargetUse> uses;
+    bool hasOrderHolder = false; ///< Some node answers for loads.
+    std::function<void(const std::string &service, const ModelTarget &target)>
+        onWanted; ///< Asks the holder for a load.
+
+    /// Returns the oldest version of @p target that may serve at @p now; 0 for any.
+    std::uint64_t leastVersion(const ModelTarget &target, Instant now) const;
+};
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/callforwarder.h
@@ -0,0 +1,661 @@
+#pragma once
+
+#include "common/verdict.h"
+#include "gateway/callcontext.h"
+#include "gateway/dialect.h"
+#include "gateway/eventsplitter.h"
+#include "gateway/gatewaylog.h"
+#include "http/eventloop.h"
+#include "relay/callerserver.h"
+#include "relay/upstreamclient.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// Carries callers' requests to upstreams and their answers back: chooses, sends, sends again where that is safe,
+/// resumes streams, refuses. Loop's thread only.
+template<CallDialect Dialect>
+class CallForwarder
+{
+public:
+    CallForwarder(Http::EventLoop &loop, CallContext &context, GatewayLog &log)
+        : m_loop(loop)
+        , m_context(context)
+        , m_log(log)
+        , m_client(loop)
+    {
+    }
+
+    /// Takes in a caller's request.
+    void accept(std::shared_ptr<Relay::CallerExchange> exchange)
+    {
+        auto call = std::make_shared<Call>();
+        call->exchange = std::move(exchange);
+        call->arrival = call->exchange->arrival();
+        start(call);
+    }
+
+    /// Enforces deadlines and moves calls off silent upstreams. To be called several times a second.
+    void sweep(Instant now)
+    {
+        m_client.sweep(now);
+        const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(), m_calls.end());
+        for (const auto &call : calls)
+            sweepCall(call, now);
+    }
+
+    /// What engines hold has changed: calls that wait for a load are looked at again.
+    void onPlacement()
+    {
+        if (m_waiting.empty())
+            return;
+        const std::vector<std::shared_ptr<Call>> waiting(m_waiting.begin(), m_waiting.end());
+        for (const auto &call : waiting)
+            proceed(call);
+    }
+
+    /// The upstream process has ended or was replaced.
+    void onUpstreamGone(const std::string &instance)
+    {
+        reportCrashes(instance, BootClock{}.now());
+    }
+
+    Relay::UpstreamClient &client()
+    {
+        return m_client;
+    }
+
+    std::size_t activeCalls() const
+    {
+        return m_calls.size();
+    }
+
+private:
+    /// Margin after a deadline for the upstream's own answer to it.
+    static constexpr Duration deadlineMargin = std::chrono::milliseconds{60};
+    /// Sends of one request that upstreams may refuse unstarted.
+    static constexpr unsigned maxRefusedSends = 4;
+    /// Pause before an engine is asked again that is just loading what the request needs.
+    static constexpr Duration loadingPause = std::chrono::milliseconds{60};
+    static constexpr Duration wantRepeat = std::chrono::milliseconds{150}; ///< A lost datagram costs no more than this.
+    static constexpr Duration longestLoadWait = std::chrono::milliseconds{2000}; ///< Eight loads, one after the other.
+    static constexpr double longestLoadWaitPart = 0.5; ///< Of the time that the request has.
+    static constexpr Duration avoidAfterRefusedConnection = std::chrono::milliseconds{600};
+    static constexpr Duration silentPlainService = std::chrono::milliseconds{250}; ///< Over ten times its mean work.
+    static constexpr Duration silentEngine = std::chrono::milliseconds{900}; ///< Three of the longest pauses.
+    static constexpr Duration crashWindow = std::chrono::milliseconds{1500}; ///< Within which breaks tell of one crash.
+    static constexpr Duration together = std::chrono::milliseconds{150};
+    static constexpr double retryAfterPart = 0.3; ///< Of the time left: callers ignore more than a third.
+
+    struct Call {
+        std::shared_ptr<Relay::CallerExchange> exchange;
+        CallerRequest request;
+        Route route;
+        std::string service;
+        Instant arrival{};
+        Instant deadline{};
+        Fingerprint fingerprint = 0;
+        std::vector<std::string> excluded;
+        unsigned sends = 0; ///< That reached an upstream, or may have.
+        unsigned runs = 0; ///< Of these, the ones that may have run.
+        unsigned refused = 0; ///< Of these, the ones that the upstream refused unstarted.
+        Verdict verdict = Verdict::NotRun;
+        bool answering = false; ///< The head of the answer has gone to the caller.
+        bool done = false;
+        bool waiting = false; ///< For a load.
+        Instant waitUntil{};
+        Instant wantedAt{};
+        Instant notBefore{};
+        // The send under way.
+        std::string instance;
+        Relay::UpstreamClient::Token token = 0;
+        Instant sentAt{};
+        Instant heard{};
+        double prefill = 0; ///< Counted in the upstream's load until the first event.
+        UpstreamReply reply;
+        std::string body;
+        std::unique_ptr<EventSplitter> events;
+        std::optional<std::uint64_t> lastEvent; ///< That the caller has.
+        Instant lastEventAt{};
+    };
+    using CallPtr = std::shared_ptr<Call>;
+
+    void start(const CallPtr &call)
+    {
+        auto decoded = Dialect::readRequest(call->exchange->request());
+        if (const auto *bad = std::get_if<BadRequest>(&decoded))
+            return refuse(call, 400, ErrorCode::BadRequest, bad->reason, {});
+        call->request = std::move(std::get<CallerRequest>(decoded));
+        if (!m_context.routes)
+            return refuse(call, 503, ErrorCode::PlatformUnavailable, "no configuration is known yet",
+                          std::chrono::milliseconds{500});
+        const auto *route = m_context.routes->match(call->request.host, call->request.path);
+        if (!route)
+            return refuse(call, 404, ErrorCode::UnknownRoute, "no route has this host and path", {});
+        call->route = *route;
+        if (route->services.empty())
+            return refuse(call, 503, ErrorCode::UnknownService, "the route has no service", {});
+        call->service = chooseService(*route, call->request.id);
+        const auto timeout = std::min(call->request.timeout.value_or(route->timeout), route->timeout);
+        call->deadline = call->arrival + timeout;
+        call->lastEvent = call->request.resumeAfter;
+        const auto &raw = call->exchange->request();
+        call->fingerprint
+            = XXH3_64bits_withSeed(raw.body.data(), raw.body.size(), XXH3_64bits(raw.target.data(), raw.target.size()));
+        m_calls.insert(call);
+        call->exchange->onGone([this, weak = std::weak_ptr<Call>(call)] {
+            if (const auto gone = weak.lock())
+                onCallerGone(gone);
+        });
+        m_context.allowance.onRequest(call->service, call->arrival);
+        if (!call->request.target.empty()) {
+            auto &use = m_context.uses[call->request.target];
+            use.service = call->service;
+            ++use.inFlight;
+            ++use.started;
+        }
+        proceed(call);
+    }
+
+    /// Sends the call if an upstream can take it, waits for a load, or gives up.
+    void proceed(const CallPtr &call)
+    {
+        if (call->done || call->token != 0)
+            return;
+        const auto now = BootClock{}.now();
+        if (now < call->notBefore)
+            return;
+        if (m_context.crashes.isBlocked(call->fingerprint))
+            return giveUp(call, ErrorCode::Quarantined, "upstreams died whenever they ran this request");
+        auto choice = choose(*call, now);
+        if (!choice && !call->excluded.empty() && call->runs == 0) {
+            call->excluded.clear();
+            choice = choose(*call, now);
+        }
+        if (!choice)
+            return waitForLoad(call, now);
+        if (choice->usableAt > now) {
+            call->notBefore = choice->usableAt;
+            call->waiting = true;
+            call->waitUntil = std::max(call->waitUntil, choice->usableAt + std::chrono::milliseconds{500});
+            m_waiting.insert(call);
+            return wakeAt(call, choice->usableAt, now);
+        }
+        stopWaiting(call);
+        send(call, *choice, now);
+    }
+
+    std::optional<UpstreamChoice> choose(const Call &call, Instant now) const
+    {
+        UpstreamDemand demand{call.service, call.request.target, 0, m_context.failureDomain, call.excluded};
+        if (call.request.target.empty())
+            return chooseUpstream(m_context.upstreams, demand, now);
+        // The newest version is preferred from the beginning; the older one serves until the new one is loaded.
+        if (const auto it = m_context.declared.find(call.request.target); it != m_context.declared.end()) {
+            demand.leastVersion = it->second.version;
+            auto newest = chooseUpstream(m_context.upstreams, demand, now);
+            if (newest && newest->usableAt <= now)
+                return newest;
+            demand.leastVersion = m_context.leastVersion(call.request.target, now);
+            const auto older = chooseUpstream(m_context.upstreams, demand, now);
+            return older && older->usableAt <= now ? older : newest;
+        }
+        return chooseUpstream(m_context.upstreams, demand, now);
+    }
+
+    void wakeAt(const CallPtr &call, Instant time, Instant now)
+    {
+        m_loop.runAfter(std::max(Duration{}, time - now), [this, weak = std::weak_ptr<Call>(call)] {
+            if (const auto waiting = weak.lock())
+                proceed(waiting);
+        });
+    }
+
+    void waitForLoad(const CallPtr &call, Instant now)
+    {
+        if (!hasUpstream(m_context.upstreams, call->service))
+            return giveUp(call, ErrorCode::NoUpstream, "no upstream of the service takes requests");
+        if (adapterOf(call->request.target).empty())
+            return giveUp(call, ErrorCode::NoUpstream, "every upstream of the service has failed the request");
+        if (!m_context.hasOrderHolder)
+            return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now");
+        if (!call->waiting) {
+            call->waiting = true;
+            const auto part = std::chrono::duration_cast<Duration>((call->deadline - now) * longestLoadWaitPart);
+            call->waitUntil = now + std::min(longestLoadWait, part);
+            m_waiting.insert(call);
+            ++m_context.uses[call->request.target].waiting;
+        }
+        if (now >= call->waitUntil)
+            return giveUp(call, ErrorCode::AdapterLoadFailed, "the adapter was not loaded in time");
+        if (now - call->wantedAt >= wantRepeat) {
+            call->wantedAt = now;
+            m_context.onWanted(call->service, call->request.target);
+        }
+    }
+
+    void stopWaiting(const CallPtr &call)
+    {
+        if (!call->waiting)
+            return;
+        call->waiting = false;
+        m_waiting.erase(call);
+    }
+
+    void send(const CallPtr &call, const UpstreamChoice &choice, Instant now)
+    {
+        if (call->sends > 0 && !m_context.allowance.tryTake(call->service, now))
+            return giveUp(call, ErrorCode::UpstreamFailed, "the budget for sending again is used up");
+        auto *upstream = m_context.upstreams.find(choice.instance);
+        ++call->sends;
+        call->instance = choice.instance;
+        call->sentAt = now;
+        call->heard = now;
+        call->reply = {};
+        call->body.clear();
+        call->events = std::make_unique<EventSplitter>();
+        SendInstructions instructions{choice.instance, call->deadline - now, {}, {}, {}};
+        if (!call->request.target.empty()) {
+            instructions.priority = std::min(9U, call->route.priority);
+            if (const auto it = m_context.declared.find(call->request.target);
+                it != m_context.declared.end() && choice.version >= it->second.version)
+                instructions.version = choice.version;
+        }
+        if (call->lastEvent)
+            instructions.resumeAfter = call->lastEvent;
+        call->prefill = call->request.promptTokens;
+        if (upstream->own.inFlight == 0)
+            upstream->waitingSince = now;
+        ++upstream->own.inFlight;
+        upstream->own.prefillTokens += call->prefill;
+        Relay::SendOptions options;
+        options.connectTimeout = std::chrono::milliseconds{call->request.target.empty() ? 150 : 300};
+        if (!call->route.mayRepeat())
+            options.longestReuseAge = std::chrono::seconds{2};
+        const std::weak_ptr<Call> weak = call;
+        const auto forward = [this, weak](auto &&handler) {
+            return [this, weak, handler](auto &&...arguments) {
+                if (const auto current = weak.lock())
+                    handler(current, arguments...);
+            };
+        };
+        Relay::ExchangeObserver observer;
+        observer.onHead
+            = forward([this](const CallPtr &current, const Relay::ResponseHead &head) { onHead(current, head); });
+        observer.onBody = forward([this](const CallPtr &current, std::string_view piece) { onBody(current, piece); });
+        observer.onEnd = forward([this](const CallPtr &current) { onEnd(current); });
+        observer.onFailure = forward(
+            [this](const CallPtr &current, const Relay::FailedExchange &failure) { onFailure(current, failure); });
+        call->token = m_client.send({upstream->record.endpoint, choice.instance},
+                                    Dialect::writeRequest(call->exchange->request(), instructions), std::move(observer),
+                                    options);
+    }
+
+    /// The send under way is over; takes its load off the upstream.
+    void release(const CallPtr &call)
+    {
+        call->token = 0;
+        if (auto *upstream = m_context.upstreams.find(call->instance)) {
+            if (upstream->own.inFlight > 0)
+                --upstream->own.inFlight;
+            upstream->own.prefillTokens = std::max(0.0, upstream->own.prefillTokens - call->prefill);
+        }
+        call->prefill = 0;
+    }
+
+    void noteHeard(const CallPtr &call, Instant now)
+    {
+        call->heard = now;
+        if (auto *upstream = m_context.upstreams.find(call->instance)) {
+            upstream->lastHeard = now;
+            upstream->waitingSince = now;
+        }
+    }
+
+    void noteResult(const CallPtr &call, bool failed)
+    {
+        if (auto *upstream = m_context.upstreams.find(call->instance))
+            noteOutcome(*upstream, failed, BootClock{}.now());
+    }
+
+    bool streams(const Call &call) const
+    {
+        return call.route.kind == RequestKind::Streaming && call.reply.status / 100 == 2;
+    }
+
+    void onHead(const CallPtr &call, const Relay::ResponseHead &head)
+    {
+        noteHeard(call, BootClock{}.now());
+        call->reply = Dialect::readReply(head);
+        const bool success = call->reply.status / 100 == 2;
+        const bool strange = call->reply.requestId != call->request.id;
+        if ((success && (strange || !call->reply.isSigned || call->reply.isEncoded))
+            || (strange && !call->reply.notRun))
+            dropSend(call, "the answer is not one to this request");
+    }
+
+    /// Cuts the send under way and treats it as broken.
+    void dropSend(const CallPtr &call, const std::string &reason)
+    {
+        m_client.cancel(call->token);
+        onFailure(call, {Relay::ExchangeFailure::Malformed, true, reason});
+    }
+
+    void onBody(const CallPtr &call, std::string_view piece)
+    {
+        const auto now = BootClock{}.now();
+        noteHeard(call, now);
+        if (!streams(*call)) {
+            call->body += piece;
+            return;
+        }
+        const auto events = call->events->feed(piece);
+        if (events.empty())
+            return;
+        if (call->prefill > 0) {
+            if (auto *upstream = m_context.upstreams.find(call->instance))
+                upstream->own.prefillTokens = std::max(0.0, upstream->own.prefillTokens - call->prefill);
+            call->prefill = 0;
+        } else if (auto *upstream = m_context.upstreams.find(call->instance)) {
+            notePause(*upstream, now - call->lastEventAt);
+        }
+        call->lastEventAt = now;
+        if (!call->answering) {
+            call->answering = true;
+            call->exchange->begin(call->reply.status, call->reply.headers, std::nullopt);
+        }
+        if (call->events->lastId())
+            call->lastEvent = call->events->lastId();
+        call->exchange->write(events);
+    }
+
+    void onEnd(const CallPtr &call)
+    {
+        release(call);
+        if (call->reply.notRun)
+            return onNotRun(call);
+        if (call->reply.status / 100 != 2)
+            return onErrorStatus(call);
+        if (streams(*call)) {
+            if (call->events->hasPartial() || !call->answering)
+                return onBroken(call, "the stream ended inside an event");
+            noteResult(call, false);
+            call->verdict = Verdict::Ran;
+            call->exchange->end();
+            return finish(call);
+        }
+        noteResult(call, false);
+        passOn(call);
+    }
+
+    void onFailure(const CallPtr &call, const Relay::FailedExchange &failure)
+    {
+        release(call);
+        const auto now = BootClock{}.now();
+        if (failure.kind == Relay::ExchangeFailure::NotConnected || !failure.sent) {
+            --call->sends;
+            if (auto *upstream = m_context.upstreams.find(call->instance)) {
+                upstream->avoidUntil = now + avoidAfterRefusedConnection;
+                m_client.dropIdle({upstream->record.endpoint, call->instance});
+            }
+            reportCrashes(call->instance, now);
+            m_log.decision(GatewayEvent::SendFailed, call->request.id,
+                           {{"upstream", call->instance}, {"reason", failure.reason}, {"verdict", "not-run"}});
+            return again(call);
+        }
+        noteBroken(call, now);
+        onBroken(call, failure.reason);
+    }
+
+    /// The upstream stated that it has not run the request.
+    void onNotRun(const CallPtr &call)
+    {
+        const auto now = BootClock{}.now();
+        ++call->refused;
+        auto *upstream = m_context.upstreams.find(call->instance);
+        m_log.decision(GatewayEvent::NotRunByUpstream, call->request.id,
+                       {{"upstream", call->instance}, {"status", std::to_string(call->reply.status)}});
+        if (call->reply.wrongInstance && upstream) {
+            // It does not hold the adapter (any more), or the process has changed.
+            if (!call->request.target.empty())
+                upstream->residency.onDropped(call->request.target, now);
+            else
+                upstream->avoidUntil = now + avoidAfterRefusedConnection;
+        } else if (upstream) {
+            const auto *copy = upstream->residency.find(call->request.target);
+            if (copy && now - copy->usableAt < std::chrono::milliseconds{800})
+                call->notBefore = now + loadingPause; // Still loading: ask again soon.
+            else
+                upstream->avoidUntil = now + loadingPause;
+        }
+        if (call->refused > maxRefusedSends)
+            return giveUp(call, ErrorCode::UpstreamRefused, "the upstreams have no room");
+        if (call->notBefore > now) {
+            call->waiting = true;
+            call->waitUntil = std::max(call->waitUntil, now + longestLoadWait);
+            m_waiting.insert(call);
+            return wakeAt(call, call->notBefore, now);
+        }
+        again(call);
+    }
+
+    void onErrorStatus(const CallPtr &call)
+    {
+        noteResult(call, call->reply.status >= 500);
+        ++call->runs;
+        call->verdict = Verdict::MayHaveRun;
+        if (call->reply.status >= 500 && mayRunAgain(*call)) {
+            call->excluded.push_back(call->instance);
+            return again(call);
+        }
+        if (call->answering)
+            return breakOff(call, "the upstream failed");
+        const bool promises = call->reply.status == 503 || call->reply.status == 429 || call->reply.status == 408
+                              || call->reply.status == 421;
+        if (!call->reply.isSigned || promises)
+            return giveUp(call, ErrorCode::UpstreamFailed, "the upstream failed the request");
+        passOn(call);
+    }
+
+    void onBroken(const CallPtr &call, const std::string &reason)
+    {
+        noteResult(call, true);
+        ++call->runs;
+        call->verdict = Verdict::MayHaveRun;
+        m_log.decision(GatewayEvent::SendFailed, call->request.id,
+                       {{"upstream", call->instance}, {"reason", reason}, {"verdict", "may-have-run"}});
+        call->excluded.push_back(call->instance);
+        if (mayRunAgain(*call))
+            return again(call);
+        if (call->answering)
+            return breakOff(call, reason);
+        giveUp(call, ErrorCode::UpstreamLost, reason);
+    }
+
+    bool mayRunAgain(const Call &call) const
+    {
+        if (!call.route.mayRepeat() || call.runs >= call.route.attempts || BootClock{}.now() >= call.deadline)
+            return false;
+        // A stream whose events carry no ids cannot go on elsewhere.
+        return !call.answering || call.lastEvent.has_value();
+    }
+
+    void again(const CallPtr &call)
+    {
+        if (BootClock{}.now() >= call->deadline)
+            return giveUp(call, ErrorCode::DeadlineExceeded, "the time is over");
+        if (call->runs > 0)
+            call->excluded.push_back(call->instance);
+        proceed(call);
+    }
+
+    /// Hands a whole answer of the upstream to the caller as it is.
+    void passOn(const CallPtr &call)
+    {
+        call->exchange->respond({call->reply.status, call->reply.headers, std::move(call->body)});
+        finish(call);
+    }
+
+    void breakOff(const CallPtr &call, const std::string &reason)
+    {
+        m_log.decision(GatewayEvent::BrokenOff, call->request.id,
+                       {{"upstream", call->instance},
+                        {"reason", reason},
+                        {"events", std::to_string(call->lastEvent.value_or(0))}});
+        call->exchange->abort();
+        finish(call);
+    }
+
+    /// Answers with a failure; what was not run may come back.
+    void giveUp(const CallPtr &call, ErrorCode code, const std::string &reason)
+    {
+        if (call->answering)
+            return breakOff(call, reason);
+        const auto now = BootClock{}.now();
+        if (call->verdict == Verdict::NotRun) {
+            const auto left = call->deadline - now;
+            std::optional<Duration> retryAfter;
+            if (code != ErrorCode::Quarantined && left > std::chrono::milliseconds{100})
+                retryAfter = std::min<Duration>(std::chrono::seconds{1},
+                                                std::chrono::duration_cast<Duration>(left * retryAfterPart));
+            return refuse(call, code == ErrorCode::Overloaded ? 429 : 503, code, reason, retryAfter);
+        }
+        refuse(call, code == ErrorCode::DeadlineExceeded ? 504 : 502, code, reason, {});
+    }
+
+    void refuse(const CallPtr &call, unsigned status, ErrorCode code, const std::string &reason,
+                std::optional<Duration> retryAfter)
+    {
+        m_log.decision(GatewayEvent::Refused, call->request.id,
+                       {{"status", std::to_string(status)},
+                        {"code", std::string(nameOf(code))},
+                        {"reason", reason},
+                        {"target", call->request.target},
+                        {"upstream", call->instance},
+                        {"sends", std::to_string(call->sends)},
+                        {"verdict", std::string(nameOf(call->verdict))}});
+        Http::Headers headers{{"Content-Type", "text/plain"}};
+        if (retryAfter) {
+            std::array<char, 32> text{};
+            std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(*retryAfter).count());
+            headers.add("Retry-After", text.data());
+        }
+        call->exchange->respond({status, headers, reason + '\n'});
+        finish(call);
+    }
+
+    void onCallerGone(const CallPtr &call)
+    {
+        if (call->done)
+            return;
+        if (call->token != 0) {
+            m_client.cancel(call->token);
+            release(call);
+        }
+        finish(call);
+    }
+
+    void finish(const CallPtr &call)
+    {
+        if (call->done)
+            return;
+        call->done = true;
+        stopWaiting(call);
+        if (m_calls.erase(call) > 0 && !call->request.target.empty()) {
+            auto &use = m_context.uses[call->request.target];
+            if (use.inFlight > 0)
+                --use.inFlight;
+        }
+        call->exchange.reset();
+    }
+
+    void sweepCall(const CallPtr &call, Instant now)
+    {
+        if (call->done)
+            return;
+        if (now > call->deadline + deadlineMargin) {
+            if (call->token != 0) {
+                m_client.cancel(call->token);
+                release(call);
+                call->verdict = Verdict::MayHaveRun;
+            }
+            return giveUp(call, ErrorCode::DeadlineExceeded, "the time is over");
+        }
+        if (call->waiting)
+            return proceed(call);
+        if (call->token != 0 && isSilent(*call, now))
+            leaveSilentUpstream(call, now);
+    }
+
+    bool isSilent(const Call &call, Instant now) const
+    {
+        if (!mayRunAgain(call))
+            return false;
+        const auto it = m_context.upstreams.all().find(call.instance);
+        if (it == m_context.upstreams.all().end())
+            return now - call.heard > silentEngine;
+        const auto limit = call.request.target.empty() ? silentPlainService : silentEngine;
+        return now - call.heard > limit && now - it->second.waitingSince > limit;
+    }
+
+    void leaveSilentUpstream(const CallPtr &call, Instant now)
+    {
+        m_client.cancel(call->token);
+        release(call);
+        if (auto *upstream = m_context.upstreams.find(call->instance)) {
+            upstream->avoidUntil = now + avoidAfterRefusedConnection;
+            m_client.dropIdle({upstream->record.endpoint, call->instance});
+        }
+        onBroken(call, "the upstream has gone silent");
+    }
+
+    void noteBroken(const CallPtr &call, Instant now)
+    {
+        auto &breaks = m_breaks[call->instance];
+        std::erase_if(breaks, [&](const Break &each) { return now - each.at > crashWindow; });
+        breaks.push_back({call->fingerprint, now});
+        const auto atOnce = std::ranges::count_if(breaks, [&](const Break &each) { return now - each.at < together; });
+        if (atOnce > 1)
+            reportCrashes(call->instance, now);
+    }
+
+    /// What broke at @p instance shortly before broke because it died.
+    void reportCrashes(const std::string &instance, Instant now)
+    {
+        const auto it = m_breaks.find(instance);
+        if (it == m_breaks.end())
+            return;
+        for (const auto &each : it->second) {
+            if (now - each.at <= crashWindow)
+                m_context.crashes.add(
+                    {each.fingerprint, instance + '@' + std::to_string(each.at.time_since_epoch().count() / 3000000)},
+                    now);
+        }
+    }
+
+    struct Break {
+        Fingerprint fingerprint = 0;
+        Instant at{};
+    };
+
+    Http::EventLoop &m_loop;
+    CallContext &m_context;
+    GatewayLog &m_log;
+    Relay::UpstreamClient m_client;
+    std::unordered_set<CallPtr> m_calls;
+    std::unordered_set<CallPtr> m_waiting;
+    std::unordered_map<std::string, std::vector<Break>> m_breaks;
+};
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/crashledger.cpp
@@ -0,0 +1,58 @@
+#include "gateway/crashledger.h"
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+/// One death may be chance, and two are when many upstreams die at once.
+constexpr std::size_t blockingDeaths = 3;
+
+/// How long a request that stopped coming is remembered.
+constexpr Duration memory = std::chrono::minutes{10};
+constexpr std::size_t maxEntries = 20000; ///< About 2 MB.
+
+} // namespace
+
+bool CrashLedger::add(const CrashReport &report, Instant now)
+{
+    if (m_entries.size() >= maxEntries)
+        forgetOld(now);
+    auto &entry = m_entries[report.fingerprint];
+    entry.last = now;
+    return entry.instances.insert(report.instance).second;
+}
+
+bool CrashLedger::isBlocked(Fingerprint fingerprint) const
+{
+    return deaths(fingerprint) >= blockingDeaths;
+}
+
+std::size_t CrashLedger::deaths(Fingerprint fingerprint) const
+{
+    const auto it = m_entries.find(fingerprint);
+    return it == m_entries.end() ? 0 : it->second.instances.size();
+}
+
+std::vector<CrashReport> CrashLedger::recent(Instant now, Duration age) const
+{
+    std::vector<CrashReport> reports;
+    for (const auto &[fingerprint, entry] : m_entries) {
+        if (now - entry.last > age)
+            continue;
+        for (const auto &instance : entry.instances)
+            reports.push_back({fingerprint, instance});
+    }
+    return reports;
+}
+
+void CrashLedger::forgetOld(Instant now)
+{
+    std::erase_if(m_entries, [&](const auto &item) {
+        return now - item.second.last > memory
+               || (item.second.instances.size() < blockingDeaths && now - item.second.last > memory / 20);
+    });
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/enginechoice.cpp
@@ -0,0 +1,108 @@
+#include "gateway/enginechoice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+constexpr double outcomeHalfLifeSeconds = 3;
+constexpr double fewestOutcomes = 2; ///< A ratio that rests on less says nothing.
+constexpr double badFailureRatio = 0.25; ///< Plain services fail up to 14 in 100 requests on an ordinary day.
+constexpr double badUpstreamMs = 3000; ///< Sorts bad upstreams behind every good one.
+constexpr Duration silentAfter = std::chrono::milliseconds{700}; ///< Many steps of a loaded engine.
+constexpr double pauseWeight = 0.05; ///< Of one more pause in the decayed mean.
+constexpr double ordinaryPauseMs = 45; ///< Three tokens of a step at half load.
+
+double msOf(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+bool isSilent(const Upstream &upstream, Instant now)
+{
+    return upstream.own.inFlight > 0 && upstream.waitingSince != Instant{} && now - upstream.waitingSince > silentAfter;
+}
+
+double decayedOutcomes(const Upstream &upstream, Instant now)
+{
+    const double seconds = msOf(now - upstream.lastOutcome) / 1000;
+    return upstream.outcomes * std::exp2(-seconds / outcomeHalfLifeSeconds);
+}
+
+double penaltyMs(const Upstream &upstream, Instant now)
+{
+    double penalty = 0;
+    if (decayedOutcomes(upstream, now) >= fewestOutcomes && upstream.failureRatio > badFailureRatio)
+        penalty += badUpstreamMs * upstream.failureRatio;
+    if (isSilent(upstream, now) || now < upstream.avoidUntil)
+        penalty += badUpstreamMs;
+    return penalty;
+}
+
+double scoreOf(const Upstream &upstream, const UpstreamDemand &demand, Instant now, const EngineSpeed &speed)
+{
+    const auto load = upstream.total();
+    const double slots = std::max(1U, upstream.record.slots);
+    const double distance = upstream.record.failureDomain == demand.failureDomain ? 0 : speed.crossDomainMs;
+    if (demand.target.empty())
+        return distance + speed.plainServiceMs * std::floor(load.inFlight / slots) + load.inFlight / slots
+               + penaltyMs(upstream, now);
+    const double slowdown = std::max(1.0, upstream.pauseMs / ordinaryPauseMs);
+    const double queued = std::max(0.0, load.inFlight + 1 - slots);
+    return distance + penaltyMs(upstream, now)
+           + slowdown
+                 * (load.prefillTokens / speed.prefillTokensPerMs + load.inFlight * speed.msPerRunningRequest
+                    + queued * speed.msPerQueuedRequest);
+}
+
+} // namespace
+
+std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
+                                             const EngineSpeed &speed)
+{
+    std::optional<UpstreamChoice> best;
+    for (const auto &[instance, upstream] : table.all()) {
+        if (upstream.record.draining || upstream.record.service != demand.service
+            || std::ranges::find(demand.excluded, instance) != demand.excluded.end())
+            continue;
+        UpstreamChoice choice{instance, 0, now, 0};
+        if (!demand.target.empty()) {
+            const auto *copy = upstream.residency.find(demand.target);
+            if (!copy || (copy->version < demand.leastVersion))
+                continue;
+            choice.version = copy->version;
+            choice.usableAt = copy->usableAt;
+        }
+        choice.score = scoreOf(upstream, demand, now, speed) + std::max(0.0, msOf(choice.usableAt - now));
+        if (!best || choice.score < best->score)
+            best = choice;
+    }
+    return best;
+}
+
+bool hasUpstream(const UpstreamTable &table, const std::string &service)
+{
+    return std::ranges::any_of(table.all(), [&](const auto &item) {
+        return item.second.record.service == service && !item.second.record.draining;
+    });
+}
+
+void noteOutcome(Upstream &upstream, bool failed, Instant now)
+{
+    const double before = decayedOutcomes(upstream, now);
+    upstream.failureRatio = (upstream.failureRatio * before + (failed ? 1 : 0)) / (before + 1);
+    upstream.outcomes = before + 1;
+    upstream.lastOutcome = now;
+}
+
+void notePause(Upstream &upstream, Duration pause)
+{
+    const double ms = msOf(pause);
+    upstream.pauseMs = upstream.pauseMs == 0 ? ms : upstream.pauseMs + pauseWeight * (ms - upstream.pauseMs);
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/enginechoice.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "gateway/upstreamtable.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// What a request needs of an upstream.
+struct UpstreamDemand {
+    std::string service;
+    ModelTarget target; ///< Empty for a plain service.
+    std::uint64_t leastVersion = 0; ///< Copies of an older version do not serve; 0 for any.
+    std::string failureDomain; ///< Of this node.
+    std::vector<std::string> excluded; ///< Upstreams that have failed this request.
+};
+
+struct UpstreamChoice {
+    std::string instance;
+    std::uint64_t version = 0; ///< Of the copy that will serve; 0 if it is not known.
+    Instant usableAt{}; ///< When the copy's load ends; in the past for one that is there.
+    double score = 0; ///< Expected time to a first event, in ms, as far as load decides it.
+};
+
+/// Speeds that forecasts are made with.
+struct EngineSpeed {
+    double prefillTokensPerMs = 20; ///< Of one engine, from the platform's sheet.
+    double msPerRunningRequest = 1.5; ///< What one more running request costs a new one: its share of each step.
+    double msPerQueuedRequest = 40; ///< What a request beyond the slots waits for each one ahead of it.
+    double crossDomainMs = 6; ///< What a way to another failure domain counts, for its delay and its billed bytes.
+    double plainServiceMs = 15; ///< Mean work of a request of a plain service.
+};
+
+/// Returns the upstream that will answer soonest, or nothing if none can serve. Balances by load, distance, and what
+/// was seen to fail or to be slow. Thread-safe.
+std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
+                                             const EngineSpeed &speed = {});
+
+/// Whether any upstream of @p service takes requests. Thread-safe.
+bool hasUpstream(const UpstreamTable &table, const std::string &service);
+
+/// Counts how a request ended at @p upstream, for its failure ratio.
+void noteOutcome(Upstream &upstream, bool failed, Instant now);
+
+/// Counts the time between two events of a stream.
+void notePause(Upstream &upstream, Duration pause);
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/eventsplitter.cpp
@@ -0,0 +1,59 @@
+#include "gateway/eventsplitter.h"
+
+#include <charconv>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+constexpr std::string_view idField = "id:";
+
+/// Returns the length of the first whole event in @p bytes, or npos.
+std::size_t firstEventLength(std::string_view bytes)
+{
+    const auto unix = bytes.find("\n\n");
+    const auto dos = bytes.find("\r\n\r\n");
+    if (unix == std::string_view::npos && dos == std::string_view::npos)
+        return std::string_view::npos;
+    return unix < dos ? unix + 2 : dos + 4;
+}
+
+} // namespace
+
+std::string EventSplitter::feed(std::string_view bytes)
+{
+    m_partial += bytes;
+    std::size_t whole = 0;
+    const std::string_view all = m_partial;
+    for (auto length = firstEventLength(all); length != std::string_view::npos;
+         length = firstEventLength(all.substr(whole))) {
+        noteId(all.substr(whole, length));
+        ++m_events;
+        whole += length;
+    }
+    auto events = m_partial.substr(0, whole);
+    m_partial.erase(0, whole);
+    return events;
+}
+
+void EventSplitter::noteId(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        auto line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (!line.starts_with(idField))
+            continue;
+        line.remove_prefix(idField.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto [last, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (error == std::errc{})
+            m_lastId = id;
+    }
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/eventsplitter.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Gypsumtally::Gateway
+{
+
+/// Cuts a server-sent event stream into whole events, so that a stream which breaks inside an event can go on at
+/// another upstream without a torn event. Not thread-safe.
+class EventSplitter
+{
+public:
+    /// Adds received bytes and returns all events that are whole now, as they came.
+    std::string feed(std::string_view bytes);
+
+    /// Returns the id of the last whole event that has one.
+    std::optional<std::uint64_t> lastId() const
+    {
+        return m_lastId;
+    }
+
+    /// Returns the number of whole events.
+    std::uint64_t events() const
+    {
+        return m_events;
+    }
+
+    /// Whether bytes of an event wait for their rest.
+    bool hasPartial() const
+    {
+        return !m_partial.empty();
+    }
+
+    /// Drops the bytes of an event that will not be completed.
+    void dropPartial()
+    {
+        m_partial.clear();
+    }
+
+private:
+    void noteId(std::string_view event);
+
+    std::string m_partial;
+    std::optional<std::uint64_t> m_lastId;
+    std::uint64_t m_events = 0;
+};
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/gatewaylog.cpp
@@ -0,0 +1,41 @@
+#include "gateway/gatewaylog.h"
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+constexpr unsigned linesPerSecond = 20; ///< Of one kind; 5 kB a second, a percent of a quarter of a core.
+
+} // namespace
+
+GatewayLog::GatewayLog(const Logging &log)
+    : m_log(log)
+{
+}
+
+void GatewayLog::note(GatewayEvent event, const std::vector<LogField> &fields)
+{
+    m_log.log(LogLevel::Info, nameOf(event), fields);
+}
+
+void GatewayLog::decision(GatewayEvent event, const std::string &requestId, std::vector<LogField> fields)
+{
+    const auto now = BootClock{}.now();
+    auto &window = m_windows[static_cast<std::size_t>(event)];
+    if (now - window.since >= std::chrono::seconds{1}) {
+        if (window.leftOut > 0)
+            fields.emplace_back("left_out_before", std::to_string(window.leftOut));
+        window = {now, 0, 0};
+    }
+    if (window.lines >= linesPerSecond) {
+        ++window.leftOut;
+        return;
+    }
+    ++window.lines;
+    fields.insert(fields.begin(), {"request", requestId});
+    m_log.log(LogLevel::Info, nameOf(event), fields);
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/gatewaylog.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/enumtable.h"
+#include "logging/logging.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// What a gateway writes lines about.
+enum class GatewayEvent {
+    Started,
+    Stopping,
+    Stopped,
+    Reloaded,
+    StoreLost,
+    StoreBack,
+    PeerLost,
+    PeerBack,
+    ConfigurationInForce,
+    BadDocument,
+    UpstreamFound,
+    UpstreamLeaving,
+    UpstreamGone,
+    OrderLeaseTaken,
+    OrderLeaseLost,
+    OrderSent,
+    OrderFailed,
+    VersionDeclared,
+    Refused,
+    SendFailed,
+    NotRunByUpstream,
+    BrokenOff,
+    CrashReported,
+    LinesLeftOut,
+};
+
+} // namespace Gypsumtally::Gateway
+
+namespace Gypsumtally
+{
+
+template<>
+inline constexpr EnumTable<Gateway::GatewayEvent, 24> enumNames<Gateway::GatewayEvent>{{
+    {Gateway::GatewayEvent::Started, "started"},
+    {Gateway::GatewayEvent::Stopping, "stopping"},
+    {Gateway::GatewayEvent::Stopped, "stopped"},
+    {Gateway::GatewayEvent::Reloaded, "settings_reloaded"},
+    {Gateway::GatewayEvent::StoreLost, "store_lost"},
+    {Gateway::GatewayEvent::StoreBack, "store_back"},
+    {Gateway::GatewayEvent::PeerLost, "peer_lost"},
+    {Gateway::GatewayEvent::PeerBack, "peer_back"},
+    {Gateway::GatewayEvent::ConfigurationInForce, "configuration_in_force"},
+    {Gateway::GatewayEvent::BadDocument, "bad_document"},
+    {Gateway::GatewayEvent::UpstreamFound, "upstream_found"},
+    {Gateway::GatewayEvent::UpstreamLeaving, "upstream_leaving"},
+    {Gateway::GatewayEvent::UpstreamGone, "upstream_gone"},
+    {Gateway::GatewayEvent::OrderLeaseTaken, "order_lease_taken"},
+    {Gateway::GatewayEvent::OrderLeaseLost, "order_lease_lost"},
+    {Gateway::GatewayEvent::OrderSent, "order_sent"},
+    {Gateway::GatewayEvent::OrderFailed, "order_failed"},
+    {Gateway::GatewayEvent::VersionDeclared, "version_declared"},
+    {Gateway::GatewayEvent::Refused, "request_refused"},
+    {Gateway::GatewayEvent::SendFailed, "send_failed"},
+    {Gateway::GatewayEvent::NotRunByUpstream, "not_run_by_upstream"},
+    {Gateway::GatewayEvent::BrokenOff, "answer_broken_off"},
+    {Gateway::GatewayEvent::CrashReported, "crash_reported"},
+    {Gateway::GatewayEvent::LinesLeftOut, "lines_left_out"},
+}};
+
+} // namespace Gypsumtally
+
+namespace Gypsumtally::Gateway
+{
+
+/// Writes a gateway's log: every change of what it believes, and of decisions on requests at most so many lines a
+/// second of one kind; how many were left out is written with the next line of that kind. Loop's thread only.
+class GatewayLog
+{
+public:
+    explicit GatewayLog(const Logging &log);
+
+    /// Writes about the process or its view of others.
+    void note(GatewayEvent event, const std::vector<LogField> &fields = {});
+
+    /// Writes about one request.
+    void decision(GatewayEvent event, const std::string &requestId, std::vector<LogField> fields);
+
+private:
+    struct Window {
+        Instant since{};
+        unsigned lines = 0;
+        std::uint64_t leftOut = 0;
+    };
+
+    const Logging &m_log;
+    std::array<Window, enumNames<GatewayEvent>.size()> m_windows{};
+};
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/gatewaynode.h
@@ -0,0 +1,492 @@
+#pragma once
+
+#include "gateway/callforwarder.h"
+#include "gateway/gatewaysettings.h"
+#include "gateway/membertable.h"
+#include "gateway/orderplane.h"
+#include "gateway/peerlink.h"
+#include "gateway/registryfollower.h"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// A document of the operators that cannot be read.
+struct BadDocument {
+    std::string reason;
+};
+
+/// A new version of an adapter.
+struct VersionDeclaration {
+    ModelTarget target;
+    std::uint64_t version = 0;
+};
+
+/// What the operators have written at one key; nothing if the key is of no concern.
+using OperatorDocument = std::variant<std::monostate, TrafficPolicy, VersionDeclaration, BadDocument>;
+
+/// Who asks which nodes to use.
+struct EntryQuery {
+    std::string region;
+    std::string failureDomain;
+};
+
+/// What a platform brings: its dialects, its documents and its store.
+template<typename P>
+concept GatewayPlatform
+    = CallDialect<typename P::Calls> && OrderDialect<typename P::Orders> && GatewayStore<typename P::Store> && requires(
+        const std::string &text, const Http::Request &request, const std::vector<Http::Endpoint> &endpoints,
+        Duration ttl)
+{
+    {
+        P::operatorPrefix()
+        } -> std::convertible_to<std::string>;
+    {
+        P::upstreamPrefix()
+        } -> std::convertible_to<std::string>;
+    {
+        P::readOperatorDocument(text, text)
+        } -> std::same_as<OperatorDocument>;
+    {
+        P::readUpstream(text, text)
+        } -> std::same_as<std::variant<UpstreamRecord, BadDocument>>;
+    {
+        P::readEntryQuery(request)
+        } -> std::same_as<EntryQuery>;
+    {
+        P::writeEntries(endpoints, ttl)
+        } -> std::same_as<Http::Response>;
+};
+
+/// One gateway process: entry, request plane, order plane and what joins them. Everything runs on one loop.
+template<GatewayPlatform Platform>
+class GatewayNode
+{
+public:
+    GatewayNode(const GatewaySettings &settings, const Logging &logging)
+        : m_settings(settings)
+        , m_log(logging)
+        , m_store(m_loop, settings.store)
+        , m_address{settings.node,    settings.failureDomain, settings.region,
+                    settings.callers, settings.peers,         wallMilliseconds()}
+        , m_members(m_address)
+        , m_forwarder(m_loop, m_context, m_log)
+        , m_orders(m_loop, m_store, m_context, m_log, {settings.node, m_address.startedAt}, holderKey(),
+                   leaseSettings(settings))
+        , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(std::move(exchange)); })
+        , m_readiness(m_loop, {}, [this](auto exchange) { answerReadiness(*exchange); })
+        , m_entries(m_loop, {}, [this](auto exchange) { answerEntries(*exchange); })
+        , m_peers(m_loop, settings.peers, [this](const PeerMessage &message) { onPeerMessage(message); })
+        , m_operatorDocuments(m_loop, m_store, Platform::operatorPrefix(), {operatorPause, watchWait},
+                              operatorObserver())
+        , m_upstreamRecords(m_loop, m_store, Platform::upstreamPrefix(), {upstreamPause, watchWait}, upstreamObserver())
+        , m_ownRecords(m_loop, m_store, ownPrefix(), {ownPause, watchWait}, ownObserver())
+    {
+        m_context.failureDomain = settings.failureDomain;
+        m_context.allowance = RetryAllowance(retryBound(settings));
+        m_context.onWanted = [this](const std::string &service, const ModelTarget &target) { want(service, target); };
+        m_orders.onNews([this](const std::vector<PlacementNews> &news) { tellNews(news); });
+    }
+
+    /// Serves until a graceful stop has ended.
+    void run()
+    {
+        m_callers.listen(m_settings.callers);
+        m_readiness.listen(m_settings.readiness);
+        m_entries.listen(m_settings.entries);
+        m_loop.onTerminate([this] { stop(); });
+        m_operatorDocuments.start();
+        m_upstreamRecords.start();
+        m_ownRecords.start();
+        registerSelf();
+        tick();
+        digest();
+        m_log.note(GatewayEvent::Started,
+                   {{"callers", Http::toString(m_settings.callers)}, {"store", Http::toString(m_settings.store)}});
+        m_loop.run();
+        m_log.note(GatewayEvent::Stopped, {{"active", std::to_string(m_callers.activeRequests())}});
+    }
+
+private:
+    static constexpr Duration tickInterval = std::chrono::milliseconds{50};
+    static constexpr Duration digestInterval = std::chrono::milliseconds{300};
+    static constexpr Duration operatorPause = std::chrono::milliseconds{100};
+    static constexpr Duration upstreamPause = std::chrono::milliseconds{600}; ///< Heartbeats come many times a second.
+    static constexpr Duration ownPause = std::chrono::milliseconds{100};
+    static constexpr Duration watchWait = std::chrono::seconds{2};
+    static constexpr Duration nodeLeaseTtl = std::chrono::seconds{8};
+    static constexpr Duration renewInterval = std::chrono::milliseconds{2500};
+    static constexpr Duration crashNewsAge = std::chrono::seconds{2};
+    static constexpr double allowanceShares = 1.4; ///< Nodes that were replaced or restarted have spent a share too.
+    /// From SIGTERM on: how long requests are still taken, and when the process ends before it would be killed.
+    static constexpr Duration stopTaking = std::chrono::milliseconds{3000};
+    static constexpr Duration endMargin = std::chrono::milliseconds{500};
+
+    static std::string ownPrefix()
+    {
+        return "gypsumtally/";
+    }
+
+    static std::string nodesPrefix()
+    {
+        return ownPrefix() + "nodes/";
+    }
+
+    static std::string holderKey()
+    {
+        return ownPrefix() + "order-holder";
+    }
+
+    static std::int64_t wallMilliseconds()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
+    static OrderLeaseSettings leaseSettings(const GatewaySettings &settings)
+    {
+        OrderLeaseSettings lease;
+        lease.handoverWait = settings.orderHandover + std::chrono::milliseconds{300};
+        return lease;
+    }
+
+    static RetryBound retryBound(const GatewaySettings &settings)
+    {
+        return {settings.retryRatio, settings.retrySlack, settings.retryWindow, 12};
+    }
+
+    typename RegistryFollower<typename Platform::Store>::Observer operatorObserver()
+    {
+        return {[this](const std::vector<KeyValue> &values) {
+                    for (const auto &value : values)
+                        onOperatorDocument(value.key, value.value);
+                },
+                [this](const KeyChange &change) {
+                    if (change.value)
+                        onOperatorDocument(change.key, *change.value);
+                },
+                {},
+                [this](bool reachable) {
+                    m_log.note(reachable ? GatewayEvent::StoreBack : GatewayEvent::StoreLost, {{"watch", "operator"}});
+                }};
+    }
+
+    typename RegistryFollower<typename Platform::Store>::Observer upstreamObserver()
+    {
+        return {[this](const std::vector<KeyValue> &values) {
+                    std::set<std::string> instances;
+                    for (const auto &value : values) {
+                        instances.insert(instanceOf(value.key));
+                        onUpstreamRecord(value.key, value.value);
+                    }
+                    m_context.upstreams.onSnapshot(instances, BootClock{}.now());
+                },
+                [this](const KeyChange &change) {
+                    if (change.value)
+                        return onUpstreamRecord(change.key, *change.value);
+                    const auto instance = instanceOf(change.key);
+                    m_context.upstreams.onRemoved(instance, BootClock{}.now());
+                    m_forwarder.onUpstreamGone(instance);
+                    m_log.note(GatewayEvent::UpstreamGone, {{"upstream", instance}});
+                },
+                [this] { m_forwarder.onPlacement(); },
+                [this](bool reachable) {
+                    const auto now = BootClock{}.now();
+                    if (reachable)
+                        m_context.upstreams.onRegistryBack(now);
+                    else
+                        m_context.upstreams.onRegistryLost(now);
+                }};
+    }
+
+    typename RegistryFollower<typename Platform::Store>::Observer ownObserver()
+    {
+        return {[this](const std::vector<KeyValue> &values) {
+                    std::vector<NodeAddress> nodes;
+                    std::optional<std::string> holder;
+                    Revision revision = 0;
+                    for (const auto &value : values) {
+                        if (value.key == holderKey()) {
+                            holder = value.value;
+                            revision = value.modRevision;
+                        } else if (const auto address = decodeNodeAddress(value.value)) {
+                            nodes.push_back(*address);
+                        }
+                    }
+                    m_members.onSnapshot(nodes, BootClock{}.now());
+                    m_orders.onHolderRecord(holder, revision);
+                },
+                [this](const KeyChange &change) {
+                    if (change.key == holderKey())
+                        return m_orders.onHolderRecord(change.value, change.revision);
+                    if (!change.value)
+                        return m_members.onUnlisted(change.key.substr(nodesPrefix().size()));
+                    if (const auto address = decodeNodeAddress(*change.value))
+                        m_members.onListed(*address, BootClock{}.now());
+                },
+                {},
+                {}};
+    }
+
+    static std::string instanceOf(const std::string &key)
+    {
+        return key.substr(std::string(Platform::upstreamPrefix()).size());
+    }
+
+    void onOperatorDocument(const std::string &key, const std::string &value)
+    {
+        auto document = Platform::readOperatorDocument(key, value);
+        if (const auto *bad = std::get_if<BadDocument>(&document)) {
+            m_log.note(GatewayEvent::BadDocument, {{"key", key}, {"reason", bad->reason}});
+        } else if (auto *policy = std::get_if<TrafficPolicy>(&document)) {
+            if (m_context.routes && policy->version <= m_context.routes->policy().version)
+                return;
+            m_log.note(GatewayEvent::ConfigurationInForce, {{"version", std::to_string(policy->version)},
+                                                            {"routes", std::to_string(policy->routes.size())}});
+            m_context.routes = std::make_shared<RouteTable>(std::move(*policy));
+            Relay::CallerServerSettings server;
+            const auto &limits = m_context.routes->policy().limits;
+            server.limits = {limits.headerBytes, limits.bodyBytes};
+            server.headerTimeout = limits.headerTimeout;
+            server.idleTimeout = limits.idleTimeout;
+            m_callers.setSettings(server);
+        } else if (const auto *declared = std::get_if<VersionDeclaration>(&document)) {
+            auto &known = m_context.declared[declared->target];
+            if (declared->version <= known.version)
+                return;
+            known = {declared->version, BootClock{}.now()};
+            m_orders.onVersionDeclared(declared->target, declared->version);
+            m_log.note(GatewayEvent::VersionDeclared,
+                       {{"target", declared->target}, {"version", std::to_string(declared->version)}});
+        }
+    }
+
+    void onUpstreamRecord(const std::string &key, const std::string &value)
+    {
+        const auto instance = instanceOf(key);
+        const auto record = Platform::readUpstream(instance, value);
+        if (const auto *bad = std::get_if<BadDocument>(&record)) {
+            m_log.decision(GatewayEvent::BadDocument, key, {{"reason", bad->reason}});
+            return;
+        }
+        const auto &known = std::get<UpstreamRecord>(record);
+        const auto *before = m_context.upstreams.find(instance);
+        const bool leaves = known.draining && (!before || !before->record.draining);
+        if (m_context.upstreams.onRecord(known, BootClock{}.now())) {
+            m_forwarder.onUpstreamGone(instance);
+            m_log.note(GatewayEvent::UpstreamFound, {{"upstream", instance},
+                                                     {"service", known.service},
+                                                     {"endpoint", Http::toString(known.endpoint)},
+                                                     {"targets", std::to_string(known.targets.size())}});
+        }
+        if (leaves)
+            m_log.note(GatewayEvent::UpstreamLeaving, {{"upstream", instance}});
+    }
+
+    bool isReady() const
+    {
+        return m_context.routes && !m_stopping;
+    }
+
+    void answerReadiness(Relay::CallerExchange &exchange)
+    {
+        exchange.respond({isReady() ? 200U : 503U, {}, isReady() ? "ready\n" : "not ready\n"});
+    }
+
+    void answerEntries(Relay::CallerExchange &exchange)
+    {
+        const auto query = Platform::readEntryQuery(exchange.request());
+        const auto endpoints = m_members.entryPoints(query.region, query.failureDomain, isReady(), BootClock{}.now());
+        exchange.respond(Platform::writeEntries(endpoints, m_settings.entryTtl));
+    }
+
+    void registerSelf()
+    {
+        m_store.grantLease(nodeLeaseTtl, [this](std::optional<StoreLease> lease) {
+            if (!lease)
+                return m_loop.runAfter(std::chrono::milliseconds{400}, [this] { registerSelf(); });
+            m_lease = *lease;
+            KeyTransaction transaction;
+            transaction.puts.push_back({nodesPrefix() + m_settings.node, encode(m_address), KeyLifetime::NodeLease});
+            m_store.transact(transaction, *lease, [this](const KeyReply &reply) {
+                if (reply.outcome == KeyOutcome::Applied)
+                    return m_loop.runAfter(renewInterval, [this] { renewSelf(); });
+                m_loop.runAfter(std::chrono::milliseconds{400}, [this] { registerSelf(); });
+            });
+        });
+    }
+
+    void renewSelf()
+    {
+        if (m_stopping)
+            return;
+        m_store.renewLease(m_lease, [this](std::optional<bool> renewed) {
+            if (renewed == false)
+                return registerSelf();
+            m_loop.runAfter(renewInterval, [this] { renewSelf(); });
+        });
+    }
+
+    void tick()
+    {
+        const auto now = BootClock{}.now();
+        m_context.upstreams.sweep(now);
+        m_context.hasOrderHolder
+            = m_orders.isHolder() || (m_orders.holder() && m_members.isLive(m_orders.holder()->node, now));
+        m_store.sweep(now);
+        m_orders.tick(now);
+        m_forwarder.sweep(now);
+        m_callers.sweep(now);
+        if (++m_ticks % 10 == 0) {
+            m_readiness.sweep(now);
+            m_entries.sweep(now);
+        }
+        if (m_stopping)
+            continueStop(now);
+        m_loop.runAfter(tickInterval, [this] { tick(); });
+    }
+
+    PeerMessage message() const
+    {
+        PeerMessage message;
+        message.from = m_address;
+        message.takesCallers = isReady();
+        return message;
+    }
+
+    void digest()
+    {
+        const auto now = BootClock{}.now();
+        auto digest = message();
+        digest.hasLoads = true;
+        for (const auto &[instance, upstream] : m_context.upstreams.all()) {
+            if (upstream.own.inFlight > 0)
+                digest.loads.emplace(instance, upstream.own);
+        }
+        for (auto it = m_context.uses.begin(); it != m_context.uses.end();) {
+            auto &[target, use] = *it;
+            digest.used.push_back({use.service, target, static_cast<double>(use.started)});
+            m_orders.onUsed(use.service, target, use.started);
+            use.started = 0;
+            it = use.inFlight == 0 ? m_context.uses.erase(it) : std::next(it);
+        }
+        digest.crashes = m_context.crashes.recent(now, crashNewsAge);
+        m_peers.send(digest, m_members.peers(now));
+        m_loop.runAfter(digestInterval, [this] { this->digest(); });
+    }
+
+    void want(const std::string &service, const ModelTarget &target)
+    {
+        if (m_orders.isHolder()) {
+            m_loop.post([this, service, target] { m_orders.onWanted(service, target, 1); });
+            return;
+        }
+        if (!m_orders.holder())
+            return;
+        const auto *holder = m_members.find(m_orders.holder()->node);
+        if (!holder)
+            return;
+        auto request = message();
+        request.wanted.push_back({service, target, 1});
+        m_peers.send(request, {*holder});
+    }
+
+    void tellNews(const std::vector<PlacementNews> &news)
+    {
+        const auto now = BootClock{}.now();
+        auto notice = message();
+        for (const auto &each : news) {
+            notice.placements.push_back(
+                {each.instance, each.target, each.version, each.dropped, std::max(Duration{}, each.usableAt - now)});
+        }
+        applyPlacements(notice.placements);
+        m_peers.send(notice, m_members.peers(now));
+    }
+
+    void applyPlacements(const std::vector<PlacementNotice> &placements)
+    {
+        const auto now = BootClock{}.now();
+        for (const auto &each : placements) {
+            auto *upstream = m_context.upstreams.find(each.instance);
+            if (!upstream)
+                continue;
+            if (each.dropped)
+                upstream->residency.onDropped(each.target, now);
+            else
+                upstream->residency.onLoading(each.target, each.version, now + each.usableIn, now);
+        }
+        if (!placements.empty())
+            m_loop.post([this] { m_forwarder.onPlacement(); });
+    }
+
+    void onPeerMessage(const PeerMessage &message)
+    {
+        const auto now = BootClock{}.now();
+        m_members.onHeard(message, now);
+        if (message.hasLoads)
+            m_context.upstreams.onPeerLoads(message.from.node, message.loads);
+        for (const auto &crash : message.crashes)
+            m_context.crashes.add(crash, now);
+        for (const auto &used : message.used)
+            m_orders.onUsed(used.service, used.target, used.requests);
+        for (const auto &wanted : message.wanted)
+            m_orders.onWanted(wanted.service, wanted.target, static_cast<unsigned>(wanted.requests));
+        if (!message.placements.empty())
+            applyPlacements(message.placements);
+    }
+
+    void stop()
+    {
+        if (m_stopping)
+            return;
+        m_stopping = true;
+        m_stopAt = BootClock{}.now();
+        m_log.note(GatewayEvent::Stopping, {{"active", std::to_string(m_callers.activeRequests())}});
+        m_orders.stop();
+        m_callers.announceClose();
+        m_peers.send(message(), m_members.peers(m_stopAt));
+        if (m_lease != 0)
+            m_store.endLease(m_lease);
+    }
+
+    void continueStop(Instant now)
+    {
+        const auto passed = now - m_stopAt;
+        if (passed < stopTaking)
+            return;
+        m_callers.stopAccepting();
+        if (m_callers.activeRequests() == 0 || passed > m_settings.stopGrace - endMargin)
+            m_loop.stop();
+    }
+
+    GatewaySettings m_settings;
+    GatewayLog m_log;
+    Http::EventLoop m_loop;
+    typename Platform::Store m_store;
+    NodeAddress m_address;
+    MemberTable m_members;
+    CallContext m_context;
+    CallForwarder<typename Platform::Calls> m_forwarder;
+    OrderPlane<typename Platform::Orders, typename Platform::Store> m_orders;
+    Relay::CallerServer m_callers;
+    Relay::CallerServer m_readiness;
+    Relay::CallerServer m_entries;
+    PeerLink m_peers;
+    RegistryFollower<typename Platform::Store> m_operatorDocuments;
+    RegistryFollower<typename Platform::Store> m_upstreamRecords;
+    RegistryFollower<typename Platform::Store> m_ownRecords;
+    StoreLease m_lease = 0;
+    std::uint64_t m_ticks = 0;
+    bool m_stopping = false;
+    Instant m_stopAt{};
+};
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/gatewaysettings.cpp
@@ -0,0 +1,77 @@
+#include "gateway/gatewaysettings.h"
+
+#include "yaml/mapreader.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+constexpr Bounds<Duration> shortTimes{std::chrono::milliseconds{1}, std::chrono::minutes{10}};
+constexpr Bounds<double> ratios{0, 10};
+constexpr Bounds<double> counts{0, 1'000'000};
+
+void readListeners(MapReader &reader, GatewaySettings &settings)
+{
+    reader.scalar("callers", Presence::Required, settings.callers);
+    reader.scalar("readiness", Presence::Required, settings.readiness);
+    reader.scalar("entries", Presence::Required, settings.entries);
+    reader.scalar("peers", Presence::Required, settings.peers);
+    Http::Endpoint metrics;
+    reader.scalar("metrics", Presence::Optional, metrics);
+    if (metrics.port != 0)
+        settings.metrics = metrics;
+}
+
+void readRetries(MapReader &reader, GatewaySettings &settings)
+{
+    reader.scalar("ratio", Presence::Optional, settings.retryRatio, ratios);
+    reader.scalar("slack", Presence::Optional, settings.retrySlack, counts);
+    reader.scalar("window", Presence::Optional, settings.retryWindow, shortTimes);
+}
+
+void readSettings(MapReader &reader, GatewaySettings &settings)
+{
+    reader.scalar("node", Presence::Required, settings.node);
+    reader.scalar("failure_domain", Presence::Required, settings.failureDomain);
+    reader.scalar("region", Presence::Required, settings.region);
+    reader.scalar("first_start", Presence::Optional, settings.firstStart);
+    reader.map("listen", Presence::Required, [&](MapReader &map) { readListeners(map, settings); });
+    reader.scalar("store", Presence::Required, settings.store);
+    reader.scalar("order_handover", Presence::Optional, settings.orderHandover, shortTimes);
+    reader.scalar("stop_grace", Presence::Optional, settings.stopGrace, shortTimes);
+    reader.scalar("entry_ttl", Presence::Optional, settings.entryTtl, shortTimes);
+    reader.map("retries", Presence::Optional, [&](MapReader &map) { readRetries(map, settings); });
+    reader.map("log", Presence::Optional, [&](MapReader &map) {
+        map.scalar("level", Presence::Optional, settings.logLevel);
+        map.scalar("format", Presence::Optional, settings.logFormat);
+    });
+}
+
+} // namespace
+
+Parsed<GatewaySettings> parseGatewaySettings(const std::string &text, const std::string &file)
+{
+    GatewaySettings settings;
+    ProblemLog log{file, {}};
+    readDocument(text, log, [&](MapReader &reader) { readSettings(reader, settings); });
+    if (!log.problems.empty())
+        return {std::nullopt, std::move(log.problems)};
+    return {std::move(settings), {}};
+}
+
+Parsed<GatewaySettings> loadGatewaySettings(const std::string &file)
+{
+    std::ifstream stream(file);
+    if (!stream)
+        return {std::nullopt, {{file, 0, {}, "cannot be read"}}};
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parseGatewaySettings(text.str(), file);
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/gatewaysettings.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "common/clock.h"
+#include "http/message.h"
+#include "settings/settings.h"
+#include "yaml/problem.h"
+
+#include <optional>
+#include <string>
+
+namespace Gypsumtally::Gateway
+{
+
+/// The settings of one gateway process.
+struct GatewaySettings {
+    std::string node;
+    std::string failureDomain;
+    std::string region;
+    bool firstStart = false; ///< The whole system starts for the first time.
+    Http::Endpoint callers;
+    Http::Endpoint readiness;
+    Http::Endpoint entries; ///< Where callers ask which nodes to use.
+    Http::Endpoint peers; ///< UDP.
+    std::optional<Http::Endpoint> metrics;
+    Http::Endpoint store;
+    Duration orderHandover = std::chrono::milliseconds{3000}; ///< Between the orders of two nodes, at least.
+    Duration stopGrace = std::chrono::seconds{8}; ///< From SIGTERM to SIGKILL.
+    double retryRatio = 0.2;
+    double retrySlack = 0; ///< Of the whole fleet in one window.
+    Duration retryWindow = std::chrono::seconds{10};
+    Duration entryTtl = std::chrono::seconds{1}; ///< How long callers keep an answer to which nodes to use.
+    LogLevel logLevel = LogLevel::Info;
+    LogFormat logFormat = LogFormat::Json;
+};
+
+/// Reads settings from YAML text; @p file is for problems. Thread-safe.
+Parsed<GatewaySettings> parseGatewaySettings(const std::string &text, const std::string &file);
+
+/// Reads a settings file. Thread-safe.
+Parsed<GatewaySettings> loadGatewaySettings(const std::string &file);
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/membertable.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "common/clock.h"
+#include "gateway/peermessage.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// The other nodes: who they are by the store and by their own messages, and which of them take callers. Not
+/// thread-safe; does no I/O.
+class MemberTable
+{
+public:
+    explicit MemberTable(NodeAddress self);
+
+    /// The store lists @p address.
+    void onListed(const NodeAddress &address, Instant now);
+
+    /// The store lists @p node no more. It stays as long as it is heard.
+    void onUnlisted(const std::string &node);
+
+    /// The store was read whole; nodes that are not in @p nodes are unlisted.
+    void onSnapshot(const std::vector<NodeAddress> &nodes, Instant now);
+
+    /// Another node's message came in.
+    void onHeard(const PeerMessage &message, Instant now);
+
+    /// Returns the nodes to send messages to.
+    std::vector<NodeAddress> peers(Instant now) const;
+
+    /// Returns the address of @p node, or nothing if it is not known.
+    const NodeAddress *find(const std::string &node) const;
+
+    /// Returns where callers of @p region and @p failureDomain are to connect: nodes that take callers and were heard
+    /// lately, this one included if @p selfTakesCallers. Near ones only, if there are enough of them.
+    std::vector<Http::Endpoint> entryPoints(const std::string &region, const std::string &failureDomain,
+                                            bool selfTakesCallers, Instant now) const;
+
+    /// Whether @p node was heard lately.
+    bool isLive(const std::string &node, Instant now) const;
+
+    const NodeAddress &self() const
+    {
+        return m_self;
+    }
+
+private:
+    struct Member {
+        NodeAddress address;
+        bool listed = false;
+        bool takesCallers = false;
+        Instant heard{};
+    };
+
+    bool isLive(const Member &member, Instant now) const;
+
+    NodeAddress m_self;
+    std::map<std::string, Member> m_members;
+};
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/orderplane.h
@@ -0,0 +1,353 @@
+#pragma once
+
+#include "common/jsonfields.h"
+#include "gateway/adapterplacer.h"
+#include "gateway/callcontext.h"
+#include "gateway/gatewaylog.h"
+#include "gateway/orderlease.h"
+#include "gateway/registryfollower.h"
+#include "http/eventloop.h"
+#include "relay/upstreamclient.h"
+
+#include <boost/json.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// Writes orders to engines and reads their answers. Implementations are stateless.
+template<typename D>
+concept OrderDialect = requires(const EngineOrder &order, const std::string &text, std::uint64_t fence, unsigned status)
+{
+    {
+        D::writeOrder(order, text, fence)
+        } -> std::same_as<Http::Request>;
+    {
+        D::readOutcome(status)
+        } -> std::same_as<OrderOutcome>;
+    {
+        D::writeInspection(text)
+        } -> std::same_as<Http::Request>;
+    {
+        D::readReport(text)
+        } -> std::same_as<std::optional<EngineReport>>;
+};
+
+/// Who holds the order lease, as the store has it.
+struct OrderHolder {
+    std::string node;
+    std::int64_t startedAt = 0;
+};
+
+/// Takes the order lease when nobody has it, and while this node has it, places adapters and orders engines. Loop's
+/// thread only.
+template<OrderDialect Dialect, GatewayStore Store>
+class OrderPlane
+{
+public:
+    OrderPlane(Http::EventLoop &loop, Store &store, CallContext &context, GatewayLog &log, OrderHolder self,
+               std::string holderKey, OrderLeaseSettings leaseSettings)
+        : m_loop(loop)
+        , m_store(store)
+        , m_context(context)
+        , m_log(log)
+        , m_self(std::move(self))
+        , m_key(std::move(holderKey))
+        , m_lease(leaseSettings)
+        , m_client(loop)
+    {
+    }
+
+    /// Called with what is to be told to all nodes.
+    void onNews(std::function<void(const std::vector<PlacementNews> &)> task)
+    {
+        m_onNews = std::move(task);
+    }
+
+    /// The store has @p value at the holder's key, or nothing.
+    void onHolderRecord(const std::optional<std::string> &value, Revision revision)
+    {
+        m_holder.reset();
+        m_recordKnown = true;
+        m_recordRevision = value ? revision : 0;
+        if (!value)
+            return;
+        boost::system::error_code error;
+        const auto parsed = boost::json::parse(*value, error);
+        if (error || !parsed.is_object())
+            return;
+        const auto &object = parsed.get_object();
+        m_holder = OrderHolder{textAt(object, "node"), numberAt<std::int64_t>(object, "started")};
+        const auto now = BootClock{}.now();
+        const bool isSelf = m_holder->node == m_self.node && m_holder->startedAt == m_self.startedAt;
+        if (isSelf && !m_lease.isHeld(now) && m_leaseId != 0 && !m_acquiring)
+            take(static_cast<std::uint64_t>(revision), m_acquireSent, now, false);
+        else if (!isSelf && m_lease.isHeld(now))
+            lose("another node has it");
+    }
+
+    /// Returns the node that the store names, or nothing.
+    const std::optional<OrderHolder> &holder() const
+    {
+        return m_holder;
+    }
+
+    bool isHolder() const
+    {
+        return m_lease.isHeld(BootClock{}.now());
+    }
+
+    void onWanted(const std::string &service, const ModelTarget &target, unsigned requests)
+    {
+        if (!isHolder())
+            return;
+        m_placer.onWanted(service, target, requests, BootClock{}.now());
+        plan();
+    }
+
+    void onUsed(const std::string &service, const ModelTarget &target, double requests)
+    {
+        if (isHolder())
+            m_placer.onUsed(service, target, requests, BootClock{}.now());
+    }
+
+    void onVersionDeclared(const ModelTarget &target, std::uint64_t version)
+    {
+        m_placer.onVersionDeclared(target, version);
+    }
+
+    /// Renews or takes the lease and looks for what is to be done. To be called several times a second.
+    void tick(Instant now)
+    {
+        m_client.sweep(now);
+        if (m_held && !m_lease.isHeld(now))
+            lose("it was not renewed in time");
+        if (m_held) {
+            if (!m_renewing && now - m_renewSent >= m_lease.settings().ttl / 4)
+                renew(now);
+            if (!m_lease.mayOrder(now))
+                cancelOrders();
+            plan();
+        } else if (!m_stopping) {
+            acquire(now);
+        }
+    }
+
+    /// Gives no more orders and lets another node take over.
+    void stop()
+    {
+        m_stopping = true;
+        if (!m_held)
+            return;
+        lose("the node stops");
+        if (m_leaseId != 0)
+            m_store.endLease(m_leaseId);
+    }
+
+private:
+    static constexpr Duration acquirePause = std::chrono::milliseconds{400};
+    static constexpr Duration orderTimeout = std::chrono::milliseconds{1200}; ///< Several round trips between regions.
+    static constexpr unsigned orderUnsentTimeoutMs = 1000;
+
+    void acquire(Instant now)
+    {
+        const bool isOwn = m_holder && m_holder->node == m_self.node;
+        if (!m_recordKnown || m_acquiring || now - m_acquireSent < acquirePause || (m_holder && !isOwn))
+            return;
+        m_acquiring = true;
+        m_acquireSent = now;
+        m_store.grantLease(m_lease.settings().ttl, [this, now, isOwn](std::optional<StoreLease> lease) {
+            if (!lease) {
+                m_acquiring = false;
+                return;
+            }
+            m_leaseId = *lease;
+            const auto value
+                = boost::json::serialize(boost::json::object{{"node", m_self.node}, {"started", m_self.startedAt}});
+            KeyTransaction transaction;
+            transaction.compares.push_back({m_key, m_recordRevision});
+            transaction.puts.push_back({m_key, value, KeyLifetime::NodeLease});
+            m_store.transact(transaction, *lease, [this, now, isOwn](const KeyReply &reply) {
+                m_acquiring = false;
+                if (reply.outcome == KeyOutcome::Applied)
+                    take(static_cast<std::uint64_t>(reply.revision), now, BootClock{}.now(), isOwn);
+            });
+        });
+    }
+
+    void take(std::uint64_t fence, Instant sent, Instant now, bool isOwnPredecessor)
+    {
+        if (m_stopping) {
+            m_store.endLease(m_leaseId);
+            return;
+        }
+        m_held = true;
+        m_renewSent = sent;
+        m_lease.onAcquired(fence, sent, now, isOwnPredecessor);
+        auto placer = AdapterPlacer{};
+        for (const auto &[target, declared] : m_context.declared)
+            placer.onVersionDeclared(target, declared.version);
+        m_placer = std::move(placer);
+        m_log.note(GatewayEvent::OrderLeaseTaken,
+                   {{"fence", std::to_string(fence)}, {"own_predecessor", isOwnPredecessor ? "yes" : "no"}});
+    }
+
+    void renew(Instant now)
+    {
+        m_renewing = true;
+        m_renewSent = now;
+        m_store.renewLease(m_leaseId, [this, now](std::optional<bool> renewed) {
+            m_renewing = false;
+            if (!m_held)
+                return;
+            if (renewed == true)
+                m_lease.onRenewed(now);
+            else if (renewed == false)
+                lose("the store has ended it");
+        });
+    }
+
+    void lose(const std::string &reason)
+    {
+        m_held = false;
+        m_lease.onLost();
+        cancelOrders();
+        m_log.note(GatewayEvent::OrderLeaseLost, {{"reason", reason}});
+    }
+
+    void cancelOrders()
+    {
+        for (const auto &[token, order] : std::exchange(m_open, {})) {
+            m_client.cancel(token);
+            m_placer.onAnswer(order, OrderOutcome::Unknown, BootClock{}.now());
+        }
+    }
+
+    void refreshEngines()
+    {
+        std::vector<PlacedEngine> engines;
+        std::vector<PlacedModel> models;
+        if (!m_context.routes)
+            return;
+        for (const auto &service : m_context.routes->policy().services) {
+            if (!service.engine)
+                continue;
+            for (const auto &model : service.engine->models)
+                models.push_back({service.name, model.name, model.loadTime});
+        }
+        for (const auto &[instance, upstream] : m_context.upstreams.all()) {
+            const auto *service = m_context.routes->service(upstream.record.service);
+            if (!service || !service->engine)
+                continue;
+            engines.push_back({instance, upstream.record.service, !upstream.record.draining,
+                               service->engine->adapterSlots, static_cast<double>(upstream.total().inFlight),
+                               upstream.record.storedModels});
+        }
+        m_placer.setEngines(engines, models);
+    }
+
+    void plan()
+    {
+        const auto now = BootClock{}.now();
+        if (!m_lease.mayOrder(now))
+            return;
+        refreshEngines();
+        const auto actions = m_placer.plan(now);
+        for (const auto &order : actions.orders)
+            sendOrder(order);
+        for (const auto &instance : actions.inspections)
+            inspect(instance);
+        if (!actions.news.empty())
+            m_onNews(actions.news);
+    }
+
+    void sendOrder(const EngineOrder &order)
+    {
+        const auto now = BootClock{}.now();
+        const auto *upstream = m_context.upstreams.find(order.instance);
+        if (!upstream || !m_lease.mayOrder(now)) {
+            m_placer.onAnswer(order, OrderOutcome::Conflict, now);
+            return;
+        }
+        Relay::SendOptions options;
+        options.timeout = orderTimeout;
+        options.unsentBytesTimeoutMs = orderUnsentTimeoutMs;
+        Relay::ExchangeObserver observer;
+        auto status = std::make_shared<unsigned>(0);
+        auto token = std::make_shared<Relay::UpstreamClient::Token>(0);
+        observer.onHead = [status](const Relay::ResponseHead &head) { *status = head.status; };
+        observer.onEnd
+            = [this, order, status, token] { onOrderAnswer(order, *token, Dialect::readOutcome(*status), *status); };
+        observer.onFailure = [this, order, token](const Relay::FailedExchange &failure) {
+            onOrderAnswer(order, *token, failure.sent ? OrderOutcome::Unknown : OrderOutcome::Conflict, 0);
+        };
+        *token = m_client.send({upstream->record.endpoint, order.instance},
+                               Dialect::writeOrder(order, m_self.node, m_lease.fence()), std::move(observer), options);
+        m_open.emplace(*token, order);
+    }
+
+    void onOrderAnswer(const EngineOrder &order, Relay::UpstreamClient::Token token, OrderOutcome outcome,
+                       unsigned status)
+    {
+        m_open.erase(token);
+        m_placer.onAnswer(order, outcome, BootClock{}.now());
+        if (outcome != OrderOutcome::Started && outcome != OrderOutcome::Done)
+            m_log.decision(GatewayEvent::OrderFailed, order.target,
+                           {{"upstream", order.instance},
+                            {"kind", order.kind == OrderKind::Load ? "load" : "unload"},
+                            {"expected", std::to_string(order.expected)},
+                            {"status", std::to_string(status)}});
+        m_loop.post([this] { plan(); });
+    }
+
+    void inspect(const std::string &instance)
+    {
+        const auto *upstream = m_context.upstreams.find(instance);
+        if (!upstream)
+            return m_placer.onReport(instance, std::nullopt, BootClock{}.now());
+        Relay::SendOptions options;
+        options.timeout = orderTimeout;
+        auto status = std::make_shared<unsigned>(0);
+        auto body = std::make_shared<std::string>();
+        Relay::ExchangeObserver observer;
+        observer.onHead = [status](const Relay::ResponseHead &head) { *status = head.status; };
+        observer.onBody = [body](std::string_view piece) { *body += piece; };
+        observer.onEnd = [this, instance, status, body] {
+            m_placer.onReport(instance, *status == 200 ? Dialect::readReport(*body) : std::nullopt, BootClock{}.now());
+        };
+        observer.onFailure = [this, instance](const Relay::FailedExchange &) {
+            m_placer.onReport(instance, std::nullopt, BootClock{}.now());
+        };
+        m_client.send({upstream->record.endpoint, instance}, Dialect::writeInspection(instance), std::move(observer),
+                      options);
+    }
+
+    Http::EventLoop &m_loop;
+    Store &m_store;
+    CallContext &m_context;
+    GatewayLog &m_log;
+    OrderHolder m_self;
+    std::string m_key;
+    OrderLease m_lease;
+    AdapterPlacer m_placer;
+    Relay::UpstreamClient m_client;
+    std::function<void(const std::vector<PlacementNews> &)> m_onNews;
+    std::map<Relay::UpstreamClient::Token, EngineOrder> m_open;
+    std::optional<OrderHolder> m_holder;
+    Revision m_recordRevision = 0;
+    bool m_recordKnown = false;
+    StoreLease m_leaseId = 0;
+    Instant m_acquireSent{};
+    Instant m_renewSent{};
+    bool m_acquiring = false;
+    bool m_renewing = false;
+    bool m_held = false;
+    bool m_stopping = false;
+};
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/peerlink.cpp
@@ -0,0 +1,78 @@
+#include "gateway/peerlink.h"
+
+#include "http/eventloop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using ErrorCode = boost::system::error_code;
+
+struct PeerLink::Private : std::enable_shared_from_this<PeerLink::Private> {
+    Private(Http::EventLoop &loop, const Http::Endpoint &listen, Handler messageHandler)
+        : socket(loop.context(), udp::endpoint(asio::ip::make_address(listen.address), listen.port))
+        , handler(std::move(messageHandler))
+    {
+        socket.non_blocking(true);
+    }
+
+    void wait()
+    {
+        socket.async_wait(udp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+            if (error)
+                return;
+            self->receive();
+            self->wait();
+        });
+    }
+
+    void receive()
+    {
+        for (;;) {
+            ErrorCode error;
+            udp::endpoint sender;
+            const auto got = socket.receive_from(asio::buffer(bytes), sender, 0, error);
+            if (error)
+                return;
+            if (const auto message = decodePeerMessage({bytes.data(), got}))
+                handler(*message);
+        }
+    }
+
+    udp::socket socket;
+    Handler handler;
+    std::array<char, 65536> bytes{};
+};
+
+PeerLink::PeerLink(Http::EventLoop &loop, const Http::Endpoint &listen, Handler handler)
+    : m_d(std::make_shared<Private>(loop, listen, std::move(handler)))
+{
+    m_d->wait();
+}
+
+PeerLink::~PeerLink()
+{
+    ErrorCode ignored;
+    m_d->socket.close(ignored);
+}
+
+void PeerLink::send(const PeerMessage &message, const std::vector<NodeAddress> &targets)
+{
+    if (targets.empty())
+        return;
+    const auto text = encode(message);
+    for (const auto &target : targets) {
+        // A datagram that cannot be sent is one that is lost, which receivers bear.
+        ErrorCode ignored;
+        m_d->socket.send_to(asio::buffer(text),
+                            udp::endpoint(asio::ip::make_address(target.peers.address), target.peers.port), 0, ignored);
+    }
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/peerlink.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gateway/peermessage.h"
+#include "http/message.h"
+
+#include <functional>
+#include <memory>
+
+namespace Gypsumtally::Http
+{
+class EventLoop;
+}
+
+namespace Gypsumtally::Gateway
+{
+
+/// Datagrams between nodes; any may be lost. Loop's thread only.
+class PeerLink
+{
+public:
+    using Handler = std::function<void(const PeerMessage &)>;
+
+    /// Receives on @p listen, or throws std::system_error.
+    PeerLink(Http::EventLoop &loop, const Http::Endpoint &listen, Handler handler);
+    ~PeerLink();
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+
+    /// Sends @p message to each of @p targets.
+    void send(const PeerMessage &message, const std::vector<NodeAddress> &targets);
+
+private:
+    struct Private;
+    std::shared_ptr<Private> m_d;
+};
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/peermessage.cpp
@@ -0,0 +1,162 @@
+#include "gateway/peermessage.h"
+
+#include "common/jsonfields.h"
+
+#include <boost/json.hpp>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+json::object addressToJson(const NodeAddress &address)
+{
+    return {{"node", address.node},
+            {"domain", address.failureDomain},
+            {"region", address.region},
+            {"callers", Http::toString(address.callers)},
+            {"peers", Http::toString(address.peers)},
+            {"started", address.startedAt}};
+}
+
+std::optional<NodeAddress> addressFrom(const json::object &object)
+{
+    NodeAddress address{textAt(object, "node"),
+                        textAt(object, "domain"),
+                        textAt(object, "region"),
+                        Http::parseEndpoint(textAt(object, "callers")),
+                        Http::parseEndpoint(textAt(object, "peers")),
+                        numberAt<std::int64_t>(object, "started")};
+    if (address.node.empty() || address.callers.port == 0 || address.peers.port == 0)
+        return std::nullopt;
+    return address;
+}
+
+json::array demandsToJson(const std::vector<TargetDemand> &demands)
+{
+    json::array array;
+    for (const auto &demand : demands)
+        array.push_back({demand.service, demand.target, demand.requests});
+    return array;
+}
+
+const json::array *arrayAt(const json::object &object, std::string_view name)
+{
+    const auto *value = object.if_contains(name);
+    return value ? value->if_array() : nullptr;
+}
+
+std::string textIn(const json::array &row, std::size_t index)
+{
+    return index < row.size() && row[index].is_string() ? std::string(row[index].get_string()) : std::string{};
+}
+
+template<typename Number>
+Number numberIn(const json::array &row, std::size_t index)
+{
+    if (index >= row.size())
+        return {};
+    boost::system::error_code error;
+    const auto number = row[index].to_number<Number>(error);
+    return error ? Number{} : number;
+}
+
+/// Calls @p take with each row of the array called @p name.
+template<typename Take>
+void eachRow(const json::object &object, std::string_view name, Take &&take)
+{
+    const auto *array = arrayAt(object, name);
+    if (!array)
+        return;
+    for (const auto &value : *array) {
+        if (const auto *row = value.if_array())
+            take(*row);
+    }
+}
+
+std::vector<TargetDemand> demandsFrom(const json::object &object, std::string_view name)
+{
+    std::vector<TargetDemand> demands;
+    eachRow(object, name, [&](const json::array &row) {
+        demands.push_back({textIn(row, 0), textIn(row, 1), numberIn<double>(row, 2)});
+    });
+    return demands;
+}
+
+} // namespace
+
+std::string encode(const NodeAddress &address)
+{
+    return json::serialize(addressToJson(address));
+}
+
+std::optional<NodeAddress> decodeNodeAddress(std::string_view text)
+{
+    boost::system::error_code error;
+    const auto value = json::parse(text, error);
+    return !error && value.is_object() ? addressFrom(value.get_object()) : std::nullopt;
+}
+
+std::string encode(const PeerMessage &message)
+{
+    json::object object{{"from", addressToJson(message.from)}, {"open", message.takesCallers}};
+    if (message.hasLoads) {
+        json::array loads;
+        for (const auto &[instance, load] : message.loads)
+            loads.push_back({instance, load.inFlight, static_cast<std::int64_t>(load.prefillTokens)});
+        object["loads"] = std::move(loads);
+    }
+    if (!message.used.empty())
+        object["used"] = demandsToJson(message.used);
+    if (!message.wanted.empty())
+        object["wanted"] = demandsToJson(message.wanted);
+    if (!message.crashes.empty()) {
+        json::array crashes;
+        for (const auto &crash : message.crashes)
+            crashes.push_back({crash.fingerprint, crash.instance});
+        object["crashes"] = std::move(crashes);
+    }
+    if (!message.placements.empty()) {
+        json::array placements;
+        for (const auto &each : message.placements)
+            placements.push_back({each.instance, each.target, each.version, each.dropped, each.usableIn.count()});
+        object["placements"] = std::move(placements);
+    }
+    return json::serialize(object);
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view text)
+{
+    boost::system::error_code error;
+    const auto value = json::parse(text, error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    const auto &object = value.get_object();
+    const auto *from = object.if_contains("from");
+    const auto address = from && from->is_object() ? addressFrom(from->get_object()) : std::nullopt;
+    if (!address)
+        return std::nullopt;
+    PeerMessage message;
+    message.from = *address;
+    message.takesCallers = flagAt(object, "open");
+    message.hasLoads = arrayAt(object, "loads") != nullptr;
+    eachRow(object, "loads", [&](const json::array &row) {
+        message.loads[textIn(row, 0)] = {numberIn<unsigned>(row, 1), numberIn<double>(row, 2)};
+    });
+    message.used = demandsFrom(object, "used");
+    message.wanted = demandsFrom(object, "wanted");
+    eachRow(object, "crashes", [&](const json::array &row) {
+        message.crashes.push_back({numberIn<std::uint64_t>(row, 0), textIn(row, 1)});
+    });
+    eachRow(object, "placements", [&](const json::array &row) {
+        message.placements.push_back({textIn(row, 0), textIn(row, 1), numberIn<std::uint64_t>(row, 2),
+                                      row.size() > 3 && row[3].is_bool() && row[3].get_bool(),
+                                      Duration{numberIn<std::int64_t>(row, 4)}});
+    });
+    return message;
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/peermessage.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "common/clock.h"
+#include "gateway/crashledger.h"
+#include "gateway/residency.h"
+#include "gateway/upstreamtable.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// Where callers and peers reach a node, and since when its process has run.
+struct NodeAddress {
+    std::string node;
+    std::string failureDomain;
+    std::string region;
+    Http::Endpoint callers;
+    Http::Endpoint peers;
+    std::int64_t startedAt = 0;
+
+    friend bool operator==(const NodeAddress &, const NodeAddress &) = default;
+};
+
+/// How often a target of a service was asked for.
+struct TargetDemand {
+    std::string service;
+    ModelTarget target;
+    double requests = 0;
+};
+
+/// A copy that engines hold or drop, as the holder of the order lease tells all nodes.
+struct PlacementNotice {
+    std::string instance;
+    ModelTarget target;
+    std::uint64_t version = 0;
+    bool dropped = false;
+    Duration usableIn{};
+};
+
+/// What nodes tell each other, in one datagram. Each part may be empty.
+struct PeerMessage {
+    NodeAddress from;
+    bool takesCallers = true; ///< False from the beginning of a graceful stop, and before the first configuration.
+    std::map<std::string, UpstreamLoad> loads; ///< By upstream instance.
+    bool hasLoads = false; ///< Whether @c loads is to replace what was told before.
+    std::vector<TargetDemand> used; ///< Since the last message.
+    std::vector<TargetDemand> wanted; ///< Requests that wait for a load.
+    std::vector<CrashReport> crashes;
+    std::vector<PlacementNotice> placements; ///< From the holder only.
+};
+
+/// Thread-safe.
+std::string encode(const PeerMessage &message);
+
+/// Returns nothing if @p text is no message. Thread-safe.
+std::optional<PeerMessage> decodePeerMessage(std::string_view text);
+
+/// The form of an address in the store. Thread-safe.
+std::string encode(const NodeAddress &address);
+
+/// Returns nothing if @p text is no address. Thread-safe.
+std::optional<NodeAddress> decodeNodeAddress(std::string_view text);
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/residency.cpp
@@ -0,0 +1,52 @@
+#include "gateway/residency.h"
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+/// The oldest state that a list can show when it arrives: a heartbeat, its way through the store, a batched watch.
+constexpr Duration listLag = std::chrono::milliseconds{2600};
+
+} // namespace
+
+void Residency::onListed(const std::vector<ListedTarget> &targets, Instant now)
+{
+    std::erase_if(m_dropped, [&](const auto &item) { return now - item.second > listLag; });
+    std::unordered_map<ModelTarget, Copy> copies;
+    for (const auto &[target, version] : targets) {
+        if (m_dropped.contains(target))
+            continue;
+        const auto known = m_copies.find(target);
+        if (known != m_copies.end() && known->second.version > version && now - known->second.learned <= listLag)
+            copies.insert(*known);
+        else
+            copies.emplace(target, Copy{{version, now}, {}});
+    }
+    for (const auto &[target, copy] : m_copies) {
+        if (now - copy.learned <= listLag || copy.usableAt > now)
+            copies.try_emplace(target, copy);
+    }
+    m_copies = std::move(copies);
+}
+
+void Residency::onLoading(const ModelTarget &target, std::uint64_t version, Instant usableAt, Instant now)
+{
+    m_dropped.erase(target);
+    m_copies.insert_or_assign(target, Copy{{version, usableAt}, now});
+}
+
+void Residency::onDropped(const ModelTarget &target, Instant now)
+{
+    m_copies.erase(target);
+    m_dropped.insert_or_assign(target, now);
+}
+
+const ResidentCopy *Residency::find(const ModelTarget &target) const
+{
+    const auto it = m_copies.find(target);
+    return it == m_copies.end() ? nullptr : &it->second;
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/retryallowance.cpp
@@ -0,0 +1,54 @@
+#include "gateway/retryallowance.h"
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+/// The part of the earned extra sends that is used; the rest covers windows that begin between two requests.
+constexpr double usedPart = 0.9;
+
+void dropBefore(std::deque<Instant> &times, Instant limit)
+{
+    while (!times.empty() && times.front() < limit)
+        times.pop_front();
+}
+
+} // namespace
+
+RetryAllowance::RetryAllowance(const RetryBound &bound)
+    : m_bound(bound)
+{
+}
+
+RetryAllowance::Account &RetryAllowance::current(const std::string &service, Instant now)
+{
+    auto &account = m_accounts[service];
+    dropBefore(account.requests, now - m_bound.window);
+    dropBefore(account.extras, now - m_bound.window);
+    return account;
+}
+
+void RetryAllowance::onRequest(const std::string &service, Instant now)
+{
+    current(service, now).requests.push_back(now);
+}
+
+double RetryAllowance::left(const std::string &service, Instant now)
+{
+    const auto &account = current(service, now);
+    const double earned = m_bound.ratio * static_cast<double>(account.requests.size());
+    const double given = m_bound.slack / std::max(1U, m_bound.nodes);
+    return usedPart * (earned + given) - static_cast<double>(account.extras.size());
+}
+
+bool RetryAllowance::tryTake(const std::string &service, Instant now)
+{
+    if (left(service, now) < 1)
+        return false;
+    m_accounts[service].extras.push_back(now);
+    return true;
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/upstreamtable.cpp
@@ -0,0 +1,102 @@
+#include "gateway/upstreamtable.h"
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+/// Records of live upstreams are back about two seconds after the registry.
+constexpr Duration lapseGrace = std::chrono::milliseconds{2300};
+
+} // namespace
+
+UpstreamLoad Upstream::total() const
+{
+    auto load = own;
+    for (const auto &[node, each] : peers) {
+        load.inFlight += each.inFlight;
+        load.prefillTokens += each.prefillTokens;
+    }
+    return load;
+}
+
+bool UpstreamTable::onRecord(const UpstreamRecord &record, Instant now)
+{
+    m_lapsed.erase(record.instance);
+    auto &upstream = m_upstreams[record.instance];
+    const bool isNew = upstream.record.instance.empty() || upstream.record.startedAt != record.startedAt
+                       || upstream.record.endpoint != record.endpoint;
+    if (isNew)
+        upstream = Upstream{};
+    upstream.record = record;
+    upstream.residency.onListed(record.targets, now);
+    return isNew;
+}
+
+bool UpstreamTable::mayHaveLapsed(Instant now) const
+{
+    return m_registryLost || now - m_registryBack < lapseGrace;
+}
+
+void UpstreamTable::onRemoved(const std::string &instance, Instant now)
+{
+    if (!m_upstreams.contains(instance))
+        return;
+    if (mayHaveLapsed(now))
+        m_lapsed.insert(instance);
+    else
+        m_upstreams.erase(instance);
+}
+
+void UpstreamTable::onSnapshot(const std::set<std::string> &instances, Instant now)
+{
+    std::vector<std::string> missing;
+    for (const auto &[instance, upstream] : m_upstreams) {
+        if (!instances.contains(instance))
+            missing.push_back(instance);
+    }
+    for (const auto &instance : missing)
+        onRemoved(instance, now);
+}
+
+void UpstreamTable::onRegistryLost(Instant)
+{
+    m_registryLost = true;
+}
+
+void UpstreamTable::onRegistryBack(Instant now)
+{
+    if (!m_registryLost)
+        return;
+    m_registryLost = false;
+    m_registryBack = now;
+}
+
+void UpstreamTable::sweep(Instant now)
+{
+    if (m_lapsed.empty() || mayHaveLapsed(now))
+        return;
+    for (const auto &instance : m_lapsed)
+        m_upstreams.erase(instance);
+    m_lapsed.clear();
+}
+
+Upstream *UpstreamTable::find(const std::string &instance)
+{
+    const auto it = m_upstreams.find(instance);
+    return it == m_upstreams.end() ? nullptr : &it->second;
+}
+
+void UpstreamTable::onPeerLoads(const std::string &node, const std::map<std::string, UpstreamLoad> &loads)
+{
+    for (auto &[instance, upstream] : m_upstreams) {
+        const auto it = loads.find(instance);
+        if (it == loads.end())
+            upstream.peers.erase(node);
+        else
+            upstream.peers[node] = it->second;
+    }
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/upstreamtable.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "common/clock.h"
+#include "gateway/residency.h"
+#include "http/message.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// What an upstream process says of itself in the platform's registry.
+struct UpstreamRecord {
+    std::string instance; ///< Names one upstream; may come again after a restart.
+    std::string service;
+    Http::Endpoint endpoint;
+    std::string failureDomain;
+    unsigned slots = 1; ///< Requests that it works on at once.
+    bool draining = false; ///< Takes no new requests.
+    std::int64_t startedAt = 0; ///< Tells processes of one instance apart; 0 if it is not stated.
+    std::vector<ListedTarget> targets; ///< What it holds.
+    std::set<std::string> storedModels; ///< Base models that it can load without the weight store.
+};
+
+/// Requests of the whole fleet that an upstream is working on.
+struct UpstreamLoad {
+    unsigned inFlight = 0;
+    double prefillTokens = 0; ///< Prompt tokens of requests that have not shown a first event.
+};
+
+/// What this node knows of one upstream.
+struct Upstream {
+    UpstreamRecord record;
+    Residency residency;
+    UpstreamLoad own; ///< By requests of this node.
+    std::map<std::string, UpstreamLoad> peers; ///< By requests of other nodes, as they last said.
+    double failureRatio = 0; ///< Decayed share of failed requests, 0 to 1.
+    double outcomes = 0; ///< Decayed number of requests that the ratio rests on.
+    Instant lastOutcome{};
+    double pauseMs = 0; ///< Decayed mean time between two events of a stream; 0 if none was seen.
+    Instant lastHeard{}; ///< When the last byte of any response came.
+    Instant waitingSince{}; ///< Since when a request waits and no byte of any response has come.
+    Instant avoidUntil{}; ///< Takes no new requests while others can, for instance after a refused connection.
+
+    /// Returns the load by all nodes.
+    UpstreamLoad total() const;
+};
+
+/// The upstreams that may get requests, from the registry's records. Knows that records which lapsed while the
+/// registry was away come back. Not thread-safe; does no I/O.
+class UpstreamTable
+{
+public:
+    /// A record was written. Returns whether the upstream is a new process.
+    bool onRecord(const UpstreamRecord &record, Instant now);
+
+    /// A record was removed.
+    void onRemoved(const std::string &instance, Instant now);
+
+    /// The registry was read whole: what is not in @p instances has no record.
+    void onSnapshot(const std::set<std::string> &instances, Instant now);
+
+    /// The registry does not answer.
+    void onRegistryLost(Instant now);
+
+    /// The registry answers again.
+    void onRegistryBack(Instant now);
+
+    /// Removes what is still without a record after the registry's return. To be called several times a second.
+    void sweep(Instant now);
+
+    /// Returns the upstream, or null if it is gone.
+    Upstream *find(const std::string &instance);
+
+    std::map<std::string, Upstream> &all()
+    {
+        return m_upstreams;
+    }
+
+    const std::map<std::string, Upstream> &all() const
+    {
+        return m_upstreams;
+    }
+
+    /// Takes in what another node has at work. Loads that it does not name are none.
+    void onPeerLoads(const std::string &node, const std::map<std::string, UpstreamLoad> &loads);
+
+private:
+    bool mayHaveLapsed(Instant now) const;
+
+    std::map<std::string, Upstream> m_upstreams;
+    std::set<std::string> m_lapsed; ///< Without a record, since perhaps only the registry was away.
+    bool m_registryLost = true;
+    Instant m_registryBack{};
+};
+
+} // namespace Gypsumtally::Gateway
--- a/src/platform/etcdjson.cpp
+++ b/src/keyvalue/etcdjson.cpp
@@ -1,4 +1,4 @@
-#include "platform/etcdjson.h"
+#include "keyvalue/etcdjson.h"
 
 #include "common/jsonfields.h"
 
--- a/src/platform/keyvalueclient.cpp
+++ b/src/keyvalue/keyvalueclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/keyvalueclient.h"
+#include "keyvalue/keyvalueclient.h"
 
 #include <memory>
 
--- a/src/platform/keyvalueclient.h
+++ b/src/keyvalue/keyvalueclient.h
@@ -2,7 +2,7 @@
 
 #include "common/keyvalue.h"
 #include "http/client.h"
-#include "platform/etcdjson.h"
+#include "keyvalue/etcdjson.h"
 
 #include <concepts>
 #include <cstdint>
--- a/src/platform/nodelease.cpp
+++ b/src/keyvalue/nodelease.cpp
@@ -1,4 +1,4 @@
-#include "platform/nodelease.h"
+#include "keyvalue/nodelease.h"
 
 #include "http/eventloop.h"
 
--- a/src/platform/nodelease.h
+++ b/src/keyvalue/nodelease.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/keyvalueclient.h"
+#include "keyvalue/keyvalueclient.h"
 
 #include <functional>
 
--- a/src/platform/storewatcher.cpp
+++ b/src/keyvalue/storewatcher.cpp
@@ -1,4 +1,4 @@
-#include "platform/storewatcher.h"
+#include "keyvalue/storewatcher.h"
 
 #include "http/eventloop.h"
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -2,8 +2,8 @@
 
 #include "common/clock.h"
 #include "membership/noderecord.h"
-#include "platform/storewatcher.h"
-#include "platform/vmlist.h"
+#include "keyvalue/storewatcher.h"
+#include "keyvalue/vmlist.h"
 
 #include <map>
 #include <optional>
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -4,8 +4,8 @@
 #include "common/keyvalue.h"
 #include "entry/callparser.h"
 #include "http/client.h"
-#include "platform/storewatcher.h"
-#include "platform/vmlist.h"
+#include "keyvalue/storewatcher.h"
+#include "keyvalue/vmlist.h"
 
 #include <cstdint>
 #include <string>
--- a/src/node/ownedengine.h
+++ b/src/node/ownedengine.h
@@ -4,7 +4,7 @@
 #include "node/nodeio.h"
 #include "ownership/upstreamowner.h"
 #include "peerprotocol/peermessage.h"
-#include "platform/vmlist.h"
+#include "keyvalue/vmlist.h"
 #include "residency/enginescheduler.h"
 #include "routing/hinttable.h"
 #include "upstream/engineprotocol.h"
--- /dev/null
+++ b/src/relay/callerserver.cpp
@@ -0,0 +1,496 @@
+#include "relay/callerserver.h"
+
+#include "http/eventloop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <array>
+#include <charconv>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace Gypsumtally::Relay
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace
+{
+
+constexpr std::size_t readBytes = 32 * 1024;
+constexpr std::size_t maxPipelinedBytes = 256 * 1024; ///< Beyond this a connection is not read until its answer ends.
+constexpr Duration lingerTime = std::chrono::seconds{1}; ///< For a caller to read a refusal before its connection goes.
+
+std::string headText(unsigned status, const Http::Headers &headers)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + ' ';
+    const auto reason = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
+    text.append(reason.data(), reason.size());
+    text += "\r\n";
+    for (const auto &[name, value] : headers)
+        text.append(name).append(": ").append(value).append("\r\n");
+    return text;
+}
+
+std::string chunkHead(std::size_t size)
+{
+    std::array<char, 20> digits{};
+    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), size, 16);
+    return {digits.data(), end};
+}
+
+class Connection;
+
+class Exchange : public CallerExchange
+{
+public:
+    Exchange(std::shared_ptr<Connection> connection, Http::Request request, Instant arrival)
+        : m_connection(std::move(connection))
+        , m_request(std::move(request))
+        , m_arrival(arrival)
+    {
+    }
+
+    ~Exchange() override;
+
+    const Http::Request &request() const override
+    {
+        return m_request;
+    }
+
+    Instant arrival() const override
+    {
+        return m_arrival;
+    }
+
+    void respond(const Http::Response &response) override;
+    void begin(unsigned status, const Http::Headers &headers, std::optional<std::uint64_t> length) override;
+    void write(std::string_view piece) override;
+    void end() override;
+    void abort() override;
+
+    void onGone(std::function<void()> task) override
+    {
+        m_onGone = std::move(task);
+    }
+
+    /// Called by the connection when it has ended.
+    void detach()
+    {
+        m_connection.reset();
+        if (const auto task = std::exchange(m_onGone, nullptr))
+            task();
+    }
+
+private:
+    std::shared_ptr<Connection> m_connection; ///< Empty once the answer has ended or the caller has gone.
+    Http::Request m_request;
+    Instant m_arrival;
+    bool m_chunked = false;
+    std::function<void()> m_onGone;
+};
+
+struct Shared {
+    CallerServerSettings settings;
+    CallerServer::Handler handler;
+    bool closing = false;
+    std::size_t active = 0;
+    std::unordered_set<std::shared_ptr<Connection>> connections;
+};
+
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(tcp::socket socket, std::shared_ptr<Shared> shared)
+        : m_socket(std::move(socket))
+        , m_shared(std::move(shared))
+    {
+    }
+
+    void start()
+    {
+        ErrorCode ignored;
+        m_socket.non_blocking(true, ignored);
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        renewReader();
+        waitForBytes();
+    }
+
+    void send(std::string_view bytes)
+    {
+        if (m_closed)
+            return;
+        if (m_output.empty()) {
+            ErrorCode error;
+            const auto written = m_socket.write_some(asio::buffer(bytes), error);
+            if (error && error != asio::error::would_block)
+                return lose();
+            bytes.remove_prefix(error ? 0 : written);
+        }
+        if (bytes.empty())
+            return;
+        m_output.append(bytes);
+        if (m_output.size() > m_shared->settings.maxBufferedBytes)
+            return lose();
+        waitForRoom();
+    }
+
+    /// The answer to the present request has been handed over.
+    void finishAnswer()
+    {
+        m_exchange.reset();
+        --m_shared->active;
+        m_since = BootClock{}.now();
+        if (!m_keep)
+            return closeGracefully();
+        renewReader();
+        if (!m_waiting)
+            waitForBytes();
+        parse();
+    }
+
+    /// The answer will not be completed: closes the connection without its end.
+    void abandonAnswer()
+    {
+        m_exchange.reset();
+        --m_shared->active;
+        lose();
+    }
+
+    bool announcesClose()
+    {
+        if (m_shared->closing)
+            m_keep = false;
+        return !m_keep;
+    }
+
+    void sweep(Instant now)
+    {
+        if (m_lingering) {
+            if (now - m_since > lingerTime)
+                lose();
+            return;
+        }
+        if (!m_exchange.expired())
+            return;
+        const bool reading = m_reader->state() == RequestReader::State::Reading;
+        const auto limit = reading ? m_shared->settings.headerTimeout : m_shared->settings.idleTimeout;
+        if (now - m_since <= limit)
+            return;
+        if (reading)
+            refuse(408, "the request did not come in time");
+        else
+            closeGracefully();
+    }
+
+    void closeIfIdle()
+    {
+        if (m_exchange.expired() && m_reader->state() == RequestReader::State::Idle && !m_lingering)
+            closeGracefully();
+    }
+
+    /// Ends the connection; a caller that waits for an answer sees that there is none.
+    void lose()
+    {
+        if (m_closed)
+            return;
+        const auto self = shared_from_this();
+        m_closed = true;
+        ErrorCode ignored;
+        m_socket.close(ignored);
+        m_shared->connections.erase(self);
+        if (const auto exchange = m_exchange.lock()) {
+            m_exchange.reset();
+            --m_shared->active;
+            exchange->detach();
+        }
+    }
+
+private:
+    void renewReader()
+    {
+        m_reader = std::make_unique<RequestReader>(m_shared->settings.limits);
+        m_since = BootClock{}.now();
+    }
+
+    void waitForBytes()
+    {
+        if (m_closed || m_waiting)
+            return;
+        m_waiting = true;
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+            self->m_waiting = false;
+            if (!error)
+                self->read();
+        });
+    }
+
+    void read()
+    {
+        if (m_closed)
+            return;
+        static thread_local std::array<char, readBytes> bytes;
+        ErrorCode error;
+        const auto got = m_socket.read_some(asio::buffer(bytes), error);
+        if (error == asio::error::would_block)
+            return waitForBytes();
+        if (error)
+            return lose();
+        if (m_lingering)
+            return waitForBytes();
+        m_input.append(bytes.data(), got);
+        parse();
+        if (m_input.size() < maxPipelinedBytes)
+            waitForBytes();
+    }
+
+    void parse()
+    {
+        if (m_closed || m_lingering || !m_exchange.expired() || m_input.empty())
+            return;
+        const bool wasIdle = m_reader->state() == RequestReader::State::Idle;
+        const auto used = m_reader->feed(m_input);
+        m_input.erase(0, used);
+        if (wasIdle)
+            m_since = BootClock{}.now();
+        if (m_reader->takeExpectContinue() && m_reader->state() == RequestReader::State::Reading)
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+        if (m_reader->state() == RequestReader::State::Failed)
+            refuse(m_reader->refusalStatus(), m_reader->refusalReason());
+        else if (m_reader->state() == RequestReader::State::Complete)
+            handOver();
+    }
+
+    void handOver()
+    {
+        m_keep = m_reader->keepsConnection();
+        auto exchange = std::make_shared<Exchange>(shared_from_this(), m_reader->takeRequest(), BootClock{}.now());
+        m_exchange = exchange;
+        ++m_shared->active;
+        m_shared->handler(std::move(exchange));
+    }
+
+    void refuse(unsigned status, const std::string &reason)
+    {
+        const auto body = reason + '\n';
+        send(headText(status, {{"Content-Type", "text/plain"},
+                               {"Content-Length", std::to_string(body.size())},
+                               {"Connection", "close"}})
+             + "\r\n" + body);
+        closeGracefully();
+    }
+
+    void closeGracefully()
+    {
+        if (m_closed || m_lingering)
+            return;
+        m_lingering = true;
+        m_since = BootClock{}.now();
+        if (m_output.empty())
+            shutdownSend();
+        waitForBytes();
+    }
+
+    void shutdownSend()
+    {
+        ErrorCode ignored;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    void waitForRoom()
+    {
+        if (m_closed || m_waitingForRoom)
+            return;
+        m_waitingForRoom = true;
+        m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](ErrorCode error) {
+            self->m_waitingForRoom = false;
+            if (!error)
+                self->flush();
+        });
+    }
+
+    void flush()
+    {
+        if (m_closed)
+            return;
+        ErrorCode error;
+        const auto written = m_socket.write_some(asio::buffer(m_output), error);
+        if (error && error != asio::error::would_block)
+            return lose();
+        m_output.erase(0, error ? 0 : written);
+        if (!m_output.empty())
+            return waitForRoom();
+        if (m_lingering)
+            shutdownSend();
+    }
+
+    tcp::socket m_socket;
+    std::shared_ptr<Shared> m_shared;
+    std::unique_ptr<RequestReader> m_reader;
+    std::weak_ptr<Exchange> m_exchange;
+    std::string m_input;
+    std::string m_output;
+    Instant m_since{}; ///< Start of the present state, for time-outs.
+    bool m_keep = true;
+    bool m_waiting = false;
+    bool m_waitingForRoom = false;
+    bool m_lingering = false; ///< No more is sent; the caller is given time to read.
+    bool m_closed = false;
+};
+
+Exchange::~Exchange()
+{
+    abort();
+}
+
+void Exchange::respond(const Http::Response &response)
+{
+    if (!m_connection)
+        return;
+    auto text = headText(response.status, response.headers);
+    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    if (m_connection->announcesClose())
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    text += response.body;
+    m_connection->send(text);
+    end();
+}
+
+void Exchange::begin(unsigned status, const Http::Headers &headers, std::optional<std::uint64_t> length)
+{
+    if (!m_connection)
+        return;
+    m_chunked = !length;
+    auto text = headText(status, headers);
+    text += length ? "Content-Length: " + std::to_string(*length) + "\r\n" : "Transfer-Encoding: chunked\r\n";
+    if (m_connection->announcesClose())
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    m_connection->send(text);
+}
+
+void Exchange::write(std::string_view piece)
+{
+    if (!m_connection || piece.empty())
+        return;
+    if (!m_chunked)
+        return m_connection->send(piece);
+    auto chunk = chunkHead(piece.size());
+    chunk.append("\r\n").append(piece).append("\r\n");
+    m_connection->send(chunk);
+}
+
+void Exchange::end()
+{
+    if (!m_connection)
+        return;
+    if (m_chunked)
+        m_connection->send("0\r\n\r\n");
+    m_onGone = nullptr;
+    if (const auto connection = std::exchange(m_connection, nullptr))
+        connection->finishAnswer();
+}
+
+void Exchange::abort()
+{
+    m_onGone = nullptr;
+    if (const auto connection = std::exchange(m_connection, nullptr))
+        connection->abandonAnswer();
+}
+
+} // namespace
+
+struct CallerServer::Private : std::enable_shared_from_this<CallerServer::Private> {
+    Private(Http::EventLoop &eventLoop, CallerServerSettings settings, Handler handler)
+        : context(eventLoop.context())
+        , shared(std::make_shared<Shared>(Shared{settings, std::move(handler), false, 0, {}}))
+        , acceptor(context)
+    {
+    }
+
+    void accept()
+    {
+        acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted || !self->acceptor.is_open())
+                return;
+            if (!error && self->shared->connections.size() < self->shared->settings.maxConnections) {
+                auto connection = std::make_shared<Connection>(std::move(socket), self->shared);
+                self->shared->connections.insert(connection);
+                connection->start();
+            }
+            self->accept();
+        });
+    }
+
+    asio::io_context &context;
+    std::shared_ptr<Shared> shared;
+    tcp::acceptor acceptor;
+};
+
+CallerServer::CallerServer(Http::EventLoop &loop, CallerServerSettings settings, Handler handler)
+    : m_d(std::make_shared<Private>(loop, settings, std::move(handler)))
+{
+}
+
+CallerServer::~CallerServer()
+{
+    ErrorCode ignored;
+    m_d->acceptor.close(ignored);
+}
+
+std::uint16_t CallerServer::listen(const Http::Endpoint &endpoint)
+{
+    const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+    m_d->acceptor.open(address.protocol());
+    m_d->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_d->acceptor.bind(address);
+    m_d->acceptor.listen(1024);
+    m_d->accept();
+    return m_d->acceptor.local_endpoint().port();
+}
+
+void CallerServer::setSettings(const CallerServerSettings &settings)
+{
+    m_d->shared->settings = settings;
+}
+
+void CallerServer::sweep(Instant now)
+{
+    const std::vector<std::shared_ptr<Connection>> all(m_d->shared->connections.begin(),
+                                                       m_d->shared->connections.end());
+    for (const auto &connection : all)
+        connection->sweep(now);
+}
+
+void CallerServer::announceClose()
+{
+    m_d->shared->closing = true;
+}
+
+void CallerServer::stopAccepting()
+{
+    ErrorCode ignored;
+    m_d->acceptor.close(ignored);
+    const std::vector<std::shared_ptr<Connection>> all(m_d->shared->connections.begin(),
+                                                       m_d->shared->connections.end());
+    for (const auto &connection : all)
+        connection->closeIfIdle();
+}
+
+std::size_t CallerServer::connections() const
+{
+    return m_d->shared->connections.size();
+}
+
+std::size_t CallerServer::activeRequests() const
+{
+    return m_d->shared->active;
+}
+
+} // namespace Gypsumtally::Relay
--- /dev/null
+++ b/src/relay/requestreader.cpp
@@ -0,0 +1,100 @@
+#include "relay/requestreader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <utility>
+
+namespace Gypsumtally::Relay
+{
+
+namespace bhttp = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+struct RequestReader::Private {
+    bhttp::request_parser<bhttp::string_body> parser;
+    bool hasHead = false;
+};
+
+RequestReader::RequestReader(const RequestLimits &limits)
+    : m_d(std::make_unique<Private>())
+{
+    m_d->parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    m_d->parser.body_limit(limits.bodyBytes);
+}
+
+RequestReader::~RequestReader() = default;
+
+std::size_t RequestReader::feed(std::string_view bytes)
+{
+    std::size_t used = 0;
+    if (m_state == State::Idle) {
+        // An empty line before a request is allowed; some clients end a body with one.
+        while (used < bytes.size() && (bytes[used] == '\r' || bytes[used] == '\n'))
+            ++used;
+        if (used == bytes.size())
+            return used;
+        m_state = State::Reading;
+    }
+    while (m_state == State::Reading && used < bytes.size()) {
+        ErrorCode error;
+        const auto taken = m_d->parser.put(boost::asio::buffer(bytes.substr(used)), error);
+        used += taken;
+        if (error == bhttp::error::need_more)
+            return used;
+        if (error == bhttp::error::header_limit)
+            fail(431, "the headers are too large");
+        else if (error == bhttp::error::body_limit)
+            fail(413, "the body is too large");
+        else if (error)
+            fail(400, "not an HTTP request: " + error.message());
+        else if (m_d->parser.is_header_done() && !m_d->hasHead)
+            readHead();
+        if (m_state == State::Reading && m_d->parser.is_done()) {
+            m_request.body = std::move(m_d->parser.get().body());
+            m_state = State::Complete;
+        } else if (taken == 0 && m_state == State::Reading) {
+            return used;
+        }
+    }
+    return used;
+}
+
+void RequestReader::readHead()
+{
+    m_d->hasHead = true;
+    const auto &message = m_d->parser.get();
+    m_request.method = std::string(message.method_string());
+    m_request.target = std::string(message.target());
+    bool hasEncoding = false;
+    for (const auto &field : message) {
+        hasEncoding = hasEncoding || field.name() == bhttp::field::transfer_encoding;
+        m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    m_keepsConnection = message.keep_alive();
+    m_expectContinue = boost::beast::iequals(message[bhttp::field::expect], "100-continue");
+    if (hasEncoding && !boost::beast::iequals(message[bhttp::field::transfer_encoding], "chunked"))
+        return fail(400, "the transfer encoding is not supported");
+    if (!m_request.target.starts_with('/'))
+        return fail(400, "the request target is not a path");
+    m_d->parser.eager(true);
+}
+
+void RequestReader::fail(unsigned status, std::string reason)
+{
+    m_state = State::Failed;
+    m_refusalStatus = status;
+    m_refusalReason = std::move(reason);
+}
+
+bool RequestReader::takeExpectContinue()
+{
+    return std::exchange(m_expectContinue, false);
+}
+
+Http::Request RequestReader::takeRequest()
+{
+    return std::move(m_request);
+}
+
+} // namespace Gypsumtally::Relay
--- /dev/null
+++ b/src/relay/responsereader.cpp
@@ -0,0 +1,127 @@
+#include "relay/responsereader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace Gypsumtally::Relay
+{
+
+namespace bhttp = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+namespace
+{
+
+constexpr std::size_t bodyBufferBytes = 16 * 1024;
+
+std::optional<unsigned> keepAliveTimeout(std::string_view value)
+{
+    constexpr std::string_view key = "timeout=";
+    const auto at = value.find(key);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    unsigned seconds = 0;
+    const auto *begin = value.data() + at + key.size();
+    const auto [end, error] = std::from_chars(begin, value.data() + value.size(), seconds);
+    return error == std::errc{} ? std::optional(seconds) : std::nullopt;
+}
+
+} // namespace
+
+struct ResponseReader::Private {
+    bhttp::response_parser<bhttp::buffer_body> parser;
+    bool hasHead = false;
+    std::array<char, bodyBufferBytes> bytes;
+};
+
+ResponseReader::ResponseReader(Observer observer)
+    : m_d(std::make_unique<Private>())
+    , m_observer(std::move(observer))
+{
+    m_d->parser.body_limit(boost::none);
+    m_d->parser.eager(false);
+}
+
+ResponseReader::~ResponseReader() = default;
+
+void ResponseReader::feed(std::string_view bytes)
+{
+    if (!m_unparsed.empty()) {
+        m_unparsed += bytes;
+        bytes = m_unparsed;
+    }
+    const auto used = parse(bytes);
+    const auto rest = bytes.substr(used);
+    if (m_state == State::Reading)
+        m_unparsed = std::string(rest);
+    else
+        m_surplus = rest.size();
+}
+
+std::size_t ResponseReader::parse(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (m_state == State::Reading && used < bytes.size()) {
+        m_d->parser.get().body().data = m_d->bytes.data();
+        m_d->parser.get().body().size = m_d->bytes.size();
+        m_d->parser.get().body().more = true;
+        ErrorCode error;
+        const auto taken = m_d->parser.put(boost::asio::buffer(bytes.substr(used)), error);
+        used += taken;
+        const auto received = m_d->hasHead ? m_d->bytes.size() - m_d->parser.get().body().size : 0;
+        if (m_d->parser.is_header_done() && !m_d->hasHead)
+            readHead();
+        if (received > 0)
+            m_observer.onBody(std::string_view(m_d->bytes.data(), received));
+        if (error == bhttp::error::need_more)
+            return used;
+        if (error && error != bhttp::error::need_buffer) {
+            m_state = State::Failed;
+            m_problem = error.message();
+        } else if (m_d->parser.is_done()) {
+            m_state = State::Complete;
+        } else if (taken == 0 && received == 0) {
+            return used;
+        }
+    }
+    return used;
+}
+
+void ResponseReader::readHead()
+{
+    m_d->hasHead = true;
+    m_d->parser.eager(true);
+    const auto &message = m_d->parser.get();
+    ResponseHead head;
+    head.status = message.result_int();
+    for (const auto &field : message)
+        head.headers.add(std::string(field.name_string()), std::string(field.value()));
+    if (const auto length = m_d->parser.content_length())
+        head.length = *length;
+    m_keepAliveSeconds = keepAliveTimeout(head.headers.get("Keep-Alive"));
+    m_observer.onHead(head);
+}
+
+void ResponseReader::finish()
+{
+    if (m_state != State::Reading)
+        return;
+    ErrorCode error;
+    if (m_d->hasHead && m_d->parser.need_eof())
+        m_d->parser.put_eof(error);
+    else
+        error = bhttp::error::partial_message;
+    m_state = error ? State::Failed : State::Complete;
+    if (error)
+        m_problem = "the connection ended inside the response";
+}
+
+bool ResponseReader::keepsConnection() const
+{
+    return m_d->parser.keep_alive() && !m_d->parser.need_eof();
+}
+
+} // namespace Gypsumtally::Relay
--- /dev/null
+++ b/src/relay/upstreamclient.cpp
@@ -0,0 +1,380 @@
+#include "relay/upstreamclient.h"
+
+#include "http/eventloop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace Gypsumtally::Relay
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace
+{
+
+constexpr std::size_t readBytes = 32 * 1024;
+constexpr std::size_t maxIdlePerDestination = 64;
+/// Margin before the time at which an upstream said that it closes an idle connection.
+constexpr Duration keepAliveMargin = std::chrono::milliseconds{500};
+
+std::string requestText(const Http::Request &request)
+{
+    std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : request.headers)
+        text.append(name).append(": ").append(value).append("\r\n");
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH")
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+std::string poolKey(const Destination &destination)
+{
+    return Http::toString(destination.endpoint) + '#' + destination.instance;
+}
+
+struct PendingExchange {
+    UpstreamClient::Token token = 0;
+    std::string bytes; ///< The request as it is sent.
+    ExchangeObserver observer;
+    Instant connectBy{};
+    Instant endBy{};
+    bool sent = false;
+};
+
+class Connection;
+
+struct Shared {
+    explicit Shared(asio::io_context &ioContext)
+        : context(ioContext)
+    {
+    }
+
+    asio::io_context &context;
+    std::map<std::string, std::vector<std::shared_ptr<Connection>>> idle;
+    std::unordered_map<UpstreamClient::Token, std::shared_ptr<Connection>> busy;
+    std::uint64_t opened = 0;
+};
+
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(std::shared_ptr<Shared> shared, std::string key)
+        : m_socket(shared->context)
+        , m_shared(std::move(shared))
+        , m_key(std::move(key))
+    {
+    }
+
+    void connect(const Http::Endpoint &endpoint, unsigned unsentBytesTimeoutMs)
+    {
+        ErrorCode error;
+        const auto address = asio::ip::make_address(endpoint.address, error);
+        if (!error)
+            m_socket.open(tcp::v4(), error);
+        if (error)
+            return asio::post(m_shared->context, [self = shared_from_this(), error] {
+                self->fail(ExchangeFailure::NotConnected, error.message());
+            });
+        ++m_shared->opened;
+        m_socket.set_option(tcp::no_delay(true), error);
+        ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unsentBytesTimeoutMs,
+                     sizeof unsentBytesTimeoutMs);
+        m_socket.async_connect(tcp::endpoint(address, endpoint.port), [self = shared_from_this()](ErrorCode result) {
+            if (self->m_closed)
+                return;
+            if (result)
+                return self->fail(ExchangeFailure::NotConnected, result.message());
+            self->m_connected = true;
+            ErrorCode ignored;
+            self->m_socket.non_blocking(true, ignored);
+            self->transmit();
+            self->waitForBytes();
+        });
+    }
+
+    void begin(PendingExchange exchange)
+    {
+        m_exchange = std::make_shared<PendingExchange>(std::move(exchange));
+        m_reader = std::make_unique<ResponseReader>(
+            ResponseReader::Observer{[this](const ResponseHead &head) {
+                                         if (m_exchange && m_exchange->observer.onHead)
+                                             m_exchange->observer.onHead(head);
+                                     },
+                                     [this](std::string_view piece) {
+                                         if (m_exchange && m_exchange->observer.onBody)
+                                             m_exchange->observer.onBody(piece);
+                                     }});
+        if (m_connected)
+            transmit();
+    }
+
+    /// Whether the upstream has neither closed the connection nor sent anything on it.
+    bool isQuiet()
+    {
+        char byte = 0;
+        ErrorCode error;
+        m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    bool isUsable(Instant now, Duration longestAge)
+    {
+        return !m_closed && now - m_idleSince < std::min(longestAge, m_idleLimit) && isQuiet();
+    }
+
+    /// Resets the connection, so that nothing that was written but not delivered can arrive later.
+    void abandon()
+    {
+        m_exchange.reset();
+        ErrorCode ignored;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
+    void sweep(Instant now)
+    {
+        if (!m_exchange)
+            return;
+        if (!m_connected && now > m_exchange->connectBy)
+            fail(ExchangeFailure::NotConnected, "the connection was not made in time");
+        else if (m_exchange->endBy != Instant{} && now > m_exchange->endBy)
+            fail(ExchangeFailure::Broken, "there was no whole response in time");
+    }
+
+    bool hasExpired(Instant now) const
+    {
+        return m_closed || now - m_idleSince >= m_idleLimit;
+    }
+
+    void close()
+    {
+        m_closed = true;
+        ErrorCode ignored;
+        m_socket.close(ignored);
+    }
+
+private:
+    void transmit()
+    {
+        if (!m_exchange || m_closed)
+            return;
+        auto &bytes = m_exchange->bytes;
+        ErrorCode error;
+        const auto written = m_socket.write_some(asio::buffer(bytes), error);
+        m_exchange->sent = m_exchange->sent || (!error && written > 0);
+        if (error && error != asio::error::would_block)
+            return asio::post(m_shared->context, [self = shared_from_this(), error] {
+                self->fail(ExchangeFailure::Broken, error.message());
+            });
+        bytes.erase(0, error ? 0 : written);
+        if (bytes.empty())
+            return;
+        m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](ErrorCode result) {
+            if (!result)
+                self->transmit();
+        });
+    }
+
+    void waitForBytes()
+    {
+        if (m_closed || m_waiting)
+            return;
+        m_waiting = true;
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+            self->m_waiting = false;
+            if (!error)
+                self->read();
+        });
+    }
+
+    void read()
+    {
+        if (m_closed)
+            return;
+        const auto self = shared_from_this();
+        static thread_local std::array<char, readBytes> bytes;
+        ErrorCode error;
+        const auto got = m_socket.read_some(asio::buffer(bytes), error);
+        if (error == asio::error::would_block)
+            return waitForBytes();
+        const auto exchange = m_exchange;
+        if (!exchange)
+            return close(); // Bytes or an end on an idle connection: it is of no more use.
+        if (error == asio::error::eof)
+            m_reader->finish();
+        else if (error)
+            return fail(ExchangeFailure::Broken, error.message());
+        if (got > 0)
+            m_reader->feed({bytes.data(), got});
+        if (!m_exchange)
+            return; // Cancelled from within an observer.
+        switch (m_reader->state()) {
+        case ResponseReader::State::Complete:
+            return complete(!error && m_reader->surplus() == 0 && m_exchange->bytes.empty());
+        case ResponseReader::State::Failed:
+            return fail(error ? ExchangeFailure::Broken : ExchangeFailure::Malformed, m_reader->problem());
+        case ResponseReader::State::Reading:
+            waitForBytes();
+        }
+    }
+
+    /// Gives the connection back if @p isClean: nothing is left over on either side of it.
+    void complete(bool isClean)
+    {
+        const auto exchange = std::move(m_exchange);
+        m_shared->busy.erase(exchange->token);
+        if (isClean && m_reader->keepsConnection()) {
+            if (const auto seconds = m_reader->keepAliveSeconds())
+                m_idleLimit = std::max(Duration{}, Duration{std::chrono::seconds{*seconds}} - keepAliveMargin);
+            m_idleSince = BootClock{}.now();
+            auto &pool = m_shared->idle[m_key];
+            if (pool.size() < maxIdlePerDestination)
+                pool.push_back(shared_from_this());
+            else
+                close();
+            waitForBytes();
+        } else {
+            close();
+        }
+        if (exchange->observer.onEnd)
+            exchange->observer.onEnd();
+    }
+
+    void fail(ExchangeFailure kind, const std::string &reason)
+    {
+        if (!m_exchange)
+            return;
+        const auto self = shared_from_this();
+        const auto exchange = std::move(m_exchange);
+        m_shared->busy.erase(exchange->token);
+        close();
+        if (exchange->observer.onFailure)
+            exchange->observer.onFailure({kind, exchange->sent, reason});
+    }
+
+    tcp::socket m_socket;
+    std::shared_ptr<Shared> m_shared;
+    std::string m_key;
+    std::shared_ptr<PendingExchange> m_exchange; ///< Shared, as an observer may cancel its own exchange.
+    std::unique_ptr<ResponseReader> m_reader;
+    Instant m_idleSince{};
+    Duration m_idleLimit = std::chrono::hours{1};
+    bool m_connected = false;
+    bool m_waiting = false;
+    bool m_closed = false;
+};
+
+} // namespace
+
+struct UpstreamClient::Private {
+    explicit Private(Http::EventLoop &loop)
+        : shared(std::make_shared<Shared>(loop.context()))
+    {
+    }
+
+    std::shared_ptr<Connection> takeIdle(const std::string &key, Instant now, Duration longestAge)
+    {
+        const auto pool = shared->idle.find(key);
+        if (pool == shared->idle.end())
+            return nullptr;
+        while (!pool->second.empty()) {
+            auto connection = std::move(pool->second.back());
+            pool->second.pop_back();
+            if (connection->isUsable(now, longestAge))
+                return connection;
+            connection->close();
+        }
+        return nullptr;
+    }
+
+    std::shared_ptr<Shared> shared;
+    Token lastToken = 0;
+};
+
+UpstreamClient::UpstreamClient(Http::EventLoop &loop)
+    : m_d(std::make_shared<Private>(loop))
+{
+}
+
+UpstreamClient::~UpstreamClient() = default;
+
+UpstreamClient::Token UpstreamClient::send(const Destination &destination, const Http::Request &request,
+                                           ExchangeObserver observer, const SendOptions &options)
+{
+    const auto token = ++m_d->lastToken;
+    const auto now = BootClock{}.now();
+    const auto key = poolKey(destination);
+    PendingExchange exchange{token, requestText(request), std::move(observer), now + options.connectTimeout, {}, false};
+    if (options.timeout > Duration{})
+        exchange.endBy = now + options.timeout;
+    auto connection = m_d->takeIdle(key, now, options.longestReuseAge);
+    const bool isNew = !connection;
+    if (isNew)
+        connection = std::make_shared<Connection>(m_d->shared, key);
+    m_d->shared->busy.emplace(token, connection);
+    connection->begin(std::move(exchange));
+    if (isNew)
+        connection->connect(destination.endpoint, options.unsentBytesTimeoutMs);
+    return token;
+}
+
+void UpstreamClient::cancel(Token token)
+{
+    const auto it = m_d->shared->busy.find(token);
+    if (it == m_d->shared->busy.end())
+        return;
+    const auto connection = std::move(it->second);
+    m_d->shared->busy.erase(it);
+    connection->abandon();
+}
+
+void UpstreamClient::dropIdle(const Destination &destination)
+{
+    const auto pool = m_d->shared->idle.find(poolKey(destination));
+    if (pool == m_d->shared->idle.end())
+        return;
+    for (const auto &connection : pool->second)
+        connection->close();
+    m_d->shared->idle.erase(pool);
+}
+
+void UpstreamClient::sweep(Instant now)
+{
+    std::vector<std::shared_ptr<Connection>> busy;
+    busy.reserve(m_d->shared->busy.size());
+    for (const auto &[token, connection] : m_d->shared->busy)
+        busy.push_back(connection);
+    for (const auto &connection : busy)
+        connection->sweep(now);
+    for (auto it = m_d->shared->idle.begin(); it != m_d->shared->idle.end();) {
+        std::erase_if(it->second, [&](const auto &connection) {
+            if (!connection->hasExpired(now))
+                return false;
+            connection->close();
+            return true;
+        });
+        it = it->second.empty() ? m_d->shared->idle.erase(it) : std::next(it);
+    }
+}
+
+std::uint64_t UpstreamClient::connectionsOpened() const
+{
+    return m_d->shared->opened;
+}
+
+} // namespace Gypsumtally::Relay
--- a/tests/platform/vmlisttest.cpp
+++ b/tests/keyvalue/vmlisttest.cpp
@@ -1,4 +1,4 @@
-#include "platform/vmlist.h"
+#include "keyvalue/vmlist.h"
 
 #include "support/table.h"
 
