Prompts are paced over all nodes so that running streams do not stall

Cause: an engine reads prompts in the steps that make tokens; three full chunks in a row hold every stream for 336 ms, over the 300 ms that routes allow. Nodes that did not know of each other's prompts sent them in clumps.

--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -41,6 +41,8 @@
     bool hasOrderHolder = false; ///< Some node answers for loads.
     std::function<void(const std::string &service, const ModelTarget &target)>
         onWanted; ///< Asks the holder for a load.
+    /// Tells the other nodes of a prompt that was sent to an engine.
+    std::function<void(const std::string &instance, double tokens)> onPromptSent;
     /// Tells the holder that an engine does not hold a target.
     std::function<void(const std::string &instance, const ModelTarget &target)> onMissing;
 
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -96,6 +96,7 @@
     static constexpr Duration silentEngine = std::chrono::milliseconds{900}; ///< Three of the longest pauses.
     static constexpr Duration crashWindow = std::chrono::milliseconds{1500}; ///< Within which breaks tell of one crash.
     static constexpr Duration together = std::chrono::milliseconds{150};
+    static constexpr double latePacePart = 0.6;
     static constexpr double retryAfterPart = 0.3; ///< Of the time left: callers ignore more than a third.
 
     struct Call {
@@ -188,12 +189,12 @@
         }
         if (!choice)
             return waitForLoad(call, now);
-        if (choice->usableAt > now) {
-            call->notBefore = choice->usableAt;
+        if (choice->sendAt > now) {
+            call->notBefore = choice->sendAt;
             call->waiting = true;
-            call->waitUntil = std::max(call->waitUntil, choice->usableAt + std::chrono::milliseconds{500});
+            call->waitUntil = std::max(call->waitUntil, choice->sendAt + std::chrono::milliseconds{500});
             m_waiting.insert(call);
-            return wakeAt(call, choice->usableAt, now);
+            return wakeAt(call, choice->sendAt, now);
         }
         stopWaiting(call);
         send(call, *choice, now);
@@ -201,7 +202,8 @@
 
     std::optional<UpstreamChoice> choose(const Call &call, Instant now) const
     {
-        UpstreamDemand demand{call.service, call.request.target, 0, m_context.failureDomain, call.excluded};
+        UpstreamDemand demand{call.service, call.request.target, 0, m_context.failureDomain, call.excluded,
+                              call.request.promptTokens, paceOf(call, now)};
         if (call.request.target.empty())
             return chooseUpstream(m_context.upstreams, demand, now);
         // The newest version is preferred from the beginning; the older one serves until the new one is loaded.
@@ -217,6 +219,18 @@
         return chooseUpstream(m_context.upstreams, demand, now);
     }
 
+    /// Calls that are late anyway leave a part of the pace to those that are not.
+    PromptPace paceOf(const Call &call, Instant now) const
+    {
+        const auto *service = m_context.routes->service(call.service);
+        if (!service || !service->engine)
+            return {};
+        auto pace = promptPace(call.route.longestPause, service->engine->tokensPerEvent);
+        if (now - call.arrival > call.route.latencyObjective)
+            pace.tokens *= latePacePart;
+        return pace;
+    }
+
     void wakeAt(const CallPtr &call, Instant time, Instant now)
     {
         m_loop.runAfter(std::max(Duration{}, time - now), [this, weak = std::weak_ptr<Call>(call)] {
@@ -279,6 +293,10 @@
             instructions.resumeAfter = call->lastEvent;
         call->prefill = call->request.promptTokens;
         call->loadAtSend = upstream->total();
+        if (call->prefill > 0) {
+            upstream->prompts.add(call->prefill, now);
+            m_context.onPromptSent(call->instance, call->prefill);
+        }
         if (upstream->own.inFlight == 0)
             upstream->waitingSince = now;
         ++upstream->own.inFlight;
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -17,6 +17,11 @@
 constexpr double pauseWeight = 0.05; ///< Of one more pause in the decayed mean.
 constexpr double ordinaryPauseMs = 45; ///< Three tokens of a step at half load.
 
+constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Prompts sent within it may still be waiting.
+constexpr double stepMs = 12; ///< Of a loaded engine without a prompt; the platform's sheet says 10.1 and more.
+constexpr double prefillTokensPerMs = 20.4; ///< The platform's sheet.
+constexpr double usedPace = 0.95; ///< The rest is for prompts that two nodes send at the same moment.
+
 double msOf(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -55,12 +60,20 @@
     const double queued = std::max(0.0, load.inFlight + 1 - slots);
     return distance + penaltyMs(upstream, now)
            + slowdown
-                 * (load.prefillTokens / speed.prefillTokensPerMs + load.inFlight * speed.msPerRunningRequest
+                 * (upstream.prompts.sum(promptSpan, now) / speed.prefillTokensPerMs + load.inFlight * speed.msPerRunningRequest
                     + queued * speed.msPerQueuedRequest);
 }
 
 } // namespace
 
+PromptPace promptPace(Duration longestPause, unsigned tokensPerEvent)
+{
+    if (longestPause == Duration{})
+        return {};
+    const double forPrompts = msOf(longestPause) - stepMs * std::max(1U, tokensPerEvent);
+    return {std::max(0.0, forPrompts) * prefillTokensPerMs * usedPace, longestPause};
+}
+
 std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
                                              const EngineSpeed &speed)
 {
@@ -69,7 +82,7 @@
         if (upstream.record.draining || upstream.record.service != demand.service
             || std::ranges::find(demand.excluded, instance) != demand.excluded.end())
             continue;
-        UpstreamChoice choice{instance, 0, now, 0};
+        UpstreamChoice choice{instance, 0, now, now, 0};
         if (!demand.target.empty()) {
             const auto *copy = upstream.residency.find(demand.target);
             if (!copy || (copy->version < demand.leastVersion))
@@ -77,7 +90,11 @@
             choice.version = copy->version;
             choice.usableAt = copy->usableAt;
         }
-        choice.score = scoreOf(upstream, demand, now, speed) + std::max(0.0, msOf(choice.usableAt - now));
+        choice.sendAt = choice.usableAt;
+        if (!demand.target.empty() && demand.pace.tokens > 0)
+            choice.sendAt = std::max(choice.usableAt, upstream.prompts.roomAt(demand.promptTokens, demand.pace.tokens,
+                                                                             demand.pace.span, now));
+        choice.score = scoreOf(upstream, demand, now, speed) + std::max(0.0, msOf(choice.sendAt - now));
         if (!best || choice.score < best->score)
             best = choice;
     }
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -10,6 +10,16 @@
 namespace Gypsumtally::Gateway
 {
 
+/// How many prompt tokens an engine can read beside its streams without stalling them.
+struct PromptPace {
+    double tokens = 0; ///< In each span; 0: not bounded.
+    Duration span{};
+};
+
+/// Returns the pace at which no stream pauses longer than @p longestPause, where an event holds @p tokensPerEvent.
+/// Thread-safe.
+PromptPace promptPace(Duration longestPause, unsigned tokensPerEvent);
+
 /// What a request needs of an upstream.
 struct UpstreamDemand {
     std::string service;
@@ -17,12 +27,15 @@
     std::uint64_t leastVersion = 0; ///< Copies of an older version do not serve; 0 for any.
     std::string failureDomain; ///< Of this node.
     std::vector<std::string> excluded; ///< Upstreams that have failed this request.
+    double promptTokens = 0;
+    PromptPace pace;
 };
 
 struct UpstreamChoice {
     std::string instance;
     std::uint64_t version = 0; ///< Of the copy that will serve; 0 if it is not known.
     Instant usableAt{}; ///< When the copy's load ends; in the past for one that is there.
+    Instant sendAt{}; ///< When the engine can read the prompt beside its streams; not before @c usableAt.
     double score = 0; ///< Expected time to a first event, in ms, as far as load decides it.
 };
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -92,6 +92,11 @@
         m_context.failureDomain = settings.failureDomain;
         m_context.allowance = RetryAllowance(retryBound(settings));
         m_context.onWanted = [this](const std::string &service, const ModelTarget &target) { want(service, target); };
+        m_context.onPromptSent = [this](const std::string &instance, double tokens) {
+            auto notice = message();
+            notice.prompts.push_back({instance, tokens});
+            m_peers.send(notice, m_members.peers(BootClock{}.now()));
+        };
         m_context.onMissing = [this](const std::string &instance, const ModelTarget &target) {
             tellMissing(instance, target);
         };
@@ -447,6 +452,10 @@
         m_members.onHeard(message, now);
         if (message.hasLoads)
             m_context.upstreams.onPeerLoads(message.from.node, message.loads);
+        for (const auto &prompt : message.prompts) {
+            if (auto *upstream = m_context.upstreams.find(prompt.instance))
+                upstream->prompts.add(prompt.tokens, now);
+        }
         for (const auto &crash : message.crashes)
             m_context.crashes.add(crash, now);
         for (const auto &used : message.used)
--- a/src/gateway/peermessage.cpp
+++ b/src/gateway/peermessage.cpp
@@ -128,6 +128,12 @@
             loads.push_back({instance, load.inFlight, static_cast<std::int64_t>(load.prefillTokens)});
         object["loads"] = std::move(loads);
     }
+    if (!message.prompts.empty()) {
+        json::array prompts;
+        for (const auto &prompt : message.prompts)
+            prompts.push_back({prompt.instance, static_cast<std::int64_t>(prompt.tokens)});
+        object["prompts"] = std::move(prompts);
+    }
     if (!message.used.empty())
         object["used"] = demandsToJson(message.used);
     if (!message.wanted.empty())
@@ -163,6 +169,9 @@
     eachRow(object, "loads", [&](const json::array &row) {
         message.loads[textIn(row, 0)] = {numberIn<unsigned>(row, 1), numberIn<double>(row, 2)};
     });
+    eachRow(object, "prompts", [&](const json::array &row) {
+        message.prompts.push_back({textIn(row, 0), numberIn<double>(row, 1)});
+    });
     message.used = demandsFrom(object, "used");
     message.wanted = demandsFrom(object, "wanted");
     eachRow(object, "crashes", [&](const json::array &row) {
--- a/src/gateway/peermessage.h
+++ b/src/gateway/peermessage.h
@@ -43,12 +43,19 @@
     Duration usableIn{};
 };
 
+/// Prompt tokens that were sent to an upstream.
+struct PromptNotice {
+    std::string instance;
+    double tokens = 0;
+};
+
 /// What nodes tell each other, in one datagram. Each part may be empty.
 struct PeerMessage {
     NodeAddress from;
     bool takesCallers = true; ///< False from the beginning of a graceful stop, and before the first configuration.
     std::map<std::string, UpstreamLoad> loads; ///< By upstream instance.
     bool hasLoads = false; ///< Whether @c loads is to replace what was told before.
+    std::vector<PromptNotice> prompts; ///< Sent just now.
     std::vector<TargetDemand> used; ///< Since the last message.
     std::vector<TargetDemand> wanted; ///< Requests that wait for a load.
     std::vector<CrashReport> crashes;
--- a/src/gateway/trafficpolicy.h
+++ b/src/gateway/trafficpolicy.h
@@ -56,7 +56,8 @@
 /// What the engines of a service can hold.
 struct EngineProfile {
     unsigned slots = 1; ///< Requests in one batch.
-    double kvTokens = 0;
+    double kvTokens = 0; ///< Room for the tokens of running requests and kept prompts.
+    unsigned tokensPerEvent = 1; ///< Of a stream.
     unsigned adapterSlots = 0;
     double weightsMb = 0; ///< Room for base models and adapters together.
     double weightLoadsPerSecond = 1; ///< Allowed by the weight store over all engines.
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -5,6 +5,7 @@
 #include "http/message.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,12 +35,37 @@
     double prefillTokens = 0; ///< Prompt tokens of requests that have not shown a first event.
 };
 
+/// The prompt tokens that all nodes have sent to an engine of late. Prompts are read in the same steps that make the
+/// tokens of running streams, so that too many at once stall every stream. Not thread-safe.
+class PromptWindow
+{
+public:
+    /// A node has sent @p tokens.
+    void add(double tokens, Instant now);
+
+    /// Returns the tokens of the last @p span.
+    double sum(Duration span, Instant now) const;
+
+    /// Returns when @p tokens more will keep the sum of each @p span within @p limit. One prompt alone is always let in
+    /// after a span without any.
+    Instant roomAt(double tokens, double limit, Duration span, Instant now) const;
+
+private:
+    struct Entry {
+        Instant at{};
+        double tokens = 0;
+    };
+
+    std::deque<Entry> m_entries; ///< Of the last second.
+};
+
 /// What this node knows of one upstream.
 struct Upstream {
     UpstreamRecord record;
     Residency residency;
     UpstreamLoad own; ///< By requests of this node.
     std::map<std::string, UpstreamLoad> peers; ///< By requests of other nodes, as they last said.
+    PromptWindow prompts; ///< Sent by all nodes.
     double failureRatio = 0; ///< Decayed share of failed requests, 0 to 1.
     double outcomes = 0; ///< Decayed number of requests that the ratio rests on.
     Instant lastOutcome{};
