Further copies come before misses and follow the load of engines; the lease is taken against the record as it was seen

Cause: a hot adapter stayed on one engine for seconds (144 requests there, 20 elsewhere): misses kept all loads busy, and the need of a copy was judged by rate alone.

--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -19,9 +19,11 @@
 constexpr Duration routineInspection = std::chrono::seconds{8}; ///< Finds what was lost otherwise; a priced call.
 constexpr Duration wantedVictimIdle = std::chrono::milliseconds{400}; ///< Longer than usage takes to be told.
 constexpr Duration routineVictimIdle = std::chrono::milliseconds{1500};
-constexpr double victimRateFactor = 0.8; ///< An adapter yields only to one that is asked for clearly more.
 constexpr double crowdedFactor = 1.4; ///< Of the mean load; above this an engine gets no new adapters.
 constexpr double crowdedSlack = 4; ///< Requests.
+constexpr double cachedPreference = 4; ///< Loads from an engine's own memory are fast and not priced.
+constexpr double leastRateOfFurtherCopy = 1; ///< Requests a second.
+constexpr double outdatedNeed = 1000; ///< A hot adapter with a new version and no copy of it comes first.
 constexpr std::size_t maxDemand = 20000;
 constexpr double forgottenWeight = 0.01;
 constexpr std::size_t cachedAdapters = 120; ///< What an engine keeps in its memory; the platform's sheet.
@@ -165,7 +167,8 @@
         if (copy.leaving || copy.usableAt > now || now - std::max(copy.lastUsed, copy.usableAt) < idleTime)
             continue;
         const bool outdated = copy.version < newestVersion(target);
-        const double own = outdated ? -1 : rateOf(target, now);
+        const auto copies = std::max(1U, copiesOf(engine.placed.service, target));
+        const double own = outdated ? -1 : rateOf(target, now) / copies;
         if (own >= lowest)
             continue;
         lowest = own;
@@ -188,18 +191,10 @@
     actions.orders.push_back(order);
 }
 
-void AdapterPlacer::place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions)
+bool AdapterPlacer::place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions)
 {
     const std::string model(baseOf(target));
-    double total = 0;
-    unsigned count = 0;
-    for (const auto &[instance, engine] : m_engines) {
-        if (engine.placed.service != service)
-            continue;
-        total += engine.placed.load;
-        ++count;
-    }
-    const double crowded = crowdedFactor * total / std::max(1U, count) + crowdedSlack;
+    const double crowded = crowdedFactor * meanLoad(service) + crowdedSlack;
     Engine *best = nullptr;
     double bestScore = 0;
     const auto key = XXH3_64bits(target.data(), target.size());
@@ -211,6 +206,8 @@
         if (full && !victimOf(engine, std::max(rateOf(target, now), 0.1), wantedVictimIdle, now))
             continue;
         double score = rendezvousScore(key, instance);
+        if (engine.cached.contains(target))
+            score *= cachedPreference;
         if (engine.placed.load > crowded)
             score *= 0.01;
         if (full)
@@ -223,11 +220,12 @@
         }
     }
     if (!best)
-        return;
+        return false;
     if (best->copies.contains(target) || used(*best) < best->placed.adapterSlots)
-        return order(*best, OrderKind::Load, target, now, actions);
-    if (const auto victim = victimOf(*best, std::max(rateOf(target, now), 0.1), wantedVictimIdle, now))
+        order(*best, OrderKind::Load, target, now, actions);
+    else if (const auto victim = victimOf(*best, std::max(rateOf(target, now), 0.1), wantedVictimIdle, now))
         order(*best, OrderKind::Unload, *victim, now, actions);
+    return true;
 }
 
 void AdapterPlacer::placeWanted(Instant now, PlacerActions &actions)
@@ -252,32 +250,59 @@
     }
 }
 
+double AdapterPlacer::meanLoad(const std::string &service) const
+{
+    double total = 0;
+    unsigned count = 0;
+    for (const auto &[instance, engine] : m_engines) {
+        if (engine.placed.service != service || !engine.placed.takesOrders)
+            continue;
+        total += engine.placed.load;
+        ++count;
+    }
+    return total / std::max(1U, count);
+}
+
+double AdapterPlacer::needOfFurtherCopy(const ModelTarget &target, const Demand &demand, Instant now) const
+{
+    const double rate = rateOf(target, now);
+    if (rate < leastRateOfFurtherCopy)
+        return 0;
+    unsigned copies = 0;
+    double lightest = std::numeric_limits<double>::infinity();
+    for (const auto &[instance, engine] : m_engines) {
+        if (engine.placed.service != demand.service || !engine.placed.takesOrders)
+            continue;
+        const bool isOrdered
+            = engine.open && engine.open->order.kind == OrderKind::Load && engine.open->order.target == target;
+        if (!isOrdered && !serves(engine, target))
+            continue;
+        ++copies;
+        lightest = std::min(lightest, isOrdered ? 0 : engine.placed.load);
+    }
+    if (copies == 0)
+        return newestVersion(target) > 0 ? outdatedNeed + rate : 0; // Others are placed when they are wanted.
+    double need = rate / (m_settings.requestsPerCopy * copies);
+    if (lightest > crowdedFactor * meanLoad(demand.service) + crowdedSlack)
+        need = std::max(need, 1 + rate);
+    return need;
+}
+
 void AdapterPlacer::placeFurtherCopies(Instant now, PlacerActions &actions)
 {
-    if (comingEverywhere(now) >= m_settings.loadsAtFullSpeed)
-        return;
-    std::optional<ModelTarget> neediest;
-    double worst = 1;
+    std::vector<std::pair<double, ModelTarget>> needy;
     for (const auto &[target, demand] : m_demand) {
         if (!isAdapter(target))
             continue;
-        const double rate = rateOf(target, now);
-        const bool outdated = newestVersion(target) > 0 && rate > 0.2 && copiesOf(demand.service, target) == 0;
-        if (rate < m_settings.requestsPerCopy && !outdated)
-            continue;
-        const auto engines = std::ranges::count_if(
-            m_engines, [&](const auto &item) { return item.second.placed.service == demand.service; });
-        const auto copies = copiesOf(demand.service, target);
-        if (copies >= engines)
-            continue;
-        const double need = outdated ? 1000 + rate : rate / (m_settings.requestsPerCopy * std::max(1U, copies));
-        if (need > worst) {
-            worst = need;
-            neediest = target;
-        }
+        if (const double need = needOfFurtherCopy(target, demand, now); need > 1)
+            needy.emplace_back(-need, target);
+    }
+    std::ranges::sort(needy);
+    for (const auto &[need, target] : needy) {
+        if (comingEverywhere(now) + actions.orders.size() >= m_settings.furtherLoadsAtOnce)
+            return;
+        place(m_demand[target].service, target, now, actions);
     }
-    if (neediest)
-        place(m_demand[*neediest].service, *neediest, now, actions);
 }
 
 void AdapterPlacer::freeSlots(Instant now, PlacerActions &actions)
@@ -331,8 +356,8 @@
             inspect(engine, now, actions);
     }
     placeModels(now, actions);
-    placeWanted(now, actions);
     placeFurtherCopies(now, actions);
+    placeWanted(now, actions);
     freeSlots(now, actions);
     if (m_demand.size() > maxDemand)
         std::erase_if(m_demand, [&](const auto &item) { return rateOf(item.first, now) < forgottenWeight; });
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -84,6 +84,7 @@
     Duration adapterLoadTime = std::chrono::milliseconds{250}; ///< From the weight store; the platform's sheet.
     Duration adapterReloadTime = std::chrono::milliseconds{25}; ///< Of one that the engine held recently: a tenth.
     unsigned loadsAtFullSpeed = 8; ///< Over all engines; the platform's sheet.
+    unsigned furtherLoadsAtOnce = 12; ///< Up to here further copies of hot adapters are loaded, somewhat slower.
     unsigned loadsPerEngine = 4; ///< What an engine takes at once; the platform's sheet.
     unsigned spareSlots = 2; ///< Kept free on each engine, so that a miss needs no eviction first.
     double requestsPerCopy = 3; ///< A second; above this an adapter gets a further copy.
@@ -174,12 +175,14 @@
     unsigned comingEverywhere(Instant now) const;
     bool serves(const Engine &engine, const ModelTarget &target) const;
     unsigned copiesOf(const std::string &service, const ModelTarget &target) const;
-    void place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions);
+    bool place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions);
     std::optional<ModelTarget> victimOf(const Engine &engine, double rate, Duration idleTime, Instant now) const;
     void order(Engine &engine, OrderKind kind, const ModelTarget &target, Instant now, PlacerActions &actions);
     void inspect(Engine &engine, Instant now, PlacerActions &actions);
     void placeModels(Instant now, PlacerActions &actions);
     void placeWanted(Instant now, PlacerActions &actions);
+    double meanLoad(const std::string &service) const;
+    double needOfFurtherCopy(const ModelTarget &target, const Demand &demand, Instant now) const;
     void placeFurtherCopies(Instant now, PlacerActions &actions);
     void freeSlots(Instant now, PlacerActions &actions);
     void applyStarted(Engine &engine, const EngineOrder &order, Instant now);
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -60,8 +60,8 @@
     const double queued = std::max(0.0, load.inFlight + 1 - slots);
     return distance + penaltyMs(upstream, now)
            + slowdown
-                 * (upstream.prompts.sum(promptSpan, now) / speed.prefillTokensPerMs + load.inFlight * speed.msPerRunningRequest
-                    + queued * speed.msPerQueuedRequest);
+                 * (upstream.prompts.sum(promptSpan, now) / speed.prefillTokensPerMs
+                    + load.inFlight * speed.msPerRunningRequest + queued * speed.msPerQueuedRequest);
 }
 
 } // namespace
@@ -93,7 +93,7 @@
         choice.sendAt = choice.usableAt;
         if (!demand.target.empty() && demand.pace.tokens > 0)
             choice.sendAt = std::max(choice.usableAt, upstream.prompts.roomAt(demand.promptTokens, demand.pace.tokens,
-                                                                             demand.pace.span, now));
+                                                                              demand.pace.span, now));
         choice.score = scoreOf(upstream, demand, now, speed) + std::max(0.0, msOf(choice.sendAt - now));
         if (!best || choice.score < best->score)
             best = choice;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -97,9 +97,8 @@
             notice.prompts.push_back({instance, tokens});
             m_peers.send(notice, m_members.peers(BootClock{}.now()));
         };
-        m_context.onMissing = [this](const std::string &instance, const ModelTarget &target) {
-            tellMissing(instance, target);
-        };
+        m_context.onMissing
+            = [this](const std::string &instance, const ModelTarget &target) { tellMissing(instance, target); };
         m_orders.onNews([this](const std::vector<PlacementNews> &news) { tellNews(news); });
     }
 
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -168,7 +168,8 @@
             return;
         m_acquiring = true;
         m_acquireSent = now;
-        m_store.grantLease(m_lease.settings().ttl, [this, now, isOwn](std::optional<StoreLease> lease) {
+        const auto expected = m_recordRevision; // As it was when nobody else had the lease.
+        m_store.grantLease(m_lease.settings().ttl, [this, now, isOwn, expected](std::optional<StoreLease> lease) {
             if (!lease) {
                 m_acquiring = false;
                 return;
@@ -177,7 +178,7 @@
             const auto value
                 = boost::json::serialize(boost::json::object{{"node", m_self.node}, {"started", m_self.startedAt}});
             KeyTransaction transaction;
-            transaction.compares.push_back({m_key, m_recordRevision});
+            transaction.compares.push_back({m_key, expected});
             transaction.puts.push_back({m_key, value, KeyLifetime::NodeLease});
             m_store.transact(transaction, *lease, [this, now, isOwn](const KeyReply &reply) {
                 m_acquiring = false;
