Plans look each thing up once; orders are awaited 300 ms; a full engine gets no more; late loops are logged

Besides, an order without an answer kept its engine from others for 1.2 s, and four such orders for good. Ruled out: the log queue, the store's lost history (its loop had no pause either; it has one now).

--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -23,6 +23,7 @@
 constexpr double crowdedSlack = 4; ///< Requests.
 constexpr double cachedPreference = 4; ///< Loads from an engine's own memory are fast and not priced.
 constexpr double leastRateOfFurtherCopy = 1; ///< Requests a second.
+constexpr double leastRateOfWanted = 0.1; ///< Of an adapter that a request waits for.
 constexpr double outdatedNeed = 1000; ///< A hot adapter with a new version and no copy of it comes first.
 constexpr std::size_t maxDemand = 20000;
 constexpr double forgottenWeight = 0.01;
@@ -109,15 +110,15 @@
 
 unsigned AdapterPlacer::used(const Engine &engine) const
 {
-    std::set<ModelTarget> extra;
+    auto count = engine.copies.size();
     const auto add = [&](const EngineOrder &order) {
         if (order.kind == OrderKind::Load && isAdapter(order.target) && !engine.copies.contains(order.target))
-            extra.insert(order.target);
+            ++count;
     };
     if (engine.open)
         add(engine.open->order);
     std::ranges::for_each(engine.late, add);
-    return static_cast<unsigned>(engine.copies.size() + extra.size());
+    return static_cast<unsigned>(count);
 }
 
 unsigned AdapterPlacer::usedSlots(const std::string &instance) const
@@ -130,7 +131,7 @@
 {
     const auto onTheirWay = std::ranges::count_if(
         engine.copies, [&](const auto &item) { return !item.second.leaving && item.second.usableAt > now; });
-    return static_cast<unsigned>(onTheirWay) + static_cast<unsigned>(engine.late.size());
+    return static_cast<unsigned>(onTheirWay);
 }
 
 unsigned AdapterPlacer::comingEverywhere(Instant now) const
@@ -141,42 +142,64 @@
     return sum;
 }
 
+void AdapterPlacer::overview(Instant now)
+{
+    m_overview = {};
+    std::unordered_map<std::string, unsigned> engines;
+    for (const auto &[instance, engine] : m_engines) {
+        const auto comingHere = coming(engine, now);
+        m_overview.comingTo[instance] = comingHere;
+        m_overview.coming += comingHere;
+        if (!engine.placed.takesOrders)
+            continue;
+        m_overview.meanLoads[engine.placed.service] += engine.placed.load;
+        ++engines[engine.placed.service];
+        for (const auto &[target, copy] : engine.copies) {
+            if (!copy.leaving && copy.version >= newestVersion(target))
+                ++m_overview.copies[target];
+        }
+        if (engine.open && engine.open->order.kind == OrderKind::Load && !serves(engine, engine.open->order.target))
+            ++m_overview.copies[engine.open->order.target];
+    }
+    for (auto &[service, load] : m_overview.meanLoads)
+        load /= engines[service];
+}
+
 bool AdapterPlacer::serves(const Engine &engine, const ModelTarget &target) const
 {
     const auto copy = engine.copies.find(target);
     return copy != engine.copies.end() && !copy->second.leaving && copy->second.version >= newestVersion(target);
 }
 
-unsigned AdapterPlacer::copiesOf(const std::string &service, const ModelTarget &target) const
+unsigned AdapterPlacer::copiesOf(const ModelTarget &target) const
 {
-    return static_cast<unsigned>(std::ranges::count_if(m_engines, [&](const auto &item) {
-        const auto &engine = item.second;
-        if (engine.placed.service != service || !engine.placed.takesOrders)
-            return false;
-        return serves(engine, target)
-               || (engine.open && engine.open->order.kind == OrderKind::Load && engine.open->order.target == target);
-    }));
+    const auto it = m_overview.copies.find(target);
+    return it == m_overview.copies.end() ? 0 : it->second;
 }
 
-std::optional<ModelTarget> AdapterPlacer::victimOf(const Engine &engine, double rate, Duration idleTime,
-                                                   Instant now) const
+std::optional<AdapterPlacer::Overview::Victim> AdapterPlacer::victimOf(const Engine &engine, Duration idleTime,
+                                                                       Instant now) const
 {
-    std::optional<ModelTarget> victim;
-    double lowest = rate;
+    std::optional<Overview::Victim> victim;
     for (const auto &[target, copy] : engine.copies) {
         if (copy.leaving || copy.usableAt > now || now - std::max(copy.lastUsed, copy.usableAt) < idleTime)
             continue;
         const bool outdated = copy.version < newestVersion(target);
-        const auto copies = std::max(1U, copiesOf(engine.placed.service, target));
-        const double own = outdated ? -1 : rateOf(target, now) / copies;
-        if (own >= lowest)
-            continue;
-        lowest = own;
-        victim = target;
+        const double rate = outdated ? -1 : rateOf(target, now) / std::max(1U, copiesOf(target));
+        if (!victim || rate < victim->rate)
+            victim = Overview::Victim{target, rate};
     }
     return victim;
 }
 
+const std::optional<AdapterPlacer::Overview::Victim> &AdapterPlacer::wantedVictim(const Engine &engine, Instant now)
+{
+    const auto [it, isNew] = m_overview.victims.try_emplace(engine.placed.instance);
+    if (isNew)
+        it->second = victimOf(engine, wantedVictimIdle, now);
+    return it->second;
+}
+
 void AdapterPlacer::order(Engine &engine, OrderKind kind, const ModelTarget &target, Instant now,
                           PlacerActions &actions)
 {
@@ -188,23 +211,29 @@
         m_news.push_back({engine.placed.instance, target, 0, true, {}});
     }
     engine.open = OpenOrder{order, false, now};
+    if (kind == OrderKind::Load)
+        ++m_overview.copies[target];
     actions.orders.push_back(order);
 }
 
 bool AdapterPlacer::place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions)
 {
     const std::string model(baseOf(target));
-    const double crowded = crowdedFactor * meanLoad(service) + crowdedSlack;
+    const double crowded = crowdedFactor * m_overview.meanLoads[service] + crowdedSlack;
+    const double rate = std::max(rateOf(target, now), leastRateOfWanted);
     Engine *best = nullptr;
     double bestScore = 0;
     const auto key = XXH3_64bits(target.data(), target.size());
     for (auto &[instance, engine] : m_engines) {
         if (engine.placed.service != service || !canOrder(engine) || !engine.models.contains(model)
-            || coming(engine, now) >= m_settings.loadsPerEngine || serves(engine, target))
+            || m_overview.comingTo[instance] >= m_settings.loadsPerEngine || serves(engine, target))
             continue;
         const bool full = used(engine) >= engine.placed.adapterSlots;
-        if (full && !victimOf(engine, std::max(rateOf(target, now), 0.1), wantedVictimIdle, now))
-            continue;
+        if (full) {
+            const auto &victim = wantedVictim(engine, now);
+            if (!victim || victim->rate >= rate)
+                continue;
+        }
         double score = rendezvousScore(key, instance);
         if (engine.cached.contains(target))
             score *= cachedPreference;
@@ -223,8 +252,8 @@
         return false;
     if (best->copies.contains(target) || used(*best) < best->placed.adapterSlots)
         order(*best, OrderKind::Load, target, now, actions);
-    else if (const auto victim = victimOf(*best, std::max(rateOf(target, now), 0.1), wantedVictimIdle, now))
-        order(*best, OrderKind::Unload, *victim, now, actions);
+    else
+        order(*best, OrderKind::Unload, wantedVictim(*best, now)->target, now, actions);
     return true;
 }
 
@@ -238,7 +267,7 @@
     std::ranges::sort(wanted);
     for (const auto &[rate, target] : wanted) {
         auto &demand = m_demand[target];
-        if (copiesOf(demand.service, target) > 0) {
+        if (copiesOf(target) > 0) {
             demand.wantedAt = {};
             for (const auto &[instance, engine] : m_engines) {
                 if (const auto copy = engine.copies.find(target); copy != engine.copies.end() && serves(engine, target))
@@ -250,21 +279,10 @@
     }
 }
 
-double AdapterPlacer::meanLoad(const std::string &service) const
-{
-    double total = 0;
-    unsigned count = 0;
-    for (const auto &[instance, engine] : m_engines) {
-        if (engine.placed.service != service || !engine.placed.takesOrders)
-            continue;
-        total += engine.placed.load;
-        ++count;
-    }
-    return total / std::max(1U, count);
-}
-
 double AdapterPlacer::needOfFurtherCopy(const ModelTarget &target, const Demand &demand, Instant now) const
 {
+    if (demand.weight < leastRateOfFurtherCopy) // Decayed, it is less still.
+        return 0;
     const double rate = rateOf(target, now);
     if (rate < leastRateOfFurtherCopy)
         return 0;
@@ -283,7 +301,7 @@
     if (copies == 0)
         return newestVersion(target) > 0 ? outdatedNeed + rate : 0; // Others are placed when they are wanted.
     double need = rate / (m_settings.requestsPerCopy * copies);
-    if (lightest > crowdedFactor * meanLoad(demand.service) + crowdedSlack)
+    if (lightest > crowdedFactor * m_overview.meanLoads.at(demand.service) + crowdedSlack)
         need = std::max(need, 1 + rate);
     return need;
 }
@@ -299,7 +317,7 @@
     }
     std::ranges::sort(needy);
     for (const auto &[need, target] : needy) {
-        if (comingEverywhere(now) + actions.orders.size() >= m_settings.furtherLoadsAtOnce)
+        if (m_overview.coming + actions.orders.size() >= m_settings.furtherLoadsAtOnce)
             return;
         place(m_demand[target].service, target, now, actions);
     }
@@ -310,8 +328,8 @@
     for (auto &[instance, engine] : m_engines) {
         if (!canOrder(engine) || used(engine) + m_settings.spareSlots <= engine.placed.adapterSlots)
             continue;
-        if (const auto victim = victimOf(engine, std::numeric_limits<double>::infinity(), routineVictimIdle, now))
-            order(engine, OrderKind::Unload, *victim, now, actions);
+        if (const auto victim = victimOf(engine, routineVictimIdle, now))
+            order(engine, OrderKind::Unload, victim->target, now, actions);
     }
 }
 
@@ -355,6 +373,7 @@
         if (!engine.inspecting && now >= engine.inspectAt && engine.placed.takesOrders)
             inspect(engine, now, actions);
     }
+    overview(now);
     placeModels(now, actions);
     placeFurtherCopies(now, actions);
     placeWanted(now, actions);
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -149,7 +149,7 @@
         PlacedEngine placed;
         bool known = false; ///< The counter and the lists below are up to date.
         std::uint64_t orders = 0;
-        std::map<ModelTarget, Copy> copies; ///< Adapters held or on their way.
+        std::unordered_map<ModelTarget, Copy> copies; ///< Adapters held or on their way.
         std::set<std::string> models;
         std::optional<OpenOrder> open; ///< The one that an answer is awaited for.
         std::vector<EngineOrder> late; ///< Without an answer: may still be carried out.
@@ -166,6 +166,21 @@
         Instant wantedAt{}; ///< Zero: no request waits.
     };
 
+    /// What one plan looks up often, worked out once for it.
+    struct Overview {
+        struct Victim {
+            ModelTarget target;
+            double rate = 0; ///< Requests a second that its copy serves; negative for one of an older version.
+        };
+
+        std::unordered_map<ModelTarget, unsigned> copies; ///< That serve, or are ordered.
+        std::unordered_map<std::string, double> meanLoads; ///< By service.
+        std::unordered_map<std::string, std::optional<Victim>> victims; ///< Of engines, for a target that is wanted.
+        std::unordered_map<std::string, unsigned> comingTo; ///< Engines.
+        unsigned coming = 0;
+    };
+
+    void overview(Instant now);
     double rateOf(const ModelTarget &target, Instant now) const;
     void count(const std::string &service, const ModelTarget &target, double requests, Instant now);
     std::uint64_t newestVersion(const ModelTarget &target) const;
@@ -174,14 +189,14 @@
     unsigned coming(const Engine &engine, Instant now) const;
     unsigned comingEverywhere(Instant now) const;
     bool serves(const Engine &engine, const ModelTarget &target) const;
-    unsigned copiesOf(const std::string &service, const ModelTarget &target) const;
+    unsigned copiesOf(const ModelTarget &target) const;
+    const std::optional<Overview::Victim> &wantedVictim(const Engine &engine, Instant now);
     bool place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions);
-    std::optional<ModelTarget> victimOf(const Engine &engine, double rate, Duration idleTime, Instant now) const;
+    std::optional<Overview::Victim> victimOf(const Engine &engine, Duration idleTime, Instant now) const;
     void order(Engine &engine, OrderKind kind, const ModelTarget &target, Instant now, PlacerActions &actions);
     void inspect(Engine &engine, Instant now, PlacerActions &actions);
     void placeModels(Instant now, PlacerActions &actions);
     void placeWanted(Instant now, PlacerActions &actions);
-    double meanLoad(const std::string &service) const;
     double needOfFurtherCopy(const ModelTarget &target, const Demand &demand, Instant now) const;
     void placeFurtherCopies(Instant now, PlacerActions &actions);
     void freeSlots(Instant now, PlacerActions &actions);
@@ -194,6 +209,7 @@
     std::unordered_map<ModelTarget, Demand> m_demand;
     std::unordered_map<ModelTarget, std::uint64_t> m_declared;
     std::deque<Instant> m_weightLoads; ///< Begun within the window.
+    Overview m_overview; ///< Of the plan under way.
     std::vector<PlacementNews> m_news;
     std::uint64_t m_lastOrder = 0;
 };
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -91,6 +91,7 @@
     static constexpr Duration wantRepeat = std::chrono::milliseconds{150}; ///< A lost datagram costs no more than this.
     static constexpr Duration longestLoadWait = std::chrono::milliseconds{2000}; ///< Eight loads, one after the other.
     static constexpr double longestLoadWaitPart = 0.5; ///< Of the time that the request has.
+    static constexpr double longestQueuePart = 0.5; ///< Of the time that the request had.
     static constexpr Duration avoidAfterRefusedConnection = std::chrono::milliseconds{600};
     static constexpr Duration silentPlainService = std::chrono::milliseconds{250}; ///< Over ten times its mean work.
     static constexpr Duration silentEngine = std::chrono::milliseconds{900}; ///< Three of the longest pauses.
@@ -190,6 +191,8 @@
         if (!choice)
             return waitForLoad(call, now);
         if (choice->sendAt > now) {
+            if (now - call->arrival > (call->deadline - call->arrival) * longestQueuePart)
+                return giveUp(call, ErrorCode::Overloaded, "the engines that have the adapter are full");
             call->notBefore = choice->sendAt;
             call->waiting = true;
             call->waitUntil = std::max(call->waitUntil, choice->sendAt + std::chrono::milliseconds{500});
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -17,6 +17,7 @@
 constexpr double pauseWeight = 0.05; ///< Of one more pause in the decayed mean.
 constexpr double ordinaryPauseMs = 45; ///< Three tokens of a step at half load.
 
+constexpr Duration fullPause = std::chrono::milliseconds{60}; ///< Until a full engine is looked at again.
 constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Prompts sent within it may still be waiting.
 constexpr double stepMs = 12; ///< Of a loaded engine without a prompt; the platform's sheet says 10.1 and more.
 constexpr double prefillTokensPerMs = 20.4; ///< The platform's sheet.
@@ -94,6 +95,8 @@
         if (!demand.target.empty() && demand.pace.tokens > 0)
             choice.sendAt = std::max(choice.usableAt, upstream.prompts.roomAt(demand.promptTokens, demand.pace.tokens,
                                                                               demand.pace.span, now));
+        if (!demand.target.empty() && upstream.total().inFlight >= upstream.record.slots)
+            choice.sendAt = std::max(choice.sendAt, now + fullPause);
         choice.score = scoreOf(upstream, demand, now, speed) + std::max(0.0, msOf(choice.sendAt - now));
         if (!best || choice.score < best->score)
             best = choice;
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -38,6 +38,7 @@
     BrokenOff,
     CrashReported,
     Answered,
+    LoopLate,
 };
 
 } // namespace Gypsumtally::Gateway
@@ -46,7 +47,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 24> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 25> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -71,6 +72,7 @@
     {Gateway::GatewayEvent::BrokenOff, "answer_broken_off"},
     {Gateway::GatewayEvent::CrashReported, "crash_reported"},
     {Gateway::GatewayEvent::Answered, "answered"},
+    {Gateway::GatewayEvent::LoopLate, "loop_late"},
 }};
 
 } // namespace Gypsumtally
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -123,6 +123,7 @@
 
 private:
     static constexpr Duration tickInterval = std::chrono::milliseconds{50};
+    static constexpr Duration lateLoop = std::chrono::milliseconds{150}; ///< A stalled loop or a frozen machine.
     static constexpr Duration digestInterval = std::chrono::milliseconds{300};
     static constexpr Duration operatorPause = std::chrono::milliseconds{100};
     static constexpr Duration upstreamPause = std::chrono::milliseconds{600}; ///< Heartbeats come many times a second.
@@ -345,6 +346,9 @@
     void tick()
     {
         const auto now = BootClock{}.now();
+        if (m_lastTick != Instant{} && now - m_lastTick > tickInterval + lateLoop)
+            m_log.note(GatewayEvent::LoopLate, {{"ms", std::to_string((now - m_lastTick).count() / 1000)}});
+        m_lastTick = now;
         m_context.upstreams.sweep(now);
         m_context.hasOrderHolder
             = m_orders.isHolder() || (m_orders.holder() && m_members.isLive(m_orders.holder()->node, now));
@@ -509,6 +513,7 @@
     RegistryFollower<typename Platform::Store> m_ownRecords;
     StoreLease m_lease = 0;
     std::uint64_t m_ticks = 0;
+    Instant m_lastTick{};
     bool m_stopping = false;
     Instant m_stopAt{};
 };
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -107,7 +107,7 @@
         if (!isHolder())
             return;
         m_placer.onWanted(service, target, requests, BootClock{}.now());
-        plan();
+        planSoon();
     }
 
     void onUsed(const std::string &service, const ModelTarget &target, double requests)
@@ -158,7 +158,10 @@
 
 private:
     static constexpr Duration acquirePause = std::chrono::milliseconds{400};
-    static constexpr Duration orderTimeout = std::chrono::milliseconds{1200}; ///< Several round trips between regions.
+    /// Ten round trips between regions. An engine gets no other order while an answer is awaited.
+    static constexpr Duration orderTimeout = std::chrono::milliseconds{300};
+    static constexpr Duration inspectionTimeout = std::chrono::milliseconds{1000};
+    static constexpr Duration planPause = std::chrono::milliseconds{5};
     static constexpr unsigned orderUnsentTimeoutMs = 1000;
 
     void acquire(Instant now)
@@ -259,6 +262,17 @@
         m_placer.setEngines(engines, models);
     }
 
+    /// Plans once for all that comes within a few milliseconds.
+    void planSoon()
+    {
+        if (std::exchange(m_planning, true))
+            return;
+        m_loop.runAfter(planPause, [this] {
+            m_planning = false;
+            plan();
+        });
+    }
+
     void plan()
     {
         const auto now = BootClock{}.now();
@@ -310,7 +324,7 @@
                             {"kind", order.kind == OrderKind::Load ? "load" : "unload"},
                             {"expected", std::to_string(order.expected)},
                             {"status", std::to_string(status)}});
-        m_loop.post([this] { plan(); });
+        planSoon();
     }
 
     void inspect(const std::string &instance)
@@ -319,7 +333,7 @@
         if (!upstream)
             return m_placer.onReport(instance, std::nullopt, BootClock{}.now());
         Relay::SendOptions options;
-        options.timeout = orderTimeout;
+        options.timeout = inspectionTimeout;
         auto status = std::make_shared<unsigned>(0);
         auto body = std::make_shared<std::string>();
         Relay::ExchangeObserver observer;
@@ -355,6 +369,7 @@
     bool m_acquiring = false;
     bool m_renewing = false;
     bool m_held = false;
+    bool m_planning = false;
     bool m_stopping = false;
 };
 
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -102,7 +102,7 @@
     {
         m_store.watch(m_prefix, m_revision, m_pace.longestWait, [this](const WatchResult &result) {
             if (result.historyLost)
-                return read();
+                return m_loop.runAfter(m_pace.pause, [this] { read(); });
             if (!result.answered) {
                 // A wait that was merely cut succeeds when it is made again at once.
                 const bool wasReachable = m_reachable;
