--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -16,6 +16,8 @@
 constexpr double demandHalfLifeSeconds = 4; ///< Demand moves to other adapters within seconds.
 constexpr Duration wantLifetime = std::chrono::milliseconds{600}; ///< Nodes repeat what they want more often.
 constexpr Duration inspectPause = std::chrono::milliseconds{250}; ///< A report is some 200 ms old.
+constexpr Duration oldestReport = std::chrono::milliseconds{800}; ///< Several times the usual lag.
+constexpr Duration longestWeightLoad = std::chrono::seconds{20}; ///< Until a base model is ordered once more.
 constexpr Duration routineInspection = std::chrono::seconds{8}; ///< Finds what was lost otherwise; a priced call.
 constexpr Duration wantedVictimIdle = std::chrono::milliseconds{400}; ///< Longer than usage takes to be told.
 constexpr Duration routineVictimIdle = std::chrono::milliseconds{1500};
@@ -275,7 +277,9 @@
             }
             continue;
         }
-        place(demand.service, target, now, actions);
+        // More at once would only make each of them slower; the most wanted ones go first.
+        if (m_overview.coming + actions.orders.size() < m_settings.wantedLoadsAtOnce)
+            place(demand.service, target, now, actions);
     }
 }
 
@@ -389,7 +393,7 @@
     if (order.kind == OrderKind::Unload)
         return;
     if (!isAdapter(order.target)) {
-        engine.busyUntil = now + m_settings.weightLoadWindow;
+        engine.busyUntil = now + longestWeightLoad;
         return;
     }
     const bool cached = engine.cached.contains(order.target) && order.version == 0;
@@ -406,7 +410,20 @@
 void AdapterPlacer::settleLate(Engine &engine)
 {
     // A late order is carried out only while the counter is what it expects.
-    std::erase_if(engine.late, [&](const EngineOrder &order) { return order.expected < engine.orders; });
+    std::erase_if(engine.late, [&](const EngineOrder &order) {
+        const bool isVoid = order.expected < engine.orders;
+        if (isVoid)
+            keepAfterAll(engine, order);
+        return isVoid;
+    });
+}
+
+void AdapterPlacer::keepAfterAll(Engine &engine, const EngineOrder &order)
+{
+    if (order.kind != OrderKind::Unload)
+        return;
+    if (const auto copy = engine.copies.find(order.target); copy != engine.copies.end())
+        copy->second.leaving = false;
 }
 
 void AdapterPlacer::onAnswer(const EngineOrder &order, OrderOutcome outcome, Instant now)
@@ -419,6 +436,7 @@
     switch (outcome) {
     case OrderOutcome::Started:
         engine.orders = order.expected + 1;
+        engine.acceptedAt = now;
         settleLate(engine);
         applyStarted(engine, order, now);
         if (order.kind == OrderKind::Unload || !isAdapter(order.target))
@@ -428,19 +446,28 @@
         if (order.kind == OrderKind::Unload) {
             engine.copies.erase(order.target);
             engine.orders = order.expected + 1;
+            engine.acceptedAt = now;
             settleLate(engine);
-            return;
+        } else if (isAdapter(order.target)) {
+            engine.copies.try_emplace(order.target, Copy{order.version, now, now, false});
+            m_news.push_back({order.instance, order.target, order.version, false, now});
         }
-        break;
+        return;
     case OrderOutcome::Unknown:
+        // The counter that the next order expects tells whether this one was carried out.
         engine.late.push_back(order);
-        break;
+        engine.inspectAt = std::min(engine.inspectAt, now + inspectPause);
+        return;
     case OrderOutcome::Conflict:
+        keepAfterAll(engine, order);
+        engine.inspectAt = now + inspectPause;
+        break;
     case OrderOutcome::Refused:
+        keepAfterAll(engine, order);
+        engine.inspectAt = now + 4 * inspectPause;
         break;
     }
     engine.known = false;
-    engine.inspectAt = outcome == OrderOutcome::Refused ? now + 4 * inspectPause : now;
 }
 
 void AdapterPlacer::onMissing(const std::string &instance, const ModelTarget &target, Instant now)
@@ -469,7 +496,9 @@
         engine.inspectAt = now + 2 * inspectPause;
         return;
     }
-    const bool isOld = report->orders < engine.orders && engine.known;
+    // Reports lag; one that goes on telling of fewer orders is right: an order that was under way already is answered
+    // like a new one, but not counted.
+    const bool isOld = report->orders < engine.orders && now - engine.acceptedAt < oldestReport;
     if (isOld || engine.open) {
         engine.inspectAt = now + inspectPause;
         return;
@@ -506,7 +535,9 @@
         if (!copy.leaving && now - copy.usableAt < inspectPause)
             engine.copies.try_emplace(target, copy);
     }
-    engine.busyUntil = report->busy ? now + 2 * inspectPause : now;
+    const bool hasLoaded = !engine.models.empty() || (!report->busy && now - engine.acceptedAt > oldestReport);
+    if (hasLoaded)
+        engine.busyUntil = now;
     engine.inspectAt = now + routineInspection;
     const bool unsettled = report->busy || engine.models.empty()
                            || std::ranges::any_of(engine.copies, [](const auto &item) { return item.second.leaving; });
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -84,6 +84,7 @@
     Duration adapterLoadTime = std::chrono::milliseconds{250}; ///< From the weight store; the platform's sheet.
     Duration adapterReloadTime = std::chrono::milliseconds{25}; ///< Of one that the engine held recently: a tenth.
     unsigned loadsAtFullSpeed = 8; ///< Over all engines; the platform's sheet.
+    unsigned wantedLoadsAtOnce = 10; ///< Some are counted as on their way for a moment after they have ended.
     unsigned furtherLoadsAtOnce = 12; ///< Up to here further copies of hot adapters are loaded, somewhat slower.
     unsigned loadsPerEngine = 4; ///< What an engine takes at once; the platform's sheet.
     unsigned spareSlots = 2; ///< Kept free on each engine, so that a miss needs no eviction first.
@@ -149,6 +150,7 @@
         PlacedEngine placed;
         bool known = false; ///< The counter and the lists below are up to date.
         std::uint64_t orders = 0;
+        Instant acceptedAt{}; ///< When the last order was.
         std::unordered_map<ModelTarget, Copy> copies; ///< Adapters held or on their way.
         std::set<std::string> models;
         std::optional<OpenOrder> open; ///< The one that an answer is awaited for.
@@ -202,6 +204,7 @@
     void freeSlots(Instant now, PlacerActions &actions);
     void applyStarted(Engine &engine, const EngineOrder &order, Instant now);
     void settleLate(Engine &engine);
+    static void keepAfterAll(Engine &engine, const EngineOrder &order);
 
     PlacerSettings m_settings;
     std::map<std::string, Engine> m_engines;
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -30,6 +30,7 @@
     OrderLeaseTaken,
     OrderLeaseLost,
     OrderSent,
+    EngineInspected,
     OrderFailed,
     VersionDeclared,
     Refused,
@@ -47,7 +48,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 25> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 26> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -64,6 +65,7 @@
     {Gateway::GatewayEvent::OrderLeaseTaken, "order_lease_taken"},
     {Gateway::GatewayEvent::OrderLeaseLost, "order_lease_lost"},
     {Gateway::GatewayEvent::OrderSent, "order_sent"},
+    {Gateway::GatewayEvent::EngineInspected, "engine_inspected"},
     {Gateway::GatewayEvent::OrderFailed, "order_failed"},
     {Gateway::GatewayEvent::VersionDeclared, "version_declared"},
     {Gateway::GatewayEvent::Refused, "request_refused"},
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -317,6 +317,13 @@
                        unsigned status)
     {
         m_open.erase(token);
+        if (m_log.isDetailed())
+            m_log.detail(GatewayEvent::OrderSent, order.target,
+                         {{"upstream", order.instance},
+                          {"kind", order.kind == OrderKind::Load ? "load" : "unload"},
+                          {"expected", std::to_string(order.expected)},
+                          {"used_slots", std::to_string(m_placer.usedSlots(order.instance))},
+                          {"status", std::to_string(status)}});
         m_placer.onAnswer(order, outcome, BootClock{}.now());
         if (outcome != OrderOutcome::Started && outcome != OrderOutcome::Done)
             m_log.decision(GatewayEvent::OrderFailed, order.target,
@@ -340,7 +347,13 @@
         observer.onHead = [status](const Relay::ResponseHead &head) { *status = head.status; };
         observer.onBody = [body](std::string_view piece) { *body += piece; };
         observer.onEnd = [this, instance, status, body] {
-            m_placer.onReport(instance, *status == 200 ? Dialect::readReport(*body) : std::nullopt, BootClock{}.now());
+            const auto report = *status == 200 ? Dialect::readReport(*body) : std::nullopt;
+            if (m_log.isDetailed() && report)
+                m_log.detail(GatewayEvent::EngineInspected, instance,
+                             {{"orders", std::to_string(report->orders)},
+                              {"held", std::to_string(report->held.size())},
+                              {"coming", std::to_string(report->coming.size())}});
+            m_placer.onReport(instance, report, BootClock{}.now());
         };
         observer.onFailure = [this, instance](const Relay::FailedExchange &) {
             m_placer.onReport(instance, std::nullopt, BootClock{}.now());
