--- a/src/relay/responsereader.cpp
+++ b/src/relay/responsereader.cpp
@@ -57,7 +57,7 @@
     const auto rest = bytes.substr(used);
     if (m_state == State::Reading)
         m_unparsed = std::string(rest);
-    else
+    else if (m_state == State::Complete)
         m_surplus = rest.size();
 }
 
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -4,6 +4,8 @@
 
 #include "support/table.h"
 
+#include <boost/asio/io_context.hpp>
+
 using namespace Gypsumtally;
 using namespace Gypsumtally::Relay;
 
