Watches wait longer and come in larger batches; a new holder waits 2.8 s; short messages carry no address

The upstreams' watch is answered by heartbeats, so that a dead connection shows there within 2.5 s; the other watches wait 10 s and ask anew when it breaks.

--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -144,6 +144,12 @@
     return sum;
 }
 
+double AdapterPlacer::loadsAtFullSpeed() const
+{
+    return std::max<double>(m_settings.leastLoadsAtFullSpeed,
+                            m_settings.loadsAtFullSpeedPerEngine * static_cast<double>(m_engines.size()));
+}
+
 void AdapterPlacer::overview(Instant now)
 {
     m_overview = {};
@@ -278,7 +284,8 @@
             continue;
         }
         // More at once would only make each of them slower; the most wanted ones go first.
-        if (m_overview.coming + actions.orders.size() < m_settings.wantedLoadsAtOnce)
+        if (static_cast<double>(m_overview.coming + actions.orders.size())
+            < m_settings.wantedLoads * loadsAtFullSpeed())
             place(demand.service, target, now, actions);
     }
 }
@@ -321,7 +328,8 @@
     }
     std::ranges::sort(needy);
     for (const auto &[need, target] : needy) {
-        if (m_overview.coming + actions.orders.size() >= m_settings.furtherLoadsAtOnce)
+        if (static_cast<double>(m_overview.coming + actions.orders.size())
+            >= m_settings.furtherLoads * loadsAtFullSpeed())
             return;
         place(m_demand[target].service, target, now, actions);
     }
@@ -397,7 +405,7 @@
         return;
     }
     const bool cached = engine.cached.contains(order.target) && order.version == 0;
-    const double crowding = std::max(1.0, (comingEverywhere(now) + 1.0) / m_settings.loadsAtFullSpeed);
+    const double crowding = std::max(1.0, (comingEverywhere(now) + 1.0) / loadsAtFullSpeed());
     const auto time = cached ? m_settings.adapterReloadTime : m_settings.adapterLoadTime;
     const auto usableAt = now + std::chrono::duration_cast<Duration>(time * crowding);
     engine.copies[order.target] = Copy{order.version, usableAt, usableAt, false};
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -83,9 +83,12 @@
 struct PlacerSettings {
     Duration adapterLoadTime = std::chrono::milliseconds{250}; ///< From the weight store; the platform's sheet.
     Duration adapterReloadTime = std::chrono::milliseconds{25}; ///< Of one that the engine held recently: a tenth.
-    unsigned loadsAtFullSpeed = 8; ///< Over all engines; the platform's sheet.
-    unsigned wantedLoadsAtOnce = 10; ///< Some are counted as on their way for a moment after they have ended.
-    unsigned furtherLoadsAtOnce = 12; ///< Up to here further copies of hot adapters are loaded, somewhat slower.
+    /// Loads that the weight store serves at full speed over all engines: 8 for 12 or 18 engines, 32 for 60 or 90 by
+    /// the platform's sheets. It is not told to nodes, so that it is taken from the number of engines.
+    unsigned leastLoadsAtFullSpeed = 8;
+    double loadsAtFullSpeedPerEngine = 0.4;
+    double wantedLoads = 1.25; ///< Of those; some are counted as on their way for a moment after they have ended.
+    double furtherLoads = 1.5; ///< Up to here further copies of hot adapters are loaded, somewhat slower.
     unsigned loadsPerEngine = 4; ///< What an engine takes at once; the platform's sheet.
     unsigned spareSlots = 2; ///< Kept free on each engine, so that a miss needs no eviction first.
     double requestsPerCopy = 3; ///< A second; above this an adapter gets a further copy.
@@ -190,6 +193,7 @@
     unsigned used(const Engine &engine) const;
     unsigned coming(const Engine &engine, Instant now) const;
     unsigned comingEverywhere(Instant now) const;
+    double loadsAtFullSpeed() const;
     bool serves(const Engine &engine, const ModelTarget &target) const;
     unsigned copiesOf(const ModelTarget &target) const;
     const std::optional<Overview::Victim> &wantedVictim(const Engine &engine, Instant now);
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -22,7 +22,7 @@
             {"started", address.startedAt}};
 }
 
-std::optional<NodeAddress> addressFrom(const json::object &object)
+NodeAddress addressFrom(const json::object &object)
 {
     NodeAddress address{textAt(object, "node"),
                         textAt(object, "domain"),
@@ -30,11 +30,14 @@
                         Http::parseEndpoint(textAt(object, "callers")),
                         Http::parseEndpoint(textAt(object, "peers")),
                         numberAt<std::int64_t>(object, "started")};
-    if (address.node.empty() || address.callers.port == 0 || address.peers.port == 0)
-        return std::nullopt;
     return address;
 }
 
+bool isWhole(const NodeAddress &address)
+{
+    return !address.node.empty() && address.callers.port != 0 && address.peers.port != 0;
+}
+
 json::array demandsToJson(const std::vector<TargetDemand> &demands)
 {
     json::array array;
@@ -116,12 +119,19 @@
 {
     boost::system::error_code error;
     const auto value = json::parse(text, error);
-    return !error && value.is_object() ? addressFrom(value.get_object()) : std::nullopt;
+    if (error || !value.is_object())
+        return std::nullopt;
+    auto address = addressFrom(value.get_object());
+    return isWhole(address) ? std::optional(std::move(address)) : std::nullopt;
 }
 
 std::string encode(const GatewayMessage &message)
 {
-    json::object object{{"from", addressToJson(message.from)}, {"open", message.takesCallers}};
+    json::object object{{"open", message.takesCallers}};
+    if (message.from.callers.port != 0)
+        object["from"] = addressToJson(message.from);
+    else
+        object["from"] = json::object{{"node", message.from.node}, {"started", message.from.startedAt}};
     if (message.hasLoads) {
         json::array loads;
         for (const auto &[instance, load] : message.loads)
@@ -159,11 +169,12 @@
         return std::nullopt;
     const auto &object = value.get_object();
     const auto *from = object.if_contains("from");
-    const auto address = from && from->is_object() ? addressFrom(from->get_object()) : std::nullopt;
-    if (!address)
+    if (!from || !from->is_object())
         return std::nullopt;
     GatewayMessage message;
-    message.from = *address;
+    message.from = addressFrom(from->get_object());
+    if (message.from.node.empty())
+        return std::nullopt;
     message.takesCallers = flagAt(object, "open");
     message.hasLoads = arrayAt(object, "loads") != nullptr;
     eachRow(object, "loads", [&](const json::array &row) {
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -51,7 +51,7 @@
 
 /// What nodes tell each other, in one datagram. Each part may be empty.
 struct GatewayMessage {
-    NodeAddress from;
+    NodeAddress from; ///< Only node and startedAt, unless this is a digest.
     bool takesCallers = true; ///< False from the beginning of a graceful stop, and before the first configuration.
     std::map<std::string, UpstreamLoad> loads; ///< By upstream instance.
     bool hasLoads = false; ///< Whether @c loads is to replace what was told before.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -84,10 +84,10 @@
         , m_readiness(m_loop, {}, [this](auto exchange) { answerReadiness(*exchange); })
         , m_entries(m_loop, {}, [this](auto exchange) { answerEntries(*exchange); })
         , m_peers(m_loop, settings.peers, [this](const GatewayMessage &message) { onMessage(message); })
-        , m_operatorDocuments(m_loop, m_store, Platform::operatorPrefix(), {operatorPause, watchWait},
+        , m_operatorDocuments(m_loop, m_store, Platform::operatorPrefix(), {operatorPause, longWait},
                               operatorObserver())
-        , m_upstreamRecords(m_loop, m_store, Platform::upstreamPrefix(), {upstreamPause, watchWait}, upstreamObserver())
-        , m_ownRecords(m_loop, m_store, ownPrefix(), {ownPause, watchWait}, ownObserver())
+        , m_upstreamRecords(m_loop, m_store, Platform::upstreamPrefix(), {upstreamPause, shortWait}, upstreamObserver())
+        , m_ownRecords(m_loop, m_store, ownPrefix(), {ownPause, longWait}, ownObserver())
     {
         m_context.failureDomain = settings.failureDomain;
         m_context.allowance = RetryAllowance(retryBound(settings));
@@ -125,10 +125,15 @@
     static constexpr Duration tickInterval = std::chrono::milliseconds{50};
     static constexpr Duration lateLoop = std::chrono::milliseconds{150}; ///< A stalled loop or a frozen machine.
     static constexpr Duration digestInterval = std::chrono::milliseconds{300};
+    /// In larger fleets digests come less often, so that what a node receives grows more slowly than the fleet.
+    static constexpr Duration digestIntervalPerNode = std::chrono::milliseconds{10};
     static constexpr Duration operatorPause = std::chrono::milliseconds{100};
-    static constexpr Duration upstreamPause = std::chrono::milliseconds{600}; ///< Heartbeats come many times a second.
+    static constexpr Duration upstreamPause = std::chrono::milliseconds{800}; ///< Heartbeats come many times a second.
     static constexpr Duration ownPause = std::chrono::milliseconds{100};
-    static constexpr Duration watchWait = std::chrono::seconds{2};
+    /// Heartbeats answer the upstreams' watch long before this, so that a dead connection shows there first. The others
+    /// wait longer, as each call is priced, and ask anew when the upstreams' watch breaks.
+    static constexpr Duration shortWait = std::chrono::seconds{1};
+    static constexpr Duration longWait = std::chrono::seconds{10};
     static constexpr Duration nodeLeaseTtl = std::chrono::seconds{8};
     static constexpr Duration renewInterval = std::chrono::milliseconds{2500};
     static constexpr Duration crashNewsAge = std::chrono::seconds{2};
@@ -162,7 +167,8 @@
     static OrderLeaseSettings leaseSettings(const GatewaySettings &settings)
     {
         OrderLeaseSettings lease;
-        lease.handoverWait = settings.orderHandover + std::chrono::milliseconds{300};
+        // The predecessor ends its orders a margin before the store can end its lease.
+        lease.handoverWait = settings.orderHandover - lease.margin + std::chrono::milliseconds{300};
         return lease;
     }
 
@@ -208,10 +214,13 @@
                 [this] { m_forwarder.onPlacement(); },
                 [this](bool reachable) {
                     const auto now = BootClock{}.now();
-                    if (reachable)
+                    if (reachable) {
                         m_context.upstreams.onRegistryBack(now);
-                    else
+                    } else {
                         m_context.upstreams.onRegistryLost(now);
+                        m_operatorDocuments.renew();
+                        m_ownRecords.renew();
+                    }
                 }};
     }
 
@@ -365,10 +374,12 @@
         m_loop.runAfter(tickInterval, [this] { tick(); });
     }
 
+    /// Returns an empty message; the whole address goes with digests only.
     GatewayMessage message() const
     {
         GatewayMessage message;
-        message.from = m_address;
+        message.from.node = m_address.node;
+        message.from.startedAt = m_address.startedAt;
         message.takesCallers = isReady();
         return message;
     }
@@ -377,6 +388,7 @@
     {
         const auto now = BootClock{}.now();
         auto digest = message();
+        digest.from = m_address;
         digest.hasLoads = true;
         for (const auto &[instance, upstream] : m_context.upstreams.all()) {
             if (upstream.own.inFlight > 0)
@@ -391,7 +403,8 @@
         }
         digest.crashes = m_context.crashes.recent(now, crashNewsAge);
         m_peers.send(digest, m_members.peers(now));
-        m_loop.runAfter(digestInterval, [this] { this->digest(); });
+        const auto byFleet = digestIntervalPerNode * m_members.peers(now).size();
+        m_loop.runAfter(std::max<Duration>(digestInterval, byFleet), [this] { this->digest(); });
     }
 
     void want(const std::string &service, const ModelTarget &target)
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/// Four messages of a node that sends one each 300 ms.
-constexpr Duration liveTime = std::chrono::milliseconds{1200};
+constexpr Duration leastLiveTime = std::chrono::milliseconds{1200}; ///< Four digests of a node in a small fleet.
+constexpr Duration liveTimePerNode = std::chrono::milliseconds{35}; ///< Three digests in a large one.
 constexpr Duration forgetTime = std::chrono::seconds{20}; ///< Of a node that is neither listed nor heard.
 
 /// Fewer entry points than this would put too much on each when one of them fails.
@@ -34,7 +34,7 @@
     }
     member.listed = true;
     if (member.heard == Instant{})
-        member.heard = now - liveTime;
+        member.heard = now - leastLiveTime;
 }
 
 void MemberTable::onUnlisted(const std::string &node)
@@ -55,16 +55,22 @@
 {
     if (message.from.node == m_self.node)
         return;
+    if (message.from.callers.port == 0 && !m_members.contains(message.from.node))
+        return;
     auto &member = m_members[message.from.node];
     if (!member.address.node.empty() && message.from.startedAt < member.address.startedAt)
         return; // A message of an earlier process.
-    member.address = message.from;
+    if (message.from.callers.port != 0)
+        member.address = message.from;
+    else if (member.address.startedAt != message.from.startedAt)
+        return; // A process whose address has not come yet.
     member.takesCallers = message.takesCallers;
     member.heard = now;
 }
 
 bool MemberTable::isLive(const Member &member, Instant now) const
 {
+    const auto liveTime = std::max<Duration>(leastLiveTime, liveTimePerNode * m_members.size());
     return member.heard != Instant{} && now - member.heard < liveTime;
 }
 
--- a/src/gateway/orderlease.h
+++ b/src/gateway/orderlease.h
@@ -13,7 +13,7 @@
     /// Orders end this long before the lease can: a freeze may lie between the check and the write.
     Duration margin = std::chrono::milliseconds{500};
     /// A new holder waits this long, so that nothing of its predecessor is under way.
-    Duration handoverWait = std::chrono::milliseconds{3300};
+    Duration handoverWait = std::chrono::milliseconds{2800};
 };
 
 /// Whether this node may order engines to load and unload. Exactly one node holds the lease; fencing tokens alone do
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -152,8 +152,8 @@
         if (!m_held)
             return;
         lose("the node stops");
-        if (m_leaseId != 0)
-            m_store.endLease(m_leaseId);
+        // The successor counts on orders having ended a margin before the lease.
+        m_loop.runAfter(m_lease.settings().margin, [this] { m_store.endLease(m_leaseId); });
     }
 
 private:
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -63,7 +63,7 @@
 
     struct Pace {
         Duration pause{}; ///< Between two calls, so that changes come in batches; each answer is a priced call.
-        Duration longestWait = std::chrono::seconds{2}; ///< Of one call; a silent connection shows after it.
+        Duration longestWait = std::chrono::seconds{1}; ///< Of one call; a silent connection shows after it.
     };
 
     RegistryFollower(Http::EventLoop &loop, Store &store, std::string prefix, Pace pace, Observer observer)
@@ -81,6 +81,13 @@
         read();
     }
 
+    /// Asks anew at once: the connection that waits may be dead, as others to the service are.
+    void renew()
+    {
+        if (m_waiting)
+            follow();
+    }
+
 private:
     static constexpr Duration retryPause = std::chrono::milliseconds{300};
 
@@ -100,7 +107,12 @@
 
     void follow()
     {
-        m_store.watch(m_prefix, m_revision, m_pace.longestWait, [this](const WatchResult &result) {
+        const auto generation = ++m_generation;
+        m_waiting = true;
+        m_store.watch(m_prefix, m_revision, m_pace.longestWait, [this, generation](const WatchResult &result) {
+            if (generation != m_generation)
+                return;
+            m_waiting = false;
             if (result.historyLost)
                 return m_loop.runAfter(m_pace.pause, [this] { read(); });
             if (!result.answered) {
@@ -135,6 +147,8 @@
     Pace m_pace;
     Observer m_observer;
     Revision m_revision = 0;
+    std::uint64_t m_generation = 0; ///< Of the call under way; answers to earlier ones are ignored.
+    bool m_waiting = false;
     bool m_reachable = false;
     bool m_reported = false;
 };
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -41,6 +41,16 @@
     cr_assert(read->placements[1].dropped);
 }
 
+Test(GatewayMessage, mayLeaveOutTheAddress)
+{
+    auto message = example();
+    message.from = {};
+    message.from.node = "n1";
+    message.from.startedAt = 7;
+    const auto read = decodeGatewayMessage(encode(message));
+    cr_assert(read && read->from == message.from);
+}
+
 TABLE_TEST(GatewayMessage, refusesWhatIsNoMessage, malformed)
 {
     cr_assert_not(decodeGatewayMessage(row).has_value());
