--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -24,6 +24,7 @@
 constexpr double crowdedFactor = 1.4; ///< Of the mean load; above this an engine gets no new adapters.
 constexpr double crowdedSlack = 4; ///< Requests.
 constexpr double cachedPreference = 4; ///< Loads from an engine's own memory are fast and not priced.
+constexpr double newRegionPreference = 6; ///< A further copy spares its region's callers the way to another one.
 constexpr double leastRateOfFurtherCopy = 1; ///< Requests a second.
 constexpr double leastRateOfWanted = 0.1; ///< Of an adapter that a request waits for.
 constexpr double outdatedNeed = 1000; ///< A hot adapter with a new version and no copy of it comes first.
@@ -229,6 +230,11 @@
     const std::string model(baseOf(target));
     const double crowded = crowdedFactor * m_overview.meanLoads[service] + crowdedSlack;
     const double rate = std::max(rateOf(target, now), leastRateOfWanted);
+    std::set<std::string> regions; // That have a copy already.
+    for (const auto &[instance, engine] : m_engines) {
+        if (engine.placed.service == service && serves(engine, target))
+            regions.insert(engine.placed.region);
+    }
     Engine *best = nullptr;
     double bestScore = 0;
     const auto key = XXH3_64bits(target.data(), target.size());
@@ -247,6 +253,8 @@
             score *= cachedPreference;
         if (engine.placed.load > crowded)
             score *= 0.01;
+        if (!regions.contains(engine.placed.region))
+            score *= newRegionPreference;
         if (full)
             score *= 0.1;
         if (engine.copies.contains(target))
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -50,6 +50,7 @@
 struct PlacedEngine {
     std::string instance;
     std::string service;
+    std::string region;
     std::int64_t startedAt = 0; ///< Tells processes of one instance apart.
     bool takesOrders = true; ///< False for one that is draining.
     unsigned adapterSlots = 0;
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -32,6 +32,7 @@
 /// What this node believes when it decides on a request. Loop's thread only.
 struct CallContext {
     std::string failureDomain;
+    std::map<std::string, std::string> regions; ///< Of failure domains.
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
     UpstreamTable upstreams;
     RetryAllowance allowance{RetryBound{}};
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -205,9 +205,14 @@
 
     std::optional<UpstreamChoice> choose(const Call &call, Instant now) const
     {
-        UpstreamDemand demand{
-            call.service,     call.request.target, 0, m_context.failureDomain, call.excluded, call.request.promptTokens,
-            paceOf(call, now)};
+        UpstreamDemand demand{call.service,
+                              call.request.target,
+                              0,
+                              m_context.failureDomain,
+                              &m_context.regions,
+                              call.excluded,
+                              call.request.promptTokens,
+                              paceOf(call, now)};
         if (call.request.target.empty())
             return chooseUpstream(m_context.upstreams, demand, now);
         // The newest version is preferred from the beginning; the older one serves until the new one is loaded.
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -49,11 +49,28 @@
     return penalty;
 }
 
+std::string_view regionOf(const std::string &failureDomain, const UpstreamDemand &demand)
+{
+    if (!demand.regions)
+        return failureDomain;
+    const auto it = demand.regions->find(failureDomain);
+    return it == demand.regions->end() ? std::string_view(failureDomain) : std::string_view(it->second);
+}
+
+double distanceMs(const Upstream &upstream, const UpstreamDemand &demand, const EngineSpeed &speed)
+{
+    if (upstream.record.failureDomain == demand.failureDomain)
+        return 0;
+    if (regionOf(upstream.record.failureDomain, demand) == regionOf(demand.failureDomain, demand))
+        return speed.crossDomainMs;
+    return demand.target.empty() ? speed.plainCrossRegionMs : speed.crossRegionMs;
+}
+
 double scoreOf(const Upstream &upstream, const UpstreamDemand &demand, Instant now, const EngineSpeed &speed)
 {
     const auto load = upstream.total();
     const double slots = std::max(1U, upstream.record.slots);
-    const double distance = upstream.record.failureDomain == demand.failureDomain ? 0 : speed.crossDomainMs;
+    const double distance = distanceMs(upstream, demand, speed);
     if (demand.target.empty())
         return distance + speed.plainServiceMs * std::floor(load.inFlight / slots) + load.inFlight / slots
                + penaltyMs(upstream, now);
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -3,6 +3,7 @@
 #include "gateway/upstreamtable.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,7 @@
     ModelTarget target; ///< Empty for a plain service.
     std::uint64_t leastVersion = 0; ///< Copies of an older version do not serve; 0 for any.
     std::string failureDomain; ///< Of this node.
+    const std::map<std::string, std::string> *regions = nullptr; ///< Of failure domains; null: not known.
     std::vector<std::string> excluded; ///< Upstreams that have failed this request.
     double promptTokens = 0;
     PromptPace pace;
@@ -44,7 +46,10 @@
     double prefillTokensPerMs = 20; ///< Of one engine, from the platform's sheet.
     double msPerRunningRequest = 1.5; ///< What one more running request costs a new one: its share of each step.
     double msPerQueuedRequest = 40; ///< What a request beyond the slots waits for each one ahead of it.
-    double crossDomainMs = 6; ///< What a way to another failure domain counts, for its delay and its billed bytes.
+    double crossDomainMs = 3; ///< What a way to another failure domain counts.
+    /// What a way to another region counts: 16 ms there and back, and billed bytes worth 2% of a stream's benefit.
+    double crossRegionMs = 40;
+    double plainCrossRegionMs = 14; ///< Of a plain service, whose answers are short and urgent.
     double plainServiceMs = 15; ///< Mean work of a request of a plain service.
 };
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -86,10 +86,12 @@
         , m_peers(m_loop, settings.peers, [this](const GatewayMessage &message) { onMessage(message); })
         , m_operatorDocuments(m_loop, m_store, Platform::operatorPrefix(), {operatorPause, longWait},
                               operatorObserver())
-        , m_upstreamRecords(m_loop, m_store, Platform::upstreamPrefix(), {upstreamPause, shortWait}, upstreamObserver())
+        , m_upstreamRecords(m_loop, m_store, Platform::upstreamPrefix(), {pauseFor(settings.drainBound), shortWait},
+                            upstreamObserver())
         , m_ownRecords(m_loop, m_store, ownPrefix(), {ownPause, longWait}, ownObserver())
     {
         m_context.failureDomain = settings.failureDomain;
+        m_context.regions = settings.regions;
         m_context.allowance = RetryAllowance(retryBound(settings));
         m_context.onWanted = [this](const std::string &service, const ModelTarget &target) { want(service, target); };
         m_context.onPromptSent = [this](const std::string &instance, double tokens) {
@@ -128,7 +130,9 @@
     /// In larger fleets digests come less often, so that what a node receives grows more slowly than the fleet.
     static constexpr Duration digestIntervalPerNode = std::chrono::milliseconds{10};
     static constexpr Duration operatorPause = std::chrono::milliseconds{100};
-    static constexpr Duration upstreamPause = std::chrono::milliseconds{800}; ///< Heartbeats come many times a second.
+    /// Heartbeats come many times a second; between two batches of them passes this part of the time that upstreams
+    /// serve on after they said that they leave.
+    static constexpr double upstreamPausePart = 0.32;
     static constexpr Duration ownPause = std::chrono::milliseconds{100};
     /// Heartbeats answer the upstreams' watch long before this, so that a dead connection shows there first. The others
     /// wait longer, as each call is priced, and ask anew when the upstreams' watch breaks.
@@ -164,6 +168,11 @@
             .count();
     }
 
+    static Duration pauseFor(Duration drainBound)
+    {
+        return std::chrono::duration_cast<Duration>(drainBound * upstreamPausePart);
+    }
+
     static OrderLeaseSettings leaseSettings(const GatewaySettings &settings)
     {
         OrderLeaseSettings lease;
@@ -394,19 +403,32 @@
             if (upstream.own.inFlight > 0)
                 digest.loads.emplace(instance, upstream.own);
         }
+        std::vector<TargetDemand> used;
         for (auto it = m_context.uses.begin(); it != m_context.uses.end();) {
             auto &[target, use] = *it;
-            digest.used.push_back({use.service, target, static_cast<double>(use.started)});
+            used.push_back({use.service, target, static_cast<double>(use.started)});
             m_orders.onUsed(use.service, target, use.started);
             use.started = 0;
             it = use.inFlight == 0 ? m_context.uses.erase(it) : std::next(it);
         }
         digest.crashes = m_context.crashes.recent(now, crashNewsAge);
         m_peers.send(digest, m_members.peers(now));
+        tellUse(std::move(used));
         const auto byFleet = digestIntervalPerNode * m_members.peers(now).size();
         m_loop.runAfter(std::max<Duration>(digestInterval, byFleet), [this] { this->digest(); });
     }
 
+    /// Tells the holder, which places adapters by it.
+    void tellUse(std::vector<TargetDemand> used)
+    {
+        const auto *holder = m_orders.holder() ? m_members.find(m_orders.holder()->node) : nullptr;
+        if (used.empty() || !holder || m_orders.isHolder())
+            return;
+        auto report = message();
+        report.used = std::move(used);
+        m_peers.send(report, {*holder});
+    }
+
     void want(const std::string &service, const ModelTarget &target)
     {
         if (m_orders.isHolder()) {
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -15,6 +15,14 @@
 constexpr Bounds<double> ratios{0, 10};
 constexpr Bounds<double> counts{0, 1'000'000};
 
+void readRegions(MapReader &reader, GatewaySettings &settings)
+{
+    for (const auto &entry : reader.node()) {
+        const auto domain = entry.first.Scalar();
+        reader.scalar(domain, Presence::Required, settings.regions[domain]);
+    }
+}
+
 void readListeners(MapReader &reader, GatewaySettings &settings)
 {
     reader.scalar("callers", Presence::Required, settings.callers);
@@ -39,6 +47,8 @@
     reader.scalar("node", Presence::Required, settings.node);
     reader.scalar("failure_domain", Presence::Required, settings.failureDomain);
     reader.scalar("region", Presence::Required, settings.region);
+    reader.map("regions", Presence::Optional, [&](MapReader &map) { readRegions(map, settings); });
+    reader.scalar("drain_bound", Presence::Optional, settings.drainBound, shortTimes);
     reader.scalar("first_start", Presence::Optional, settings.firstStart);
     reader.map("listen", Presence::Required, [&](MapReader &map) { readListeners(map, settings); });
     reader.scalar("store", Presence::Required, settings.store);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -5,6 +5,7 @@
 #include "settings/settings.h"
 #include "yaml/problem.h"
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,9 @@
     std::string node;
     std::string failureDomain;
     std::string region;
+    std::map<std::string, std::string> regions; ///< Of failure domains.
+    Duration drainBound
+        = std::chrono::milliseconds{2500}; ///< How long upstreams serve after they said that they leave.
     bool firstStart = false; ///< The whole system starts for the first time.
     Http::Endpoint callers;
     Http::Endpoint readiness;
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -255,9 +255,11 @@
             const auto *service = m_context.routes->service(upstream.record.service);
             if (!service || !service->engine)
                 continue;
-            engines.push_back({instance, upstream.record.service, upstream.record.startedAt, !upstream.record.draining,
-                               service->engine->adapterSlots, static_cast<double>(upstream.total().inFlight),
-                               upstream.record.storedModels});
+            const auto region = m_context.regions.find(upstream.record.failureDomain);
+            engines.push_back({instance, upstream.record.service,
+                               region == m_context.regions.end() ? upstream.record.failureDomain : region->second,
+                               upstream.record.startedAt, !upstream.record.draining, service->engine->adapterSlots,
+                               static_cast<double>(upstream.total().inFlight), upstream.record.storedModels});
         }
         m_placer.setEngines(engines, models);
     }
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -27,7 +27,7 @@
     return table;
 }
 
-const UpstreamDemand demand{"s", "m/a", 0, "near", {}, 0, {}};
+const UpstreamDemand demand{"s", "m/a", 0, "near", nullptr, {}, 0, {}};
 
 struct ChoiceCase {
     void (*change)(UpstreamTable &);
