--- a/src/daemon/platformduty.h
+++ b/src/daemon/platformduty.h
@@ -2,10 +2,10 @@
 
 #include "daemon/outbox.h"
 #include "http/client.h"
-#include "node/events.h"
 #include "keyvalue/keyvalueclient.h"
 #include "keyvalue/nodelease.h"
 #include "keyvalue/storewatcher.h"
+#include "node/events.h"
 #include "settings/settings.h"
 
 namespace Gypsumtally
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/enumtable.h"
 #include "gateway/residency.h"
 
 #include <cstdint>
@@ -38,6 +39,25 @@
     Unknown, ///< No answer: it may be carried out, also later.
 };
 
+} // namespace Gypsumtally::Gateway
+
+namespace Gypsumtally
+{
+
+template<>
+inline constexpr EnumTable<Gateway::OrderOutcome, 5> enumNames<Gateway::OrderOutcome>{{
+    {Gateway::OrderOutcome::Started, "started"},
+    {Gateway::OrderOutcome::Done, "done"},
+    {Gateway::OrderOutcome::Conflict, "conflict"},
+    {Gateway::OrderOutcome::Refused, "refused"},
+    {Gateway::OrderOutcome::Unknown, "unknown"},
+}};
+
+} // namespace Gypsumtally
+
+namespace Gypsumtally::Gateway
+{
+
 /// What an engine says of itself when it is asked.
 struct EngineReport {
     std::uint64_t orders = 0; ///< Counter of orders accepted.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -8,6 +8,7 @@
 #include "http/eventloop.h"
 #include "relay/callerserver.h"
 #include "relay/upstreamclient.h"
+#include "report/metrics.h"
 
 #include <xxhash.h>
 
@@ -29,10 +30,11 @@
 class CallForwarder
 {
 public:
-    CallForwarder(Http::EventLoop &loop, CallContext &context, GatewayLog &log)
+    CallForwarder(Http::EventLoop &loop, CallContext &context, GatewayLog &log, Metrics &metrics)
         : m_loop(loop)
         , m_context(context)
         , m_log(log)
+        , m_metrics(metrics)
         , m_client(loop)
     {
     }
@@ -115,7 +117,9 @@
         Verdict verdict = Verdict::NotRun;
         bool answering = false; ///< The head of the answer has gone to the caller.
         bool done = false;
+        std::string_view code = "ok"; ///< For metrics: an ErrorCode's name if the call failed.
         bool waiting = false; ///< For a load.
+        Instant waitingSince{};
         Instant waitUntil{};
         Instant wantedAt{};
         Instant notBefore{};
@@ -194,9 +198,8 @@
             if (now - call->arrival > (call->deadline - call->arrival) * longestQueuePart)
                 return giveUp(call, ErrorCode::Overloaded, "the engines that have the adapter are full");
             call->notBefore = choice->sendAt;
-            call->waiting = true;
+            startWaiting(call, now);
             call->waitUntil = std::max(call->waitUntil, choice->sendAt + std::chrono::milliseconds{500});
-            m_waiting.insert(call);
             return wakeAt(call, choice->sendAt, now);
         }
         stopWaiting(call);
@@ -257,10 +260,9 @@
         if (!m_context.hasOrderHolder)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now");
         if (!call->waiting) {
-            call->waiting = true;
+            startWaiting(call, now);
             const auto part = std::chrono::duration_cast<Duration>((call->deadline - now) * longestLoadWaitPart);
             call->waitUntil = now + std::min(longestLoadWait, part);
-            m_waiting.insert(call);
             ++m_context.uses[call->request.target].waiting;
         }
         if (now >= call->waitUntil)
@@ -271,12 +273,27 @@
         }
     }
 
+    void startWaiting(const CallPtr &call, Instant now)
+    {
+        if (std::exchange(call->waiting, true))
+            return;
+        call->waitingSince = now;
+        m_waiting.insert(call);
+    }
+
+    static MetricLabels labelsOf(const Call &call)
+    {
+        return {{"class", std::string(nameOf(call.route.kind))}};
+    }
+
     void stopWaiting(const CallPtr &call)
     {
         if (!call->waiting)
             return;
         call->waiting = false;
         m_waiting.erase(call);
+        const auto now = BootClock{}.now();
+        m_metrics.observe(Metric::LoadStallSeconds, labelsOf(*call), now - call->waitingSince, now);
     }
 
     void send(const CallPtr &call, const UpstreamChoice &choice, Instant now)
@@ -284,6 +301,8 @@
         if (call->sends > 0 && !m_context.allowance.tryTake(call->service, now))
             return giveUp(call, ErrorCode::UpstreamFailed, "the budget for sending again is used up");
         auto *upstream = m_context.upstreams.find(choice.instance);
+        if (call->sends > 0)
+            m_metrics.add(Metric::Retries, {{"reason", call->runs > 0 ? "may-have-run" : "not-run"}});
         ++call->sends;
         call->instance = choice.instance;
         call->sentAt = now;
@@ -398,8 +417,10 @@
             if (auto *upstream = m_context.upstreams.find(call->instance))
                 upstream->own.prefillTokens = std::max(0.0, upstream->own.prefillTokens - call->prefill);
             call->prefill = 0;
-            if (!call->answering)
+            if (!call->answering) {
                 call->firstEvent = now - call->arrival;
+                m_metrics.observe(Metric::FirstTokenSeconds, labelsOf(*call), call->firstEvent, now);
+            }
         } else if (auto *upstream = m_context.upstreams.find(call->instance)) {
             notePause(*upstream, now - call->lastEventAt);
         }
@@ -480,9 +501,8 @@
         if (call->refused > maxRefusedSends)
             return giveUp(call, ErrorCode::UpstreamRefused, "the upstreams have no room");
         if (call->notBefore > now) {
-            call->waiting = true;
+            startWaiting(call, now);
             call->waitUntil = std::max(call->waitUntil, now + longestLoadWait);
-            m_waiting.insert(call);
             return wakeAt(call, call->notBefore, now);
         }
         again(call);
@@ -560,12 +580,14 @@
     /// Hands a whole answer of the upstream to the caller as it is.
     void passOn(const CallPtr &call)
     {
+        call->verdict = Verdict::Ran;
         call->exchange->respond({call->reply.status, call->reply.headers, std::move(call->body)});
         finish(call);
     }
 
     void breakOff(const CallPtr &call, const std::string &reason)
     {
+        call->code = nameOf(ErrorCode::UpstreamLost);
         m_log.decision(GatewayEvent::BrokenOff, call->request.id,
                        {{"upstream", call->instance},
                         {"reason", reason},
@@ -594,6 +616,7 @@
     void refuse(const CallPtr &call, unsigned status, ErrorCode code, const std::string &reason,
                 std::optional<Duration> retryAfter)
     {
+        call->code = nameOf(code);
         m_log.decision(GatewayEvent::Refused, call->request.id,
                        {{"status", std::to_string(status)},
                         {"code", std::string(nameOf(code))},
@@ -616,9 +639,11 @@
     {
         if (call->done)
             return;
+        call->code = "caller_gone";
         if (call->token != 0) {
             m_client.cancel(call->token);
             release(call);
+            call->verdict = Verdict::MayHaveRun;
         }
         finish(call);
     }
@@ -629,6 +654,12 @@
             return;
         call->done = true;
         stopWaiting(call);
+        const auto now = BootClock{}.now();
+        auto labels = labelsOf(*call);
+        m_metrics.observe(Metric::RequestSeconds, labels, now - call->arrival, now);
+        labels["verdict"] = std::string(nameOf(call->verdict));
+        labels["code"] = std::string(call->code);
+        m_metrics.add(Metric::Requests, labels);
         if (m_calls.erase(call) > 0 && !call->request.target.empty()) {
             auto &use = m_context.uses[call->request.target];
             if (use.inFlight > 0)
@@ -709,6 +740,7 @@
     Http::EventLoop &m_loop;
     CallContext &m_context;
     GatewayLog &m_log;
+    Metrics &m_metrics;
     Relay::UpstreamClient m_client;
     std::unordered_set<CallPtr> m_calls;
     std::unordered_set<CallPtr> m_waiting;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -77,12 +77,13 @@
         , m_address{settings.node,    settings.failureDomain, settings.region,
                     settings.callers, settings.peers,         wallMilliseconds()}
         , m_members(m_address)
-        , m_forwarder(m_loop, m_context, m_log)
-        , m_orders(m_loop, m_store, m_context, m_log, {settings.node, m_address.startedAt}, holderKey(),
+        , m_forwarder(m_loop, m_context, m_log, m_metrics)
+        , m_orders(m_loop, m_store, m_context, m_log, m_metrics, {settings.node, m_address.startedAt}, holderKey(),
                    leaseSettings(settings))
         , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(std::move(exchange)); })
         , m_readiness(m_loop, {}, [this](auto exchange) { answerReadiness(*exchange); })
         , m_entries(m_loop, {}, [this](auto exchange) { answerEntries(*exchange); })
+        , m_metricsServer(m_loop, {}, [this](auto exchange) { answerMetrics(*exchange); })
         , m_peers(m_loop, settings.peers, [this](const GatewayMessage &message) { onMessage(message); })
         , m_operatorDocuments(m_loop, m_store, Platform::operatorPrefix(), {operatorPause, longWait},
                               operatorObserver())
@@ -110,6 +111,8 @@
         m_callers.listen(m_settings.callers);
         m_readiness.listen(m_settings.readiness);
         m_entries.listen(m_settings.entries);
+        if (m_settings.metrics)
+            m_metricsServer.listen(*m_settings.metrics);
         m_loop.onTerminate([this] { stop(); });
         m_operatorDocuments.start();
         m_upstreamRecords.start();
@@ -334,6 +337,20 @@
         exchange.respond(Platform::writeEntries(endpoints, m_settings.entryTtl));
     }
 
+    void answerMetrics(Relay::CallerExchange &exchange)
+    {
+        const auto now = BootClock{}.now();
+        const auto age = [&](Instant since) { return std::chrono::duration<double>(now - since).count(); };
+        m_metrics.set(Metric::CallsInFlight, static_cast<double>(m_forwarder.activeCalls()));
+        if (m_context.routes)
+            m_metrics.set(Metric::ConfigurationVersion, static_cast<double>(m_context.routes->policy().version));
+        m_metrics.set(Metric::ViewAgeSeconds, age(m_context.upstreams.lastHeard()), {{"view", "upstreams"}});
+        m_metrics.set(Metric::ViewAgeSeconds, age(m_peerHeard), {{"view", "peers"}});
+        for (const auto &service : m_context.allowance.services())
+            m_metrics.set(Metric::RetriesLeft, m_context.allowance.left(service, now), {{"service", service}});
+        exchange.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text(now)});
+    }
+
     void registerSelf()
     {
         m_store.grantLease(nodeLeaseTtl, [this](std::optional<StoreLease> lease) {
@@ -376,6 +393,7 @@
         m_callers.sweep(now);
         if (++m_ticks % 10 == 0) {
             m_readiness.sweep(now);
+            m_metricsServer.sweep(now);
             m_entries.sweep(now);
         }
         if (m_stopping)
@@ -488,6 +506,7 @@
     {
         const auto now = BootClock{}.now();
         m_members.onHeard(message, now);
+        m_peerHeard = now;
         if (message.hasLoads)
             m_context.upstreams.onPeerLoads(message.from.node, message.loads);
         for (const auto &prompt : message.prompts) {
@@ -532,6 +551,7 @@
 
     GatewaySettings m_settings;
     GatewayLog m_log;
+    Metrics m_metrics;
     Http::EventLoop m_loop;
     typename Platform::Store m_store;
     NodeAddress m_address;
@@ -542,6 +562,7 @@
     Relay::CallerServer m_callers;
     Relay::CallerServer m_readiness;
     Relay::CallerServer m_entries;
+    Relay::CallerServer m_metricsServer;
     PeerLink m_peers;
     RegistryFollower<typename Platform::Store> m_operatorDocuments;
     RegistryFollower<typename Platform::Store> m_upstreamRecords;
@@ -549,6 +570,7 @@
     StoreLease m_lease = 0;
     std::uint64_t m_ticks = 0;
     Instant m_lastTick{};
+    Instant m_peerHeard{};
     bool m_stopping = false;
     Instant m_stopAt{};
 };
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -8,6 +8,7 @@
 #include "gateway/registryfollower.h"
 #include "http/eventloop.h"
 #include "relay/upstreamclient.h"
+#include "report/metrics.h"
 
 #include <boost/json.hpp>
 
@@ -50,12 +51,13 @@
 class OrderPlane
 {
 public:
-    OrderPlane(Http::EventLoop &loop, Store &store, CallContext &context, GatewayLog &log, OrderHolder self,
-               std::string holderKey, OrderLeaseSettings leaseSettings)
+    OrderPlane(Http::EventLoop &loop, Store &store, CallContext &context, GatewayLog &log, Metrics &metrics,
+               OrderHolder self, std::string holderKey, OrderLeaseSettings leaseSettings)
         : m_loop(loop)
         , m_store(store)
         , m_context(context)
         , m_log(log)
+        , m_metrics(metrics)
         , m_self(std::move(self))
         , m_key(std::move(holderKey))
         , m_lease(leaseSettings)
@@ -327,6 +329,7 @@
                           {"used_slots", std::to_string(m_placer.usedSlots(order.instance))},
                           {"status", std::to_string(status)}});
         m_placer.onAnswer(order, outcome, BootClock{}.now());
+        m_metrics.add(Metric::Orders, {{"outcome", std::string(nameOf(outcome))}});
         if (outcome != OrderOutcome::Started && outcome != OrderOutcome::Done)
             m_log.decision(GatewayEvent::OrderFailed, order.target,
                            {{"upstream", order.instance},
@@ -368,6 +371,7 @@
     Store &m_store;
     CallContext &m_context;
     GatewayLog &m_log;
+    Metrics &m_metrics;
     OrderHolder m_self;
     std::string m_key;
     OrderLease m_lease;
--- a/src/gateway/retryallowance.cpp
+++ b/src/gateway/retryallowance.cpp
@@ -43,6 +43,14 @@
     return usedPart * (earned + given) - static_cast<double>(account.extras.size());
 }
 
+std::vector<std::string> RetryAllowance::services() const
+{
+    std::vector<std::string> names;
+    for (const auto &[service, account] : m_accounts)
+        names.push_back(service);
+    return names;
+}
+
 bool RetryAllowance::tryTake(const std::string &service, Instant now)
 {
     if (left(service, now) < 1)
--- a/src/gateway/retryallowance.h
+++ b/src/gateway/retryallowance.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace Gypsumtally::Gateway
 {
@@ -30,6 +31,9 @@
     /// Counts an extra send and returns true, or returns false if there is none left.
     bool tryTake(const std::string &service, Instant now);
 
+    /// Returns the services that had requests.
+    std::vector<std::string> services() const;
+
     /// Returns how many extra sends are left at @p now.
     double left(const std::string &service, Instant now);
 
--- a/src/gateway/upstreamtable.cpp
+++ b/src/gateway/upstreamtable.cpp
@@ -58,6 +58,7 @@
 bool UpstreamTable::onRecord(const UpstreamRecord &record, Instant now)
 {
     m_lapsed.erase(record.instance);
+    m_lastHeard = now;
     auto &upstream = m_upstreams[record.instance];
     const bool isNew = upstream.record.instance.empty() || upstream.record.startedAt != record.startedAt
                        || upstream.record.endpoint != record.endpoint;
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -98,6 +98,12 @@
     /// The registry answers again.
     void onRegistryBack(Instant now);
 
+    /// When the registry last told of an upstream.
+    Instant lastHeard() const
+    {
+        return m_lastHeard;
+    }
+
     /// Removes what is still without a record after the registry's return. To be called several times a second.
     void sweep(Instant now);
 
@@ -124,6 +130,7 @@
     std::set<std::string> m_lapsed; ///< Without a record, since perhaps only the registry was away.
     bool m_registryLost = true;
     Instant m_registryBack{};
+    Instant m_lastHeard{};
 };
 
 } // namespace Gypsumtally::Gateway
--- a/src/logging/logging.cpp
+++ b/src/logging/logging.cpp
@@ -63,7 +63,7 @@
 {
     log4cplus::initialize();
     const auto *pattern = format == LogFormat::Json ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n";
-    log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(false, true));
     console->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     log4cplus::SharedAppenderPtr queue(new log4cplus::AsyncAppender(console, queueLength));
     auto logger = log4cplus::Logger::getInstance(loggerName);
--- a/src/logging/logging.h
+++ b/src/logging/logging.h
@@ -13,7 +13,7 @@
 /// One name and value of a log line.
 using LogField = std::pair<std::string, std::string>;
 
-/// The process's log, on standard error: one line an event, as text or as a JSON object. Created once, before any
+/// The process's log, on standard output: one line an event, as text or as a JSON object. Created once, before any
 /// thread logs; log() is thread-safe.
 class Logging
 {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "common/clock.h"
-#include "membership/noderecord.h"
 #include "keyvalue/storewatcher.h"
 #include "keyvalue/vmlist.h"
+#include "membership/noderecord.h"
 
 #include <map>
 #include <optional>
--- a/src/node/ownedengine.h
+++ b/src/node/ownedengine.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "keyvalue/vmlist.h"
 #include "limits/concurrencylimiter.h"
 #include "node/nodeio.h"
 #include "ownership/upstreamowner.h"
 #include "peerprotocol/peermessage.h"
-#include "keyvalue/vmlist.h"
 #include "residency/enginescheduler.h"
 #include "routing/hinttable.h"
 #include "upstream/engineprotocol.h"
--- a/src/report/metrics.cpp
+++ b/src/report/metrics.cpp
@@ -32,7 +32,7 @@
     const char *help;
 };
 
-constexpr std::array<Description, 17> descriptions{{
+constexpr std::array<Description, 20> descriptions{{
     {Metric::Requests, Kind::Counter, "gypsumtally_requests_total", "Requests that have ended."},
     {Metric::RequestSeconds, Kind::Histogram, "gypsumtally_request_seconds", "Time from arrival to the whole answer."},
     {Metric::FirstTokenSeconds, Kind::Histogram, "gypsumtally_first_token_seconds",
@@ -52,6 +52,10 @@
     {Metric::OwnedUpstreams, Kind::Gauge, "gypsumtally_owned_upstreams", "Upstreams that this node owns."},
     {Metric::ConfigurationVersion, Kind::Gauge, "gypsumtally_configuration_version", "Configuration in force."},
     {Metric::QuarantinedRequests, Kind::Gauge, "gypsumtally_quarantined_requests", "Fingerprints in quarantine."},
+    {Metric::Orders, Kind::Counter, "gypsumtally_orders_total", "Orders to engines."},
+    {Metric::ViewAgeSeconds, Kind::Gauge, "gypsumtally_view_age_seconds",
+     "Time since this node last heard of the configuration's store, the upstreams, its peers."},
+    {Metric::RetriesLeft, Kind::Gauge, "gypsumtally_retries_left", "Sends beyond the first that are left now."},
 }};
 
 const prometheus::Histogram::BucketBoundaries secondsBuckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -30,6 +30,9 @@
     OwnedUpstreams,
     ConfigurationVersion,
     QuarantinedRequests,
+    Orders, ///< Label: outcome.
+    ViewAgeSeconds, ///< Label: view.
+    RetriesLeft, ///< Label: service.
 };
 
 /// The labels of one time series.
