--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -12,6 +12,7 @@
 Result<ExitCode> configHistory(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> status(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> explain(const CommandContext &context, const Arguments &arguments);
+Result<ExitCode> explainRequest(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> drain(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> quarantineList(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> quarantineClear(const CommandContext &context, const Arguments &arguments);
--- a/src/cli/commandtable.cpp
+++ b/src/cli/commandtable.cpp
@@ -25,6 +25,8 @@
          "gypsumtally status --output=json", Commands::status},
         {"explain", "ADAPTER", 1, 1, "Tells where an adapter is, why, and what waits for it.",
          "gypsumtally explain llama/roster@3", Commands::explain},
+        {"explain request", "ID LOG...", 2, 200, "Tells from the logs of nodes what became of a request, and why.",
+         "gypsumtally explain request 9c41d07be2a35f68 node-*.log", Commands::explainRequest},
         {"drain", "NODE|UPSTREAM", 1, 1, "Stops new work there; --wait ends when none is left.",
          "gypsumtally drain engine-7 --wait", Commands::drain},
         {"quarantine list", "", 0, 0, "Lists requests that crashed upstreams.", "gypsumtally quarantine list",
--- /dev/null
+++ b/src/cli/requeststory.cpp
@@ -0,0 +1,122 @@
+#include "cli/requeststory.h"
+
+#include "common/jsonfields.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace Gypsumtally
+{
+
+namespace
+{
+
+/// What happened this long before a request's first line may be its cause.
+constexpr std::int64_t timeBeforeMs = 10000;
+
+/// Events that change what a node believes, or tell how it fares.
+constexpr std::array<std::string_view, 14> surroundingEvents{"started",           "stopping",
+                                                             "stopped",           "store_lost",
+                                                             "store_back",        "upstream_gone",
+                                                             "upstream_leaving",  "upstream_found",
+                                                             "order_lease_taken", "order_lease_lost",
+                                                             "loop_late",         "version_declared",
+                                                             "order_failed",      "configuration_in_force"};
+
+std::string textOf(const boost::json::value &value)
+{
+    return value.is_string() ? std::string(value.get_string()) : boost::json::serialize(value);
+}
+
+std::string fieldOf(const LoggedEvent &event, std::string_view name)
+{
+    for (const auto &[field, value] : event.fields) {
+        if (field == name)
+            return value;
+    }
+    return {};
+}
+
+} // namespace
+
+std::optional<LoggedEvent> readLogLine(const std::string &line)
+{
+    const auto begin = line.find('{');
+    if (begin == std::string::npos)
+        return std::nullopt;
+    boost::system::error_code error;
+    const auto value = boost::json::parse(std::string_view(line).substr(begin), error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    LoggedEvent event;
+    for (const auto &[name, field] : value.get_object()) {
+        if (name == "time_ms")
+            event.timeMs = numberAt<std::int64_t>(value.get_object(), "time_ms");
+        else if (name == "node")
+            event.node = textOf(field);
+        else if (name == "event")
+            event.event = textOf(field);
+        else if (name == "request")
+            event.request = textOf(field);
+        else if (name != "level")
+            event.fields.emplace_back(std::string(name), textOf(field));
+    }
+    return event.event.empty() ? std::nullopt : std::optional(std::move(event));
+}
+
+RequestStory::RequestStory(std::string request)
+    : m_request(std::move(request))
+{
+}
+
+void RequestStory::read(std::istream &log)
+{
+    for (std::string line; std::getline(log, line);) {
+        auto event = readLogLine(line);
+        if (!event)
+            continue;
+        if (event->request == m_request)
+            m_own.push_back(std::move(*event));
+        else if (std::ranges::find(surroundingEvents, event->event) != surroundingEvents.end())
+            m_surroundings.push_back(std::move(*event));
+    }
+}
+
+std::vector<LoggedEvent> RequestStory::events() const
+{
+    auto events = m_own;
+    if (events.empty())
+        return events;
+    std::set<std::string> nodes;
+    std::set<std::string> upstreams;
+    std::set<std::string> targets;
+    const auto byTime
+        = [](const LoggedEvent &first, const LoggedEvent &second) { return first.timeMs < second.timeMs; };
+    const auto last = std::ranges::max_element(events, byTime)->timeMs;
+    const auto first = std::ranges::min_element(events, byTime)->timeMs - timeBeforeMs;
+    for (const auto &event : m_own) {
+        nodes.insert(event.node);
+        upstreams.insert(fieldOf(event, "upstream"));
+        targets.insert(fieldOf(event, "target"));
+    }
+    upstreams.erase(std::string{});
+    targets.erase(std::string{});
+    for (const auto &event : m_surroundings) {
+        if (event.timeMs < first || event.timeMs > last)
+            continue;
+        const auto upstream = fieldOf(event, "upstream");
+        const bool ofLease = event.event.starts_with("order_lease");
+        const bool ofTarget = targets.contains(event.request) || targets.contains(fieldOf(event, "target"));
+        const bool ofNode = nodes.contains(event.node) && (upstream.empty() || upstreams.contains(upstream))
+                            && (event.request.empty() || ofTarget);
+        if (ofLease || ofTarget || ofNode)
+            events.push_back(event);
+    }
+    std::ranges::stable_sort(events, byTime);
+    return events;
+}
+
+} // namespace Gypsumtally
--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -76,11 +76,13 @@
     demand.service = service;
 }
 
-void AdapterPlacer::onWanted(const std::string &service, const ModelTarget &target, unsigned requests, Instant now)
+void AdapterPlacer::onWanted(const std::string &service, const ModelTarget &target, unsigned requests,
+                             const std::vector<std::string> &unfit, Instant now)
 {
     auto &demand = m_demand[target];
     if (now - demand.wantedAt > wantLifetime)
         count(service, target, requests, now);
+    demand.unfit = {unfit.begin(), unfit.end()};
     demand.service = service;
     demand.wantedAt = now;
 }
@@ -273,6 +275,23 @@
     return true;
 }
 
+bool AdapterPlacer::helps(const ModelTarget &target, const Demand &demand)
+{
+    bool found = false;
+    for (const auto &[instance, engine] : m_engines) {
+        if (engine.placed.service != demand.service || demand.unfit.contains(instance) || !engine.placed.takesOrders)
+            continue;
+        if (engine.open && engine.open->order.kind == OrderKind::Load && engine.open->order.target == target)
+            return true;
+        if (!serves(engine, target))
+            continue;
+        found = true;
+        const auto &copy = engine.copies.at(target);
+        m_news.push_back({instance, target, copy.version, false, copy.usableAt});
+    }
+    return found;
+}
+
 void AdapterPlacer::placeWanted(Instant now, PlacerActions &actions)
 {
     std::vector<std::pair<double, ModelTarget>> wanted;
@@ -283,12 +302,8 @@
     std::ranges::sort(wanted);
     for (const auto &[rate, target] : wanted) {
         auto &demand = m_demand[target];
-        if (copiesOf(target) > 0) {
+        if (helps(target, demand)) {
             demand.wantedAt = {};
-            for (const auto &[instance, engine] : m_engines) {
-                if (const auto copy = engine.copies.find(target); copy != engine.copies.end() && serves(engine, target))
-                    m_news.push_back({instance, target, copy->second.version, false, copy->second.usableAt});
-            }
             continue;
         }
         // More at once would only make each of them slower; the most wanted ones go first.
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -132,8 +132,11 @@
     /// Replaces the list of engines and models. Engines that are not in it any more are forgotten.
     void setEngines(const std::vector<PlacedEngine> &engines, const std::vector<PlacedModel> &models);
 
-    /// Requests wait for @p target of @p service, which no engine holds as far as their node knows.
-    void onWanted(const std::string &service, const ModelTarget &target, unsigned requests, Instant now);
+    /// Requests wait for @p target of @p service, which no engine holds as far as their node knows, or none but those
+    /// in
+    /// @p unfit, which have failed them.
+    void onWanted(const std::string &service, const ModelTarget &target, unsigned requests,
+                  const std::vector<std::string> &unfit, Instant now);
 
     /// @p requests were sent for @p target, or are still at work.
     void onUsed(const std::string &service, const ModelTarget &target, double requests, Instant now);
@@ -190,6 +193,7 @@
         double weight = 0; ///< Decayed number of requests.
         Instant updated{};
         Instant wantedAt{}; ///< Zero: no request waits.
+        std::set<std::string> unfit; ///< Engines whose copies do not help those that wait.
     };
 
     /// What one plan looks up often, worked out once for it.
@@ -223,6 +227,8 @@
     void order(Engine &engine, OrderKind kind, const ModelTarget &target, Instant now, PlacerActions &actions);
     void inspect(Engine &engine, Instant now, PlacerActions &actions);
     void placeModels(Instant now, PlacerActions &actions);
+    /// Whether a copy of @p target serves those that wait for it, or is ordered; tells of it once more if it is there.
+    bool helps(const ModelTarget &target, const Demand &demand);
     void placeWanted(Instant now, PlacerActions &actions);
     double needOfFurtherCopy(const ModelTarget &target, const Demand &demand, Instant now) const;
     void placeFurtherCopies(Instant now, PlacerActions &actions);
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -40,8 +40,9 @@
     std::unordered_map<ModelTarget, DeclaredVersion> declared;
     std::unordered_map<ModelTarget, TargetUse> uses;
     bool hasOrderHolder = false; ///< Some node answers for loads.
-    std::function<void(const std::string &service, const ModelTarget &target)>
-        onWanted; ///< Asks the holder for a load.
+    /// Asks the holder for a load; copies at the engines in @c unfit do not help.
+    std::function<void(const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit)>
+        onWanted;
     /// Tells the other nodes of a prompt that was sent to an engine.
     std::function<void(const std::string &instance, double tokens)> onPromptSent;
     /// Tells the holder that an engine does not hold a target.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -40,10 +40,10 @@
     }
 
     /// Takes in a caller's request.
-    void accept(std::shared_ptr<Relay::CallerExchange> exchange)
+    void accept(const std::shared_ptr<Relay::CallerExchange> &exchange)
     {
         auto call = std::make_shared<Call>();
-        call->exchange = std::move(exchange);
+        call->exchange = exchange;
         call->arrival = call->exchange->arrival();
         start(call);
     }
@@ -269,7 +269,7 @@
             return giveUp(call, ErrorCode::AdapterLoadFailed, "the adapter was not loaded in time");
         if (now - call->wantedAt >= wantRepeat) {
             call->wantedAt = now;
-            m_context.onWanted(call->service, call->request.target);
+            m_context.onWanted(call->service, call->request.target, call->excluded);
         }
     }
 
@@ -334,8 +334,8 @@
         if (!call->route.mayRepeat())
             options.longestReuseAge = std::chrono::seconds{2};
         const std::weak_ptr<Call> weak = call;
-        const auto forward = [this, weak](auto &&handler) {
-            return [this, weak, handler](auto &&...arguments) {
+        const auto forward = [weak](auto &&handler) {
+            return [weak, handler](auto &&...arguments) {
                 if (const auto current = weak.lock())
                     handler(current, arguments...);
             };
@@ -688,7 +688,8 @@
 
     bool isSilent(const Call &call, Instant now) const
     {
-        if (!mayRunAgain(call))
+        // A silent upstream may still answer: it is left only while the request may run once more elsewhere.
+        if (!mayRunAgain(call) || call.runs + 1 >= call.route.attempts)
             return false;
         const auto it = m_context.upstreams.all().find(call.instance);
         if (it == m_context.upstreams.all().end())
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -41,8 +41,12 @@
 json::array demandsToJson(const std::vector<TargetDemand> &demands)
 {
     json::array array;
-    for (const auto &demand : demands)
-        array.push_back({demand.service, demand.target, demand.requests});
+    for (const auto &demand : demands) {
+        json::array row{demand.service, demand.target, demand.requests};
+        for (const auto &instance : demand.unfit)
+            row.push_back(json::string(instance));
+        array.push_back(std::move(row));
+    }
     return array;
 }
 
@@ -103,7 +107,10 @@
 {
     std::vector<TargetDemand> demands;
     eachRow(object, name, [&](const json::array &row) {
-        demands.push_back({textIn(row, 0), textIn(row, 1), numberIn<double>(row, 2)});
+        TargetDemand demand{textIn(row, 0), textIn(row, 1), numberIn<double>(row, 2), {}};
+        for (std::size_t i = 3; i < row.size(); ++i)
+            demand.unfit.push_back(textIn(row, i));
+        demands.push_back(std::move(demand));
     });
     return demands;
 }
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -32,6 +32,7 @@
     std::string service;
     ModelTarget target;
     double requests = 0;
+    std::vector<std::string> unfit; ///< Engines whose copy does not help the request that waits.
 };
 
 /// A copy that engines hold or drop, as the holder of the order lease tells all nodes.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -80,7 +80,7 @@
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
         , m_orders(m_loop, m_store, m_context, m_log, m_metrics, {settings.node, m_address.startedAt}, holderKey(),
                    leaseSettings(settings))
-        , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(std::move(exchange)); })
+        , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(exchange); })
         , m_readiness(m_loop, {}, [this](auto exchange) { answerReadiness(*exchange); })
         , m_entries(m_loop, {}, [this](auto exchange) { answerEntries(*exchange); })
         , m_metricsServer(m_loop, {}, [this](auto exchange) { answerMetrics(*exchange); })
@@ -94,7 +94,10 @@
         m_context.failureDomain = settings.failureDomain;
         m_context.regions = settings.regions;
         m_context.allowance = RetryAllowance(retryBound(settings));
-        m_context.onWanted = [this](const std::string &service, const ModelTarget &target) { want(service, target); };
+        m_context.onWanted
+            = [this](const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit) {
+                  want({service, target, 1, unfit});
+              };
         m_context.onPromptSent = [this](const std::string &instance, double tokens) {
             auto notice = message();
             notice.prompts.push_back({instance, tokens});
@@ -424,33 +427,33 @@
         std::vector<TargetDemand> used;
         for (auto it = m_context.uses.begin(); it != m_context.uses.end();) {
             auto &[target, use] = *it;
-            used.push_back({use.service, target, static_cast<double>(use.started)});
+            used.push_back({use.service, target, static_cast<double>(use.started), {}});
             m_orders.onUsed(use.service, target, use.started);
             use.started = 0;
             it = use.inFlight == 0 ? m_context.uses.erase(it) : std::next(it);
         }
         digest.crashes = m_context.crashes.recent(now, crashNewsAge);
         m_peers.send(digest, m_members.peers(now));
-        tellUse(std::move(used));
+        tellUse(used);
         const auto byFleet = digestIntervalPerNode * m_members.peers(now).size();
         m_loop.runAfter(std::max<Duration>(digestInterval, byFleet), [this] { this->digest(); });
     }
 
     /// Tells the holder, which places adapters by it.
-    void tellUse(std::vector<TargetDemand> used)
+    void tellUse(const std::vector<TargetDemand> &used)
     {
         const auto *holder = m_orders.holder() ? m_members.find(m_orders.holder()->node) : nullptr;
         if (used.empty() || !holder || m_orders.isHolder())
             return;
         auto report = message();
-        report.used = std::move(used);
+        report.used = used;
         m_peers.send(report, {*holder});
     }
 
-    void want(const std::string &service, const ModelTarget &target)
+    void want(const TargetDemand &wanted)
     {
         if (m_orders.isHolder()) {
-            m_loop.post([this, service, target] { m_orders.onWanted(service, target, 1); });
+            m_loop.post([this, wanted] { m_orders.onWanted(wanted); });
             return;
         }
         if (!m_orders.holder())
@@ -459,7 +462,7 @@
         if (!holder)
             return;
         auto request = message();
-        request.wanted.push_back({service, target, 1});
+        request.wanted.push_back(wanted);
         m_peers.send(request, {*holder});
     }
 
@@ -518,7 +521,7 @@
         for (const auto &used : message.used)
             m_orders.onUsed(used.service, used.target, used.requests);
         for (const auto &wanted : message.wanted)
-            m_orders.onWanted(wanted.service, wanted.target, static_cast<unsigned>(wanted.requests));
+            m_orders.onWanted(wanted);
         for (const auto &missing : message.missing)
             m_orders.onMissing(missing.instance, missing.target);
         if (!message.placements.empty())
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -4,6 +4,7 @@
 #include "gateway/adapterplacer.h"
 #include "gateway/callcontext.h"
 #include "gateway/gatewaylog.h"
+#include "gateway/gatewaymessage.h"
 #include "gateway/orderlease.h"
 #include "gateway/registryfollower.h"
 #include "http/eventloop.h"
@@ -104,11 +105,12 @@
         return m_lease.isHeld(BootClock{}.now());
     }
 
-    void onWanted(const std::string &service, const ModelTarget &target, unsigned requests)
+    void onWanted(const TargetDemand &wanted)
     {
         if (!isHolder())
             return;
-        m_placer.onWanted(service, target, requests, BootClock{}.now());
+        m_placer.onWanted(wanted.service, wanted.target, static_cast<unsigned>(wanted.requests), wanted.unfit,
+                          BootClock{}.now());
         planSoon();
     }
 
--- a/tests/gateway/adapterplacertest.cpp
+++ b/tests/gateway/adapterplacertest.cpp
@@ -60,6 +60,23 @@
     }
 }
 
+// Seen in a recorded day: a stream whose engine had gone silent waited for a copy that the holder took to be there.
+Test(AdapterPlacer, aCopyThatDoesNotHelpIsLoadedElsewhere)
+{
+    AdapterPlacer placer;
+    const Instant now{std::chrono::seconds{100}};
+    placer.setEngines({{"e1", "s", "r", 1, true, 8, 0, {}}, {"e2", "s", "r", 1, true, 8, 0, {}}}, {});
+    placer.plan(now);
+    placer.onReport("e1", EngineReport{1, false, {{"m", 1}, {"m/a", 1}}, {}}, now);
+    placer.onReport("e2", EngineReport{1, false, {{"m", 1}}, {}}, now);
+    placer.onWanted("s", "m/a", 1, {}, now);
+    cr_assert(placer.plan(now).orders.empty());
+    placer.onWanted("s", "m/a", 1, {"e1"}, now);
+    const auto orders = placer.plan(now).orders;
+    cr_assert_eq(orders.size(), 1U);
+    cr_assert_eq(orders.front().instance, std::string("e2"));
+}
+
 Test(AdapterPlacer, aHotAdapterGetsFurtherCopies)
 {
     PlacementHistory history({}, 1);
--- /dev/null
+++ b/tests/gateway/callforwardertest.cpp
@@ -0,0 +1,242 @@
+#include "gateway/callforwarder.h"
+
+#include "support/table.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+/// A dialect for tests: the path is the route, headers carry their plain names.
+struct PlainDialect {
+    static std::variant<CallerRequest, BadRequest> readRequest(const Http::Request &request)
+    {
+        CallerRequest decoded;
+        decoded.id = std::string(request.headers.get("Id"));
+        decoded.host = "h";
+        decoded.path = request.target;
+        decoded.timeout = std::chrono::seconds{5};
+        return decoded;
+    }
+
+    static Http::Request writeRequest(const Http::Request &request, const SendInstructions &instructions)
+    {
+        Http::Request sent{request.method,
+                           request.target,
+                           {{"Host", "h"}, {"Id", std::string(request.headers.get("Id"))}},
+                           request.body};
+        if (instructions.resumeAfter)
+            sent.headers.add("Resume", std::to_string(*instructions.resumeAfter));
+        return sent;
+    }
+
+    static UpstreamReply readReply(const Relay::ResponseHead &head)
+    {
+        UpstreamReply reply;
+        reply.status = head.status;
+        reply.requestId = std::string(head.headers.get("Id"));
+        reply.isSigned = head.headers.contains("Proof");
+        reply.notRun = head.headers.contains("Not-Run");
+        reply.headers = head.headers.contains("Proof") ? Http::Headers{{"Proof", "p"}} : Http::Headers{};
+        return reply;
+    }
+};
+
+using Exchange = std::shared_ptr<Relay::CallerExchange>;
+
+Http::Headers signedFor(const Exchange &exchange)
+{
+    return {{"Id", std::string(exchange->request().headers.get("Id"))}, {"Proof", "p"}};
+}
+
+void answer(const Exchange &exchange)
+{
+    exchange->respond({200, signedFor(exchange), "whole"});
+}
+
+void fail(const Exchange &exchange)
+{
+    exchange->respond({500, signedFor(exchange), "failed"});
+}
+
+void refuseUnstarted(const Exchange &exchange)
+{
+    exchange->respond({503, {{"Not-Run", "1"}}, ""});
+}
+
+void answerAnother(const Exchange &exchange)
+{
+    exchange->respond({200, {{"Id", "another"}, {"Proof", "p"}}, "another's"});
+}
+
+void cut(const Exchange &exchange)
+{
+    exchange->abort();
+}
+
+void streamAndCut(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    exchange->write("id: 1\ndata: a\n\nid: 2\nda");
+    exchange->abort();
+}
+
+/// Goes on after the event that the request names.
+void streamRest(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    if (exchange->request().headers.get("Resume").empty())
+        exchange->write("id: 1\ndata: a\n\n");
+    exchange->write("id: 2\ndata: b\n\n");
+    exchange->end();
+}
+
+/// A forwarder before two upstreams that act by the list of a case, on one loop on loopback.
+class Stage
+{
+public:
+    using Act = void (*)(const Exchange &);
+
+    explicit Stage(std::vector<Act> acts)
+        : m_acts(std::move(acts))
+        , m_logging(LogLevel::Error, LogFormat::Text, "n")
+        , m_log(m_logging)
+        , m_forwarder(m_loop, m_context, m_log, m_metrics)
+        , m_upstreams{makeUpstream(), makeUpstream()}
+        , m_entry(m_loop, {}, [this](const Exchange &exchange) { m_forwarder.accept(exchange); })
+        , m_client(m_loop)
+    {
+        TrafficPolicy policy;
+        policy.routes
+            = {route("/safe/", RequestKind::Idempotent, false), route("/once/", RequestKind::NonIdempotent, false),
+               route("/stream/", RequestKind::Streaming, true), route("/solo/", RequestKind::Streaming, false)};
+        policy.services = {{"s", 10, {}}};
+        m_context.routes = std::make_shared<RouteTable>(policy);
+        m_context.allowance = RetryAllowance({1, 100, std::chrono::seconds{10}, 1});
+        int number = 0;
+        for (auto &server : m_upstreams) {
+            UpstreamRecord record;
+            record.instance = "u" + std::to_string(number++);
+            record.service = "s";
+            record.slots = 4;
+            record.endpoint = {"127.0.0.1", server->listen({"127.0.0.1", 0}), false};
+            m_context.upstreams.onRecord(record, BootClock{}.now());
+        }
+        tick();
+    }
+
+    /// Sends a request to @p path and returns the answer's status; 0 if there was no whole answer.
+    unsigned ask(const std::string &path)
+    {
+        const Http::Endpoint entry{"127.0.0.1", m_entry.listen({"127.0.0.1", 0}), false};
+        Relay::ExchangeObserver observer;
+        observer.onHead = [this](const Relay::ResponseHead &head) { m_status = head.status; };
+        observer.onBody = [this](std::string_view piece) { body += piece; };
+        observer.onEnd = [this] { m_loop.stop(); };
+        observer.onFailure = [this](const Relay::FailedExchange &) {
+            m_status = 0;
+            m_loop.stop();
+        };
+        m_client.send({entry, {}}, {"POST", path, {{"Host", "h"}, {"Id", "r1"}}, "question"}, std::move(observer), {});
+        m_loop.run();
+        return m_status;
+    }
+
+    std::string body;
+    unsigned sends = 0;
+
+private:
+    static Route route(const char *prefix, RequestKind kind, bool canResume)
+    {
+        Route route;
+        route.host = "h";
+        route.prefix = prefix;
+        route.kind = kind;
+        route.canResume = canResume;
+        route.attempts = 2;
+        route.services = {{"s", 1}};
+        return route;
+    }
+
+    std::unique_ptr<Relay::CallerServer> makeUpstream()
+    {
+        return std::make_unique<Relay::CallerServer>(
+            m_loop, Relay::CallerServerSettings{}, [this](const Exchange &exchange) {
+                const auto act = m_acts[std::min<std::size_t>(sends++, m_acts.size() - 1)];
+                if (act)
+                    act(exchange);
+                else
+                    m_held.push_back(exchange);
+            });
+    }
+
+    void tick()
+    {
+        m_forwarder.sweep(BootClock{}.now());
+        m_client.sweep(BootClock{}.now());
+        if (++m_ticks == ticksUntilLateAnswer && !m_held.empty())
+            answer(m_held.back());
+        m_loop.runAfter(std::chrono::milliseconds{20}, [this] { tick(); });
+    }
+
+    static constexpr int ticksUntilLateAnswer = 60; ///< Far beyond the silence after which an upstream is left.
+
+    std::vector<Act> m_acts;
+    std::vector<Exchange> m_held;
+    int m_ticks = 0;
+    Logging m_logging;
+    GatewayLog m_log;
+    Metrics m_metrics;
+    Http::EventLoop m_loop;
+    CallContext m_context;
+    CallForwarder<PlainDialect> m_forwarder;
+    std::array<std::unique_ptr<Relay::CallerServer>, 2> m_upstreams;
+    Relay::CallerServer m_entry;
+    Relay::UpstreamClient m_client;
+    unsigned m_status = 0;
+};
+
+struct ForwardCase {
+    const char *path;
+    std::vector<Stage::Act> acts; ///< Of the upstreams, one a send; the last goes on. Null: silent, answers late.
+    unsigned status;
+    const char *body; ///< Null: not looked at.
+    unsigned sends;
+};
+
+const ForwardCase cases[] = {
+    {"/safe/1", {answer}, 200, "whole", 1},
+    {"/safe/1", {fail, answer}, 200, "whole", 2},
+    {"/safe/1", {fail, fail}, 500, "failed", 2}, // No more attempts: the upstream's own failure, unchanged.
+    {"/safe/1", {cut, answer}, 200, "whole", 2},
+    {"/safe/1", {answerAnother, answer}, 200, "whole", 2},
+    {"/safe/1", {nullptr, answer}, 200, "whole", 2},
+    {"/safe/1", {nullptr, nullptr}, 200, "whole", 2}, // The last attempt is not given up for its silence.
+    {"/once/1", {answer}, 200, "whole", 1},
+    {"/once/1", {cut, answer}, 502, nullptr, 1}, // It may have run: never sent again, and no promise.
+    {"/once/1", {answerAnother, answer}, 502, nullptr, 1},
+    {"/once/1", {fail, answer}, 500, "failed", 1},
+    {"/once/1", {refuseUnstarted, answer}, 200, "whole", 2},
+    {"/stream/1", {streamRest}, 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 1},
+    {"/stream/1", {streamAndCut, streamRest}, 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 2},
+    {"/stream/1", {streamAndCut, streamAndCut}, 0, nullptr, 2},
+    {"/solo/1", {streamAndCut, streamRest}, 0, "id: 1\ndata: a\n\n", 1}, // Cut for the caller too, after whole events.
+    {"/solo/1", {cut, streamRest}, 502, nullptr, 1},
+    {"/none/1", {answer}, 404, nullptr, 0},
+};
+
+} // namespace
+
+TABLE_TEST(CallForwarder, answersForTheOutcome, cases)
+{
+    Stage stage(row.acts);
+    cr_assert_eq(stage.ask(row.path), row.status);
+    if (row.body)
+        cr_assert_eq(stage.body, std::string(row.body), "%s", stage.body.c_str());
+    cr_assert_eq(stage.sends, row.sends);
+}
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -15,14 +15,14 @@
     message.takesCallers = true;
     message.hasLoads = true;
     message.loads["e1"] = {3, 1200};
-    message.used = {{"s", "m/a", 2}};
-    message.wanted = {{"s", "m/b", 1}};
+    message.used = {{"s", "m/a", 2, {}}};
+    message.wanted = {{"s", "m/b", 1, {"e1"}}};
     message.crashes = {{0xfedcba9876543210, "e1"}};
     message.placements = {{"e1", "m/a", 2, false, std::chrono::milliseconds{250}}, {"e2", "m/b", 0, true, {}}};
     return message;
 }
 
-const char *const malformed[] = {"", "[]", "{", "{}", R"({"from":{}})", R"({"from":{"node":"n"},"loads":7})"};
+const char *const malformed[] = {"", "[]", "{", "{}", R"({"from":{}})", R"({"from":{"node":7}})", R"({"from":"n"})"};
 
 } // namespace
 
@@ -34,6 +34,7 @@
     cr_assert_eq(read->loads.at("e1").inFlight, 3U);
     cr_assert_eq(read->used.front().target, std::string("m/a"));
     cr_assert_eq(read->wanted.front().target, std::string("m/b"));
+    cr_assert_eq(read->wanted.front().unfit.size(), 1U);
     cr_assert(read->crashes == example().crashes);
     cr_assert_eq(read->placements.size(), 2U);
     cr_assert_eq(read->placements[0].version, 2U);
--- a/tests/gateway/placementhistory.cpp
+++ b/tests/gateway/placementhistory.cpp
@@ -129,7 +129,7 @@
             return true;
         }
         if ((m_now - waiting.since).count() % 150000 == 0)
-            m_placer.onWanted("s", waiting.target, 1, m_now);
+            m_placer.onWanted("s", waiting.target, 1, {}, m_now);
         return false;
     });
 }
