Engines in two shards, each with a holder; a successor waits out its predecessor's whole lease; a cut watch is read anew

Cause: (1) the store may take a holder's key away while it cannot hear of it (platform_down with revoke): it orders to the end of its lease, and a successor that waited 2.8 s from then on could have ordered within 3 s of it. The wait is now the lease less its margin, plus the platform's 3 s; the lease is shorter (2.4 s, four renewals in flight). (2) With one holder every loss of it stops all loads for 7 s. What stands is now read after each cut.

--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -26,6 +26,7 @@
 constexpr double cachedPreference = 4; ///< Loads from an engine's own memory are fast and not priced.
 constexpr double newRegionPreference = 6; ///< A further copy spares its region's callers the way to another one.
 constexpr double leastRateOfFurtherCopy = 1; ///< Requests a second.
+constexpr double pressingNeed = 2; ///< Twice the rate that the copies are meant for.
 constexpr double leastRateOfWanted = 0.1; ///< Of an adapter that a request waits for.
 constexpr double outdatedNeed = 1000; ///< A hot adapter with a new version and no copy of it comes first.
 constexpr std::size_t maxDemand = 20000;
@@ -58,6 +59,11 @@
     std::erase_if(m_engines, [&](const auto &item) { return !present.contains(item.first); });
 }
 
+void AdapterPlacer::setSurroundings(PlacerSurroundings surroundings)
+{
+    m_surroundings = std::move(surroundings);
+}
+
 double AdapterPlacer::rateOf(const ModelTarget &target, Instant now) const
 {
     const auto it = m_demand.find(target);
@@ -149,8 +155,10 @@
 
 double AdapterPlacer::loadsAtFullSpeed() const
 {
-    return std::max<double>(m_settings.leastLoadsAtFullSpeed,
-                            m_settings.loadsAtFullSpeedPerEngine * static_cast<double>(m_engines.size()));
+    const auto engines = std::max(m_engines.size(), m_surroundings.engines);
+    const double all = std::max<double>(m_settings.leastLoadsAtFullSpeed,
+                                        m_settings.loadsAtFullSpeedPerEngine * static_cast<double>(engines));
+    return all * m_surroundings.shareOfStore;
 }
 
 void AdapterPlacer::overview(Instant now)
@@ -169,11 +177,16 @@
             if (!copy.leaving && copy.version >= newestVersion(target))
                 ++m_overview.copies[target];
         }
-        if (engine.open && engine.open->order.kind == OrderKind::Load && !serves(engine, engine.open->order.target))
+        if (engine.open && engine.open->order.kind == OrderKind::Load && !serves(engine, engine.open->order.target)) {
             ++m_overview.copies[engine.open->order.target];
+            ++m_overview.coming;
+        }
     }
-    for (auto &[service, load] : m_overview.meanLoads)
+    for (auto &[service, load] : m_overview.meanLoads) {
         load /= engines[service];
+        if (const auto all = m_surroundings.meanLoads.find(service); all != m_surroundings.meanLoads.end())
+            load = all->second;
+    }
 }
 
 bool AdapterPlacer::serves(const Engine &engine, const ModelTarget &target) const
@@ -196,7 +209,9 @@
         if (copy.leaving || copy.usableAt > now || now - std::max(copy.lastUsed, copy.usableAt) < idleTime)
             continue;
         const bool outdated = copy.version < newestVersion(target);
-        const double rate = outdated ? -1 : rateOf(target, now) / std::max(1U, copiesOf(target));
+        const auto foreign = m_surroundings.copies.find(target);
+        const auto copies = copiesOf(target) + (foreign == m_surroundings.copies.end() ? 0 : foreign->second.count);
+        const double rate = outdated ? -1 : rateOf(target, now) / std::max(1U, copies);
         if (!victim || rate < victim->rate)
             victim = Overview::Victim{target, rate};
     }
@@ -222,15 +237,17 @@
         m_news.push_back({engine.placed.instance, target, 0, true, {}});
     }
     engine.open = OpenOrder{order, false, now};
-    if (kind == OrderKind::Load)
+    if (kind == OrderKind::Load) {
         ++m_overview.copies[target];
+        ++m_overview.coming;
+    }
     actions.orders.push_back(order);
 }
 
 bool AdapterPlacer::place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions)
 {
     const std::string model(baseOf(target));
-    const double crowded = crowdedFactor * m_overview.meanLoads[service] + crowdedSlack;
+    const double crowded = crowdedFactor * meanLoad(service) + crowdedSlack;
     const double rate = std::max(rateOf(target, now), leastRateOfWanted);
     std::set<std::string> regions; // That have a copy already.
     for (const auto &[instance, engine] : m_engines) {
@@ -307,12 +324,17 @@
             continue;
         }
         // More at once would only make each of them slower; the most wanted ones go first.
-        if (static_cast<double>(m_overview.coming + actions.orders.size())
-            < m_settings.wantedLoads * loadsAtFullSpeed())
+        if (static_cast<double>(m_overview.coming) < m_settings.wantedLoads * loadsAtFullSpeed())
             place(demand.service, target, now, actions);
     }
 }
 
+double AdapterPlacer::meanLoad(const std::string &service) const
+{
+    const auto it = m_overview.meanLoads.find(service);
+    return it == m_overview.meanLoads.end() ? 0 : it->second;
+}
+
 double AdapterPlacer::needOfFurtherCopy(const ModelTarget &target, const Demand &demand, Instant now) const
 {
     if (demand.weight < leastRateOfFurtherCopy) // Decayed, it is less still.
@@ -332,12 +354,18 @@
         ++copies;
         lightest = std::min(lightest, isOrdered ? 0 : engine.placed.load);
     }
-    if (copies == 0)
-        return newestVersion(target) > 0 ? outdatedNeed + rate : 0; // Others are placed when they are wanted.
+    if (const auto foreign = m_surroundings.copies.find(target); foreign != m_surroundings.copies.end()) {
+        copies += foreign->second.count;
+        lightest = std::min(lightest, foreign->second.lightestLoad);
+    }
+    const bool isNext = !m_surroundings.isNext || m_surroundings.isNext(target, copies);
+    if (copies == 0) // Others are placed when they are wanted.
+        return newestVersion(target) > 0 && isNext ? outdatedNeed + rate : 0;
     double need = rate / (m_settings.requestsPerCopy * copies);
-    if (lightest > crowdedFactor * m_overview.meanLoads.at(demand.service) + crowdedSlack)
+    if (lightest > crowdedFactor * meanLoad(demand.service) + crowdedSlack)
         need = std::max(need, 1 + rate);
-    return need;
+    // Placers take turns, but for a pressing need, as the one whose turn it is may have no room.
+    return isNext || need >= pressingNeed ? need : 0;
 }
 
 void AdapterPlacer::placeFurtherCopies(Instant now, PlacerActions &actions)
@@ -351,8 +379,7 @@
     }
     std::ranges::sort(needy);
     for (const auto &[need, target] : needy) {
-        if (static_cast<double>(m_overview.coming + actions.orders.size())
-            >= m_settings.furtherLoads * loadsAtFullSpeed())
+        if (static_cast<double>(m_overview.coming) >= m_settings.furtherLoads * loadsAtFullSpeed())
             return;
         place(m_demand[target].service, target, now, actions);
     }
@@ -368,29 +395,34 @@
     }
 }
 
+bool AdapterPlacer::mayLoadFromStore(Engine &engine, const PlacedModel &model, Instant now)
+{
+    if (engine.emptySince == Instant{})
+        engine.emptySince = now;
+    if (m_weightLoads.size() >= m_settings.weightLoadsPerWindow)
+        return false;
+    // Loads from the store would only slow each other down: empty engines take turns, whoever orders them.
+    const auto &empty = m_surroundings.emptyEngines;
+    const auto turn = std::ranges::find(empty, engine.placed.instance) - empty.begin();
+    return now - engine.emptySince >= model.loadTime * turn;
+}
+
 void AdapterPlacer::placeModels(Instant now, PlacerActions &actions)
 {
     while (!m_weightLoads.empty() && now - m_weightLoads.front() > m_settings.weightLoadWindow)
         m_weightLoads.pop_front();
-    auto fromStore = static_cast<unsigned>(std::ranges::count_if(m_engines, [&](const auto &item) {
-        return item.second.busyUntil > now && item.second.placed.storedModels.empty();
-    }));
     for (auto &[instance, engine] : m_engines) {
         if (!canOrder(engine) || !engine.models.empty() || engine.busyUntil > now)
             continue;
-        for (const auto &model : m_models) {
-            if (model.service != engine.placed.service)
+        const auto model = std::ranges::find(m_models, engine.placed.service, &PlacedModel::service);
+        if (model == m_models.end())
+            continue;
+        if (!engine.placed.storedModels.contains(model->model)) {
+            if (!mayLoadFromStore(engine, *model, now))
                 continue;
-            if (!engine.placed.storedModels.contains(model.model)) {
-                if (fromStore >= m_settings.weightLoadsAtOnce
-                    || m_weightLoads.size() >= m_settings.weightLoadsPerWindow)
-                    break;
-                ++fromStore;
-                m_weightLoads.push_back(now);
-            }
-            order(engine, OrderKind::Load, model.model, now, actions);
-            break;
+            m_weightLoads.push_back(now);
         }
+        order(engine, OrderKind::Load, model->model, now, actions);
     }
 }
 
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -85,6 +86,22 @@
     Duration loadTime{};
 };
 
+/// What a placer needs to know of engines that other placers order.
+struct PlacerSurroundings {
+    struct Copies {
+        unsigned count = 0;
+        double lightestLoad = 0; ///< Of the engines that have one.
+    };
+
+    std::unordered_map<ModelTarget, Copies> copies; ///< Of the newest versions.
+    std::map<std::string, double> meanLoads; ///< Of engines by service, those of this placer included.
+    std::size_t engines = 0; ///< Those of this placer included.
+    std::vector<std::string> emptyEngines; ///< That need a base model from the weight store, in order, all placers'.
+    double shareOfStore = 1; ///< The part of the weight store that this placer may use.
+    /// Whether this placer is the one to load copy number @p copies + 1 of a target.
+    std::function<bool(const ModelTarget &target, unsigned copies)> isNext;
+};
+
 /// A change of what an engine holds, to be told to all nodes.
 struct PlacementNews {
     std::string instance;
@@ -108,13 +125,15 @@
     /// the platform's sheets. It is not told to nodes, so that it is taken from the number of engines.
     unsigned leastLoadsAtFullSpeed = 8;
     double loadsAtFullSpeedPerEngine = 0.4;
-    double wantedLoads = 1.25; ///< Of those; some are counted as on their way for a moment after they have ended.
-    double furtherLoads = 1.5; ///< Up to here further copies of hot adapters are loaded, somewhat slower.
+    /// Of those: some are counted as on their way for a moment after they have ended, and placers seldom have their
+    /// busiest moments together.
+    double wantedLoads = 1.75;
+    double furtherLoads = 2; ///< Up to here further copies of hot adapters are loaded, somewhat slower.
     unsigned loadsPerEngine = 4; ///< What an engine takes at once; the platform's sheet.
     unsigned spareSlots = 2; ///< Kept free on each engine, so that a miss needs no eviction first.
     double requestsPerCopy = 3; ///< A second; above this an adapter gets a further copy.
-    unsigned weightLoadsAtOnce = 1; ///< Base models from the weight store; more would only slow each other down.
-    unsigned weightLoadsPerWindow = 7; ///< Within the platform's bound also for two holders in a row.
+    /// Of one placer; within the platform's bound for all of them and a successor of one.
+    unsigned weightLoadsPerWindow = 3;
     Duration weightLoadWindow = std::chrono::seconds{5};
 };
 
@@ -132,6 +151,9 @@
     /// Replaces the list of engines and models. Engines that are not in it any more are forgotten.
     void setEngines(const std::vector<PlacedEngine> &engines, const std::vector<PlacedModel> &models);
 
+    /// Replaces what is known of the engines of other placers.
+    void setSurroundings(PlacerSurroundings surroundings);
+
     /// Requests wait for @p target of @p service, which no engine holds as far as their node knows, or none but those
     /// in
     /// @p unfit, which have failed them.
@@ -186,6 +208,7 @@
         bool inspecting = false;
         Instant inspectAt{};
         Instant busyUntil{}; ///< A base model is on its way.
+        Instant emptySince{}; ///< When it was found to need one from the weight store.
     };
 
     struct Demand {
@@ -226,10 +249,12 @@
     std::optional<Overview::Victim> victimOf(const Engine &engine, Duration idleTime, Instant now) const;
     void order(Engine &engine, OrderKind kind, const ModelTarget &target, Instant now, PlacerActions &actions);
     void inspect(Engine &engine, Instant now, PlacerActions &actions);
+    bool mayLoadFromStore(Engine &engine, const PlacedModel &model, Instant now);
     void placeModels(Instant now, PlacerActions &actions);
     /// Whether a copy of @p target serves those that wait for it, or is ordered; tells of it once more if it is there.
     bool helps(const ModelTarget &target, const Demand &demand);
     void placeWanted(Instant now, PlacerActions &actions);
+    double meanLoad(const std::string &service) const;
     double needOfFurtherCopy(const ModelTarget &target, const Demand &demand, Instant now) const;
     void placeFurtherCopies(Instant now, PlacerActions &actions);
     void freeSlots(Instant now, PlacerActions &actions);
@@ -243,6 +268,7 @@
     std::unordered_map<ModelTarget, Demand> m_demand;
     std::unordered_map<ModelTarget, std::uint64_t> m_declared;
     std::deque<Instant> m_weightLoads; ///< Begun within the window.
+    PlacerSurroundings m_surroundings;
     Overview m_overview; ///< Of the plan under way.
     std::vector<PlacementNews> m_news;
     std::uint64_t m_lastOrder = 0;
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -40,8 +40,9 @@
     std::unordered_map<ModelTarget, DeclaredVersion> declared;
     std::unordered_map<ModelTarget, TargetUse> uses;
     bool hasOrderHolder = false; ///< Some node answers for loads.
-    /// Asks the holder for a load; copies at the engines in @c unfit do not help.
-    std::function<void(const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit)>
+    /// Asks a holder for a load, the @p attempt th time; copies at the engines in @p unfit do not help.
+    std::function<void(const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit,
+                       unsigned attempt)>
         onWanted;
     /// Tells the other nodes of a prompt that was sent to an engine.
     std::function<void(const std::string &instance, double tokens)> onPromptSent;
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -122,6 +122,7 @@
         Instant waitingSince{};
         Instant waitUntil{};
         Instant wantedAt{};
+        unsigned wants = 0; ///< How often a holder was asked for a load.
         Instant notBefore{};
         // The send under way.
         std::string instance;
@@ -269,7 +270,7 @@
             return giveUp(call, ErrorCode::AdapterLoadFailed, "the adapter was not loaded in time");
         if (now - call->wantedAt >= wantRepeat) {
             call->wantedAt = now;
-            m_context.onWanted(call->service, call->request.target, call->excluded);
+            m_context.onWanted(call->service, call->request.target, call->excluded, call->wants++);
         }
     }
 
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -139,6 +139,8 @@
         object["from"] = addressToJson(message.from);
     else
         object["from"] = json::object{{"node", message.from.node}, {"started", message.from.startedAt}};
+    if (!message.ordering.empty())
+        object["ordering"] = json::value_from(message.ordering);
     if (message.hasLoads) {
         json::array loads;
         for (const auto &[instance, load] : message.loads)
@@ -153,6 +155,8 @@
     }
     if (!message.used.empty())
         object["used"] = demandsToJson(message.used);
+    if (message.shard != 0)
+        object["shard"] = message.shard;
     if (!message.wanted.empty())
         object["wanted"] = demandsToJson(message.wanted);
     if (!message.crashes.empty()) {
@@ -183,6 +187,12 @@
     if (message.from.node.empty())
         return std::nullopt;
     message.takesCallers = flagAt(object, "open");
+    if (const auto *ordering = arrayAt(object, "ordering")) {
+        for (const auto &shard : *ordering) {
+            if (shard.is_int64())
+                message.ordering.push_back(static_cast<unsigned>(shard.get_int64()));
+        }
+    }
     message.hasLoads = arrayAt(object, "loads") != nullptr;
     eachRow(object, "loads", [&](const json::array &row) {
         message.loads[textIn(row, 0)] = {numberIn<unsigned>(row, 1), numberIn<double>(row, 2)};
@@ -191,6 +201,7 @@
         message.prompts.push_back({textIn(row, 0), numberIn<double>(row, 1)});
     });
     message.used = demandsFrom(object, "used");
+    message.shard = numberAt<unsigned>(object, "shard");
     message.wanted = demandsFrom(object, "wanted");
     eachRow(object, "crashes", [&](const json::array &row) {
         message.crashes.push_back({numberIn<std::uint64_t>(row, 0), textIn(row, 1)});
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -54,10 +54,12 @@
 struct GatewayMessage {
     NodeAddress from; ///< Only node and startedAt, unless this is a digest.
     bool takesCallers = true; ///< False from the beginning of a graceful stop, and before the first configuration.
+    std::vector<unsigned> ordering; ///< Shards whose engines the sender orders at present.
     std::map<std::string, UpstreamLoad> loads; ///< By upstream instance.
     bool hasLoads = false; ///< Whether @c loads is to replace what was told before.
     std::vector<PromptNotice> prompts; ///< Sent just now.
     std::vector<TargetDemand> used; ///< Since the last message.
+    unsigned shard = 0; ///< Whose holder @c wanted is for.
     std::vector<TargetDemand> wanted; ///< Requests that wait for a load.
     std::vector<CrashReport> crashes;
     std::vector<PlacementNotice> placements; ///< From the holder only.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -8,6 +8,7 @@
 #include "gateway/registryfollower.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <memory>
 #include <set>
@@ -78,8 +79,6 @@
                     settings.callers, settings.peers,         wallMilliseconds()}
         , m_members(m_address)
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
-        , m_orders(m_loop, m_store, m_context, m_log, m_metrics, {settings.node, m_address.startedAt}, holderKey(),
-                   leaseSettings(settings))
         , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(exchange); })
         , m_readiness(m_loop, {}, [this](auto exchange) { answerReadiness(*exchange); })
         , m_entries(m_loop, {}, [this](auto exchange) { answerEntries(*exchange); })
@@ -94,10 +93,10 @@
         m_context.failureDomain = settings.failureDomain;
         m_context.regions = settings.regions;
         m_context.allowance = RetryAllowance(retryBound(settings));
-        m_context.onWanted
-            = [this](const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit) {
-                  want({service, target, 1, unfit});
-              };
+        m_context.onWanted = [this](const std::string &service, const ModelTarget &target,
+                                    const std::vector<std::string> &unfit, unsigned attempt) {
+            want({service, target, 1, unfit}, attempt);
+        };
         m_context.onPromptSent = [this](const std::string &instance, double tokens) {
             auto notice = message();
             notice.prompts.push_back({instance, tokens});
@@ -105,7 +104,12 @@
         };
         m_context.onMissing
             = [this](const std::string &instance, const ModelTarget &target) { tellMissing(instance, target); };
-        m_orders.onNews([this](const std::vector<PlacementNews> &news) { tellNews(news); });
+        for (unsigned shard = 0; shard < orderShards; ++shard) {
+            m_orders.push_back(std::make_unique<Orders>(m_loop, m_store, m_context, m_log, m_metrics,
+                                                        OrderHolder{settings.node, m_address.startedAt}, shard,
+                                                        holderKey(shard), leaseSettings(settings)));
+            m_orders.back()->onNews([this](const std::vector<PlacementNews> &news) { tellNews(news); });
+        }
     }
 
     /// Serves until a graceful stop has ended.
@@ -130,11 +134,19 @@
     }
 
 private:
+    using Orders = OrderPlane<typename Platform::Orders, typename Platform::Store>;
+
     static constexpr Duration tickInterval = std::chrono::milliseconds{50};
     static constexpr Duration lateLoop = std::chrono::milliseconds{150}; ///< A stalled loop or a frozen machine.
     static constexpr Duration digestInterval = std::chrono::milliseconds{300};
     /// In larger fleets digests come less often, so that what a node receives grows more slowly than the fleet.
     static constexpr Duration digestIntervalPerNode = std::chrono::milliseconds{10};
+    /// A vacant shard is taken by the node that ranks first for it; the next ones follow if it does not.
+    static constexpr Duration patiencePerRank = std::chrono::milliseconds{250};
+    static constexpr Duration leastPatience = std::chrono::milliseconds{50};
+    static constexpr Duration orderingHeard = std::chrono::milliseconds{1500};
+    static constexpr unsigned attemptsPerShard = 3; ///< Wants that a shard's holder gets before the next one does.
+    static constexpr Duration handoverSlack = std::chrono::milliseconds{300}; ///< For an order on its way.
     static constexpr Duration operatorPause = std::chrono::milliseconds{100};
     /// Heartbeats come many times a second; between two batches of them passes this part of the time that upstreams
     /// serve on after they said that they leave.
@@ -162,9 +174,14 @@
         return ownPrefix() + "nodes/";
     }
 
-    static std::string holderKey()
+    static std::string holderPrefix()
+    {
+        return ownPrefix() + "order-holder/";
+    }
+
+    static std::string holderKey(unsigned shard)
     {
-        return ownPrefix() + "order-holder";
+        return holderPrefix() + std::to_string(shard);
     }
 
     static std::int64_t wallMilliseconds()
@@ -182,8 +199,7 @@
     static OrderLeaseSettings leaseSettings(const GatewaySettings &settings)
     {
         OrderLeaseSettings lease;
-        // The predecessor ends its orders a margin before the store can end its lease.
-        lease.handoverWait = settings.orderHandover - lease.margin + std::chrono::milliseconds{300};
+        lease.handoverWait = lease.ttl - lease.margin + settings.orderHandover + handoverSlack;
         return lease;
     }
 
@@ -243,22 +259,24 @@
     {
         return {[this](const std::vector<KeyValue> &values) {
                     std::vector<NodeAddress> nodes;
-                    std::optional<std::string> holder;
-                    Revision revision = 0;
+                    std::vector<KeyValue> holders(orderShards);
                     for (const auto &value : values) {
-                        if (value.key == holderKey()) {
-                            holder = value.value;
-                            revision = value.modRevision;
+                        if (const auto shard = shardOfKey(value.key)) {
+                            holders[*shard] = value;
                         } else if (const auto address = decodeNodeAddress(value.value)) {
                             nodes.push_back(*address);
                         }
                     }
                     m_members.onSnapshot(nodes, BootClock{}.now());
-                    m_orders.onHolderRecord(holder, revision);
+                    for (unsigned shard = 0; shard < orderShards; ++shard) {
+                        const auto &holder = holders[shard];
+                        m_orders[shard]->onHolderRecord(holder.key.empty() ? std::nullopt : std::optional(holder.value),
+                                                        holder.modRevision);
+                    }
                 },
                 [this](const KeyChange &change) {
-                    if (change.key == holderKey())
-                        return m_orders.onHolderRecord(change.value, change.revision);
+                    if (const auto shard = shardOfKey(change.key))
+                        return m_orders[*shard]->onHolderRecord(change.value, change.revision);
                     if (!change.value)
                         return m_members.onUnlisted(change.key.substr(nodesPrefix().size()));
                     if (const auto address = decodeNodeAddress(*change.value))
@@ -268,6 +286,15 @@
                 {}};
     }
 
+    static std::optional<unsigned> shardOfKey(const std::string &key)
+    {
+        for (unsigned shard = 0; shard < orderShards; ++shard) {
+            if (key == holderKey(shard))
+                return shard;
+        }
+        return std::nullopt;
+    }
+
     static std::string instanceOf(const std::string &key)
     {
         return key.substr(std::string(Platform::upstreamPrefix()).size());
@@ -295,7 +322,8 @@
             if (declared->version <= known.version)
                 return;
             known = {declared->version, BootClock{}.now()};
-            m_orders.onVersionDeclared(declared->target, declared->version);
+            for (const auto &orders : m_orders)
+                orders->onVersionDeclared(declared->target, declared->version);
             m_log.note(GatewayEvent::VersionDeclared,
                        {{"target", declared->target}, {"version", std::to_string(declared->version)}});
         }
@@ -388,10 +416,8 @@
             m_log.note(GatewayEvent::LoopLate, {{"ms", std::to_string((now - m_lastTick).count() / 1000)}});
         m_lastTick = now;
         m_context.upstreams.sweep(now);
-        m_context.hasOrderHolder
-            = m_orders.isHolder() || (m_orders.holder() && m_members.isLive(m_orders.holder()->node, now));
         m_store.sweep(now);
-        m_orders.tick(now);
+        tickOrders(now);
         m_forwarder.sweep(now);
         m_callers.sweep(now);
         if (++m_ticks % 10 == 0) {
@@ -404,6 +430,55 @@
         m_loop.runAfter(tickInterval, [this] { tick(); });
     }
 
+    void tickOrders(Instant now)
+    {
+        m_shardSizes = shardSizes(now);
+        m_context.hasOrderHolder = std::ranges::any_of(m_shardSizes, [](unsigned size) { return size > 0; });
+        for (unsigned shard = 0; shard < orderShards; ++shard) {
+            auto &orders = *m_orders[shard];
+            const bool wasOrdering = orders.isOrdering();
+            orders.setShardSizes(m_shardSizes);
+            orders.setPatience(patiencePerRank * m_members.rankOfSelf(holderKey(shard), now) + leastPatience);
+            orders.tick(now);
+            if (orders.isOrdering() && !wasOrdering)
+                m_peers.send(message(), m_members.peers(now)); // It begins to order: others may ask it for loads.
+        }
+    }
+
+    /// Returns how many engines of each shard can be ordered at present.
+    ShardSizes shardSizes(Instant now) const
+    {
+        ShardSizes sizes{};
+        if (!m_context.routes)
+            return sizes;
+        for (const auto &[instance, upstream] : m_context.upstreams.all()) {
+            const auto *service = m_context.routes->service(upstream.record.service);
+            if (service && service->engine && !upstream.record.draining)
+                ++sizes[shardOf(instance)];
+        }
+        for (unsigned shard = 0; shard < orderShards; ++shard) {
+            if (!isOrdered(shard, now))
+                sizes[shard] = 0;
+        }
+        return sizes;
+    }
+
+    /// Whether some node orders the engines of @p shard at present.
+    bool isOrdered(unsigned shard, Instant now) const
+    {
+        const auto &ordering = m_ordering[shard];
+        return m_orders[shard]->isOrdering()
+               || (!ordering.node.empty() && now - ordering.heard < orderingHeard
+                   && m_members.isLive(ordering.node, now));
+    }
+
+    /// Returns the node that orders the engines of @p shard, if it is another one that is known.
+    const NodeAddress *otherHolder(unsigned shard) const
+    {
+        const auto &ordering = m_ordering[shard];
+        return m_orders[shard]->isOrdering() || ordering.node.empty() ? nullptr : m_members.find(ordering.node);
+    }
+
     /// Returns an empty message; the whole address goes with digests only.
     GatewayMessage message() const
     {
@@ -411,6 +486,10 @@
         message.from.node = m_address.node;
         message.from.startedAt = m_address.startedAt;
         message.takesCallers = isReady();
+        for (unsigned shard = 0; shard < orderShards; ++shard) {
+            if (m_orders[shard]->isOrdering())
+                message.ordering.push_back(shard);
+        }
         return message;
     }
 
@@ -428,7 +507,8 @@
         for (auto it = m_context.uses.begin(); it != m_context.uses.end();) {
             auto &[target, use] = *it;
             used.push_back({use.service, target, static_cast<double>(use.started), {}});
-            m_orders.onUsed(use.service, target, use.started);
+            for (const auto &orders : m_orders)
+                orders->onUsed(use.service, target, use.started);
             use.started = 0;
             it = use.inFlight == 0 ? m_context.uses.erase(it) : std::next(it);
         }
@@ -439,38 +519,47 @@
         m_loop.runAfter(std::max<Duration>(digestInterval, byFleet), [this] { this->digest(); });
     }
 
-    /// Tells the holder, which places adapters by it.
+    /// Tells the holders, which place adapters by it.
     void tellUse(const std::vector<TargetDemand> &used)
     {
-        const auto *holder = m_orders.holder() ? m_members.find(m_orders.holder()->node) : nullptr;
-        if (used.empty() || !holder || m_orders.isHolder())
+        std::vector<NodeAddress> holders;
+        for (unsigned shard = 0; shard < orderShards; ++shard) {
+            const auto *holder = otherHolder(shard);
+            if (holder && std::ranges::find(holders, *holder) == holders.end())
+                holders.push_back(*holder);
+        }
+        if (used.empty() || holders.empty())
             return;
         auto report = message();
         report.used = used;
-        m_peers.send(report, {*holder});
+        m_peers.send(report, holders);
     }
 
-    void want(const TargetDemand &wanted)
+    /// Asks the holder of the first shard that is to have the target; after some attempts in vain, that of the next
+    /// one.
+    void want(const TargetDemand &wanted, unsigned attempt)
     {
-        if (m_orders.isHolder()) {
-            m_loop.post([this, wanted] { m_orders.onWanted(wanted); });
+        const auto shards = shardOrder(wanted.target, m_shardSizes);
+        if (shards.empty())
             return;
-        }
-        if (!m_orders.holder())
-            return;
-        const auto *holder = m_members.find(m_orders.holder()->node);
-        if (!holder)
+        const auto shard = shards[attempt / attemptsPerShard % shards.size()];
+        if (m_orders[shard]->isOrdering()) {
+            m_loop.post([this, shard, wanted] { m_orders[shard]->onWanted(wanted); });
             return;
+        }
         auto request = message();
+        request.shard = shard;
         request.wanted.push_back(wanted);
-        m_peers.send(request, {*holder});
+        if (const auto *holder = otherHolder(shard))
+            m_peers.send(request, {*holder});
     }
 
     void tellMissing(const std::string &instance, const ModelTarget &target)
     {
-        m_orders.onMissing(instance, target);
-        const auto *holder = m_orders.holder() ? m_members.find(m_orders.holder()->node) : nullptr;
-        if (!holder || m_orders.isHolder())
+        const auto shard = shardOf(instance);
+        m_orders[shard]->onMissing(instance, target);
+        const auto *holder = otherHolder(shard);
+        if (!holder)
             return;
         auto notice = message();
         notice.missing.push_back({instance, target, 0, true, {}});
@@ -510,6 +599,10 @@
         const auto now = BootClock{}.now();
         m_members.onHeard(message, now);
         m_peerHeard = now;
+        for (const auto shard : message.ordering) {
+            if (shard < orderShards)
+                m_ordering[shard] = {message.from.node, now};
+        }
         if (message.hasLoads)
             m_context.upstreams.onPeerLoads(message.from.node, message.loads);
         for (const auto &prompt : message.prompts) {
@@ -518,12 +611,14 @@
         }
         for (const auto &crash : message.crashes)
             m_context.crashes.add(crash, now);
-        for (const auto &used : message.used)
-            m_orders.onUsed(used.service, used.target, used.requests);
+        for (const auto &used : message.used) {
+            for (const auto &orders : m_orders)
+                orders->onUsed(used.service, used.target, used.requests);
+        }
         for (const auto &wanted : message.wanted)
-            m_orders.onWanted(wanted);
+            m_orders[message.shard % orderShards]->onWanted(wanted);
         for (const auto &missing : message.missing)
-            m_orders.onMissing(missing.instance, missing.target);
+            m_orders[shardOf(missing.instance)]->onMissing(missing.instance, missing.target);
         if (!message.placements.empty())
             applyPlacements(message.placements);
     }
@@ -535,7 +630,8 @@
         m_stopping = true;
         m_stopAt = BootClock{}.now();
         m_log.note(GatewayEvent::Stopping, {{"active", std::to_string(m_callers.activeRequests())}});
-        m_orders.stop();
+        for (const auto &orders : m_orders)
+            orders->stop();
         m_callers.announceClose();
         m_peers.send(message(), m_members.peers(m_stopAt));
         if (m_lease != 0)
@@ -561,7 +657,7 @@
     MemberTable m_members;
     CallContext m_context;
     CallForwarder<typename Platform::Calls> m_forwarder;
-    OrderPlane<typename Platform::Orders, typename Platform::Store> m_orders;
+    std::vector<std::unique_ptr<Orders>> m_orders; ///< By shard.
     Relay::CallerServer m_callers;
     Relay::CallerServer m_readiness;
     Relay::CallerServer m_entries;
@@ -571,6 +667,13 @@
     RegistryFollower<typename Platform::Store> m_upstreamRecords;
     RegistryFollower<typename Platform::Store> m_ownRecords;
     StoreLease m_lease = 0;
+    struct Ordering {
+        std::string node;
+        Instant heard{};
+    };
+
+    std::array<Ordering, orderShards> m_ordering; ///< Which other nodes order engines, as they said last.
+    ShardSizes m_shardSizes{}; ///< Of those that are ordered at present.
     std::uint64_t m_ticks = 0;
     Instant m_lastTick{};
     Instant m_peerHeard{};
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -1,5 +1,7 @@
 #include "gateway/membertable.h"
 
+#include "routing/rendezvous.h"
+
 #include <algorithm>
 
 namespace Gypsumtally::Gateway
@@ -80,6 +82,15 @@
     return it != m_members.end() && isLive(it->second, now);
 }
 
+unsigned MemberTable::rankOfSelf(const std::string &key, Instant now) const
+{
+    const auto hash = XXH3_64bits(key.data(), key.size());
+    const double own = rendezvousScore(hash, m_self.node);
+    return static_cast<unsigned>(std::ranges::count_if(m_members, [&](const auto &item) {
+        return isLive(item.second, now) && rendezvousScore(hash, item.first) > own;
+    }));
+}
+
 std::vector<NodeAddress> MemberTable::peers(Instant now) const
 {
     std::vector<NodeAddress> peers;
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -40,6 +40,9 @@
     std::vector<Http::Endpoint> entryPoints(const std::string &region, const std::string &failureDomain,
                                             bool selfTakesCallers, Instant now) const;
 
+    /// Returns how many live nodes rank before this one for @p key in rendezvous hashing.
+    unsigned rankOfSelf(const std::string &key, Instant now) const;
+
     /// Whether @p node was heard lately.
     bool isLive(const std::string &node, Instant now) const;
 
--- a/src/gateway/orderlease.h
+++ b/src/gateway/orderlease.h
@@ -9,11 +9,12 @@
 {
 
 struct OrderLeaseSettings {
-    Duration ttl = std::chrono::seconds{4}; ///< Of the lease in the store.
+    Duration ttl = std::chrono::milliseconds{2400}; ///< Of the lease in the store.
     /// Orders end this long before the lease can: a freeze may lie between the check and the write.
-    Duration margin = std::chrono::milliseconds{500};
-    /// A new holder waits this long, so that nothing of its predecessor is under way.
-    Duration handoverWait = std::chrono::milliseconds{2800};
+    Duration margin = std::chrono::milliseconds{400};
+    /// A new holder waits this long. The store may take a key away long before its lease ends, and the holder need not
+    /// hear of it: it goes on until its lease would have ended, and orders of two holders must lie 3 s apart.
+    Duration handoverWait = std::chrono::milliseconds{5300};
 };
 
 /// Whether this node may order engines to load and unload. Exactly one node holds the lease; fencing tokens alone do
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -6,6 +6,7 @@
 #include "gateway/gatewaylog.h"
 #include "gateway/gatewaymessage.h"
 #include "gateway/orderlease.h"
+#include "gateway/ordershard.h"
 #include "gateway/registryfollower.h"
 #include "http/eventloop.h"
 #include "relay/upstreamclient.h"
@@ -15,6 +16,7 @@
 
 #include <functional>
 #include <map>
+#include <numeric>
 #include <optional>
 #include <string>
 #include <vector>
@@ -53,19 +55,33 @@
 {
 public:
     OrderPlane(Http::EventLoop &loop, Store &store, CallContext &context, GatewayLog &log, Metrics &metrics,
-               OrderHolder self, std::string holderKey, OrderLeaseSettings leaseSettings)
+               OrderHolder self, unsigned shard, std::string holderKey, OrderLeaseSettings leaseSettings)
         : m_loop(loop)
         , m_store(store)
         , m_context(context)
         , m_log(log)
         , m_metrics(metrics)
         , m_self(std::move(self))
+        , m_shard(shard)
         , m_key(std::move(holderKey))
         , m_lease(leaseSettings)
         , m_client(loop)
     {
     }
 
+    /// Sets how long this node leaves the lease to others once nobody has it: nodes differ, so that they do not all
+    /// ask.
+    void setPatience(Duration patience)
+    {
+        m_patience = patience;
+    }
+
+    /// Sets the sizes of the shards that are ordered at present; they take copies in turn.
+    void setShardSizes(const ShardSizes &sizes)
+    {
+        m_shardSizes = sizes;
+    }
+
     /// Called with what is to be told to all nodes.
     void onNews(std::function<void(const std::vector<PlacementNews> &)> task)
     {
@@ -76,6 +92,10 @@
     void onHolderRecord(const std::optional<std::string> &value, Revision revision)
     {
         m_holder.reset();
+        if (!m_recordKnown)
+            m_vacantSince = BootClock{}.now() + firstPatience;
+        else if (!value && m_recordRevision != 0)
+            m_vacantSince = BootClock{}.now();
         m_recordKnown = true;
         m_recordRevision = value ? revision : 0;
         if (!value)
@@ -100,6 +120,12 @@
         return m_holder;
     }
 
+    /// Whether this node gives orders at present.
+    bool isOrdering() const
+    {
+        return m_lease.mayOrder(BootClock{}.now());
+    }
+
     bool isHolder() const
     {
         return m_lease.isHeld(BootClock{}.now());
@@ -139,7 +165,7 @@
         if (m_held && !m_lease.isHeld(now))
             lose("it was not renewed in time");
         if (m_held) {
-            if (!m_renewing && now - m_renewSent >= m_lease.settings().ttl / 4)
+            if (now - m_renewSent >= m_lease.settings().ttl / 4)
                 renew(now);
             if (!m_lease.mayOrder(now))
                 cancelOrders();
@@ -161,6 +187,8 @@
     }
 
 private:
+    static constexpr Duration firstPatience
+        = std::chrono::milliseconds{900}; ///< Until a new node has heard the others.
     static constexpr Duration acquirePause = std::chrono::milliseconds{400};
     /// Ten round trips between regions. An engine gets no other order while an answer is awaited.
     static constexpr Duration orderTimeout = std::chrono::milliseconds{300};
@@ -171,7 +199,8 @@
     void acquire(Instant now)
     {
         const bool isOwn = m_holder && m_holder->node == m_self.node;
-        if (!m_recordKnown || m_acquiring || now - m_acquireSent < acquirePause || (m_holder && !isOwn))
+        if (!m_recordKnown || m_acquiring || now - m_acquireSent < acquirePause || (m_holder && !isOwn)
+            || (!isOwn && now - m_vacantSince < m_patience))
             return;
         m_acquiring = true;
         m_acquireSent = now;
@@ -208,16 +237,15 @@
         for (const auto &[target, declared] : m_context.declared)
             placer.onVersionDeclared(target, declared.version);
         m_placer = std::move(placer);
-        m_log.note(GatewayEvent::OrderLeaseTaken,
-                   {{"fence", std::to_string(fence)}, {"own_predecessor", isOwnPredecessor ? "yes" : "no"}});
+        m_log.note(GatewayEvent::OrderLeaseTaken, {{"shard", std::to_string(m_shard)},
+                                                   {"fence", std::to_string(fence)},
+                                                   {"own_predecessor", isOwnPredecessor ? "yes" : "no"}});
     }
 
     void renew(Instant now)
     {
-        m_renewing = true;
         m_renewSent = now;
         m_store.renewLease(m_leaseId, [this, now](std::optional<bool> renewed) {
-            m_renewing = false;
             if (!m_held)
                 return;
             if (renewed == true)
@@ -232,7 +260,7 @@
         m_held = false;
         m_lease.onLost();
         cancelOrders();
-        m_log.note(GatewayEvent::OrderLeaseLost, {{"reason", reason}});
+        m_log.note(GatewayEvent::OrderLeaseLost, {{"shard", std::to_string(m_shard)}, {"reason", reason}});
     }
 
     void cancelOrders()
@@ -255,17 +283,66 @@
             for (const auto &model : service.engine->models)
                 models.push_back({service.name, model.name, model.loadTime});
         }
+        PlacerSurroundings others;
+        const auto all = std::accumulate(m_shardSizes.begin(), m_shardSizes.end(), 0U);
+        others.shareOfStore = all == 0 ? 1 : static_cast<double>(m_shardSizes[m_shard]) / all;
+        others.isNext = [this](const ModelTarget &target, unsigned copies) { return isNext(target, copies); };
+        std::map<std::string, unsigned> count;
         for (const auto &[instance, upstream] : m_context.upstreams.all()) {
             const auto *service = m_context.routes->service(upstream.record.service);
             if (!service || !service->engine)
                 continue;
+            const auto load = static_cast<double>(upstream.total().inFlight);
+            const bool takesOrders = !upstream.record.draining;
+            if (takesOrders) {
+                others.meanLoads[service->name] += load;
+                ++count[service->name];
+                ++others.engines;
+            }
+            if (isEmpty(upstream, *service->engine))
+                others.emptyEngines.push_back(instance);
+            if (shardOf(instance) != m_shard) {
+                if (takesOrders)
+                    addCopies(upstream, load, others);
+                continue;
+            }
             const auto region = m_context.regions.find(upstream.record.failureDomain);
-            engines.push_back({instance, upstream.record.service,
+            engines.push_back({instance, service->name,
                                region == m_context.regions.end() ? upstream.record.failureDomain : region->second,
-                               upstream.record.startedAt, !upstream.record.draining, service->engine->adapterSlots,
-                               static_cast<double>(upstream.total().inFlight), upstream.record.storedModels});
+                               upstream.record.startedAt, takesOrders, service->engine->adapterSlots, load,
+                               upstream.record.storedModels});
         }
+        for (auto &[service, load] : others.meanLoads)
+            load /= count[service];
         m_placer.setEngines(engines, models);
+        m_placer.setSurroundings(std::move(others));
+    }
+
+    /// Whether the engine waits for a base model that only the weight store has.
+    static bool isEmpty(const Upstream &upstream, const EngineProfile &profile)
+    {
+        return !upstream.record.draining && std::ranges::none_of(profile.models, [&](const BaseModel &model) {
+            return upstream.residency.find(model.name) || upstream.record.storedModels.contains(model.name);
+        });
+    }
+
+    void addCopies(const Upstream &upstream, double load, PlacerSurroundings &others) const
+    {
+        upstream.residency.eachCopy([&](const ModelTarget &target, const ResidentCopy &copy) {
+            const auto declared = m_context.declared.find(target);
+            if (declared != m_context.declared.end() && copy.version < declared->second.version)
+                return;
+            auto &copies = others.copies[target];
+            copies.lightestLoad = copies.count == 0 ? load : std::min(copies.lightestLoad, load);
+            ++copies.count;
+        });
+    }
+
+    /// Whether this shard is the one to take copy number @p copies + 1 of @p target.
+    bool isNext(const ModelTarget &target, unsigned copies) const
+    {
+        const auto order = shardOrder(target, m_shardSizes);
+        return !order.empty() && order[copies % order.size()] == m_shard;
     }
 
     /// Plans once for all that comes within a few milliseconds.
@@ -375,6 +452,7 @@
     GatewayLog &m_log;
     Metrics &m_metrics;
     OrderHolder m_self;
+    unsigned m_shard;
     std::string m_key;
     OrderLease m_lease;
     AdapterPlacer m_placer;
@@ -382,13 +460,15 @@
     std::function<void(const std::vector<PlacementNews> &)> m_onNews;
     std::map<Relay::UpstreamClient::Token, EngineOrder> m_open;
     std::optional<OrderHolder> m_holder;
+    Duration m_patience{};
+    Instant m_vacantSince{};
+    ShardSizes m_shardSizes{};
     Revision m_recordRevision = 0;
     bool m_recordKnown = false;
     StoreLease m_leaseId = 0;
     Instant m_acquireSent{};
     Instant m_renewSent{};
     bool m_acquiring = false;
-    bool m_renewing = false;
     bool m_held = false;
     bool m_planning = false;
     bool m_stopping = false;
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -84,8 +84,11 @@
     /// Asks anew at once: the connection that waits may be dead, as others to the service are.
     void renew()
     {
-        if (m_waiting)
-            follow();
+        if (!m_waiting)
+            return;
+        ++m_generation;
+        m_waiting = false;
+        read();
     }
 
 private:
@@ -116,10 +119,10 @@
             if (result.historyLost)
                 return m_loop.runAfter(m_pace.pause, [this] { read(); });
             if (!result.answered) {
-                // A wait that was merely cut succeeds when it is made again at once.
+                // Changes made while a wait was cut may never be told: what stands now is read anew.
                 const bool wasReachable = m_reachable;
                 setReachable(false);
-                return m_loop.runAfter(wasReachable ? Duration{} : retryPause, [this] { follow(); });
+                return m_loop.runAfter(wasReachable ? Duration{} : retryPause, [this] { read(); });
             }
             setReachable(true);
             m_revision = result.revision;
--- a/src/gateway/residency.h
+++ b/src/gateway/residency.h
@@ -56,6 +56,14 @@
     /// Returns the copy of @p target, or null.
     const ResidentCopy *find(const ModelTarget &target) const;
 
+    /// Calls @p take with each target and its copy.
+    template<typename Take>
+    void eachCopy(Take &&take) const
+    {
+        for (const auto &[target, copy] : m_copies)
+            take(target, static_cast<const ResidentCopy &>(copy));
+    }
+
     std::size_t size() const
     {
         return m_copies.size();
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -13,6 +13,7 @@
     GatewayMessage message;
     message.from = {"n1", "d1", "r1", {"10.0.0.1", 80, false}, {"10.0.0.1", 90, false}, 1234567890123};
     message.takesCallers = true;
+    message.ordering = {0, 3};
     message.hasLoads = true;
     message.loads["e1"] = {3, 1200};
     message.used = {{"s", "m/a", 2, {}}};
@@ -31,6 +32,7 @@
     const auto read = decodeGatewayMessage(encode(example()));
     cr_assert(read.has_value());
     cr_assert(read->from == example().from);
+    cr_assert(read->ordering == example().ordering);
     cr_assert_eq(read->loads.at("e1").inFlight, 3U);
     cr_assert_eq(read->used.front().target, std::string("m/a"));
     cr_assert_eq(read->wanted.front().target, std::string("m/b"));
