--- a/tests/gateway/adapterplacertest.cpp
+++ b/tests/gateway/adapterplacertest.cpp
@@ -94,3 +94,38 @@
     history.run(std::chrono::seconds{2});
     cr_assert(history.copiesOfHot(2) >= 1);
 }
+
+// Seen on a standard day: all engines of a shard were leaving, and the placer's process ended by itself.
+Test(AdapterPlacer, aPlacerWithoutEnginesPlacesNothing)
+{
+    AdapterPlacer placer;
+    const Instant now{std::chrono::seconds{100}};
+    placer.setEngines({{"e1", "s", "r", 1, false, 8, 0, {}}}, {});
+    placer.onUsed("s", "m/a", 50, now);
+    placer.onWanted("s", "m/a", 1, {}, now);
+    PlacerSurroundings others;
+    others.copies["m/a"] = {1, 90};
+    placer.setSurroundings(others);
+    cr_assert(placer.plan(now).orders.empty());
+}
+
+// Seen on a standard day: a plan looked up the copies of every adapter on every engine for each adapter wanted, and the
+// node that orders stood still for seconds. Counts work, not time: a plan may not order more than loads go at full
+// speed.
+Test(AdapterPlacer, thousandsOfWantsAreOrderedAFewAtATime)
+{
+    AdapterPlacer placer;
+    const Instant now{std::chrono::seconds{100}};
+    std::vector<PlacedEngine> engines;
+    engines.reserve(18);
+    for (int i = 0; i < 18; ++i)
+        engines.push_back({"e" + std::to_string(i), "s", "r", 1, true, 18, 0, {}});
+    placer.setEngines(engines, {});
+    placer.plan(now);
+    for (const auto &engine : engines)
+        placer.onReport(engine.instance, EngineReport{1, false, {{"m", 1}}, {}}, now);
+    for (int i = 0; i < 3000; ++i)
+        placer.onWanted("s", "m/a" + std::to_string(i), 1, {}, now);
+    const auto orders = placer.plan(now).orders.size();
+    cr_assert(orders > 0 && orders <= 18, "%zu", orders);
+}
--- /dev/null
+++ b/tests/gateway/registryfollowertest.cpp
@@ -0,0 +1,145 @@
+#include "gateway/registryfollower.h"
+
+#include "support/table.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+/// A store whose replies the test gives one by one.
+struct ScriptedStore {
+    using OnReply = std::function<void(KeyReply)>;
+    using OnWatch = std::function<void(WatchResult)>;
+
+    void transact(const KeyTransaction &, StoreLease, const OnReply &)
+    {
+    }
+
+    void readPrefix(const std::string &, OnReply onReply)
+    {
+        ++reads;
+        read = std::move(onReply);
+    }
+
+    void watch(const std::string &, Revision after, Duration, OnWatch onResult)
+    {
+        ++watches;
+        lastAfter = after;
+        watching = std::move(onResult);
+    }
+
+    void grantLease(Duration, const std::function<void(std::optional<StoreLease>)> &)
+    {
+    }
+
+    void renewLease(StoreLease, const std::function<void(std::optional<bool>)> &)
+    {
+    }
+
+    void endLease(StoreLease)
+    {
+    }
+
+    unsigned reads = 0;
+    unsigned watches = 0;
+    Revision lastAfter = 0;
+    OnReply read;
+    OnWatch watching;
+};
+
+/// A follower on a loop that runs only when the test lets it.
+struct Followed {
+    Followed()
+        : follower(loop, store, "p/", {std::chrono::milliseconds{1}, std::chrono::seconds{1}},
+                   {[this](const std::vector<KeyValue> &values) { snapshots.push_back(values.size()); },
+                    [this](const KeyChange &change) { changes.push_back(change.key); },
+                    {},
+                    [this](bool reachable) { reachability.push_back(reachable); }})
+    {
+        follower.start();
+    }
+
+    /// Runs what is due within some milliseconds.
+    void settle()
+    {
+        loop.runAfter(std::chrono::milliseconds{10}, [this] { loop.stop(); });
+        loop.context().restart();
+        loop.run();
+    }
+
+    void answerRead(Revision revision, std::vector<KeyValue> values)
+    {
+        store.read({KeyOutcome::Applied, revision, std::move(values)});
+        settle();
+    }
+
+    void answerWatch(const WatchResult &result)
+    {
+        store.watching(result);
+        settle();
+    }
+
+    Http::EventLoop loop;
+    ScriptedStore store;
+    std::vector<std::size_t> snapshots;
+    std::vector<std::string> changes;
+    std::vector<bool> reachability;
+    RegistryFollower<ScriptedStore> follower;
+};
+
+struct BreakCase {
+    WatchResult result;
+    bool lost; ///< The registry counts as unreachable until it answers again.
+};
+
+const BreakCase breaks[] = {
+    {{false, false, {}, 0}, true}, // Cut, or no answer in time.
+    {{false, true, {}, 0}, false}, // The history is gone.
+};
+
+} // namespace
+
+Test(RegistryFollower, goesOnFromTheRevisionOfEachAnswer)
+{
+    Followed followed;
+    followed.answerRead(5, {{"p/a", "1", 3}});
+    cr_assert_eq(followed.store.lastAfter, 5);
+    followed.answerWatch({true, false, {{"p/b", "2", 8}}, 8});
+    cr_assert_eq(followed.store.lastAfter, 8);
+    cr_assert_eq(followed.changes.size(), 1U);
+    cr_assert_eq(followed.store.reads, 1U);
+}
+
+// Seen on two standard days: a watch that was cut while the store dropped its history was made again, and was never
+// told of the configuration that had come in between.
+TABLE_TEST(RegistryFollower, readsAnewAfterABrokenWatch, breaks)
+{
+    Followed followed;
+    followed.answerRead(5, {});
+    followed.answerWatch(row.result);
+    cr_assert_eq(followed.store.reads, 2U);
+    cr_assert_eq(followed.reachability.back(), !row.lost);
+    followed.answerRead(9, {{"p/a", "1", 7}});
+    cr_assert_eq(followed.snapshots.back(), 1U);
+    cr_assert_eq(followed.store.lastAfter, 9);
+    cr_assert(followed.reachability.back());
+}
+
+Test(RegistryFollower, renewingIgnoresTheOldWait)
+{
+    Followed followed;
+    followed.answerRead(5, {});
+    const auto old = followed.store.watching;
+    followed.follower.renew();
+    followed.answerRead(6, {});
+    old({true, false, {{"p/x", "1", 6}}, 6});
+    followed.settle();
+    cr_assert(followed.changes.empty());
+    cr_assert_eq(followed.store.watches, 2U);
+}
