--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -312,7 +312,7 @@
             continue;
         found = true;
         const auto &copy = engine.copies.at(target);
-        m_news.push_back({instance, target, copy.version, false, copy.usableAt});
+        m_answers.push_back({instance, target, copy.version, false, copy.usableAt});
     }
     return found;
 }
@@ -455,6 +455,7 @@
     if (m_demand.size() > maxDemand)
         std::erase_if(m_demand, [&](const auto &item) { return rateOf(item.first, now) < forgottenWeight; });
     actions.news = std::exchange(m_news, {});
+    actions.answers = std::exchange(m_answers, {});
     return actions;
 }
 
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -122,6 +122,7 @@
     std::vector<EngineOrder> orders;
     std::vector<std::string> inspections; ///< Engines to ask for a report.
     std::vector<PlacementNews> news;
+    std::vector<PlacementNews> answers; ///< Copies of what was wanted, for those who did not know of them.
 };
 
 struct PlacerSettings {
@@ -272,6 +273,7 @@
     PlacerSurroundings m_surroundings;
     Overview m_overview; ///< Of the plan under way.
     std::vector<PlacementNews> m_news;
+    std::vector<PlacementNews> m_answers;
     std::uint64_t m_lastOrder = 0;
 };
 
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -124,8 +124,8 @@
         Relay::UpstreamClient::Token token = 0;
         Instant sentAt{};
         Instant heard{};
-        UpstreamLoad loadAtSend; ///< Of the upstream, by all nodes as far as they have told.
-        double prefill = 0; ///< Counted in the upstream's load until the first event.
+        unsigned inFlightAtSend = 0; ///< At the upstream, by all nodes as far as they have told.
+        bool promptRead = false; ///< An event has come.
         UpstreamReply reply;
         std::string body;
         std::unique_ptr<EventSplitter> events;
@@ -314,16 +314,15 @@
         }
         if (call->lastEvent)
             instructions.resumeAfter = call->lastEvent;
-        call->prefill = call->request.promptTokens;
-        call->loadAtSend = upstream->total();
-        if (call->prefill > 0) {
-            upstream->prompts.add(call->prefill, now);
-            m_context.onPromptSent(call->instance, call->prefill);
+        call->promptRead = false;
+        call->inFlightAtSend = upstream->inFlight();
+        if (const auto tokens = call->request.promptTokens; tokens > 0) {
+            upstream->prompts.add(tokens, now);
+            m_context.onPromptSent(call->instance, tokens);
         }
-        if (upstream->own.inFlight == 0)
+        if (upstream->ownInFlight == 0)
             upstream->waitingSince = now;
-        ++upstream->own.inFlight;
-        upstream->own.prefillTokens += call->prefill;
+        ++upstream->ownInFlight;
         Relay::SendOptions options;
         options.connectTimeout = std::chrono::milliseconds{call->request.target.empty() ? 150 : 300};
         if (!call->route.mayRepeat())
@@ -351,17 +350,8 @@
     void release(const CallPtr &call)
     {
         call->token = 0;
-        if (auto *upstream = m_context.upstreams.find(call->instance); upstream && upstream->own.inFlight > 0)
-            --upstream->own.inFlight;
-        releasePrompt(call);
-    }
-
-    /// The prompt was read, or will not be.
-    void releasePrompt(const CallPtr &call)
-    {
-        if (auto *upstream = m_context.upstreams.find(call->instance))
-            upstream->own.prefillTokens = std::max(0.0, upstream->own.prefillTokens - call->prefill);
-        call->prefill = 0;
+        if (auto *upstream = m_context.upstreams.find(call->instance); upstream && upstream->ownInFlight > 0)
+            --upstream->ownInFlight;
     }
 
     /// Sends nothing to the upstream for a while, and nothing on its kept connections.
@@ -420,8 +410,7 @@
         const auto events = call->events->feed(piece);
         if (events.empty())
             return;
-        if (call->prefill > 0) {
-            releasePrompt(call);
+        if (!std::exchange(call->promptRead, true)) {
             if (!call->answering) {
                 call->firstEvent = now - call->arrival;
                 m_metrics.observe(Metric::FirstTokenSeconds, labelsOf(*call), call->firstEvent, now);
@@ -571,8 +560,7 @@
                       {"longest_pause_ms", ms(call.longestPause)},
                       {"total_ms", ms(BootClock{}.now() - call.arrival)},
                       {"sends", std::to_string(call.sends)},
-                      {"in_flight", std::to_string(call.loadAtSend.inFlight)},
-                      {"prefill", std::to_string(static_cast<long>(call.loadAtSend.prefillTokens))},
+                      {"in_flight", std::to_string(call.inFlightAtSend)},
                       {"prompt", std::to_string(static_cast<long>(call.request.promptTokens))}});
     }
 
--- /dev/null
+++ b/src/gateway/dissemination.cpp
@@ -0,0 +1,138 @@
+#include "gateway/dissemination.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+template<typename Item>
+void append(std::vector<Item> &to, std::vector<Item> &&from)
+{
+    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+}
+
+/// Makes one report of two of the same process.
+void merge(NodeReport &into, NodeReport &&from)
+{
+    append(into.prompts, std::move(from.prompts));
+    append(into.crashes, std::move(from.crashes));
+    append(into.placements, std::move(from.placements));
+    if (from.sequence < into.sequence)
+        return;
+    into.sequence = from.sequence;
+    into.takesCallers = from.takesCallers;
+    into.ordering = std::move(from.ordering);
+    if (from.from.callers.port != 0)
+        into.from = std::move(from.from);
+    if (from.hasInFlight) {
+        into.hasInFlight = true;
+        into.inFlight = std::move(from.inFlight);
+    }
+}
+
+void addTo(std::vector<NodeReport> &reports, NodeReport &&report)
+{
+    const auto same = std::ranges::find_if(reports, [&](const NodeReport &each) {
+        return each.from.node == report.from.node && each.from.startedAt == report.from.startedAt;
+    });
+    if (same == reports.end())
+        reports.push_back(std::move(report));
+    else
+        merge(*same, std::move(report));
+}
+
+} // namespace
+
+Dissemination::Dissemination(DisseminationSettings settings)
+    : m_settings(settings)
+{
+}
+
+void Dissemination::add(NodeReport report)
+{
+    addTo(m_own, std::move(report));
+}
+
+void Dissemination::onMessage(const GatewayMessage &message)
+{
+    if (message.onward == Onward::Nobody)
+        return;
+    auto &reports = message.onward == Onward::Everywhere ? m_forEverywhere : m_forOwnDomain;
+    for (auto report : message.reports)
+        addTo(reports, std::move(report));
+}
+
+bool Dissemination::isEmpty() const
+{
+    return m_own.empty() && m_forEverywhere.empty() && m_forOwnDomain.empty();
+}
+
+bool Dissemination::isDirect(const MemberTable &members, Instant now) const
+{
+    return members.peers(now).size() <= m_settings.directPeers;
+}
+
+Duration Dissemination::pause(const MemberTable &members, Instant now) const
+{
+    if (isDirect(members, now))
+        return {};
+    return m_settings.pause + m_settings.pausePerNode * members.peersIn(members.self().failureDomain, now).size();
+}
+
+void Dissemination::send(std::vector<NodeReport> reports, Onward onward, std::vector<NodeAddress> targets,
+                         const MemberTable &members, std::vector<Parcel> &parcels) const
+{
+    if (targets.empty())
+        return;
+    for (std::size_t first = 0; first < reports.size(); first += m_settings.reportsPerMessage) {
+        const auto last = std::min(reports.size(), first + m_settings.reportsPerMessage);
+        Parcel parcel{{}, targets};
+        parcel.message.sender = members.self().node;
+        parcel.message.onward = onward;
+        parcel.message.reports.assign(reports.begin() + static_cast<std::ptrdiff_t>(first),
+                                      reports.begin() + static_cast<std::ptrdiff_t>(last));
+        parcels.push_back(std::move(parcel));
+    }
+}
+
+std::vector<Dissemination::Parcel> Dissemination::flush(const MemberTable &members, Instant now)
+{
+    std::vector<Parcel> parcels;
+    const auto &self = members.self();
+    auto own = std::exchange(m_own, {});
+    auto everywhere = std::exchange(m_forEverywhere, {});
+    auto ownDomain = std::exchange(m_forOwnDomain, {});
+    if (isDirect(members, now)) {
+        send(std::move(own), Onward::Nobody, members.peers(now), members, parcels);
+    } else {
+        const auto relays = members.relaysOf(self.failureDomain, m_settings.relaysPerDomain, now);
+        const bool isRelay = std::ranges::find(relays, self) != relays.end();
+        if (isRelay) {
+            for (auto &report : own)
+                addTo(everywhere, std::move(report));
+        } else if (!own.empty()) {
+            send(std::move(own), Onward::Everywhere, {relays[m_turn++ % relays.size()]}, members, parcels);
+        }
+    }
+    if (!everywhere.empty()) {
+        std::vector<NodeAddress> elsewhere;
+        for (const auto &domain : members.failureDomains(now)) {
+            const auto relays = members.relaysOf(domain, m_settings.relaysPerDomain, now);
+            if (domain != self.failureDomain && !relays.empty())
+                elsewhere.push_back(relays[m_turn % relays.size()]);
+        }
+        ++m_turn;
+        send(everywhere, Onward::OwnDomain, elsewhere, members, parcels);
+        for (auto &report : everywhere)
+            addTo(ownDomain, std::move(report));
+    }
+    send(std::move(ownDomain), Onward::Nobody, members.peersIn(self.failureDomain, now), members, parcels);
+    return parcels;
+}
+
+} // namespace Gypsumtally::Gateway
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -30,7 +30,7 @@
 
 bool isSilent(const Upstream &upstream, Instant now)
 {
-    return upstream.own.inFlight > 0 && upstream.waitingSince != Instant{} && now - upstream.waitingSince > silentAfter;
+    return upstream.ownInFlight > 0 && upstream.waitingSince != Instant{} && now - upstream.waitingSince > silentAfter;
 }
 
 double decayedOutcomes(const Upstream &upstream, Instant now)
@@ -59,20 +59,21 @@
     return demand.target.empty() ? speed.plainCrossRegionMs : speed.crossRegionMs;
 }
 
-double scoreOf(const Upstream &upstream, const UpstreamLoad &load, const UpstreamDemand &demand, Instant now,
+double scoreOf(const Upstream &upstream, const UpstreamDemand &demand, Instant now,
                const EngineSpeed &speed)
 {
     const double slots = std::max(1U, upstream.record.slots);
+    const double inFlight = upstream.inFlight();
     const double distance = distanceMs(upstream, demand, speed);
     if (demand.target.empty())
-        return distance + speed.plainServiceMs * std::floor(load.inFlight / slots) + load.inFlight / slots
+        return distance + speed.plainServiceMs * std::floor(inFlight / slots) + inFlight / slots
                + penaltyMs(upstream, now);
     const double slowdown = std::max(1.0, upstream.pauseMs / ordinaryPauseMs);
-    const double queued = std::max(0.0, load.inFlight + 1 - slots);
+    const double queued = std::max(0.0, inFlight + 1 - slots);
     return distance + penaltyMs(upstream, now)
            + slowdown
                  * (upstream.prompts.sum(promptSpan, now) / speed.prefillTokensPerMs
-                    + load.inFlight * speed.msPerRunningRequest + queued * speed.msPerQueuedRequest);
+                    + inFlight * speed.msPerRunningRequest + queued * speed.msPerQueuedRequest);
 }
 
 } // namespace
@@ -107,14 +108,13 @@
             choice.version = copy->version;
             choice.usableAt = copy->usableAt;
         }
-        const auto load = upstream.total();
         choice.sendAt = choice.usableAt;
         if (!demand.target.empty() && demand.pace.tokens > 0)
             choice.sendAt = std::max(choice.usableAt, upstream.prompts.roomAt(demand.promptTokens, demand.pace.tokens,
                                                                               demand.pace.span, now));
-        if (!demand.target.empty() && load.inFlight >= upstream.record.slots)
+        if (!demand.target.empty() && upstream.inFlight() >= upstream.record.slots)
             choice.sendAt = std::max(choice.sendAt, now + fullPause);
-        choice.score = scoreOf(upstream, load, demand, now, speed) + std::max(0.0, msOf(choice.sendAt - now));
+        choice.score = scoreOf(upstream, demand, now, speed) + std::max(0.0, msOf(choice.sendAt - now));
         if (!best || choice.score < best->score)
             best = choice;
     }
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -19,7 +19,8 @@
             {"region", address.region},
             {"callers", Http::toString(address.callers)},
             {"peers", Http::toString(address.peers)},
-            {"started", address.startedAt}};
+            {"started", address.startedAt},
+            {"capacity", address.capacity}};
 }
 
 NodeAddress addressFrom(const json::object &object)
@@ -29,7 +30,8 @@
                         textAt(object, "region"),
                         Http::parseEndpoint(textAt(object, "callers")),
                         Http::parseEndpoint(textAt(object, "peers")),
-                        numberAt<std::int64_t>(object, "started")};
+                        numberAt<std::int64_t>(object, "started"),
+                        numberAt<double>(object, "capacity")};
     return address;
 }
 
@@ -115,6 +117,68 @@
     return demands;
 }
 
+json::object reportToJson(const NodeReport &report)
+{
+    json::object object{{"sequence", report.sequence}, {"open", report.takesCallers}};
+    if (report.from.callers.port != 0)
+        object["from"] = addressToJson(report.from);
+    else
+        object["from"] = json::object{{"node", report.from.node}, {"started", report.from.startedAt}};
+    if (!report.ordering.empty())
+        object["ordering"] = json::value_from(report.ordering);
+    if (report.hasInFlight) {
+        json::array rows;
+        for (const auto &[instance, requests] : report.inFlight)
+            rows.push_back({instance, requests});
+        object["in_flight"] = std::move(rows);
+    }
+    if (!report.prompts.empty()) {
+        json::array prompts;
+        for (const auto &prompt : report.prompts)
+            prompts.push_back({prompt.instance, static_cast<std::int64_t>(prompt.tokens)});
+        object["prompts"] = std::move(prompts);
+    }
+    if (!report.crashes.empty()) {
+        json::array crashes;
+        for (const auto &crash : report.crashes)
+            crashes.push_back({crash.fingerprint, crash.instance});
+        object["crashes"] = std::move(crashes);
+    }
+    if (!report.placements.empty())
+        object["placements"] = noticesToJson(report.placements);
+    return object;
+}
+
+std::optional<NodeReport> reportFrom(const json::object &object)
+{
+    const auto *from = object.if_contains("from");
+    if (!from || !from->is_object())
+        return std::nullopt;
+    NodeReport report;
+    report.from = addressFrom(from->get_object());
+    if (report.from.node.empty())
+        return std::nullopt;
+    report.sequence = numberAt<std::uint64_t>(object, "sequence");
+    report.takesCallers = flagAt(object, "open");
+    if (const auto *ordering = arrayAt(object, "ordering")) {
+        for (const auto &shard : *ordering) {
+            if (shard.is_int64())
+                report.ordering.push_back(static_cast<unsigned>(shard.get_int64()));
+        }
+    }
+    report.hasInFlight = arrayAt(object, "in_flight") != nullptr;
+    eachRow(object, "in_flight",
+            [&](const json::array &row) { report.inFlight[textIn(row, 0)] = numberIn<unsigned>(row, 1); });
+    eachRow(object, "prompts", [&](const json::array &row) {
+        report.prompts.push_back({textIn(row, 0), numberIn<double>(row, 1)});
+    });
+    eachRow(object, "crashes", [&](const json::array &row) {
+        report.crashes.push_back({numberIn<std::uint64_t>(row, 0), textIn(row, 1)});
+    });
+    report.placements = noticesFrom(object, "placements");
+    return report;
+}
+
 } // namespace
 
 std::string encode(const NodeAddress &address)
@@ -134,41 +198,23 @@
 
 std::string encode(const GatewayMessage &message)
 {
-    json::object object{{"open", message.takesCallers}};
-    if (message.from.callers.port != 0)
-        object["from"] = addressToJson(message.from);
-    else
-        object["from"] = json::object{{"node", message.from.node}, {"started", message.from.startedAt}};
-    if (!message.ordering.empty())
-        object["ordering"] = json::value_from(message.ordering);
-    if (message.hasLoads) {
-        json::array loads;
-        for (const auto &[instance, load] : message.loads)
-            loads.push_back({instance, load.inFlight, static_cast<std::int64_t>(load.prefillTokens)});
-        object["loads"] = std::move(loads);
-    }
-    if (!message.prompts.empty()) {
-        json::array prompts;
-        for (const auto &prompt : message.prompts)
-            prompts.push_back({prompt.instance, static_cast<std::int64_t>(prompt.tokens)});
-        object["prompts"] = std::move(prompts);
-    }
+    json::object object{{"sender", message.sender}};
+    if (message.onward != Onward::Nobody)
+        object["onward"] = nameOf(message.onward);
+    json::array reports;
+    for (const auto &report : message.reports)
+        reports.push_back(reportToJson(report));
+    object["reports"] = std::move(reports);
     if (!message.used.empty())
         object["used"] = demandsToJson(message.used);
     if (message.shard != 0)
         object["shard"] = message.shard;
     if (!message.wanted.empty())
         object["wanted"] = demandsToJson(message.wanted);
-    if (!message.crashes.empty()) {
-        json::array crashes;
-        for (const auto &crash : message.crashes)
-            crashes.push_back({crash.fingerprint, crash.instance});
-        object["crashes"] = std::move(crashes);
-    }
-    if (!message.placements.empty())
-        object["placements"] = noticesToJson(message.placements);
     if (!message.missing.empty())
         object["missing"] = noticesToJson(message.missing);
+    if (!message.found.empty())
+        object["found"] = noticesToJson(message.found);
     return json::serialize(object);
 }
 
@@ -179,35 +225,24 @@
     if (error || !value.is_object())
         return std::nullopt;
     const auto &object = value.get_object();
-    const auto *from = object.if_contains("from");
-    if (!from || !from->is_object())
-        return std::nullopt;
     GatewayMessage message;
-    message.from = addressFrom(from->get_object());
-    if (message.from.node.empty())
+    message.sender = textAt(object, "sender");
+    if (message.sender.empty())
         return std::nullopt;
-    message.takesCallers = flagAt(object, "open");
-    if (const auto *ordering = arrayAt(object, "ordering")) {
-        for (const auto &shard : *ordering) {
-            if (shard.is_int64())
-                message.ordering.push_back(static_cast<unsigned>(shard.get_int64()));
+    message.onward = valueOf<Onward>(textAt(object, "onward")).value_or(Onward::Nobody);
+    if (const auto *reports = arrayAt(object, "reports")) {
+        for (const auto &each : *reports) {
+            if (!each.is_object())
+                continue;
+            if (auto report = reportFrom(each.get_object()))
+                message.reports.push_back(std::move(*report));
         }
     }
-    message.hasLoads = arrayAt(object, "loads") != nullptr;
-    eachRow(object, "loads", [&](const json::array &row) {
-        message.loads[textIn(row, 0)] = {numberIn<unsigned>(row, 1), numberIn<double>(row, 2)};
-    });
-    eachRow(object, "prompts", [&](const json::array &row) {
-        message.prompts.push_back({textIn(row, 0), numberIn<double>(row, 1)});
-    });
     message.used = demandsFrom(object, "used");
     message.shard = numberAt<unsigned>(object, "shard");
     message.wanted = demandsFrom(object, "wanted");
-    eachRow(object, "crashes", [&](const json::array &row) {
-        message.crashes.push_back({numberIn<std::uint64_t>(row, 0), textIn(row, 1)});
-    });
-    message.placements = noticesFrom(object, "placements");
     message.missing = noticesFrom(object, "missing");
+    message.found = noticesFrom(object, "found");
     return message;
 }
 
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/enumtable.h"
 #include "gateway/crashledger.h"
 #include "gateway/residency.h"
 #include "gateway/upstreamtable.h"
@@ -23,6 +24,7 @@
     Http::Endpoint callers;
     Http::Endpoint peers;
     std::int64_t startedAt = 0;
+    double capacity = 1; ///< How well its machine suits work for others: its processor or its link, whichever is scarcer.
 
     friend bool operator==(const NodeAddress &, const NodeAddress &) = default;
 };
@@ -50,20 +52,36 @@
     double tokens = 0;
 };
 
-/// What nodes tell each other, in one datagram. Each part may be empty.
-struct GatewayMessage {
+/// What one node tells all others. Each part may be empty.
+struct NodeReport {
     NodeAddress from; ///< Only node and startedAt, unless this is a digest.
+    std::uint64_t sequence = 0; ///< Grows with each report of a process: one may overtake another.
     bool takesCallers = true; ///< False from the beginning of a graceful stop, and before the first configuration.
-    std::vector<unsigned> ordering; ///< Shards whose engines the sender orders at present.
-    std::map<std::string, UpstreamLoad> loads; ///< By upstream instance.
-    bool hasLoads = false; ///< Whether @c loads is to replace what was told before.
+    std::vector<unsigned> ordering; ///< Shards whose engines the node orders at present.
+    std::map<std::string, unsigned> inFlight; ///< Its requests at work, by upstream instance.
+    bool hasInFlight = false; ///< Whether @c inFlight replaces what was told before.
     std::vector<PromptNotice> prompts; ///< Sent just now.
-    std::vector<TargetDemand> used; ///< Since the last message.
-    unsigned shard = 0; ///< Whose holder @c wanted is for.
-    std::vector<TargetDemand> wanted; ///< Requests that wait for a load.
     std::vector<CrashReport> crashes;
-    std::vector<PlacementNotice> placements; ///< From the holder only.
+    std::vector<PlacementNotice> placements; ///< From a holder only.
+};
+
+/// To whom the receiver of a message passes its reports on.
+enum class Onward {
+    Nobody,
+    OwnDomain, ///< To the nodes of its failure domain.
+    Everywhere, ///< To those, and to a relay of each other domain.
+};
+
+/// One datagram between nodes. Each part may be empty.
+struct GatewayMessage {
+    std::string sender; ///< The node that it came from, which may have passed on reports of others.
+    Onward onward = Onward::Nobody;
+    std::vector<NodeReport> reports;
+    std::vector<TargetDemand> used; ///< To the holder: since the last message.
+    unsigned shard = 0; ///< Whose holder @c wanted is for.
+    std::vector<TargetDemand> wanted; ///< To the holder: requests that wait for a load.
     std::vector<PlacementNotice> missing; ///< To the holder: what engines have refused to serve.
+    std::vector<PlacementNotice> found; ///< From the holder: copies of what the receiver wanted.
 };
 
 /// Thread-safe.
@@ -79,3 +97,15 @@
 std::optional<NodeAddress> decodeNodeAddress(std::string_view text);
 
 } // namespace Gypsumtally::Gateway
+
+namespace Gypsumtally
+{
+
+template<>
+inline constexpr EnumTable<Gateway::Onward, 3> enumNames<Gateway::Onward>{{
+    {Gateway::Onward::Nobody, "nobody"},
+    {Gateway::Onward::OwnDomain, "own-domain"},
+    {Gateway::Onward::Everywhere, "everywhere"},
+}};
+
+} // namespace Gypsumtally
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/callforwarder.h"
+#include "gateway/dissemination.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/membertable.h"
 #include "gateway/orderplane.h"
@@ -76,7 +77,7 @@
         , m_log(logging)
         , m_store(m_loop, settings.store)
         , m_address{settings.node,    settings.failureDomain, settings.region,
-                    settings.callers, settings.peers,         wallMilliseconds()}
+                    settings.callers, settings.peers,         wallMilliseconds(), settings.capacity}
         , m_members(m_address)
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
         , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(exchange); })
@@ -98,9 +99,9 @@
             want({service, target, 1, unfit}, attempt);
         };
         m_context.onPromptSent = [this](const std::string &instance, double tokens) {
-            auto notice = message();
+            auto notice = report();
             notice.prompts.push_back({instance, tokens});
-            m_peers.send(notice, m_members.peers(BootClock{}.now()));
+            tell(std::move(notice));
         };
         m_context.onMissing
             = [this](const std::string &instance, const ModelTarget &target) { tellMissing(instance, target); };
@@ -109,6 +110,9 @@
                                                         OrderHolder{settings.node, m_address.startedAt}, shard,
                                                         holderKey(shard), leaseSettings(settings)));
             m_orders.back()->onNews([this](const std::vector<PlacementNews> &news) { tellNews(news); });
+            m_orders.back()->onFound([this](const std::string &asker, const std::vector<PlacementNews> &news) {
+                tellFound(asker, news);
+            });
         }
     }
 
@@ -140,7 +144,7 @@
     static constexpr Duration lateLoop = std::chrono::milliseconds{150}; ///< A stalled loop or a frozen machine.
     static constexpr Duration digestInterval = std::chrono::milliseconds{300};
     /// In larger fleets digests come less often, so that what a node receives grows more slowly than the fleet.
-    static constexpr Duration digestIntervalPerNode = std::chrono::milliseconds{10};
+    static constexpr Duration digestIntervalPerNode = std::chrono::milliseconds{6};
     /// A vacant shard is taken by the node that ranks first for it; the next ones follow if it does not.
     static constexpr Duration patiencePerRank = std::chrono::milliseconds{250};
     static constexpr Duration leastPatience = std::chrono::milliseconds{50};
@@ -438,7 +442,7 @@
             orders.setPatience(patiencePerRank * m_members.rankOfSelf(holderKey(shard), now) + leastPatience);
             orders.tick(now);
             if (orders.isOrdering() && !wasOrdering)
-                m_peers.send(message(), m_members.peers(now)); // It begins to order: others may ask it for loads.
+                tell(report()); // It begins to order: others may ask it for loads.
         }
     }
 
@@ -476,29 +480,65 @@
         return m_orders[shard]->isOrdering() || ordering.node.empty() ? nullptr : m_members.find(ordering.node);
     }
 
-    /// Returns an empty message; the whole address goes with digests only.
-    GatewayMessage message() const
+    /// Returns a report without contents; the whole address goes with digests only.
+    NodeReport report()
     {
-        GatewayMessage message;
-        message.from.node = m_address.node;
-        message.from.startedAt = m_address.startedAt;
-        message.takesCallers = isReady();
+        NodeReport report;
+        report.from.node = m_address.node;
+        report.from.startedAt = m_address.startedAt;
+        report.sequence = ++m_sequence;
+        report.takesCallers = isReady();
         for (unsigned shard = 0; shard < orderShards; ++shard) {
             if (m_orders[shard]->isOrdering())
-                message.ordering.push_back(shard);
+                report.ordering.push_back(shard);
         }
+        return report;
+    }
+
+    /// Returns a message without contents for one other node.
+    GatewayMessage message() const
+    {
+        GatewayMessage message;
+        message.sender = m_address.node;
         return message;
     }
 
+    /// Tells all other nodes.
+    void tell(NodeReport report)
+    {
+        m_dissemination.add(std::move(report));
+        flushSoon();
+    }
+
+    /// Sends what is to be told or passed on, gathered for a moment in a large fleet.
+    void flushSoon()
+    {
+        const auto pause = m_dissemination.pause(m_members, BootClock{}.now());
+        if (pause == Duration{})
+            return flush();
+        if (std::exchange(m_flushing, true))
+            return;
+        m_loop.runAfter(pause, [this] {
+            m_flushing = false;
+            flush();
+        });
+    }
+
+    void flush()
+    {
+        for (const auto &parcel : m_dissemination.flush(m_members, BootClock{}.now()))
+            m_peers.send(parcel.message, parcel.targets);
+    }
+
     void digest()
     {
         const auto now = BootClock{}.now();
-        auto digest = message();
+        auto digest = report();
         digest.from = m_address;
-        digest.hasLoads = true;
+        digest.hasInFlight = true;
         for (const auto &[instance, upstream] : m_context.upstreams.all()) {
-            if (upstream.own.inFlight > 0)
-                digest.loads.emplace(instance, upstream.own);
+            if (upstream.ownInFlight > 0)
+                digest.inFlight.emplace(instance, upstream.ownInFlight);
         }
         std::vector<TargetDemand> used;
         for (auto it = m_context.uses.begin(); it != m_context.uses.end();) {
@@ -510,10 +550,11 @@
             it = use.inFlight == 0 ? m_context.uses.erase(it) : std::next(it);
         }
         digest.crashes = m_context.crashes.recent(now, crashNewsAge);
-        const auto peers = m_members.peers(now);
-        m_peers.send(digest, peers);
+        tell(std::move(digest));
         tellUse(used);
-        const auto byFleet = digestIntervalPerNode * peers.size();
+        for (const auto &node : m_members.silentNodes(now))
+            m_context.upstreams.onPeerLoads(node, {});
+        const auto byFleet = digestIntervalPerNode * m_members.peers(now).size();
         m_loop.runAfter(std::max<Duration>(digestInterval, byFleet), [this] { this->digest(); });
     }
 
@@ -528,9 +569,9 @@
         }
         if (used.empty() || holders.empty())
             return;
-        auto report = message();
-        report.used = used;
-        m_peers.send(report, holders);
+        auto notice = message();
+        notice.used = used;
+        m_peers.send(notice, holders);
     }
 
     /// Asks the holder of the first shard that is to have the target; after some attempts in vain, that of the next
@@ -542,7 +583,7 @@
             return;
         const auto shard = shards[attempt / attemptsPerShard % shards.size()];
         if (m_orders[shard]->isOrdering()) {
-            m_loop.post([this, shard, wanted] { m_orders[shard]->onWanted(wanted); });
+            m_loop.post([this, shard, wanted] { m_orders[shard]->onWanted(wanted, m_address.node); });
             return;
         }
         auto request = message();
@@ -565,15 +606,31 @@
     }
 
     void tellNews(const std::vector<PlacementNews> &news)
+    {
+        auto notice = report();
+        notice.placements = noticesOf(news);
+        applyPlacements(notice.placements);
+        tell(std::move(notice));
+    }
+
+    void tellFound(const std::string &asker, const std::vector<PlacementNews> &news)
+    {
+        if (asker == m_address.node)
+            return applyPlacements(noticesOf(news));
+        auto answer = message();
+        answer.found = noticesOf(news);
+        if (const auto *address = m_members.find(asker))
+            m_peers.send(answer, {*address});
+    }
+
+    static std::vector<PlacementNotice> noticesOf(const std::vector<PlacementNews> &news)
     {
         const auto now = BootClock{}.now();
-        auto notice = message();
-        for (const auto &each : news) {
-            notice.placements.push_back(
+        std::vector<PlacementNotice> notices;
+        for (const auto &each : news)
+            notices.push_back(
                 {each.instance, each.target, each.version, each.dropped, std::max(Duration{}, each.usableAt - now)});
-        }
-        applyPlacements(notice.placements);
-        m_peers.send(notice, m_members.peers(now));
+        return notices;
     }
 
     void applyPlacements(const std::vector<PlacementNotice> &placements)
@@ -595,30 +652,42 @@
     void onMessage(const GatewayMessage &message)
     {
         const auto now = BootClock{}.now();
-        m_members.onHeard(message, now);
         m_peerHeard = now;
-        for (const auto shard : message.ordering) {
-            if (shard < orderShards)
-                m_ordering[shard] = {message.from.node, now};
-        }
-        if (message.hasLoads)
-            m_context.upstreams.onPeerLoads(message.from.node, message.loads);
-        for (const auto &prompt : message.prompts) {
-            if (auto *upstream = m_context.upstreams.find(prompt.instance))
-                upstream->prompts.add(prompt.tokens, now);
-        }
-        for (const auto &crash : message.crashes)
-            m_context.crashes.add(crash, now);
+        for (const auto &report : message.reports)
+            onReport(report, now);
+        m_dissemination.onMessage(message);
+        if (!m_dissemination.isEmpty())
+            flushSoon();
         for (const auto &used : message.used) {
             for (const auto &orders : m_orders)
                 orders->onUsed(used.service, used.target, used.requests);
         }
         for (const auto &wanted : message.wanted)
-            m_orders[message.shard % orderShards]->onWanted(wanted);
+            m_orders[message.shard % orderShards]->onWanted(wanted, message.sender);
         for (const auto &missing : message.missing)
             m_orders[shardOf(missing.instance)]->onMissing(missing.instance, missing.target);
-        if (!message.placements.empty())
-            applyPlacements(message.placements);
+        applyPlacements(message.found);
+    }
+
+    void onReport(const NodeReport &report, Instant now)
+    {
+        if (report.from.node == m_address.node)
+            return;
+        if (m_members.onHeard(report, now)) {
+            for (const auto shard : report.ordering) {
+                if (shard < orderShards)
+                    m_ordering[shard] = {report.from.node, now};
+            }
+            if (report.hasInFlight)
+                m_context.upstreams.onPeerLoads(report.from.node, report.inFlight);
+        }
+        for (const auto &prompt : report.prompts) {
+            if (auto *upstream = m_context.upstreams.find(prompt.instance))
+                upstream->prompts.add(prompt.tokens, now);
+        }
+        for (const auto &crash : report.crashes)
+            m_context.crashes.add(crash, now);
+        applyPlacements(report.placements);
     }
 
     void stop()
@@ -631,7 +700,7 @@
         for (const auto &orders : m_orders)
             orders->stop();
         m_callers.announceClose();
-        m_peers.send(message(), m_members.peers(m_stopAt));
+        tell(report());
         if (m_lease != 0)
             m_store.endLease(m_lease);
     }
@@ -661,6 +730,9 @@
     Relay::CallerServer m_entries;
     Relay::CallerServer m_metricsServer;
     PeerLink m_peers;
+    Dissemination m_dissemination;
+    std::uint64_t m_sequence = 0;
+    bool m_flushing = false;
     RegistryFollower<typename Platform::Store> m_operatorDocuments;
     RegistryFollower<typename Platform::Store> m_upstreamRecords;
     RegistryFollower<typename Platform::Store> m_ownRecords;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -3,6 +3,8 @@
 #include "yaml/filereader.h"
 #include "yaml/mapreader.h"
 
+#include <algorithm>
+
 namespace Gypsumtally::Gateway
 {
 
@@ -12,6 +14,8 @@
 constexpr Bounds<Duration> shortTimes{std::chrono::milliseconds{1}, std::chrono::minutes{10}};
 constexpr Bounds<double> ratios{0, 10};
 constexpr Bounds<double> counts{0, 1'000'000};
+constexpr double ordinaryCpuShare = 0.25; ///< Of a core; the platform's first two sites.
+constexpr double ordinaryLinkMbps = 100;
 
 void readRegions(MapReader &reader, GatewaySettings &settings)
 {
@@ -40,6 +44,15 @@
     reader.scalar("window", Presence::Optional, settings.retryWindow, shortTimes);
 }
 
+void readMachine(MapReader &reader, GatewaySettings &settings)
+{
+    double cpuShare = ordinaryCpuShare;
+    double linkMbps = ordinaryLinkMbps;
+    reader.scalar("cpu_share", Presence::Optional, cpuShare, counts);
+    reader.scalar("link_mbps", Presence::Optional, linkMbps, counts);
+    settings.capacity = std::min(cpuShare / ordinaryCpuShare, linkMbps / ordinaryLinkMbps);
+}
+
 void readSettings(MapReader &reader, GatewaySettings &settings)
 {
     reader.scalar("node", Presence::Required, settings.node);
@@ -50,6 +63,7 @@
     reader.scalar("first_start", Presence::Optional, settings.firstStart);
     reader.map("listen", Presence::Required, [&](MapReader &map) { readListeners(map, settings); });
     reader.scalar("store", Presence::Required, settings.store);
+    reader.map("machine", Presence::Optional, [&](MapReader &map) { readMachine(map, settings); });
     reader.scalar("order_handover", Presence::Optional, settings.orderHandover, shortTimes);
     reader.scalar("stop_grace", Presence::Optional, settings.stopGrace, shortTimes);
     reader.scalar("entry_ttl", Presence::Optional, settings.entryTtl, shortTimes);
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -53,21 +53,28 @@
         onListed(address, now);
 }
 
-void MemberTable::onHeard(const GatewayMessage &message, Instant now)
+bool MemberTable::onHeard(const NodeReport &report, Instant now)
 {
-    if (message.from.node == m_self.node)
-        return;
-    if (message.from.callers.port == 0 && !m_members.contains(message.from.node))
-        return;
-    auto &member = m_members[message.from.node];
-    if (!member.address.node.empty() && message.from.startedAt < member.address.startedAt)
-        return; // A message of an earlier process.
-    if (message.from.callers.port != 0)
-        member.address = message.from;
-    else if (member.address.startedAt != message.from.startedAt)
-        return; // A process whose address has not come yet.
-    member.takesCallers = message.takesCallers;
+    if (report.from.node == m_self.node)
+        return false;
+    if (report.from.callers.port == 0 && !m_members.contains(report.from.node))
+        return false;
+    auto &member = m_members[report.from.node];
+    if (!member.address.node.empty() && report.from.startedAt < member.address.startedAt)
+        return false; // Of an earlier process.
+    if (report.from.callers.port != 0) {
+        if (member.address.startedAt != report.from.startedAt)
+            member.sequence = 0;
+        member.address = report.from;
+    } else if (member.address.startedAt != report.from.startedAt) {
+        return false; // A process whose address has not come yet.
+    }
     member.heard = now;
+    if (report.sequence <= member.sequence)
+        return false;
+    member.sequence = report.sequence;
+    member.takesCallers = report.takesCallers;
+    return true;
 }
 
 bool MemberTable::isLive(const Member &member, Instant now) const
@@ -82,25 +89,82 @@
     return it != m_members.end() && isLive(it->second, now);
 }
 
+MemberTable::Rank MemberTable::rankOf(const NodeAddress &address, std::uint64_t key)
+{
+    return {address.capacity, rendezvousScore(key, address.node)};
+}
+
 unsigned MemberTable::rankOfSelf(const std::string &key, Instant now) const
 {
     const auto hash = XXH3_64bits(key.data(), key.size());
-    const double own = rendezvousScore(hash, m_self.node);
+    const auto own = rankOf(m_self, hash);
     return static_cast<unsigned>(std::ranges::count_if(m_members, [&](const auto &item) {
-        return isLive(item.second, now) && rendezvousScore(hash, item.first) > own;
+        return isLive(item.second, now) && rankOf(item.second.address, hash) > own;
     }));
 }
 
+bool MemberTable::mayBeSentTo(const Member &member, Instant now) const
+{
+    return member.listed || now - member.heard < forgetTime;
+}
+
 std::vector<NodeAddress> MemberTable::peers(Instant now) const
 {
     std::vector<NodeAddress> peers;
     for (const auto &[node, member] : m_members) {
-        if (member.listed || now - member.heard < forgetTime)
+        if (mayBeSentTo(member, now))
             peers.push_back(member.address);
     }
     return peers;
 }
 
+std::vector<NodeAddress> MemberTable::peersIn(const std::string &failureDomain, Instant now) const
+{
+    auto found = peers(now);
+    std::erase_if(found, [&](const NodeAddress &address) { return address.failureDomain != failureDomain; });
+    return found;
+}
+
+std::set<std::string> MemberTable::failureDomains(Instant now) const
+{
+    std::set<std::string> domains{m_self.failureDomain};
+    for (const auto &[node, member] : m_members) {
+        if (mayBeSentTo(member, now))
+            domains.insert(member.address.failureDomain);
+    }
+    return domains;
+}
+
+std::vector<NodeAddress> MemberTable::relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const
+{
+    const auto key = XXH3_64bits(failureDomain.data(), failureDomain.size());
+    std::vector<std::pair<std::pair<bool, Rank>, const NodeAddress *>> candidates;
+    if (m_self.failureDomain == failureDomain)
+        candidates.push_back({{true, rankOf(m_self, key)}, &m_self});
+    for (const auto &[node, member] : m_members) {
+        if (member.address.failureDomain == failureDomain && mayBeSentTo(member, now))
+            candidates.push_back({{isLive(member, now), rankOf(member.address, key)}, &member.address});
+    }
+    std::ranges::sort(candidates, std::ranges::greater{}, [](const auto &candidate) { return candidate.first; });
+    std::vector<NodeAddress> relays;
+    for (const auto &[rank, address] : candidates) {
+        if (relays.size() == count)
+            break;
+        relays.push_back(*address);
+    }
+    return relays;
+}
+
+std::vector<std::string> MemberTable::silentNodes(Instant now) const
+{
+    std::vector<std::string> nodes;
+    for (const auto &[node, member] : m_members) {
+        if (!isLive(member, now))
+            nodes.push_back(node);
+    }
+    return nodes;
+}
+
 const NodeAddress *MemberTable::find(const std::string &node) const
 {
     if (node == m_self.node)
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -3,8 +3,11 @@
 #include "common/clock.h"
 #include "gateway/gatewaymessage.h"
 
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Gypsumtally::Gateway
@@ -26,12 +29,25 @@
     /// The store was read whole; nodes that are not in @p nodes are unlisted.
     void onSnapshot(const std::vector<NodeAddress> &nodes, Instant now);
 
-    /// Another node's message came in.
-    void onHeard(const GatewayMessage &message, Instant now);
+    /// Another node's report came in. Returns whether it is the newest one of that node.
+    bool onHeard(const NodeReport &report, Instant now);
 
-    /// Returns the nodes to send messages to.
+    /// Returns all other nodes that messages may be sent to.
     std::vector<NodeAddress> peers(Instant now) const;
 
+    /// Returns those of @p failureDomain.
+    std::vector<NodeAddress> peersIn(const std::string &failureDomain, Instant now) const;
+
+    /// Returns the failure domains of all nodes.
+    std::set<std::string> failureDomains(Instant now) const;
+
+    /// Returns at most @p count nodes of @p failureDomain that pass messages on, this one included if it is one of
+    /// them: live ones on the machines with most to spare. Nodes that see the same members choose the same ones.
+    std::vector<NodeAddress> relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const;
+
+    /// Returns the nodes that were heard once, but not lately.
+    std::vector<std::string> silentNodes(Instant now) const;
+
     /// Returns the address of @p node, or nothing if it is not known.
     const NodeAddress *find(const std::string &node) const;
 
@@ -40,7 +56,8 @@
     std::vector<Http::Endpoint> entryPoints(const std::string &region, const std::string &failureDomain,
                                             bool selfTakesCallers, Instant now) const;
 
-    /// Returns how many live nodes rank before this one for @p key in rendezvous hashing.
+    /// Returns how many live nodes rank before this one for @p key: machines with more to spare come first, equal ones
+    /// by rendezvous hashing.
     unsigned rankOfSelf(const std::string &key, Instant now) const;
 
     /// Whether @p node was heard lately.
@@ -56,9 +73,14 @@
         NodeAddress address;
         bool listed = false;
         bool takesCallers = false;
+        std::uint64_t sequence = 0; ///< Of the newest report.
         Instant heard{};
     };
 
+    using Rank = std::pair<double, double>;
+    static Rank rankOf(const NodeAddress &address, std::uint64_t key);
+    bool mayBeSentTo(const Member &member, Instant now) const;
+
     bool isLive(const Member &member, Instant now) const;
 
     NodeAddress m_self;
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -19,6 +19,7 @@
 #include <numeric>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Gypsumtally::Gateway
@@ -88,6 +89,12 @@
         m_onNews = std::move(task);
     }
 
+    /// Called with copies that the node called @c asker has wanted.
+    void onFound(std::function<void(const std::string &asker, const std::vector<PlacementNews> &)> task)
+    {
+        m_onFound = std::move(task);
+    }
+
     /// The store has @p value at the holder's key, or nothing.
     void onHolderRecord(const std::optional<std::string> &value, Revision revision)
     {
@@ -125,10 +132,12 @@
         return m_lease.isHeld(BootClock{}.now());
     }
 
-    void onWanted(const TargetDemand &wanted)
+    /// The node called @p asker has requests that wait for a target.
+    void onWanted(const TargetDemand &wanted, const std::string &asker)
     {
         if (!isHolder())
             return;
+        m_askers[wanted.target][asker] = BootClock{}.now();
         m_placer.onWanted(wanted.service, wanted.target, static_cast<unsigned>(wanted.requests), wanted.unfit,
                           BootClock{}.now());
         planSoon();
@@ -163,6 +172,7 @@
                 renew(now);
             if (!m_lease.mayOrder(now))
                 cancelOrders();
+            forgetAskers(now);
             plan();
         } else if (!m_stopping) {
             acquire(now);
@@ -188,6 +198,7 @@
     static constexpr Duration orderTimeout = std::chrono::milliseconds{300};
     static constexpr Duration inspectionTimeout = std::chrono::milliseconds{1000};
     static constexpr Duration planPause = std::chrono::milliseconds{5};
+    static constexpr Duration askerMemory = std::chrono::seconds{2}; ///< As long as requests wait for a load.
     static constexpr unsigned orderUnsentTimeoutMs = 1000;
 
     void acquire(Instant now)
@@ -253,6 +264,7 @@
     {
         m_held = false;
         m_lease.onLost();
+        m_askers.clear();
         cancelOrders();
         m_log.note(GatewayEvent::OrderLeaseLost, {{"shard", std::to_string(m_shard)}, {"reason", reason}});
     }
@@ -286,7 +298,7 @@
             const auto *service = m_context.routes->service(upstream.record.service);
             if (!service || !service->engine)
                 continue;
-            const auto load = static_cast<double>(upstream.total().inFlight);
+            const auto load = static_cast<double>(upstream.inFlight());
             const bool takesOrders = !upstream.record.draining;
             if (takesOrders) {
                 others.meanLoads[service->name] += load;
@@ -361,6 +373,36 @@
             inspect(instance);
         if (!actions.news.empty())
             m_onNews(actions.news);
+        answerAskers(actions, now);
+    }
+
+    /// Tells the nodes that have asked of the copies that there are now.
+    void answerAskers(const PlacerActions &actions, Instant now)
+    {
+        std::map<std::string, std::vector<PlacementNews>> found;
+        const auto find = [&](const PlacementNews &news) {
+            const auto askers = m_askers.find(news.target);
+            if (news.dropped || askers == m_askers.end())
+                return;
+            for (const auto &[asker, at] : askers->second) {
+                if (now - at < askerMemory)
+                    found[asker].push_back(news);
+            }
+        };
+        std::ranges::for_each(actions.news, find);
+        std::ranges::for_each(actions.answers, find);
+        for (const auto &[asker, news] : found) {
+            for (const auto &each : news)
+                m_askers.erase(each.target);
+            m_onFound(asker, news);
+        }
+    }
+
+    void forgetAskers(Instant now)
+    {
+        std::erase_if(m_askers, [&](const auto &item) {
+            return std::ranges::none_of(item.second, [&](const auto &asker) { return now - asker.second < askerMemory; });
+        });
     }
 
     void sendOrder(const EngineOrder &order)
@@ -450,6 +492,8 @@
     AdapterPlacer m_placer;
     Relay::UpstreamClient m_client;
     std::function<void(const std::vector<PlacementNews> &)> m_onNews;
+    std::function<void(const std::string &, const std::vector<PlacementNews> &)> m_onFound;
+    std::unordered_map<ModelTarget, std::map<std::string, Instant>> m_askers; ///< And when they asked last.
     std::map<Relay::UpstreamClient::Token, EngineOrder> m_open;
     std::optional<OrderHolder> m_holder;
     Duration m_patience{};
--- a/src/gateway/upstreamtable.cpp
+++ b/src/gateway/upstreamtable.cpp
@@ -1,5 +1,7 @@
 #include "gateway/upstreamtable.h"
 
+#include <algorithm>
+
 namespace Gypsumtally::Gateway
 {
 
@@ -45,16 +47,6 @@
     return at;
 }
 
-UpstreamLoad Upstream::total() const
-{
-    auto load = own;
-    for (const auto &[node, each] : peers) {
-        load.inFlight += each.inFlight;
-        load.prefillTokens += each.prefillTokens;
-    }
-    return load;
-}
-
 bool UpstreamTable::onRecord(const UpstreamRecord &record, Instant now)
 {
     m_lapsed.erase(record.instance);
@@ -62,8 +54,11 @@
     auto &upstream = m_upstreams[record.instance];
     const bool isNew = upstream.record.instance.empty() || upstream.record.startedAt != record.startedAt
                        || upstream.record.endpoint != record.endpoint;
-    if (isNew)
+    if (isNew) {
         upstream = Upstream{};
+        for (auto &[node, loads] : m_peerLoads)
+            loads.erase(record.instance);
+    }
     upstream.record = record;
     upstream.residency.onListed(record.targets, now);
     return isNew;
@@ -123,15 +118,18 @@
     return it == m_upstreams.end() ? nullptr : &it->second;
 }
 
-void UpstreamTable::onPeerLoads(const std::string &node, const std::map<std::string, UpstreamLoad> &loads)
+void UpstreamTable::onPeerLoads(const std::string &node, const std::map<std::string, unsigned> &inFlight)
 {
-    for (auto &[instance, upstream] : m_upstreams) {
-        const auto it = loads.find(instance);
-        if (it == loads.end())
-            upstream.peers.erase(node);
-        else
-            upstream.peers[node] = it->second;
-    }
+    auto &known = m_peerLoads[node];
+    const auto addAll = [&](const std::map<std::string, unsigned> &loads, auto &&add) {
+        for (const auto &[instance, requests] : loads) {
+            if (auto *upstream = find(instance))
+                add(upstream->peersInFlight, requests);
+        }
+    };
+    addAll(known, [](unsigned &sum, unsigned requests) { sum -= std::min(sum, requests); });
+    addAll(inFlight, [](unsigned &sum, unsigned requests) { sum += requests; });
+    known = inFlight;
 }
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Gypsumtally::Gateway
@@ -29,12 +30,6 @@
     std::set<std::string> storedModels; ///< Base models that it can load without the weight store.
 };
 
-/// Requests of the whole fleet that an upstream is working on.
-struct UpstreamLoad {
-    unsigned inFlight = 0;
-    double prefillTokens = 0; ///< Prompt tokens of requests that have not shown a first event.
-};
-
 /// The prompt tokens that all nodes have sent to an engine of late. Prompts are read in the same steps that make the
 /// tokens of running streams, so that too many at once stall every stream. Not thread-safe.
 class PromptWindow
@@ -63,8 +58,8 @@
 struct Upstream {
     UpstreamRecord record;
     Residency residency;
-    UpstreamLoad own; ///< By requests of this node.
-    std::map<std::string, UpstreamLoad> peers; ///< By requests of other nodes, as they last said.
+    unsigned ownInFlight = 0; ///< Requests of this node that it is working on.
+    unsigned peersInFlight = 0; ///< Those of other nodes, as they last said.
     PromptWindow prompts; ///< Sent by all nodes.
     double failureRatio = 0; ///< Decayed share of failed requests, 0 to 1.
     double outcomes = 0; ///< Decayed number of requests that the ratio rests on.
@@ -73,8 +68,11 @@
     Instant waitingSince{}; ///< Since when a request waits and no byte of any response has come.
     Instant avoidUntil{}; ///< Takes no new requests while others can, for instance after a refused connection.
 
-    /// Returns the load by all nodes.
-    UpstreamLoad total() const;
+    /// Returns the requests of all nodes that it is working on.
+    unsigned inFlight() const
+    {
+        return ownInFlight + peersInFlight;
+    }
 };
 
 /// The upstreams that may get requests, from the registry's records. Knows that records which lapsed while the
@@ -119,13 +117,14 @@
         return m_upstreams;
     }
 
-    /// Takes in what another node has at work. Loads that it does not name are none.
-    void onPeerLoads(const std::string &node, const std::map<std::string, UpstreamLoad> &loads);
+    /// Takes in how many requests another node has at work at upstreams. It has none at those that it does not name.
+    void onPeerLoads(const std::string &node, const std::map<std::string, unsigned> &inFlight);
 
 private:
     bool mayHaveLapsed(Instant now) const;
 
     std::map<std::string, Upstream> m_upstreams;
+    std::unordered_map<std::string, std::map<std::string, unsigned>> m_peerLoads; ///< By node and upstream.
     std::set<std::string> m_lapsed; ///< Without a record, since perhaps only the registry was away.
     bool m_registryLost = true;
     Instant m_registryBack{};
--- /dev/null
+++ b/tests/gateway/disseminationtest.cpp
@@ -0,0 +1,207 @@
+#include "gateway/dissemination.h"
+
+#include "support/table.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+constexpr Instant start{std::chrono::seconds{100}};
+constexpr std::size_t domains = 6;
+
+/// A fleet whose messages arrive at once and in order.
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t size)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+            m_nodes.push_back(std::make_unique<Node>(addressOf(i)));
+        for (auto &node : m_nodes) {
+            for (const auto &other : m_nodes)
+                node->members.onHeard(reportOf(other->members.self(), 1), start);
+        }
+    }
+
+    /// Node number @p from tells all of a prompt; runs until nothing is on its way.
+    void tell(std::size_t from)
+    {
+        auto report = reportOf(m_nodes[from]->members.self(), ++m_sequence);
+        report.prompts.push_back({"e", 1});
+        m_nodes[from]->dissemination.add(report);
+        flush(*m_nodes[from]);
+        while (!m_onTheWay.empty()) {
+            const auto [target, message] = m_onTheWay.front();
+            m_onTheWay.pop_front();
+            deliver(target, message);
+        }
+    }
+
+    void stop(std::size_t node)
+    {
+        m_nodes[node]->stopped = true;
+    }
+
+    /// All nodes that run are heard by all.
+    void hearAll(Instant now)
+    {
+        ++m_sequence;
+        m_now = now;
+        for (auto &node : m_nodes) {
+            for (const auto &other : m_nodes) {
+                if (!other->stopped)
+                    node->members.onHeard(reportOf(other->members.self(), m_sequence), now);
+            }
+        }
+    }
+
+    std::size_t size() const
+    {
+        return m_nodes.size();
+    }
+
+    std::size_t heardAt(std::size_t node) const
+    {
+        return m_nodes[node]->prompts;
+    }
+
+    std::size_t mostSentByOne() const
+    {
+        const auto node = std::ranges::max_element(m_nodes, {}, [](const auto &each) { return each->sent; });
+        return (*node)->sent;
+    }
+
+    std::size_t relay(std::size_t domain, std::size_t rank) const
+    {
+        const auto relays = m_nodes[0]->members.relaysOf("d" + std::to_string(domain), 2, m_now);
+        const auto found = std::ranges::find_if(m_nodes, [&](const auto &node) {
+            return node->members.self().node == relays[rank].node;
+        });
+        return static_cast<std::size_t>(found - m_nodes.begin());
+    }
+
+private:
+    struct Node {
+        explicit Node(const NodeAddress &address)
+            : members(address)
+        {
+        }
+
+        MemberTable members;
+        Dissemination dissemination;
+        std::size_t prompts = 0;
+        std::size_t sent = 0;
+        bool stopped = false;
+    };
+
+    static NodeAddress addressOf(std::size_t index)
+    {
+        const auto domain = "d" + std::to_string(index % domains);
+        const auto ip = "10.0." + std::to_string(index / 200) + "." + std::to_string(index % 200 + 1);
+        return {"n" + std::to_string(index), domain, domain, {ip, 80, false}, {ip, 90, false}, 1};
+    }
+
+    static NodeReport reportOf(const NodeAddress &address, std::uint64_t sequence)
+    {
+        NodeReport report;
+        report.from = address;
+        report.sequence = sequence;
+        return report;
+    }
+
+    void flush(Node &node)
+    {
+        for (const auto &parcel : node.dissemination.flush(node.members, m_now)) {
+            node.sent += parcel.targets.size();
+            for (const auto &target : parcel.targets)
+                m_onTheWay.emplace_back(target.node, parcel.message);
+        }
+    }
+
+    void deliver(const std::string &target, const GatewayMessage &message)
+    {
+        const auto node = std::ranges::find_if(m_nodes, [&](const auto &each) { return each->members.self().node == target; });
+        if ((*node)->stopped)
+            return;
+        for (const auto &report : message.reports) {
+            if (report.from.node != target)
+                (*node)->prompts += report.prompts.size();
+        }
+        (*node)->dissemination.onMessage(message);
+        flush(**node);
+    }
+
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::deque<std::pair<std::string, GatewayMessage>> m_onTheWay;
+    std::uint64_t m_sequence = 1;
+    Instant m_now = start;
+};
+
+struct SizeCase {
+    std::size_t nodes;
+    std::size_t mostSent; ///< By one node for one report: to its domain, and to each other one.
+};
+
+const SizeCase sizes[] = {{1, 0}, {2, 1}, {9, 8}, {17, 16}, {18, 7}, {69, 17}, {300, 55}, {1000, 172}};
+
+} // namespace
+
+TABLE_TEST(Dissemination, eachReportReachesEachOtherNodeOnce, sizes)
+{
+    for (const std::size_t from : {std::size_t{0}, row.nodes / 2, row.nodes - 1}) {
+        Fleet fleet(row.nodes);
+        fleet.tell(from);
+        for (std::size_t node = 0; node < fleet.size(); ++node)
+            cr_assert_eq(fleet.heardAt(node), node == from ? 0U : 1U, "node %zu of %zu", node, row.nodes);
+        cr_assert_leq(fleet.mostSentByOne(), row.mostSent);
+    }
+}
+
+Test(Dissemination, theLossOfARelayCostsHalfUntilItShows)
+{
+    Fleet fleet(69);
+    const auto dead = fleet.relay(1, 0);
+    fleet.stop(dead);
+    const auto listener = fleet.relay(1, 1);
+    for (int i = 0; i < 10; ++i)
+        fleet.tell(0);
+    cr_assert_eq(fleet.heardAt(listener), 5U);
+
+    fleet.hearAll(start + std::chrono::seconds{10});
+    for (int i = 0; i < 10; ++i)
+        fleet.tell(0);
+    cr_assert_eq(fleet.heardAt(listener), 15U);
+}
+
+Test(Dissemination, gathersReportsOfOneProcess)
+{
+    MemberTable members({"n0", "d", "d", {"10.0.0.1", 80, false}, {"10.0.0.1", 90, false}, 1});
+    NodeReport peer;
+    peer.from = {"n1", "d", "d", {"10.0.0.2", 80, false}, {"10.0.0.2", 90, false}, 1};
+    peer.sequence = 1;
+    members.onHeard(peer, start);
+    Dissemination dissemination;
+    NodeReport report;
+    report.from = members.self();
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+        report.sequence = sequence;
+        report.takesCallers = sequence < 3;
+        report.prompts = {{"e", static_cast<double>(sequence)}};
+        dissemination.add(report);
+    }
+    const auto parcels = dissemination.flush(members, start);
+    cr_assert_eq(parcels.size(), 1U);
+    const auto &sent = parcels.front().message.reports;
+    cr_assert_eq(sent.size(), 1U);
+    cr_assert_eq(sent.front().prompts.size(), 3U);
+    cr_assert_eq(sent.front().sequence, 3U);
+    cr_assert_not(sent.front().takesCallers);
+    cr_assert(dissemination.isEmpty());
+}
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -36,14 +36,14 @@
 
 const ChoiceCase choices[] = {
     {[](UpstreamTable &) {}, "near"},
-    {[](UpstreamTable &table) { table.find("near")->own.inFlight = 30; }, "far"},
-    {[](UpstreamTable &table) { table.find("near")->peers["n"].inFlight = 30; }, "far"},
+    {[](UpstreamTable &table) { table.find("near")->ownInFlight = 30; }, "far"},
+    {[](UpstreamTable &table) { table.onPeerLoads("n", {{"near", 30}}); }, "far"},
     {[](UpstreamTable &table) { table.find("near")->prompts.add(3000, now); }, "far"},
     {[](UpstreamTable &table) { table.find("near")->record.draining = true; }, "far"},
     {[](UpstreamTable &table) { table.find("near")->residency.onDropped("m/a", now); }, "far"},
     {[](UpstreamTable &table) { table.find("near")->avoidUntil = now + std::chrono::seconds{1}; }, "far"},
     {[](UpstreamTable &table) {
-         table.find("near")->own.inFlight = 1;
+         table.find("near")->ownInFlight = 1;
          table.find("near")->waitingSince = now - std::chrono::seconds{1};
      },
      "far"},
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -10,20 +10,32 @@
 
 GatewayMessage example()
 {
+    NodeReport report;
+    report.from = {"n1", "d1", "r1", {"10.0.0.1", 80, false}, {"10.0.0.1", 90, false}, 1234567890123, 0.5};
+    report.sequence = 17;
+    report.takesCallers = true;
+    report.ordering = {0, 3};
+    report.hasInFlight = true;
+    report.inFlight["e1"] = 3;
+    report.prompts = {{"e1", 1110}};
+    report.crashes = {{0xfedcba9876543210, "e1"}};
+    report.placements = {{"e1", "m/a", 2, false, std::chrono::milliseconds{250}}, {"e2", "m/b", 0, true, {}}};
     GatewayMessage message;
-    message.from = {"n1", "d1", "r1", {"10.0.0.1", 80, false}, {"10.0.0.1", 90, false}, 1234567890123};
-    message.takesCallers = true;
-    message.ordering = {0, 3};
-    message.hasLoads = true;
-    message.loads["e1"] = {3, 1200};
+    message.sender = "n2";
+    message.onward = Onward::Everywhere;
+    message.reports = {report};
     message.used = {{"s", "m/a", 2, {}}};
     message.wanted = {{"s", "m/b", 1, {"e1"}}};
-    message.crashes = {{0xfedcba9876543210, "e1"}};
-    message.placements = {{"e1", "m/a", 2, false, std::chrono::milliseconds{250}}, {"e2", "m/b", 0, true, {}}};
+    message.found = {{"e3", "m/c", 0, false, {}}};
     return message;
 }
 
-const char *const malformed[] = {"", "[]", "{", "{}", R"({"from":{}})", R"({"from":{"node":7}})", R"({"from":"n"})"};
+const char *const malformed[]
+    = {"", "[]", "{", "{}", R"({"sender":{}})", R"({"sender":7})", R"({"reports":[]})", R"({"from":{"node":"n"}})"};
+
+const char *const malformedReports[] = {R"({"sender":"n","reports":[7]})", R"({"sender":"n","reports":[{}]})",
+                                        R"({"sender":"n","reports":[{"from":{"node":7}}]})",
+                                        R"({"sender":"n","reports":{"from":"n"}})"};
 
 } // namespace
 
@@ -31,27 +43,46 @@
 {
     const auto read = decodeGatewayMessage(encode(example()));
     cr_assert(read.has_value());
-    cr_assert(read->from == example().from);
-    cr_assert(read->ordering == example().ordering);
-    cr_assert_eq(read->loads.at("e1").inFlight, 3U);
+    cr_assert_eq(read->sender, std::string("n2"));
+    cr_assert(read->onward == Onward::Everywhere);
+    cr_assert_eq(read->reports.size(), 1U);
+    const auto &report = read->reports.front();
+    const auto sent = example().reports.front();
+    cr_assert(report.from == sent.from);
+    cr_assert_eq(report.sequence, 17U);
+    cr_assert(report.takesCallers);
+    cr_assert(report.ordering == sent.ordering);
+    cr_assert_eq(report.inFlight.at("e1"), 3U);
+    cr_assert_eq(report.prompts.front().tokens, 1110);
+    cr_assert(report.crashes == sent.crashes);
+    cr_assert_eq(report.placements.size(), 2U);
+    cr_assert_eq(report.placements[0].version, 2U);
+    cr_assert(report.placements[0].usableIn == std::chrono::milliseconds{250});
+    cr_assert(report.placements[1].dropped);
     cr_assert_eq(read->used.front().target, std::string("m/a"));
     cr_assert_eq(read->wanted.front().target, std::string("m/b"));
     cr_assert_eq(read->wanted.front().unfit.size(), 1U);
-    cr_assert(read->crashes == example().crashes);
-    cr_assert_eq(read->placements.size(), 2U);
-    cr_assert_eq(read->placements[0].version, 2U);
-    cr_assert(read->placements[0].usableIn == std::chrono::milliseconds{250});
-    cr_assert(read->placements[1].dropped);
+    cr_assert_eq(read->found.front().instance, std::string("e3"));
 }
 
 Test(GatewayMessage, mayLeaveOutTheAddress)
 {
     auto message = example();
-    message.from = {};
-    message.from.node = "n1";
-    message.from.startedAt = 7;
+    auto &from = message.reports.front().from;
+    from = {};
+    from.node = "n1";
+    from.startedAt = 7;
     const auto read = decodeGatewayMessage(encode(message));
-    cr_assert(read && read->from == message.from);
+    cr_assert(read && read->reports.size() == 1);
+    cr_assert_eq(read->reports.front().from.node, std::string("n1"));
+    cr_assert_eq(read->reports.front().from.startedAt, 7);
+    cr_assert_eq(read->reports.front().from.callers.port, 0);
+}
+
+TABLE_TEST(GatewayMessage, skipsReportsThatCannotBeRead, malformedReports)
+{
+    const auto read = decodeGatewayMessage(row);
+    cr_assert(read && read->reports.empty());
 }
 
 TABLE_TEST(GatewayMessage, refusesWhatIsNoMessage, malformed)
--- a/tests/gateway/membertabletest.cpp
+++ b/tests/gateway/membertabletest.cpp
@@ -16,12 +16,13 @@
     return {node, domain, "r-" + domain, {"10.0.0." + last, 80, false}, {"10.0.0." + last, 90, false}, startedAt};
 }
 
-GatewayMessage heard(const NodeAddress &from, bool takesCallers = true)
+NodeReport heard(const NodeAddress &from, bool takesCallers = true, std::uint64_t sequence = 1)
 {
-    GatewayMessage message;
-    message.from = from;
-    message.takesCallers = takesCallers;
-    return message;
+    NodeReport report;
+    report.from = from;
+    report.sequence = sequence;
+    report.takesCallers = takesCallers;
+    return report;
 }
 
 /// Node 1 (self) to 3 in domain `a`, 4 and 5 in `b`, all heard at the start.
@@ -55,7 +56,7 @@
     const auto later = start + std::chrono::seconds{2};
     for (const auto *node : {"n2", "n3", "n4", "n5"}) {
         if (node != std::string(row.silent))
-            table.onHeard(heard(address(node, node[1] < '4' ? "a" : "b"), node != std::string(row.stopping)), later);
+            table.onHeard(heard(address(node, node[1] < '4' ? "a" : "b"), node != std::string(row.stopping), 2), later);
     }
     const auto points = table.entryPoints("r-" + std::string(row.domain), row.domain, row.selfTakesCallers, later);
     cr_assert_eq(points.size(), row.entries);
@@ -76,3 +77,27 @@
     cr_assert_eq(table.entryPoints("r-a", "a", true, start).size(), 1U);
     cr_assert_eq(table.peers(start).size(), 1U);
 }
+
+Test(MemberTable, anOvertakenReportIsASignOfLifeOnly)
+{
+    auto table = fiveNodes();
+    const auto later = start + std::chrono::seconds{1};
+    cr_assert(table.onHeard(heard(address("n2", "a"), false, 3), later));
+    cr_assert_not(table.onHeard(heard(address("n2", "a"), true, 2), later));
+    cr_assert_eq(table.entryPoints("r-a", "a", true, later).size(), 4U);
+}
+
+Test(MemberTable, relaysAreLiveNodesOnTheMachinesWithMostToSpare)
+{
+    auto table = fiveNodes();
+    auto large = address("n3", "a");
+    large.capacity = 2;
+    const auto later = start + std::chrono::seconds{2};
+    table.onHeard(heard(large, true, 2), later);
+    const auto relays = table.relaysOf("a", 2, later);
+    cr_assert_eq(relays.size(), 2U);
+    cr_assert_eq(relays[0].node, std::string("n3"));
+    cr_assert_eq(relays[1].node, std::string("n1"), "n2 was not heard for two seconds");
+    cr_assert_eq(table.relaysOf("b", 1, later).size(), 1U, "better one that may be dead than none");
+    cr_assert(table.relaysOf("c", 1, later).empty());
+}
--- a/tests/gateway/upstreamtabletest.cpp
+++ b/tests/gateway/upstreamtabletest.cpp
@@ -69,21 +69,33 @@
 Test(UpstreamTable, aNewProcessOfAnInstanceHasNothingOfTheOld)
 {
     auto table = tableWith("a");
-    table.find("a")->own.inFlight = 3;
+    table.find("a")->ownInFlight = 3;
     auto restarted = record("a", 2);
     restarted.targets.clear();
     cr_assert(table.onRecord(restarted, after(100)));
-    cr_assert_eq(table.find("a")->own.inFlight, 0U);
+    cr_assert_eq(table.find("a")->ownInFlight, 0U);
     cr_assert_not(table.find("a")->residency.find("m/a"));
 }
 
 Test(UpstreamTable, addsUpTheLoadOfAllNodes)
 {
     auto table = tableWith("a");
-    table.find("a")->own = {2, 100};
-    table.onPeerLoads("n1", {{"a", {3, 50}}});
-    table.onPeerLoads("n2", {{"a", {1, 0}}});
-    cr_assert_eq(table.find("a")->total().inFlight, 6U);
+    table.find("a")->ownInFlight = 2;
+    table.onPeerLoads("n1", {{"a", 3}});
+    table.onPeerLoads("n2", {{"a", 1}});
+    cr_assert_eq(table.find("a")->inFlight(), 6U);
     table.onPeerLoads("n1", {});
-    cr_assert_eq(table.find("a")->total().inFlight, 3U);
+    cr_assert_eq(table.find("a")->inFlight(), 3U);
+}
+
+Test(UpstreamTable, theLoadOfAnEarlierProcessIsNotCounted)
+{
+    auto table = tableWith("a");
+    table.onPeerLoads("n1", {{"a", 5}});
+    table.onPeerLoads("n2", {{"a", 4}});
+    table.onRecord(record("a", 2), after(100));
+    cr_assert_eq(table.find("a")->inFlight(), 0U);
+    table.onPeerLoads("n1", {{"a", 1}});
+    table.onPeerLoads("n2", {{"a", 2}});
+    cr_assert_eq(table.find("a")->inFlight(), 3U);
 }
