One node of each failure domain reads the upstreams' records for all of them

Cause: most of the prices on the grown site were calls to the store: each of 69 nodes asked for the upstreams' changes every 1.3 s, and heartbeats see to it that there always are some. Ruled out: longer pauses: they would delay the news that an upstream leaves, which is bounded. Change: the first relay of a failure domain passes what it reads on to the domain's nodes in parts of 16 KB, each with the revisions that it covers. A node takes in a part that follows on what it knows and puts its own call off; after a lost part, or when none comes, it asks the store itself after 1.3 times the pause.

--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -179,6 +179,30 @@
     return report;
 }
 
+json::object shareToJson(const RegistryShare &share)
+{
+    json::array changes;
+    for (const auto &change : share.changes) {
+        json::array row{change.revision, change.key};
+        if (change.value)
+            row.push_back(json::string(*change.value));
+        changes.push_back(std::move(row));
+    }
+    return {{"after", share.after}, {"revision", share.revision}, {"changes", std::move(changes)}};
+}
+
+RegistryShare shareFrom(const json::object &object)
+{
+    RegistryShare share{numberAt<Revision>(object, "after"), {}, numberAt<Revision>(object, "revision")};
+    eachRow(object, "changes", [&](const json::array &row) {
+        KeyChange change{textIn(row, 1), {}, numberIn<Revision>(row, 0)};
+        if (row.size() > 2)
+            change.value = textIn(row, 2);
+        share.changes.push_back(std::move(change));
+    });
+    return share;
+}
+
 } // namespace
 
 std::string encode(const NodeAddress &address)
@@ -215,6 +239,8 @@
         object["missing"] = noticesToJson(message.missing);
     if (!message.found.empty())
         object["found"] = noticesToJson(message.found);
+    if (message.upstreamRecords)
+        object["upstream_records"] = shareToJson(*message.upstreamRecords);
     return json::serialize(object);
 }
 
@@ -243,6 +269,8 @@
     message.wanted = demandsFrom(object, "wanted");
     message.missing = noticesFrom(object, "missing");
     message.found = noticesFrom(object, "found");
+    if (const auto *share = object.if_contains("upstream_records"); share && share->is_object())
+        message.upstreamRecords = shareFrom(share->get_object());
     return message;
 }
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -155,6 +155,10 @@
     /// Heartbeats come many times a second; between two batches of them passes this part of the time that upstreams
     /// serve on after they said that they leave.
     static constexpr double upstreamPausePart = 0.32;
+    /// Where another node of the failure domain reads for this one, it waits longer by this before it asks itself: the
+    /// time of a call and a datagram. Both pauses and a call together stay within the part of 1 that drains allow.
+    static constexpr double sharedPauseFactor = 1.3;
+    static constexpr std::size_t sharedBytes = 16 * 1024; ///< Of records in one datagram.
     static constexpr Duration ownPause = std::chrono::milliseconds{100};
     /// Heartbeats answer the upstreams' watch long before this, so that a dead connection shows there first. The others
     /// wait longer, as each call is priced, and ask anew when the upstreams' watch breaks.
@@ -253,7 +257,8 @@
                         m_operatorDocuments.renew();
                         m_ownRecords.renew();
                     }
-                }};
+                },
+                [this](const RegistryShare &share) { shareUpstreamRecords(share); }};
     }
 
     typename RegistryFollower<typename Platform::Store>::Observer ownObserver()
@@ -287,6 +292,28 @@
                 {}};
     }
 
+    /// Whether this node reads the upstreams' records for the other nodes of its failure domain.
+    bool readsForDomain(Instant now) const
+    {
+        const auto relays = m_members.relaysOf(m_address.failureDomain, 1, now);
+        return relays.front() == m_address;
+    }
+
+    void shareUpstreamRecords(const RegistryShare &share)
+    {
+        const auto now = BootClock{}.now();
+        if (share.changes.empty() || !readsForDomain(now))
+            return;
+        const auto targets = m_members.peersIn(m_address.failureDomain, now);
+        if (targets.empty())
+            return;
+        for (auto &part : split(share, sharedBytes)) {
+            auto notice = message();
+            notice.upstreamRecords = std::move(part);
+            m_peers.send(notice, targets);
+        }
+    }
+
     static std::optional<unsigned> shardOfKey(const std::string &key)
     {
         for (unsigned shard = 0; shard < orderShards; ++shard) {
@@ -418,6 +445,10 @@
         m_lastTick = now;
         m_context.upstreams.sweep(now);
         m_store.sweep(now);
+        const auto pause = pauseFor(m_settings.drainBound);
+        m_upstreamRecords.setPause(readsForDomain(now)
+                                       ? pause
+                                       : std::chrono::duration_cast<Duration>(pause * sharedPauseFactor));
         tickOrders(now);
         m_forwarder.sweep(now);
         m_callers.sweep(now);
@@ -667,6 +698,8 @@
         for (const auto &missing : message.missing)
             m_orders[shardOf(missing.instance)]->onMissing(missing.instance, missing.target);
         applyPlacements(message.found);
+        if (message.upstreamRecords)
+            m_upstreamRecords.onShared(*message.upstreamRecords);
     }
 
     void onReport(const NodeReport &report, Instant now)
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -2,8 +2,10 @@
 
 #include "common/clock.h"
 #include "common/keyvalue.h"
+#include "gateway/registryshare.h"
 #include "http/eventloop.h"
 
+#include <algorithm>
 #include <concepts>
 #include <functional>
 #include <memory>
@@ -17,13 +19,6 @@
 /// A lease of the store; 0 for none.
 using StoreLease = std::uint64_t;
 
-/// One change of a key; without a value it was removed.
-struct KeyChange {
-    std::string key;
-    std::optional<std::string> value;
-    Revision revision = 0;
-};
-
 /// What came of waiting for changes.
 struct WatchResult {
     bool answered = false;
@@ -59,6 +54,7 @@
         std::function<void(const KeyChange &)> onChange;
         std::function<void()> onBatchEnd; ///< After the changes of one answer.
         std::function<void(bool)> onReachable; ///< The service answers, or does not.
+        std::function<void(const RegistryShare &)> onRead = {}; ///< Changes that this node's own call has brought.
     };
 
     struct Pace {
@@ -71,6 +67,7 @@
         , m_store(store)
         , m_prefix(std::move(prefix))
         , m_pace(pace)
+        , m_pause(pace.pause)
         , m_observer(std::move(observer))
     {
     }
@@ -84,22 +81,43 @@
     /// Asks anew at once: the connection that waits may be dead, as others to the service are.
     void renew()
     {
-        if (!m_waiting)
+        if (m_state == State::Waiting)
+            read();
+    }
+
+    /// Takes in what another node has read, if it follows on what is known here; puts off the next call of this node.
+    void onShared(const RegistryShare &share)
+    {
+        if (m_state == State::Reading || share.after > m_revision || share.revision <= m_revision)
             return;
-        ++m_generation;
-        m_waiting = false;
-        read();
+        apply(share.changes, share.revision);
+        if (m_state == State::Pausing)
+            followAfter(m_pause);
+    }
+
+    /// Sets the time between an answer, of the store or another node, and this node's next call.
+    void setPause(Duration pause)
+    {
+        m_pause = pause;
     }
 
 private:
+    enum class State {
+        Reading, ///< A snapshot, or about to.
+        Waiting, ///< For the answer to a watch.
+        Pausing, ///< Until the next watch.
+    };
+
     static constexpr Duration retryPause = std::chrono::milliseconds{300};
 
     void read()
     {
+        ++m_generation;
+        m_state = State::Reading;
         m_store.readPrefix(m_prefix, [this](const KeyReply &reply) {
             setReachable(reply.outcome == KeyOutcome::Applied);
             if (reply.outcome != KeyOutcome::Applied)
-                return m_loop.runAfter(retryPause, [this] { read(); });
+                return readAfter(retryPause);
             m_observer.onSnapshot(reply.values);
             if (m_observer.onBatchEnd)
                 m_observer.onBatchEnd();
@@ -111,29 +129,55 @@
     void follow()
     {
         const auto generation = ++m_generation;
-        m_waiting = true;
-        m_store.watch(m_prefix, m_revision, m_pace.longestWait, [this, generation](const WatchResult &result) {
+        m_state = State::Waiting;
+        const auto after = m_revision;
+        m_store.watch(m_prefix, after, m_pace.longestWait, [this, generation, after](const WatchResult &result) {
             if (generation != m_generation)
                 return;
-            m_waiting = false;
             if (result.historyLost)
-                return m_loop.runAfter(m_pace.pause, [this] { read(); });
+                return readAfter(m_pause);
             if (!result.answered) {
                 // Changes made while a wait was cut may never be told: what stands now is read anew.
                 const bool wasReachable = m_reachable;
                 setReachable(false);
-                return m_loop.runAfter(wasReachable ? Duration{} : retryPause, [this] { read(); });
+                return readAfter(wasReachable ? Duration{} : retryPause);
             }
             setReachable(true);
-            m_revision = result.revision;
-            for (const auto &change : result.changes)
-                m_observer.onChange(change);
-            if (!result.changes.empty() && m_observer.onBatchEnd)
-                m_observer.onBatchEnd();
-            m_loop.runAfter(result.changes.empty() ? Duration{} : m_pace.pause, [this] { follow(); });
+            if (m_observer.onRead)
+                m_observer.onRead({after, result.changes, result.revision});
+            apply(result.changes, result.revision);
+            followAfter(result.changes.empty() ? Duration{} : m_pause);
         });
     }
 
+    void readAfter(Duration pause)
+    {
+        m_state = State::Reading;
+        m_loop.runAfter(pause, [this] { read(); });
+    }
+
+    /// Makes the next call after @p pause, unless something comes before.
+    void followAfter(Duration pause)
+    {
+        m_state = State::Pausing;
+        m_loop.runAfter(pause, [this, generation = ++m_generation] {
+            if (generation == m_generation)
+                follow();
+        });
+    }
+
+    void apply(const std::vector<KeyChange> &changes, Revision revision)
+    {
+        const auto known = m_revision;
+        m_revision = std::max(m_revision, revision);
+        for (const auto &change : changes) {
+            if (change.revision > known)
+                m_observer.onChange(change);
+        }
+        if (!changes.empty() && m_observer.onBatchEnd)
+            m_observer.onBatchEnd();
+    }
+
     void setReachable(bool reachable)
     {
         if (m_reachable == reachable && m_reported)
@@ -148,10 +192,11 @@
     Store &m_store;
     std::string m_prefix;
     Pace m_pace;
+    Duration m_pause;
     Observer m_observer;
     Revision m_revision = 0;
     std::uint64_t m_generation = 0; ///< Of the call under way; answers to earlier ones are ignored.
-    bool m_waiting = false;
+    State m_state = State::Reading;
     bool m_reachable = false;
     bool m_reported = false;
 };
--- a/tests/gateway/registryfollowertest.cpp
+++ b/tests/gateway/registryfollowertest.cpp
@@ -143,3 +143,72 @@
     cr_assert(followed.changes.empty());
     cr_assert_eq(followed.store.watches, 2U);
 }
+
+namespace
+{
+
+struct ShareCase {
+    RegistryShare share;
+    std::vector<std::string> applied;
+    Revision goesOnFrom; ///< Where the next call of this node begins.
+};
+
+/// After a snapshot at revision 5 and an own answer up to 8.
+const ShareCase shares[] = {
+    {{8, {{"p/c", "1", 9}}, 9}, {"p/c"}, 9},
+    {{6, {{"p/b", "1", 7}, {"p/c", "1", 9}}, 9}, {"p/c"}, 9}, // Overlaps with what is known.
+    {{9, {{"p/c", "1", 10}}, 10}, {}, 8}, // A part is missing between.
+    {{4, {{"p/b", "1", 7}}, 7}, {}, 8}, // Old.
+};
+
+} // namespace
+
+TABLE_TEST(RegistryFollower, takesInWhatAnotherNodeHasRead, shares)
+{
+    Followed followed;
+    followed.answerRead(5, {});
+    followed.follower.setPause(std::chrono::milliseconds{30});
+    followed.answerWatch({true, false, {{"p/b", "2", 8}}, 8});
+    followed.changes.clear();
+    followed.follower.onShared(row.share);
+    cr_assert(followed.changes == row.applied);
+    for (int i = 0; i < 5; ++i)
+        followed.settle();
+    cr_assert_eq(followed.store.watches, 2U);
+    cr_assert_eq(followed.store.lastAfter, row.goesOnFrom);
+}
+
+Test(RegistryFollower, sharesPutOffTheNextCall)
+{
+    Followed followed;
+    followed.answerRead(5, {});
+    followed.follower.setPause(std::chrono::milliseconds{40});
+    followed.answerWatch({true, false, {{"p/b", "2", 8}}, 8});
+    for (Revision revision = 9; revision < 19; ++revision) {
+        followed.follower.onShared({revision - 1, {{"p/b", "2", revision}}, revision});
+        followed.settle();
+    }
+    cr_assert_eq(followed.store.watches, 1U);
+    cr_assert_eq(followed.changes.size(), 11U);
+}
+
+Test(RegistryFollower, aShareDuringASnapshotIsIgnored)
+{
+    Followed followed;
+    followed.answerRead(5, {});
+    followed.answerWatch({false, false, {}, 0});
+    followed.follower.onShared({5, {{"p/b", "2", 8}}, 8});
+    cr_assert(followed.changes.empty());
+    followed.answerRead(9, {});
+    cr_assert_eq(followed.store.watches, 2U);
+}
+
+Test(RegistryFollower, aShareWhileACallWaitsIsNotAppliedTwice)
+{
+    Followed followed;
+    followed.answerRead(5, {});
+    followed.follower.onShared({5, {{"p/b", "2", 8}}, 8});
+    followed.answerWatch({true, false, {{"p/b", "2", 8}, {"p/c", "2", 9}}, 9});
+    cr_assert_eq(followed.changes.size(), 2U);
+    cr_assert_eq(followed.store.lastAfter, 9);
+}
--- /dev/null
+++ b/tests/gateway/registrysharetest.cpp
@@ -0,0 +1,51 @@
+#include "gateway/registryshare.h"
+
+#include "support/table.h"
+
+#include <algorithm>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+RegistryShare shareOf(const std::vector<Revision> &revisions)
+{
+    RegistryShare share{10, {}, 99};
+    for (const auto revision : revisions)
+        share.changes.push_back({"k", std::string(9, 'v'), revision});
+    return share;
+}
+
+struct SplitCase {
+    std::vector<Revision> revisions;
+    std::size_t bytes; ///< Each change has ten.
+    std::vector<std::size_t> parts; ///< Changes in each.
+};
+
+const SplitCase splits[] = {
+    {{}, 20, {0}},
+    {{11, 12}, 20, {2}},
+    {{11, 12, 13}, 20, {2, 1}},
+    {{11, 12, 13}, 5, {1, 1, 1}}, // Each is larger than what fits.
+    {{11, 12, 12, 12, 13}, 20, {4, 1}}, // Changes of one revision stay together.
+};
+
+} // namespace
+
+TABLE_TEST(RegistryShare, partsFollowOnEachOther, splits)
+{
+    const auto parts = split(shareOf(row.revisions), row.bytes);
+    cr_assert_eq(parts.size(), row.parts.size());
+    Revision after = 10;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        cr_assert_eq(parts[i].changes.size(), row.parts[i]);
+        cr_assert_eq(parts[i].after, after);
+        cr_assert(std::ranges::all_of(parts[i].changes, [&](const KeyChange &change) {
+            return change.revision > parts[i].after && change.revision <= parts[i].revision;
+        }));
+        after = parts[i].revision;
+    }
+    cr_assert_eq(after, 99);
+}
