Prompts that wait for a load or for the pace are announced ahead

Cause: requests that wait for the same copy, at different nodes, were all sent when its load ended; nobody had told of a prompt before it was sent. Ruled out: misses and loads: 1% of streams began late. Change: a request that is to be sent later tells all nodes where and when, and is sent there then; the window of prompts knows those to come. It has files and a test of its own. What is left are prompts that several nodes send within some 50 ms of each other, and slow engines.

--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -43,8 +43,8 @@
     std::function<void(const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit,
                        unsigned attempt)>
         onWanted;
-    /// Tells the other nodes of a prompt that was sent to an engine.
-    std::function<void(const std::string &instance, double tokens)> onPromptSent;
+    /// Tells the other nodes of a prompt that is sent to an engine, now or in a moment.
+    std::function<void(const std::string &instance, double tokens, Duration in)> onPrompt;
     /// Tells the holder that an engine does not hold a target.
     std::function<void(const std::string &instance, const ModelTarget &target)> onMissing;
 
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -119,6 +119,7 @@
         Instant wantedAt{};
         unsigned wants = 0; ///< How often a holder was asked for a load.
         Instant notBefore{};
+        std::optional<UpstreamChoice> reservation; ///< Where and when its prompt was announced for.
         // The send under way.
         std::string instance;
         Relay::UpstreamClient::Token token = 0;
@@ -183,6 +184,11 @@
             return;
         if (m_context.crashes.isBlocked(call->fingerprint))
             return giveUp(call, ErrorCode::Quarantined, "upstreams died whenever they ran this request");
+        if (const auto reserved = takeUpReservation(*call, now)) {
+            stopWaiting(call);
+            return send(call, *reserved, now);
+        }
+        call->reservation.reset();
         auto choice = choose(*call, now);
         if (!choice && !call->excluded.empty() && call->runs == 0) {
             call->excluded.clear();
@@ -194,6 +200,10 @@
             if (now - call->arrival > (call->deadline - call->arrival) * longestQueuePart)
                 return giveUp(call, ErrorCode::Overloaded, "the engines that have the adapter are full");
             call->notBefore = choice->sendAt;
+            if (!choice->isFull) {
+                announcePrompt(*call, choice->instance, choice->sendAt, now);
+                call->reservation = *choice;
+            }
             startWaiting(call, now);
             call->waitUntil = std::max(call->waitUntil, choice->sendAt + std::chrono::milliseconds{500});
             return wakeAt(call, choice->sendAt, now);
@@ -291,6 +301,33 @@
         m_metrics.observe(Metric::LoadStallSeconds, labelsOf(*call), now - call->waitingSince, now);
     }
 
+    /// Tells all nodes that the call's prompt goes to @p instance at @p at.
+    void announcePrompt(const Call &call, const std::string &instance, Instant at, Instant now)
+    {
+        const auto tokens = call.request.promptTokens;
+        if (tokens <= 0)
+            return;
+        m_context.upstreams.find(instance)->prompts.add(tokens, at, now);
+        m_context.onPrompt(instance, tokens, at - now);
+    }
+
+    /// Returns the upstream that the call's prompt was announced to, if it can be sent there now.
+    std::optional<UpstreamChoice> takeUpReservation(Call &call, Instant now) const
+    {
+        if (!call.reservation)
+            return std::nullopt;
+        const auto it = m_context.upstreams.all().find(call.reservation->instance);
+        if (it == m_context.upstreams.all().end() || it->second.record.draining || now < it->second.avoidUntil
+            || it->second.inFlight() >= it->second.record.slots)
+            return std::nullopt;
+        const auto *copy = it->second.residency.find(call.request.target);
+        if (!copy || copy->usableAt > now || copy->version < m_context.leastVersion(call.request.target, now))
+            return std::nullopt;
+        auto choice = *call.reservation;
+        choice.version = copy->version;
+        return choice;
+    }
+
     void send(const CallPtr &call, const UpstreamChoice &choice, Instant now)
     {
         if (call->sends > 0 && !m_context.allowance.tryTake(call->service, now))
@@ -316,10 +353,8 @@
             instructions.resumeAfter = call->lastEvent;
         call->promptRead = false;
         call->inFlightAtSend = upstream->inFlight();
-        if (const auto tokens = call->request.promptTokens; tokens > 0) {
-            upstream->prompts.add(tokens, now);
-            m_context.onPromptSent(call->instance, tokens);
-        }
+        if (!std::exchange(call->reservation, std::nullopt))
+            announcePrompt(*call, choice.instance, now, now);
         if (upstream->ownInFlight == 0)
             upstream->waitingSince = now;
         ++upstream->ownInFlight;
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -100,7 +100,7 @@
         if (upstream.record.draining || upstream.record.service != demand.service
             || std::ranges::find(demand.excluded, instance) != demand.excluded.end())
             continue;
-        UpstreamChoice choice{instance, 0, now, now, 0};
+        UpstreamChoice choice{instance, 0, now, now, false, 0};
         if (!demand.target.empty()) {
             const auto *copy = upstream.residency.find(demand.target);
             if (!copy || (copy->version < demand.leastVersion))
@@ -111,8 +111,9 @@
         choice.sendAt = choice.usableAt;
         if (!demand.target.empty() && demand.pace.tokens > 0)
             choice.sendAt = std::max(choice.usableAt, upstream.prompts.roomAt(demand.promptTokens, demand.pace.tokens,
-                                                                              demand.pace.span, now));
-        if (!demand.target.empty() && upstream.inFlight() >= upstream.record.slots)
+                                                                              demand.pace.span, std::max(choice.usableAt, now)));
+        choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.record.slots;
+        if (choice.isFull)
             choice.sendAt = std::max(choice.sendAt, now + fullPause);
         choice.score = scoreOf(upstream, demand, now, speed) + std::max(0.0, msOf(choice.sendAt - now));
         if (!best || choice.score < best->score)
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -44,6 +44,7 @@
     std::uint64_t version = 0; ///< Of the copy that will serve; 0 if it is not known.
     Instant usableAt{}; ///< When the copy's load ends; in the past for one that is there.
     Instant sendAt{}; ///< When the engine can read the prompt beside its streams; not before @c usableAt.
+    bool isFull = false; ///< Nobody knows when the upstream will have room.
     double score = 0; ///< Expected time to a first event, in ms, as far as load decides it.
 };
 
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -135,7 +135,7 @@
     if (!report.prompts.empty()) {
         json::array prompts;
         for (const auto &prompt : report.prompts)
-            prompts.push_back({prompt.instance, static_cast<std::int64_t>(prompt.tokens)});
+            prompts.push_back({prompt.instance, static_cast<std::int64_t>(prompt.tokens), prompt.in.count()});
         object["prompts"] = std::move(prompts);
     }
     if (!report.crashes.empty()) {
@@ -170,7 +170,8 @@
     eachRow(object, "in_flight",
             [&](const json::array &row) { report.inFlight[textIn(row, 0)] = numberIn<unsigned>(row, 1); });
     eachRow(object, "prompts", [&](const json::array &row) {
-        report.prompts.push_back({textIn(row, 0), numberIn<double>(row, 1)});
+        report.prompts.push_back(
+            {textIn(row, 0), numberIn<double>(row, 1), Duration{numberIn<std::int64_t>(row, 2)}});
     });
     eachRow(object, "crashes", [&](const json::array &row) {
         report.crashes.push_back({numberIn<std::uint64_t>(row, 0), textIn(row, 1)});
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -47,10 +47,11 @@
     Duration usableIn{};
 };
 
-/// Prompt tokens that were sent to an upstream.
+/// Prompt tokens that are sent to an upstream.
 struct PromptNotice {
     std::string instance;
     double tokens = 0;
+    Duration in{}; ///< When they will be, from the notice on.
 };
 
 /// What one node tells all others. Each part may be empty.
@@ -61,7 +62,7 @@
     std::vector<unsigned> ordering; ///< Shards whose engines the node orders at present.
     std::map<std::string, unsigned> inFlight; ///< Its requests at work, by upstream instance.
     bool hasInFlight = false; ///< Whether @c inFlight replaces what was told before.
-    std::vector<PromptNotice> prompts; ///< Sent just now.
+    std::vector<PromptNotice> prompts; ///< Sent just now, or about to be.
     std::vector<CrashReport> crashes;
     std::vector<PlacementNotice> placements; ///< From a holder only.
 };
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -98,9 +98,9 @@
                                     const std::vector<std::string> &unfit, unsigned attempt) {
             want({service, target, 1, unfit}, attempt);
         };
-        m_context.onPromptSent = [this](const std::string &instance, double tokens) {
+        m_context.onPrompt = [this](const std::string &instance, double tokens, Duration in) {
             auto notice = report();
-            notice.prompts.push_back({instance, tokens});
+            notice.prompts.push_back({instance, tokens, in});
             tell(std::move(notice));
         };
         m_context.onMissing
@@ -716,7 +716,7 @@
         }
         for (const auto &prompt : report.prompts) {
             if (auto *upstream = m_context.upstreams.find(prompt.instance))
-                upstream->prompts.add(prompt.tokens, now);
+                upstream->prompts.add(prompt.tokens, now + prompt.in, now);
         }
         for (const auto &crash : report.crashes)
             m_context.crashes.add(crash, now);
--- /dev/null
+++ b/src/gateway/promptwindow.cpp
@@ -0,0 +1,68 @@
+#include "gateway/promptwindow.h"
+
+#include <algorithm>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+constexpr Duration memory = std::chrono::seconds{1}; ///< Longer than any pause that routes allow.
+
+} // namespace
+
+void PromptWindow::add(double tokens, Instant at, Instant now)
+{
+    while (!m_entries.empty() && now - m_entries.front().at > memory)
+        m_entries.pop_front();
+    const auto later = std::ranges::upper_bound(m_entries, at, {}, &Entry::at);
+    m_entries.insert(later, {at, tokens});
+}
+
+double PromptWindow::sum(Duration span, Instant now) const
+{
+    double sum = 0;
+    for (const auto &entry : m_entries) {
+        if (now - entry.at < span)
+            sum += entry.tokens;
+    }
+    return sum;
+}
+
+/// Returns the most tokens that any span around @p at has.
+double PromptWindow::mostBeside(Instant at, Duration span) const
+{
+    double most = 0;
+    const auto spanUntil = [&](Instant end) {
+        double sum = 0;
+        for (const auto &entry : m_entries) {
+            if (entry.at <= end && end - entry.at < span)
+                sum += entry.tokens;
+        }
+        most = std::max(most, sum);
+    };
+    spanUntil(at);
+    for (const auto &entry : m_entries) {
+        if (entry.at > at && entry.at - at < span)
+            spanUntil(entry.at);
+    }
+    return most;
+}
+
+Instant PromptWindow::roomAt(double tokens, double limit, Duration span, Instant from) const
+{
+    const auto hasRoom = [&](Instant at) {
+        const double beside = mostBeside(at, span);
+        return beside == 0 || beside + tokens <= limit;
+    };
+    if (hasRoom(from))
+        return from;
+    for (const auto &entry : m_entries) {
+        if (const auto at = entry.at + span; at > from && hasRoom(at))
+            return at;
+    }
+    return m_entries.back().at + span;
+}
+
+} // namespace Gypsumtally::Gateway
--- a/src/gateway/upstreamtable.cpp
+++ b/src/gateway/upstreamtable.cpp
@@ -11,42 +11,8 @@
 /// Records of live upstreams are back about two seconds after the registry.
 constexpr Duration lapseGrace = std::chrono::milliseconds{2300};
 
-constexpr Duration promptMemory = std::chrono::seconds{1}; ///< Longer than any pause that routes allow.
-
 } // namespace
 
-void PromptWindow::add(double tokens, Instant now)
-{
-    while (!m_entries.empty() && now - m_entries.front().at > promptMemory)
-        m_entries.pop_front();
-    m_entries.push_back({now, tokens});
-}
-
-double PromptWindow::sum(Duration span, Instant now) const
-{
-    double sum = 0;
-    for (const auto &entry : m_entries) {
-        if (now - entry.at < span)
-            sum += entry.tokens;
-    }
-    return sum;
-}
-
-Instant PromptWindow::roomAt(double tokens, double limit, Duration span, Instant now) const
-{
-    double left = sum(span, now) + tokens;
-    auto at = now;
-    for (const auto &entry : m_entries) {
-        if (left <= limit)
-            break;
-        if (now - entry.at >= span)
-            continue;
-        left -= entry.tokens;
-        at = entry.at + span;
-    }
-    return at;
-}
-
 bool UpstreamTable::onRecord(const UpstreamRecord &record, Instant now)
 {
     m_lapsed.erase(record.instance);
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "common/clock.h"
+#include "gateway/promptwindow.h"
 #include "gateway/residency.h"
 #include "http/message.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,37 +30,13 @@
     std::set<std::string> storedModels; ///< Base models that it can load without the weight store.
 };
 
-/// The prompt tokens that all nodes have sent to an engine of late. Prompts are read in the same steps that make the
-/// tokens of running streams, so that too many at once stall every stream. Not thread-safe.
-class PromptWindow
-{
-public:
-    /// A node has sent @p tokens.
-    void add(double tokens, Instant now);
-
-    /// Returns the tokens of the last @p span.
-    double sum(Duration span, Instant now) const;
-
-    /// Returns when @p tokens more will keep the sum of each @p span within @p limit. One prompt alone is always let in
-    /// after a span without any.
-    Instant roomAt(double tokens, double limit, Duration span, Instant now) const;
-
-private:
-    struct Entry {
-        Instant at{};
-        double tokens = 0;
-    };
-
-    std::deque<Entry> m_entries; ///< Of the last second.
-};
-
 /// What this node knows of one upstream.
 struct Upstream {
     UpstreamRecord record;
     Residency residency;
     unsigned ownInFlight = 0; ///< Requests of this node that it is working on.
     unsigned peersInFlight = 0; ///< Those of other nodes, as they last said.
-    PromptWindow prompts; ///< Sent by all nodes.
+    PromptWindow prompts; ///< Of all nodes.
     double failureRatio = 0; ///< Decayed share of failed requests, 0 to 1.
     double outcomes = 0; ///< Decayed number of requests that the ratio rests on.
     Instant lastOutcome{};
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -38,7 +38,7 @@
     {[](UpstreamTable &) {}, "near"},
     {[](UpstreamTable &table) { table.find("near")->ownInFlight = 30; }, "far"},
     {[](UpstreamTable &table) { table.onPeerLoads("n", {{"near", 30}}); }, "far"},
-    {[](UpstreamTable &table) { table.find("near")->prompts.add(3000, now); }, "far"},
+    {[](UpstreamTable &table) { table.find("near")->prompts.add(3000, now, now); }, "far"},
     {[](UpstreamTable &table) { table.find("near")->record.draining = true; }, "far"},
     {[](UpstreamTable &table) { table.find("near")->residency.onDropped("m/a", now); }, "far"},
     {[](UpstreamTable &table) { table.find("near")->avoidUntil = now + std::chrono::seconds{1}; }, "far"},
@@ -94,3 +94,35 @@
     excluding.excluded = {"near", "far"};
     cr_assert_not(chooseUpstream(table, excluding, now).has_value());
 }
+
+namespace
+{
+
+struct PaceCase {
+    int usableIn; ///< ms, when the load of the copy ends.
+    std::vector<int> prompts; ///< When prompts of 600 tokens were or will be sent, in ms.
+    int sendIn;
+};
+
+/// 1000 tokens are let in within 300 ms.
+const PaceCase paces[] = {
+    {-10000, {}, 0}, {-10000, {-100}, 200}, {-10000, {-400}, 0}, {250, {}, 250}, {250, {200}, 500}, {250, {-100}, 250},
+};
+
+} // namespace
+
+TABLE_TEST(EngineChoice, sendsWhenTheEngineCanReadThePrompt, paces)
+{
+    const auto in = [](int ms) { return now + std::chrono::milliseconds{ms}; };
+    auto table = twoEngines();
+    table.onRemoved("far", now);
+    table.find("far")->record.draining = true;
+    auto *engine = table.find("near");
+    engine->residency.onLoading("m/a", 0, in(row.usableIn), now);
+    for (const int at : row.prompts)
+        engine->prompts.add(600, in(at), now);
+    auto paced = demand;
+    paced.promptTokens = 500;
+    paced.pace = {1000, std::chrono::milliseconds{300}};
+    cr_assert(chooseUpstream(table, paced, now)->sendAt == std::max(now, in(row.sendIn)));
+}
--- /dev/null
+++ b/tests/gateway/promptwindowtest.cpp
@@ -0,0 +1,75 @@
+#include "gateway/promptwindow.h"
+
+#include "support/table.h"
+
+#include <vector>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+constexpr Instant now{std::chrono::seconds{100}};
+constexpr Duration span = std::chrono::milliseconds{300};
+constexpr double limit = 1000;
+
+Instant after(int ms)
+{
+    return now + std::chrono::milliseconds{ms};
+}
+
+struct Prompt {
+    int at;
+    double tokens;
+};
+
+struct RoomCase {
+    std::vector<Prompt> prompts;
+    double tokens;
+    int from;
+    int roomAt;
+};
+
+const RoomCase rooms[] = {
+    {{}, 500, 0, 0},
+    {{}, 5000, 0, 0}, // Too large for any span, but alone.
+    {{{-100, 600}}, 400, 0, 0},
+    {{{-100, 600}}, 500, 0, 200},
+    {{{-300, 600}}, 500, 0, 0},
+    {{{-200, 600}, {-100, 600}}, 300, 0, 100},
+    {{{-200, 600}, {-100, 600}}, 500, 0, 200},
+    {{{100, 600}}, 500, 0, 400}, // One to come is not crowded either.
+    {{{400, 600}}, 500, 0, 0},
+    {{{400, 600}}, 500, 200, 700},
+    {{{-100, 600}, {250, 600}}, 500, 0, 550},
+    {{{-100, 5000}}, 10, 0, 200},
+};
+
+} // namespace
+
+TABLE_TEST(PromptWindow, findsRoomThatNoSpanExceeds, rooms)
+{
+    PromptWindow window;
+    for (const auto &prompt : row.prompts)
+        window.add(prompt.tokens, after(prompt.at), now);
+    cr_assert(window.roomAt(row.tokens, limit, span, after(row.from)) == after(row.roomAt));
+}
+
+Test(PromptWindow, sumsWhatIsRecentOrToCome)
+{
+    PromptWindow window;
+    window.add(1, after(-400), now);
+    window.add(2, after(-200), now);
+    window.add(4, after(200), now);
+    cr_assert_eq(window.sum(span, now), 6);
+    cr_assert_eq(window.sum(span, after(450)), 4);
+}
+
+Test(PromptWindow, whatIsToldLateIsSortedIn)
+{
+    PromptWindow window;
+    window.add(600, after(200), now);
+    window.add(600, after(-100), now);
+    cr_assert(window.roomAt(500, limit, span, now) == after(500));
+}
