Nodes learn the speed of engines and pace prompts by it

Cause: a third of the engines of the grown site take 1.3 times as long for each step; the pace of prompts took all for equally fast. Change: pauses between events without a prompt in the half second before give the time for a token; shorter ones count ten times as much as longer ones. Nodes tell each other what they learnt in digests. Tried first: the plain mean of such pauses.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -125,6 +125,7 @@
         Relay::UpstreamClient::Token token = 0;
         Instant sentAt{};
         Instant heard{};
+        double slownessAtSend = 1; ///< Of the upstream, as far as was learnt.
         unsigned inFlightAtSend = 0; ///< At the upstream, by all nodes as far as they have told.
         bool promptRead = false; ///< An event has come.
         UpstreamReply reply;
@@ -237,16 +238,20 @@
         return chooseUpstream(m_context.upstreams, demand, now);
     }
 
+    unsigned tokensPerEvent(const Call &call) const
+    {
+        const auto *service = m_context.routes->service(call.service);
+        return service && service->engine ? service->engine->tokensPerEvent : 1;
+    }
+
     /// Calls that are late anyway leave a part of the pace to those that are not.
     PromptPace paceOf(const Call &call, Instant now) const
     {
         const auto *service = m_context.routes->service(call.service);
         if (!service || !service->engine)
             return {};
-        auto pace = promptPace(call.route.longestPause, service->engine->tokensPerEvent);
-        if (now - call.arrival > call.route.latencyObjective)
-            pace.tokens *= latePacePart;
-        return pace;
+        const bool isLate = now - call.arrival > call.route.latencyObjective;
+        return {call.route.longestPause, service->engine->tokensPerEvent, isLate ? latePacePart : 1};
     }
 
     void wakeAt(const CallPtr &call, Instant time, Instant now)
@@ -353,6 +358,7 @@
             instructions.resumeAfter = call->lastEvent;
         call->promptRead = false;
         call->inFlightAtSend = upstream->inFlight();
+        call->slownessAtSend = slownessOf(*upstream);
         if (!std::exchange(call->reservation, std::nullopt))
             announcePrompt(*call, choice.instance, now, now);
         if (upstream->ownInFlight == 0)
@@ -451,7 +457,7 @@
                 m_metrics.observe(Metric::FirstTokenSeconds, labelsOf(*call), call->firstEvent, now);
             }
         } else if (auto *upstream = m_context.upstreams.find(call->instance)) {
-            notePause(*upstream, now - call->lastEventAt);
+            notePause(*upstream, now - call->lastEventAt, tokensPerEvent(*call), now);
         }
         if (call->answering)
             call->longestPause = std::max(call->longestPause, now - call->lastEventAt);
@@ -596,6 +602,7 @@
                       {"total_ms", ms(BootClock{}.now() - call.arrival)},
                       {"sends", std::to_string(call.sends)},
                       {"in_flight", std::to_string(call.inFlightAtSend)},
+                      {"slowness", std::to_string(call.slownessAtSend)},
                       {"prompt", std::to_string(static_cast<long>(call.request.promptTokens))}});
     }
 
--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -22,6 +22,7 @@
     append(into.prompts, std::move(from.prompts));
     append(into.crashes, std::move(from.crashes));
     append(into.placements, std::move(from.placements));
+    append(into.steps, std::move(from.steps));
     if (from.sequence < into.sequence)
         return;
     into.sequence = from.sequence;
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -14,12 +14,17 @@
 constexpr double badFailureRatio = 0.25; ///< Plain services fail up to 14 in 100 requests on an ordinary day.
 constexpr double badUpstreamMs = 3000; ///< Sorts bad upstreams behind every good one.
 constexpr Duration silentAfter = std::chrono::milliseconds{700}; ///< Many steps of a loaded engine.
-constexpr double pauseWeight = 0.05; ///< Of one more pause in the decayed mean.
-constexpr double ordinaryPauseMs = 45; ///< Three tokens of a step at half load.
+/// Weights of one more figure in the learnt time for a token. What lengthens a pause, such as a prompt that this node has
+/// not heard of, says nothing of the speed, so that shorter ones count for more. A stream has some forty.
+constexpr double shorterStepWeight = 0.2;
+constexpr double longerStepWeight = 0.02;
+constexpr Duration promptEcho = std::chrono::milliseconds{500}; ///< Until the steps that read a prompt are over.
 
 constexpr Duration fullPause = std::chrono::milliseconds{60}; ///< Until a full engine is looked at again.
 constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Prompts sent within it may still be waiting.
-constexpr double stepMs = 12; ///< Of a loaded engine without a prompt; the platform's sheet says 10.1 and more.
+constexpr double leastStepMs = 10.1; ///< Of an engine without a prompt; the platform's sheet says 10.1 and more.
+constexpr double stepMsPerRequest = 0.033; ///< Its longer steps beside more streams; the platform's sheet.
+constexpr double loadedStepMs = 12; ///< Of an ordinary engine at its usual load, for what a pause leaves to prompts.
 constexpr double prefillTokensPerMs = 20.4; ///< The platform's sheet.
 constexpr double usedPace = 0.95; ///< The rest is for prompts that two nodes send at the same moment.
 
@@ -68,11 +73,10 @@
     if (demand.target.empty())
         return distance + speed.plainServiceMs * std::floor(inFlight / slots) + inFlight / slots
                + penaltyMs(upstream, now);
-    const double slowdown = std::max(1.0, upstream.pauseMs / ordinaryPauseMs);
     const double queued = std::max(0.0, inFlight + 1 - slots);
     return distance + penaltyMs(upstream, now)
-           + slowdown
-                 * (upstream.prompts.sum(promptSpan, now) / speed.prefillTokensPerMs
+           + slownessOf(upstream)
+                 * (upstream.prompts.sum(promptSpan, now) / prefillTokensPerMs
                     + inFlight * speed.msPerRunningRequest + queued * speed.msPerQueuedRequest);
 }
 
@@ -84,12 +88,15 @@
     return it == regions.end() ? failureDomain : it->second;
 }
 
-PromptPace promptPace(Duration longestPause, unsigned tokensPerEvent)
+double slownessOf(const Upstream &upstream)
 {
-    if (longestPause == Duration{})
-        return {};
-    const double forPrompts = msOf(longestPause) - stepMs * std::max(1U, tokensPerEvent);
-    return {std::max(0.0, forPrompts) * prefillTokensPerMs * usedPace, longestPause};
+    return std::max(1.0, upstream.stepMs / (leastStepMs + stepMsPerRequest * upstream.inFlight()));
+}
+
+double tokensWithinPause(const PromptPace &pace, double slowness)
+{
+    const double forPrompts = msOf(pace.longestPause) / slowness - loadedStepMs * std::max(1U, pace.tokensPerEvent);
+    return std::max(0.0, forPrompts) * prefillTokensPerMs * usedPace * pace.share;
 }
 
 std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
@@ -109,9 +116,10 @@
             choice.usableAt = copy->usableAt;
         }
         choice.sendAt = choice.usableAt;
-        if (!demand.target.empty() && demand.pace.tokens > 0)
-            choice.sendAt = std::max(choice.usableAt, upstream.prompts.roomAt(demand.promptTokens, demand.pace.tokens,
-                                                                              demand.pace.span, std::max(choice.usableAt, now)));
+        if (!demand.target.empty() && demand.pace.longestPause > Duration{})
+            choice.sendAt = upstream.prompts.roomAt(demand.promptTokens,
+                                                    tokensWithinPause(demand.pace, slownessOf(upstream)),
+                                                    demand.pace.longestPause, std::max(choice.usableAt, now));
         choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.record.slots;
         if (choice.isFull)
             choice.sendAt = std::max(choice.sendAt, now + fullPause);
@@ -137,10 +145,20 @@
     upstream.lastOutcome = now;
 }
 
-void notePause(Upstream &upstream, Duration pause)
+void notePause(Upstream &upstream, Duration pause, unsigned tokensPerEvent, Instant now)
+{
+    if (upstream.prompts.sum(promptEcho, now) > 0)
+        return;
+    noteStep(upstream, msOf(pause) / std::max(1U, tokensPerEvent));
+    ++upstream.ownSteps;
+}
+
+void noteStep(Upstream &upstream, double stepMs)
 {
-    const double ms = msOf(pause);
-    upstream.pauseMs = upstream.pauseMs == 0 ? ms : upstream.pauseMs + pauseWeight * (ms - upstream.pauseMs);
+    if (upstream.stepMs == 0)
+        upstream.stepMs = stepMs;
+    const double weight = stepMs < upstream.stepMs ? shorterStepWeight : longerStepWeight;
+    upstream.stepMs += weight * (stepMs - upstream.stepMs);
 }
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -17,15 +17,20 @@
 /// Returns the region of @p failureDomain; a domain that is not in @p regions is a region of its own. Thread-safe.
 const std::string &regionOf(const std::string &failureDomain, const Regions &regions);
 
-/// How many prompt tokens an engine can read beside its streams without stalling them.
+/// What keeps prompts from stalling the streams of an engine.
 struct PromptPace {
-    double tokens = 0; ///< In each span; 0: not bounded.
-    Duration span{};
+    Duration longestPause{}; ///< Of a stream, between two events; zero: not bounded.
+    unsigned tokensPerEvent = 1;
+    double share = 1; ///< Of what the engine can read in such a pause.
 };
 
-/// Returns the pace at which no stream pauses longer than @p longestPause, where an event holds @p tokensPerEvent.
-/// Thread-safe.
-PromptPace promptPace(Duration longestPause, unsigned tokensPerEvent);
+/// Returns how many times longer than an ordinary engine @p upstream takes for each step, as far as was learnt; at
+/// least 1. Thread-safe.
+double slownessOf(const Upstream &upstream);
+
+/// Returns how many prompt tokens an engine can read within @c longestPause beside its streams, without one of them
+/// pausing longer. Thread-safe.
+double tokensWithinPause(const PromptPace &pace, double slowness);
 
 /// What a request needs of an upstream.
 struct UpstreamDemand {
@@ -50,7 +55,6 @@
 
 /// Speeds that forecasts are made with.
 struct EngineSpeed {
-    double prefillTokensPerMs = 20; ///< Of one engine, from the platform's sheet.
     double msPerRunningRequest = 1.5; ///< What one more running request costs a new one: its share of each step.
     double msPerQueuedRequest = 40; ///< What a request beyond the slots waits for each one ahead of it.
     double crossDomainMs = 3; ///< What a way to another failure domain counts.
@@ -71,7 +75,11 @@
 /// Counts how a request ended at @p upstream, for its failure ratio.
 void noteOutcome(Upstream &upstream, bool failed, Instant now);
 
-/// Counts the time between two events of a stream.
-void notePause(Upstream &upstream, Duration pause);
+/// Counts the time between two events of a stream, of @p tokensPerEvent each, for the upstream's speed. Pauses beside
+/// prompts say nothing of it and are left out.
+void notePause(Upstream &upstream, Duration pause, unsigned tokensPerEvent, Instant now);
+
+/// Takes in the time for a token that another node has learnt.
+void noteStep(Upstream &upstream, double stepMs);
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <cmath>
+
 namespace Gypsumtally::Gateway
 {
 
@@ -132,6 +134,12 @@
             rows.push_back({instance, requests});
         object["in_flight"] = std::move(rows);
     }
+    if (!report.steps.empty()) {
+        json::array steps;
+        for (const auto &step : report.steps)
+            steps.push_back({step.instance, std::round(step.stepMs * 10) / 10});
+        object["steps"] = std::move(steps);
+    }
     if (!report.prompts.empty()) {
         json::array prompts;
         for (const auto &prompt : report.prompts)
@@ -169,6 +177,8 @@
     report.hasInFlight = arrayAt(object, "in_flight") != nullptr;
     eachRow(object, "in_flight",
             [&](const json::array &row) { report.inFlight[textIn(row, 0)] = numberIn<unsigned>(row, 1); });
+    eachRow(object, "steps",
+            [&](const json::array &row) { report.steps.push_back({textIn(row, 0), numberIn<double>(row, 1)}); });
     eachRow(object, "prompts", [&](const json::array &row) {
         report.prompts.push_back(
             {textIn(row, 0), numberIn<double>(row, 1), Duration{numberIn<std::int64_t>(row, 2)}});
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -54,6 +54,12 @@
     Duration in{}; ///< When they will be, from the notice on.
 };
 
+/// The speed of an engine as a node has learnt it.
+struct StepNotice {
+    std::string instance;
+    double stepMs = 0; ///< For a token of a stream.
+};
+
 /// What one node tells all others. Each part may be empty.
 struct NodeReport {
     NodeAddress from; ///< Only node and startedAt, unless this is a digest.
@@ -62,6 +68,7 @@
     std::vector<unsigned> ordering; ///< Shards whose engines the node orders at present.
     std::map<std::string, unsigned> inFlight; ///< Its requests at work, by upstream instance.
     bool hasInFlight = false; ///< Whether @c inFlight replaces what was told before.
+    std::vector<StepNotice> steps; ///< Learnt since the last digest.
     std::vector<PromptNotice> prompts; ///< Sent just now, or about to be.
     std::vector<CrashReport> crashes;
     std::vector<PlacementNotice> placements; ///< From a holder only.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -567,9 +567,11 @@
         auto digest = report();
         digest.from = m_address;
         digest.hasInFlight = true;
-        for (const auto &[instance, upstream] : m_context.upstreams.all()) {
+        for (auto &[instance, upstream] : m_context.upstreams.all()) {
             if (upstream.ownInFlight > 0)
                 digest.inFlight.emplace(instance, upstream.ownInFlight);
+            if (std::exchange(upstream.ownSteps, 0) > 0)
+                digest.steps.push_back({instance, upstream.stepMs});
         }
         std::vector<TargetDemand> used;
         for (auto it = m_context.uses.begin(); it != m_context.uses.end();) {
@@ -714,6 +716,10 @@
             if (report.hasInFlight)
                 m_context.upstreams.onPeerLoads(report.from.node, report.inFlight);
         }
+        for (const auto &step : report.steps) {
+            if (auto *upstream = m_context.upstreams.find(step.instance))
+                noteStep(*upstream, step.stepMs);
+        }
         for (const auto &prompt : report.prompts) {
             if (auto *upstream = m_context.upstreams.find(prompt.instance))
                 upstream->prompts.add(prompt.tokens, now + prompt.in, now);
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -40,7 +40,8 @@
     double failureRatio = 0; ///< Decayed share of failed requests, 0 to 1.
     double outcomes = 0; ///< Decayed number of requests that the ratio rests on.
     Instant lastOutcome{};
-    double pauseMs = 0; ///< Decayed mean time between two events of a stream; 0 if none was seen.
+    double stepMs = 0; ///< Learnt time for a token of a stream while no prompt is read; 0 if none was seen.
+    unsigned ownSteps = 0; ///< What this node has learnt it from since it told others.
     Instant waitingSince{}; ///< Since when a request waits and no byte of any response has come.
     Instant avoidUntil{}; ///< Takes no new requests while others can, for instance after a refused connection.
 
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -123,6 +123,48 @@
         engine->prompts.add(600, in(at), now);
     auto paced = demand;
     paced.promptTokens = 500;
-    paced.pace = {1000, std::chrono::milliseconds{300}};
+    paced.pace = {std::chrono::milliseconds{300}, 4, 1000 / tokensWithinPause({std::chrono::milliseconds{300}, 4}, 1)};
     cr_assert(chooseUpstream(table, paced, now)->sendAt == std::max(now, in(row.sendIn)));
 }
+
+namespace
+{
+
+struct SpeedCase {
+    int pauseMs; ///< Between events of four tokens.
+    int promptBefore; ///< ms before the pauses; 0: none.
+    double least; ///< Of the slowness that is learnt.
+    double most;
+};
+
+const SpeedCase speeds[] = {
+    {42, 0, 1, 1.05}, {54, 0, 1.25, 1.35}, {210, 0, 4.8, 5.3}, {210, 100, 1, 1}, {54, 600, 1.25, 1.35},
+};
+
+} // namespace
+
+TABLE_TEST(EngineChoice, learnsSpeedFromPausesWithoutPrompts, speeds)
+{
+    auto table = twoEngines();
+    auto *engine = table.find("near");
+    if (row.promptBefore > 0)
+        engine->prompts.add(100, now - std::chrono::milliseconds{row.promptBefore}, now);
+    for (int i = 0; i < 40; ++i)
+        notePause(*engine, std::chrono::milliseconds{row.pauseMs}, 4, now);
+    cr_assert(slownessOf(*engine) >= row.least && slownessOf(*engine) <= row.most, "%f", slownessOf(*engine));
+}
+
+Test(EngineChoice, aSlowEngineReadsFewerTokensInAPause)
+{
+    const PromptPace pace{std::chrono::milliseconds{300}, 4};
+    cr_assert_lt(tokensWithinPause(pace, 1.3), tokensWithinPause(pace, 1) / 1.25);
+    cr_assert_eq(tokensWithinPause(pace, 10), 0);
+    cr_assert_eq(tokensWithinPause({pace.longestPause, 4, 0.5}, 1), tokensWithinPause(pace, 1) / 2);
+}
+
+Test(EngineChoice, takesInTheSpeedThatOthersHaveLearnt)
+{
+    auto table = twoEngines();
+    noteStep(*table.find("near"), 20);
+    cr_assert_gt(slownessOf(*table.find("near")), 1.8);
+}
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -17,7 +17,8 @@
     report.ordering = {0, 3};
     report.hasInFlight = true;
     report.inFlight["e1"] = 3;
-    report.prompts = {{"e1", 1110}};
+    report.steps = {{"e1", 13.2}};
+    report.prompts = {{"e1", 1110, std::chrono::milliseconds{40}}};
     report.crashes = {{0xfedcba9876543210, "e1"}};
     report.placements = {{"e1", "m/a", 2, false, std::chrono::milliseconds{250}}, {"e2", "m/b", 0, true, {}}};
     GatewayMessage message;
@@ -54,7 +55,9 @@
     cr_assert(report.takesCallers);
     cr_assert(report.ordering == sent.ordering);
     cr_assert_eq(report.inFlight.at("e1"), 3U);
+    cr_assert_eq(report.steps.front().stepMs, 13.2);
     cr_assert_eq(report.prompts.front().tokens, 1110);
+    cr_assert(report.prompts.front().in == std::chrono::milliseconds{40});
     cr_assert(report.crashes == sent.crashes);
     cr_assert_eq(report.placements.size(), 2U);
     cr_assert_eq(report.placements[0].version, 2U);
