One node of each failure domain reads all that the nodes follow in the store

Change: the node that reads for its failure domain shares operators' documents and the nodes' records as well, empty answers, and with each of them up to where it knows the other two. A node that sees something missing asks at once; one that hears nothing for 1.3 pauses asks itself. What exceeds 40 KB in one revision is left out of the share, visibly.

--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -190,8 +190,9 @@
     return report;
 }
 
-json::object shareToJson(const RegistryShare &share)
+json::object updateToJson(const RegistryUpdate &update)
 {
+    const auto &share = update.share;
     json::array changes;
     for (const auto &change : share.changes) {
         json::array row{change.revision, change.key};
@@ -199,11 +200,14 @@
             row.push_back(json::string(*change.value));
         changes.push_back(std::move(row));
     }
-    return {{"after", share.after}, {"revision", share.revision}, {"changes", std::move(changes)}};
+    return {{"view", nameOf(update.view)}, {"after", share.after}, {"revision", share.revision}, {"changes", std::move(changes)}};
 }
 
-RegistryShare shareFrom(const json::object &object)
+std::optional<RegistryUpdate> updateFrom(const json::object &object)
 {
+    const auto view = valueOf<RegistryView>(textAt(object, "view"));
+    if (!view)
+        return std::nullopt;
     RegistryShare share{numberAt<Revision>(object, "after"), {}, numberAt<Revision>(object, "revision")};
     eachRow(object, "changes", [&](const json::array &row) {
         KeyChange change{textIn(row, 1), {}, numberIn<Revision>(row, 0)};
@@ -211,7 +215,7 @@
             change.value = textIn(row, 2);
         share.changes.push_back(std::move(change));
     });
-    return share;
+    return RegistryUpdate{*view, std::move(share)};
 }
 
 } // namespace
@@ -250,8 +254,11 @@
         object["missing"] = noticesToJson(message.missing);
     if (!message.found.empty())
         object["found"] = noticesToJson(message.found);
-    if (message.upstreamRecords)
-        object["upstream_records"] = shareToJson(*message.upstreamRecords);
+    json::array registry;
+    for (const auto &update : message.registry)
+        registry.push_back(updateToJson(update));
+    if (!registry.empty())
+        object["registry"] = std::move(registry);
     return json::serialize(object);
 }
 
@@ -280,8 +287,14 @@
     message.wanted = demandsFrom(object, "wanted");
     message.missing = noticesFrom(object, "missing");
     message.found = noticesFrom(object, "found");
-    if (const auto *share = object.if_contains("upstream_records"); share && share->is_object())
-        message.upstreamRecords = shareFrom(share->get_object());
+    if (const auto *registry = arrayAt(object, "registry")) {
+        for (const auto &each : *registry) {
+            if (!each.is_object())
+                continue;
+            if (auto update = updateFrom(each.get_object()))
+                message.registry.push_back(std::move(*update));
+        }
+    }
     return message;
 }
 
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -91,7 +91,7 @@
     std::vector<TargetDemand> wanted; ///< To the holder: requests that wait for a load.
     std::vector<PlacementNotice> missing; ///< To the holder: what engines have refused to serve.
     std::vector<PlacementNotice> found; ///< From the holder: copies of what the receiver wanted.
-    std::optional<RegistryShare> upstreamRecords; ///< What the sender has read of the store for its failure domain.
+    std::vector<RegistryUpdate> registry; ///< What the sender has read of the store for its failure domain.
 };
 
 /// Thread-safe.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -159,6 +159,7 @@
     /// time of a call and a datagram. Both pauses and a call together stay within the part of 1 that drains allow.
     static constexpr double sharedPauseFactor = 1.3;
     static constexpr std::size_t sharedBytes = 16 * 1024; ///< Of records in one datagram.
+    static constexpr std::size_t largestShared = 40 * 1024; ///< In one datagram, whose limit is 64 KB with escapes.
     static constexpr Duration ownPause = std::chrono::milliseconds{100};
     /// Heartbeats answer the upstreams' watch long before this, so that a dead connection shows there first. The others
     /// wait longer, as each call is priced, and ask anew when the upstreams' watch breaks.
@@ -226,7 +227,8 @@
                 {},
                 [this](bool reachable) {
                     m_log.note(reachable ? GatewayEvent::StoreBack : GatewayEvent::StoreLost, {{"watch", "operator"}});
-                }};
+                },
+                [this](const RegistryShare &share) { shareRead({{RegistryView::OperatorDocuments, share}}); }};
     }
 
     typename RegistryFollower<typename Platform::Store>::Observer upstreamObserver()
@@ -258,7 +260,10 @@
                         m_ownRecords.renew();
                     }
                 },
-                [this](const RegistryShare &share) { shareUpstreamRecords(share); }};
+                [this](const RegistryShare &share) {
+                    shareRead({{RegistryView::UpstreamRecords, share}});
+                    shareSignsOfLife();
+                }};
     }
 
     typename RegistryFollower<typename Platform::Store>::Observer ownObserver()
@@ -289,7 +294,8 @@
                         m_members.onListed(*address, BootClock{}.now());
                 },
                 {},
-                {}};
+                {},
+                [this](const RegistryShare &share) { shareRead({{RegistryView::OwnRecords, share}}); }};
     }
 
     /// Whether this node reads the upstreams' records for the other nodes of its failure domain.
@@ -299,18 +305,53 @@
         return relays.front() == m_address;
     }
 
-    void shareUpstreamRecords(const RegistryShare &share)
+    /// Tells the nodes of the failure domain what this one has read, if it reads for them.
+    void shareRead(const std::vector<RegistryUpdate> &updates)
     {
         const auto now = BootClock{}.now();
-        if (share.changes.empty() || !readsForDomain(now))
+        if (!readsForDomain(now))
             return;
         const auto targets = m_members.peersIn(m_address.failureDomain, now);
         if (targets.empty())
             return;
-        for (auto &part : split(share, sharedBytes)) {
-            auto notice = message();
-            notice.upstreamRecords = std::move(part);
-            m_peers.send(notice, targets);
+        for (const auto &update : updates) {
+            for (auto &part : split(update.share, sharedBytes, largestShared)) {
+                auto notice = message();
+                notice.registry.push_back({update.view, std::move(part)});
+                m_peers.send(notice, targets);
+            }
+        }
+    }
+
+    /// The store has just answered for the upstreams' records: what this node knows of the others stands as well.
+    void shareSignsOfLife()
+    {
+        std::vector<RegistryUpdate> signs;
+        if (const auto share = m_operatorDocuments.signOfLife())
+            signs.push_back({RegistryView::OperatorDocuments, *share});
+        if (const auto share = m_ownRecords.signOfLife())
+            signs.push_back({RegistryView::OwnRecords, *share});
+        shareRead(signs);
+    }
+
+    void setRegistryPauses(bool readsForDomain)
+    {
+        const auto pause = pauseFor(m_settings.drainBound);
+        const auto patience = std::chrono::duration_cast<Duration>(pause * sharedPauseFactor);
+        m_operatorDocuments.setPause(readsForDomain ? operatorPause : patience);
+        m_upstreamRecords.setPause(readsForDomain ? pause : patience);
+        m_ownRecords.setPause(readsForDomain ? ownPause : patience);
+    }
+
+    void onRegistryUpdate(const RegistryUpdate &update)
+    {
+        switch (update.view) {
+        case RegistryView::OperatorDocuments:
+            return m_operatorDocuments.onShared(update.share);
+        case RegistryView::UpstreamRecords:
+            return m_upstreamRecords.onShared(update.share);
+        case RegistryView::OwnRecords:
+            return m_ownRecords.onShared(update.share);
         }
     }
 
@@ -445,10 +486,7 @@
         m_lastTick = now;
         m_context.upstreams.sweep(now);
         m_store.sweep(now);
-        const auto pause = pauseFor(m_settings.drainBound);
-        m_upstreamRecords.setPause(readsForDomain(now)
-                                       ? pause
-                                       : std::chrono::duration_cast<Duration>(pause * sharedPauseFactor));
+        setRegistryPauses(readsForDomain(now));
         tickOrders(now);
         m_forwarder.sweep(now);
         m_callers.sweep(now);
@@ -700,8 +738,8 @@
         for (const auto &missing : message.missing)
             m_orders[shardOf(missing.instance)]->onMissing(missing.instance, missing.target);
         applyPlacements(message.found);
-        if (message.upstreamRecords)
-            m_upstreamRecords.onShared(*message.upstreamRecords);
+        for (const auto &update : message.registry)
+            onRegistryUpdate(update);
     }
 
     void onReport(const NodeReport &report, Instant now)
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -54,7 +54,7 @@
         std::function<void(const KeyChange &)> onChange;
         std::function<void()> onBatchEnd; ///< After the changes of one answer.
         std::function<void(bool)> onReachable; ///< The service answers, or does not.
-        std::function<void(const RegistryShare &)> onRead = {}; ///< Changes that this node's own call has brought.
+        std::function<void(const RegistryShare &)> onRead = {}; ///< What this node's own call has brought, if anything.
     };
 
     struct Pace {
@@ -86,13 +86,22 @@
     }
 
     /// Takes in what another node has read, if it follows on what is known here; puts off the next call of this node.
+    /// What is missing between is asked for at once.
     void onShared(const RegistryShare &share)
     {
-        if (m_state == State::Reading || share.after > m_revision || share.revision <= m_revision)
+        if (m_state == State::Reading)
             return;
-        apply(share.changes, share.revision);
+        const bool isGap = share.after > m_revision;
+        if (!isGap && share.revision > m_revision)
+            apply(share.changes, share.revision);
         if (m_state == State::Pausing)
-            followAfter(m_pause);
+            followAfter(isGap ? Duration{} : m_pause);
+    }
+
+    /// Returns a share without changes for nodes that know as much as this one, or nothing while it reads a snapshot.
+    std::optional<RegistryShare> signOfLife() const
+    {
+        return m_state == State::Reading ? std::nullopt : std::optional(RegistryShare{m_revision, {}, m_revision});
     }
 
     /// Sets the time between an answer, of the store or another node, and this node's next call.
--- a/src/gateway/registryshare.cpp
+++ b/src/gateway/registryshare.cpp
@@ -5,13 +5,31 @@
 namespace Gypsumtally::Gateway
 {
 
-std::vector<RegistryShare> split(RegistryShare share, std::size_t bytes)
+namespace
+{
+
+std::size_t bytesOf(const KeyChange &change)
+{
+    return change.key.size() + (change.value ? change.value->size() : 0);
+}
+
+std::size_t bytesOf(const RegistryShare &share)
+{
+    std::size_t sum = 0;
+    for (const auto &change : share.changes)
+        sum += bytesOf(change);
+    return sum;
+}
+
+} // namespace
+
+std::vector<RegistryShare> split(RegistryShare share, std::size_t bytes, std::size_t largest)
 {
     std::vector<RegistryShare> parts;
     RegistryShare part{share.after, {}, share.after};
     std::size_t size = 0;
     for (auto &change : share.changes) {
-        const auto added = change.key.size() + (change.value ? change.value->size() : 0);
+        const auto added = bytesOf(change);
         if (!part.changes.empty() && size + added > bytes && change.revision > part.revision) {
             const auto last = part.revision;
             parts.push_back(std::exchange(part, RegistryShare{last, {}, last}));
@@ -23,6 +41,10 @@
     }
     part.revision = share.revision;
     parts.push_back(std::move(part));
+    for (auto &each : parts) {
+        if (bytesOf(each) > largest)
+            each = {each.revision, {}, each.revision};
+    }
     return parts;
 }
 
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -28,7 +28,8 @@
     message.used = {{"s", "m/a", 2, {}}};
     message.wanted = {{"s", "m/b", 1, {"e1"}}};
     message.found = {{"e3", "m/c", 0, false, {}}};
-    message.upstreamRecords = RegistryShare{7, {{"u/a", "{}", 8}, {"u/b", {}, 9}}, 12};
+    message.registry = {{RegistryView::OwnRecords, {7, {{"u/a", "{}", 8}, {"u/b", {}, 9}}, 12}},
+                        {RegistryView::OperatorDocuments, {12, {}, 12}}};
     return message;
 }
 
@@ -67,12 +68,16 @@
     cr_assert_eq(read->wanted.front().target, std::string("m/b"));
     cr_assert_eq(read->wanted.front().unfit.size(), 1U);
     cr_assert_eq(read->found.front().instance, std::string("e3"));
-    cr_assert_eq(read->upstreamRecords->after, 7);
-    cr_assert_eq(read->upstreamRecords->revision, 12);
-    cr_assert_eq(read->upstreamRecords->changes.size(), 2U);
-    cr_assert_eq(*read->upstreamRecords->changes[0].value, std::string("{}"));
-    cr_assert_not(read->upstreamRecords->changes[1].value.has_value());
-    cr_assert_eq(read->upstreamRecords->changes[1].revision, 9);
+    cr_assert_eq(read->registry.size(), 2U);
+    cr_assert(read->registry[0].view == RegistryView::OwnRecords);
+    cr_assert(read->registry[1].view == RegistryView::OperatorDocuments);
+    const auto &share = read->registry[0].share;
+    cr_assert_eq(share.after, 7);
+    cr_assert_eq(share.revision, 12);
+    cr_assert_eq(share.changes.size(), 2U);
+    cr_assert_eq(*share.changes[0].value, std::string("{}"));
+    cr_assert_not(share.changes[1].value.has_value());
+    cr_assert_eq(share.changes[1].revision, 9);
 }
 
 Test(GatewayMessage, mayLeaveOutTheAddress)
--- a/tests/gateway/registryfollowertest.cpp
+++ b/tests/gateway/registryfollowertest.cpp
@@ -157,8 +157,11 @@
 const ShareCase shares[] = {
     {{8, {{"p/c", "1", 9}}, 9}, {"p/c"}, 9},
     {{6, {{"p/b", "1", 7}, {"p/c", "1", 9}}, 9}, {"p/c"}, 9}, // Overlaps with what is known.
-    {{9, {{"p/c", "1", 10}}, 10}, {}, 8}, // A part is missing between.
+    {{9, {{"p/c", "1", 10}}, 10}, {}, 8}, // A part is missing between: this node asks itself.
+    {{9, {}, 9}, {}, 8}, // So it is where the other node only says what it knows.
     {{4, {{"p/b", "1", 7}}, 7}, {}, 8}, // Old.
+    {{8, {}, 8}, {}, 8},
+    {{8, {}, 20}, {}, 20}, // Nothing has changed since.
 };
 
 } // namespace
@@ -192,6 +195,35 @@
     cr_assert_eq(followed.changes.size(), 11U);
 }
 
+Test(RegistryFollower, aMissingPartIsAskedForAtOnce)
+{
+    Followed followed;
+    followed.answerRead(5, {});
+    followed.follower.setPause(std::chrono::seconds{100});
+    followed.answerWatch({true, false, {{"p/b", "2", 8}}, 8});
+    cr_assert_eq(followed.store.watches, 1U);
+    followed.follower.onShared({9, {}, 9});
+    followed.settle();
+    cr_assert_eq(followed.store.watches, 2U);
+}
+
+Test(RegistryFollower, signsOfLifePutOffTheNextCall)
+{
+    Followed followed;
+    followed.answerRead(5, {});
+    cr_assert_eq(followed.follower.signOfLife()->revision, 5);
+    followed.follower.setPause(std::chrono::milliseconds{40});
+    followed.answerWatch({true, false, {{"p/b", "2", 8}}, 8});
+    for (int i = 0; i < 10; ++i) {
+        followed.follower.onShared({8, {}, 8});
+        followed.settle();
+    }
+    cr_assert_eq(followed.store.watches, 1U);
+    for (int i = 0; i < 6; ++i)
+        followed.settle();
+    cr_assert_eq(followed.store.watches, 2U);
+}
+
 Test(RegistryFollower, aShareDuringASnapshotIsIgnored)
 {
     Followed followed;
--- a/tests/gateway/registrysharetest.cpp
+++ b/tests/gateway/registrysharetest.cpp
@@ -36,7 +36,7 @@
 
 TABLE_TEST(RegistryShare, partsFollowOnEachOther, splits)
 {
-    const auto parts = split(shareOf(row.revisions), row.bytes);
+    const auto parts = split(shareOf(row.revisions), row.bytes, 1000);
     cr_assert_eq(parts.size(), row.parts.size());
     Revision after = 10;
     for (std::size_t i = 0; i < parts.size(); ++i) {
@@ -49,3 +49,16 @@
     }
     cr_assert_eq(after, 99);
 }
+
+Test(RegistryShare, whatIsTooLargeIsLeftOutVisibly)
+{
+    auto share = shareOf({11, 12, 13});
+    share.changes[1].value = std::string(100, 'v');
+    const auto parts = split(share, 20, 50);
+    cr_assert_eq(parts.size(), 3U);
+    cr_assert_eq(parts[0].revision, 11);
+    cr_assert(parts[1].changes.empty());
+    cr_assert_eq(parts[1].after, 12, "a node that knows 11 sees that something is missing");
+    cr_assert_eq(parts[2].after, 12);
+    cr_assert_eq(parts[2].changes.size(), 1U);
+}
