Only the node that saw a crash tells of it

Cause: each node repeated in its digests all reports of crashes that it had heard of within two seconds, and hearing of one again made it recent again: reports went round for ever. Change: a node repeats its own reports for two seconds, and counts those of others without repeating them.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -772,7 +772,7 @@
             return;
         for (const auto &each : it->second) {
             if (now - each.at <= crashWindow)
-                m_context.crashes.add(
+                m_context.crashes.addOwn(
                     {each.fingerprint, instance + '@' + std::to_string(each.at.time_since_epoch().count() / 3000000)},
                     now);
         }
--- a/src/gateway/crashledger.cpp
+++ b/src/gateway/crashledger.cpp
@@ -15,7 +15,19 @@
 
 } // namespace
 
-bool CrashLedger::add(const CrashReport &report, Instant now)
+void CrashLedger::add(const CrashReport &report, Instant now)
+{
+    insert(report, now);
+}
+
+void CrashLedger::addOwn(const CrashReport &report, Instant now)
+{
+    if (insert(report, now))
+        m_own.push_back({report, now});
+}
+
+/// Returns whether it was new.
+bool CrashLedger::insert(const CrashReport &report, Instant now)
 {
     if (m_entries.size() >= maxEntries)
         forgetOld(now);
@@ -35,15 +47,13 @@
     return it == m_entries.end() ? 0 : it->second.instances.size();
 }
 
-std::vector<CrashReport> CrashLedger::recent(Instant now, Duration age) const
+std::vector<CrashReport> CrashLedger::recent(Instant now, Duration age)
 {
+    while (!m_own.empty() && now - m_own.front().at > age)
+        m_own.pop_front();
     std::vector<CrashReport> reports;
-    for (const auto &[fingerprint, entry] : m_entries) {
-        if (now - entry.last > age)
-            continue;
-        for (const auto &instance : entry.instances)
-            reports.push_back({fingerprint, instance});
-    }
+    for (const auto &own : m_own)
+        reports.push_back(own.report);
     return reports;
 }
 
--- a/src/gateway/crashledger.h
+++ b/src/gateway/crashledger.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 
 #include <cstdint>
+#include <deque>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -27,8 +28,11 @@
 class CrashLedger
 {
 public:
-    /// Takes in a report of this or another node. Returns whether it was new.
-    bool add(const CrashReport &report, Instant now);
+    /// Takes in a report of another node.
+    void add(const CrashReport &report, Instant now);
+
+    /// Takes in what this node has seen, for the others to be told of it.
+    void addOwn(const CrashReport &report, Instant now);
 
     /// Whether the request has taken down so many upstreams that it is not to be sent again.
     bool isBlocked(Fingerprint fingerprint) const;
@@ -36,8 +40,9 @@
     /// Returns how many upstreams died while they ran it.
     std::size_t deaths(Fingerprint fingerprint) const;
 
-    /// Returns the reports that other nodes may not have heard yet: those younger than @p age.
-    std::vector<CrashReport> recent(Instant now, Duration age) const;
+    /// Returns this node's own reports that others may not have heard yet: those younger than @p age. Reports of others
+    /// are theirs to tell, or they would go round for ever.
+    std::vector<CrashReport> recent(Instant now, Duration age);
 
 private:
     struct Entry {
@@ -45,8 +50,15 @@
         Instant last{};
     };
 
+    struct OwnReport {
+        CrashReport report;
+        Instant at{};
+    };
+
+    bool insert(const CrashReport &report, Instant now);
     void forgetOld(Instant now);
 
+    std::deque<OwnReport> m_own; ///< By time.
     std::unordered_map<Fingerprint, Entry> m_entries;
 };
 
--- a/tests/gateway/crashledgertest.cpp
+++ b/tests/gateway/crashledgertest.cpp
@@ -34,11 +34,35 @@
     cr_assert_not(ledger.isBlocked(6));
 }
 
-Test(CrashLedger, tellsWhatIsNew)
+Test(CrashLedger, tellsWhatItHasSeenItself)
 {
     CrashLedger ledger;
     const Instant now{std::chrono::seconds{9}};
-    ledger.add({5, "a"}, now);
-    cr_assert_eq(ledger.recent(now + std::chrono::seconds{1}, std::chrono::seconds{2}).size(), 1U);
-    cr_assert(ledger.recent(now + std::chrono::seconds{5}, std::chrono::seconds{2}).empty());
+    const auto age = std::chrono::seconds{2};
+    ledger.addOwn({5, "a"}, now);
+    ledger.add({6, "b"}, now);
+    const auto told = ledger.recent(now + std::chrono::seconds{1}, age);
+    cr_assert_eq(told.size(), 1U);
+    cr_assert_eq(told.front().fingerprint, 5U);
+    cr_assert(ledger.recent(now + std::chrono::seconds{5}, age).empty());
+}
+
+// Seen on a day of the grown site: what two nodes told each other stayed new for both, and filled their links.
+Test(CrashLedger, aReportDoesNotGoRoundForEver)
+{
+    CrashLedger first;
+    CrashLedger second;
+    Instant now{std::chrono::seconds{9}};
+    const auto age = std::chrono::seconds{2};
+    first.addOwn({5, "a"}, now);
+    for (int digest = 0; digest < 40; ++digest) {
+        for (const auto &report : first.recent(now, age))
+            second.add(report, now);
+        for (const auto &report : second.recent(now, age))
+            first.add(report, now);
+        now += std::chrono::milliseconds{300};
+    }
+    cr_assert(first.recent(now, age).empty());
+    cr_assert(second.recent(now, age).empty());
+    cr_assert_eq(second.deaths(5), 1U);
 }
