--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -158,6 +158,7 @@
     /// Where another node of the failure domain reads for this one, it waits longer by this before it asks itself: the
     /// time of a call and a datagram. Both pauses and a call together stay within the part of 1 that drains allow.
     static constexpr double sharedPauseFactor = 1.3;
+    static constexpr Duration storeRetryPause = std::chrono::milliseconds{400}; ///< Of the node that reads for others.
     static constexpr std::size_t sharedBytes = 16 * 1024; ///< Of records in one datagram.
     static constexpr std::size_t largestShared = 40 * 1024; ///< In one datagram, whose limit is 64 KB with escapes.
     static constexpr Duration ownPause = std::chrono::milliseconds{100};
@@ -338,9 +339,10 @@
     {
         const auto pause = pauseFor(m_settings.drainBound);
         const auto patience = std::chrono::duration_cast<Duration>(pause * sharedPauseFactor);
-        m_operatorDocuments.setPause(readsForDomain ? operatorPause : patience);
-        m_upstreamRecords.setPause(readsForDomain ? pause : patience);
-        m_ownRecords.setPause(readsForDomain ? ownPause : patience);
+        const Duration retry = readsForDomain ? storeRetryPause : patience;
+        m_operatorDocuments.setPauses(readsForDomain ? operatorPause : patience, retry);
+        m_upstreamRecords.setPauses(readsForDomain ? pause : patience, retry);
+        m_ownRecords.setPauses(readsForDomain ? ownPause : patience, retry);
     }
 
     void onRegistryUpdate(const RegistryUpdate &update)
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -8,8 +8,10 @@
 #include <algorithm>
 #include <concepts>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -86,12 +88,16 @@
     }
 
     /// Takes in what another node has read, if it follows on what is known here; puts off the next call of this node.
-    /// What is missing between is asked for at once.
+    /// What is missing between is asked for at once. A node that does not reach the store goes on by shares alone.
     void onShared(const RegistryShare &share)
     {
-        if (m_state == State::Reading)
-            return;
         const bool isGap = share.after > m_revision;
+        if (m_state == State::Reading) {
+            if (m_revision == 0 || isGap || share.revision < m_revision)
+                return;
+            setReachable(true);
+            m_state = State::Pausing;
+        }
         if (!isGap && share.revision > m_revision)
             apply(share.changes, share.revision);
         if (m_state == State::Pausing)
@@ -104,10 +110,12 @@
         return m_state == State::Reading ? std::nullopt : std::optional(RegistryShare{m_revision, {}, m_revision});
     }
 
-    /// Sets the time between an answer, of the store or another node, and this node's next call.
-    void setPause(Duration pause)
+    /// Sets the times between an answer, of the store or another node, and this node's next call, and between a call in
+    /// vain and the next one.
+    void setPauses(Duration pause, Duration retryPause)
     {
         m_pause = pause;
+        m_retryPause = retryPause;
     }
 
 private:
@@ -117,16 +125,21 @@
         Pausing, ///< Until the next watch.
     };
 
-    static constexpr Duration retryPause = std::chrono::milliseconds{300};
-
     void read()
     {
         ++m_generation;
         m_state = State::Reading;
-        m_store.readPrefix(m_prefix, [this](const KeyReply &reply) {
+        m_store.readPrefix(m_prefix, [this, generation = m_generation](const KeyReply &reply) {
+            if (generation != m_generation)
+                return;
             setReachable(reply.outcome == KeyOutcome::Applied);
             if (reply.outcome != KeyOutcome::Applied)
-                return readAfter(retryPause);
+                return readAfter(m_retryPause);
+            if (m_revision > 0 && m_observer.onRead)
+                m_observer.onRead(changesTo(reply));
+            m_known.clear();
+            for (const auto &value : reply.values)
+                m_known[value.key] = value.modRevision;
             m_observer.onSnapshot(reply.values);
             if (m_observer.onBatchEnd)
                 m_observer.onBatchEnd();
@@ -144,12 +157,12 @@
             if (generation != m_generation)
                 return;
             if (result.historyLost)
-                return readAfter(m_pause);
+                return readAfter(m_retryPause);
             if (!result.answered) {
                 // Changes made while a wait was cut may never be told: what stands now is read anew.
                 const bool wasReachable = m_reachable;
                 setReachable(false);
-                return readAfter(wasReachable ? Duration{} : retryPause);
+                return readAfter(wasReachable ? Duration{} : m_retryPause);
             }
             setReachable(true);
             if (m_observer.onRead)
@@ -162,7 +175,30 @@
     void readAfter(Duration pause)
     {
         m_state = State::Reading;
-        m_loop.runAfter(pause, [this] { read(); });
+        m_loop.runAfter(pause, [this, generation = ++m_generation] {
+            if (generation == m_generation)
+                read();
+        });
+    }
+
+    /// Returns what has changed up to a snapshot since what is known here, for nodes that know as much.
+    RegistryShare changesTo(const KeyReply &snapshot) const
+    {
+        RegistryShare share{m_revision, {}, snapshot.revision};
+        std::set<std::string> present;
+        for (const auto &value : snapshot.values) {
+            present.insert(value.key);
+            const auto known = m_known.find(value.key);
+            const bool isNew = known == m_known.end() || known->second != value.modRevision;
+            if (isNew && value.modRevision <= snapshot.revision) // Later ones will be told by the next watch.
+                share.changes.push_back({value.key, value.value, value.modRevision});
+        }
+        for (const auto &[key, revision] : m_known) {
+            if (!present.contains(key))
+                share.changes.push_back({key, {}, snapshot.revision});
+        }
+        std::ranges::sort(share.changes, {}, &KeyChange::revision);
+        return share;
     }
 
     /// Makes the next call after @p pause, unless something comes before.
@@ -180,8 +216,13 @@
         const auto known = m_revision;
         m_revision = std::max(m_revision, revision);
         for (const auto &change : changes) {
-            if (change.revision > known)
-                m_observer.onChange(change);
+            if (change.revision <= known)
+                continue;
+            if (change.value)
+                m_known[change.key] = change.revision;
+            else
+                m_known.erase(change.key);
+            m_observer.onChange(change);
         }
         if (!changes.empty() && m_observer.onBatchEnd)
             m_observer.onBatchEnd();
@@ -202,8 +243,10 @@
     std::string m_prefix;
     Pace m_pace;
     Duration m_pause;
+    Duration m_retryPause = std::chrono::milliseconds{300};
     Observer m_observer;
     Revision m_revision = 0;
+    std::map<std::string, Revision> m_known; ///< The keys that there are, and their last changes.
     std::uint64_t m_generation = 0; ///< Of the call under way; answers to earlier ones are ignored.
     State m_state = State::Reading;
     bool m_reachable = false;
