A line for each lost and regained peer, and settings read anew at SIGHUP

Peers that fell silent or are heard again are named in one line a half second. At SIGHUP the file is read anew: what a running process can take over is, and the line says what waits for a restart or what is wrong. The setting first_start, which nothing read, is gone.

--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -19,6 +19,9 @@
     Stopped,
     StoreLost,
     StoreBack,
+    PeersLost,
+    PeersFound,
+    SettingsRead,
     ConfigurationInForce,
     BadDocument,
     UpstreamFound,
@@ -44,12 +47,15 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 22> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 25> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
     {Gateway::GatewayEvent::StoreLost, "store_lost"},
     {Gateway::GatewayEvent::StoreBack, "store_back"},
+    {Gateway::GatewayEvent::PeersLost, "peers_lost"},
+    {Gateway::GatewayEvent::PeersFound, "peers_found"},
+    {Gateway::GatewayEvent::SettingsRead, "settings_read"},
     {Gateway::GatewayEvent::ConfigurationInForce, "configuration_in_force"},
     {Gateway::GatewayEvent::BadDocument, "bad_document"},
     {Gateway::GatewayEvent::UpstreamFound, "upstream_found"},
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -116,6 +116,12 @@
         }
     }
 
+    /// Reads the settings anew with @p read at each hang-up signal. Call before run().
+    void rereadSettingsWith(std::function<Parsed<GatewaySettings>()> read)
+    {
+        m_loop.onHangUp([this, read = std::move(read)] { takeOverSettings(read()); });
+    }
+
     /// Serves until a graceful stop has ended.
     void run()
     {
@@ -423,6 +429,39 @@
             m_log.note(GatewayEvent::UpstreamLeaving, {{"upstream", instance}});
     }
 
+    /// Takes over what a running process can; what is wrong, or waits for a restart, is told in the log.
+    void takeOverSettings(const Parsed<GatewaySettings> &read)
+    {
+        if (!read)
+            return m_log.note(GatewayEvent::SettingsRead, {{"outcome", "refused"}, {"reason", toString(read.problems)}});
+        const auto merged = takeOver(m_settings, *read.value);
+        const bool changed = merged != m_settings;
+        m_settings = merged;
+        m_context.regions = m_settings.regions;
+        m_context.allowance.setBound(retryBound(m_settings));
+        m_log.note(GatewayEvent::SettingsRead, {{"outcome", changed ? "taken over" : "unchanged"},
+                                                {"needs_restart", merged != *read.value ? "yes" : "no"}});
+    }
+
+    /// Writes a line about the nodes that are heard no more, and one about those that are heard again.
+    void noteMembers(Instant now)
+    {
+        auto live = m_members.liveNodes(now);
+        const auto noteMissing = [&](GatewayEvent event, const std::set<std::string> &from,
+                                     const std::set<std::string> &in) {
+            std::string names;
+            for (const auto &node : from) {
+                if (!in.contains(node))
+                    names += (names.empty() ? "" : ",") + node;
+            }
+            if (!names.empty())
+                m_log.note(event, {{"nodes", names}, {"live", std::to_string(live.size())}});
+        };
+        noteMissing(GatewayEvent::PeersLost, m_livePeers, live);
+        noteMissing(GatewayEvent::PeersFound, live, m_livePeers);
+        m_livePeers = std::move(live);
+    }
+
     bool isReady() const
     {
         return m_context.routes && !m_stopping;
@@ -496,6 +535,7 @@
         m_forwarder.sweep(now);
         m_callers.sweep(now);
         if (++m_ticks % 10 == 0) {
+            noteMembers(now);
             m_readiness.sweep(now);
             m_metricsServer.sweep(now);
             m_entries.sweep(now);
@@ -829,6 +869,7 @@
     std::uint64_t m_ticks = 0;
     Instant m_lastTick{};
     Instant m_peerHeard{};
+    std::set<std::string> m_livePeers; ///< As the log has them.
     bool m_stopping = false;
     Instant m_stopAt{};
 };
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -60,7 +60,6 @@
     reader.scalar("region", Presence::Required, settings.region);
     reader.map("regions", Presence::Optional, [&](MapReader &map) { readRegions(map, settings); });
     reader.scalar("drain_bound", Presence::Optional, settings.drainBound, shortTimes);
-    reader.scalar("first_start", Presence::Optional, settings.firstStart);
     reader.map("listen", Presence::Required, [&](MapReader &map) { readListeners(map, settings); });
     reader.scalar("store", Presence::Required, settings.store);
     reader.map("machine", Presence::Optional, [&](MapReader &map) { readMachine(map, settings); });
@@ -76,6 +75,18 @@
 
 } // namespace
 
+GatewaySettings takeOver(GatewaySettings running, const GatewaySettings &read)
+{
+    running.regions = read.regions;
+    running.drainBound = read.drainBound;
+    running.stopGrace = read.stopGrace;
+    running.entryTtl = read.entryTtl;
+    running.retryRatio = read.retryRatio;
+    running.retrySlack = read.retrySlack;
+    running.retryWindow = read.retryWindow;
+    return running;
+}
+
 Parsed<GatewaySettings> parseGatewaySettings(const std::string &text, const std::string &file)
 {
     GatewaySettings settings;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -20,7 +20,6 @@
     std::map<std::string, std::string> regions; ///< Of failure domains.
     Duration drainBound
         = std::chrono::milliseconds{2500}; ///< How long upstreams serve after they said that they leave.
-    bool firstStart = false; ///< The whole system starts for the first time.
     Http::Endpoint callers;
     Http::Endpoint readiness;
     Http::Endpoint entries; ///< Where callers ask which nodes to use.
@@ -38,8 +37,13 @@
     Duration entryTtl = std::chrono::seconds{1}; ///< How long callers keep an answer to which nodes to use.
     LogLevel logLevel = LogLevel::Info;
     LogFormat logFormat = LogFormat::Json;
+
+    friend bool operator==(const GatewaySettings &, const GatewaySettings &) = default;
 };
 
+/// Returns @p running with those of @p read that a process can take over while it runs. Thread-safe.
+GatewaySettings takeOver(GatewaySettings running, const GatewaySettings &read);
+
 /// Reads settings from YAML text; @p file is for problems. Thread-safe.
 Parsed<GatewaySettings> parseGatewaySettings(const std::string &text, const std::string &file);
 
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -155,6 +155,16 @@
     return relays;
 }
 
+std::set<std::string> MemberTable::liveNodes(Instant now) const
+{
+    std::set<std::string> nodes;
+    for (const auto &[node, member] : m_members) {
+        if (isLive(member, now))
+            nodes.insert(node);
+    }
+    return nodes;
+}
+
 std::vector<std::string> MemberTable::silentNodes(Instant now) const
 {
     std::vector<std::string> nodes;
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -45,6 +45,9 @@
     /// them: live ones on the machines with most to spare. Nodes that see the same members choose the same ones.
     std::vector<NodeAddress> relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const;
 
+    /// Returns the nodes that were heard lately.
+    std::set<std::string> liveNodes(Instant now) const;
+
     /// Returns the nodes that were heard once, but not lately.
     std::vector<std::string> silentNodes(Instant now) const;
 
--- a/src/gateway/retryallowance.cpp
+++ b/src/gateway/retryallowance.cpp
@@ -27,6 +27,11 @@
     m_bound.nodes = std::max(1U, nodes);
 }
 
+void RetryAllowance::setBound(const RetryBound &bound)
+{
+    m_bound = bound;
+}
+
 RetryAllowance::Account &RetryAllowance::current(const std::string &service, Instant now)
 {
     auto &account = m_accounts[service];
--- a/src/gateway/retryallowance.h
+++ b/src/gateway/retryallowance.h
@@ -28,6 +28,9 @@
     /// Sets how many nodes share the slack.
     void setNodes(unsigned nodes);
 
+    /// Replaces the bound; what was sent within the window counts on.
+    void setBound(const RetryBound &bound);
+
     /// Counts a caller's request for @p service.
     void onRequest(const std::string &service, Instant now);
 
--- a/src/http/eventloop.cpp
+++ b/src/http/eventloop.cpp
@@ -16,7 +16,18 @@
 struct EventLoop::Private {
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(context);
+    void awaitHangUp(std::function<void()> task)
+    {
+        hangUps->async_wait([this, task = std::move(task)](boost::system::error_code error, int) {
+            if (error)
+                return;
+            task();
+            awaitHangUp(task);
+        });
+    }
+
     std::unique_ptr<asio::signal_set> signals;
+    std::unique_ptr<asio::signal_set> hangUps;
 };
 
 EventLoop::EventLoop()
@@ -59,6 +70,12 @@
     });
 }
 
+void EventLoop::onHangUp(std::function<void()> task)
+{
+    m_d->hangUps = std::make_unique<asio::signal_set>(m_d->context, SIGHUP);
+    m_d->awaitHangUp(std::move(task));
+}
+
 asio::io_context &EventLoop::context()
 {
     return m_d->context;
--- a/src/http/eventloop.h
+++ b/src/http/eventloop.h
@@ -37,6 +37,9 @@
     /// Runs @p task on the loop's thread when the process gets SIGTERM or SIGINT. Before run() only.
     void onTerminate(std::function<void()> task);
 
+    /// Runs @p task in the loop at each hang-up signal, with which settings are to be read anew. Call at most once.
+    void onHangUp(std::function<void()> task);
+
     boost::asio::io_context &context();
 
 private:
--- a/tests/gateway/gatewaysettingstest.cpp
+++ b/tests/gateway/gatewaysettingstest.cpp
@@ -33,6 +33,7 @@
     {"stop_grace: 8\n", "stop_grace"},
     {"unknown: 1\n", "unknown"},
     {"log: {level: loud}\n", "log.level"},
+    {"machine: {cpu_share: -1}\n", "machine.cpu_share"},
 };
 
 } // namespace
@@ -60,3 +61,49 @@
     cr_assert_not(settings);
     cr_assert(settings.problems.size() >= 4);
 }
+
+namespace
+{
+
+struct MachineCase {
+    const char *line;
+    double capacity;
+};
+
+const MachineCase machines[] = {
+    {"", 1},
+    {"machine: {cpu_share: 0.5, link_mbps: 200}\n", 2},
+    {"machine: {cpu_share: 0.5, link_mbps: 10}\n", 0.1},
+    {"machine: {cpu_share: 0.125, link_mbps: 1000}\n", 0.5},
+};
+
+struct RereadCase {
+    const char *line;
+    bool changes;
+    bool needsRestart;
+};
+
+const RereadCase rereads[] = {
+    {"", false, false},
+    {"stop_grace: 9s\n", true, false},
+    {"entry_ttl: 2s\n", true, false},
+    {"regions: {a: r}\n", true, false},
+    {"machine: {cpu_share: 0.125}\n", false, true},
+    {"log: {level: debug}\n", false, true},
+};
+
+} // namespace
+
+TABLE_TEST(GatewaySettings, rateTheMachineByWhatIsScarcer, machines)
+{
+    cr_assert_eq(parseGatewaySettings(good + row.line, "f").value->capacity, row.capacity);
+}
+
+TABLE_TEST(GatewaySettings, onlySomeAreTakenOverWhileRunning, rereads)
+{
+    const auto running = *parseGatewaySettings(good, "f").value;
+    const auto read = *parseGatewaySettings(good + row.line, "f").value;
+    const auto merged = takeOver(running, read);
+    cr_assert_eq(merged != running, row.changes);
+    cr_assert_eq(merged != read, row.needsRestart);
+}
