--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -144,6 +144,7 @@
     }
 
 private:
+    using Follower = RegistryFollower<typename Platform::Store>;
     using Orders = OrderPlane<typename Platform::Orders, typename Platform::Store>;
 
     static constexpr Duration tickInterval = std::chrono::milliseconds{50};
@@ -346,10 +347,14 @@
     {
         const auto pause = pauseFor(m_settings.drainBound);
         const auto patience = std::chrono::duration_cast<Duration>(pause * sharedPauseFactor);
-        const Duration retry = readsForDomain ? storeRetryPause : patience;
-        m_operatorDocuments.setPauses(readsForDomain ? operatorPause : patience, retry);
-        m_upstreamRecords.setPauses(readsForDomain ? pause : patience, retry);
-        m_ownRecords.setPauses(readsForDomain ? ownPause : patience, retry);
+        const auto pausesOf = [&](Duration pauseOfReader) -> typename Follower::Pauses {
+            if (readsForDomain)
+                return {pauseOfReader, {}, storeRetryPause};
+            return {patience, patience, patience};
+        };
+        m_operatorDocuments.setPauses(pausesOf(operatorPause));
+        m_upstreamRecords.setPauses(pausesOf(pause));
+        m_ownRecords.setPauses(pausesOf(ownPause));
     }
 
     void onRegistryUpdate(const RegistryUpdate &update)
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -69,9 +69,9 @@
         , m_store(store)
         , m_prefix(std::move(prefix))
         , m_pace(pace)
-        , m_pause(pace.pause)
         , m_observer(std::move(observer))
     {
+        m_pauses.afterChanges = pace.pause;
     }
 
     /// Starts to follow. Call once.
@@ -101,7 +101,7 @@
         if (!isGap && share.revision > m_revision)
             apply(share.changes, share.revision);
         if (m_state == State::Pausing)
-            followAfter(isGap ? Duration{} : m_pause);
+            followAfter(isGap ? Duration{} : m_pauses.afterChanges);
     }
 
     /// Returns a share without changes for nodes that know as much as this one, or nothing while it reads a snapshot.
@@ -110,12 +110,16 @@
         return m_state == State::Reading ? std::nullopt : std::optional(RegistryShare{m_revision, {}, m_revision});
     }
 
-    /// Sets the times between an answer, of the store or another node, and this node's next call, and between a call in
-    /// vain and the next one.
-    void setPauses(Duration pause, Duration retryPause)
+    /// How long this node waits before its next call.
+    struct Pauses {
+        Duration afterChanges{}; ///< That came from the store or another node.
+        Duration afterNothing{}; ///< The store had waited for changes in vain.
+        Duration afterFailure = std::chrono::milliseconds{300};
+    };
+
+    void setPauses(const Pauses &pauses)
     {
-        m_pause = pause;
-        m_retryPause = retryPause;
+        m_pauses = pauses;
     }
 
 private:
@@ -134,7 +138,7 @@
                 return;
             setReachable(reply.outcome == KeyOutcome::Applied);
             if (reply.outcome != KeyOutcome::Applied)
-                return readAfter(m_retryPause);
+                return readAfter(m_pauses.afterFailure);
             if (m_revision > 0 && m_observer.onRead)
                 m_observer.onRead(changesTo(reply));
             m_known.clear();
@@ -157,18 +161,18 @@
             if (generation != m_generation)
                 return;
             if (result.historyLost)
-                return readAfter(m_retryPause);
+                return readAfter(m_pauses.afterFailure);
             if (!result.answered) {
                 // Changes made while a wait was cut may never be told: what stands now is read anew.
                 const bool wasReachable = m_reachable;
                 setReachable(false);
-                return readAfter(wasReachable ? Duration{} : m_retryPause);
+                return readAfter(wasReachable ? Duration{} : m_pauses.afterFailure);
             }
             setReachable(true);
             if (m_observer.onRead)
                 m_observer.onRead({after, result.changes, result.revision});
             apply(result.changes, result.revision);
-            followAfter(result.changes.empty() ? Duration{} : m_pause);
+            followAfter(result.changes.empty() ? m_pauses.afterNothing : m_pauses.afterChanges);
         });
     }
 
@@ -242,8 +246,7 @@
     Store &m_store;
     std::string m_prefix;
     Pace m_pace;
-    Duration m_pause;
-    Duration m_retryPause = std::chrono::milliseconds{300};
+    Pauses m_pauses;
     Observer m_observer;
     Revision m_revision = 0;
     std::map<std::string, Revision> m_known; ///< The keys that there are, and their last changes.
--- a/tests/gateway/registryfollowertest.cpp
+++ b/tests/gateway/registryfollowertest.cpp
@@ -124,7 +124,7 @@
 {
     Followed followed;
     followed.answerRead(5, {});
-    followed.follower.setPauses(std::chrono::milliseconds{1}, std::chrono::milliseconds{1});
+    followed.follower.setPauses({std::chrono::milliseconds{1}, {}, std::chrono::milliseconds{1}});
     followed.answerWatch(row.result);
     cr_assert_eq(followed.store.reads, 2U);
     cr_assert_eq(followed.reachability.back(), !row.lost);
@@ -173,7 +173,7 @@
 {
     Followed followed;
     followed.answerRead(5, {});
-    followed.follower.setPauses(std::chrono::milliseconds{30}, std::chrono::milliseconds{30});
+    followed.follower.setPauses({std::chrono::milliseconds{30}, {}, std::chrono::milliseconds{30}});
     followed.answerWatch({true, false, {{"p/b", "2", 8}}, 8});
     followed.changes.clear();
     followed.follower.onShared(row.share);
@@ -188,7 +188,7 @@
 {
     Followed followed;
     followed.answerRead(5, {});
-    followed.follower.setPauses(std::chrono::milliseconds{40}, std::chrono::milliseconds{40});
+    followed.follower.setPauses({std::chrono::milliseconds{40}, {}, std::chrono::milliseconds{40}});
     followed.answerWatch({true, false, {{"p/b", "2", 8}}, 8});
     for (Revision revision = 9; revision < 19; ++revision) {
         followed.follower.onShared({revision - 1, {{"p/b", "2", revision}}, revision});
@@ -202,7 +202,7 @@
 {
     Followed followed;
     followed.answerRead(5, {});
-    followed.follower.setPauses(std::chrono::seconds{100}, std::chrono::seconds{100});
+    followed.follower.setPauses({std::chrono::seconds{100}, {}, std::chrono::seconds{100}});
     followed.answerWatch({true, false, {{"p/b", "2", 8}}, 8});
     cr_assert_eq(followed.store.watches, 1U);
     followed.follower.onShared({9, {}, 9});
@@ -215,7 +215,7 @@
     Followed followed;
     followed.answerRead(5, {});
     cr_assert_eq(followed.follower.signOfLife()->revision, 5);
-    followed.follower.setPauses(std::chrono::milliseconds{40}, std::chrono::milliseconds{40});
+    followed.follower.setPauses({std::chrono::milliseconds{40}, {}, std::chrono::milliseconds{40}});
     followed.answerWatch({true, false, {{"p/b", "2", 8}}, 8});
     for (int i = 0; i < 10; ++i) {
         followed.follower.onShared({8, {}, 8});
@@ -227,6 +227,16 @@
     cr_assert_eq(followed.store.watches, 2U);
 }
 
+Test(RegistryFollower, aNodeThatIsReadForDoesNotAskOnAfterAnEmptyAnswer)
+{
+    Followed followed;
+    const Duration patience = std::chrono::seconds{100};
+    followed.follower.setPauses({patience, patience, patience});
+    followed.answerRead(5, {});
+    followed.answerWatch({true, false, {}, 6});
+    cr_assert_eq(followed.store.watches, 1U);
+}
+
 Test(RegistryFollower, aShareBeforeTheFirstSnapshotIsIgnored)
 {
     Followed followed;
@@ -240,7 +250,7 @@
 {
     Followed followed;
     followed.answerRead(5, {});
-    followed.follower.setPauses(std::chrono::seconds{100}, std::chrono::seconds{100});
+    followed.follower.setPauses({std::chrono::seconds{100}, {}, std::chrono::seconds{100}});
     followed.answerWatch({false, false, {}, 0});
     const auto late = followed.store.read;
     followed.follower.onShared({6, {{"p/c", "2", 8}}, 8});
@@ -260,7 +270,7 @@
     followed.answerRead(5, {{"p/kept", "1", 3}, {"p/changed", "1", 4}, {"p/removed", "1", 5}});
     cr_assert(followed.read.empty(), "nobody knows what this node knew before");
     followed.answerWatch({true, false, {{"p/added", "1", 7}}, 7});
-    followed.follower.setPauses(std::chrono::milliseconds{1}, std::chrono::milliseconds{1});
+    followed.follower.setPauses({std::chrono::milliseconds{1}, {}, std::chrono::milliseconds{1}});
     followed.answerWatch({false, true, {}, 0});
     followed.answerRead(20, {{"p/kept", "1", 3}, {"p/changed", "2", 18}, {"p/added", "1", 7}, {"p/late", "1", 21}});
     const auto &share = followed.read.back();
