--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -6,7 +6,7 @@
 #include "gateway/membertable.h"
 #include "gateway/orderplane.h"
 #include "gateway/peerlink.h"
-#include "gateway/registryfollower.h"
+#include "gateway/registryviews.h"
 
 #include <algorithm>
 #include <array>
@@ -85,11 +85,9 @@
         , m_entries(m_loop, {}, [this](auto exchange) { answerEntries(*exchange); })
         , m_metricsServer(m_loop, {}, [this](auto exchange) { answerMetrics(*exchange); })
         , m_peers(m_loop, settings.peers, [this](const GatewayMessage &message) { onMessage(message); })
-        , m_operatorDocuments(m_loop, m_store, Platform::operatorPrefix(), {operatorPause, longWait},
-                              operatorObserver())
-        , m_upstreamRecords(m_loop, m_store, Platform::upstreamPrefix(), {pauseFor(settings.drainBound), shortWait},
-                            upstreamObserver())
-        , m_ownRecords(m_loop, m_store, ownPrefix(), {ownPause, longWait}, ownObserver())
+        , m_registry(m_loop, m_store, settings.drainBound, {Platform::operatorPrefix(), operatorObserver()},
+                     {Platform::upstreamPrefix(), upstreamObserver()}, {ownPrefix(), ownObserver()},
+                     [this](const RegistryUpdate &update) { shareRead(update); })
     {
         m_context.failureDomain = settings.failureDomain;
         m_context.regions = settings.regions;
@@ -131,9 +129,7 @@
         if (m_settings.metrics)
             m_metricsServer.listen(*m_settings.metrics);
         m_loop.onTerminate([this] { stop(); });
-        m_operatorDocuments.start();
-        m_upstreamRecords.start();
-        m_ownRecords.start();
+        m_registry.start();
         registerSelf();
         tick();
         digest();
@@ -144,7 +140,7 @@
     }
 
 private:
-    using Follower = RegistryFollower<typename Platform::Store>;
+    using Registry = RegistryViews<typename Platform::Store>;
     using Orders = OrderPlane<typename Platform::Orders, typename Platform::Store>;
 
     static constexpr Duration tickInterval = std::chrono::milliseconds{50};
@@ -158,21 +154,8 @@
     static constexpr Duration orderingHeard = std::chrono::milliseconds{1500};
     static constexpr unsigned attemptsPerShard = 3; ///< Wants that a shard's holder gets before the next one does.
     static constexpr Duration handoverSlack = std::chrono::milliseconds{300}; ///< For an order on its way.
-    static constexpr Duration operatorPause = std::chrono::milliseconds{100};
-    /// Heartbeats come many times a second; between two batches of them passes this part of the time that upstreams
-    /// serve on after they said that they leave.
-    static constexpr double upstreamPausePart = 0.32;
-    /// Where another node of the failure domain reads for this one, it waits longer by this before it asks itself: the
-    /// time of a call and a datagram. Both pauses and a call together stay within the part of 1 that drains allow.
-    static constexpr double sharedPauseFactor = 1.3;
-    static constexpr Duration storeRetryPause = std::chrono::milliseconds{400}; ///< Of the node that reads for others.
     static constexpr std::size_t sharedBytes = 16 * 1024; ///< Of records in one datagram.
     static constexpr std::size_t largestShared = 40 * 1024; ///< In one datagram, whose limit is 64 KB with escapes.
-    static constexpr Duration ownPause = std::chrono::milliseconds{100};
-    /// Heartbeats answer the upstreams' watch long before this, so that a dead connection shows there first. The others
-    /// wait longer, as each call is priced, and ask anew when the upstreams' watch breaks.
-    static constexpr Duration shortWait = std::chrono::seconds{1};
-    static constexpr Duration longWait = std::chrono::seconds{10};
     static constexpr Duration nodeLeaseTtl = std::chrono::seconds{8};
     static constexpr Duration renewInterval = std::chrono::milliseconds{2500};
     static constexpr Duration crashNewsAge = std::chrono::seconds{2};
@@ -206,11 +189,6 @@
             .count();
     }
 
-    static Duration pauseFor(Duration drainBound)
-    {
-        return std::chrono::duration_cast<Duration>(drainBound * upstreamPausePart);
-    }
-
     static OrderLeaseSettings leaseSettings(const GatewaySettings &settings)
     {
         OrderLeaseSettings lease;
@@ -223,7 +201,7 @@
         return {settings.retryRatio, settings.retrySlack, settings.retryWindow, leastAllowanceShares};
     }
 
-    typename RegistryFollower<typename Platform::Store>::Observer operatorObserver()
+    typename Registry::Observer operatorObserver()
     {
         return {[this](const std::vector<KeyValue> &values) {
                     for (const auto &value : values)
@@ -236,11 +214,10 @@
                 {},
                 [this](bool reachable) {
                     m_log.note(reachable ? GatewayEvent::StoreBack : GatewayEvent::StoreLost, {{"watch", "operator"}});
-                },
-                [this](const RegistryShare &share) { shareRead({{RegistryView::OperatorDocuments, share}}); }};
+                }};
     }
 
-    typename RegistryFollower<typename Platform::Store>::Observer upstreamObserver()
+    typename Registry::Observer upstreamObserver()
     {
         return {[this](const std::vector<KeyValue> &values) {
                     std::set<std::string> instances;
@@ -265,17 +242,12 @@
                         m_context.upstreams.onRegistryBack(now);
                     } else {
                         m_context.upstreams.onRegistryLost(now);
-                        m_operatorDocuments.renew();
-                        m_ownRecords.renew();
+                        m_registry.renewOthers();
                     }
-                },
-                [this](const RegistryShare &share) {
-                    shareRead({{RegistryView::UpstreamRecords, share}});
-                    shareSignsOfLife();
                 }};
     }
 
-    typename RegistryFollower<typename Platform::Store>::Observer ownObserver()
+    typename Registry::Observer ownObserver()
     {
         return {[this](const std::vector<KeyValue> &values) {
                     std::vector<NodeAddress> nodes;
@@ -303,8 +275,7 @@
                         m_members.onListed(*address, BootClock{}.now());
                 },
                 {},
-                {},
-                [this](const RegistryShare &share) { shareRead({{RegistryView::OwnRecords, share}}); }};
+                {}};
     }
 
     /// Whether this node reads the upstreams' records for the other nodes of its failure domain.
@@ -315,7 +286,7 @@
     }
 
     /// Tells the nodes of the failure domain what this one has read, if it reads for them.
-    void shareRead(const std::vector<RegistryUpdate> &updates)
+    void shareRead(const RegistryUpdate &update)
     {
         const auto now = BootClock{}.now();
         if (!readsForDomain(now))
@@ -323,49 +294,10 @@
         const auto targets = m_members.peersIn(m_address.failureDomain, now);
         if (targets.empty())
             return;
-        for (const auto &update : updates) {
-            for (auto &part : split(update.share, sharedBytes, largestShared)) {
-                auto notice = message();
-                notice.registry.push_back({update.view, std::move(part)});
-                m_peers.send(notice, targets);
-            }
-        }
-    }
-
-    /// The store has just answered for the upstreams' records: what this node knows of the others stands as well.
-    void shareSignsOfLife()
-    {
-        std::vector<RegistryUpdate> signs;
-        if (const auto share = m_operatorDocuments.signOfLife())
-            signs.push_back({RegistryView::OperatorDocuments, *share});
-        if (const auto share = m_ownRecords.signOfLife())
-            signs.push_back({RegistryView::OwnRecords, *share});
-        shareRead(signs);
-    }
-
-    void setRegistryPauses(bool readsForDomain)
-    {
-        const auto pause = pauseFor(m_settings.drainBound);
-        const auto patience = std::chrono::duration_cast<Duration>(pause * sharedPauseFactor);
-        const auto pausesOf = [&](Duration pauseOfReader) -> typename Follower::Pauses {
-            if (readsForDomain)
-                return {pauseOfReader, {}, storeRetryPause};
-            return {patience, patience, patience};
-        };
-        m_operatorDocuments.setPauses(pausesOf(operatorPause));
-        m_upstreamRecords.setPauses(pausesOf(pause));
-        m_ownRecords.setPauses(pausesOf(ownPause));
-    }
-
-    void onRegistryUpdate(const RegistryUpdate &update)
-    {
-        switch (update.view) {
-        case RegistryView::OperatorDocuments:
-            return m_operatorDocuments.onShared(update.share);
-        case RegistryView::UpstreamRecords:
-            return m_upstreamRecords.onShared(update.share);
-        case RegistryView::OwnRecords:
-            return m_ownRecords.onShared(update.share);
+        for (auto &part : split(update.share, sharedBytes, largestShared)) {
+            auto notice = message();
+            notice.registry.push_back({update.view, std::move(part)});
+            m_peers.send(notice, targets);
         }
     }
 
@@ -533,7 +465,7 @@
         m_lastTick = now;
         m_context.upstreams.sweep(now);
         m_store.sweep(now);
-        setRegistryPauses(readsForDomain(now));
+        m_registry.setReads(readsForDomain(now), m_settings.drainBound);
         tickOrders(now);
         const auto shares = allowanceSharesPerNode * static_cast<double>(1 + m_members.peers(now).size());
         m_context.allowance.setNodes(std::max(leastAllowanceShares, static_cast<unsigned>(shares)));
@@ -789,7 +721,7 @@
             m_orders[shardOf(missing.instance)]->onMissing(missing.instance, missing.target);
         applyPlacements(message.found);
         for (const auto &update : message.registry)
-            onRegistryUpdate(update);
+            m_registry.onShared(update);
     }
 
     void onReport(const NodeReport &report, Instant now)
@@ -860,9 +792,7 @@
     Dissemination m_dissemination;
     std::uint64_t m_sequence = 0;
     bool m_flushing = false;
-    RegistryFollower<typename Platform::Store> m_operatorDocuments;
-    RegistryFollower<typename Platform::Store> m_upstreamRecords;
-    RegistryFollower<typename Platform::Store> m_ownRecords;
+    Registry m_registry;
     StoreLease m_lease = 0;
     struct Ordering {
         std::string node;
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -3,6 +3,7 @@
 #include "routing/rendezvous.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Gypsumtally::Gateway
 {
@@ -138,12 +139,14 @@
 std::vector<NodeAddress> MemberTable::relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const
 {
     const auto key = XXH3_64bits(failureDomain.data(), failureDomain.size());
-    std::vector<std::pair<std::pair<bool, Rank>, const NodeAddress *>> candidates;
+    using RelayRank = std::tuple<bool, bool, Rank>; // Live, takes callers, machine.
+    std::vector<std::pair<RelayRank, const NodeAddress *>> candidates;
     if (m_self.failureDomain == failureDomain)
-        candidates.push_back({{true, rankOf(m_self, key)}, &m_self});
+        candidates.push_back({{true, true, rankOf(m_self, key)}, &m_self});
     for (const auto &[node, member] : m_members) {
         if (member.address.failureDomain == failureDomain && mayBeSentTo(member, now))
-            candidates.push_back({{isLive(member, now), rankOf(member.address, key)}, &member.address});
+            candidates.push_back(
+                {{isLive(member, now), member.takesCallers, rankOf(member.address, key)}, &member.address});
     }
     std::ranges::sort(candidates, std::ranges::greater{}, [](const auto &candidate) { return candidate.first; });
     std::vector<NodeAddress> relays;
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -21,6 +21,8 @@
         decoded.host = "h";
         decoded.path = request.target;
         decoded.timeout = std::chrono::seconds{5};
+        decoded.target = std::string(request.headers.get("Target"));
+        decoded.promptTokens = decoded.target.empty() ? 0 : 500;
         return decoded;
     }
 
@@ -115,7 +117,7 @@
         policy.routes
             = {route("/safe/", RequestKind::Idempotent, false), route("/once/", RequestKind::NonIdempotent, false),
                route("/stream/", RequestKind::Streaming, true), route("/solo/", RequestKind::Streaming, false)};
-        policy.services = {{"s", 10, {}}};
+        policy.services = {{"s", 10, EngineProfile{}}};
         m_context.routes = std::make_shared<RouteTable>(policy);
         m_context.allowance = RetryAllowance({1, 100, std::chrono::seconds{10}, 1});
         int number = 0;
@@ -127,11 +129,21 @@
             record.endpoint = {"127.0.0.1", server->listen({"127.0.0.1", 0}), false};
             m_context.upstreams.onRecord(record, BootClock{}.now());
         }
+        m_context.onPrompt = [this](const std::string &instance, double, Duration in) {
+            announced.push_back({instance, in});
+        };
         tick();
     }
 
+    /// The load of an adapter ends at upstream @p instance after @p time.
+    void load(const std::string &instance, const ModelTarget &target, Duration time)
+    {
+        const auto now = BootClock{}.now();
+        m_context.upstreams.find(instance)->residency.onLoading(target, 0, now + time, now);
+    }
+
     /// Sends a request to @p path and returns the answer's status; 0 if there was no whole answer.
-    unsigned ask(const std::string &path)
+    unsigned ask(const std::string &path, const ModelTarget &target = {})
     {
         const Http::Endpoint entry{"127.0.0.1", m_entry.listen({"127.0.0.1", 0}), false};
         Relay::ExchangeObserver observer;
@@ -142,13 +154,22 @@
             m_status = 0;
             m_loop.stop();
         };
-        m_client.send({entry, {}}, {"POST", path, {{"Host", "h"}, {"Id", "r1"}}, "question"}, std::move(observer), {});
+        Http::Request request{"POST", path, {{"Host", "h"}, {"Id", "r1"}}, "question"};
+        if (!target.empty())
+            request.headers.add("Target", target);
+        m_client.send({entry, {}}, request, std::move(observer), {});
         m_loop.run();
         return m_status;
     }
 
+    struct Announcement {
+        std::string instance;
+        Duration in{};
+    };
+
     std::string body;
     unsigned sends = 0;
+    std::vector<Announcement> announced; ///< Prompts, as other nodes are told of them.
 
 private:
     static Route route(const char *prefix, RequestKind kind, bool canResume)
@@ -240,3 +261,26 @@
         cr_assert_eq(stage.body, std::string(row.body), "%s", stage.body.c_str());
     cr_assert_eq(stage.sends, row.sends);
 }
+
+namespace
+{
+
+struct LoadCase {
+    int usableInMs;
+    bool ahead; ///< The prompt is announced before it is sent.
+};
+
+const LoadCase loads[] = {{-100, false}, {200, true}, {20, true}};
+
+} // namespace
+
+TABLE_TEST(CallForwarder, announcesEachPromptOnce, loads)
+{
+    Stage stage({streamRest});
+    stage.load("u0", "m/a", std::chrono::milliseconds{row.usableInMs});
+    cr_assert_eq(stage.ask("/stream/1", "m/a"), 200U);
+    cr_assert_eq(stage.sends, 1U);
+    cr_assert_eq(stage.announced.size(), 1U);
+    cr_assert_eq(stage.announced.front().instance, std::string("u0"));
+    cr_assert_eq(stage.announced.front().in > Duration{}, row.ahead);
+}
--- a/tests/gateway/membertabletest.cpp
+++ b/tests/gateway/membertabletest.cpp
@@ -99,5 +99,7 @@
     cr_assert_eq(relays[0].node, std::string("n3"));
     cr_assert_eq(relays[1].node, std::string("n1"), "n2 was not heard for two seconds");
     cr_assert_eq(table.relaysOf("b", 1, later).size(), 1U, "better one that may be dead than none");
+    table.onHeard(heard(large, false, 3), later);
+    cr_assert_eq(table.relaysOf("a", 1, later).front().node, std::string("n1"), "n3 is stopping");
     cr_assert(table.relaysOf("c", 1, later).empty());
 }
