--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -85,7 +85,7 @@
     return m_settings.pause + m_settings.pausePerNode * members.peersIn(members.self().failureDomain, now).size();
 }
 
-void Dissemination::send(std::vector<NodeReport> reports, Onward onward, std::vector<NodeAddress> targets,
+void Dissemination::send(const std::vector<NodeReport> &reports, Onward onward, const std::vector<NodeAddress> &targets,
                          const MemberTable &members, std::vector<Parcel> &parcels) const
 {
     if (targets.empty())
@@ -109,7 +109,7 @@
     auto everywhere = std::exchange(m_forEverywhere, {});
     auto ownDomain = std::exchange(m_forOwnDomain, {});
     if (isDirect(members, now)) {
-        send(std::move(own), Onward::Nobody, members.peers(now), members, parcels);
+        send(own, Onward::Nobody, members.peers(now), members, parcels);
     } else {
         const auto relays = members.relaysOf(self.failureDomain, m_settings.relaysPerDomain, now);
         const bool isRelay = std::ranges::find(relays, self) != relays.end();
@@ -117,7 +117,7 @@
             for (auto &report : own)
                 addTo(everywhere, std::move(report));
         } else if (!own.empty()) {
-            send(std::move(own), Onward::Everywhere, {relays[m_turn++ % relays.size()]}, members, parcels);
+            send(own, Onward::Everywhere, {relays[m_turn++ % relays.size()]}, members, parcels);
         }
     }
     if (!everywhere.empty()) {
@@ -132,7 +132,7 @@
         for (auto &report : everywhere)
             addTo(ownDomain, std::move(report));
     }
-    send(std::move(ownDomain), Onward::Nobody, members.peersIn(self.failureDomain, now), members, parcels);
+    send(ownDomain, Onward::Nobody, members.peersIn(self.failureDomain, now), members, parcels);
     return parcels;
 }
 
--- a/src/gateway/dissemination.h
+++ b/src/gateway/dissemination.h
@@ -54,7 +54,7 @@
 
 private:
     bool isDirect(const MemberTable &members, Instant now) const;
-    void send(std::vector<NodeReport> reports, Onward onward, std::vector<NodeAddress> targets,
+    void send(const std::vector<NodeReport> &reports, Onward onward, const std::vector<NodeAddress> &targets,
               const MemberTable &members, std::vector<Parcel> &parcels) const;
 
     DisseminationSettings m_settings;
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -14,8 +14,8 @@
 constexpr double badFailureRatio = 0.25; ///< Plain services fail up to 14 in 100 requests on an ordinary day.
 constexpr double badUpstreamMs = 3000; ///< Sorts bad upstreams behind every good one.
 constexpr Duration silentAfter = std::chrono::milliseconds{700}; ///< Many steps of a loaded engine.
-/// Weights of one more figure in the learnt time for a token. What lengthens a pause, such as a prompt that this node has
-/// not heard of, says nothing of the speed, so that shorter ones count for more. A stream has some forty.
+/// Weights of one more figure in the learnt time for a token. What lengthens a pause, such as a prompt that this node
+/// has not heard of, says nothing of the speed, so that shorter ones count for more. A stream has some forty.
 constexpr double shorterStepWeight = 0.2;
 constexpr double longerStepWeight = 0.02;
 constexpr Duration promptEcho = std::chrono::milliseconds{500}; ///< Until the steps that read a prompt are over.
@@ -64,8 +64,7 @@
     return demand.target.empty() ? speed.plainCrossRegionMs : speed.crossRegionMs;
 }
 
-double scoreOf(const Upstream &upstream, const UpstreamDemand &demand, Instant now,
-               const EngineSpeed &speed)
+double scoreOf(const Upstream &upstream, const UpstreamDemand &demand, Instant now, const EngineSpeed &speed)
 {
     const double slots = std::max(1U, upstream.record.slots);
     const double inFlight = upstream.inFlight();
@@ -76,8 +75,8 @@
     const double queued = std::max(0.0, inFlight + 1 - slots);
     return distance + penaltyMs(upstream, now)
            + slownessOf(upstream)
-                 * (upstream.prompts.sum(promptSpan, now) / prefillTokensPerMs
-                    + inFlight * speed.msPerRunningRequest + queued * speed.msPerQueuedRequest);
+                 * (upstream.prompts.sum(promptSpan, now) / prefillTokensPerMs + inFlight * speed.msPerRunningRequest
+                    + queued * speed.msPerQueuedRequest);
 }
 
 } // namespace
@@ -117,9 +116,9 @@
         }
         choice.sendAt = choice.usableAt;
         if (!demand.target.empty() && demand.pace.longestPause > Duration{})
-            choice.sendAt = upstream.prompts.roomAt(demand.promptTokens,
-                                                    tokensWithinPause(demand.pace, slownessOf(upstream)),
-                                                    demand.pace.longestPause, std::max(choice.usableAt, now));
+            choice.sendAt
+                = upstream.prompts.roomAt(demand.promptTokens, tokensWithinPause(demand.pace, slownessOf(upstream)),
+                                          demand.pace.longestPause, std::max(choice.usableAt, now));
         choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.record.slots;
         if (choice.isFull)
             choice.sendAt = std::max(choice.sendAt, now + fullPause);
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -177,11 +177,11 @@
     report.hasInFlight = arrayAt(object, "in_flight") != nullptr;
     eachRow(object, "in_flight",
             [&](const json::array &row) { report.inFlight[textIn(row, 0)] = numberIn<unsigned>(row, 1); });
-    eachRow(object, "steps",
-            [&](const json::array &row) { report.steps.push_back({textIn(row, 0), numberIn<double>(row, 1)}); });
+    eachRow(object, "steps", [&](const json::array &row) {
+        report.steps.push_back({textIn(row, 0), numberIn<double>(row, 1)});
+    });
     eachRow(object, "prompts", [&](const json::array &row) {
-        report.prompts.push_back(
-            {textIn(row, 0), numberIn<double>(row, 1), Duration{numberIn<std::int64_t>(row, 2)}});
+        report.prompts.push_back({textIn(row, 0), numberIn<double>(row, 1), Duration{numberIn<std::int64_t>(row, 2)}});
     });
     eachRow(object, "crashes", [&](const json::array &row) {
         report.crashes.push_back({numberIn<std::uint64_t>(row, 0), textIn(row, 1)});
@@ -200,7 +200,10 @@
             row.push_back(json::string(*change.value));
         changes.push_back(std::move(row));
     }
-    return {{"view", nameOf(update.view)}, {"after", share.after}, {"revision", share.revision}, {"changes", std::move(changes)}};
+    return {{"view", nameOf(update.view)},
+            {"after", share.after},
+            {"revision", share.revision},
+            {"changes", std::move(changes)}};
 }
 
 std::optional<RegistryUpdate> updateFrom(const json::object &object)
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -25,7 +25,8 @@
     Http::Endpoint callers;
     Http::Endpoint peers;
     std::int64_t startedAt = 0;
-    double capacity = 1; ///< How well its machine suits work for others: its processor or its link, whichever is scarcer.
+    double capacity
+        = 1; ///< How well its machine suits work for others: its processor or its link, whichever is scarcer.
 
     friend bool operator==(const NodeAddress &, const NodeAddress &) = default;
 };
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -76,8 +76,8 @@
         : m_settings(settings)
         , m_log(logging)
         , m_store(m_loop, settings.store)
-        , m_address{settings.node,    settings.failureDomain, settings.region,
-                    settings.callers, settings.peers,         wallMilliseconds(), settings.capacity}
+        , m_address{settings.node,  settings.failureDomain, settings.region,  settings.callers,
+                    settings.peers, wallMilliseconds(),     settings.capacity}
         , m_members(m_address)
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
         , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(exchange); })
@@ -108,9 +108,8 @@
                                                         OrderHolder{settings.node, m_address.startedAt}, shard,
                                                         holderKey(shard), leaseSettings(settings)));
             m_orders.back()->onNews([this](const std::vector<PlacementNews> &news) { tellNews(news); });
-            m_orders.back()->onFound([this](const std::string &asker, const std::vector<PlacementNews> &news) {
-                tellFound(asker, news);
-            });
+            m_orders.back()->onFound(
+                [this](const std::string &asker, const std::vector<PlacementNews> &news) { tellFound(asker, news); });
         }
     }
 
@@ -370,7 +369,8 @@
     void takeOverSettings(const Parsed<GatewaySettings> &read)
     {
         if (!read)
-            return m_log.note(GatewayEvent::SettingsRead, {{"outcome", "refused"}, {"reason", toString(read.problems)}});
+            return m_log.note(GatewayEvent::SettingsRead,
+                              {{"outcome", "refused"}, {"reason", toString(read.problems)}});
         const auto merged = takeOver(m_settings, *read.value);
         const bool changed = merged != m_settings;
         m_settings = merged;
@@ -384,16 +384,16 @@
     void noteMembers(Instant now)
     {
         auto live = m_members.liveNodes(now);
-        const auto noteMissing = [&](GatewayEvent event, const std::set<std::string> &from,
-                                     const std::set<std::string> &in) {
-            std::string names;
-            for (const auto &node : from) {
-                if (!in.contains(node))
-                    names += (names.empty() ? "" : ",") + node;
-            }
-            if (!names.empty())
-                m_log.note(event, {{"nodes", names}, {"live", std::to_string(live.size())}});
-        };
+        const auto noteMissing
+            = [&](GatewayEvent event, const std::set<std::string> &from, const std::set<std::string> &in) {
+                  std::string names;
+                  for (const auto &node : from) {
+                      if (!in.contains(node))
+                          names += (names.empty() ? "" : ",") + node;
+                  }
+                  if (!names.empty())
+                      m_log.note(event, {{"nodes", names}, {"live", std::to_string(live.size())}});
+              };
         noteMissing(GatewayEvent::PeersLost, m_livePeers, live);
         noteMissing(GatewayEvent::PeersFound, live, m_livePeers);
         m_livePeers = std::move(live);
@@ -680,6 +680,7 @@
     {
         const auto now = BootClock{}.now();
         std::vector<PlacementNotice> notices;
+        notices.reserve(news.size());
         for (const auto &each : news)
             notices.push_back(
                 {each.instance, each.target, each.version, each.dropped, std::max(Duration{}, each.usableAt - now)});
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -26,8 +26,8 @@
     Http::Endpoint peers; ///< UDP.
     std::optional<Http::Endpoint> metrics;
     Http::Endpoint store;
-    /// How well the machine suits work for other nodes: its share of a core against a quarter of one, or its link against
-    /// 100 Mbit/s, whichever is less.
+    /// How well the machine suits work for other nodes: its share of a core against a quarter of one, or its link
+    /// against 100 Mbit/s, whichever is less.
     double capacity = 1;
     Duration orderHandover = std::chrono::milliseconds{3000}; ///< Between the orders of two nodes, at least.
     Duration stopGrace = std::chrono::seconds{8}; ///< From SIGTERM to SIGKILL.
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -42,7 +42,8 @@
     std::set<std::string> failureDomains(Instant now) const;
 
     /// Returns at most @p count nodes of @p failureDomain that pass messages on, this one included if it is one of
-    /// them: live ones that do not stop, on the machines with most to spare. Nodes that see the same members choose the same ones.
+    /// them: live ones that do not stop, on the machines with most to spare. Nodes that see the same members choose the
+    /// same ones.
     std::vector<NodeAddress> relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const;
 
     /// Returns the nodes that were heard lately.
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -401,7 +401,8 @@
     void forgetAskers(Instant now)
     {
         std::erase_if(m_askers, [&](const auto &item) {
-            return std::ranges::none_of(item.second, [&](const auto &asker) { return now - asker.second < askerMemory; });
+            return std::ranges::none_of(item.second,
+                                        [&](const auto &asker) { return now - asker.second < askerMemory; });
         });
     }
 
--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -10,8 +10,8 @@
 namespace Gypsumtally::Gateway
 {
 
-/// All that a node follows in the store. In each failure domain one node reads for the others, which go on by its shares
-/// and ask themselves where these end. Loop's thread only.
+/// All that a node follows in the store. In each failure domain one node reads for the others, which go on by its
+/// shares and ask themselves where these end. Loop's thread only.
 template<GatewayStore Store>
 class RegistryViews
 {
@@ -24,10 +24,10 @@
         Observer observer;
     };
 
-    /// @p drainBound is how long upstreams serve after they said that they leave. @p onRead is called with what this node
-    /// has read, to be told to the nodes that it reads for.
-    RegistryViews(Http::EventLoop &loop, Store &store, Duration drainBound, View operatorDocuments, View upstreamRecords,
-                  View ownRecords, std::function<void(const RegistryUpdate &)> onRead)
+    /// @p drainBound is how long upstreams serve after they said that they leave. @p onRead is called with what this
+    /// node has read, to be told to the nodes that it reads for.
+    RegistryViews(Http::EventLoop &loop, Store &store, Duration drainBound, View operatorDocuments,
+                  View upstreamRecords, View ownRecords, std::function<void(const RegistryUpdate &)> onRead)
         : m_onRead(std::move(onRead))
         , m_operatorDocuments(loop, store, operatorDocuments.prefix, {operatorPause, longWait},
                               sharing(RegistryView::OperatorDocuments, std::move(operatorDocuments.observer)))
@@ -91,8 +91,8 @@
     /// wait longer, as each call is priced, and ask anew when the upstreams' watch breaks.
     static constexpr Duration shortWait = std::chrono::seconds{1};
     static constexpr Duration longWait = std::chrono::seconds{10};
-    /// A node that is read for waits longer by this before it asks itself: the time of a call and a datagram. Both pauses
-    /// and a call together stay within the time that drains allow.
+    /// A node that is read for waits longer by this before it asks itself: the time of a call and a datagram. Both
+    /// pauses and a call together stay within the time that drains allow.
     static constexpr double sharedPauseFactor = 1.3;
     static constexpr Duration retryPause = std::chrono::milliseconds{400}; ///< Of the node that reads for others.
 
--- a/tests/gateway/disseminationtest.cpp
+++ b/tests/gateway/disseminationtest.cpp
@@ -81,9 +81,8 @@
     std::size_t relay(std::size_t domain, std::size_t rank) const
     {
         const auto relays = m_nodes[0]->members.relaysOf("d" + std::to_string(domain), 2, m_now);
-        const auto found = std::ranges::find_if(m_nodes, [&](const auto &node) {
-            return node->members.self().node == relays[rank].node;
-        });
+        const auto found = std::ranges::find_if(
+            m_nodes, [&](const auto &node) { return node->members.self().node == relays[rank].node; });
         return static_cast<std::size_t>(found - m_nodes.begin());
     }
 
@@ -127,7 +126,8 @@
 
     void deliver(const std::string &target, const GatewayMessage &message)
     {
-        const auto node = std::ranges::find_if(m_nodes, [&](const auto &each) { return each->members.self().node == target; });
+        const auto node
+            = std::ranges::find_if(m_nodes, [&](const auto &each) { return each->members.self().node == target; });
         if ((*node)->stopped)
             return;
         for (const auto &report : message.reports) {
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -37,7 +37,10 @@
 const ChoiceCase choices[] = {
     {[](UpstreamTable &) {}, "near"},
     {[](UpstreamTable &table) { table.find("near")->ownInFlight = 30; }, "far"},
-    {[](UpstreamTable &table) { table.onPeerLoads("n", {{"near", 30}}); }, "far"},
+    {[](UpstreamTable &table) {
+         table.onPeerLoads("n", {{"near", 30}});
+     },
+     "far"},
     {[](UpstreamTable &table) { table.find("near")->prompts.add(3000, now, now); }, "far"},
     {[](UpstreamTable &table) { table.find("near")->record.draining = true; }, "far"},
     {[](UpstreamTable &table) { table.find("near")->residency.onDropped("m/a", now); }, "far"},
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -36,9 +36,9 @@
 const char *const malformed[]
     = {"", "[]", "{", "{}", R"({"sender":{}})", R"({"sender":7})", R"({"reports":[]})", R"({"from":{"node":"n"}})"};
 
-const char *const malformedReports[] = {R"({"sender":"n","reports":[7]})", R"({"sender":"n","reports":[{}]})",
-                                        R"({"sender":"n","reports":[{"from":{"node":7}}]})",
-                                        R"({"sender":"n","reports":{"from":"n"}})"};
+const char *const malformedReports[]
+    = {R"({"sender":"n","reports":[7]})", R"({"sender":"n","reports":[{}]})",
+       R"({"sender":"n","reports":[{"from":{"node":7}}]})", R"({"sender":"n","reports":{"from":"n"}})"};
 
 } // namespace
 
