A restarted node is heard from its first report on

Cause: reports have a number of their process by which one that was overtaken is known. Where the store told of a new process before the process itself did, the old one's number stayed, so that the new one counted as overtaken until it had sent as many: it was no entry for callers and no relay, and its requests at work were not counted. Found by reading; no rule was seen broken. Test: aNewProcessIsHeardFromItsFirstReportOn, red before for the store first.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -222,7 +222,7 @@
     }
 
     /// All nodes that wait for a load learn of it at the same moment: each announces its prompts at another time before
-    /// the load ends, so that it knows of those of others. Returns how long a call is to leave it.
+    /// the load ends, so that it knows of those of others. Returns how long the call is to put it off.
     static Duration dispersal(Call &call, const UpstreamChoice &choice, Instant now)
     {
         const auto spare = choice.usableAt - now - announcementTime;
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -33,6 +33,8 @@
     if (member.address.node.empty() || address.startedAt >= member.address.startedAt) {
         if (member.address != address && !member.address.node.empty())
             member.takesCallers = false;
+        if (member.address.startedAt != address.startedAt)
+            member.sequence = 0;
         member.address = address;
     }
     member.listed = true;
--- a/tests/gateway/membertabletest.cpp
+++ b/tests/gateway/membertabletest.cpp
@@ -48,6 +48,12 @@
     {"b", true, "", "", 5},  {"b", true, "n5", "", 4}, {"b", true, "", "n4", 4}, {"b", true, "n5", "n4", 3},
 };
 
+struct TellerCase {
+    bool storeFirst;
+};
+
+const TellerCase tellers[] = {{false}, {true}};
+
 } // namespace
 
 TABLE_TEST(MemberTable, tellsCallersWhereToGo, entries)
@@ -103,3 +109,15 @@
     cr_assert_eq(table.relaysOf("a", 1, later).front().node, std::string("n1"), "n3 is stopping");
     cr_assert(table.relaysOf("c", 1, later).empty());
 }
+
+// Reports of a process count from its start, whether the store or the process itself tells of it first.
+TABLE_TEST(MemberTable, aNewProcessIsHeardFromItsFirstReportOn, tellers)
+{
+    auto table = fiveNodes();
+    table.onHeard(heard(address("n2", "a", 1), true, 1000), start);
+    const auto restarted = address("n2", "a", 2);
+    if (row.storeFirst)
+        table.onListed(restarted, start);
+    cr_assert(table.onHeard(heard(restarted, true, 1), start));
+    cr_assert_eq(table.entryPoints("r-a", "a", true, start).size(), 3U);
+}
