--- a/src/cli/requeststory.cpp
+++ b/src/cli/requeststory.cpp
@@ -47,14 +47,13 @@
     const auto begin = line.find('{');
     if (begin == std::string::npos)
         return std::nullopt;
-    boost::system::error_code error;
-    const auto value = boost::json::parse(std::string_view(line).substr(begin), error);
-    if (error || !value.is_object())
+    const auto object = parseObject(std::string_view(line).substr(begin));
+    if (!object)
         return std::nullopt;
     LoggedEvent event;
-    for (const auto &[name, field] : value.get_object()) {
+    for (const auto &[name, field] : *object) {
         if (name == "time_ms")
-            event.timeMs = numberAt<std::int64_t>(value.get_object(), "time_ms");
+            event.timeMs = numberAt<std::int64_t>(*object, "time_ms");
         else if (name == "node")
             event.node = textOf(field);
         else if (name == "event")
--- a/src/common/decayedrate.h
+++ b/src/common/decayedrate.h
@@ -16,10 +16,10 @@
     {
     }
 
-    /// Counts one event. Precondition: @p now does not go back.
-    void count(Instant now)
+    /// Counts @p events. Precondition: @p now does not go back.
+    void count(Instant now, double events = 1)
     {
-        m_weight = weightAt(now) + 1;
+        m_weight = weightAt(now) + events;
         m_updated = now;
     }
 
@@ -29,12 +29,19 @@
         return weightAt(now) * std::log(2.0) / m_halfLifeSeconds;
     }
 
-private:
+    /// Returns the events that are not forgotten.
     double weightAt(Instant now) const
     {
         return m_weight * std::exp2(-std::chrono::duration<double>(now - m_updated).count() / m_halfLifeSeconds);
     }
 
+    /// Returns weightAt() the last count, without the cost of working out what was forgotten since.
+    double lastWeight() const
+    {
+        return m_weight;
+    }
+
+private:
     double m_halfLifeSeconds;
     double m_weight = 0;
     Instant m_updated{};
--- a/src/common/jsonfields.h
+++ b/src/common/jsonfields.h
@@ -2,17 +2,55 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Gypsumtally
 {
 
+/// Returns the JSON object that @p text holds, or nothing if it holds none. Thread-safe.
+inline std::optional<boost::json::object> parseObject(std::string_view text)
+{
+    boost::system::error_code error;
+    auto value = boost::json::parse({text.data(), text.size()}, error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    return std::move(value.get_object());
+}
+
 // Fields of JSON from outside systems: one that is missing or of another type reads as empty. Thread-safe.
 
+inline const boost::json::object *objectAt(const boost::json::object &object, std::string_view name)
+{
+    const auto *value = object.if_contains(name);
+    return value ? value->if_object() : nullptr;
+}
+
+inline const boost::json::array *arrayAt(const boost::json::object &object, std::string_view name)
+{
+    const auto *value = object.if_contains(name);
+    return value ? value->if_array() : nullptr;
+}
+
+/// Calls @p take with each object of the list called @p name; other elements are left out.
+template<typename Take>
+void eachObjectAt(const boost::json::object &object, std::string_view name, Take &&take)
+{
+    const auto *list = arrayAt(object, name);
+    if (!list)
+        return;
+    for (const auto &each : *list) {
+        if (const auto *element = each.if_object())
+            take(*element);
+    }
+}
+
 inline std::string textAt(const boost::json::object &object, std::string_view name)
 {
     const auto *value = object.if_contains(name);
@@ -41,8 +79,7 @@
 inline std::vector<std::string> textsAt(const boost::json::object &object, std::string_view name)
 {
     std::vector<std::string> texts;
-    const auto *value = object.if_contains(name);
-    const auto *list = value ? value->if_array() : nullptr;
+    const auto *list = arrayAt(object, name);
     if (!list)
         return texts;
     for (const auto &each : *list) {
--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -3,7 +3,6 @@
 #include "routing/rendezvous.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -13,7 +12,6 @@
 namespace
 {
 
-constexpr double demandHalfLifeSeconds = 4; ///< Demand moves to other adapters within seconds.
 constexpr Duration wantLifetime = std::chrono::milliseconds{600}; ///< Nodes repeat what they want more often.
 constexpr Duration inspectPause = std::chrono::milliseconds{250}; ///< A report is some 200 ms old.
 constexpr Duration oldestReport = std::chrono::milliseconds{800}; ///< Several times the usual lag.
@@ -69,16 +67,13 @@
     const auto it = m_demand.find(target);
     if (it == m_demand.end())
         return 0;
-    const double seconds = std::chrono::duration<double>(now - it->second.updated).count();
-    return it->second.weight * std::exp2(-seconds / demandHalfLifeSeconds) * std::log(2.0) / demandHalfLifeSeconds;
+    return it->second.requests.perSecond(now);
 }
 
 void AdapterPlacer::count(const std::string &service, const ModelTarget &target, double requests, Instant now)
 {
     auto &demand = m_demand[target];
-    const double seconds = std::chrono::duration<double>(now - demand.updated).count();
-    demand.weight = demand.weight * std::exp2(-seconds / demandHalfLifeSeconds) + requests;
-    demand.updated = now;
+    demand.requests.count(now, requests);
     demand.service = service;
 }
 
@@ -345,7 +340,7 @@
 
 double AdapterPlacer::needOfFurtherCopy(const ModelTarget &target, const Demand &demand, Instant now) const
 {
-    if (demand.weight < leastRateOfFurtherCopy) // Decayed, it is less still.
+    if (demand.requests.lastWeight() < leastRateOfFurtherCopy) // Decayed, it is less still.
         return 0;
     const double rate = rateOf(target, now);
     if (rate < leastRateOfFurtherCopy)
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/decayedrate.h"
 #include "common/enumtable.h"
 #include "gateway/residency.h"
 
@@ -211,10 +212,11 @@
         Instant emptySince{}; ///< When it was found to need one from the weight store.
     };
 
+    static constexpr Duration demandHalfLife = std::chrono::seconds{4}; ///< It moves to other adapters within seconds.
+
     struct Demand {
         std::string service;
-        double weight = 0; ///< Decayed number of requests.
-        Instant updated{};
+        DecayedRate requests{demandHalfLife};
         Instant wantedAt{}; ///< Zero: no request waits.
         std::set<std::string> unfit; ///< Engines whose copies do not help those that wait.
     };
--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -75,14 +75,14 @@
 
 bool Dissemination::isDirect(const MemberTable &members, Instant now) const
 {
-    return members.peers(now).size() <= m_settings.directPeers;
+    return members.peerCount(now) <= m_settings.directPeers;
 }
 
 Duration Dissemination::pause(const MemberTable &members, Instant now) const
 {
     if (isDirect(members, now))
         return {};
-    return m_settings.pause + m_settings.pausePerNode * members.peersIn(members.self().failureDomain, now).size();
+    return m_settings.pause + m_settings.pausePerNode * members.peerCountIn(members.self().failureDomain, now);
 }
 
 void Dissemination::send(const std::vector<NodeReport> &reports, Onward onward, const std::vector<NodeAddress> &targets,
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -123,9 +123,25 @@
 
 std::vector<NodeAddress> MemberTable::peersIn(const std::string &failureDomain, Instant now) const
 {
-    auto found = peers(now);
-    std::erase_if(found, [&](const NodeAddress &address) { return address.failureDomain != failureDomain; });
-    return found;
+    std::vector<NodeAddress> peers;
+    for (const auto &[node, member] : m_members) {
+        if (member.address.failureDomain == failureDomain && mayBeSentTo(member, now))
+            peers.push_back(member.address);
+    }
+    return peers;
+}
+
+std::size_t MemberTable::peerCount(Instant now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_members, [&](const auto &item) { return mayBeSentTo(item.second, now); }));
+}
+
+std::size_t MemberTable::peerCountIn(const std::string &failureDomain, Instant now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_members, [&](const auto &item) {
+        return item.second.address.failureDomain == failureDomain && mayBeSentTo(item.second, now);
+    }));
 }
 
 std::set<std::string> MemberTable::failureDomains(Instant now) const
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -38,6 +38,12 @@
     /// Returns those of @p failureDomain.
     std::vector<NodeAddress> peersIn(const std::string &failureDomain, Instant now) const;
 
+    /// Returns how many peers() there are.
+    std::size_t peerCount(Instant now) const;
+
+    /// Returns how many peersIn() @p failureDomain there are.
+    std::size_t peerCountIn(const std::string &failureDomain, Instant now) const;
+
     /// Returns the failure domains of all nodes.
     std::set<std::string> failureDomains(Instant now) const;
 
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -107,12 +107,10 @@
         m_recordRevision = value ? revision : 0;
         if (!value)
             return;
-        boost::system::error_code error;
-        const auto parsed = boost::json::parse(*value, error);
-        if (error || !parsed.is_object())
+        const auto object = parseObject(*value);
+        if (!object)
             return;
-        const auto &object = parsed.get_object();
-        m_holder = OrderHolder{textAt(object, "node"), numberAt<std::int64_t>(object, "started")};
+        m_holder = OrderHolder{textAt(*object, "node"), numberAt<std::int64_t>(*object, "started")};
         const auto now = BootClock{}.now();
         const bool isSelf = m_holder->node == m_self.node && m_holder->startedAt == m_self.startedAt;
         if (isSelf && !m_lease.isHeld(now) && m_leaseId != 0 && !m_acquiring)
@@ -417,17 +415,14 @@
         Relay::SendOptions options;
         options.timeout = orderTimeout;
         options.unsentBytesTimeoutMs = orderUnsentTimeoutMs;
-        Relay::ExchangeObserver observer;
-        auto status = std::make_shared<unsigned>(0);
         auto token = std::make_shared<Relay::UpstreamClient::Token>(0);
-        observer.onHead = [status](const Relay::ResponseHead &head) { *status = head.status; };
-        observer.onEnd
-            = [this, order, status, token] { onOrderAnswer(order, *token, Dialect::readOutcome(*status), *status); };
-        observer.onFailure = [this, order, token](const Relay::FailedExchange &failure) {
-            onOrderAnswer(order, *token, failure.sent ? OrderOutcome::Unknown : OrderOutcome::Conflict, 0);
+        const auto onResponse = [this, order, token](const Relay::WholeResponse &response) {
+            const auto unanswered = response.sent ? OrderOutcome::Unknown : OrderOutcome::Conflict;
+            onOrderAnswer(order, *token, response.status != 0 ? Dialect::readOutcome(response.status) : unanswered,
+                          response.status);
         };
-        *token = m_client.send({upstream->record.endpoint, order.instance},
-                               Dialect::writeOrder(order, m_self.node, m_lease.fence()), std::move(observer), options);
+        *token = m_client.fetch({upstream->record.endpoint, order.instance},
+                                Dialect::writeOrder(order, m_self.node, m_lease.fence()), onResponse, options);
         m_open.emplace(*token, order);
     }
 
@@ -460,13 +455,8 @@
             return m_placer.onReport(instance, std::nullopt, BootClock{}.now());
         Relay::SendOptions options;
         options.timeout = inspectionTimeout;
-        auto status = std::make_shared<unsigned>(0);
-        auto body = std::make_shared<std::string>();
-        Relay::ExchangeObserver observer;
-        observer.onHead = [status](const Relay::ResponseHead &head) { *status = head.status; };
-        observer.onBody = [body](std::string_view piece) { *body += piece; };
-        observer.onEnd = [this, instance, status, body] {
-            const auto report = *status == 200 ? Dialect::readReport(*body) : std::nullopt;
+        const auto onResponse = [this, instance](const Relay::WholeResponse &response) {
+            const auto report = response.status == 200 ? Dialect::readReport(response.body) : std::nullopt;
             if (m_log.isDetailed() && report)
                 m_log.detail(GatewayEvent::EngineInspected, instance,
                              {{"orders", std::to_string(report->orders)},
@@ -474,11 +464,7 @@
                               {"coming", std::to_string(report->coming.size())}});
             m_placer.onReport(instance, report, BootClock{}.now());
         };
-        observer.onFailure = [this, instance](const Relay::FailedExchange &) {
-            m_placer.onReport(instance, std::nullopt, BootClock{}.now());
-        };
-        m_client.send({upstream->record.endpoint, instance}, Dialect::writeInspection(instance), std::move(observer),
-                      options);
+        m_client.fetch({upstream->record.endpoint, instance}, Dialect::writeInspection(instance), onResponse, options);
     }
 
     Http::EventLoop &m_loop;
--- a/src/gateway/trafficpolicy.cpp
+++ b/src/gateway/trafficpolicy.cpp
@@ -1,5 +1,7 @@
 #include "gateway/trafficpolicy.h"
 
+#include "routing/rendezvous.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -46,7 +48,7 @@
     for (const auto &each : route.services)
         total += each.weight;
     const auto hash = XXH3_64bits(requestId.data(), requestId.size());
-    double left = static_cast<double>(hash >> 11) * 0x1p-53 * total;
+    double left = fractionOf(hash) * total;
     for (const auto &each : route.services) {
         left -= each.weight;
         if (left < 0)
--- a/src/gateway/trafficpolicy.h
+++ b/src/gateway/trafficpolicy.h
@@ -48,25 +48,19 @@
 
 struct BaseModel {
     std::string name;
-    double weightsMb = 0;
-    double adapterMb = 0;
     Duration loadTime = std::chrono::seconds{5}; ///< From the weight store, one at a time.
 };
 
 /// What the engines of a service can hold.
 struct EngineProfile {
     unsigned slots = 1; ///< Requests in one batch.
-    double kvTokens = 0; ///< Room for the tokens of running requests and kept prompts.
     unsigned tokensPerEvent = 1; ///< Of a stream.
     unsigned adapterSlots = 0;
-    double weightsMb = 0; ///< Room for base models and adapters together.
-    double weightLoadsPerSecond = 1; ///< Allowed by the weight store over all engines.
     std::vector<BaseModel> models;
 };
 
 struct Service {
     std::string name;
-    unsigned maxConnections = 0;
     std::optional<EngineProfile> engine; ///< Not set for plain services.
 };
 
--- a/src/keyvalue/etcdjson.cpp
+++ b/src/keyvalue/etcdjson.cpp
@@ -1,8 +1,8 @@
 #include "keyvalue/etcdjson.h"
 
+#include "common/base64.h"
 #include "common/jsonfields.h"
 
-#include <absl/strings/escaping.h>
 #include <boost/json.hpp>
 
 #include <charconv>
@@ -15,17 +15,6 @@
 namespace
 {
 
-std::string encoded(std::string_view bytes)
-{
-    return absl::Base64Escape({bytes.data(), bytes.size()});
-}
-
-std::string decoded(std::string_view text)
-{
-    std::string bytes;
-    return absl::Base64Unescape({text.data(), text.size()}, &bytes) ? bytes : std::string{};
-}
-
 /// The service writes 64-bit numbers as strings; some gateways leave out zeros.
 std::int64_t int64At(const json::object &object, std::string_view name)
 {
@@ -41,46 +30,20 @@
     return number;
 }
 
-const json::object *objectAt(const json::object &object, std::string_view name)
-{
-    const auto *value = object.if_contains(name);
-    return value ? value->if_object() : nullptr;
-}
-
-const json::array *arrayAt(const json::object &object, std::string_view name)
-{
-    const auto *value = object.if_contains(name);
-    return value ? value->if_array() : nullptr;
-}
-
 KeyValue toKeyValue(const json::object &object)
 {
-    return {decoded(textAt(object, "key")), decoded(textAt(object, "value")), int64At(object, "mod_revision")};
+    return {decodeBase64(textAt(object, "key")), decodeBase64(textAt(object, "value")),
+            int64At(object, "mod_revision")};
 }
 
 void appendValues(const json::object &reply, std::vector<KeyValue> &values)
 {
-    const auto *entries = arrayAt(reply, "kvs");
-    if (!entries)
-        return;
-    for (const auto &entry : *entries) {
-        if (const auto *object = entry.if_object())
-            values.push_back(toKeyValue(*object));
-    }
-}
-
-std::optional<json::object> parseObject(std::string_view body)
-{
-    boost::system::error_code error;
-    auto value = json::parse(body, error);
-    if (error || !value.is_object())
-        return std::nullopt;
-    return std::move(value.as_object());
+    eachObjectAt(reply, "kvs", [&](const json::object &entry) { values.push_back(toKeyValue(entry)); });
 }
 
 json::object compareObject(const KeyCompare &compare)
 {
-    return {{"key", encoded(compare.key)},
+    return {{"key", encodeBase64(compare.key)},
             {"target", "MOD"},
             {"result", "EQUAL"},
             {"mod_revision", std::to_string(compare.modRevision)}};
@@ -88,7 +51,7 @@
 
 json::object putObject(const KeyPut &put, LeaseId lease)
 {
-    json::object object{{"key", encoded(put.key)}, {"value", encoded(put.value)}};
+    json::object object{{"key", encodeBase64(put.key)}, {"value", encodeBase64(put.value)}};
     if (put.lifetime == KeyLifetime::NodeLease)
         object["lease"] = std::to_string(lease);
     return {{"request_put", std::move(object)}};
@@ -112,9 +75,9 @@
 
 std::string rangeRequest(std::string_view first, std::string_view end)
 {
-    json::object request{{"key", encoded(first)}};
+    json::object request{{"key", encodeBase64(first)}};
     if (!end.empty())
-        request["range_end"] = encoded(end);
+        request["range_end"] = encodeBase64(end);
     return json::serialize(request);
 }
 
@@ -124,15 +87,15 @@
     json::array reads;
     for (const auto &compare : transaction.compares) {
         compares.push_back(compareObject(compare));
-        reads.push_back(json::object{{"request_range", json::object{{"key", encoded(compare.key)}}}});
+        reads.push_back(json::object{{"request_range", json::object{{"key", encodeBase64(compare.key)}}}});
     }
     json::array writes;
     for (const auto &put : transaction.puts)
         writes.push_back(putObject(put, lease));
     for (const auto &key : transaction.deletes)
-        writes.push_back(json::object{{"request_delete_range", json::object{{"key", encoded(key)}}}});
+        writes.push_back(json::object{{"request_delete_range", json::object{{"key", encodeBase64(key)}}}});
     for (const auto &prefix : transaction.deletePrefixes) {
-        json::object range{{"key", encoded(prefix)}, {"range_end", encoded(prefixEnd(prefix))}};
+        json::object range{{"key", encodeBase64(prefix)}, {"range_end", encodeBase64(prefixEnd(prefix))}};
         writes.push_back(json::object{{"request_delete_range", std::move(range)}});
     }
     return json::serialize(
@@ -141,8 +104,8 @@
 
 std::string watchRequest(std::string_view first, std::string_view end, Revision from)
 {
-    return json::serialize(json::object{{"create_request", json::object{{"key", encoded(first)},
-                                                                        {"range_end", encoded(end)},
+    return json::serialize(json::object{{"create_request", json::object{{"key", encodeBase64(first)},
+                                                                        {"range_end", encodeBase64(end)},
                                                                         {"start_revision", std::to_string(from)}}}});
 }
 
--- a/src/keyvalue/vmlist.cpp
+++ b/src/keyvalue/vmlist.cpp
@@ -35,8 +35,7 @@
     holder = json::parse(body, error);
     if (error || !holder.is_object())
         return nullptr;
-    const auto *list = holder.as_object().if_contains(name);
-    return list ? list->if_array() : nullptr;
+    return arrayAt(holder.as_object(), name);
 }
 
 } // namespace
--- a/src/quarantine/crashrecord.cpp
+++ b/src/quarantine/crashrecord.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/crashrecord.h"
 
+#include "common/jsonfields.h"
+
 #include <boost/json.hpp>
 
 #include <charconv>
@@ -14,33 +16,12 @@
 constexpr int hexadecimal = 16;
 constexpr std::size_t fingerprintDigits = 16;
 
-std::string stringAt(const json::object &object, std::string_view name)
-{
-    const auto *value = object.if_contains(name);
-    return value && value->is_string() ? std::string{value->get_string()} : std::string{};
-}
-
-std::optional<json::object> parseObject(std::string_view text)
-{
-    json::error_code error;
-    auto value = json::parse(json::string_view{text.data(), text.size()}, error);
-    if (error || !value.is_object())
-        return std::nullopt;
-    return std::move(value.get_object());
-}
-
-const json::array *arrayAt(const json::object &object, std::string_view name)
-{
-    const auto *value = object.if_contains(name);
-    return value ? value->if_array() : nullptr;
-}
-
 std::optional<CrashSuspect> decodeSuspect(const json::value &value)
 {
     const auto *object = value.if_object();
     if (!object)
         return std::nullopt;
-    const auto fingerprint = parseFingerprint(stringAt(*object, "fingerprint"));
+    const auto fingerprint = parseFingerprint(textAt(*object, "fingerprint"));
     const auto *rank = object->if_contains("rank");
     const auto *completed = object->if_contains("completed");
     if (!fingerprint || !rank || !rank->is_int64() || !completed || !completed->is_bool())
@@ -90,13 +71,13 @@
     const auto object = parseObject(text);
     if (!object)
         return std::nullopt;
-    const auto cause = valueOf<CrashCause>(stringAt(*object, "cause"));
+    const auto cause = valueOf<CrashCause>(textAt(*object, "cause"));
     const auto *suspects = arrayAt(*object, "suspects");
     if (!cause || !suspects)
         return std::nullopt;
-    CrashRecord record{UpstreamId{stringAt(*object, "upstream")},
-                       FailureDomainId{stringAt(*object, "failure_domain")},
-                       Incarnation{stringAt(*object, "recorder")},
+    CrashRecord record{UpstreamId{textAt(*object, "upstream")},
+                       FailureDomainId{textAt(*object, "failure_domain")},
+                       Incarnation{textAt(*object, "recorder")},
                        *cause,
                        {}};
     for (const auto &value : *suspects) {
@@ -121,7 +102,7 @@
     const auto object = parseObject(text);
     if (!object)
         return std::nullopt;
-    const auto state = valueOf<QuarantineState>(stringAt(*object, "state"));
+    const auto state = valueOf<QuarantineState>(textAt(*object, "state"));
     const auto *upstreams = arrayAt(*object, "upstreams");
     if (!state || !upstreams)
         return std::nullopt;
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -1,6 +1,7 @@
 #include "relay/callerserver.h"
 
 #include "http/eventloop.h"
+#include "relay/detail/socketwait.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -220,14 +221,9 @@
 
     void waitForBytes()
     {
-        if (m_closed || m_waiting)
-            return;
-        m_waiting = true;
-        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
-            self->m_waiting = false;
-            if (!error)
-                self->read();
-        });
+        if (!m_closed)
+            Detail::waitFor(m_socket, tcp::socket::wait_read, shared_from_this(), &Connection::m_waiting,
+                            &Connection::read);
     }
 
     void read()
@@ -304,14 +300,9 @@
 
     void waitForRoom()
     {
-        if (m_closed || m_waitingForRoom)
-            return;
-        m_waitingForRoom = true;
-        m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](ErrorCode error) {
-            self->m_waitingForRoom = false;
-            if (!error)
-                self->flush();
-        });
+        if (!m_closed)
+            Detail::waitFor(m_socket, tcp::socket::wait_write, shared_from_this(), &Connection::m_waitingForRoom,
+                            &Connection::flush);
     }
 
     void flush()
--- /dev/null
+++ b/src/relay/detail/socketwait.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace Gypsumtally::Relay::Detail
+{
+
+/// Calls @p task of @p owner once @p socket is ready for @p what. Does nothing while the wait that @p isWaiting tells
+/// of goes on; a wait that fails ends without the task. Loop's thread only.
+template<typename Owner>
+void waitFor(boost::asio::ip::tcp::socket &socket, boost::asio::socket_base::wait_type what,
+             std::shared_ptr<Owner> owner, bool Owner::*isWaiting, void (Owner::*task)())
+{
+    if (std::exchange(owner.get()->*isWaiting, true))
+        return;
+    socket.async_wait(what, [owner, isWaiting, task](boost::system::error_code error) {
+        owner.get()->*isWaiting = false;
+        if (!error)
+            (owner.get()->*task)();
+    });
+}
+
+} // namespace Gypsumtally::Relay::Detail
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -1,6 +1,7 @@
 #include "relay/upstreamclient.h"
 
 #include "http/eventloop.h"
+#include "relay/detail/socketwait.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -192,14 +193,9 @@
 
     void waitForBytes()
     {
-        if (m_closed || m_waiting)
-            return;
-        m_waiting = true;
-        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
-            self->m_waiting = false;
-            if (!error)
-                self->read();
-        });
+        if (!m_closed)
+            Detail::waitFor(m_socket, tcp::socket::wait_read, shared_from_this(), &Connection::m_waiting,
+                            &Connection::read);
     }
 
     void read()
@@ -333,6 +329,19 @@
     return token;
 }
 
+UpstreamClient::Token UpstreamClient::fetch(const Destination &destination, const Http::Request &request,
+                                            const std::function<void(const WholeResponse &)> &onResponse,
+                                            const SendOptions &options)
+{
+    auto response = std::make_shared<WholeResponse>();
+    ExchangeObserver observer;
+    observer.onHead = [response](const ResponseHead &head) { response->status = head.status; };
+    observer.onBody = [response](std::string_view piece) { response->body += piece; };
+    observer.onEnd = [response, onResponse] { onResponse(*response); };
+    observer.onFailure = [onResponse](const FailedExchange &failure) { onResponse({0, {}, failure.sent}); };
+    return send(destination, request, std::move(observer), options);
+}
+
 void UpstreamClient::cancel(Token token)
 {
     const auto it = m_d->shared->busy.find(token);
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -44,6 +44,13 @@
     std::function<void(const FailedExchange &)> onFailure;
 };
 
+/// A response whose body was gathered.
+struct WholeResponse {
+    unsigned status = 0; ///< 0 if there was no whole response.
+    std::string body;
+    bool sent = true; ///< Whether a byte of the request may have left this process.
+};
+
 struct SendOptions {
     Duration connectTimeout = std::chrono::milliseconds{500};
     Duration longestReuseAge = std::chrono::seconds{10}; ///< Idle connections older than this are not used; zero: none.
@@ -67,6 +74,10 @@
     Token send(const Destination &destination, const Http::Request &request, ExchangeObserver observer,
                const SendOptions &options);
 
+    /// As send(), for a response that is wanted whole. @p onResponse is called once, unless the request is cancelled.
+    Token fetch(const Destination &destination, const Http::Request &request,
+                const std::function<void(const WholeResponse &)> &onResponse, const SendOptions &options);
+
     /// Closes the connection of a request; its observer is not called again. Does nothing for a finished one.
     void cancel(Token token);
 
--- a/src/routing/rendezvous.h
+++ b/src/routing/rendezvous.h
@@ -23,6 +23,12 @@
     return XXH3_64bits_withSeed(model.version.data(), model.version.size(), adapter);
 }
 
+/// Returns a number from 0 up to 1 that @p hash stands for. Thread-safe.
+inline double fractionOf(std::uint64_t hash)
+{
+    return static_cast<double>(hash >> 11) * 0x1p-53;
+}
+
 /// Returns how well @p candidate suits @p key in weighted rendezvous hashing; the highest score wins.
 /// Precondition: @p weight is positive. Thread-safe.
 inline double rendezvousScore(std::uint64_t key, std::string_view candidate, double weight = 1)
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -117,7 +117,7 @@
         policy.routes
             = {route("/safe/", RequestKind::Idempotent, false), route("/once/", RequestKind::NonIdempotent, false),
                route("/stream/", RequestKind::Streaming, true), route("/solo/", RequestKind::Streaming, false)};
-        policy.services = {{"s", 10, EngineProfile{}}};
+        policy.services = {{"s", EngineProfile{}}};
         m_context.routes = std::make_shared<RouteTable>(policy);
         m_context.allowance = RetryAllowance({1, 100, std::chrono::seconds{10}, 1});
         int number = 0;
