Speeds of engines and services are learnt from their answers, in both directions

Cause: choices and paces were made with one site's figures (step, prompt speed, work of a plain service), and an engine could only be learnt as slower.

src/estimates: step from low quantiles of recent pauses (of the last seconds, so also of busy engines), prompt speed from the slope of first events over prompt sizes, times of streams and of plain answers; the fleet's figures by service go with digests, and nodes tell only what they have learnt from their own streams. When silence is suspicious follows the route's pauses and usual answers.

Ruled out: a stochastic quantile of fixed gain (tests: off by a fifth at half of the pauses disturbed).

--- /dev/null
+++ b/src/estimates/promptspeed.cpp
@@ -0,0 +1,68 @@
+#include "estimates/promptspeed.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Gypsumtally::Estimates
+{
+
+namespace
+{
+
+constexpr double priorTokensPerMs = 20; ///< Of a large model on current accelerators.
+constexpr double priorFirstMs = 50; ///< To the first event of an empty prompt.
+constexpr double priorPromptTokens = 1000;
+constexpr double priorWeight = 3; ///< Of each of two made-up samples, which are forgotten like others.
+constexpr double longestMemory = 100; ///< Samples.
+constexpr double shortestMemory = 20; ///< Samples, at the beginning.
+constexpr double largestRatio = 2; ///< Of a sample to what is expected; beyond, it counts as that much.
+constexpr double leastMsPerToken = 0.001;
+constexpr double mostMsPerToken = 2;
+/// Keeps the slope while all prompts have nearly the same size: part of the squared mean size.
+constexpr double ridgePart = 0.02;
+
+} // namespace
+
+PromptSpeed::PromptSpeed()
+{
+    addWeighted(0, priorFirstMs, priorWeight);
+    addWeighted(priorPromptTokens, priorFirstMs + priorPromptTokens / priorTokensPerMs, priorWeight);
+}
+
+void PromptSpeed::add(double tokens, double ms)
+{
+    if (!(tokens > 0) || !(ms > 0) || !std::isfinite(ms))
+        return;
+    const double expected = m_ms / m_weight + slope() * (tokens - m_tokens / m_weight);
+    const double kept = 1 - 1 / std::min(longestMemory, shortestMemory + m_samples);
+    for (auto *sum : {&m_weight, &m_tokens, &m_ms, &m_tokensSquared, &m_tokensMs})
+        *sum *= kept;
+    addWeighted(tokens, std::clamp(ms, expected / largestRatio, expected * largestRatio), 1);
+    ++m_samples;
+}
+
+void PromptSpeed::addWeighted(double tokens, double ms, double weight)
+{
+    m_weight += weight;
+    m_tokens += weight * tokens;
+    m_ms += weight * ms;
+    m_tokensSquared += weight * tokens * tokens;
+    m_tokensMs += weight * tokens * ms;
+}
+
+double PromptSpeed::slope() const
+{
+    const double meanTokens = m_tokens / m_weight;
+    const double meanMs = m_ms / m_weight;
+    const double ridge = ridgePart * meanTokens * meanTokens;
+    const double variance = m_tokensSquared / m_weight - meanTokens * meanTokens;
+    const double covariance = m_tokensMs / m_weight - meanTokens * meanMs;
+    return std::clamp((covariance + ridge / priorTokensPerMs) / (variance + ridge), leastMsPerToken, mostMsPerToken);
+}
+
+double PromptSpeed::tokensPerMs() const
+{
+    return 1 / slope();
+}
+
+} // namespace Gypsumtally::Estimates
--- /dev/null
+++ b/src/estimates/servicespeed.cpp
@@ -0,0 +1,97 @@
+#include "estimates/servicespeed.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Gypsumtally::Estimates
+{
+
+namespace
+{
+
+constexpr double undisturbedQuantile = 0.12; ///< Of pauses: those beside prompts are longer.
+constexpr double medianQuantile = 0.5;
+constexpr std::size_t capacity = 64;
+constexpr Duration span = std::chrono::seconds{10};
+constexpr std::size_t fewestSamples = 8; ///< Below it nothing is told to others.
+constexpr double toldWeight = 0.1; ///< Of what one node tells.
+constexpr double toldSamples = 8; ///< What others have learnt counts like so many samples.
+
+double msOf(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+double combined(double own, double samples, double told, double prior)
+{
+    if (samples == 0 || own <= 0)
+        return told > 0 ? told : prior;
+    if (told <= 0)
+        return own;
+    return std::exp((samples * std::log(own) + toldSamples * std::log(told)) / (samples + toldSamples));
+}
+
+void approach(double &figure, double told)
+{
+    if (told > 0 && std::isfinite(told))
+        figure = figure > 0 ? figure * std::pow(told / figure, toldWeight) : told;
+}
+
+double toldValue(double value, std::size_t samples)
+{
+    return samples < fewestSamples ? 0 : value;
+}
+
+} // namespace
+
+ServiceSpeed::ServiceSpeed()
+    : m_step(undisturbedQuantile, capacity, span)
+    , m_stream(medianQuantile, capacity, span)
+    , m_answer(medianQuantile, capacity, span)
+{
+}
+
+void ServiceSpeed::onPause(Duration pause, unsigned tokensPerEvent, Instant now)
+{
+    m_step.add(msOf(pause) / std::max(1U, tokensPerEvent), now);
+}
+
+void ServiceSpeed::onFirstEvent(double promptTokens, Duration time, double slowness)
+{
+    m_prompts.add(promptTokens * slowness, msOf(time));
+}
+
+void ServiceSpeed::onStream(Duration time, Instant now)
+{
+    m_stream.add(msOf(time), now);
+}
+
+void ServiceSpeed::onAnswer(Duration time, Instant now)
+{
+    m_answer.add(msOf(time), now);
+}
+
+void ServiceSpeed::onTold(const LearntSpeed &told)
+{
+    approach(m_told.stepMs, told.stepMs);
+    approach(m_told.promptTokensPerMs, told.promptTokensPerMs);
+    approach(m_told.streamMs, told.streamMs);
+    approach(m_told.answerMs, told.answerMs);
+}
+
+Speed ServiceSpeed::speed() const
+{
+    const Speed prior;
+    return {combined(m_step.value(), static_cast<double>(m_step.samples()), m_told.stepMs, prior.stepMs),
+            combined(m_prompts.tokensPerMs(), m_prompts.samples(), m_told.promptTokensPerMs, prior.promptTokensPerMs),
+            combined(m_stream.value(), static_cast<double>(m_stream.samples()), m_told.streamMs, prior.streamMs),
+            combined(m_answer.value(), static_cast<double>(m_answer.samples()), m_told.answerMs, prior.answerMs)};
+}
+
+LearntSpeed ServiceSpeed::learnt() const
+{
+    return {toldValue(m_step.value(), m_step.samples()), toldValue(m_prompts.tokensPerMs(), m_prompts.samples()),
+            toldValue(m_stream.value(), m_stream.samples()), toldValue(m_answer.value(), m_answer.samples())};
+}
+
+} // namespace Gypsumtally::Estimates
--- /dev/null
+++ b/src/estimates/servicespeed.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "common/clock.h"
+#include "estimates/promptspeed.h"
+#include "estimates/recentquantile.h"
+
+namespace Gypsumtally::Estimates
+{
+
+/// The speed of the upstreams of one service.
+struct Speed {
+    double stepMs = 10; ///< For a token of a stream while no prompt is read.
+    double promptTokensPerMs = 20; ///< Read by an engine of that step.
+    double streamMs = 1500; ///< From sending a request to the end of its stream.
+    double answerMs = 15; ///< From sending a request to a plain service to its whole answer.
+
+    friend bool operator==(const Speed &, const Speed &) = default;
+};
+
+/// What a node has learnt of the speed of one service: the figures that rest on no sample are 0.
+using LearntSpeed = Speed;
+
+/// Learns the speed of a service from the answers that this node sees and from what other nodes have learnt, and starts
+/// with usual figures. Not thread-safe; does no I/O.
+class ServiceSpeed
+{
+public:
+    ServiceSpeed();
+
+    /// Two events of a stream of @p tokensPerEvent each came @p pause apart.
+    void onPause(Duration pause, unsigned tokensPerEvent, Instant now);
+
+    /// The first event of a request came @p time after it was sent to an engine that had no other prompt to read and is
+    /// @p slowness times as slow as others.
+    void onFirstEvent(double promptTokens, Duration time, double slowness);
+
+    /// A stream came to its end @p time after its request was sent.
+    void onStream(Duration time, Instant now);
+
+    /// The whole answer of a plain service came @p time after its request was sent.
+    void onAnswer(Duration time, Instant now);
+
+    /// Takes in what another node has learnt by itself.
+    void onTold(const LearntSpeed &told);
+
+    /// Returns what is to be reckoned with.
+    Speed speed() const;
+
+    /// Returns what this node has learnt by itself, to be told to others.
+    LearntSpeed learnt() const;
+
+private:
+    RecentQuantile m_step;
+    RecentQuantile m_stream;
+    RecentQuantile m_answer;
+    PromptSpeed m_prompts;
+    LearntSpeed m_told{0, 0, 0, 0};
+};
+
+} // namespace Gypsumtally::Estimates
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -34,6 +34,7 @@
     Regions regions;
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
     UpstreamTable upstreams;
+    std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     RetryAllowance allowance{RetryBound{}};
     CrashLedger crashes;
     std::unordered_map<ModelTarget, DeclaredVersion> declared;
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -9,6 +9,7 @@
 #include "relay/callerserver.h"
 #include "relay/upstreamclient.h"
 #include "report/metrics.h"
+#include "routing/rendezvous.h"
 
 #include <xxhash.h>
 
@@ -90,9 +91,12 @@
     static constexpr double longestLoadWaitPart = 0.5; ///< Of the time that the request has.
     static constexpr double longestQueuePart = 0.5; ///< Of the time that the request had.
     static constexpr Duration avoidAfterRefusedConnection = std::chrono::milliseconds{600};
-    static constexpr Duration silentPlainService = std::chrono::milliseconds{250}; ///< Over ten times its mean work.
-    static constexpr Duration silentEngine = std::chrono::milliseconds{900}; ///< Three of the longest pauses.
+    static constexpr double silentAnswers = 12; ///< Usual times of an answer, after which a plain service is left.
+    static constexpr int silentPauses = 3; ///< Of the longest that the route allows, after which an engine is left.
+    static constexpr Duration leastSilence = std::chrono::milliseconds{150};
+    static constexpr Duration usualSilence = std::chrono::milliseconds{900}; ///< Where a route allows any pause.
     static constexpr Duration crashWindow = std::chrono::milliseconds{1500}; ///< Within which breaks tell of one crash.
+    static constexpr Duration promptEcho = std::chrono::milliseconds{150}; ///< A prompt sent before may still be read.
     static constexpr Duration together = std::chrono::milliseconds{150};
     static constexpr Duration announcementTime = std::chrono::milliseconds{30}; ///< Until all nodes know of a prompt.
     static constexpr double latePacePart = 0.6;
@@ -229,10 +233,10 @@
         if (spare <= Duration{} || std::exchange(call.dispersed, true))
             return {};
         const auto hash = XXH3_64bits(call.request.id.data(), call.request.id.size());
-        return std::chrono::duration_cast<Duration>(spare * (static_cast<double>(hash >> 11) * 0x1p-53));
+        return std::chrono::duration_cast<Duration>(spare * fractionOf(hash));
     }
 
-    std::optional<UpstreamChoice> choose(const Call &call, Instant now) const
+    std::optional<UpstreamChoice> choose(const Call &call, Instant now)
     {
         UpstreamDemand demand{call.service,
                               call.request.target,
@@ -241,7 +245,8 @@
                               &m_context.regions,
                               call.excluded,
                               call.request.promptTokens,
-                              paceOf(call, now)};
+                              paceOf(call, now),
+                              m_context.speeds[call.service].speed()};
         if (call.request.target.empty())
             return chooseUpstream(m_context.upstreams, demand, now);
         // The newest version is preferred from the beginning; the older one serves until the new one is loaded.
@@ -257,20 +262,21 @@
         return chooseUpstream(m_context.upstreams, demand, now);
     }
 
-    unsigned tokensPerEvent(const Call &call) const
+    /// Returns what the engines of the call's service can hold, or null for a plain service.
+    const EngineProfile *engineOf(const Call &call) const
     {
         const auto *service = m_context.routes->service(call.service);
-        return service && service->engine ? service->engine->tokensPerEvent : 1;
+        return service && service->engine ? &*service->engine : nullptr;
     }
 
     /// Calls that are late anyway leave a part of the pace to those that are not.
     PromptPace paceOf(const Call &call, Instant now) const
     {
-        const auto *service = m_context.routes->service(call.service);
-        if (!service || !service->engine)
+        const auto *engine = engineOf(call);
+        if (!engine)
             return {};
         const bool isLate = now - call.arrival > call.route.latencyObjective;
-        return {call.route.longestPause, service->engine->tokensPerEvent, isLate ? latePacePart : 1};
+        return {call.route.longestPause, engine->tokensPerEvent, isLate ? latePacePart : 1};
     }
 
     void wakeAt(const CallPtr &call, Instant time, Instant now)
@@ -377,7 +383,7 @@
             instructions.resumeAfter = call->lastEvent;
         call->promptRead = false;
         call->inFlightAtSend = upstream->inFlight();
-        call->slownessAtSend = slownessOf(*upstream);
+        call->slownessAtSend = slownessOf(*upstream, m_context.speeds[call->service].speed());
         if (!std::exchange(call->reservation, std::nullopt))
             announcePrompt(*call, choice.instance, now, now);
         if (upstream->ownInFlight == 0)
@@ -474,9 +480,13 @@
             if (!call->answering) {
                 call->firstEvent = now - call->arrival;
                 m_metrics.observe(Metric::FirstTokenSeconds, labelsOf(*call), call->firstEvent, now);
+                learnPromptSpeed(*call, now);
             }
         } else if (auto *upstream = m_context.upstreams.find(call->instance)) {
-            notePause(*upstream, now - call->lastEventAt, tokensPerEvent(*call), now);
+            const auto *engine = engineOf(*call);
+            const auto tokens = engine ? engine->tokensPerEvent : 1;
+            notePause(*upstream, now - call->lastEventAt, tokens, now);
+            m_context.speeds[call->service].onPause(now - call->lastEventAt, tokens, now);
         }
         if (call->answering)
             call->longestPause = std::max(call->longestPause, now - call->lastEventAt);
@@ -490,6 +500,31 @@
         call->exchange->write(events);
     }
 
+    void noteStreamTime(const Call &call, Instant now)
+    {
+        m_context.speeds[call.service].onStream(now - call.sentAt, now);
+    }
+
+    void noteAnswerTime(const Call &call, Instant now)
+    {
+        m_context.speeds[call.service].onAnswer(now - call.sentAt, now);
+    }
+
+    /// Learns from a first event whose prompt has met no other one at its engine, as far as nodes have told.
+    void learnPromptSpeed(const Call &call, Instant now)
+    {
+        const auto *upstream = m_context.upstreams.find(call.instance);
+        if (!upstream || call.lastEvent || call.request.promptTokens <= 0
+            || call.inFlightAtSend >= upstream->record.slots)
+            return;
+        const auto *copy = upstream->residency.find(call.request.target);
+        const auto since = call.sentAt - promptEcho;
+        const bool isAlone = upstream->prompts.sum(now - since, now) <= call.request.promptTokens;
+        if (copy && copy->usableAt < since && isAlone)
+            m_context.speeds[call.service].onFirstEvent(call.request.promptTokens, now - call.sentAt,
+                                                        call.slownessAtSend);
+    }
+
     void onEnd(const CallPtr &call)
     {
         release(call);
@@ -502,11 +537,14 @@
                 return onBroken(call, "the stream ended inside an event");
             noteResult(call, false);
             call->verdict = Verdict::Ran;
+            noteStreamTime(*call, BootClock{}.now());
             noteAnswered(*call);
             call->exchange->end();
             return finish(call);
         }
         noteResult(call, false);
+        if (call->request.target.empty())
+            noteAnswerTime(*call, BootClock{}.now());
         passOn(call);
     }
 
@@ -741,11 +779,21 @@
             return false;
         const auto it = m_context.upstreams.all().find(call.instance);
         if (it == m_context.upstreams.all().end())
-            return now - call.heard > silentEngine;
-        const auto limit = call.request.target.empty() ? silentPlainService : silentEngine;
+            return now - call.heard > usualSilence;
+        const auto limit = longestSilence(call);
         return now - call.heard > limit && now - it->second.waitingSince > limit;
     }
 
+    Duration longestSilence(const Call &call) const
+    {
+        if (!call.request.target.empty())
+            return call.route.longestPause > Duration{} ? silentPauses * call.route.longestPause : usualSilence;
+        const auto speeds = m_context.speeds.find(call.service);
+        const Estimates::Speed usual;
+        const double answerMs = speeds == m_context.speeds.end() ? usual.answerMs : speeds->second.speed().answerMs;
+        return std::max(leastSilence, Duration{static_cast<std::int64_t>(silentAnswers * answerMs * 1000)});
+    }
+
     void leaveSilentUpstream(const CallPtr &call, Instant now)
     {
         m_client.cancel(call->token);
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -9,74 +9,68 @@
 namespace
 {
 
-constexpr double outcomeHalfLifeSeconds = 3;
 constexpr double fewestOutcomes = 2; ///< A ratio that rests on less says nothing.
 constexpr double badFailureRatio = 0.25; ///< Plain services fail up to 14 in 100 requests on an ordinary day.
 constexpr double badUpstreamMs = 3000; ///< Sorts bad upstreams behind every good one.
-constexpr Duration silentAfter = std::chrono::milliseconds{700}; ///< Many steps of a loaded engine.
-/// Weights of one more figure in the learnt time for a token. What lengthens a pause, such as a prompt that this node
-/// has not heard of, says nothing of the speed, so that shorter ones count for more. A stream has some forty.
-constexpr double shorterStepWeight = 0.2;
-constexpr double longerStepWeight = 0.02;
-constexpr Duration promptEcho = std::chrono::milliseconds{500}; ///< Until the steps that read a prompt are over.
+constexpr double silentPauses = 2.5; ///< Of the longest that a route allows, after which an engine is silent.
+constexpr double silentAnswers = 20; ///< Usual times of an answer, after which a plain service is silent.
+constexpr double leastSilenceMs = 250;
+constexpr double leastSlowness = 0.2; ///< Beyond, an estimate is taken for a mistake.
+constexpr double mostSlowness = 8;
 
 constexpr Duration fullPause = std::chrono::milliseconds{60}; ///< Until a full engine is looked at again.
 constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Prompts sent within it may still be waiting.
-constexpr double leastStepMs = 10.1; ///< Of an engine without a prompt; the platform's sheet says 10.1 and more.
-constexpr double stepMsPerRequest = 0.033; ///< Its longer steps beside more streams; the platform's sheet.
-constexpr double loadedStepMs = 12; ///< Of an ordinary engine at its usual load, for what a pause leaves to prompts.
-constexpr double prefillTokensPerMs = 20.4; ///< The platform's sheet.
+constexpr double stepsPerRunningRequest = 0.15; ///< What one more running request costs a new one.
 constexpr double usedPace = 0.95; ///< The rest is for prompts that two nodes send at the same moment.
+constexpr double leastPausePart = 0.25; ///< Of a pause is left to prompts, however slow the engine seems.
 
 double msOf(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-bool isSilent(const Upstream &upstream, Instant now)
+bool isSilent(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
 {
-    return upstream.ownInFlight > 0 && upstream.waitingSince != Instant{} && now - upstream.waitingSince > silentAfter;
+    const double longestMs = demand.pace.longestPause > Duration{} ? silentPauses * msOf(demand.pace.longestPause)
+                                                                   : silentAnswers * demand.speed.answerMs;
+    return upstream.ownInFlight > 0 && upstream.waitingSince != Instant{}
+           && msOf(now - upstream.waitingSince) > std::max(leastSilenceMs, longestMs);
 }
 
-double decayedOutcomes(const Upstream &upstream, Instant now)
-{
-    const double seconds = msOf(now - upstream.lastOutcome) / 1000;
-    return upstream.outcomes * std::exp2(-seconds / outcomeHalfLifeSeconds);
-}
-
-double penaltyMs(const Upstream &upstream, Instant now)
+double penaltyMs(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
 {
     double penalty = 0;
-    if (decayedOutcomes(upstream, now) >= fewestOutcomes && upstream.failureRatio > badFailureRatio)
+    if (upstream.outcomes.weightAt(now) >= fewestOutcomes && upstream.failureRatio > badFailureRatio)
         penalty += badUpstreamMs * upstream.failureRatio;
-    if (isSilent(upstream, now) || now < upstream.avoidUntil)
+    if (isSilent(upstream, demand, now) || now < upstream.avoidUntil)
         penalty += badUpstreamMs;
     return penalty;
 }
 
-double distanceMs(const Upstream &upstream, const UpstreamDemand &demand, const EngineSpeed &speed)
+double distanceMs(const Upstream &upstream, const UpstreamDemand &demand, const DistanceCost &cost)
 {
     if (upstream.record.failureDomain == demand.failureDomain)
         return 0;
     if (demand.regions
         && regionOf(upstream.record.failureDomain, *demand.regions) == regionOf(demand.failureDomain, *demand.regions))
-        return speed.crossDomainMs;
-    return demand.target.empty() ? speed.plainCrossRegionMs : speed.crossRegionMs;
+        return cost.crossDomainMs;
+    return demand.target.empty() ? cost.plainCrossRegionMs : cost.crossRegionMs;
 }
 
-double scoreOf(const Upstream &upstream, const UpstreamDemand &demand, Instant now, const EngineSpeed &speed)
+double scoreOf(const Upstream &upstream, const UpstreamDemand &demand, Instant now, const DistanceCost &cost)
 {
+    const auto &speed = demand.speed;
     const double slots = std::max(1U, upstream.record.slots);
     const double inFlight = upstream.inFlight();
-    const double distance = distanceMs(upstream, demand, speed);
+    const double distance = distanceMs(upstream, demand, cost);
     if (demand.target.empty())
-        return distance + speed.plainServiceMs * std::floor(inFlight / slots) + inFlight / slots
-               + penaltyMs(upstream, now);
+        return distance + speed.answerMs * std::floor(inFlight / slots) + inFlight / slots
+               + penaltyMs(upstream, demand, now);
     const double queued = std::max(0.0, inFlight + 1 - slots);
-    return distance + penaltyMs(upstream, now)
-           + slownessOf(upstream)
-                 * (upstream.prompts.sum(promptSpan, now) / prefillTokensPerMs + inFlight * speed.msPerRunningRequest
-                    + queued * speed.msPerQueuedRequest);
+    return distance + penaltyMs(upstream, demand, now)
+           + slownessOf(upstream, speed)
+                 * (upstream.prompts.sum(promptSpan, now) / speed.promptTokensPerMs
+                    + inFlight * stepsPerRunningRequest * speed.stepMs + queued * speed.streamMs / slots);
 }
 
 } // namespace
@@ -87,19 +81,22 @@
     return it == regions.end() ? failureDomain : it->second;
 }
 
-double slownessOf(const Upstream &upstream)
+double slownessOf(const Upstream &upstream, const Estimates::Speed &speed)
 {
-    return std::max(1.0, upstream.stepMs / (leastStepMs + stepMsPerRequest * upstream.inFlight()));
+    if (upstream.step.value() <= 0)
+        return 1;
+    return std::clamp(upstream.step.value() / speed.stepMs, leastSlowness, mostSlowness);
 }
 
-double tokensWithinPause(const PromptPace &pace, double slowness)
+double tokensWithinPause(const PromptPace &pace, const Estimates::Speed &speed, double slowness)
 {
-    const double forPrompts = msOf(pace.longestPause) / slowness - loadedStepMs * std::max(1U, pace.tokensPerEvent);
-    return std::max(0.0, forPrompts) * prefillTokensPerMs * usedPace * pace.share;
+    const double pauseMs = msOf(pace.longestPause);
+    const double forPrompts = pauseMs - slowness * speed.stepMs * std::max(1U, pace.tokensPerEvent);
+    return std::max(leastPausePart * pauseMs, forPrompts) * speed.promptTokensPerMs / slowness * usedPace * pace.share;
 }
 
 std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
-                                             const EngineSpeed &speed)
+                                             const DistanceCost &cost)
 {
     std::optional<UpstreamChoice> best;
     for (const auto &[instance, upstream] : table.all()) {
@@ -116,13 +113,13 @@
         }
         choice.sendAt = choice.usableAt;
         if (!demand.target.empty() && demand.pace.longestPause > Duration{})
-            choice.sendAt
-                = upstream.prompts.roomAt(demand.promptTokens, tokensWithinPause(demand.pace, slownessOf(upstream)),
-                                          demand.pace.longestPause, std::max(choice.usableAt, now));
+            choice.sendAt = upstream.prompts.roomAt(
+                demand.promptTokens, tokensWithinPause(demand.pace, demand.speed, slownessOf(upstream, demand.speed)),
+                demand.pace.longestPause, std::max(choice.usableAt, now));
         choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.record.slots;
         if (choice.isFull)
             choice.sendAt = std::max(choice.sendAt, now + fullPause);
-        choice.score = scoreOf(upstream, demand, now, speed) + std::max(0.0, msOf(choice.sendAt - now));
+        choice.score = scoreOf(upstream, demand, now, cost) + std::max(0.0, msOf(choice.sendAt - now));
         if (!best || choice.score < best->score)
             best = choice;
     }
@@ -138,26 +135,20 @@
 
 void noteOutcome(Upstream &upstream, bool failed, Instant now)
 {
-    const double before = decayedOutcomes(upstream, now);
+    const double before = upstream.outcomes.weightAt(now);
     upstream.failureRatio = (upstream.failureRatio * before + (failed ? 1 : 0)) / (before + 1);
-    upstream.outcomes = before + 1;
-    upstream.lastOutcome = now;
+    upstream.outcomes.count(now);
 }
 
 void notePause(Upstream &upstream, Duration pause, unsigned tokensPerEvent, Instant now)
 {
-    if (upstream.prompts.sum(promptEcho, now) > 0)
-        return;
-    noteStep(upstream, msOf(pause) / std::max(1U, tokensPerEvent));
+    upstream.step.add(msOf(pause) / std::max(1U, tokensPerEvent), now);
     ++upstream.ownSteps;
 }
 
-void noteStep(Upstream &upstream, double stepMs)
+void noteStep(Upstream &upstream, double stepMs, Instant now)
 {
-    if (upstream.stepMs == 0)
-        upstream.stepMs = stepMs;
-    const double weight = stepMs < upstream.stepMs ? shorterStepWeight : longerStepWeight;
-    upstream.stepMs += weight * (stepMs - upstream.stepMs);
+    upstream.step.onTold(stepMs, now);
 }
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "estimates/servicespeed.h"
 #include "gateway/upstreamtable.h"
 
 #include <functional>
@@ -24,13 +25,13 @@
     double share = 1; ///< Of what the engine can read in such a pause.
 };
 
-/// Returns how many times longer than an ordinary engine @p upstream takes for each step, as far as was learnt; at
-/// least 1. Thread-safe.
-double slownessOf(const Upstream &upstream);
+/// Returns how many times longer than the engines of its service @p upstream takes for each step, as far as was learnt;
+/// below 1 for a faster one. Thread-safe.
+double slownessOf(const Upstream &upstream, const Estimates::Speed &speed);
 
 /// Returns how many prompt tokens an engine can read within @c longestPause beside its streams, without one of them
 /// pausing longer. Thread-safe.
-double tokensWithinPause(const PromptPace &pace, double slowness);
+double tokensWithinPause(const PromptPace &pace, const Estimates::Speed &speed, double slowness);
 
 /// What a request needs of an upstream.
 struct UpstreamDemand {
@@ -42,6 +43,7 @@
     std::vector<std::string> excluded; ///< Upstreams that have failed this request.
     double promptTokens = 0;
     PromptPace pace;
+    Estimates::Speed speed; ///< Of the service.
 };
 
 struct UpstreamChoice {
@@ -53,21 +55,18 @@
     double score = 0; ///< Expected time to a first event, in ms, as far as load decides it.
 };
 
-/// Speeds that forecasts are made with.
-struct EngineSpeed {
-    double msPerRunningRequest = 1.5; ///< What one more running request costs a new one: its share of each step.
-    double msPerQueuedRequest = 40; ///< What a request beyond the slots waits for each one ahead of it.
+/// What a way to an upstream counts, beside its load.
+struct DistanceCost {
     double crossDomainMs = 3; ///< What a way to another failure domain counts.
     /// What a way to another region counts: 16 ms there and back, and billed bytes worth 2% of a stream's benefit.
     double crossRegionMs = 40;
     double plainCrossRegionMs = 14; ///< Of a plain service, whose answers are short and urgent.
-    double plainServiceMs = 15; ///< Mean work of a request of a plain service.
 };
 
 /// Returns the upstream that will answer soonest, or nothing if none can serve. Balances by load, distance, and what
 /// was seen to fail or to be slow. Thread-safe.
 std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
-                                             const EngineSpeed &speed = {});
+                                             const DistanceCost &cost = {});
 
 /// Whether any upstream of @p service takes requests. Thread-safe.
 bool hasUpstream(const UpstreamTable &table, const std::string &service);
@@ -75,11 +74,10 @@
 /// Counts how a request ended at @p upstream, for its failure ratio.
 void noteOutcome(Upstream &upstream, bool failed, Instant now);
 
-/// Counts the time between two events of a stream, of @p tokensPerEvent each, for the upstream's speed. Pauses beside
-/// prompts say nothing of it and are left out.
+/// Counts the time between two events of a stream, of @p tokensPerEvent each, for the upstream's speed.
 void notePause(Upstream &upstream, Duration pause, unsigned tokensPerEvent, Instant now);
 
 /// Takes in the time for a token that another node has learnt.
-void noteStep(Upstream &upstream, double stepMs);
+void noteStep(Upstream &upstream, double stepMs, Instant now);
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -54,12 +54,6 @@
     return array;
 }
 
-const json::array *arrayAt(const json::object &object, std::string_view name)
-{
-    const auto *value = object.if_contains(name);
-    return value ? value->if_array() : nullptr;
-}
-
 std::string textIn(const json::array &row, std::size_t index)
 {
     return index < row.size() && row[index].is_string() ? std::string(row[index].get_string()) : std::string{};
@@ -119,6 +113,12 @@
     return demands;
 }
 
+/// Keeps three digits behind the point, which spares bytes.
+double rounded(double figure)
+{
+    return std::round(figure * 1000) / 1000;
+}
+
 json::object reportToJson(const NodeReport &report)
 {
     json::object object{{"sequence", report.sequence}, {"open", report.takesCallers}};
@@ -137,9 +137,16 @@
     if (!report.steps.empty()) {
         json::array steps;
         for (const auto &step : report.steps)
-            steps.push_back({step.instance, std::round(step.stepMs * 10) / 10});
+            steps.push_back({step.instance, rounded(step.stepMs)});
         object["steps"] = std::move(steps);
     }
+    if (!report.speeds.empty()) {
+        json::array speeds;
+        for (const auto &[service, speed] : report.speeds)
+            speeds.push_back({service, rounded(speed.stepMs), rounded(speed.promptTokensPerMs), rounded(speed.streamMs),
+                              rounded(speed.answerMs)});
+        object["speeds"] = std::move(speeds);
+    }
     if (!report.prompts.empty()) {
         json::array prompts;
         for (const auto &prompt : report.prompts)
@@ -159,11 +166,11 @@
 
 std::optional<NodeReport> reportFrom(const json::object &object)
 {
-    const auto *from = object.if_contains("from");
-    if (!from || !from->is_object())
+    const auto *from = objectAt(object, "from");
+    if (!from)
         return std::nullopt;
     NodeReport report;
-    report.from = addressFrom(from->get_object());
+    report.from = addressFrom(*from);
     if (report.from.node.empty())
         return std::nullopt;
     report.sequence = numberAt<std::uint64_t>(object, "sequence");
@@ -180,6 +187,11 @@
     eachRow(object, "steps", [&](const json::array &row) {
         report.steps.push_back({textIn(row, 0), numberIn<double>(row, 1)});
     });
+    eachRow(object, "speeds", [&](const json::array &row) {
+        report.speeds.push_back(
+            {textIn(row, 0),
+             {numberIn<double>(row, 1), numberIn<double>(row, 2), numberIn<double>(row, 3), numberIn<double>(row, 4)}});
+    });
     eachRow(object, "prompts", [&](const json::array &row) {
         report.prompts.push_back({textIn(row, 0), numberIn<double>(row, 1), Duration{numberIn<std::int64_t>(row, 2)}});
     });
@@ -230,11 +242,10 @@
 
 std::optional<NodeAddress> decodeNodeAddress(std::string_view text)
 {
-    boost::system::error_code error;
-    const auto value = json::parse(text, error);
-    if (error || !value.is_object())
+    const auto object = parseObject(text);
+    if (!object)
         return std::nullopt;
-    auto address = addressFrom(value.get_object());
+    auto address = addressFrom(*object);
     return isWhole(address) ? std::optional(std::move(address)) : std::nullopt;
 }
 
@@ -267,37 +278,28 @@
 
 std::optional<GatewayMessage> decodeGatewayMessage(std::string_view text)
 {
-    boost::system::error_code error;
-    const auto value = json::parse(text, error);
-    if (error || !value.is_object())
+    const auto parsed = parseObject(text);
+    if (!parsed)
         return std::nullopt;
-    const auto &object = value.get_object();
+    const auto &object = *parsed;
     GatewayMessage message;
     message.sender = textAt(object, "sender");
     if (message.sender.empty())
         return std::nullopt;
     message.onward = valueOf<Onward>(textAt(object, "onward")).value_or(Onward::Nobody);
-    if (const auto *reports = arrayAt(object, "reports")) {
-        for (const auto &each : *reports) {
-            if (!each.is_object())
-                continue;
-            if (auto report = reportFrom(each.get_object()))
-                message.reports.push_back(std::move(*report));
-        }
-    }
+    eachObjectAt(object, "reports", [&](const json::object &each) {
+        if (auto report = reportFrom(each))
+            message.reports.push_back(std::move(*report));
+    });
     message.used = demandsFrom(object, "used");
     message.shard = numberAt<unsigned>(object, "shard");
     message.wanted = demandsFrom(object, "wanted");
     message.missing = noticesFrom(object, "missing");
     message.found = noticesFrom(object, "found");
-    if (const auto *registry = arrayAt(object, "registry")) {
-        for (const auto &each : *registry) {
-            if (!each.is_object())
-                continue;
-            if (auto update = updateFrom(each.get_object()))
-                message.registry.push_back(std::move(*update));
-        }
-    }
+    eachObjectAt(object, "registry", [&](const json::object &each) {
+        if (auto update = updateFrom(each))
+            message.registry.push_back(std::move(*update));
+    });
     return message;
 }
 
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/enumtable.h"
+#include "estimates/servicespeed.h"
 #include "gateway/crashledger.h"
 #include "gateway/registryshare.h"
 #include "gateway/residency.h"
@@ -61,6 +62,12 @@
     double stepMs = 0; ///< For a token of a stream.
 };
 
+/// The speed of a service as a node has learnt it.
+struct SpeedNotice {
+    std::string service;
+    Estimates::LearntSpeed speed;
+};
+
 /// What one node tells all others. Each part may be empty.
 struct NodeReport {
     NodeAddress from; ///< Only node and startedAt, unless this is a digest.
@@ -70,6 +77,7 @@
     std::map<std::string, unsigned> inFlight; ///< Its requests at work, by upstream instance.
     bool hasInFlight = false; ///< Whether @c inFlight replaces what was told before.
     std::vector<StepNotice> steps; ///< Learnt since the last digest.
+    std::vector<SpeedNotice> speeds; ///< With digests.
     std::vector<PromptNotice> prompts; ///< Sent just now, or about to be.
     std::vector<CrashReport> crashes;
     std::vector<PlacementNotice> placements; ///< From a holder only.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -325,6 +325,7 @@
             m_log.note(GatewayEvent::ConfigurationInForce, {{"version", std::to_string(policy->version)},
                                                             {"routes", std::to_string(policy->routes.size())}});
             m_context.routes = std::make_shared<RouteTable>(std::move(*policy));
+            std::erase_if(m_context.speeds, [&](const auto &item) { return !m_context.routes->service(item.first); });
             Relay::CallerServerSettings server;
             const auto &limits = m_context.routes->policy().limits;
             server.limits = {limits.headerBytes, limits.bodyBytes};
@@ -467,7 +468,7 @@
         m_store.sweep(now);
         m_registry.setReads(readsForDomain(now), m_settings.drainBound);
         tickOrders(now);
-        const auto shares = allowanceSharesPerNode * static_cast<double>(1 + m_members.peers(now).size());
+        const auto shares = allowanceSharesPerNode * static_cast<double>(1 + m_members.peerCount(now));
         m_context.allowance.setNodes(std::max(leastAllowanceShares, static_cast<unsigned>(shares)));
         m_forwarder.sweep(now);
         m_callers.sweep(now);
@@ -591,7 +592,11 @@
             if (upstream.ownInFlight > 0)
                 digest.inFlight.emplace(instance, upstream.ownInFlight);
             if (std::exchange(upstream.ownSteps, 0) > 0)
-                digest.steps.push_back({instance, upstream.stepMs});
+                digest.steps.push_back({instance, upstream.step.learnt()});
+        }
+        for (const auto &[service, speed] : m_context.speeds) {
+            if (const auto learnt = speed.learnt(); learnt != Estimates::LearntSpeed{0, 0, 0, 0})
+                digest.speeds.push_back({service, learnt});
         }
         std::vector<TargetDemand> used;
         for (auto it = m_context.uses.begin(); it != m_context.uses.end();) {
@@ -607,7 +612,7 @@
         tellUse(used);
         for (const auto &node : m_members.silentNodes(now))
             m_context.upstreams.onPeerLoads(node, {});
-        const auto byFleet = digestIntervalPerNode * m_members.peers(now).size();
+        const auto byFleet = digestIntervalPerNode * m_members.peerCount(now);
         m_loop.runAfter(std::max<Duration>(digestInterval, byFleet), [this] { this->digest(); });
     }
 
@@ -739,7 +744,11 @@
         }
         for (const auto &step : report.steps) {
             if (auto *upstream = m_context.upstreams.find(step.instance))
-                noteStep(*upstream, step.stepMs);
+                noteStep(*upstream, step.stepMs, now);
+        }
+        for (const auto &told : report.speeds) {
+            if (m_context.routes && m_context.routes->service(told.service))
+                m_context.speeds[told.service].onTold(told.speed);
         }
         for (const auto &prompt : report.prompts) {
             if (auto *upstream = m_context.upstreams.find(prompt.instance))
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/decayedrate.h"
+#include "estimates/stepestimate.h"
 #include "gateway/promptwindow.h"
 #include "gateway/residency.h"
 #include "http/message.h"
@@ -32,15 +34,17 @@
 
 /// What this node knows of one upstream.
 struct Upstream {
+    static constexpr Duration outcomeHalfLife
+        = std::chrono::seconds{3}; ///< A restarted or mended one is tried again soon.
+
     UpstreamRecord record;
     Residency residency;
     unsigned ownInFlight = 0; ///< Requests of this node that it is working on.
     unsigned peersInFlight = 0; ///< Those of other nodes, as they last said.
     PromptWindow prompts; ///< Of all nodes.
     double failureRatio = 0; ///< Decayed share of failed requests, 0 to 1.
-    double outcomes = 0; ///< Decayed number of requests that the ratio rests on.
-    Instant lastOutcome{};
-    double stepMs = 0; ///< Learnt time for a token of a stream while no prompt is read; 0 if none was seen.
+    DecayedRate outcomes{outcomeHalfLife}; ///< Of requests, which the ratio rests on.
+    Estimates::StepEstimate step; ///< In ms, for a token of a stream.
     unsigned ownSteps = 0; ///< What this node has learnt it from since it told others.
     Instant waitingSince{}; ///< Since when a request waits and no byte of any response has come.
     Instant avoidUntil{}; ///< Takes no new requests while others can, for instance after a refused connection.
--- /dev/null
+++ b/tests/estimates/servicespeedtest.cpp
@@ -0,0 +1,104 @@
+#include "estimates/servicespeed.h"
+
+#include "support/table.h"
+
+#include <cmath>
+#include <random>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Estimates;
+
+namespace
+{
+
+constexpr double wrongBy = 0.15;
+constexpr Instant now{std::chrono::seconds{100}};
+
+Duration milliseconds(double ms)
+{
+    return Duration{static_cast<std::int64_t>(ms * 1000)};
+}
+
+struct EngineCase {
+    double stepMs;
+    double tokensPerMs;
+    unsigned tokensPerEvent;
+    double streamMs;
+};
+
+const EngineCase engines[] = {{2.5, 80, 3, 400}, {5, 40, 6, 800},    {10, 20, 3, 1500},    {20, 10, 1, 3000},
+                              {40, 5, 3, 6000},  {4.43, 38, 9, 900}, {10.1, 20.4, 3, 2000}};
+
+/// A node that sees 300 streams of such engines.
+ServiceSpeed nodeBefore(const EngineCase &engine)
+{
+    ServiceSpeed node;
+    std::mt19937 random(3);
+    std::exponential_distribution<double> size(1 / 1000.0);
+    for (int i = 0; i < 300; ++i) {
+        const double tokens = size(random);
+        node.onFirstEvent(tokens, milliseconds(30 + tokens / engine.tokensPerMs), 1);
+        for (int event = 0; event < 10; ++event)
+            node.onPause(milliseconds(engine.stepMs * engine.tokensPerEvent), engine.tokensPerEvent, now);
+        node.onStream(milliseconds(engine.streamMs), now);
+        node.onAnswer(milliseconds(engine.stepMs), now);
+    }
+    return node;
+}
+
+bool isNear(double figure, double expected)
+{
+    return std::abs(std::log(figure / expected)) < wrongBy;
+}
+
+void assertKnows(const Speed &speed, const EngineCase &engine)
+{
+    cr_assert(isNear(speed.stepMs, engine.stepMs), "step %f", speed.stepMs);
+    cr_assert(isNear(speed.promptTokensPerMs, engine.tokensPerMs), "prompts %f", speed.promptTokensPerMs);
+    cr_assert(isNear(speed.streamMs, engine.streamMs), "streams %f", speed.streamMs);
+    cr_assert(isNear(speed.answerMs, engine.stepMs), "answers %f", speed.answerMs);
+}
+
+} // namespace
+
+TABLE_TEST(ServiceSpeed, learnsFromAnswers, engines)
+{
+    assertKnows(nodeBefore(row).speed(), row);
+}
+
+TABLE_TEST(ServiceSpeed, aRestartedNodeStartsWithWhatOthersKnow, engines)
+{
+    const auto told = nodeBefore(row).learnt();
+    ServiceSpeed restarted;
+    restarted.onTold(told);
+    assertKnows(restarted.speed(), row);
+}
+
+Test(ServiceSpeed, tellsOnlyWhatItHasLearntItself)
+{
+    ServiceSpeed node;
+    node.onTold({40, 5, 6000, 90});
+    cr_assert(node.learnt() == LearntSpeed({0, 0, 0, 0}));
+    cr_assert_eq(node.speed().stepMs, 40);
+}
+
+Test(ServiceSpeed, ownSamplesOutweighWhatIsTold)
+{
+    auto node = nodeBefore(engines[2]);
+    for (int i = 0; i < 100; ++i)
+        node.onTold({40, 20, 1500, 10});
+    cr_assert_lt(node.speed().stepMs, 12);
+}
+
+Test(ServiceSpeed, slowEnginesAreNotTakenForSlowKinds)
+{
+    ServiceSpeed node;
+    std::mt19937 random(5);
+    std::exponential_distribution<double> size(1 / 1000.0);
+    for (int i = 0; i < 400; ++i) {
+        const double tokens = size(random);
+        const double slowness = i % 3 == 0 ? 4 : 1;
+        node.onFirstEvent(tokens, milliseconds(30 + slowness * tokens / 20), slowness);
+    }
+    cr_assert(isNear(node.speed().promptTokensPerMs, 20), "%f", node.speed().promptTokensPerMs);
+}
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -18,6 +18,7 @@
     report.hasInFlight = true;
     report.inFlight["e1"] = 3;
     report.steps = {{"e1", 13.2}};
+    report.speeds = {{"s", {10.25, 20.5, 1500, 0}}};
     report.prompts = {{"e1", 1110, std::chrono::milliseconds{40}}};
     report.crashes = {{0xfedcba9876543210, "e1"}};
     report.placements = {{"e1", "m/a", 2, false, std::chrono::milliseconds{250}}, {"e2", "m/b", 0, true, {}}};
@@ -57,6 +58,9 @@
     cr_assert(report.ordering == sent.ordering);
     cr_assert_eq(report.inFlight.at("e1"), 3U);
     cr_assert_eq(report.steps.front().stepMs, 13.2);
+    cr_assert_eq(report.speeds.size(), 1U);
+    cr_assert_eq(report.speeds.front().service, std::string("s"));
+    cr_assert(report.speeds.front().speed == sent.speeds.front().speed);
     cr_assert_eq(report.prompts.front().tokens, 1110);
     cr_assert(report.prompts.front().in == std::chrono::milliseconds{40});
     cr_assert(report.crashes == sent.crashes);
