Upstreams that leave or turn requests away are believed from their answers

Nothing read Server-Leaving nor an upstream's Retry-After. Both are decoded once (platform/statementheaders), in answers to calls, orders and inspections. One that leaves gets nothing more from this node, whatever its record says, until another process takes its place; peers are told at once and with digests while the registry still lists it. One that turns away gets nothing until then; peers try others first for two seconds. Requests go elsewhere, wait for a short time, or are refused at once with the time that the upstream named. Values that cannot be read: a line, a metric, the safe reading.

New line speed_learnt.

--- a/src/estimates/servicespeed.cpp
+++ b/src/estimates/servicespeed.cpp
@@ -44,6 +44,13 @@
 
 } // namespace
 
+bool differs(const Speed &left, const Speed &right, double ratio)
+{
+    const auto isFar = [&](double one, double other) { return one > ratio * other || other > ratio * one; };
+    return isFar(left.stepMs, right.stepMs) || isFar(left.promptTokensPerMs, right.promptTokensPerMs)
+           || isFar(left.streamMs, right.streamMs) || isFar(left.answerMs, right.answerMs);
+}
+
 ServiceSpeed::ServiceSpeed()
     : m_step(undisturbedQuantile, capacity, span)
     , m_stream(medianQuantile, capacity, span)
--- a/src/estimates/servicespeed.h
+++ b/src/estimates/servicespeed.h
@@ -17,6 +17,9 @@
     friend bool operator==(const Speed &, const Speed &) = default;
 };
 
+/// Whether a figure of @p left is more than @p ratio times that of @p right, or the other way round. Thread-safe.
+bool differs(const Speed &left, const Speed &right, double ratio);
+
 /// What a node has learnt of the speed of one service: the figures that rest on no sample are 0.
 using LearntSpeed = Speed;
 
--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -12,6 +12,15 @@
 
 } // namespace
 
+void CallContext::takeIn(const UpstreamProcess &process, const UpstreamStatement &statement, Instant now)
+{
+    if (statement == UpstreamStatement{statement.instance, false, {}, {}})
+        return;
+    const auto effect = applyStatement(upstreams, process, statement, now);
+    if (onStatement)
+        onStatement(process, effect, statement.unreadable);
+}
+
 std::uint64_t CallContext::leastVersion(const ModelTarget &target, Instant now) const
 {
     const auto it = declared.find(target);
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -4,6 +4,7 @@
 #include "gateway/enginechoice.h"
 #include "gateway/retryallowance.h"
 #include "gateway/trafficpolicy.h"
+#include "gateway/upstreamstatement.h"
 #include "gateway/upstreamtable.h"
 
 #include <functional>
@@ -49,6 +50,14 @@
     /// Tells the holder that an engine does not hold a target.
     std::function<void(const std::string &instance, const ModelTarget &target)> onMissing;
 
+    /// Tells the log and the other nodes what a statement of @p process has changed.
+    std::function<void(const UpstreamProcess &process, const StatementEffect &effect,
+                       const std::vector<std::string> &unreadable)>
+        onStatement;
+
+    /// Takes in what the answer to a request to @p process says of it.
+    void takeIn(const UpstreamProcess &process, const UpstreamStatement &statement, Instant now);
+
     /// Returns the oldest version of @p target that may serve at @p now; 0 for any.
     std::uint64_t leastVersion(const ModelTarget &target, Instant now) const;
 };
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -90,6 +90,7 @@
     static constexpr Duration longestLoadWait = std::chrono::milliseconds{2000}; ///< Eight loads, one after the other.
     static constexpr double longestLoadWaitPart = 0.5; ///< Of the time that the request has.
     static constexpr double longestQueuePart = 0.5; ///< Of the time that the request had.
+    static constexpr double longestReturnPart = 0.3; ///< Of the time left, for upstreams that want no requests for now.
     static constexpr Duration avoidAfterRefusedConnection = std::chrono::milliseconds{600};
     static constexpr double silentAnswers = 12; ///< Usual times of an answer, after which a plain service is left.
     static constexpr int silentPauses = 3; ///< Of the longest that the route allows, after which an engine is left.
@@ -129,6 +130,7 @@
         // The send under way.
         std::string instance;
         Relay::UpstreamClient::Token token = 0;
+        std::int64_t processStartedAt = 0; ///< Of the upstream.
         Instant sentAt{};
         Instant heard{};
         double slownessAtSend = 1; ///< Of the upstream, as far as was learnt.
@@ -289,9 +291,13 @@
 
     void waitForLoad(const CallPtr &call, Instant now)
     {
-        if (!hasUpstream(m_context.upstreams, call->service))
+        const bool needsLoad = !adapterOf(call->request.target).empty();
+        if (const auto next = nextReturn(m_context.upstreams, call->service, now);
+            next && !(needsLoad && hasUpstream(m_context.upstreams, call->service, now)))
+            return waitForReturn(call, *next, now);
+        if (!hasUpstream(m_context.upstreams, call->service, now))
             return giveUp(call, ErrorCode::NoUpstream, "no upstream of the service takes requests");
-        if (adapterOf(call->request.target).empty())
+        if (!needsLoad)
             return giveUp(call, ErrorCode::NoUpstream, "every upstream of the service has failed the request");
         if (!m_context.hasOrderHolder)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now");
@@ -304,10 +310,24 @@
             return giveUp(call, ErrorCode::AdapterLoadFailed, "the adapter was not loaded in time");
         if (now - call->wantedAt >= wantRepeat) {
             call->wantedAt = now;
-            m_context.onWanted(call->service, call->request.target, call->excluded, call->wants++);
+            auto unfit = holdersThatTurnAway(m_context.upstreams, call->request.target, now);
+            unfit.insert(unfit.end(), call->excluded.begin(), call->excluded.end());
+            m_context.onWanted(call->service, call->request.target, unfit, call->wants++);
         }
     }
 
+    /// Every upstream that could serve the call wants no requests until @p next at the least.
+    void waitForReturn(const CallPtr &call, Instant next, Instant now)
+    {
+        const auto wait = next - now;
+        if (wait > (call->deadline - now) * longestReturnPart)
+            return giveUp(call, ErrorCode::Overloaded, "the upstreams want no requests for now", wait);
+        call->notBefore = next;
+        startWaiting(call, now);
+        call->waitUntil = std::max(call->waitUntil, next + longestLoadWait);
+        wakeAt(call, next, now);
+    }
+
     void startWaiting(const CallPtr &call, Instant now)
     {
         if (std::exchange(call->waiting, true))
@@ -347,7 +367,7 @@
         if (!call.reservation)
             return std::nullopt;
         const auto it = m_context.upstreams.all().find(call.reservation->instance);
-        if (it == m_context.upstreams.all().end() || it->second.record.draining || now < it->second.avoidUntil
+        if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || now < it->second.avoidUntil
             || it->second.inFlight() >= it->second.record.slots)
             return std::nullopt;
         const auto *copy = it->second.residency.find(call.request.target);
@@ -382,6 +402,7 @@
         if (call->lastEvent)
             instructions.resumeAfter = call->lastEvent;
         call->promptRead = false;
+        call->processStartedAt = upstream->record.startedAt;
         call->inFlightAtSend = upstream->inFlight();
         call->slownessAtSend = slownessOf(*upstream, m_context.speeds[call->service].speed());
         if (!std::exchange(call->reservation, std::nullopt))
@@ -451,6 +472,7 @@
     {
         noteHeard(call, BootClock{}.now());
         call->reply = Dialect::readReply(head);
+        m_context.takeIn({call->instance, call->processStartedAt}, call->reply.statement, BootClock{}.now());
         const bool success = call->reply.status / 100 == 2;
         const bool strange = call->reply.requestId != call->request.id;
         if ((success && (strange || !call->reply.isSigned || call->reply.isEncoded))
@@ -580,7 +602,7 @@
             } else {
                 upstream->avoidUntil = now + avoidAfterRefusedConnection;
             }
-        } else if (upstream) {
+        } else if (upstream && upstream->takesRequests(now)) {
             const auto *copy = upstream->residency.find(call->request.target);
             if (copy && now - copy->usableAt < std::chrono::milliseconds{800})
                 call->notBefore = now + loadingPause; // Still loading: ask again soon.
@@ -683,15 +705,16 @@
     }
 
     /// Answers with a failure; what was not run may come back.
-    void giveUp(const CallPtr &call, ErrorCode code, const std::string &reason)
+    void giveUp(const CallPtr &call, ErrorCode code, const std::string &reason,
+                std::optional<Duration> servedIn = std::nullopt)
     {
         if (call->answering)
             return breakOff(call, reason);
         const auto now = BootClock{}.now();
         if (call->verdict == Verdict::NotRun) {
             const auto left = call->deadline - now;
-            std::optional<Duration> retryAfter;
-            if (code != ErrorCode::Quarantined && left > std::chrono::milliseconds{100})
+            auto retryAfter = servedIn;
+            if (!retryAfter && code != ErrorCode::Quarantined && left > std::chrono::milliseconds{100})
                 retryAfter = std::min<Duration>(std::chrono::seconds{1},
                                                 std::chrono::duration_cast<Duration>(left * retryAfterPart));
             return refuse(call, code == ErrorCode::Overloaded ? 429 : 503, code, reason, retryAfter);
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "gateway/residency.h"
+#include "gateway/upstreamstatement.h"
 #include "http/message.h"
 #include "relay/responsereader.h"
 
@@ -49,6 +50,7 @@
     bool wrongInstance = false; ///< Another process has the address now, or it does not hold what was asked for.
     bool isEncoded = false; ///< The body was transformed on its way.
     Http::Headers headers; ///< To be passed on to the caller.
+    UpstreamStatement statement;
 };
 
 /// Translates between a platform's requests and answers and the node's own. Implementations are stateless.
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -100,7 +100,7 @@
 {
     std::optional<UpstreamChoice> best;
     for (const auto &[instance, upstream] : table.all()) {
-        if (upstream.record.draining || upstream.record.service != demand.service
+        if (!upstream.takesRequests(now) || upstream.record.service != demand.service
             || std::ranges::find(demand.excluded, instance) != demand.excluded.end())
             continue;
         UpstreamChoice choice{instance, 0, now, now, false, 0};
@@ -126,13 +126,33 @@
     return best;
 }
 
-bool hasUpstream(const UpstreamTable &table, const std::string &service)
+bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now)
 {
     return std::ranges::any_of(table.all(), [&](const auto &item) {
-        return item.second.record.service == service && !item.second.record.draining;
+        return item.second.record.service == service && item.second.takesRequests(now);
     });
 }
 
+std::optional<Instant> nextReturn(const UpstreamTable &table, const std::string &service, Instant now)
+{
+    std::optional<Instant> earliest;
+    for (const auto &[instance, upstream] : table.all()) {
+        if (upstream.record.service == service && upstream.staysInService() && upstream.turnedAwayUntil > now)
+            earliest = std::min(earliest.value_or(upstream.turnedAwayUntil), upstream.turnedAwayUntil);
+    }
+    return earliest;
+}
+
+std::vector<std::string> holdersThatTurnAway(const UpstreamTable &table, const ModelTarget &target, Instant now)
+{
+    std::vector<std::string> holders;
+    for (const auto &[instance, upstream] : table.all()) {
+        if (upstream.turnedAwayUntil > now && upstream.residency.find(target))
+            holders.push_back(instance);
+    }
+    return holders;
+}
+
 void noteOutcome(Upstream &upstream, bool failed, Instant now)
 {
     const double before = upstream.outcomes.weightAt(now);
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -68,8 +68,15 @@
 std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
                                              const DistanceCost &cost = {});
 
-/// Whether any upstream of @p service takes requests. Thread-safe.
-bool hasUpstream(const UpstreamTable &table, const std::string &service);
+/// Whether any upstream of @p service takes requests of this node. Thread-safe.
+bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now);
+
+/// Returns when the first upstream of @p service takes requests again that wants none at present; nothing if there is
+/// no such one. Thread-safe.
+std::optional<Instant> nextReturn(const UpstreamTable &table, const std::string &service, Instant now);
+
+/// Returns the upstreams that have a copy of @p target and want no requests of this node at present. Thread-safe.
+std::vector<std::string> holdersThatTurnAway(const UpstreamTable &table, const ModelTarget &target, Instant now);
 
 /// Counts how a request ended at @p upstream, for its failure ratio.
 void noteOutcome(Upstream &upstream, bool failed, Instant now);
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -27,6 +27,8 @@
     UpstreamFound,
     UpstreamLeaving,
     UpstreamGone,
+    UpstreamTurnsAway,
+    BadHeader,
     OrderLeaseTaken,
     OrderLeaseLost,
     OrderSent,
@@ -39,6 +41,7 @@
     BrokenOff,
     Answered,
     LoopLate,
+    SpeedLearnt,
 };
 
 } // namespace Gypsumtally::Gateway
@@ -47,7 +50,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 25> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 28> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -61,6 +64,8 @@
     {Gateway::GatewayEvent::UpstreamFound, "upstream_found"},
     {Gateway::GatewayEvent::UpstreamLeaving, "upstream_leaving"},
     {Gateway::GatewayEvent::UpstreamGone, "upstream_gone"},
+    {Gateway::GatewayEvent::UpstreamTurnsAway, "upstream_turns_away"},
+    {Gateway::GatewayEvent::BadHeader, "bad_header"},
     {Gateway::GatewayEvent::OrderLeaseTaken, "order_lease_taken"},
     {Gateway::GatewayEvent::OrderLeaseLost, "order_lease_lost"},
     {Gateway::GatewayEvent::OrderSent, "order_sent"},
@@ -73,6 +78,7 @@
     {Gateway::GatewayEvent::BrokenOff, "answer_broken_off"},
     {Gateway::GatewayEvent::Answered, "answered"},
     {Gateway::GatewayEvent::LoopLate, "loop_late"},
+    {Gateway::GatewayEvent::SpeedLearnt, "speed_learnt"},
 }};
 
 } // namespace Gypsumtally
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -159,6 +159,18 @@
             crashes.push_back({crash.fingerprint, crash.instance});
         object["crashes"] = std::move(crashes);
     }
+    if (!report.departures.empty()) {
+        json::array departures;
+        for (const auto &process : report.departures)
+            departures.push_back({process.instance, process.startedAt});
+        object["departures"] = std::move(departures);
+    }
+    if (!report.turnedAway.empty()) {
+        json::array rows;
+        for (const auto &[process, time] : report.turnedAway)
+            rows.push_back({process.instance, process.startedAt, time.count()});
+        object["turned_away"] = std::move(rows);
+    }
     if (!report.placements.empty())
         object["placements"] = noticesToJson(report.placements);
     return object;
@@ -198,6 +210,13 @@
     eachRow(object, "crashes", [&](const json::array &row) {
         report.crashes.push_back({numberIn<std::uint64_t>(row, 0), textIn(row, 1)});
     });
+    eachRow(object, "departures", [&](const json::array &row) {
+        report.departures.push_back({textIn(row, 0), numberIn<std::int64_t>(row, 1)});
+    });
+    eachRow(object, "turned_away", [&](const json::array &row) {
+        report.turnedAway.push_back(
+            {{textIn(row, 0), numberIn<std::int64_t>(row, 1)}, Duration{numberIn<std::int64_t>(row, 2)}});
+    });
     report.placements = noticesFrom(object, "placements");
     return report;
 }
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -6,6 +6,7 @@
 #include "gateway/crashledger.h"
 #include "gateway/registryshare.h"
 #include "gateway/residency.h"
+#include "gateway/upstreamstatement.h"
 #include "gateway/upstreamtable.h"
 
 #include <cstdint>
@@ -68,6 +69,12 @@
     Estimates::LearntSpeed speed;
 };
 
+/// An upstream wants no requests from the node that tells of it.
+struct TurnAwayNotice {
+    UpstreamProcess process;
+    Duration time{};
+};
+
 /// What one node tells all others. Each part may be empty.
 struct NodeReport {
     NodeAddress from; ///< Only node and startedAt, unless this is a digest.
@@ -80,6 +87,8 @@
     std::vector<SpeedNotice> speeds; ///< With digests.
     std::vector<PromptNotice> prompts; ///< Sent just now, or about to be.
     std::vector<CrashReport> crashes;
+    std::vector<UpstreamProcess> departures; ///< That have told the node that they leave.
+    std::vector<TurnAwayNotice> turnedAway; ///< Just now.
     std::vector<PlacementNotice> placements; ///< From a holder only.
 };
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -103,6 +103,9 @@
         };
         m_context.onMissing
             = [this](const std::string &instance, const ModelTarget &target) { tellMissing(instance, target); };
+        m_context.onStatement
+            = [this](const UpstreamProcess &process, const StatementEffect &effect,
+                     const std::vector<std::string> &unreadable) { noteStatement(process, effect, unreadable); };
         for (unsigned shard = 0; shard < orderShards; ++shard) {
             m_orders.push_back(std::make_unique<Orders>(m_loop, m_store, m_context, m_log, m_metrics,
                                                         OrderHolder{settings.node, m_address.startedAt}, shard,
@@ -157,6 +160,8 @@
     static constexpr std::size_t largestShared = 40 * 1024; ///< In one datagram, whose limit is 64 KB with escapes.
     static constexpr Duration nodeLeaseTtl = std::chrono::seconds{8};
     static constexpr Duration renewInterval = std::chrono::milliseconds{2500};
+    static constexpr double noteworthySpeedRatio = 1.3;
+    static constexpr std::size_t mostDepartures = 64; ///< In one digest.
     static constexpr Duration crashNewsAge = std::chrono::seconds{2};
     /// The slack of sends beyond the first is divided by more than the number of nodes, as nodes that were replaced or
     /// restarted have spent a share too, and by no less than this: a new node has not heard of all others.
@@ -363,7 +368,35 @@
                                                      {"targets", std::to_string(known.targets.size())}});
         }
         if (leaves)
-            m_log.note(GatewayEvent::UpstreamLeaving, {{"upstream", instance}});
+            m_log.note(GatewayEvent::UpstreamLeaving, {{"upstream", instance}, {"source", "registry"}});
+    }
+
+    /// An answer of @p process has told this node something of it.
+    void noteStatement(const UpstreamProcess &process, const StatementEffect &effect,
+                       const std::vector<std::string> &unreadable)
+    {
+        for (const auto &header : unreadable) {
+            m_metrics.add(Metric::UpstreamStatements, {{"statement", "unreadable"}});
+            m_log.decision(GatewayEvent::BadHeader, process.instance, {{"header", header}});
+        }
+        auto notice = report();
+        if (effect.leaves) {
+            m_metrics.add(Metric::UpstreamStatements, {{"statement", "leaving"}});
+            m_log.note(GatewayEvent::UpstreamLeaving, {{"upstream", process.instance}, {"source", "answer"}});
+            if (auto *upstream = m_context.upstreams.find(process.instance))
+                upstream->toldLeaving = true;
+            notice.departures.push_back({process.instance, process.startedAt});
+        }
+        if (effect.turnedAwayFor > Duration{}) {
+            m_metrics.add(Metric::UpstreamStatements, {{"statement", "turned_away"}});
+            m_log.decision(GatewayEvent::UpstreamTurnsAway, process.instance,
+                           {{"for_ms", std::to_string(effect.turnedAwayFor.count() / 1000)}});
+            notice.turnedAway.push_back({process, effect.turnedAwayFor});
+        }
+        if (!notice.departures.empty() || !notice.turnedAway.empty())
+            tell(std::move(notice));
+        if (effect.leaves)
+            m_loop.post([this] { m_forwarder.onPlacement(); });
     }
 
     /// Takes over what a running process can; what is wrong, or waits for a restart, is told in the log.
@@ -506,7 +539,7 @@
             return sizes;
         for (const auto &[instance, upstream] : m_context.upstreams.all()) {
             const auto *service = m_context.routes->service(upstream.record.service);
-            if (service && service->engine && !upstream.record.draining)
+            if (service && service->engine && upstream.staysInService())
                 ++sizes[shardOf(instance)];
         }
         for (unsigned shard = 0; shard < orderShards; ++shard) {
@@ -591,9 +624,12 @@
         for (auto &[instance, upstream] : m_context.upstreams.all()) {
             if (upstream.ownInFlight > 0)
                 digest.inFlight.emplace(instance, upstream.ownInFlight);
+            if (upstream.toldLeaving && !upstream.record.draining && digest.departures.size() < mostDepartures)
+                digest.departures.push_back({instance, upstream.record.startedAt});
             if (std::exchange(upstream.ownSteps, 0) > 0)
                 digest.steps.push_back({instance, upstream.step.learnt()});
         }
+        noteSpeeds();
         for (const auto &[service, speed] : m_context.speeds) {
             if (const auto learnt = speed.learnt(); learnt != Estimates::LearntSpeed{0, 0, 0, 0})
                 digest.speeds.push_back({service, learnt});
@@ -616,6 +652,23 @@
         m_loop.runAfter(std::max<Duration>(digestInterval, byFleet), [this] { this->digest(); });
     }
 
+    /// Writes a line about each service whose speed is reckoned otherwise than when the last one was written.
+    void noteSpeeds()
+    {
+        for (const auto &[service, learnt] : m_context.speeds) {
+            const auto speed = learnt.speed();
+            auto &noted = m_notedSpeeds[service];
+            if (!differs(speed, noted, noteworthySpeedRatio))
+                continue;
+            noted = speed;
+            m_log.note(GatewayEvent::SpeedLearnt, {{"service", service},
+                                                   {"step_ms", std::to_string(speed.stepMs)},
+                                                   {"prompt_tokens_per_ms", std::to_string(speed.promptTokensPerMs)},
+                                                   {"stream_ms", std::to_string(speed.streamMs)},
+                                                   {"answer_ms", std::to_string(speed.answerMs)}});
+        }
+    }
+
     /// Tells the holders, which place adapters by it.
     void tellUse(const std::vector<TargetDemand> &used)
     {
@@ -754,6 +807,13 @@
             if (auto *upstream = m_context.upstreams.find(prompt.instance))
                 upstream->prompts.add(prompt.tokens, now + prompt.in, now);
         }
+        for (const auto &process : report.departures) {
+            if (applyDeparture(m_context.upstreams, process))
+                m_log.note(GatewayEvent::UpstreamLeaving,
+                           {{"upstream", process.instance}, {"source", report.from.node}});
+        }
+        for (const auto &[process, time] : report.turnedAway)
+            applyTurnedAwayHint(m_context.upstreams, process, time, now);
         for (const auto &crash : report.crashes)
             m_context.crashes.add(crash, now);
         applyPlacements(report.placements);
@@ -814,6 +874,7 @@
     std::uint64_t m_ticks = 0;
     Instant m_lastTick{};
     Instant m_peerHeard{};
+    std::map<std::string, Estimates::Speed> m_notedSpeeds; ///< As the log has them.
     std::set<std::string> m_livePeers; ///< As the log has them.
     bool m_stopping = false;
     Instant m_stopAt{};
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -27,7 +27,8 @@
 
 /// Writes orders to engines and reads their answers. Implementations are stateless.
 template<typename D>
-concept OrderDialect = requires(const EngineOrder &order, const std::string &text, std::uint64_t fence, unsigned status)
+concept OrderDialect = requires(const EngineOrder &order, const std::string &text, std::uint64_t fence, unsigned status,
+                                const Relay::ResponseHead &head)
 {
     {
         D::writeOrder(order, text, fence)
@@ -41,6 +42,9 @@
     {
         D::readReport(text)
         } -> std::same_as<std::optional<EngineReport>>;
+    {
+        D::readStatement(head)
+        } -> std::same_as<UpstreamStatement>;
 };
 
 /// Who holds the order lease, as the store has it.
@@ -275,7 +279,7 @@
         }
     }
 
-    void refreshEngines()
+    void refreshEngines(Instant now)
     {
         std::vector<PlacedEngine> engines;
         std::vector<PlacedModel> models;
@@ -297,7 +301,7 @@
             if (!service || !service->engine)
                 continue;
             const auto load = static_cast<double>(upstream.inFlight());
-            const bool takesOrders = !upstream.record.draining;
+            const bool takesOrders = upstream.takesRequests(now);
             if (takesOrders) {
                 others.meanLoads[service->name] += load;
                 ++count[service->name];
@@ -323,9 +327,9 @@
     /// Whether the engine waits for a base model that only the weight store has.
     static bool isEmpty(const Upstream &upstream, const EngineProfile &profile)
     {
-        return !upstream.record.draining && std::ranges::none_of(profile.models, [&](const BaseModel &model) {
-            return upstream.residency.find(model.name) || upstream.record.storedModels.contains(model.name);
-        });
+        return upstream.staysInService() && std::ranges::none_of(profile.models, [&](const BaseModel &model) {
+                   return upstream.residency.find(model.name) || upstream.record.storedModels.contains(model.name);
+               });
     }
 
     void addCopies(const Upstream &upstream, double load, PlacerSurroundings &others) const
@@ -363,7 +367,7 @@
         const auto now = BootClock{}.now();
         if (!m_lease.mayOrder(now))
             return;
-        refreshEngines();
+        refreshEngines(now);
         const auto actions = m_placer.plan(now);
         for (const auto &order : actions.orders)
             sendOrder(order);
@@ -416,10 +420,13 @@
         options.timeout = orderTimeout;
         options.unsentBytesTimeoutMs = orderUnsentTimeoutMs;
         auto token = std::make_shared<Relay::UpstreamClient::Token>(0);
-        const auto onResponse = [this, order, token](const Relay::WholeResponse &response) {
+        const UpstreamProcess process{order.instance, upstream->record.startedAt};
+        const auto onResponse = [this, order, token, process](const Relay::WholeResponse &response) {
+            m_context.takeIn(process, Dialect::readStatement(response.head), BootClock{}.now());
             const auto unanswered = response.sent ? OrderOutcome::Unknown : OrderOutcome::Conflict;
-            onOrderAnswer(order, *token, response.status != 0 ? Dialect::readOutcome(response.status) : unanswered,
-                          response.status);
+            onOrderAnswer(order, *token,
+                          response.head.status != 0 ? Dialect::readOutcome(response.head.status) : unanswered,
+                          response.head.status);
         };
         *token = m_client.fetch({upstream->record.endpoint, order.instance},
                                 Dialect::writeOrder(order, m_self.node, m_lease.fence()), onResponse, options);
@@ -455,8 +462,10 @@
             return m_placer.onReport(instance, std::nullopt, BootClock{}.now());
         Relay::SendOptions options;
         options.timeout = inspectionTimeout;
-        const auto onResponse = [this, instance](const Relay::WholeResponse &response) {
-            const auto report = response.status == 200 ? Dialect::readReport(response.body) : std::nullopt;
+        const UpstreamProcess process{instance, upstream->record.startedAt};
+        const auto onResponse = [this, instance, process](const Relay::WholeResponse &response) {
+            m_context.takeIn(process, Dialect::readStatement(response.head), BootClock{}.now());
+            const auto report = response.head.status == 200 ? Dialect::readReport(response.body) : std::nullopt;
             if (m_log.isDetailed() && report)
                 m_log.detail(GatewayEvent::EngineInspected, instance,
                              {{"orders", std::to_string(report->orders)},
--- /dev/null
+++ b/src/gateway/upstreamstatement.cpp
@@ -0,0 +1,57 @@
+#include "gateway/upstreamstatement.h"
+
+#include <algorithm>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+constexpr Duration longestTurnAway = std::chrono::hours{1}; ///< What is beyond is taken for a mistake.
+constexpr Duration longestHint = std::chrono::seconds{2}; ///< What another node was told says little for this one.
+
+/// Returns the upstream if it still is the process that is meant, or null.
+Upstream *findProcess(UpstreamTable &table, const UpstreamProcess &process)
+{
+    auto *upstream = table.find(process.instance);
+    if (!upstream)
+        return nullptr;
+    const bool isSame
+        = process.startedAt == 0 || upstream->record.startedAt == 0 || process.startedAt == upstream->record.startedAt;
+    return isSame ? upstream : nullptr;
+}
+
+} // namespace
+
+StatementEffect applyStatement(UpstreamTable &table, const UpstreamProcess &process, const UpstreamStatement &statement,
+                               Instant now)
+{
+    StatementEffect effect;
+    const bool isOther = !statement.instance.empty() && statement.instance != process.instance;
+    auto *upstream = isOther ? nullptr : findProcess(table, process);
+    if (!upstream)
+        return effect;
+    if (statement.isLeaving)
+        effect.leaves = table.markLeaving(process.instance);
+    if (statement.turnsAwayFor && *statement.turnsAwayFor > Duration{}) {
+        const auto time = std::min(*statement.turnsAwayFor, longestTurnAway);
+        if (now >= upstream->turnedAwayUntil)
+            effect.turnedAwayFor = time;
+        upstream->turnedAwayUntil = std::max(upstream->turnedAwayUntil, now + time);
+    }
+    return effect;
+}
+
+bool applyDeparture(UpstreamTable &table, const UpstreamProcess &process)
+{
+    return findProcess(table, process) && table.markLeaving(process.instance);
+}
+
+void applyTurnedAwayHint(UpstreamTable &table, const UpstreamProcess &process, Duration time, Instant now)
+{
+    if (auto *upstream = findProcess(table, process))
+        upstream->avoidUntil = std::max(upstream->avoidUntil, now + std::min(time, longestHint));
+}
+
+} // namespace Gypsumtally::Gateway
--- a/src/gateway/upstreamtable.cpp
+++ b/src/gateway/upstreamtable.cpp
@@ -1,6 +1,7 @@
 #include "gateway/upstreamtable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Gypsumtally::Gateway
 {
@@ -10,6 +11,7 @@
 
 /// Records of live upstreams are back about two seconds after the registry.
 constexpr Duration lapseGrace = std::chrono::milliseconds{2300};
+constexpr std::size_t mostLeft = 10000; ///< Instances remembered as left; each has a name of its own, mostly.
 
 } // namespace
 
@@ -26,6 +28,12 @@
             loads.erase(record.instance);
     }
     upstream.record = record;
+    if (const auto left = m_left.find(record.instance); left != m_left.end()) {
+        if (left->second == LeftProcess{record.startedAt, record.endpoint})
+            upstream.isLeaving = true;
+        else
+            m_left.erase(left);
+    }
     upstream.residency.onListed(record.targets, now);
     return isNew;
 }
@@ -78,6 +86,17 @@
     m_lapsed.clear();
 }
 
+bool UpstreamTable::markLeaving(const std::string &instance)
+{
+    auto *upstream = find(instance);
+    if (!upstream || std::exchange(upstream->isLeaving, true))
+        return false;
+    if (m_left.size() >= mostLeft)
+        m_left.clear();
+    m_left[instance] = {upstream->record.startedAt, upstream->record.endpoint};
+    return true;
+}
+
 Upstream *UpstreamTable::find(const std::string &instance)
 {
     const auto it = m_upstreams.find(instance);
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -47,8 +47,23 @@
     Estimates::StepEstimate step; ///< In ms, for a token of a stream.
     unsigned ownSteps = 0; ///< What this node has learnt it from since it told others.
     Instant waitingSince{}; ///< Since when a request waits and no byte of any response has come.
+    bool isLeaving = false; ///< Has said so in an answer, whatever its record says.
+    bool toldLeaving = false; ///< To this node, which tells others.
+    Instant turnedAwayUntil{}; ///< Wants no requests from this node until then.
     Instant avoidUntil{}; ///< Takes no new requests while others can, for instance after a refused connection.
 
+    /// Whether this node may send it requests.
+    bool takesRequests(Instant now) const
+    {
+        return staysInService() && now >= turnedAwayUntil;
+    }
+
+    /// Whether it serves on, as far as is known.
+    bool staysInService() const
+    {
+        return !record.draining && !isLeaving;
+    }
+
     /// Returns the requests of all nodes that it is working on.
     unsigned inFlight() const
     {
@@ -98,6 +113,10 @@
         return m_upstreams;
     }
 
+    /// The upstream's present process has told somebody that it leaves, and is remembered for that beyond its record.
+    /// Returns whether that is news.
+    bool markLeaving(const std::string &instance);
+
     /// Takes in how many requests another node has at work at upstreams. It has none at those that it does not name.
     void onPeerLoads(const std::string &node, const std::map<std::string, unsigned> &inFlight);
 
@@ -106,6 +125,14 @@
 
     std::map<std::string, Upstream> m_upstreams;
     std::unordered_map<std::string, std::map<std::string, unsigned>> m_peerLoads; ///< By node and upstream.
+    struct LeftProcess {
+        std::int64_t startedAt = 0;
+        Http::Endpoint endpoint;
+
+        friend bool operator==(const LeftProcess &, const LeftProcess &) = default;
+    };
+
+    std::map<std::string, LeftProcess> m_left; ///< Processes that have said that they leave, by instance.
     std::set<std::string> m_lapsed; ///< Without a record, since perhaps only the registry was away.
     bool m_registryLost = true;
     Instant m_registryBack{};
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -335,10 +335,10 @@
 {
     auto response = std::make_shared<WholeResponse>();
     ExchangeObserver observer;
-    observer.onHead = [response](const ResponseHead &head) { response->status = head.status; };
+    observer.onHead = [response](const ResponseHead &head) { response->head = head; };
     observer.onBody = [response](std::string_view piece) { response->body += piece; };
     observer.onEnd = [response, onResponse] { onResponse(*response); };
-    observer.onFailure = [onResponse](const FailedExchange &failure) { onResponse({0, {}, failure.sent}); };
+    observer.onFailure = [onResponse](const FailedExchange &failure) { onResponse({{}, {}, failure.sent}); };
     return send(destination, request, std::move(observer), options);
 }
 
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -46,7 +46,7 @@
 
 /// A response whose body was gathered.
 struct WholeResponse {
-    unsigned status = 0; ///< 0 if there was no whole response.
+    ResponseHead head; ///< Its status is 0 if there was no whole response.
     std::string body;
     bool sent = true; ///< Whether a byte of the request may have left this process.
 };
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -33,6 +33,7 @@
     Orders, ///< Label: outcome.
     ViewAgeSeconds, ///< Label: view.
     RetriesLeft, ///< Label: service.
+    UpstreamStatements, ///< What upstreams have said of themselves in answers. Label: statement.
 };
 
 /// The labels of one time series.
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <array>
+#include <string>
 
 using namespace Gypsumtally;
 using namespace Gypsumtally::Gateway;
@@ -44,6 +46,9 @@
         reply.requestId = std::string(head.headers.get("Id"));
         reply.isSigned = head.headers.contains("Proof");
         reply.notRun = head.headers.contains("Not-Run");
+        reply.statement.isLeaving = head.headers.contains("Leaving");
+        if (const auto away = head.headers.get("Away-Ms"); !away.empty())
+            reply.statement.turnsAwayFor = std::chrono::milliseconds{std::stoi(std::string(away))};
         reply.headers = head.headers.contains("Proof") ? Http::Headers{{"Proof", "p"}} : Http::Headers{};
         return reply;
     }
@@ -71,6 +76,44 @@
     exchange->respond({503, {{"Not-Run", "1"}}, ""});
 }
 
+void turnAwayBriefly(const Exchange &exchange)
+{
+    exchange->respond({503, {{"Not-Run", "1"}, {"Away-Ms", "300"}}, ""});
+}
+
+void turnAway(const Exchange &exchange)
+{
+    exchange->respond({503, {{"Not-Run", "1"}, {"Away-Ms", "20000"}}, ""});
+}
+
+void answerAndLeave(const Exchange &exchange)
+{
+    auto headers = signedFor(exchange);
+    headers.add("Leaving", "1");
+    exchange->respond({200, headers, "whole"});
+}
+
+void refuseAndLeave(const Exchange &exchange)
+{
+    exchange->respond({503, {{"Not-Run", "1"}, {"Leaving", "1"}}, ""});
+}
+
+void failAndLeave(const Exchange &exchange)
+{
+    auto headers = signedFor(exchange);
+    headers.add("Leaving", "1");
+    exchange->respond({500, headers, "failed"});
+}
+
+void streamAndLeave(const Exchange &exchange)
+{
+    auto headers = signedFor(exchange);
+    headers.add("Leaving", "1");
+    exchange->begin(200, headers, std::nullopt);
+    exchange->write("id: 1\ndata: a\n\n");
+    exchange->end();
+}
+
 void answerAnother(const Exchange &exchange)
 {
     exchange->respond({200, {{"Id", "another"}, {"Proof", "p"}}, "another's"});
@@ -109,7 +152,7 @@
         , m_logging(LogLevel::Error, LogFormat::Text, "n")
         , m_log(m_logging)
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
-        , m_upstreams{makeUpstream(), makeUpstream()}
+        , m_upstreams{makeUpstream(0), makeUpstream(1)}
         , m_entry(m_loop, {}, [this](const Exchange &exchange) { m_forwarder.accept(exchange); })
         , m_client(m_loop)
     {
@@ -145,9 +188,14 @@
     /// Sends a request to @p path and returns the answer's status; 0 if there was no whole answer.
     unsigned ask(const std::string &path, const ModelTarget &target = {})
     {
-        const Http::Endpoint entry{"127.0.0.1", m_entry.listen({"127.0.0.1", 0}), false};
+        if (m_entryEndpoint.port == 0)
+            m_entryEndpoint = {"127.0.0.1", m_entry.listen({"127.0.0.1", 0}), false};
+        body.clear();
         Relay::ExchangeObserver observer;
-        observer.onHead = [this](const Relay::ResponseHead &head) { m_status = head.status; };
+        observer.onHead = [this](const Relay::ResponseHead &head) {
+            m_status = head.status;
+            retryAfter = std::string(head.headers.get("Retry-After"));
+        };
         observer.onBody = [this](std::string_view piece) { body += piece; };
         observer.onEnd = [this] { m_loop.stop(); };
         observer.onFailure = [this](const Relay::FailedExchange &) {
@@ -157,7 +205,8 @@
         Http::Request request{"POST", path, {{"Host", "h"}, {"Id", "r1"}}, "question"};
         if (!target.empty())
             request.headers.add("Target", target);
-        m_client.send({entry, {}}, request, std::move(observer), {});
+        m_client.send({m_entryEndpoint, {}}, request, std::move(observer), {});
+        m_loop.context().restart();
         m_loop.run();
         return m_status;
     }
@@ -168,7 +217,9 @@
     };
 
     std::string body;
+    std::string retryAfter; ///< Of the last answer.
     unsigned sends = 0;
+    std::vector<std::size_t> sentTo; ///< Numbers of the upstreams that got the sends.
     std::vector<Announcement> announced; ///< Prompts, as other nodes are told of them.
 
 private:
@@ -184,10 +235,11 @@
         return route;
     }
 
-    std::unique_ptr<Relay::CallerServer> makeUpstream()
+    std::unique_ptr<Relay::CallerServer> makeUpstream(std::size_t number)
     {
         return std::make_unique<Relay::CallerServer>(
-            m_loop, Relay::CallerServerSettings{}, [this](const Exchange &exchange) {
+            m_loop, Relay::CallerServerSettings{}, [this, number](const Exchange &exchange) {
+                sentTo.push_back(number);
                 const auto act = m_acts[std::min<std::size_t>(sends++, m_acts.size() - 1)];
                 if (act)
                     act(exchange);
@@ -219,6 +271,7 @@
     std::array<std::unique_ptr<Relay::CallerServer>, 2> m_upstreams;
     Relay::CallerServer m_entry;
     Relay::UpstreamClient m_client;
+    Http::Endpoint m_entryEndpoint;
     unsigned m_status = 0;
 };
 
@@ -284,3 +337,69 @@
     cr_assert_eq(stage.announced.front().instance, std::string("u0"));
     cr_assert_eq(stage.announced.front().in > Duration{}, row.ahead);
 }
+
+namespace
+{
+
+struct LeaveCase {
+    const char *path;
+    Stage::Act act; ///< Of the first answer, which tells that the upstream leaves.
+    unsigned status;
+};
+
+const LeaveCase leaves[] = {
+    {"/safe/1", answerAndLeave, 200},   {"/once/1", answerAndLeave, 200}, {"/safe/1", refuseAndLeave, 200},
+    {"/stream/1", streamAndLeave, 200}, {"/safe/1", failAndLeave, 200},
+};
+
+} // namespace
+
+TABLE_TEST(CallForwarder, sendsNothingMoreToAnUpstreamThatLeaves, leaves)
+{
+    Stage stage({row.act, answer, answer, answer, answer, answer});
+    cr_assert_eq(stage.ask(row.path), row.status);
+    for (int i = 0; i < 4; ++i)
+        cr_assert_eq(stage.ask("/safe/1"), 200U);
+    const auto left = stage.sentTo.front();
+    cr_assert_eq(std::ranges::count(stage.sentTo, left), 1);
+}
+
+Test(CallForwarder, sendsElsewhereWhileAnUpstreamTurnsAway)
+{
+    Stage stage({turnAway, answer, answer, answer, answer});
+    for (int i = 0; i < 4; ++i)
+        cr_assert_eq(stage.ask("/once/1"), 200U);
+    cr_assert_eq(std::ranges::count(stage.sentTo, stage.sentTo.front()), 1);
+}
+
+Test(CallForwarder, refusesAtOnceWithTheEarliestTimeWhileAllTurnAway)
+{
+    Stage stage({turnAway, turnAway, answer});
+    const auto before = BootClock{}.now();
+    for (int i = 0; i < 3; ++i) {
+        cr_assert_eq(stage.ask("/once/1"), 429U);
+        const double seconds = std::stod(stage.retryAfter);
+        cr_assert(seconds > 18 && seconds <= 20, "%s", stage.retryAfter.c_str());
+    }
+    cr_assert(BootClock{}.now() - before < std::chrono::seconds{1});
+    cr_assert_eq(stage.sends, 2U);
+}
+
+Test(CallForwarder, waitsForUpstreamsThatTurnAwayBriefly)
+{
+    Stage stage({turnAwayBriefly, turnAwayBriefly, answer});
+    const auto before = BootClock{}.now();
+    cr_assert_eq(stage.ask("/once/1"), 200U);
+    cr_assert(BootClock{}.now() - before >= std::chrono::milliseconds{295});
+    cr_assert_eq(stage.sends, 3U);
+}
+
+Test(CallForwarder, aStreamThatWaitsForItsTurnIsNotSentToAnUpstreamThatTurnsAway)
+{
+    Stage stage({turnAway, streamRest, streamRest, streamRest});
+    stage.load("u0", "m/a", std::chrono::milliseconds{-100});
+    stage.load("u1", "m/a", std::chrono::milliseconds{-100});
+    for (int i = 0; i < 3; ++i)
+        cr_assert_eq(stage.ask("/stream/1", "m/a"), 200U);
+    cr_assert_eq(std::ranges::count(stage.sentTo, stage.sentTo.front()), 1);
+}
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -21,6 +21,8 @@
     report.speeds = {{"s", {10.25, 20.5, 1500, 0}}};
     report.prompts = {{"e1", 1110, std::chrono::milliseconds{40}}};
     report.crashes = {{0xfedcba9876543210, "e1"}};
+    report.departures = {{"e4", 1234567890124}};
+    report.turnedAway = {{{"e5", 1234567890125}, std::chrono::milliseconds{1500}}};
     report.placements = {{"e1", "m/a", 2, false, std::chrono::milliseconds{250}}, {"e2", "m/b", 0, true, {}}};
     GatewayMessage message;
     message.sender = "n2";
@@ -64,6 +66,12 @@
     cr_assert_eq(report.prompts.front().tokens, 1110);
     cr_assert(report.prompts.front().in == std::chrono::milliseconds{40});
     cr_assert(report.crashes == sent.crashes);
+    cr_assert_eq(report.departures.size(), 1U);
+    cr_assert_eq(report.departures.front().instance, std::string("e4"));
+    cr_assert_eq(report.departures.front().startedAt, 1234567890124);
+    cr_assert_eq(report.turnedAway.size(), 1U);
+    cr_assert_eq(report.turnedAway.front().process.instance, std::string("e5"));
+    cr_assert(report.turnedAway.front().time == std::chrono::milliseconds{1500});
     cr_assert_eq(report.placements.size(), 2U);
     cr_assert_eq(report.placements[0].version, 2U);
     cr_assert(report.placements[0].usableIn == std::chrono::milliseconds{250});
--- /dev/null
+++ b/tests/gateway/upstreamstatementtest.cpp
@@ -0,0 +1,204 @@
+#include "gateway/upstreamstatement.h"
+
+#include "gateway/enginechoice.h"
+
+#include "support/table.h"
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+constexpr Instant now{std::chrono::seconds{100}};
+const UpstreamStatement leaving{"", true, {}, {}};
+
+UpstreamRecord recordOf(std::int64_t startedAt, unsigned short port = 80, bool isDraining = false)
+{
+    UpstreamRecord record;
+    record.instance = "u";
+    record.service = "s";
+    record.endpoint = {"10.0.0.1", port, false};
+    record.startedAt = startedAt;
+    record.draining = isDraining;
+    return record;
+}
+
+UpstreamTable tableOf(const UpstreamRecord &record)
+{
+    UpstreamTable table;
+    table.onRegistryBack(now - std::chrono::minutes{1});
+    table.onRecord(record, now - std::chrono::minutes{1});
+    return table;
+}
+
+UpstreamStatement turningAway(Duration time)
+{
+    return {"", false, time, {}};
+}
+
+bool isChosen(const UpstreamTable &table, Instant at)
+{
+    return chooseUpstream(table, {"s", {}, 0, "d", nullptr, {}, 0, {}, {}}, at).has_value();
+}
+
+struct LeavingCase {
+    const char *name;
+    void (*change)(UpstreamTable &); ///< After the upstream has said that it leaves.
+    bool isChosen;
+};
+
+const LeavingCase afterLeaving[] = {
+    {"nothing", [](UpstreamTable &) {}, false},
+    {"a record that still has it as ready", [](UpstreamTable &table) { table.onRecord(recordOf(7), now); }, false},
+    {"the registry read whole", [](UpstreamTable &table) { table.onSnapshot({"u"}, now); }, false},
+    {"a record that lapsed and came back",
+     [](UpstreamTable &table) {
+         table.onRegistryLost(now);
+         table.onRemoved("u", now);
+         table.onRegistryBack(now);
+         table.onRecord(recordOf(7), now);
+     },
+     false},
+    {"a record that was removed and came back",
+     [](UpstreamTable &table) {
+         table.onRemoved("u", now);
+         table.onRecord(recordOf(7), now);
+     },
+     false},
+    {"an answer that says nothing of it",
+     [](UpstreamTable &table) {
+         applyStatement(table, {"u", 7}, {}, now);
+     },
+     false},
+    {"a new process of that instance", [](UpstreamTable &table) { table.onRecord(recordOf(8), now); }, true},
+    {"a new process at another address, whose start is not stated",
+     [](UpstreamTable &table) { table.onRecord(recordOf(0, 81), now); }, true},
+    {"another instance at that address",
+     [](UpstreamTable &table) {
+         auto other = recordOf(7);
+         other.instance = "v";
+         table.onRecord(other, now);
+     },
+     true},
+};
+
+} // namespace
+
+TABLE_TEST(UpstreamStatement, oneThatLeavesGetsNothingMore, afterLeaving)
+{
+    auto table = tableOf(recordOf(7));
+    cr_assert(isChosen(table, now));
+    cr_assert(applyStatement(table, {"u", 7}, leaving, now).leaves);
+    cr_assert_not(applyStatement(table, {"u", 7}, leaving, now).leaves, "told twice");
+    row.change(table);
+    cr_assert_eq(isChosen(table, now), row.isChosen, "%s", row.name);
+}
+
+namespace
+{
+
+struct OtherCase {
+    UpstreamProcess process;
+    UpstreamStatement statement;
+};
+
+const OtherCase ofOthers[] = {
+    {{"u", 6}, leaving}, // The process before this one.
+    {{"v", 7}, leaving}, // An instance that is not known.
+    {{"u", 7}, {"w", true, std::chrono::seconds{5}, {}}}, // Another instance has answered at the address.
+};
+
+} // namespace
+
+TABLE_TEST(UpstreamStatement, whatOthersSayDoesNotCount, ofOthers)
+{
+    auto table = tableOf(recordOf(7));
+    const auto effect = applyStatement(table, row.process, row.statement, now);
+    cr_assert_not(effect.leaves);
+    cr_assert(effect.turnedAwayFor == Duration{});
+    cr_assert(isChosen(table, now));
+}
+
+namespace
+{
+
+struct TurnAwayCase {
+    std::int64_t ms;
+    std::int64_t askedAfterMs;
+    bool isChosen;
+};
+
+const TurnAwayCase turnedAway[] = {
+    {200, 199, false},
+    {200, 200, true},
+    {3000, 2999, false},
+    {3000, 3000, true},
+    {600'000, 599'999, false},
+    {1'000'000'000, 1, false},
+    {1'000'000'000, 3'600'000, true},
+    {0, 0, true},
+};
+
+} // namespace
+
+TABLE_TEST(UpstreamStatement, oneThatTurnsAwayGetsNothingForSoLong, turnedAway)
+{
+    auto table = tableOf(recordOf(7));
+    applyStatement(table, {"u", 7}, turningAway(std::chrono::milliseconds{row.ms}), now);
+    const auto asked = now + std::chrono::milliseconds{row.askedAfterMs};
+    cr_assert_eq(isChosen(table, asked), row.isChosen);
+    cr_assert_eq(hasUpstream(table, "s", asked), row.isChosen);
+    cr_assert_eq(nextReturn(table, "s", asked).has_value(), !row.isChosen);
+}
+
+Test(UpstreamStatement, aShorterTimeDoesNotShortenALongerOne)
+{
+    auto table = tableOf(recordOf(7));
+    applyStatement(table, {"u", 7}, turningAway(std::chrono::seconds{5}), now);
+    const auto effect = applyStatement(table, {"u", 7}, turningAway(std::chrono::seconds{1}), now);
+    cr_assert(effect.turnedAwayFor == Duration{}, "no news for the other nodes");
+    cr_assert_not(isChosen(table, now + std::chrono::seconds{4}));
+}
+
+Test(UpstreamStatement, aNewProcessHasTurnedNobodyAway)
+{
+    auto table = tableOf(recordOf(7));
+    applyStatement(table, {"u", 7}, turningAway(std::chrono::minutes{10}), now);
+    table.onRecord(recordOf(8), now);
+    cr_assert(isChosen(table, now));
+}
+
+Test(UpstreamStatement, whatOtherNodesWereToldIsAHint)
+{
+    auto table = tableOf(recordOf(7));
+    applyTurnedAwayHint(table, {"u", 7}, std::chrono::minutes{10}, now);
+    cr_assert(isChosen(table, now), "better than none");
+    auto other = recordOf(7, 81);
+    other.instance = "v";
+    table.onRecord(other, now);
+    table.find("v")->ownInFlight = 50;
+    const UpstreamDemand demand{"s", {}, 0, "d", nullptr, {}, 0, {}, {}};
+    cr_assert_eq(chooseUpstream(table, demand, now)->instance, std::string("v"));
+    cr_assert_eq(chooseUpstream(table, demand, now + std::chrono::seconds{3})->instance, std::string("u"));
+}
+
+Test(UpstreamStatement, departuresToldByOthersCountForTheSameProcessOnly)
+{
+    auto table = tableOf(recordOf(7));
+    cr_assert_not(applyDeparture(table, {"u", 6}));
+    cr_assert(isChosen(table, now));
+    cr_assert(applyDeparture(table, {"u", 7}));
+    cr_assert_not(applyDeparture(table, {"u", 7}), "no news");
+    cr_assert_not(isChosen(table, now));
+}
+
+Test(UpstreamStatement, holdersThatTurnAwayDoNotHelpThoseThatWait)
+{
+    auto table = tableOf(recordOf(7));
+    table.find("u")->residency.onLoading("m/a", 1, now, now);
+    cr_assert(holdersThatTurnAway(table, "m/a", now).empty());
+    applyStatement(table, {"u", 7}, turningAway(std::chrono::seconds{5}), now);
+    cr_assert_eq(holdersThatTurnAway(table, "m/a", now).size(), 1U);
+    cr_assert(holdersThatTurnAway(table, "m/b", now).empty());
+}
--- /dev/null
+++ b/tests/platformadapter/statementheaderstest.cpp
@@ -0,0 +1,57 @@
+#include "platform/statementheaders.h"
+
+#include "support/table.h"
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+struct StatementCase {
+    unsigned status;
+    Http::Headers headers;
+    bool isLeaving;
+    std::optional<int> turnsAwayForMs;
+    std::size_t unreadable;
+};
+
+const StatementCase statements[] = {
+    {200, {}, false, {}, 0},
+    {200, {{"Server-Leaving", "1"}}, true, {}, 0},
+    {503, {{"server-leaving", "1"}, {"X-Not-Executed", "1"}}, true, {}, 0},
+    {421, {{"Server-Leaving", "1"}, {"X-Instance-Id", "i-2"}}, true, {}, 0},
+    {200, {{"Server-Leaving", "0"}}, false, {}, 0},
+    {200, {{"Server-Leaving", "yes"}}, true, {}, 1},
+    {200, {{"Server-Leaving", ""}}, true, {}, 1},
+    {503, {{"Retry-After", "0.2"}}, false, 200, 0},
+    {503, {{"Retry-After", "3"}}, false, 3000, 0},
+    {429, {{"Retry-After", "3"}}, false, 3000, 0},
+    {503, {{"Retry-After", "600"}}, false, 600'000, 0},
+    {503, {{"Retry-After", "0"}}, false, 0, 0},
+    {200, {{"Retry-After", "3"}}, false, {}, 0}, // Nothing was turned away.
+    {503, {{"Retry-After", "1e300"}}, false, 1'000'000'000, 0},
+    {503, {{"Retry-After", "1e999"}}, false, 1'000'000'000, 0},
+    {503, {{"Retry-After", "inf"}}, false, 1'000'000'000, 0},
+    {503, {{"Retry-After", "nan"}}, false, 1000, 1},
+    {503, {{"Retry-After", "-5"}}, false, 1000, 1},
+    {503, {{"Retry-After", "-1e999"}}, false, 1000, 1},
+    {503, {{"Retry-After", "soon"}}, false, 1000, 1},
+    {503, {{"Retry-After", "3s"}}, false, 1000, 1},
+    {503, {{"Retry-After", ""}}, false, 1000, 1},
+    {503, {{"Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT"}}, false, 1000, 1},
+    {503, {{"Retry-After", "x"}, {"Server-Leaving", "x"}}, true, 1000, 2},
+};
+
+} // namespace
+
+TABLE_TEST(StatementHeaders, areReadTheSafeWay, statements)
+{
+    const auto statement = Platform::readStatement({row.status, row.headers, {}});
+    cr_assert_eq(statement.isLeaving, row.isLeaving);
+    cr_assert_eq(statement.turnsAwayFor.has_value(), row.turnsAwayForMs.has_value());
+    if (row.turnsAwayForMs)
+        cr_assert(*statement.turnsAwayFor == std::chrono::milliseconds{*row.turnsAwayForMs});
+    cr_assert_eq(statement.unreadable.size(), row.unreadable);
+    cr_assert_eq(statement.instance, std::string(row.headers.get("X-Instance-Id")));
+}
