--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -141,6 +141,7 @@
         std::unique_ptr<EventSplitter> events;
         std::optional<std::uint64_t> lastEvent; ///< That the caller has.
         Instant lastEventAt{};
+        Duration lastPause{}; ///< Between two events of the send under way; zero before the second one.
         Duration firstEvent{}; ///< From the arrival to the first event.
         Duration longestPause{};
     };
@@ -402,6 +403,7 @@
         if (call->lastEvent)
             instructions.resumeAfter = call->lastEvent;
         call->promptRead = false;
+        call->lastPause = {};
         call->processStartedAt = upstream->record.startedAt;
         call->inFlightAtSend = upstream->inFlight();
         call->slownessAtSend = slownessOf(*upstream, m_context.speeds[call->service].speed());
@@ -504,11 +506,8 @@
                 m_metrics.observe(Metric::FirstTokenSeconds, labelsOf(*call), call->firstEvent, now);
                 learnPromptSpeed(*call, now);
             }
-        } else if (auto *upstream = m_context.upstreams.find(call->instance)) {
-            const auto *engine = engineOf(*call);
-            const auto tokens = engine ? engine->tokensPerEvent : 1;
-            notePause(*upstream, now - call->lastEventAt, tokens, now);
-            m_context.speeds[call->service].onPause(now - call->lastEventAt, tokens, now);
+        } else {
+            learnStep(*call, now);
         }
         if (call->answering)
             call->longestPause = std::max(call->longestPause, now - call->lastEventAt);
@@ -522,6 +521,19 @@
         call->exchange->write(events);
     }
 
+    /// Learns from the pause before the last event, as that event may hold fewer tokens than others.
+    void learnStep(Call &call, Instant now)
+    {
+        const auto pause = std::exchange(call.lastPause, now - call.lastEventAt);
+        auto *upstream = m_context.upstreams.find(call.instance);
+        if (!upstream || pause == Duration{})
+            return;
+        const auto *engine = engineOf(call);
+        const auto tokens = engine ? engine->tokensPerEvent : 1;
+        notePause(*upstream, pause, tokens, now);
+        m_context.speeds[call.service].onPause(pause, tokens, now);
+    }
+
     void noteStreamTime(const Call &call, Instant now)
     {
         m_context.speeds[call.service].onStream(now - call.sentAt, now);
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -161,6 +161,7 @@
     static constexpr Duration nodeLeaseTtl = std::chrono::seconds{8};
     static constexpr Duration renewInterval = std::chrono::milliseconds{2500};
     static constexpr double noteworthySpeedRatio = 1.3;
+    static constexpr Duration speedNotePause = std::chrono::seconds{5};
     static constexpr std::size_t mostDepartures = 64; ///< In one digest.
     static constexpr Duration crashNewsAge = std::chrono::seconds{2};
     /// The slack of sends beyond the first is divided by more than the number of nodes, as nodes that were replaced or
@@ -629,7 +630,7 @@
             if (std::exchange(upstream.ownSteps, 0) > 0)
                 digest.steps.push_back({instance, upstream.step.learnt()});
         }
-        noteSpeeds();
+        noteSpeeds(now);
         for (const auto &[service, speed] : m_context.speeds) {
             if (const auto learnt = speed.learnt(); learnt != Estimates::LearntSpeed{0, 0, 0, 0})
                 digest.speeds.push_back({service, learnt});
@@ -653,14 +654,14 @@
     }
 
     /// Writes a line about each service whose speed is reckoned otherwise than when the last one was written.
-    void noteSpeeds()
+    void noteSpeeds(Instant now)
     {
         for (const auto &[service, learnt] : m_context.speeds) {
             const auto speed = learnt.speed();
             auto &noted = m_notedSpeeds[service];
-            if (!differs(speed, noted, noteworthySpeedRatio))
+            if (!differs(speed, noted.speed, noteworthySpeedRatio) || now - noted.at < speedNotePause)
                 continue;
-            noted = speed;
+            noted = {speed, now};
             m_log.note(GatewayEvent::SpeedLearnt, {{"service", service},
                                                    {"step_ms", std::to_string(speed.stepMs)},
                                                    {"prompt_tokens_per_ms", std::to_string(speed.promptTokensPerMs)},
@@ -874,7 +875,12 @@
     std::uint64_t m_ticks = 0;
     Instant m_lastTick{};
     Instant m_peerHeard{};
-    std::map<std::string, Estimates::Speed> m_notedSpeeds; ///< As the log has them.
+    struct NotedSpeed {
+        Estimates::Speed speed;
+        Instant at{};
+    };
+
+    std::map<std::string, NotedSpeed> m_notedSpeeds; ///< As the log has them, by service.
     std::set<std::string> m_livePeers; ///< As the log has them.
     bool m_stopping = false;
     Instant m_stopAt{};
