--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -14,6 +14,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <memory>
 #include <optional>
@@ -141,7 +142,7 @@
         std::unique_ptr<EventSplitter> events;
         std::optional<std::uint64_t> lastEvent; ///< That the caller has.
         Instant lastEventAt{};
-        Duration lastPause{}; ///< Between two events of the send under way; zero before the second one.
+        std::array<Duration, 2> pauses{}; ///< The last ones between events of the send under way.
         Duration firstEvent{}; ///< From the arrival to the first event.
         Duration longestPause{};
     };
@@ -403,7 +404,7 @@
         if (call->lastEvent)
             instructions.resumeAfter = call->lastEvent;
         call->promptRead = false;
-        call->lastPause = {};
+        call->pauses = {};
         call->processStartedAt = upstream->record.startedAt;
         call->inFlightAtSend = upstream->inFlight();
         call->slownessAtSend = slownessOf(*upstream, m_context.speeds[call->service].speed());
@@ -521,13 +522,16 @@
         call->exchange->write(events);
     }
 
-    /// Learns from the pause before the last event, as that event may hold fewer tokens than others.
+    /// Learns from two pauses in a row, as engines that make several tokens in a step have long and short ones by
+    /// turns. The last event of a stream may hold fewer tokens than others, and is left out.
     void learnStep(Call &call, Instant now)
     {
-        const auto pause = std::exchange(call.lastPause, now - call.lastEventAt);
+        const auto before = std::exchange(call.pauses[0], call.pauses[1]);
+        const auto last = std::exchange(call.pauses[1], now - call.lastEventAt);
         auto *upstream = m_context.upstreams.find(call.instance);
-        if (!upstream || pause == Duration{})
+        if (!upstream || before == Duration{})
             return;
+        const auto pause = (before + last) / 2;
         const auto *engine = engineOf(call);
         const auto tokens = engine ? engine->tokensPerEvent : 1;
         notePause(*upstream, pause, tokens, now);
