Bytes that are no answer end: bounds on heads, trailers, events and answers that are kept

Found by reading, shown by tests that failed first: a chunk's head or a trailer without end grew in both HTTP stacks until the caller closed; an event without end and an answer without length grew to the deadline; a stream that sent bytes but no event counted as alive. Streams live by their events. A streaming route without a model was left after a plain service's silence: slow but sound streams now get that of their route.

Leases of nodes' records last 30 s in place of 8 s and are renewed every 10 s: members are taken for live by what is heard, and each renewal is a priced call.

--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -40,6 +40,7 @@
     CrashLedger crashes;
     std::unordered_map<ModelTarget, DeclaredVersion> declared;
     std::unordered_map<ModelTarget, TargetUse> uses;
+    std::size_t mostKeptBytes = 64 * 1024 * 1024; ///< Of answers that are kept until they are whole.
     bool hasOrderHolder = false; ///< Some node answers for loads.
     /// Asks a holder for a load, the @p attempt th time; copies at the engines in @p unfit do not help.
     std::function<void(const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit,
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -99,6 +99,7 @@
     static constexpr Duration usualSilence = std::chrono::milliseconds{900}; ///< Where a route allows any pause.
     static constexpr Duration crashWindow = std::chrono::milliseconds{1500}; ///< Within which breaks tell of one crash.
     static constexpr Duration promptEcho = std::chrono::milliseconds{150}; ///< A prompt sent before may still be read.
+    static constexpr std::size_t mostAnswerBytes = 4 * 1024 * 1024; ///< As much as callers may send.
     static constexpr Duration together = std::chrono::milliseconds{150};
     static constexpr Duration announcementTime = std::chrono::milliseconds{30}; ///< Until all nodes know of a prompt.
     static constexpr double latePacePart = 0.6;
@@ -392,7 +393,7 @@
         call->sentAt = now;
         call->heard = now;
         call->reply = {};
-        call->body.clear();
+        takeBody(*call);
         call->events = std::make_unique<EventSplitter>();
         SendInstructions instructions{choice.instance, call->deadline - now, {}, {}, {}};
         if (!call->request.target.empty()) {
@@ -493,14 +494,16 @@
     void onBody(const CallPtr &call, std::string_view piece)
     {
         const auto now = BootClock{}.now();
-        noteHeard(call, now);
         if (!streams(*call)) {
-            call->body += piece;
-            return;
+            noteHeard(call, now);
+            return keep(call, piece);
         }
         const auto events = call->events->feed(piece);
+        if (call->events->hasOverflowed())
+            return dropSend(call, "an event of the stream has no end");
         if (events.empty())
             return;
+        noteHeard(call, now); // Bytes that are no event are no sign of life.
         if (!std::exchange(call->promptRead, true)) {
             if (!call->answering) {
                 call->firstEvent = now - call->arrival;
@@ -522,6 +525,23 @@
         call->exchange->write(events);
     }
 
+    /// Keeps a piece of an answer until it is whole, unless it is larger than answers are.
+    void keep(const CallPtr &call, std::string_view piece)
+    {
+        if (call->body.size() + piece.size() > mostAnswerBytes)
+            return dropSend(call, "the answer is too large");
+        if (m_keptBytes + piece.size() > m_context.mostKeptBytes)
+            return dropSend(call, "the answers of all requests take too much memory");
+        call->body += piece;
+        m_keptBytes += piece.size();
+    }
+
+    std::string takeBody(Call &call)
+    {
+        m_keptBytes -= call.body.size();
+        return std::exchange(call.body, {});
+    }
+
     /// Learns from two pauses in a row, as engines that make several tokens in a step have long and short ones by
     /// turns. The last event of a stream may hold fewer tokens than others, and is left out.
     void learnStep(Call &call, Instant now)
@@ -705,7 +725,7 @@
     void passOn(const CallPtr &call)
     {
         call->verdict = Verdict::Ran;
-        call->exchange->respond({call->reply.status, call->reply.headers, std::move(call->body)});
+        call->exchange->respond({call->reply.status, call->reply.headers, takeBody(*call)});
         finish(call);
     }
 
@@ -779,6 +799,7 @@
             return;
         call->done = true;
         stopWaiting(call);
+        takeBody(*call);
         const auto now = BootClock{}.now();
         auto labels = labelsOf(*call);
         m_metrics.observe(Metric::RequestSeconds, labels, now - call->arrival, now);
@@ -825,7 +846,7 @@
 
     Duration longestSilence(const Call &call) const
     {
-        if (!call.request.target.empty())
+        if (call.route.kind == RequestKind::Streaming)
             return call.route.longestPause > Duration{} ? silentPauses * call.route.longestPause : usualSilence;
         const auto speeds = m_context.speeds.find(call.service);
         const Estimates::Speed usual;
@@ -878,6 +899,7 @@
     std::unordered_set<CallPtr> m_calls;
     std::unordered_set<CallPtr> m_waiting;
     std::unordered_map<std::string, std::vector<Break>> m_breaks;
+    std::size_t m_keptBytes = 0; ///< Of answers that are not whole yet.
 };
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::string_view idField = "id:";
+constexpr std::size_t mostEventBytes = 256 * 1024;
 
 /// Returns the length of the first whole event in @p bytes, or npos.
 std::size_t firstEventLength(std::string_view bytes)
@@ -24,6 +25,8 @@
 
 std::string EventSplitter::feed(std::string_view bytes)
 {
+    if (m_overflowed)
+        return {};
     m_partial += bytes;
     std::size_t whole = 0;
     const std::string_view all = m_partial;
@@ -35,6 +38,10 @@
     }
     auto events = m_partial.substr(0, whole);
     m_partial.erase(0, whole);
+    if (m_partial.size() > mostEventBytes) {
+        m_overflowed = true;
+        m_partial.clear();
+    }
     return events;
 }
 
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -28,16 +28,23 @@
         return m_events;
     }
 
+    /// Whether the bytes of one event are more than are kept: this is no event stream. What comes then is dropped.
+    bool hasOverflowed() const
+    {
+        return m_overflowed;
+    }
+
     /// Whether bytes of an event wait for their rest.
     bool hasPartial() const
     {
-        return !m_partial.empty();
+        return m_overflowed || !m_partial.empty();
     }
 
 private:
     void noteId(std::string_view event);
 
     std::string m_partial;
+    bool m_overflowed = false;
     std::optional<std::uint64_t> m_lastId;
     std::uint64_t m_events = 0;
 };
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -91,6 +91,7 @@
     {
         m_context.failureDomain = settings.failureDomain;
         m_context.regions = settings.regions;
+        m_context.mostKeptBytes = settings.keptAnswerBytes;
         m_context.allowance = RetryAllowance(retryBound(settings));
         m_context.onWanted = [this](const std::string &service, const ModelTarget &target,
                                     const std::vector<std::string> &unfit, unsigned attempt) {
@@ -158,8 +159,9 @@
     static constexpr Duration handoverSlack = std::chrono::milliseconds{300}; ///< For an order on its way.
     static constexpr std::size_t sharedBytes = 16 * 1024; ///< Of records in one datagram.
     static constexpr std::size_t largestShared = 40 * 1024; ///< In one datagram, whose limit is 64 KB with escapes.
-    static constexpr Duration nodeLeaseTtl = std::chrono::seconds{8};
-    static constexpr Duration renewInterval = std::chrono::milliseconds{2500};
+    /// Nodes take each other for live by what they hear; the record only tells new nodes where to ask.
+    static constexpr Duration nodeLeaseTtl = std::chrono::seconds{30};
+    static constexpr Duration renewInterval = std::chrono::seconds{10};
     static constexpr double noteworthySpeedRatio = 1.3;
     static constexpr Duration speedNotePause = std::chrono::seconds{5};
     static constexpr std::size_t mostDepartures = 64; ///< In one digest.
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -14,6 +14,7 @@
 constexpr Bounds<Duration> shortTimes{std::chrono::milliseconds{1}, std::chrono::minutes{10}};
 constexpr Bounds<double> ratios{0, 10};
 constexpr Bounds<double> counts{0, 1'000'000};
+constexpr double bytesPerMb = 1024 * 1024;
 constexpr double ordinaryCpuShare = 0.25; ///< Of a core; the platform's first two sites.
 constexpr double ordinaryLinkMbps = 100;
 
@@ -50,6 +51,9 @@
     double linkMbps = ordinaryLinkMbps;
     reader.scalar("cpu_share", Presence::Optional, cpuShare, counts);
     reader.scalar("link_mbps", Presence::Optional, linkMbps, counts);
+    double memoryMb = 4 * static_cast<double>(settings.keptAnswerBytes) / bytesPerMb;
+    reader.scalar("memory_mb", Presence::Optional, memoryMb, counts);
+    settings.keptAnswerBytes = static_cast<std::size_t>(memoryMb * bytesPerMb / 4);
     settings.capacity = std::min(cpuShare / ordinaryCpuShare, linkMbps / ordinaryLinkMbps);
 }
 
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -29,6 +29,8 @@
     /// How well the machine suits work for other nodes: its share of a core against a quarter of one, or its link
     /// against 100 Mbit/s, whichever is less.
     double capacity = 1;
+    /// Of answers that are kept until they are whole: a quarter of the memory.
+    std::size_t keptAnswerBytes = 64 * 1024 * 1024;
     Duration orderHandover = std::chrono::milliseconds{3000}; ///< Between the orders of two nodes, at least.
     Duration stopGrace = std::chrono::seconds{8}; ///< From SIGTERM to SIGKILL.
     double retryRatio = 0.2;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -117,6 +117,9 @@
         streams.push_back(std::move(stream));
 }
 
+/// Of a head, a chunk's head or a trailer that has not come whole; what is longer is no response.
+constexpr std::size_t mostBufferedBytes = 64 * 1024;
+
 asio::awaitable<StreamPtr> Client::Private::connect(const std::shared_ptr<Exchange> &exchange, const Endpoint &endpoint,
                                                     const RequestOptions &options, ErrorCode &error)
 {
@@ -143,7 +146,7 @@
 asio::awaitable<bool> Client::Private::receive(beast::tcp_stream &stream, const std::shared_ptr<Exchange> &exchange,
                                                const RequestOptions &options, ErrorCode &error)
 {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(mostBufferedBytes);
     bhttp::response_parser<bhttp::buffer_body> parser;
     parser.body_limit(boost::none);
     stream.expires_after(options.idleTimeout);
--- a/src/relay/responsereader.cpp
+++ b/src/relay/responsereader.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr std::size_t bodyBufferBytes = 16 * 1024;
+/// Of a head, a chunk's head or a trailer, which are kept until they are whole.
+constexpr std::size_t mostUnparsedBytes = 32 * 1024;
 
 std::optional<unsigned> keepAliveTimeout(std::string_view value)
 {
@@ -55,7 +57,11 @@
     }
     const auto used = parse(bytes);
     const auto rest = bytes.substr(used);
-    if (m_state == State::Reading)
+    if (m_state == State::Reading && rest.size() > mostUnparsedBytes) {
+        m_state = State::Failed;
+        m_problem = "a head or a trailer has no end";
+        m_unparsed.clear();
+    } else if (m_state == State::Reading)
         m_unparsed = std::string(rest);
     else if (m_state == State::Complete)
         m_surplus = rest.size();
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -336,10 +336,18 @@
     auto response = std::make_shared<WholeResponse>();
     ExchangeObserver observer;
     observer.onHead = [response](const ResponseHead &head) { response->head = head; };
-    observer.onBody = [response](std::string_view piece) { response->body += piece; };
+    const auto token = std::make_shared<Token>(0);
+    observer.onBody = [this, response, onResponse, token, most = options.mostBodyBytes](std::string_view piece) {
+        response->body += piece;
+        if (response->body.size() <= most)
+            return;
+        cancel(*token);
+        onResponse({});
+    };
     observer.onEnd = [response, onResponse] { onResponse(*response); };
     observer.onFailure = [onResponse](const FailedExchange &failure) { onResponse({{}, {}, failure.sent}); };
-    return send(destination, request, std::move(observer), options);
+    *token = send(destination, request, std::move(observer), options);
+    return *token;
 }
 
 void UpstreamClient::cancel(Token token)
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -52,7 +52,10 @@
 };
 
 struct SendOptions {
+    static constexpr std::size_t usualBodyBytes = 8 * 1024 * 1024; ///< Several pages of the store.
+
     Duration connectTimeout = std::chrono::milliseconds{500};
+    std::size_t mostBodyBytes = usualBodyBytes; ///< Of a response that is fetched whole.
     Duration longestReuseAge = std::chrono::seconds{10}; ///< Idle connections older than this are not used; zero: none.
     Duration timeout{}; ///< From sending to the end of the response; zero: none.
     unsigned unsentBytesTimeoutMs = 5000; ///< How long the kernel goes on trying to deliver what was written.
@@ -74,7 +77,8 @@
     Token send(const Destination &destination, const Http::Request &request, ExchangeObserver observer,
                const SendOptions &options);
 
-    /// As send(), for a response that is wanted whole. @p onResponse is called once, unless the request is cancelled.
+    /// As send(), for a response that is wanted whole. @p onResponse is called once, unless the request is cancelled. A
+    /// response with a larger body than the options allow counts as none, and its connection is closed.
     Token fetch(const Destination &destination, const Http::Request &request,
                 const std::function<void(const WholeResponse &)> &onResponse, const SendOptions &options);
 
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/callforwarder.h"
 
+#include "support/endlessserver.h"
 #include "support/table.h"
 
 #include <boost/asio/io_context.hpp>
@@ -56,6 +57,8 @@
 
 using Exchange = std::shared_ptr<Relay::CallerExchange>;
 
+Http::EventLoop *stageLoop = nullptr; ///< Of the stage of the test that runs.
+
 Http::Headers signedFor(const Exchange &exchange)
 {
     return {{"Id", std::string(exchange->request().headers.get("Id"))}, {"Proof", "p"}};
@@ -131,6 +134,31 @@
     exchange->abort();
 }
 
+/// Sends @p bytes every @p pause, @p times times, and then the end of the stream.
+void writeLater(const Exchange &exchange, std::string bytes, Duration pause, int times)
+{
+    if (times == 0)
+        return exchange->end();
+    stageLoop->runAfter(pause, [=] {
+        exchange->write(bytes);
+        writeLater(exchange, bytes, pause, times - 1);
+    });
+}
+
+/// Dribbles for longer than callers wait.
+void streamBytesOnly(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    exchange->write("id: 1\ndata: a\n\n");
+    writeLater(exchange, ":", std::chrono::milliseconds{100}, 100);
+}
+
+void streamSlowly(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    writeLater(exchange, "data: a\n\n", std::chrono::milliseconds{700}, 3);
+}
+
 /// Goes on after the event that the request names.
 void streamRest(const Exchange &exchange)
 {
@@ -156,6 +184,7 @@
         , m_entry(m_loop, {}, [this](const Exchange &exchange) { m_forwarder.accept(exchange); })
         , m_client(m_loop)
     {
+        stageLoop = &m_loop;
         TrafficPolicy policy;
         policy.routes
             = {route("/safe/", RequestKind::Idempotent, false), route("/once/", RequestKind::NonIdempotent, false),
@@ -178,6 +207,21 @@
         tick();
     }
 
+    /// Puts @p endpoint in the place of both upstreams.
+    void replaceUpstreams(const Http::Endpoint &endpoint)
+    {
+        for (const auto *instance : {"u0", "u1"}) {
+            auto record = m_context.upstreams.find(instance)->record;
+            record.endpoint = endpoint;
+            m_context.upstreams.onRecord(record, BootClock{}.now());
+        }
+    }
+
+    Http::EventLoop &loop()
+    {
+        return m_loop;
+    }
+
     /// The load of an adapter ends at upstream @p instance after @p time.
     void load(const std::string &instance, const ModelTarget &target, Duration time)
     {
@@ -198,6 +242,7 @@
         };
         observer.onBody = [this](std::string_view piece) { body += piece; };
         observer.onEnd = [this] { m_loop.stop(); };
+        const auto asked = BootClock{}.now();
         observer.onFailure = [this](const Relay::FailedExchange &) {
             m_status = 0;
             m_loop.stop();
@@ -208,6 +253,7 @@
         m_client.send({m_entryEndpoint, {}}, request, std::move(observer), {});
         m_loop.context().restart();
         m_loop.run();
+        took = BootClock{}.now() - asked;
         return m_status;
     }
 
@@ -217,6 +263,7 @@
     };
 
     std::string body;
+    Duration took{}; ///< The last answer.
     std::string retryAfter; ///< Of the last answer.
     unsigned sends = 0;
     std::vector<std::size_t> sentTo; ///< Numbers of the upstreams that got the sends.
@@ -403,3 +450,66 @@
         cr_assert_eq(stage.ask("/stream/1", "m/a"), 200U);
     cr_assert_eq(std::ranges::count(stage.sentTo, stage.sentTo.front()), 1);
 }
+
+namespace
+{
+
+struct EndlessCase {
+    const char *path;
+    const char *head;
+    const char *filler;
+};
+
+const char chunked[] = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n";
+const char closing[] = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nConnection: close\r\n\r\n";
+
+const EndlessCase endless[] = {
+    {"/once/1", "HTTP/1.1 200 ", "OK"},
+    {"/once/1", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+    {"/once/1", chunked, "0"},
+    {"/once/1", "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n3;a=", "b"},
+    {"/once/1", "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"},
+    {"/once/1", closing, "x"},
+    {"/once/1", chunked, "1\r\nx\r\n"},
+    {"/once/1", "HTTP/1.1 500 Failed\r\nId: r1\r\nProof: p\r\nConnection: close\r\n\r\n", "x"},
+    {"/stream/1", closing, "x"},
+    {"/stream/1", closing, "data: x\n"},
+    {"/stream/1", chunked, "1\r\nx\r\n"},
+    {"/solo/1", closing, ": comment\n"},
+};
+
+/// Of one send: 4 MiB of an answer in chunks of one byte, six bytes each on the wire, and what the kernel holds.
+constexpr std::size_t mostReceived = 32 * 1024 * 1024;
+
+} // namespace
+
+/// What never becomes an answer is given up long before the deadline, and nothing of it passes for a success.
+TABLE_TEST(CallForwarder, givesUpOnBytesWithoutEnd, endless)
+{
+    Stage stage({answer});
+    Testing::EndlessServer server(stage.loop(), row.head, row.filler);
+    stage.replaceUpstreams(server.endpoint());
+    cr_assert_eq(stage.ask(row.path), 502U);
+    cr_assert(stage.took < std::chrono::milliseconds{4500});
+    cr_assert_leq(server.connections, 2U);
+    cr_assert_lt(server.bytesSent, server.connections * mostReceived);
+}
+
+/// A stream that sends a byte now and then, but no event, is left like a silent one.
+Test(CallForwarder, leavesAStreamThatSendsBytesButNoEvents)
+{
+    Stage stage({streamBytesOnly, streamRest});
+    cr_assert_eq(stage.ask("/stream/1"), 200U);
+    cr_assert_eq(stage.body, std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    cr_assert(stage.took < std::chrono::milliseconds{2500});
+    cr_assert_eq(stage.sends, 2U);
+}
+
+/// A slow stream whose events come is not cut.
+Test(CallForwarder, keepsASlowButSoundStream)
+{
+    Stage stage({streamSlowly, streamRest});
+    cr_assert_eq(stage.ask("/stream/1"), 200U);
+    cr_assert_eq(stage.sends, 1U);
+    cr_assert(stage.took > std::chrono::milliseconds{2000});
+}
--- a/tests/gateway/eventsplittertest.cpp
+++ b/tests/gateway/eventsplittertest.cpp
@@ -43,3 +43,16 @@
     cr_assert_eq(whole, std::string(row.whole));
     cr_assert_eq(splitter.hasPartial(), std::string_view(row.bytes).size() > whole.size());
 }
+
+Test(EventSplitter, givesUpOnAnEventWithoutEnd)
+{
+    EventSplitter splitter;
+    cr_assert_eq(splitter.feed("id: 1\ndata: a\n\nid: 2\n"), std::string("id: 1\ndata: a\n\n"));
+    const std::string filler(10000, 'x');
+    for (int i = 0; i < 100; ++i)
+        cr_assert(splitter.feed(filler).empty());
+    cr_assert(splitter.hasOverflowed());
+    cr_assert(splitter.hasPartial());
+    cr_assert(splitter.feed("\n\nid: 3\ndata: c\n\n").empty(), "nothing is taken up after it");
+    cr_assert_eq(*splitter.lastId(), 1U);
+}
--- a/tests/gateway/gatewaysettingstest.cpp
+++ b/tests/gateway/gatewaysettingstest.cpp
@@ -99,6 +99,12 @@
     cr_assert_eq(parseGatewaySettings(good + row.line, "f").value->capacity, row.capacity);
 }
 
+Test(GatewaySettings, keepAnswersInAQuarterOfTheMemory)
+{
+    const auto settings = parseGatewaySettings(good + std::string("machine: {memory_mb: 160}\n"), "f");
+    cr_assert_eq(settings.value->keptAnswerBytes, 40U * 1024 * 1024);
+}
+
 TABLE_TEST(GatewaySettings, onlySomeAreTakenOverWhileRunning, rereads)
 {
     const auto running = *parseGatewaySettings(good, "f").value;
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -2,6 +2,7 @@
 
 #include "http/eventloop.h"
 #include "http/server.h"
+#include "support/endlessserver.h"
 #include "support/table.h"
 
 #include <string>
@@ -132,3 +133,46 @@
     cr_assert(gone);
     held.reset();
 }
+
+namespace
+{
+
+struct EndlessCase {
+    const char *head;
+    const char *filler;
+};
+
+const EndlessCase endless[] = {
+    {"HTTP/1.1 200 ", "OK"},
+    {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=", "b"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: ", "b"},
+};
+
+} // namespace
+
+TABLE_TEST(Client, givesUpOnBytesWithoutEnd, endless)
+{
+    EventLoop loop;
+    Testing::EndlessServer server(loop, row.head, row.filler);
+    Client client(loop);
+    bool ended = false;
+    bool failed = false;
+    ResponseObserver observer;
+    observer.onEnd = [&] {
+        ended = true;
+        loop.stop();
+    };
+    observer.onFailure = [&](const TransportFailure &failure) {
+        failed = failure.sent;
+        loop.stop();
+    };
+    client.send(server.endpoint(), {"GET", "/", {}, {}}, observer);
+    loop.runAfter(std::chrono::seconds{3}, [&] { loop.stop(); });
+    loop.run();
+    cr_assert(failed);
+    cr_assert_not(ended);
+    cr_assert_lt(server.bytesSent, 8U * 1024 * 1024, "%zu", server.bytesSent);
+}
--- a/tests/relay/responsereadertest.cpp
+++ b/tests/relay/responsereadertest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/table.h"
 
+#include <string>
+
 using namespace Gypsumtally::Relay;
 
 namespace
@@ -78,3 +80,39 @@
     cr_assert(reader.keepsConnection());
     cr_assert_eq(reader.keepAliveSeconds().value_or(0), 5U);
 }
+
+namespace
+{
+
+struct EndlessCase {
+    const char *head;
+    const char *filler;
+};
+
+const EndlessCase endless[] = {
+    {"HTTP/1.1 200 ", "OK"},
+    {"", "x"},
+    {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+    {"HTTP/1.1 200 OK\r\nX-A: ", "b"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=", "b"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: ", "b"},
+};
+
+} // namespace
+
+TABLE_TEST(ResponseReader, givesUpOnWhatHasNoEnd, endless)
+{
+    std::size_t body = 0;
+    ResponseReader reader({[](const ResponseHead &) {}, [&](std::string_view piece) { body += piece.size(); }});
+    if (row.head[0] != 0)
+        reader.feed(row.head);
+    std::string filler;
+    while (filler.size() < 1000)
+        filler += row.filler;
+    for (int i = 0; i < 100 && reader.state() == State::Reading; ++i)
+        reader.feed(filler);
+    cr_assert(reader.state() == State::Failed);
+    cr_assert_eq(body, 0U);
+}
