--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -162,6 +162,8 @@
     /// Nodes take each other for live by what they hear; the record only tells new nodes where to ask.
     static constexpr Duration nodeLeaseTtl = std::chrono::seconds{30};
     static constexpr Duration renewInterval = std::chrono::seconds{10};
+    /// A node that has just started takes itself for the first of its failure domain until it has heard the others.
+    static constexpr Duration settlingTime = std::chrono::milliseconds{1200};
     static constexpr double noteworthySpeedRatio = 1.3;
     static constexpr Duration speedNotePause = std::chrono::seconds{5};
     static constexpr std::size_t mostDepartures = 64; ///< In one digest.
@@ -292,6 +294,13 @@
         return relays.front() == m_address;
     }
 
+    ReadRole readRole(Instant now) const
+    {
+        if (now - m_started < settlingTime)
+            return ReadRole::Unsettled;
+        return readsForDomain(now) ? ReadRole::Reader : ReadRole::ReadFor;
+    }
+
     /// Tells the nodes of the failure domain what this one has read, if it reads for them.
     void shareRead(const RegistryUpdate &update)
     {
@@ -502,7 +511,7 @@
         m_lastTick = now;
         m_context.upstreams.sweep(now);
         m_store.sweep(now);
-        m_registry.setReads(readsForDomain(now), m_settings.drainBound);
+        m_registry.setRole(readRole(now), m_settings.drainBound);
         tickOrders(now);
         const auto shares = allowanceSharesPerNode * static_cast<double>(1 + m_members.peerCount(now));
         m_context.allowance.setNodes(std::max(leastAllowanceShares, static_cast<unsigned>(shares)));
@@ -875,6 +884,7 @@
     std::array<Ordering, orderShards> m_ordering; ///< Which other nodes order engines, as they said last.
     ShardSizes m_shardSizes{}; ///< Of those that are ordered at present.
     std::uint64_t m_ticks = 0;
+    Instant m_started = BootClock{}.now();
     Instant m_lastTick{};
     Instant m_peerHeard{};
     struct NotedSpeed {
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -115,6 +115,7 @@
         Duration afterChanges{}; ///< That came from the store or another node.
         Duration afterNothing{}; ///< The store had waited for changes in vain.
         Duration afterFailure = std::chrono::milliseconds{300};
+        Duration afterSnapshot{};
     };
 
     void setPauses(const Pauses &pauses)
@@ -148,7 +149,10 @@
             if (m_observer.onBatchEnd)
                 m_observer.onBatchEnd();
             m_revision = reply.revision;
-            follow();
+            if (m_pauses.afterSnapshot > Duration{})
+                followAfter(m_pauses.afterSnapshot);
+            else
+                follow();
         });
     }
 
--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -10,6 +10,13 @@
 namespace Gypsumtally::Gateway
 {
 
+/// What a node reads of the store, beside a snapshot at its start.
+enum class ReadRole {
+    Unsettled, ///< It has just started and has not heard the others yet.
+    Reader, ///< All changes, for its failure domain.
+    ReadFor, ///< What the node that reads for it has not told in time.
+};
+
 /// All that a node follows in the store. In each failure domain one node reads for the others, which go on by its
 /// shares and ask themselves where these end. Loop's thread only.
 template<GatewayStore Store>
@@ -46,15 +53,21 @@
         m_ownRecords.start();
     }
 
-    /// Sets whether this node reads for the others of its failure domain, or is read for by one of them.
-    void setReads(bool readsForDomain, Duration drainBound)
+    /// Sets whether this node reads for the others of its failure domain.
+    void setRole(ReadRole role, Duration drainBound)
     {
         const auto pause = upstreamPause(drainBound);
         const auto patience = std::chrono::duration_cast<Duration>(pause * sharedPauseFactor);
         const auto pausesOf = [&](Duration pauseOfReader) -> typename Follower::Pauses {
-            if (readsForDomain)
-                return {pauseOfReader, {}, retryPause};
-            return {patience, patience, patience};
+            switch (role) {
+            case ReadRole::Reader:
+                return {pauseOfReader, {}, retryPause, {}};
+            case ReadRole::ReadFor:
+                return {patience, patience, patience, patience};
+            case ReadRole::Unsettled:
+                break;
+            }
+            return {unsettledPause, unsettledPause, retryPause, unsettledPause};
         };
         m_operatorDocuments.setPauses(pausesOf(operatorPause));
         m_upstreamRecords.setPauses(pausesOf(pause));
@@ -94,6 +107,7 @@
     /// A node that is read for waits longer by this before it asks itself: the time of a call and a datagram. Both
     /// pauses and a call together stay within the time that drains allow.
     static constexpr double sharedPauseFactor = 1.3;
+    static constexpr Duration unsettledPause = std::chrono::milliseconds{1200};
     static constexpr Duration retryPause = std::chrono::milliseconds{400}; ///< Of the node that reads for others.
 
     static Duration upstreamPause(Duration drainBound)
--- /dev/null
+++ b/tests/gateway/registryviewstest.cpp
@@ -0,0 +1,124 @@
+#include "gateway/registryviews.h"
+
+#include "support/table.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+/// A store that answers snapshots at once and lets watches wait, and counts both.
+struct CountingStore {
+    void transact(const KeyTransaction &, StoreLease, const std::function<void(KeyReply)> &)
+    {
+    }
+
+    void readPrefix(const std::string &, const std::function<void(KeyReply)> &onReply)
+    {
+        ++reads;
+        onReply({KeyOutcome::Applied, 10, {}});
+    }
+
+    void watch(const std::string &, Revision, Duration, const std::function<void(WatchResult)> &)
+    {
+        ++watches;
+    }
+
+    void grantLease(Duration, const std::function<void(std::optional<StoreLease>)> &)
+    {
+    }
+
+    void renewLease(StoreLease, const std::function<void(std::optional<bool>)> &)
+    {
+    }
+
+    void endLease(StoreLease)
+    {
+    }
+
+    unsigned reads = 0;
+    unsigned watches = 0;
+};
+
+struct Viewer {
+    Viewer()
+        : views(loop, store, std::chrono::milliseconds{2500}, {"op/", observer()}, {"up/", observer()},
+                {"own/", observer()}, [](const RegistryUpdate &) {})
+    {
+    }
+
+    RegistryViews<CountingStore>::Observer observer()
+    {
+        return {[](const std::vector<KeyValue> &) {}, [this](const KeyChange &) { ++changes; }, {}, {}};
+    }
+
+    /// Starts in @p role and runs the loop for @p time, while the reader of the domain tells of a change of each view
+    /// every @p sharePause, if that is not zero.
+    void start(ReadRole role, Duration time, Duration sharePause)
+    {
+        views.setRole(role, std::chrono::milliseconds{2500});
+        views.start();
+        if (sharePause > Duration{})
+            share(sharePause, 10);
+        loop.runAfter(time, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    void share(Duration pause, Revision revision)
+    {
+        loop.runAfter(pause, [this, pause, revision] {
+            for (const auto view :
+                 {RegistryView::OperatorDocuments, RegistryView::UpstreamRecords, RegistryView::OwnRecords})
+                views.onShared({view, {revision, {{"k", "v", revision + 1}}, revision + 1}});
+            share(pause, revision + 1);
+        });
+    }
+
+    Http::EventLoop loop;
+    CountingStore store;
+    RegistryViews<CountingStore> views;
+    unsigned changes = 0;
+};
+
+struct RoleCase {
+    ReadRole role;
+    int sharePauseMs;
+    unsigned watches; ///< Within 600 ms.
+};
+
+const RoleCase roles[] = {
+    {ReadRole::Reader, 0, 3},     {ReadRole::Reader, 50, 3}, {ReadRole::Unsettled, 0, 0},
+    {ReadRole::Unsettled, 50, 0}, {ReadRole::ReadFor, 0, 0}, {ReadRole::ReadFor, 50, 0},
+};
+
+} // namespace
+
+TABLE_TEST(RegistryViews, onlyTheReaderAsksTheStoreForChangesAtOnce, roles)
+{
+    Viewer viewer;
+    viewer.start(row.role, std::chrono::milliseconds{600}, std::chrono::milliseconds{row.sharePauseMs});
+    cr_assert_eq(viewer.store.reads, 3U);
+    cr_assert_eq(viewer.store.watches, row.watches);
+    if (row.sharePauseMs > 0 && row.role != ReadRole::Reader)
+        cr_assert_geq(viewer.changes, 15U, "%u", viewer.changes);
+}
+
+namespace
+{
+
+const ReadRole others[] = {ReadRole::Unsettled, ReadRole::ReadFor};
+
+} // namespace
+
+/// Nobody tells of changes: the node asks itself, before drains have passed unseen.
+TABLE_TEST(RegistryViews, asksItselfInTheEnd, others)
+{
+    Viewer viewer;
+    viewer.start(row, std::chrono::milliseconds{1400}, {});
+    cr_assert_eq(viewer.store.watches, 3U);
+}
