Requests at work are told with each prompt, and their ends where an engine is short of slots

A report now names the sender's requests at the upstream of its prompt, and a request's end where three quarters of the slots are taken; reports that overtake each other are told apart by their numbers. A request's end at a process that was replaced meanwhile is no longer taken off the new one.

--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -48,6 +48,8 @@
         onWanted;
     /// Tells the other nodes of a prompt that is sent to an engine, now or in a moment.
     std::function<void(const std::string &instance, double tokens, Duration in)> onPrompt;
+    /// Tells the other nodes that a request of this one has ended at an upstream that is short of room.
+    std::function<void(const std::string &instance)> onRelieved;
     /// Tells the holder that an engine does not hold a target.
     std::function<void(const std::string &instance, const ModelTarget &target)> onMissing;
 
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -99,6 +99,7 @@
     static constexpr Duration usualSilence = std::chrono::milliseconds{900}; ///< Where a route allows any pause.
     static constexpr Duration crashWindow = std::chrono::milliseconds{1500}; ///< Within which breaks tell of one crash.
     static constexpr Duration promptEcho = std::chrono::milliseconds{150}; ///< A prompt sent before may still be read.
+    static constexpr double crowdedPart = 0.75; ///< Of an engine's slots; from there on others hear of each end.
     static constexpr std::size_t mostAnswerBytes = 4 * 1024 * 1024; ///< As much as callers may send.
     static constexpr Duration together = std::chrono::milliseconds{150};
     static constexpr Duration announcementTime = std::chrono::milliseconds{30}; ///< Until all nodes know of a prompt.
@@ -409,11 +410,11 @@
         call->processStartedAt = upstream->record.startedAt;
         call->inFlightAtSend = upstream->inFlight();
         call->slownessAtSend = slownessOf(*upstream, m_context.speeds[call->service].speed());
-        if (!std::exchange(call->reservation, std::nullopt))
-            announcePrompt(*call, choice.instance, now, now);
         if (upstream->ownInFlight == 0)
             upstream->waitingSince = now;
         ++upstream->ownInFlight;
+        if (!std::exchange(call->reservation, std::nullopt))
+            announcePrompt(*call, choice.instance, now, now);
         Relay::SendOptions options;
         options.connectTimeout = std::chrono::milliseconds{call->request.target.empty() ? 150 : 300};
         if (!call->route.mayRepeat())
@@ -441,8 +442,13 @@
     void release(const CallPtr &call)
     {
         call->token = 0;
-        if (auto *upstream = m_context.upstreams.find(call->instance); upstream && upstream->ownInFlight > 0)
-            --upstream->ownInFlight;
+        auto *upstream = m_context.upstreams.find(call->instance);
+        if (!upstream || upstream->record.startedAt != call->processStartedAt || upstream->ownInFlight == 0)
+            return;
+        const bool wasCrowded = upstream->inFlight() >= crowdedPart * upstream->record.slots;
+        --upstream->ownInFlight;
+        if (wasCrowded && !call->request.target.empty() && m_context.onRelieved)
+            m_context.onRelieved(call->instance);
     }
 
     /// Sends nothing to the upstream for a while, and nothing on its kept connections.
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -134,6 +134,12 @@
             rows.push_back({instance, requests});
         object["in_flight"] = std::move(rows);
     }
+    if (!report.changedInFlight.empty()) {
+        json::array rows;
+        for (const auto &[instance, requests] : report.changedInFlight)
+            rows.push_back({instance, requests});
+        object["changed_in_flight"] = std::move(rows);
+    }
     if (!report.steps.empty()) {
         json::array steps;
         for (const auto &step : report.steps)
@@ -196,6 +202,8 @@
     report.hasInFlight = arrayAt(object, "in_flight") != nullptr;
     eachRow(object, "in_flight",
             [&](const json::array &row) { report.inFlight[textIn(row, 0)] = numberIn<unsigned>(row, 1); });
+    eachRow(object, "changed_in_flight",
+            [&](const json::array &row) { report.changedInFlight[textIn(row, 0)] = numberIn<unsigned>(row, 1); });
     eachRow(object, "steps", [&](const json::array &row) {
         report.steps.push_back({textIn(row, 0), numberIn<double>(row, 1)});
     });
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -83,6 +83,7 @@
     std::vector<unsigned> ordering; ///< Shards whose engines the node orders at present.
     std::map<std::string, unsigned> inFlight; ///< Its requests at work, by upstream instance.
     bool hasInFlight = false; ///< Whether @c inFlight replaces what was told before.
+    std::map<std::string, unsigned> changedInFlight; ///< Its requests at work at upstreams where that has changed.
     std::vector<StepNotice> steps; ///< Learnt since the last digest.
     std::vector<SpeedNotice> speeds; ///< With digests.
     std::vector<PromptNotice> prompts; ///< Sent just now, or about to be.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -100,6 +100,12 @@
         m_context.onPrompt = [this](const std::string &instance, double tokens, Duration in) {
             auto notice = report();
             notice.prompts.push_back({instance, tokens, in});
+            addLoad(notice, instance);
+            tell(std::move(notice));
+        };
+        m_context.onRelieved = [this](const std::string &instance) {
+            auto notice = report();
+            addLoad(notice, instance);
             tell(std::move(notice));
         };
         m_context.onMissing
@@ -592,6 +598,12 @@
         return report;
     }
 
+    void addLoad(NodeReport &notice, const std::string &instance)
+    {
+        if (const auto *upstream = m_context.upstreams.find(instance))
+            notice.changedInFlight[instance] = upstream->ownInFlight;
+    }
+
     /// Returns a message without contents for one other node.
     GatewayMessage message() const
     {
@@ -659,7 +671,7 @@
         tell(std::move(digest));
         tellUse(used);
         for (const auto &node : m_members.silentNodes(now))
-            m_context.upstreams.onPeerLoads(node, {});
+            m_context.upstreams.forgetPeer(node);
         const auto byFleet = digestIntervalPerNode * m_members.peerCount(now);
         m_loop.runAfter(std::max<Duration>(digestInterval, byFleet), [this] { this->digest(); });
     }
@@ -799,13 +811,18 @@
     {
         if (report.from.node == m_address.node)
             return;
+        const ReportStamp stamp{report.from.node, report.from.startedAt, report.sequence};
         if (m_members.onHeard(report, now)) {
             for (const auto shard : report.ordering) {
                 if (shard < orderShards)
                     m_ordering[shard] = {report.from.node, now};
             }
             if (report.hasInFlight)
-                m_context.upstreams.onPeerLoads(report.from.node, report.inFlight);
+                m_context.upstreams.onPeerLoads(stamp, report.inFlight);
+        }
+        if (m_members.isLive(report.from.node, now)) {
+            for (const auto &[instance, requests] : report.changedInFlight)
+                m_context.upstreams.onPeerLoad(stamp, instance, requests);
         }
         for (const auto &step : report.steps) {
             if (auto *upstream = m_context.upstreams.find(step.instance))
--- a/src/gateway/upstreamtable.cpp
+++ b/src/gateway/upstreamtable.cpp
@@ -24,8 +24,8 @@
                        || upstream.record.endpoint != record.endpoint;
     if (isNew) {
         upstream = Upstream{};
-        for (auto &[node, loads] : m_peerLoads)
-            loads.erase(record.instance);
+        for (auto &[node, peer] : m_peers)
+            peer.loads.erase(record.instance);
     }
     upstream.record = record;
     if (const auto left = m_left.find(record.instance); left != m_left.end()) {
@@ -103,18 +103,72 @@
     return it == m_upstreams.end() ? nullptr : &it->second;
 }
 
-void UpstreamTable::onPeerLoads(const std::string &node, const std::map<std::string, unsigned> &inFlight)
-{
-    auto &known = m_peerLoads[node];
-    const auto addAll = [&](const std::map<std::string, unsigned> &loads, auto &&add) {
-        for (const auto &[instance, requests] : loads) {
-            if (auto *upstream = find(instance))
-                add(upstream->peersInFlight, requests);
-        }
-    };
-    addAll(known, [](unsigned &sum, unsigned requests) { sum -= std::min(sum, requests); });
-    addAll(inFlight, [](unsigned &sum, unsigned requests) { sum += requests; });
-    known = inFlight;
+/// Returns what is known of the node's process, or null if the report is of an earlier one.
+UpstreamTable::Peer *UpstreamTable::peerOf(const ReportStamp &stamp)
+{
+    auto &peer = m_peers[stamp.node];
+    if (stamp.startedAt < peer.startedAt)
+        return nullptr;
+    if (stamp.startedAt > peer.startedAt) {
+        forgetPeer(stamp.node);
+        m_peers[stamp.node].startedAt = stamp.startedAt;
+        return &m_peers[stamp.node];
+    }
+    return &peer;
+}
+
+void UpstreamTable::setLoad(Peer &peer, const std::string &instance, PeerLoad load)
+{
+    auto &known = peer.loads[instance];
+    if (auto *upstream = find(instance)) {
+        upstream->peersInFlight -= std::min(upstream->peersInFlight, known.inFlight);
+        upstream->peersInFlight += load.inFlight;
+    }
+    known = load;
+}
+
+void UpstreamTable::onPeerLoads(const ReportStamp &stamp, const std::map<std::string, unsigned> &inFlight)
+{
+    auto *peer = peerOf(stamp);
+    if (!peer || stamp.sequence < peer->wholeSequence)
+        return;
+    peer->wholeSequence = stamp.sequence;
+    for (const auto &[instance, requests] : inFlight) {
+        const auto known = peer->loads.find(instance);
+        if (known == peer->loads.end() || known->second.sequence <= stamp.sequence)
+            setLoad(*peer, instance, {requests, stamp.sequence});
+    }
+    std::vector<std::string> unnamed;
+    for (const auto &[instance, load] : peer->loads) {
+        if (!inFlight.contains(instance) && load.sequence <= stamp.sequence)
+            unnamed.push_back(instance);
+    }
+    for (const auto &instance : unnamed) {
+        setLoad(*peer, instance, {});
+        peer->loads.erase(instance);
+    }
+}
+
+void UpstreamTable::onPeerLoad(const ReportStamp &stamp, const std::string &instance, unsigned inFlight)
+{
+    auto *peer = peerOf(stamp);
+    if (!peer || stamp.sequence < peer->wholeSequence)
+        return;
+    const auto known = peer->loads.find(instance);
+    if (known == peer->loads.end() || known->second.sequence < stamp.sequence)
+        setLoad(*peer, instance, {inFlight, stamp.sequence});
+}
+
+void UpstreamTable::forgetPeer(const std::string &node)
+{
+    const auto it = m_peers.find(node);
+    if (it == m_peers.end())
+        return;
+    for (const auto &[instance, load] : it->second.loads) {
+        if (auto *upstream = find(instance))
+            upstream->peersInFlight -= std::min(upstream->peersInFlight, load.inFlight);
+    }
+    it->second.loads.clear();
 }
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -71,6 +71,13 @@
     }
 };
 
+/// Which report of which node something is from: reports may overtake each other.
+struct ReportStamp {
+    std::string node;
+    std::int64_t startedAt = 0; ///< Of the node's process.
+    std::uint64_t sequence = 0; ///< Grows with each report of a process.
+};
+
 /// The upstreams that may get requests, from the registry's records. Knows that records which lapsed while the
 /// registry was away come back. Not thread-safe; does no I/O.
 class UpstreamTable
@@ -118,13 +125,33 @@
     bool markLeaving(const std::string &instance);
 
     /// Takes in how many requests another node has at work at upstreams. It has none at those that it does not name.
-    void onPeerLoads(const std::string &node, const std::map<std::string, unsigned> &inFlight);
+    void onPeerLoads(const ReportStamp &stamp, const std::map<std::string, unsigned> &inFlight);
+
+    /// Takes in how many requests another node has at work at one upstream; what it said of others stands.
+    void onPeerLoad(const ReportStamp &stamp, const std::string &instance, unsigned inFlight);
+
+    /// The node is not heard any more: what it had at work is not counted.
+    void forgetPeer(const std::string &node);
 
 private:
     bool mayHaveLapsed(Instant now) const;
 
     std::map<std::string, Upstream> m_upstreams;
-    std::unordered_map<std::string, std::map<std::string, unsigned>> m_peerLoads; ///< By node and upstream.
+    struct PeerLoad {
+        unsigned inFlight = 0;
+        std::uint64_t sequence = 0; ///< Of the report that told it.
+    };
+
+    struct Peer {
+        std::int64_t startedAt = 0;
+        std::uint64_t wholeSequence = 0; ///< Of the last report that told of all upstreams.
+        std::map<std::string, PeerLoad> loads; ///< By upstream.
+    };
+
+    Peer *peerOf(const ReportStamp &stamp);
+    void setLoad(Peer &peer, const std::string &instance, PeerLoad load);
+
+    std::unordered_map<std::string, Peer> m_peers; ///< By node.
     struct LeftProcess {
         std::int64_t startedAt = 0;
         Http::Endpoint endpoint;
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -41,7 +41,7 @@
     {[](UpstreamTable &) {}, "near"},
     {[](UpstreamTable &table) { table.find("near")->ownInFlight = 30; }, "far"},
     {[](UpstreamTable &table) {
-         table.onPeerLoads("n", {{"near", 30}});
+         table.onPeerLoads({"n", 1, 1}, {{"near", 30}});
      },
      "far"},
     {[](UpstreamTable &table) { table.find("near")->prompts.add(3000, now, now); }, "far"},
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -17,6 +17,7 @@
     report.ordering = {0, 3};
     report.hasInFlight = true;
     report.inFlight["e1"] = 3;
+    report.changedInFlight["e6"] = 4;
     report.steps = {{"e1", 13.2}};
     report.speeds = {{"s", {10.25, 20.5, 1500, 0}}};
     report.prompts = {{"e1", 1110, std::chrono::milliseconds{40}}};
@@ -59,6 +60,7 @@
     cr_assert(report.takesCallers);
     cr_assert(report.ordering == sent.ordering);
     cr_assert_eq(report.inFlight.at("e1"), 3U);
+    cr_assert_eq(report.changedInFlight.at("e6"), 4U);
     cr_assert_eq(report.steps.front().stepMs, 13.2);
     cr_assert_eq(report.speeds.size(), 1U);
     cr_assert_eq(report.speeds.front().service, std::string("s"));
--- a/tests/gateway/upstreamtabletest.cpp
+++ b/tests/gateway/upstreamtabletest.cpp
@@ -81,21 +81,69 @@
 {
     auto table = tableWith("a");
     table.find("a")->ownInFlight = 2;
-    table.onPeerLoads("n1", {{"a", 3}});
-    table.onPeerLoads("n2", {{"a", 1}});
+    table.onPeerLoads({"n1", 1, 1}, {{"a", 3}});
+    table.onPeerLoads({"n2", 1, 1}, {{"a", 1}});
     cr_assert_eq(table.find("a")->inFlight(), 6U);
-    table.onPeerLoads("n1", {});
+    table.onPeerLoads({"n1", 1, 2}, {});
     cr_assert_eq(table.find("a")->inFlight(), 3U);
+    table.forgetPeer("n2");
+    cr_assert_eq(table.find("a")->inFlight(), 2U);
 }
 
 Test(UpstreamTable, theLoadOfAnEarlierProcessIsNotCounted)
 {
     auto table = tableWith("a");
-    table.onPeerLoads("n1", {{"a", 5}});
-    table.onPeerLoads("n2", {{"a", 4}});
+    table.onPeerLoads({"n1", 1, 1}, {{"a", 5}});
+    table.onPeerLoads({"n2", 1, 1}, {{"a", 4}});
     table.onRecord(record("a", 2), after(100));
     cr_assert_eq(table.find("a")->inFlight(), 0U);
-    table.onPeerLoads("n1", {{"a", 1}});
-    table.onPeerLoads("n2", {{"a", 2}});
+    table.onPeerLoads({"n1", 1, 2}, {{"a", 1}});
+    table.onPeerLoads({"n2", 1, 2}, {{"a", 2}});
     cr_assert_eq(table.find("a")->inFlight(), 3U);
 }
+
+namespace
+{
+
+/// A report of node `n`: whole if @c whole, otherwise of a change.
+struct LoadReport {
+    std::int64_t startedAt;
+    std::uint64_t sequence;
+    bool whole;
+    unsigned inFlight; ///< At `a`; a whole report with none does not name it.
+};
+
+struct OvertakingCase {
+    std::vector<LoadReport> reports;
+    unsigned inFlight;
+};
+
+const OvertakingCase overtaking[] = {
+    {{{1, 1, false, 3}, {1, 2, false, 4}}, 4},
+    {{{1, 2, false, 4}, {1, 1, false, 3}}, 4},
+    {{{1, 3, false, 4}, {1, 2, true, 1}}, 4}, // The change was told after the whole report.
+    {{{1, 2, true, 1}, {1, 1, false, 4}}, 1},
+    {{{1, 2, false, 4}, {1, 3, true, 0}}, 0},
+    {{{1, 2, false, 4}, {1, 3, true, 0}, {1, 2, false, 4}}, 0},
+    {{{1, 5, true, 4}, {1, 4, true, 9}}, 4},
+    {{{1, 90, false, 4}, {2, 1, false, 1}}, 1}, // Restarted.
+    {{{2, 1, false, 1}, {1, 90, false, 4}}, 1},
+    {{{2, 1, true, 1}, {1, 90, true, 4}}, 1},
+};
+
+} // namespace
+
+TABLE_TEST(UpstreamTable, reportsMayOvertakeEachOther, overtaking)
+{
+    auto table = tableWith("a");
+    for (const auto &each : row.reports) {
+        const ReportStamp stamp{"n", each.startedAt, each.sequence};
+        if (!each.whole)
+            table.onPeerLoad(stamp, "a", each.inFlight);
+        else if (each.inFlight == 0)
+            table.onPeerLoads(stamp, {});
+        else
+            table.onPeerLoads(stamp, {{"a", each.inFlight}});
+    }
+    cr_assert_eq(table.find("a")->inFlight(), row.inFlight);
+}
