--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -20,7 +20,7 @@
 constexpr Duration wantedVictimIdle = std::chrono::milliseconds{400}; ///< Longer than usage takes to be told.
 constexpr Duration routineVictimIdle = std::chrono::milliseconds{1500};
 constexpr double crowdedFactor = 1.4; ///< Of the mean load; above this an engine gets no new adapters.
-constexpr double crowdedSlack = 4; ///< Requests.
+constexpr double crowdedSlackPart = 1.0 / 16; ///< Of the slots.
 constexpr double cachedPreference = 4; ///< Loads from an engine's own memory are fast and not priced.
 constexpr double newRegionPreference = 6; ///< A further copy spares its region's callers the way to another one.
 constexpr double leastRateOfFurtherCopy = 1; ///< Requests a second.
@@ -31,6 +31,12 @@
 constexpr double forgottenWeight = 0.01;
 constexpr std::size_t cachedAdapters = 120; ///< What an engine keeps in its memory; the platform's sheet.
 
+/// Returns the requests above which an engine of a service with @p mean of them gets no new adapters.
+double crowdedLoad(double mean, unsigned slots)
+{
+    return crowdedFactor * mean + crowdedSlackPart * slots;
+}
+
 bool isAdapter(const ModelTarget &target)
 {
     return !adapterOf(target).empty();
@@ -251,7 +257,8 @@
 void AdapterPlacer::place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions)
 {
     const std::string model(baseOf(target));
-    const double crowded = crowdedFactor * meanLoad(service) + crowdedSlack;
+    const double mean = meanLoad(service);
+    const bool isHeld = m_surroundings.copies.contains(target) || copiesOf(target) > 0;
     const double rate = std::max(rateOf(target, now), leastRateOfWanted);
     std::set<std::string> regions; // That have a copy already.
     for (const auto &[instance, engine] : m_engines) {
@@ -265,6 +272,9 @@
         if (engine.placed.service != service || !canOrder(engine) || !engine.models.contains(model)
             || m_overview.comingTo[instance] >= m_settings.loadsPerEngine || serves(engine, target))
             continue;
+        const bool isBusy = engine.placed.load >= engine.placed.slots;
+        if (isBusy && isHeld)
+            continue; // A further copy would be as little use there as those that there are.
         const bool full = used(engine) >= engine.placed.adapterSlots;
         if (full) {
             const auto &victim = wantedVictim(engine, now);
@@ -274,7 +284,9 @@
         double score = rendezvousScore(key, instance);
         if (engine.cached.contains(target))
             score *= cachedPreference;
-        if (engine.placed.load > crowded)
+        if (isBusy)
+            score *= 1e-6;
+        else if (engine.placed.load > crowdedLoad(mean, engine.placed.slots))
             score *= 0.01;
         if (!regions.contains(engine.placed.region))
             score *= newRegionPreference;
@@ -347,6 +359,7 @@
         return 0;
     unsigned copies = 0;
     double lightest = std::numeric_limits<double>::infinity();
+    unsigned slots = 1;
     for (const auto &[instance, engine] : m_engines) {
         if (engine.placed.service != demand.service || !engine.placed.takesOrders)
             continue;
@@ -354,6 +367,7 @@
         if (!isOrdered && !serves(engine, target))
             continue;
         ++copies;
+        slots = std::max(slots, engine.placed.slots);
         lightest = std::min(lightest, isOrdered ? 0 : engine.placed.load);
     }
     if (const auto foreign = m_surroundings.copies.find(target); foreign != m_surroundings.copies.end()) {
@@ -364,7 +378,7 @@
     if (copies == 0) // Others are placed when they are wanted.
         return newestVersion(target) > 0 && isNext ? outdatedNeed + rate : 0;
     double need = rate / (m_settings.requestsPerCopy * copies);
-    if (lightest > crowdedFactor * meanLoad(demand.service) + crowdedSlack)
+    if (lightest > crowdedLoad(meanLoad(demand.service), slots))
         need = std::max(need, 1 + rate);
     // Placers take turns, but for a pressing need, as the one whose turn it is may have no room.
     return isNext || need >= pressingNeed ? need : 0;
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -82,6 +82,7 @@
     std::int64_t startedAt = 0; ///< Tells processes of one instance apart.
     bool takesOrders = true; ///< False for one that is draining.
     unsigned adapterSlots = 0;
+    unsigned slots = 1; ///< Requests that it works on at once.
     double load = 0; ///< Requests at work, of the whole fleet.
     std::set<std::string> storedModels; ///< Loaded from its own disk or memory.
 };
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -99,6 +99,8 @@
     static constexpr Duration usualSilence = std::chrono::milliseconds{900}; ///< Where a route allows any pause.
     static constexpr Duration crashWindow = std::chrono::milliseconds{1500}; ///< Within which breaks tell of one crash.
     static constexpr Duration promptEcho = std::chrono::milliseconds{150}; ///< A prompt sent before may still be read.
+    /// What a request waits for room before it asks for a copy at another engine.
+    static constexpr Duration fullPatience = std::chrono::milliseconds{100};
     static constexpr double crowdedPart = 0.75; ///< Of an engine's slots; from there on others hear of each end.
     static constexpr std::size_t mostAnswerBytes = 4 * 1024 * 1024; ///< As much as callers may send.
     static constexpr Duration together = std::chrono::milliseconds{150};
@@ -219,6 +221,8 @@
                 return wakeAt(call, call->notBefore, now);
             }
             call->notBefore = choice->sendAt;
+            if (choice->isFull && now - call->arrival > fullPatience)
+                want(*call, now);
             if (!choice->isFull) {
                 announcePrompt(*call, choice->instance, choice->sendAt, now);
                 call->reservation = *choice;
@@ -312,12 +316,18 @@
         }
         if (now >= call->waitUntil)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "the adapter was not loaded in time");
-        if (now - call->wantedAt >= wantRepeat) {
-            call->wantedAt = now;
-            auto unfit = holdersThatTurnAway(m_context.upstreams, call->request.target, now);
-            unfit.insert(unfit.end(), call->excluded.begin(), call->excluded.end());
-            m_context.onWanted(call->service, call->request.target, unfit, call->wants++);
-        }
+        want(*call, now);
+    }
+
+    /// Asks a holder for a copy of what the call needs, beside those that are of no use to it.
+    void want(Call &call, Instant now)
+    {
+        if (now - call.wantedAt < wantRepeat || adapterOf(call.request.target).empty())
+            return;
+        call.wantedAt = now;
+        auto unfit = holdersWithoutRoom(m_context.upstreams, call.request.target, now);
+        unfit.insert(unfit.end(), call.excluded.begin(), call.excluded.end());
+        m_context.onWanted(call.service, call.request.target, unfit, call.wants++);
     }
 
     /// Every upstream that could serve the call wants no requests until @p next at the least.
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -143,11 +143,12 @@
     return earliest;
 }
 
-std::vector<std::string> holdersThatTurnAway(const UpstreamTable &table, const ModelTarget &target, Instant now)
+std::vector<std::string> holdersWithoutRoom(const UpstreamTable &table, const ModelTarget &target, Instant now)
 {
     std::vector<std::string> holders;
     for (const auto &[instance, upstream] : table.all()) {
-        if (upstream.turnedAwayUntil > now && upstream.residency.find(target))
+        const bool hasRoom = upstream.turnedAwayUntil <= now && upstream.inFlight() < upstream.record.slots;
+        if (!hasRoom && upstream.residency.find(target))
             holders.push_back(instance);
     }
     return holders;
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -75,8 +75,9 @@
 /// no such one. Thread-safe.
 std::optional<Instant> nextReturn(const UpstreamTable &table, const std::string &service, Instant now);
 
-/// Returns the upstreams that have a copy of @p target and want no requests of this node at present. Thread-safe.
-std::vector<std::string> holdersThatTurnAway(const UpstreamTable &table, const ModelTarget &target, Instant now);
+/// Returns the upstreams that have a copy of @p target and cannot serve it at present: they have no room, or want no
+/// requests of this node. Thread-safe.
+std::vector<std::string> holdersWithoutRoom(const UpstreamTable &table, const ModelTarget &target, Instant now);
 
 /// Counts how a request ended at @p upstream, for its failure ratio.
 void noteOutcome(Upstream &upstream, bool failed, Instant now);
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -315,8 +315,8 @@
                 continue;
             }
             engines.push_back({instance, service->name, regionOf(upstream.record.failureDomain, m_context.regions),
-                               upstream.record.startedAt, takesOrders, service->engine->adapterSlots, load,
-                               upstream.record.storedModels});
+                               upstream.record.startedAt, takesOrders, service->engine->adapterSlots,
+                               std::max(1U, upstream.record.slots), load, upstream.record.storedModels});
         }
         for (auto &[service, load] : others.meanLoads)
             load /= count[service];
--- a/tests/gateway/adapterplacertest.cpp
+++ b/tests/gateway/adapterplacertest.cpp
@@ -65,7 +65,7 @@
 {
     AdapterPlacer placer;
     const Instant now{std::chrono::seconds{100}};
-    placer.setEngines({{"e1", "s", "r", 1, true, 8, 0, {}}, {"e2", "s", "r", 1, true, 8, 0, {}}}, {});
+    placer.setEngines({{"e1", "s", "r", 1, true, 8, 64, 0, {}}, {"e2", "s", "r", 1, true, 8, 64, 0, {}}}, {});
     placer.plan(now);
     placer.onReport("e1", EngineReport{1, false, {{"m", 1}, {"m/a", 1}}, {}}, now);
     placer.onReport("e2", EngineReport{1, false, {{"m", 1}}, {}}, now);
@@ -100,7 +100,7 @@
 {
     AdapterPlacer placer;
     const Instant now{std::chrono::seconds{100}};
-    placer.setEngines({{"e1", "s", "r", 1, false, 8, 0, {}}}, {});
+    placer.setEngines({{"e1", "s", "r", 1, false, 8, 64, 0, {}}}, {});
     placer.onUsed("s", "m/a", 50, now);
     placer.onWanted("s", "m/a", 1, {}, now);
     PlacerSurroundings others;
@@ -119,7 +119,7 @@
     std::vector<PlacedEngine> engines;
     engines.reserve(18);
     for (int i = 0; i < 18; ++i)
-        engines.push_back({"e" + std::to_string(i), "s", "r", 1, true, 18, 0, {}});
+        engines.push_back({"e" + std::to_string(i), "s", "r", 1, true, 18, 64, 0, {}});
     placer.setEngines(engines, {});
     placer.plan(now);
     for (const auto &engine : engines)
@@ -129,3 +129,45 @@
     const auto orders = placer.plan(now).orders.size();
     cr_assert(orders > 0 && orders <= 18, "%zu", orders);
 }
+
+namespace
+{
+
+struct RoomCase {
+    double load1; ///< Requests of engine e1, of 12 slots.
+    double load2;
+    bool isHeld; ///< By e1.
+    const char *ordered; ///< Empty: none.
+};
+
+const RoomCase rooms[] = {
+    {12, 11, true, "e2"}, // The copy is at an engine without room.
+    {12, 12, true, ""}, // A second copy would be as little use.
+    {12, 3, false, "e2"}, {3, 12, false, "e1"}, {12, 12, false, "any"}, // A request waits that no engine can serve.
+};
+
+} // namespace
+
+TABLE_TEST(AdapterPlacer, placesWhereThereIsRoom, rooms)
+{
+    for (int adapter = 0; adapter < 30; ++adapter) {
+        AdapterPlacer placer;
+        const Instant now{std::chrono::seconds{100}};
+        placer.setEngines(
+            {{"e1", "s", "r", 1, true, 8, 12, row.load1, {}}, {"e2", "s", "r", 1, true, 8, 12, row.load2, {}}}, {});
+        placer.plan(now);
+        const auto target = "m/a" + std::to_string(adapter);
+        std::vector<ListedTarget> held{{"m", 1}};
+        placer.onReport("e2", EngineReport{1, false, held, {}}, now);
+        if (row.isHeld)
+            held.push_back({target, 1});
+        placer.onReport("e1", EngineReport{1, false, held, {}}, now);
+        placer.onWanted("s", target, 1, row.isHeld ? std::vector<std::string>{"e1"} : std::vector<std::string>{}, now);
+        const auto orders = placer.plan(now).orders;
+        const std::string ordered = orders.empty() ? "" : orders.front().instance;
+        if (std::string(row.ordered) == "any")
+            cr_assert_neq(ordered, std::string());
+        else
+            cr_assert_eq(ordered, std::string(row.ordered), "%s", ordered.c_str());
+    }
+}
--- a/tests/gateway/placementhistory.cpp
+++ b/tests/gateway/placementhistory.cpp
@@ -107,7 +107,7 @@
 {
     std::vector<PlacedEngine> placed;
     for (const auto &[instance, engine] : m_engines)
-        placed.push_back({instance, "s", "r", engine.startedAt, true, adapterSlots, 0, {model}});
+        placed.push_back({instance, "s", "r", engine.startedAt, true, adapterSlots, 64, 0, {model}});
     m_placer.setEngines(placed, {{"s", model, modelLoad}});
 }
 
--- a/tests/gateway/upstreamstatementtest.cpp
+++ b/tests/gateway/upstreamstatementtest.cpp
@@ -197,8 +197,8 @@
 {
     auto table = tableOf(recordOf(7));
     table.find("u")->residency.onLoading("m/a", 1, now, now);
-    cr_assert(holdersThatTurnAway(table, "m/a", now).empty());
+    cr_assert(holdersWithoutRoom(table, "m/a", now).empty());
     applyStatement(table, {"u", 7}, turningAway(std::chrono::seconds{5}), now);
-    cr_assert_eq(holdersThatTurnAway(table, "m/a", now).size(), 1U);
-    cr_assert(holdersThatTurnAway(table, "m/b", now).empty());
+    cr_assert_eq(holdersWithoutRoom(table, "m/a", now).size(), 1U);
+    cr_assert(holdersWithoutRoom(table, "m/b", now).empty());
 }
