--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -101,6 +101,8 @@
     static constexpr Duration promptEcho = std::chrono::milliseconds{150}; ///< A prompt sent before may still be read.
     /// What a request waits for room before it asks for a copy at another engine.
     static constexpr Duration fullPatience = std::chrono::milliseconds{100};
+    /// Of all slots; beyond, further copies would only push out others that are needed.
+    static constexpr double mostUsedForRelief = 0.6;
     static constexpr double crowdedPart = 0.75; ///< Of an engine's slots; from there on others hear of each end.
     static constexpr std::size_t mostAnswerBytes = 4 * 1024 * 1024; ///< As much as callers may send.
     static constexpr Duration together = std::chrono::milliseconds{150};
@@ -221,7 +223,8 @@
                 return wakeAt(call, call->notBefore, now);
             }
             call->notBefore = choice->sendAt;
-            if (choice->isFull && now - call->arrival > fullPatience)
+            if (choice->isFull && now - call->arrival > fullPatience
+                && utilisationOf(m_context.upstreams, call->service, now) < mostUsedForRelief)
                 want(*call, now);
             if (!choice->isFull) {
                 announcePrompt(*call, choice->instance, choice->sendAt, now);
--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -23,17 +23,30 @@
     append(into.crashes, std::move(from.crashes));
     append(into.placements, std::move(from.placements));
     append(into.steps, std::move(from.steps));
-    if (from.sequence < into.sequence)
+    append(into.speeds, std::move(from.speeds));
+    append(into.departures, std::move(from.departures));
+    append(into.turnedAway, std::move(from.turnedAway));
+    if (from.sequence < into.sequence) {
+        if (!into.hasInFlight) {
+            into.changedInFlight.merge(from.changedInFlight);
+            into.hasInFlight = from.hasInFlight;
+            into.inFlight = std::move(from.inFlight);
+        }
         return;
+    }
     into.sequence = from.sequence;
     into.takesCallers = from.takesCallers;
+    into.reachesStore = from.reachesStore;
     into.ordering = std::move(from.ordering);
     if (from.from.callers.port != 0)
         into.from = std::move(from.from);
     if (from.hasInFlight) {
         into.hasInFlight = true;
         into.inFlight = std::move(from.inFlight);
+        into.changedInFlight.clear(); // Older than the whole.
     }
+    from.changedInFlight.merge(into.changedInFlight);
+    into.changedInFlight = std::move(from.changedInFlight);
 }
 
 void addTo(std::vector<NodeReport> &reports, NodeReport &&report)
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -143,6 +143,19 @@
     return earliest;
 }
 
+double utilisationOf(const UpstreamTable &table, const std::string &service, Instant now)
+{
+    double slots = 0;
+    double inFlight = 0;
+    for (const auto &[instance, upstream] : table.all()) {
+        if (upstream.record.service != service || !upstream.takesRequests(now))
+            continue;
+        slots += upstream.record.slots;
+        inFlight += upstream.inFlight();
+    }
+    return slots == 0 ? 1 : inFlight / slots;
+}
+
 std::vector<std::string> holdersWithoutRoom(const UpstreamTable &table, const ModelTarget &target, Instant now)
 {
     std::vector<std::string> holders;
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -75,6 +75,9 @@
 /// no such one. Thread-safe.
 std::optional<Instant> nextReturn(const UpstreamTable &table, const std::string &service, Instant now);
 
+/// Returns the part of the slots of @p service's upstreams that is taken, from 0 to 1 and beyond. Thread-safe.
+double utilisationOf(const UpstreamTable &table, const std::string &service, Instant now);
+
 /// Returns the upstreams that have a copy of @p target and cannot serve it at present: they have no room, or want no
 /// requests of this node. Thread-safe.
 std::vector<std::string> holdersWithoutRoom(const UpstreamTable &table, const ModelTarget &target, Instant now);
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -122,6 +122,8 @@
 json::object reportToJson(const NodeReport &report)
 {
     json::object object{{"sequence", report.sequence}, {"open", report.takesCallers}};
+    if (!report.reachesStore)
+        object["cut_off"] = true;
     if (report.from.callers.port != 0)
         object["from"] = addressToJson(report.from);
     else
@@ -193,6 +195,7 @@
         return std::nullopt;
     report.sequence = numberAt<std::uint64_t>(object, "sequence");
     report.takesCallers = flagAt(object, "open");
+    report.reachesStore = !flagAt(object, "cut_off");
     if (const auto *ordering = arrayAt(object, "ordering")) {
         for (const auto &shard : *ordering) {
             if (shard.is_int64())
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -80,6 +80,7 @@
     NodeAddress from; ///< Only node and startedAt, unless this is a digest.
     std::uint64_t sequence = 0; ///< Grows with each report of a process: one may overtake another.
     bool takesCallers = true; ///< False from the beginning of a graceful stop, and before the first configuration.
+    bool reachesStore = true; ///< The store has answered the last call that follows it.
     std::vector<unsigned> ordering; ///< Shards whose engines the node orders at present.
     std::map<std::string, unsigned> inFlight; ///< Its requests at work, by upstream instance.
     bool hasInFlight = false; ///< Whether @c inFlight replaces what was told before.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -253,6 +253,7 @@
                 [this] { m_forwarder.onPlacement(); },
                 [this](bool reachable) {
                     const auto now = BootClock{}.now();
+                    m_reachesStore = reachable;
                     if (reachable) {
                         m_context.upstreams.onRegistryBack(now);
                     } else {
@@ -296,8 +297,7 @@
     /// Whether this node reads the upstreams' records for the other nodes of its failure domain.
     bool readsForDomain(Instant now) const
     {
-        const auto relays = m_members.relaysOf(m_address.failureDomain, 1, now);
-        return relays.front() == m_address;
+        return m_members.readerOf(m_address.failureDomain, m_reachesStore, now) == m_address;
     }
 
     ReadRole readRole(Instant now) const
@@ -591,6 +591,7 @@
         report.from.startedAt = m_address.startedAt;
         report.sequence = ++m_sequence;
         report.takesCallers = isReady();
+        report.reachesStore = m_reachesStore;
         for (unsigned shard = 0; shard < orderShards; ++shard) {
             if (m_orders[shard]->isOrdering())
                 report.ordering.push_back(shard);
@@ -900,6 +901,7 @@
 
     std::array<Ordering, orderShards> m_ordering; ///< Which other nodes order engines, as they said last.
     ShardSizes m_shardSizes{}; ///< Of those that are ordered at present.
+    bool m_reachesStore = true; ///< As far as the upstreams' records tell, which are asked for most often.
     std::uint64_t m_ticks = 0;
     Instant m_started = BootClock{}.now();
     Instant m_lastTick{};
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -77,6 +77,7 @@
         return false;
     member.sequence = report.sequence;
     member.takesCallers = report.takesCallers;
+    member.reachesStore = report.reachesStore;
     return true;
 }
 
@@ -154,10 +155,10 @@
     return domains;
 }
 
-std::vector<NodeAddress> MemberTable::relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const
+std::vector<std::pair<MemberTable::RelayRank, const NodeAddress *>>
+MemberTable::relayCandidates(const std::string &failureDomain, Instant now) const
 {
     const auto key = XXH3_64bits(failureDomain.data(), failureDomain.size());
-    using RelayRank = std::tuple<bool, bool, Rank>; // Live, takes callers, machine.
     std::vector<std::pair<RelayRank, const NodeAddress *>> candidates;
     if (m_self.failureDomain == failureDomain)
         candidates.push_back({{true, true, rankOf(m_self, key)}, &m_self});
@@ -167,8 +168,24 @@
                 {{isLive(member, now), member.takesCallers, rankOf(member.address, key)}, &member.address});
     }
     std::ranges::sort(candidates, std::ranges::greater{}, [](const auto &candidate) { return candidate.first; });
-    std::vector<NodeAddress> relays;
+    return candidates;
+}
+
+NodeAddress MemberTable::readerOf(const std::string &failureDomain, bool selfReachesStore, Instant now) const
+{
+    const auto candidates = relayCandidates(failureDomain, now);
     for (const auto &[rank, address] : candidates) {
+        const auto member = m_members.find(address->node);
+        if (member == m_members.end() ? selfReachesStore : member->second.reachesStore && std::get<0>(rank))
+            return *address;
+    }
+    return *candidates.front().second;
+}
+
+std::vector<NodeAddress> MemberTable::relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const
+{
+    std::vector<NodeAddress> relays;
+    for (const auto &[rank, address] : relayCandidates(failureDomain, now)) {
         if (relays.size() == count)
             break;
         relays.push_back(*address);
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -52,6 +53,10 @@
     /// same ones.
     std::vector<NodeAddress> relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const;
 
+    /// Returns the node that reads the store for @p failureDomain, this one's: the first relay of those that reach it,
+    /// or of all if none does. Precondition: this node is of that domain.
+    NodeAddress readerOf(const std::string &failureDomain, bool selfReachesStore, Instant now) const;
+
     /// Returns the nodes that were heard lately.
     std::set<std::string> liveNodes(Instant now) const;
 
@@ -83,11 +88,15 @@
         NodeAddress address;
         bool listed = false;
         bool takesCallers = false;
+        bool reachesStore = true;
         std::uint64_t sequence = 0; ///< Of the newest report.
         Instant heard{};
     };
 
     using Rank = std::pair<double, double>;
+    using RelayRank = std::tuple<bool, bool, Rank>; ///< Live, takes callers, machine.
+    std::vector<std::pair<RelayRank, const NodeAddress *>> relayCandidates(const std::string &failureDomain,
+                                                                           Instant now) const;
     static Rank rankOf(const NodeAddress &address, std::uint64_t key);
     bool mayBeSentTo(const Member &member, Instant now) const;
 
--- a/src/gateway/upstreamtable.cpp
+++ b/src/gateway/upstreamtable.cpp
@@ -155,7 +155,8 @@
     if (!peer || stamp.sequence < peer->wholeSequence)
         return;
     const auto known = peer->loads.find(instance);
-    if (known == peer->loads.end() || known->second.sequence < stamp.sequence)
+    // One report may tell of all upstreams and, newer, of one of them.
+    if (known == peer->loads.end() || known->second.sequence <= stamp.sequence)
         setLoad(*peer, instance, {inFlight, stamp.sequence});
 }
 
--- a/tests/gateway/disseminationtest.cpp
+++ b/tests/gateway/disseminationtest.cpp
@@ -205,3 +205,69 @@
     cr_assert_not(sent.front().takesCallers);
     cr_assert(dissemination.isEmpty());
 }
+
+namespace
+{
+
+/// One report of a gathered pair: whole (of all upstreams) or of a change at upstream `e`.
+struct LoadPart {
+    std::uint64_t sequence;
+    bool whole;
+    unsigned inFlight;
+};
+
+struct GatherCase {
+    LoadPart first;
+    LoadPart second;
+    unsigned inFlight; ///< That a receiver counts.
+};
+
+const GatherCase gathered[] = {
+    {{1, false, 1}, {2, false, 2}, 2}, {{2, false, 2}, {1, false, 1}, 2}, {{1, false, 1}, {2, true, 5}, 5},
+    {{1, true, 5}, {2, false, 1}, 1},  {{2, false, 1}, {1, true, 5}, 1},  {{2, true, 5}, {1, false, 1}, 5},
+};
+
+} // namespace
+
+/// Reports of one process are sent as one: nothing of them is lost, and what is newer stands.
+TABLE_TEST(Dissemination, gathersAllPartsOfReports, gathered)
+{
+    MemberTable members({"n0", "d", "d", {"10.0.0.1", 80, false}, {"10.0.0.1", 90, false}, 1});
+    NodeReport peer;
+    peer.from = {"n1", "d", "d", {"10.0.0.2", 80, false}, {"10.0.0.2", 90, false}, 1};
+    peer.sequence = 1;
+    members.onHeard(peer, start);
+    Dissemination dissemination;
+    for (const auto &part : {row.first, row.second}) {
+        NodeReport report;
+        report.from = members.self();
+        report.sequence = part.sequence;
+        report.speeds = {{"s", {}}};
+        report.steps = {{"e", 10}};
+        report.departures = {{"e", 1}};
+        report.turnedAway = {{{"e", 1}, std::chrono::seconds{1}}};
+        report.hasInFlight = part.whole;
+        (part.whole ? report.inFlight : report.changedInFlight)["e"] = part.inFlight;
+        dissemination.add(report);
+    }
+    const auto parcels = dissemination.flush(members, start);
+    const auto &sent = parcels.front().message.reports;
+    cr_assert_eq(sent.size(), 1U);
+    const auto &report = sent.front();
+    cr_assert_eq(report.speeds.size(), 2U);
+    cr_assert_eq(report.steps.size(), 2U);
+    cr_assert_eq(report.departures.size(), 2U);
+    cr_assert_eq(report.turnedAway.size(), 2U);
+
+    UpstreamTable table;
+    UpstreamRecord record;
+    record.instance = "e";
+    record.startedAt = 1;
+    table.onRecord(record, start);
+    const ReportStamp stamp{"n0", 1, report.sequence};
+    if (report.hasInFlight)
+        table.onPeerLoads(stamp, report.inFlight);
+    for (const auto &[instance, requests] : report.changedInFlight)
+        table.onPeerLoad(stamp, instance, requests);
+    cr_assert_eq(table.find("e")->inFlight(), row.inFlight);
+}
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -14,6 +14,7 @@
     report.from = {"n1", "d1", "r1", {"10.0.0.1", 80, false}, {"10.0.0.1", 90, false}, 1234567890123, 0.5};
     report.sequence = 17;
     report.takesCallers = true;
+    report.reachesStore = false;
     report.ordering = {0, 3};
     report.hasInFlight = true;
     report.inFlight["e1"] = 3;
@@ -58,6 +59,7 @@
     cr_assert(report.from == sent.from);
     cr_assert_eq(report.sequence, 17U);
     cr_assert(report.takesCallers);
+    cr_assert_not(report.reachesStore);
     cr_assert(report.ordering == sent.ordering);
     cr_assert_eq(report.inFlight.at("e1"), 3U);
     cr_assert_eq(report.changedInFlight.at("e6"), 4U);
--- a/tests/gateway/membertabletest.cpp
+++ b/tests/gateway/membertabletest.cpp
@@ -121,3 +121,36 @@
     cr_assert(table.onHeard(heard(restarted, true, 1), start));
     cr_assert_eq(table.entryPoints("r-a", "a", true, start).size(), 3U);
 }
+
+namespace
+{
+
+struct ReaderCase {
+    bool selfReaches; ///< The store.
+    bool n2Reaches; ///< The node of the largest machine.
+    bool n3Reaches;
+    const char *reader; ///< "": any, but the same as before the outage.
+};
+
+const ReaderCase readers[] = {
+    {true, true, true, "n2"},   {false, true, true, "n2"},  {true, false, true, "n3"},
+    {true, false, false, "n1"}, {false, false, true, "n3"}, {false, false, false, "n2"},
+};
+
+} // namespace
+
+/// One that the store turns away does not read for its failure domain while another can; in an outage nobody changes.
+TABLE_TEST(MemberTable, theReaderReachesTheStore, readers)
+{
+    MemberTable table(address("n1", "a"));
+    const auto report = [&](const char *node, double capacity, bool reaches) {
+        auto from = address(node, "a");
+        from.capacity = capacity;
+        auto told = heard(from);
+        told.reachesStore = reaches;
+        table.onHeard(told, start);
+    };
+    report("n2", 4, row.n2Reaches);
+    report("n3", 2, row.n3Reaches);
+    cr_assert_eq(table.readerOf("a", row.selfReaches, start).node, std::string(row.reader));
+}
