--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -27,6 +27,12 @@
 constexpr double pressingNeed = 2; ///< Twice the rate that the copies are meant for.
 constexpr double leastRateOfWanted = 0.1; ///< Of an adapter that a request waits for.
 constexpr double outdatedNeed = 1000; ///< A hot adapter with a new version and no copy of it comes first.
+constexpr double tellingStoreUse = 0.7; ///< Below it a load in time says nothing of what the store can serve.
+constexpr double timelyLoadFactor = 1.01;
+constexpr double lateLoadFactor = 0.8;
+constexpr Duration lateLoadPause = std::chrono::milliseconds{300}; ///< Loads that were late together count once.
+constexpr double leastStoreFactor = 0.25;
+constexpr double mostStoreFactor = 8;
 constexpr std::size_t maxDemand = 20000;
 constexpr double forgottenWeight = 0.01;
 constexpr std::size_t cachedAdapters = 120; ///< What an engine keeps in its memory; the platform's sheet.
@@ -159,7 +165,30 @@
     const auto engines = std::max(m_engines.size(), m_surroundings.engines);
     const double all = std::max<double>(m_settings.leastLoadsAtFullSpeed,
                                         m_settings.loadsAtFullSpeedPerEngine * static_cast<double>(engines));
-    return all * m_surroundings.shareOfStore;
+    return all * m_surroundings.shareOfStore * m_storeFactor;
+}
+
+/// A request came to an engine when the load of its adapter should have ended, and had to wait.
+void AdapterPlacer::noteLateLoad(Instant now)
+{
+    if (now - m_lateLoad < lateLoadPause)
+        return;
+    m_lateLoad = now;
+    m_storeFactor = std::max(leastStoreFactor, m_storeFactor * lateLoadFactor);
+}
+
+/// Loads that have ended while the store was about as busy as it may be, and that nobody has missed since, were in
+/// time.
+void AdapterPlacer::judgeLoads(Instant now)
+{
+    for (auto &[instance, engine] : m_engines) {
+        for (auto &[target, copy] : engine.copies) {
+            if (copy.storeUse == 0 || now - copy.usableAt < inspectPause)
+                continue;
+            if (std::exchange(copy.storeUse, 0) >= tellingStoreUse)
+                m_storeFactor = std::min(mostStoreFactor, m_storeFactor * timelyLoadFactor);
+        }
+    }
 }
 
 void AdapterPlacer::overview(Instant now)
@@ -456,6 +485,7 @@
         if (!engine.inspecting && now >= engine.inspectAt && engine.placed.takesOrders)
             inspect(engine, now, actions);
     }
+    judgeLoads(now);
     overview(now);
     placeModels(now, actions);
     placeFurtherCopies(now, actions);
@@ -477,10 +507,10 @@
         return;
     }
     const bool cached = engine.cached.contains(order.target) && order.version == 0;
-    const double crowding = std::max(1.0, (comingEverywhere(now) + 1.0) / loadsAtFullSpeed());
+    const double storeUse = (comingEverywhere(now) + 1.0) / loadsAtFullSpeed();
     const auto time = cached ? m_settings.adapterReloadTime : m_settings.adapterLoadTime;
-    const auto usableAt = now + std::chrono::duration_cast<Duration>(time * crowding);
-    engine.copies[order.target] = Copy{order.version, usableAt, usableAt, false};
+    const auto usableAt = now + std::chrono::duration_cast<Duration>(time * std::max(1.0, storeUse));
+    engine.copies[order.target] = Copy{order.version, usableAt, usableAt, false, cached ? 0 : storeUse};
     if (engine.cached.size() >= cachedAdapters)
         engine.cached.clear();
     engine.cached.insert(order.target);
@@ -529,7 +559,7 @@
             engine.acceptedAt = now;
             settleLate(engine);
         } else if (isAdapter(order.target)) {
-            engine.copies.try_emplace(order.target, Copy{order.version, now, now, false});
+            engine.copies.try_emplace(order.target, Copy{order.version, now, now, false, 0});
             m_news.push_back({order.instance, order.target, order.version, false, now});
         }
         return;
@@ -558,6 +588,10 @@
     auto &engine = it->second;
     const auto copy = engine.copies.find(target);
     const bool isLoading = copy != engine.copies.end() && now - copy->second.usableAt < inspectPause;
+    if (isLoading && copy->second.storeUse > 0) {
+        copy->second.storeUse = 0;
+        noteLateLoad(now);
+    }
     if (copy == engine.copies.end() || isLoading)
         return;
     engine.copies.erase(copy);
@@ -594,10 +628,11 @@
             return;
         }
         const auto known = before.find(listed.target);
-        Copy copy{listed.version, now, now - routineVictimIdle, false};
+        Copy copy{listed.version, now, now - routineVictimIdle, false, 0};
         if (known != before.end()) {
             copy.lastUsed = known->second.lastUsed;
             copy.leaving = known->second.leaving;
+            copy.storeUse = known->second.storeUse;
             if (known->second.version > listed.version)
                 copy.version = known->second.version;
         }
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -130,8 +130,8 @@
 struct PlacerSettings {
     Duration adapterLoadTime = std::chrono::milliseconds{250}; ///< From the weight store; the platform's sheet.
     Duration adapterReloadTime = std::chrono::milliseconds{25}; ///< Of one that the engine held recently: a tenth.
-    /// Loads that the weight store serves at full speed over all engines: 8 for 12 or 18 engines, 32 for 60 or 90 by
-    /// the platform's sheets. It is not told to nodes, so that it is taken from the number of engines.
+    /// Loads that the weight store serves at full speed over all engines, as far as nothing was learnt of it. It is not
+    /// told to nodes: it is raised by loads that end in time, and lowered by requests that come before their adapter.
     unsigned leastLoadsAtFullSpeed = 8;
     double loadsAtFullSpeedPerEngine = 0.4;
     /// Of those: some are counted as on their way for a moment after they have ended, and placers seldom have their
@@ -195,6 +195,7 @@
         Instant usableAt{};
         Instant lastUsed{};
         bool leaving = false; ///< An unload waits for its requests.
+        double storeUse = 0; ///< Of what the store serves at full speed, when its load began; 0 once that was judged.
     };
 
     struct Engine {
@@ -245,6 +246,8 @@
     unsigned coming(const Engine &engine, Instant now) const;
     unsigned comingEverywhere(Instant now) const;
     double loadsAtFullSpeed() const;
+    void noteLateLoad(Instant now);
+    void judgeLoads(Instant now);
     bool isCurrent(const ModelTarget &target, const Copy &copy) const;
     static bool isLoadOrdered(const Engine &engine, const ModelTarget &target);
     bool serves(const Engine &engine, const ModelTarget &target) const;
@@ -278,6 +281,8 @@
     std::vector<PlacementNews> m_news;
     std::vector<PlacementNews> m_answers;
     std::uint64_t m_lastOrder = 0;
+    double m_storeFactor = 1; ///< What the store serves at full speed, as learnt, over what was taken for granted.
+    Instant m_lateLoad{}; ///< When a load was last seen to take longer than was reckoned.
 };
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -91,6 +91,7 @@
     static constexpr Duration longestLoadWait = std::chrono::milliseconds{2000}; ///< Eight loads, one after the other.
     static constexpr double longestLoadWaitPart = 0.5; ///< Of the time that the request has.
     static constexpr double longestQueuePart = 0.5; ///< Of the time that the request had.
+    static constexpr double longestPatiencePart = 0.6; ///< Of the caller's; the rest is for the first event.
     static constexpr double longestReturnPart = 0.3; ///< Of the time left, for upstreams that want no requests for now.
     static constexpr Duration avoidAfterRefusedConnection = std::chrono::milliseconds{600};
     static constexpr double silentAnswers = 12; ///< Usual times of an answer, after which a plain service is left.
@@ -205,7 +206,7 @@
             stopWaiting(call);
             return send(call, *reserved, now);
         }
-        call->reservation.reset();
+        withdrawReservation(*call, now);
         auto choice = choose(*call, now);
         if (!choice && !call->excluded.empty() && call->runs == 0) {
             call->excluded.clear();
@@ -214,7 +215,7 @@
         if (!choice)
             return waitForLoad(call, now);
         if (choice->sendAt > now) {
-            if (now - call->arrival > (call->deadline - call->arrival) * longestQueuePart)
+            if (choice->sendAt > latestSend(*call))
                 return giveUp(call, ErrorCode::Overloaded, "the engines that have the adapter are full");
             if (const auto later = dispersal(*call, *choice, now); later > Duration{}) {
                 call->notBefore = now + later;
@@ -238,6 +239,26 @@
         send(call, *choice, now);
     }
 
+    /// Returns until when it is of use to send the call: its caller must still be there for the first event.
+    static Instant latestSend(const Call &call)
+    {
+        const auto time = call.deadline - call.arrival;
+        const auto patience = call.route.callerPatience > Duration{} && !call.answering
+                                  ? std::min(time, call.route.callerPatience)
+                                  : time;
+        return call.arrival
+               + std::chrono::duration_cast<Duration>(
+                   std::min(longestQueuePart * time, longestPatiencePart * patience));
+    }
+
+    /// Tells all nodes that what was announced for the call will not come.
+    void withdrawReservation(Call &call, Instant now)
+    {
+        const auto reservation = std::exchange(call.reservation, std::nullopt);
+        if (reservation && now - reservation->sendAt < call.route.longestPause)
+            announce(-call.request.promptTokens, reservation->instance, reservation->sendAt, now);
+    }
+
     /// All nodes that wait for a load learn of it at the same moment: each announces its prompts at another time before
     /// the load ends, so that it knows of those of others. Returns how long the call is to put it off.
     static Duration dispersal(Call &call, const UpstreamChoice &choice, Instant now)
@@ -371,10 +392,14 @@
     /// Tells all nodes that the call's prompt goes to @p instance at @p at.
     void announcePrompt(const Call &call, const std::string &instance, Instant at, Instant now)
     {
-        const auto tokens = call.request.promptTokens;
-        if (tokens <= 0)
-            return;
-        m_context.upstreams.find(instance)->prompts.add(tokens, at, now);
+        if (call.request.promptTokens > 0)
+            announce(call.request.promptTokens, instance, at, now);
+    }
+
+    void announce(double tokens, const std::string &instance, Instant at, Instant now)
+    {
+        if (auto *upstream = m_context.upstreams.find(instance))
+            upstream->prompts.add(tokens, at, now);
         m_context.onPrompt(instance, tokens, at - now);
     }
 
@@ -659,10 +684,12 @@
             }
         } else if (upstream && upstream->takesRequests(now)) {
             const auto *copy = upstream->residency.find(call->request.target);
-            if (copy && now - copy->usableAt < std::chrono::milliseconds{800})
+            if (copy && now - copy->usableAt < std::chrono::milliseconds{800}) {
                 call->notBefore = now + loadingPause; // Still loading: ask again soon.
-            else
+                m_context.onMissing(call->instance, call->request.target);
+            } else {
                 upstream->avoidUntil = now + loadingPause;
+            }
         }
         if (call->refused > maxRefusedSends)
             return giveUp(call, ErrorCode::UpstreamRefused, "the upstreams have no room");
@@ -820,6 +847,7 @@
         stopWaiting(call);
         takeBody(*call);
         const auto now = BootClock{}.now();
+        withdrawReservation(*call, now);
         auto labels = labelsOf(*call);
         m_metrics.observe(Metric::RequestSeconds, labels, now - call->arrival, now);
         labels["verdict"] = std::string(nameOf(call->verdict));
--- a/src/gateway/trafficpolicy.h
+++ b/src/gateway/trafficpolicy.h
@@ -34,6 +34,7 @@
     Duration timeout = std::chrono::seconds{30}; ///< The longest time that a request is kept waiting.
     Duration latencyObjective = std::chrono::seconds{1}; ///< Up to the answer, or a stream's first event.
     Duration longestPause{}; ///< Between two events of a stream; zero: not stated.
+    Duration callerPatience{}; ///< How long callers wait for a stream's first event; zero: for the whole timeout.
     unsigned priority = 5; ///< 0 is the most urgent.
     unsigned attempts = 1; ///< The most upstreams that one request may run on.
     bool canResume = false; ///< A stream may go on at another upstream after the last event received.
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -188,7 +188,10 @@
         TrafficPolicy policy;
         policy.routes
             = {route("/safe/", RequestKind::Idempotent, false), route("/once/", RequestKind::NonIdempotent, false),
-               route("/stream/", RequestKind::Streaming, true), route("/solo/", RequestKind::Streaming, false)};
+               route("/stream/", RequestKind::Streaming, true), route("/solo/", RequestKind::Streaming, false),
+               route("/paced/", RequestKind::Streaming, true)};
+        policy.routes.back().longestPause = std::chrono::milliseconds{300};
+        policy.routes.back().callerPatience = std::chrono::milliseconds{3200};
         policy.services = {{"s", EngineProfile{}}};
         m_context.routes = std::make_shared<RouteTable>(policy);
         m_context.allowance = RetryAllowance({1, 100, std::chrono::seconds{10}, 1});
@@ -201,8 +204,9 @@
             record.endpoint = {"127.0.0.1", server->listen({"127.0.0.1", 0}), false};
             m_context.upstreams.onRecord(record, BootClock{}.now());
         }
-        m_context.onPrompt = [this](const std::string &instance, double, Duration in) {
+        m_context.onPrompt = [this](const std::string &instance, double tokens, Duration in) {
             announced.push_back({instance, in});
+            announcedTokens += tokens;
         };
         tick();
     }
@@ -217,6 +221,24 @@
         }
     }
 
+    /// Both upstreams have prompts to read until @p time from now, as many as fit.
+    void bookPrompts(Duration time)
+    {
+        const auto now = BootClock{}.now();
+        for (const auto *instance : {"u0", "u1"}) {
+            for (Duration at{}; at < time; at += std::chrono::milliseconds{100})
+                m_context.upstreams.find(instance)->prompts.add(2000, now + at, now);
+        }
+    }
+
+    /// Sends a request whose caller leaves after @p time.
+    void askAndLeave(const std::string &path, const ModelTarget &target, Duration time)
+    {
+        m_loop.runAfter(time, [this] { m_client.cancel(1); });
+        m_loop.runAfter(2 * time, [this] { m_loop.stop(); });
+        ask(path, target);
+    }
+
     Http::EventLoop &loop()
     {
         return m_loop;
@@ -267,6 +289,7 @@
     std::string retryAfter; ///< Of the last answer.
     unsigned sends = 0;
     std::vector<std::size_t> sentTo; ///< Numbers of the upstreams that got the sends.
+    double announcedTokens = 0;
     std::vector<Announcement> announced; ///< Prompts, as other nodes are told of them.
 
 private:
@@ -513,3 +536,47 @@
     cr_assert_eq(stage.sends, 1U);
     cr_assert(stage.took > std::chrono::milliseconds{2000});
 }
+
+namespace
+{
+
+struct BookedCase {
+    int bookedMs; ///< For so long engines have prompts to read.
+    unsigned status;
+    int leastMs;
+    int mostMs;
+};
+
+const BookedCase booked[] = {
+    {0, 200, 0, 200},
+    {1000, 200, 700, 1500},
+    {4000, 429, 0, 200}, // Longer than the caller waits: refused at once.
+    {60000, 429, 0, 200},
+};
+
+} // namespace
+
+/// What cannot be served while its caller waits is refused when that is known, not when the time is over.
+TABLE_TEST(CallForwarder, refusesAtOnceWhatWouldComeTooLate, booked)
+{
+    Stage stage({streamRest});
+    stage.load("u0", "m/a", std::chrono::milliseconds{-1000});
+    stage.load("u1", "m/a", std::chrono::milliseconds{-1000});
+    stage.bookPrompts(std::chrono::milliseconds{row.bookedMs});
+    cr_assert_eq(stage.ask("/paced/1", "m/a"), row.status);
+    cr_assert(stage.took >= std::chrono::milliseconds{row.leastMs}, "%ld", static_cast<long>(stage.took.count()));
+    cr_assert(stage.took <= std::chrono::milliseconds{row.mostMs}, "%ld", static_cast<long>(stage.took.count()));
+    cr_assert_eq(stage.retryAfter.empty(), row.status == 200);
+}
+
+/// Engines are not held for a prompt that will not come.
+Test(CallForwarder, whatWasAnnouncedForACallerThatLeftIsWithdrawn)
+{
+    Stage stage({streamRest});
+    stage.load("u0", "m/a", std::chrono::milliseconds{-1000});
+    stage.bookPrompts(std::chrono::milliseconds{1500});
+    stage.askAndLeave("/paced/1", "m/a", std::chrono::milliseconds{300});
+    cr_assert_eq(stage.sends, 0U);
+    cr_assert_geq(stage.announced.size(), 2U);
+    cr_assert_eq(stage.announcedTokens, 0);
+}
