Nodes that start together know of each other before they take the leases of holders

Cause: since nodes leave changes to the reader of their domain, at the start none knew of others when the leases were free, and the first one took both shards. A node that has just started now asks for the others after 0.4 s.

--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -58,7 +58,7 @@
     {
         const auto pause = upstreamPause(drainBound);
         const auto patience = std::chrono::duration_cast<Duration>(pause * sharedPauseFactor);
-        const auto pausesOf = [&](Duration pauseOfReader) -> typename Follower::Pauses {
+        const auto pausesOf = [&](Duration pauseOfReader, Duration unsettledPause) -> typename Follower::Pauses {
             switch (role) {
             case ReadRole::Reader:
                 return {pauseOfReader, {}, retryPause, {}};
@@ -69,9 +69,9 @@
             }
             return {unsettledPause, unsettledPause, retryPause, unsettledPause};
         };
-        m_operatorDocuments.setPauses(pausesOf(operatorPause));
-        m_upstreamRecords.setPauses(pausesOf(pause));
-        m_ownRecords.setPauses(pausesOf(ownPause));
+        m_operatorDocuments.setPauses(pausesOf(operatorPause, unsettledPause));
+        m_upstreamRecords.setPauses(pausesOf(pause, unsettledPause));
+        m_ownRecords.setPauses(pausesOf(ownPause, unsettledOwnPause));
     }
 
     /// Takes in what the node that reads for this one has read.
@@ -108,6 +108,8 @@
     /// pauses and a call together stay within the time that drains allow.
     static constexpr double sharedPauseFactor = 1.3;
     static constexpr Duration unsettledPause = std::chrono::milliseconds{1200};
+    /// All nodes of a fleet may start together: they are to know of each other before they take the leases of holders.
+    static constexpr Duration unsettledOwnPause = std::chrono::milliseconds{400};
     static constexpr Duration retryPause = std::chrono::milliseconds{400}; ///< Of the node that reads for others.
 
     static Duration upstreamPause(Duration drainBound)
