What the weight store serves at full speed is learnt

Loads in time while the store is busy raise the figure, requests that come before their adapter lower it, once in 0.3 s.

Ruled out by the test: a raise by each load in time, which overshoots where loads are many.

--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -28,9 +28,10 @@
 constexpr double leastRateOfWanted = 0.1; ///< Of an adapter that a request waits for.
 constexpr double outdatedNeed = 1000; ///< A hot adapter with a new version and no copy of it comes first.
 constexpr double tellingStoreUse = 0.7; ///< Below it a load in time says nothing of what the store can serve.
-constexpr double timelyLoadFactor = 1.01;
-constexpr double lateLoadFactor = 0.8;
-constexpr Duration lateLoadPause = std::chrono::milliseconds{300}; ///< Loads that were late together count once.
+constexpr Duration storeJudgingPause = std::chrono::milliseconds{300}; ///< About the time of a load.
+constexpr double mostLatePart = 0.1; ///< Of the loads; more of them show that the store is slower than was reckoned.
+constexpr double timelyLoadFactor = 1.08;
+constexpr double lateLoadFactor = 0.9;
 constexpr double leastStoreFactor = 0.25;
 constexpr double mostStoreFactor = 8;
 constexpr std::size_t maxDemand = 20000;
@@ -168,27 +169,26 @@
     return all * m_surroundings.shareOfStore * m_storeFactor;
 }
 
-/// A request came to an engine when the load of its adapter should have ended, and had to wait.
-void AdapterPlacer::noteLateLoad(Instant now)
-{
-    if (now - m_lateLoad < lateLoadPause)
-        return;
-    m_lateLoad = now;
-    m_storeFactor = std::max(leastStoreFactor, m_storeFactor * lateLoadFactor);
-}
-
-/// Loads that have ended while the store was about as busy as it may be, and that nobody has missed since, were in
-/// time.
+/// Corrects what the store is taken to serve: loads that have ended while it was about as busy as it may be, and that
+/// nobody has missed since, were in time.
 void AdapterPlacer::judgeLoads(Instant now)
 {
     for (auto &[instance, engine] : m_engines) {
         for (auto &[target, copy] : engine.copies) {
-            if (copy.storeUse == 0 || now - copy.usableAt < inspectPause)
-                continue;
-            if (std::exchange(copy.storeUse, 0) >= tellingStoreUse)
-                m_storeFactor = std::min(mostStoreFactor, m_storeFactor * timelyLoadFactor);
+            if (copy.storeUse > 0 && now - copy.usableAt >= inspectPause
+                && std::exchange(copy.storeUse, 0) >= tellingStoreUse)
+                ++m_timelyLoads;
         }
     }
+    if (now - m_storeJudged < storeJudgingPause)
+        return;
+    m_storeJudged = now;
+    const auto late = std::exchange(m_lateLoads, 0);
+    const auto timely = std::exchange(m_timelyLoads, 0);
+    if (late > mostLatePart * (late + timely))
+        m_storeFactor = std::max(leastStoreFactor, m_storeFactor * lateLoadFactor);
+    else if (timely > 0)
+        m_storeFactor = std::min(mostStoreFactor, m_storeFactor * timelyLoadFactor);
 }
 
 void AdapterPlacer::overview(Instant now)
@@ -590,7 +590,7 @@
     const bool isLoading = copy != engine.copies.end() && now - copy->second.usableAt < inspectPause;
     if (isLoading && copy->second.storeUse > 0) {
         copy->second.storeUse = 0;
-        noteLateLoad(now);
+        ++m_lateLoads;
     }
     if (copy == engine.copies.end() || isLoading)
         return;
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -186,6 +186,10 @@
     /// Returns what is to be done. Orders are to be sent at once or answered as Conflict.
     PlacerActions plan(Instant now);
 
+    /// Returns how many loads at once the weight store serves at full speed, as far as was learnt, of this placer's
+    /// part.
+    double loadsAtFullSpeed() const;
+
     /// Returns how many adapter slots of an engine are used or may be.
     unsigned usedSlots(const std::string &instance) const;
 
@@ -245,8 +249,6 @@
     unsigned used(const Engine &engine) const;
     unsigned coming(const Engine &engine, Instant now) const;
     unsigned comingEverywhere(Instant now) const;
-    double loadsAtFullSpeed() const;
-    void noteLateLoad(Instant now);
     void judgeLoads(Instant now);
     bool isCurrent(const ModelTarget &target, const Copy &copy) const;
     static bool isLoadOrdered(const Engine &engine, const ModelTarget &target);
@@ -282,7 +284,9 @@
     std::vector<PlacementNews> m_answers;
     std::uint64_t m_lastOrder = 0;
     double m_storeFactor = 1; ///< What the store serves at full speed, as learnt, over what was taken for granted.
-    Instant m_lateLoad{}; ///< When a load was last seen to take longer than was reckoned.
+    unsigned m_lateLoads = 0; ///< Since the factor was last corrected: a request had to wait for them.
+    unsigned m_timelyLoads = 0; ///< Those that ended in time while the store was as busy as it may be.
+    Instant m_storeJudged{};
 };
 
 } // namespace Gypsumtally::Gateway
--- a/tests/gateway/adapterplacertest.cpp
+++ b/tests/gateway/adapterplacertest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/table.h"
 
+#include <utility>
+
 using namespace Gypsumtally;
 using namespace Gypsumtally::Gateway;
 using Gypsumtally::Testing::AdapterDemand;
@@ -171,3 +173,105 @@
             cr_assert_eq(ordered, std::string(row.ordered), "%s", ordered.c_str());
     }
 }
+
+namespace
+{
+
+/// Engines of many slots before a weight store that serves so many loads at full speed; all adapters are wanted at
+/// once, and a request for each comes when its load should have ended.
+class BusyStore
+{
+public:
+    explicit BusyStore(double atFullSpeed)
+        : m_atFullSpeed(atFullSpeed)
+    {
+        std::vector<PlacedEngine> engines;
+        for (int i = 0; i < 16; ++i)
+            engines.push_back({"e" + std::to_string(i), "s", "r", 1, true, 100000, 64, 0, {}});
+        m_placer.setEngines(engines, {});
+        m_placer.plan(m_now);
+        for (const auto &engine : engines)
+            m_placer.onReport(engine.instance, EngineReport{1, false, {{"m", 1}}, {}}, m_now);
+    }
+
+    void setAtFullSpeed(double loads)
+    {
+        m_atFullSpeed = loads;
+    }
+
+    void run(Duration time)
+    {
+        for (const auto end = m_now + time; m_now < end; m_now += std::chrono::milliseconds{10}) {
+            for (int i = 0; i < 10; ++i)
+                m_placer.onWanted("s", "m/a" + std::to_string(m_next++), 1, {}, m_now);
+            take(m_placer.plan(m_now));
+            finish();
+        }
+    }
+
+    double learnt() const
+    {
+        return m_placer.loadsAtFullSpeed();
+    }
+
+private:
+    struct Load {
+        std::string instance;
+        ModelTarget target;
+        double leftMs = 250;
+        Instant usableAt{};
+        bool asked = false;
+    };
+
+    void take(const PlacerActions &actions)
+    {
+        for (const auto &news : actions.news) {
+            if (!news.dropped)
+                m_loads.push_back({news.instance, news.target, 250, news.usableAt, false});
+        }
+        for (const auto &order : actions.orders)
+            m_placer.onAnswer(order, OrderOutcome::Started, m_now);
+    }
+
+    void finish()
+    {
+        const double speed = std::min(1.0, m_atFullSpeed / std::max<double>(1, static_cast<double>(m_loads.size())));
+        for (auto &load : m_loads) {
+            load.leftMs -= 10 * speed;
+            const bool isMissed = m_now >= load.usableAt && load.leftMs > 0 && !std::exchange(load.asked, true);
+            if (isMissed)
+                m_placer.onMissing(load.instance, load.target, m_now);
+        }
+        std::erase_if(m_loads, [](const Load &load) { return load.leftMs <= 0; });
+    }
+
+    double m_atFullSpeed;
+    AdapterPlacer m_placer;
+    std::vector<Load> m_loads;
+    Instant m_now{std::chrono::seconds{100}};
+    int m_next = 0;
+};
+
+const double stores[] = {3, 8, 16, 32, 60};
+
+} // namespace
+
+/// What the store can serve is learnt within 20 s of heavy demand, from below and from above.
+TABLE_TEST(AdapterPlacer, learnsHowManyLoadsTheStoreServes, stores)
+{
+    BusyStore store(row);
+    store.run(std::chrono::seconds{20});
+    cr_assert(store.learnt() > row / 2 && store.learnt() < row * 2, "%f of %f", store.learnt(), row);
+}
+
+Test(AdapterPlacer, followsAStoreThatTurnsSlow)
+{
+    BusyStore store(32);
+    store.run(std::chrono::seconds{20});
+    store.setAtFullSpeed(4);
+    store.run(std::chrono::seconds{10});
+    cr_assert_lt(store.learnt(), 8);
+    store.setAtFullSpeed(32);
+    store.run(std::chrono::seconds{20});
+    cr_assert_gt(store.learnt(), 16);
+}
