--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -28,6 +28,8 @@
 constexpr double leastRateOfWanted = 0.1; ///< Of an adapter that a request waits for.
 constexpr double outdatedNeed = 1000; ///< A hot adapter with a new version and no copy of it comes first.
 constexpr double tellingStoreUse = 0.7; ///< Below it a load in time says nothing of what the store can serve.
+constexpr Duration toldSlack = std::chrono::milliseconds{40}; ///< A load that ends later by more is told anew.
+constexpr int lateLoadParts = 4; ///< Of the time of a load: what one that is late is taken to need still.
 constexpr Duration storeJudgingPause = std::chrono::milliseconds{300}; ///< About the time of a load.
 constexpr double mostLatePart = 0.1; ///< Of the loads; more of them show that the store is slower than was reckoned.
 constexpr double timelyLoadFactor = 1.08;
@@ -191,6 +193,31 @@
         m_storeFactor = std::min(mostStoreFactor, m_storeFactor * timelyLoadFactor);
 }
 
+/// Loads share what the store serves: each that begins delays all that are under way. Nodes are told where that shows.
+void AdapterPlacer::advanceLoads(Instant now)
+{
+    const auto passed = now - std::exchange(m_loadsAdvanced, now);
+    unsigned underWay = 0;
+    for (const auto &[instance, engine] : m_engines)
+        underWay += static_cast<unsigned>(
+            std::ranges::count_if(engine.copies, [](const auto &item) { return item.second.work > Duration{}; }));
+    if (underWay == 0)
+        return;
+    const double speed = std::min(1.0, loadsAtFullSpeed() / underWay);
+    for (auto &[instance, engine] : m_engines) {
+        for (auto &[target, copy] : engine.copies) {
+            if (copy.work == Duration{})
+                continue;
+            copy.work = std::max(Duration{}, copy.work - std::chrono::duration_cast<Duration>(passed * speed));
+            copy.usableAt = now + std::chrono::duration_cast<Duration>(copy.work / speed);
+            if (copy.usableAt > copy.told + toldSlack && !copy.leaving) {
+                copy.told = copy.usableAt;
+                m_news.push_back({instance, target, copy.version, false, copy.usableAt});
+            }
+        }
+    }
+}
+
 void AdapterPlacer::overview(Instant now)
 {
     m_overview = {};
@@ -485,6 +512,7 @@
         if (!engine.inspecting && now >= engine.inspectAt && engine.placed.takesOrders)
             inspect(engine, now, actions);
     }
+    advanceLoads(now);
     judgeLoads(now);
     overview(now);
     placeModels(now, actions);
@@ -510,7 +538,12 @@
     const double storeUse = (comingEverywhere(now) + 1.0) / loadsAtFullSpeed();
     const auto time = cached ? m_settings.adapterReloadTime : m_settings.adapterLoadTime;
     const auto usableAt = now + std::chrono::duration_cast<Duration>(time * std::max(1.0, storeUse));
-    engine.copies[order.target] = Copy{order.version, usableAt, usableAt, false, cached ? 0 : storeUse};
+    Copy copy{order.version, usableAt, usableAt, false, 0, {}, usableAt};
+    if (!cached) {
+        copy.storeUse = storeUse;
+        copy.work = time;
+    }
+    engine.copies[order.target] = copy;
     if (engine.cached.size() >= cachedAdapters)
         engine.cached.clear();
     engine.cached.insert(order.target);
@@ -559,7 +592,7 @@
             engine.acceptedAt = now;
             settleLate(engine);
         } else if (isAdapter(order.target)) {
-            engine.copies.try_emplace(order.target, Copy{order.version, now, now, false, 0});
+            engine.copies.try_emplace(order.target, Copy{order.version, now, now, false, 0, {}, {}});
             m_news.push_back({order.instance, order.target, order.version, false, now});
         }
         return;
@@ -588,9 +621,11 @@
     auto &engine = it->second;
     const auto copy = engine.copies.find(target);
     const bool isLoading = copy != engine.copies.end() && now - copy->second.usableAt < inspectPause;
-    if (isLoading && copy->second.storeUse > 0) {
-        copy->second.storeUse = 0;
-        ++m_lateLoads;
+    if (isLoading) {
+        if (std::exchange(copy->second.storeUse, 0) > 0)
+            ++m_lateLoads;
+        // Others that wait for it are told to wait longer.
+        copy->second.work = std::max(copy->second.work, m_settings.adapterLoadTime / lateLoadParts);
     }
     if (copy == engine.copies.end() || isLoading)
         return;
@@ -628,11 +663,14 @@
             return;
         }
         const auto known = before.find(listed.target);
-        Copy copy{listed.version, now, now - routineVictimIdle, false, 0};
+        Copy copy{listed.version, now, now - routineVictimIdle, false, 0, {}, {}};
         if (known != before.end()) {
             copy.lastUsed = known->second.lastUsed;
             copy.leaving = known->second.leaving;
             copy.storeUse = known->second.storeUse;
+            copy.told = known->second.told;
+            if (isComing)
+                copy.work = known->second.work;
             if (known->second.version > listed.version)
                 copy.version = known->second.version;
         }
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -200,6 +200,8 @@
         Instant lastUsed{};
         bool leaving = false; ///< An unload waits for its requests.
         double storeUse = 0; ///< Of what the store serves at full speed, when its load began; 0 once that was judged.
+        Duration work{}; ///< Of its load that is left, as the time that it takes while the store has few.
+        Instant told{}; ///< When its load ends, as nodes were told last.
     };
 
     struct Engine {
@@ -250,6 +252,7 @@
     unsigned coming(const Engine &engine, Instant now) const;
     unsigned comingEverywhere(Instant now) const;
     void judgeLoads(Instant now);
+    void advanceLoads(Instant now);
     bool isCurrent(const ModelTarget &target, const Copy &copy) const;
     static bool isLoadOrdered(const Engine &engine, const ModelTarget &target);
     bool serves(const Engine &engine, const ModelTarget &target) const;
@@ -287,6 +290,7 @@
     unsigned m_lateLoads = 0; ///< Since the factor was last corrected: a request had to wait for them.
     unsigned m_timelyLoads = 0; ///< Those that ended in time while the store was as busy as it may be.
     Instant m_storeJudged{};
+    Instant m_loadsAdvanced{};
 };
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -87,6 +87,8 @@
     static constexpr unsigned maxRefusedSends = 4;
     /// Pause before an engine is asked again that is just loading what the request needs.
     static constexpr Duration loadingPause = std::chrono::milliseconds{60};
+    static constexpr unsigned mostLoadingDoublings = 2;
+    static constexpr Duration longestLateLoad = std::chrono::milliseconds{800}; ///< Beyond, it is not held any more.
     static constexpr Duration wantRepeat = std::chrono::milliseconds{150}; ///< A lost datagram costs no more than this.
     static constexpr Duration longestLoadWait = std::chrono::milliseconds{2000}; ///< Eight loads, one after the other.
     static constexpr double longestLoadWaitPart = 0.5; ///< Of the time that the request has.
@@ -676,20 +678,19 @@
                        {{"upstream", call->instance}, {"status", std::to_string(call->reply.status)}});
         if (call->reply.wrongInstance && upstream) {
             // It does not hold the adapter (any more), or the process has changed.
-            if (!call->request.target.empty()) {
+            if (isStillLoading(*upstream, call->request.target, now)) {
+                waitForLateLoad(*call, *upstream, now);
+            } else if (!call->request.target.empty()) {
                 upstream->residency.onDropped(call->request.target, now);
                 m_context.onMissing(call->instance, call->request.target);
             } else {
                 upstream->avoidUntil = now + avoidAfterRefusedConnection;
             }
         } else if (upstream && upstream->takesRequests(now)) {
-            const auto *copy = upstream->residency.find(call->request.target);
-            if (copy && now - copy->usableAt < std::chrono::milliseconds{800}) {
-                call->notBefore = now + loadingPause; // Still loading: ask again soon.
-                m_context.onMissing(call->instance, call->request.target);
-            } else {
+            if (isStillLoading(*upstream, call->request.target, now))
+                waitForLateLoad(*call, *upstream, now);
+            else
                 upstream->avoidUntil = now + loadingPause;
-            }
         }
         if (call->refused > maxRefusedSends)
             return giveUp(call, ErrorCode::UpstreamRefused, "the upstreams have no room");
@@ -701,6 +702,23 @@
         again(call);
     }
 
+    /// Whether a refusal is likely to mean that the load of @p target has not ended yet.
+    static bool isStillLoading(const Upstream &upstream, const ModelTarget &target, Instant now)
+    {
+        const auto *copy = target.empty() ? nullptr : upstream.residency.find(target);
+        return copy && copy->loadedByOrder && now - copy->usableAt < longestLateLoad;
+    }
+
+    /// Has the call, and all others that wait for the same load, ask again later, and tells the holder.
+    void waitForLateLoad(Call &call, Upstream &upstream, Instant now)
+    {
+        const auto &target = call.request.target;
+        const auto pause = loadingPause * (1U << std::min(call.refused, mostLoadingDoublings));
+        upstream.residency.onLoading(target, upstream.residency.find(target)->version, now + pause, now);
+        call.notBefore = now + pause;
+        m_context.onMissing(call.instance, target);
+    }
+
     void onErrorStatus(const CallPtr &call)
     {
         noteResult(call, call->reply.status >= 500);
--- a/src/gateway/residency.cpp
+++ b/src/gateway/residency.cpp
@@ -19,10 +19,13 @@
         if (m_dropped.contains(target))
             continue;
         const auto known = m_copies.find(target);
-        if (known != m_copies.end() && known->second.version > version && now - known->second.learned <= listLag)
+        // The list may be from before the last orders: what it names may have been dropped since, and be loading again.
+        const bool isNewer = known != m_copies.end() && now - known->second.learned <= listLag
+                             && (known->second.version >= version || known->second.version == 0);
+        if (isNewer)
             copies.insert(*known);
         else
-            copies.emplace(target, Copy{{version, now}, {}});
+            copies.emplace(target, Copy{{version, now, false}, {}});
     }
     for (const auto &[target, copy] : m_copies) {
         if (now - copy.learned <= listLag || copy.usableAt > now)
@@ -34,7 +37,7 @@
 void Residency::onLoading(const ModelTarget &target, std::uint64_t version, Instant usableAt, Instant now)
 {
     m_dropped.erase(target);
-    m_copies.insert_or_assign(target, Copy{{version, usableAt}, now});
+    m_copies.insert_or_assign(target, Copy{{version, usableAt, true}, now});
 }
 
 void Residency::onDropped(const ModelTarget &target, Instant now)
--- a/src/gateway/residency.h
+++ b/src/gateway/residency.h
@@ -31,6 +31,7 @@
 struct ResidentCopy {
     std::uint64_t version = 0; ///< 0 if it is not known.
     Instant usableAt{}; ///< When its load ends.
+    bool loadedByOrder = false; ///< Known from an order, not from the engine's own list.
 };
 
 /// One target and version as an engine lists it.
--- a/tests/gateway/adapterplacertest.cpp
+++ b/tests/gateway/adapterplacertest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/table.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 using namespace Gypsumtally;
@@ -226,7 +228,10 @@
     void take(const PlacerActions &actions)
     {
         for (const auto &news : actions.news) {
-            if (!news.dropped)
+            const auto known = std::ranges::find(m_loads, news.target, &Load::target);
+            if (known != m_loads.end())
+                known->usableAt = news.usableAt;
+            else if (!news.dropped && m_begun.insert(news.target).second)
                 m_loads.push_back({news.instance, news.target, 250, news.usableAt, false});
         }
         for (const auto &order : actions.orders)
@@ -248,6 +253,7 @@
     double m_atFullSpeed;
     AdapterPlacer m_placer;
     std::vector<Load> m_loads;
+    std::set<ModelTarget> m_begun;
     Instant m_now{std::chrono::seconds{100}};
     int m_next = 0;
 };
--- a/tests/gateway/residencytest.cpp
+++ b/tests/gateway/residencytest.cpp
@@ -46,3 +46,18 @@
     residency.onListed({{"m/a", 1}}, after(600));
     cr_assert_eq(residency.find("m/a")->version, 2U);
 }
+
+// Seen on a day of a large deployment: of a list from before a drop, a target that was loading again counted as usable
+// at once, and the engine refused the requests that were sent.
+Test(Residency, aListThatIsOlderThanADropDoesNotEndTheNextLoad)
+{
+    Residency residency;
+    residency.onListed({{"m/a", 1}}, start);
+    residency.onDropped("m/a", after(10));
+    residency.onLoading("m/a", 0, after(400), after(150));
+    residency.onListed({{"m/a", 1}}, after(200));
+    cr_assert(residency.find("m/a")->usableAt == after(400));
+    cr_assert(residency.find("m/a")->loadedByOrder);
+    residency.onListed({{"m/a", 1}}, after(4000));
+    cr_assert_not(residency.find("m/a")->loadedByOrder);
+}
