--- a/tests/gateway/adapterplacertest.cpp
+++ b/tests/gateway/adapterplacertest.cpp
@@ -188,6 +188,7 @@
         : m_atFullSpeed(atFullSpeed)
     {
         std::vector<PlacedEngine> engines;
+        engines.reserve(16);
         for (int i = 0; i < 16; ++i)
             engines.push_back({"e" + std::to_string(i), "s", "r", 1, true, 100000, 64, 0, {}});
         m_placer.setEngines(engines, {});
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -135,7 +135,7 @@
 }
 
 /// Sends @p bytes every @p pause, @p times times, and then the end of the stream.
-void writeLater(const Exchange &exchange, std::string bytes, Duration pause, int times)
+void writeLater(const Exchange &exchange, const std::string &bytes, Duration pause, int times)
 {
     if (times == 0)
         return exchange->end();
--- a/tests/support/endlessserver.h
+++ b/tests/support/endlessserver.h
@@ -20,7 +20,7 @@
 {
 public:
     /// Listens on loopback. @p head is sent once, @p filler without end.
-    EndlessServer(Http::EventLoop &loop, std::string head, std::string filler)
+    EndlessServer(Http::EventLoop &loop, std::string head, const std::string &filler)
         : m_acceptor(loop.context(), {boost::asio::ip::address_v4::loopback(), 0})
         , m_head(std::move(head))
     {
