--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -87,7 +87,8 @@
         , m_peers(m_loop, settings.peers, [this](const GatewayMessage &message) { onMessage(message); })
         , m_registry(m_loop, m_store, settings.drainBound, {Platform::operatorPrefix(), operatorObserver()},
                      {Platform::upstreamPrefix(), upstreamObserver()}, {ownPrefix(), ownObserver()},
-                     [this](const RegistryUpdate &update) { shareRead(update); })
+                     patienceOf(settings.node),
+                     [this](const RegistryUpdate &update, bool isOverdue) { shareRead(update, isOverdue); })
     {
         m_context.failureDomain = settings.failureDomain;
         m_context.regions = settings.regions;
@@ -170,6 +171,7 @@
     static constexpr Duration renewInterval = std::chrono::seconds{10};
     /// A node that has just started takes itself for the first of its failure domain until it has heard the others.
     static constexpr Duration settlingTime = std::chrono::milliseconds{1200};
+    static constexpr double largestImpatience = 0.3;
     static constexpr double noteworthySpeedRatio = 1.3;
     static constexpr Duration speedNotePause = std::chrono::seconds{5};
     static constexpr std::size_t mostDepartures = 64; ///< In one digest.
@@ -307,11 +309,19 @@
         return readsForDomain(now) ? ReadRole::Reader : ReadRole::ReadFor;
     }
 
-    /// Tells the nodes of the failure domain what this one has read, if it reads for them.
-    void shareRead(const RegistryUpdate &update)
+    /// Returns a factor from 1 to 1.3 that is another one for each node.
+    static double patienceOf(const std::string &node)
+    {
+        return 1 + largestImpatience * fractionOf(XXH3_64bits(node.data(), node.size()));
+    }
+
+    /// Tells the nodes of the failure domain what this one has read, if it reads for them or was the first one to miss
+    /// what the reader tells.
+    void shareRead(const RegistryUpdate &update, bool isOverdue)
     {
         const auto now = BootClock{}.now();
-        if (!readsForDomain(now))
+        const bool isStandIn = isOverdue && readRole(now) == ReadRole::ReadFor;
+        if (!isStandIn && !readsForDomain(now))
             return;
         const auto targets = m_members.peersIn(m_address.failureDomain, now);
         if (targets.empty())
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -101,7 +101,13 @@
         if (!isGap && share.revision > m_revision)
             apply(share.changes, share.revision);
         if (m_state == State::Pausing)
-            followAfter(isGap ? Duration{} : m_pauses.afterChanges);
+            followAfter(isGap ? Duration{} : m_pauses.afterChanges, !isGap);
+    }
+
+    /// Whether the call that has brought the last share was made since nobody had told anything for long.
+    bool wasOverdue() const
+    {
+        return m_overdue;
     }
 
     /// Returns a share without changes for nodes that know as much as this one, or nothing while it reads a snapshot.
@@ -210,12 +216,14 @@
     }
 
     /// Makes the next call after @p pause, unless something comes before.
-    void followAfter(Duration pause)
+    void followAfter(Duration pause, bool isPatience = true)
     {
         m_state = State::Pausing;
-        m_loop.runAfter(pause, [this, generation = ++m_generation] {
-            if (generation == m_generation)
-                follow();
+        m_loop.runAfter(pause, [this, isPatience, generation = ++m_generation] {
+            if (generation != m_generation)
+                return;
+            m_overdue = isPatience;
+            follow();
         });
     }
 
@@ -256,6 +264,7 @@
     std::map<std::string, Revision> m_known; ///< The keys that there are, and their last changes.
     std::uint64_t m_generation = 0; ///< Of the call under way; answers to earlier ones are ignored.
     State m_state = State::Reading;
+    bool m_overdue = false;
     bool m_reachable = false;
     bool m_reported = false;
 };
--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -31,11 +31,16 @@
         Observer observer;
     };
 
-    /// @p drainBound is how long upstreams serve after they said that they leave. @p onRead is called with what this
-    /// node has read, to be told to the nodes that it reads for.
+    /// What this node has read, and whether it has since the reader of its failure domain had told nothing for long.
+    using OnRead = std::function<void(const RegistryUpdate &update, bool isOverdue)>;
+
+    /// @p drainBound is how long upstreams serve after they said that they leave. @p patienceFactor, from 1 to 1.3, is
+    /// another one for each node: the first one to lose patience reads for all. @p onRead is called with what this
+    /// node has read, to be told to the nodes of its failure domain.
     RegistryViews(Http::EventLoop &loop, Store &store, Duration drainBound, View operatorDocuments,
-                  View upstreamRecords, View ownRecords, std::function<void(const RegistryUpdate &)> onRead)
-        : m_onRead(std::move(onRead))
+                  View upstreamRecords, View ownRecords, double patienceFactor, OnRead onRead)
+        : m_patienceFactor(patienceFactor)
+        , m_onRead(std::move(onRead))
         , m_operatorDocuments(loop, store, operatorDocuments.prefix, {operatorPause, longWait},
                               sharing(RegistryView::OperatorDocuments, std::move(operatorDocuments.observer)))
         , m_upstreamRecords(loop, store, upstreamRecords.prefix, {upstreamPause(drainBound), shortWait},
@@ -57,7 +62,7 @@
     void setRole(ReadRole role, Duration drainBound)
     {
         const auto pause = upstreamPause(drainBound);
-        const auto patience = std::chrono::duration_cast<Duration>(pause * sharedPauseFactor);
+        const auto patience = std::chrono::duration_cast<Duration>(pause * sharedPauseFactor * m_patienceFactor);
         const auto pausesOf = [&](Duration pauseOfReader, Duration unsettledPause) -> typename Follower::Pauses {
             switch (role) {
             case ReadRole::Reader:
@@ -77,14 +82,7 @@
     /// Takes in what the node that reads for this one has read.
     void onShared(const RegistryUpdate &update)
     {
-        switch (update.view) {
-        case RegistryView::OperatorDocuments:
-            return m_operatorDocuments.onShared(update.share);
-        case RegistryView::UpstreamRecords:
-            return m_upstreamRecords.onShared(update.share);
-        case RegistryView::OwnRecords:
-            return m_ownRecords.onShared(update.share);
-        }
+        followerOf(update.view).onShared(update.share);
     }
 
     /// The upstreams' watch has broken: the other connections may be as dead without having shown it yet.
@@ -117,10 +115,23 @@
         return std::chrono::duration_cast<Duration>(drainBound * upstreamPausePart);
     }
 
+    Follower &followerOf(RegistryView view)
+    {
+        switch (view) {
+        case RegistryView::OperatorDocuments:
+            return m_operatorDocuments;
+        case RegistryView::UpstreamRecords:
+            return m_upstreamRecords;
+        case RegistryView::OwnRecords:
+            break;
+        }
+        return m_ownRecords;
+    }
+
     Observer sharing(RegistryView view, Observer observer)
     {
         observer.onRead = [this, view](const RegistryShare &share) {
-            m_onRead({view, share});
+            m_onRead({view, share}, followerOf(view).wasOverdue());
             if (view == RegistryView::UpstreamRecords)
                 shareSignsOfLife();
         };
@@ -131,12 +142,13 @@
     void shareSignsOfLife()
     {
         if (const auto share = m_operatorDocuments.signOfLife())
-            m_onRead({RegistryView::OperatorDocuments, *share});
+            m_onRead({RegistryView::OperatorDocuments, *share}, m_upstreamRecords.wasOverdue());
         if (const auto share = m_ownRecords.signOfLife())
-            m_onRead({RegistryView::OwnRecords, *share});
+            m_onRead({RegistryView::OwnRecords, *share}, m_upstreamRecords.wasOverdue());
     }
 
-    std::function<void(const RegistryUpdate &)> m_onRead;
+    double m_patienceFactor;
+    OnRead m_onRead;
     Follower m_operatorDocuments;
     Follower m_upstreamRecords;
     Follower m_ownRecords;
--- a/tests/gateway/registryviewstest.cpp
+++ b/tests/gateway/registryviewstest.cpp
@@ -24,9 +24,11 @@
         onReply({KeyOutcome::Applied, 10, {}});
     }
 
-    void watch(const std::string &, Revision, Duration, const std::function<void(WatchResult)> &)
+    void watch(const std::string &, Revision after, Duration, const std::function<void(WatchResult)> &onResult)
     {
         ++watches;
+        if (answersWatches)
+            onResult({true, false, {{"k", "v", after + 1}}, after + 1});
     }
 
     void grantLease(Duration, const std::function<void(std::optional<StoreLease>)> &)
@@ -43,12 +45,14 @@
 
     unsigned reads = 0;
     unsigned watches = 0;
+    bool answersWatches = false;
 };
 
 struct Viewer {
     Viewer()
         : views(loop, store, std::chrono::milliseconds{2500}, {"op/", observer()}, {"up/", observer()},
-                {"own/", observer()}, [](const RegistryUpdate &) {})
+                {"own/", observer()}, 1,
+                [this](const RegistryUpdate &, bool isOverdue) { overdue += isOverdue ? 1 : 0; })
     {
     }
 
@@ -83,6 +87,7 @@
     CountingStore store;
     RegistryViews<CountingStore> views;
     unsigned changes = 0;
+    unsigned overdue = 0; ///< Updates that this node tells others in the place of the reader.
 };
 
 struct RoleCase {
@@ -130,3 +135,28 @@
     viewer.start(row, std::chrono::milliseconds{1400}, {});
     cr_assert_eq(viewer.store.watches, 3U);
 }
+
+/// The first node that misses the reader's shares reads for all, until the next reader is known.
+Test(RegistryViews, whatIsReadInThePlaceOfASilentReaderIsToldToOthers)
+{
+    Viewer viewer;
+    viewer.store.answersWatches = true;
+    viewer.start(ReadRole::ReadFor, std::chrono::milliseconds{1400}, {});
+    cr_assert_geq(viewer.overdue, 3U);
+}
+
+/// A part that is missing is asked for at once; others may not miss it.
+Test(RegistryViews, whatOneNodeHasMissedIsNotToldToOthers)
+{
+    Viewer viewer;
+    viewer.store.answersWatches = true;
+    viewer.views.setRole(ReadRole::ReadFor, std::chrono::milliseconds{2500});
+    viewer.views.start();
+    viewer.loop.runAfter(std::chrono::milliseconds{20}, [&] {
+        viewer.views.onShared({RegistryView::OperatorDocuments, {15, {}, 16}});
+    });
+    viewer.loop.runAfter(std::chrono::milliseconds{200}, [&] { viewer.loop.stop(); });
+    viewer.loop.run();
+    cr_assert_eq(viewer.store.watches, 1U);
+    cr_assert_eq(viewer.overdue, 0U);
+}
