--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/callforwarder.h"
 
 #include "support/endlessserver.h"
+#include "support/plaindialect.h"
 #include "support/table.h"
 
 #include <boost/asio/io_context.hpp>
@@ -11,50 +12,11 @@
 
 using namespace Gypsumtally;
 using namespace Gypsumtally::Gateway;
+using Testing::PlainDialect;
 
 namespace
 {
 
-/// A dialect for tests: the path is the route, headers carry their plain names.
-struct PlainDialect {
-    static std::variant<CallerRequest, BadRequest> readRequest(const Http::Request &request)
-    {
-        CallerRequest decoded;
-        decoded.id = std::string(request.headers.get("Id"));
-        decoded.host = "h";
-        decoded.path = request.target;
-        decoded.timeout = std::chrono::seconds{5};
-        decoded.target = std::string(request.headers.get("Target"));
-        decoded.promptTokens = decoded.target.empty() ? 0 : 500;
-        return decoded;
-    }
-
-    static Http::Request writeRequest(const Http::Request &request, const SendInstructions &instructions)
-    {
-        Http::Request sent{request.method,
-                           request.target,
-                           {{"Host", "h"}, {"Id", std::string(request.headers.get("Id"))}},
-                           request.body};
-        if (instructions.resumeAfter)
-            sent.headers.add("Resume", std::to_string(*instructions.resumeAfter));
-        return sent;
-    }
-
-    static UpstreamReply readReply(const Relay::ResponseHead &head)
-    {
-        UpstreamReply reply;
-        reply.status = head.status;
-        reply.requestId = std::string(head.headers.get("Id"));
-        reply.isSigned = head.headers.contains("Proof");
-        reply.notRun = head.headers.contains("Not-Run");
-        reply.statement.isLeaving = head.headers.contains("Leaving");
-        if (const auto away = head.headers.get("Away-Ms"); !away.empty())
-            reply.statement.turnsAwayFor = std::chrono::milliseconds{std::stoi(std::string(away))};
-        reply.headers = head.headers.contains("Proof") ? Http::Headers{{"Proof", "p"}} : Http::Headers{};
-        return reply;
-    }
-};
-
 using Exchange = std::shared_ptr<Relay::CallerExchange>;
 
 Http::EventLoop *stageLoop = nullptr; ///< Of the stage of the test that runs.
--- /dev/null
+++ b/tests/gateway/overloadtest.cpp
@@ -0,0 +1,211 @@
+#include "gateway/callforwarder.h"
+
+#include "support/plaindialect.h"
+#include "support/table.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+using Exchange = std::shared_ptr<Relay::CallerExchange>;
+
+constexpr Duration eventPause = std::chrono::milliseconds{25};
+constexpr int eventsOfAStream = 8;
+constexpr Duration objective = std::chrono::milliseconds{600};
+constexpr unsigned slots = 4;
+constexpr std::size_t engineCount = 2;
+
+/// What the engines serve, in streams a second.
+constexpr double capacity = engineCount * slots / 0.2;
+
+/// A node before engines of few slots, which refuse what they have no room for, under a load that changes by phases.
+class Overload
+{
+public:
+    Overload()
+        : m_logging(LogLevel::Error, LogFormat::Text, "n")
+        , m_log(m_logging)
+        , m_forwarder(m_loop, m_context, m_log, m_metrics)
+        , m_entry(m_loop, {}, [this](const Exchange &exchange) { m_forwarder.accept(exchange); })
+        , m_client(m_loop)
+    {
+        Route route;
+        route.host = "h";
+        route.prefix = "/s/";
+        route.kind = RequestKind::Streaming;
+        route.canResume = true;
+        route.attempts = 2;
+        route.latencyObjective = objective;
+        route.longestPause = std::chrono::milliseconds{300};
+        route.callerPatience = std::chrono::milliseconds{2400};
+        route.services = {{"s", 1}};
+        TrafficPolicy policy;
+        policy.routes = {route};
+        policy.services = {{"s", EngineProfile{}}};
+        m_context.routes = std::make_shared<RouteTable>(policy);
+        m_context.allowance = RetryAllowance({0.2, 50, std::chrono::seconds{10}, 1});
+        m_context.hasOrderHolder = true;
+        m_context.onPrompt = [](const std::string &, double, Duration) {};
+        m_context.onMissing = [](const std::string &, const ModelTarget &) {};
+        m_context.onWanted
+            = [](const std::string &, const ModelTarget &, const std::vector<std::string> &, unsigned) {};
+        for (std::size_t number = 0; number < engineCount; ++number)
+            addEngine(number);
+        m_entryEndpoint = {"127.0.0.1", m_entry.listen({"127.0.0.1", 0}), false};
+        tick();
+    }
+
+    /// Sends @p load times what the engines serve for @p time, and returns the streams that were served in time, a
+    /// second, of those sent in the second half.
+    double run(double load, Duration time)
+    {
+        const auto begin = BootClock{}.now();
+        m_countFrom = begin + time / 2;
+        m_inTime = 0;
+        m_pause = Duration{static_cast<std::int64_t>(1e6 / (load * capacity))};
+        m_until = begin + time;
+        m_loop.post([this] { sendNext(); });
+        m_loop.runAfter(time + objective, [this] { m_loop.stop(); });
+        m_loop.context().restart();
+        m_loop.run();
+        return m_inTime / std::chrono::duration<double>(time / 2).count();
+    }
+
+    /// All engines refuse everything from now on, or serve again.
+    void setFailing(bool isFailing)
+    {
+        m_isFailing = isFailing;
+    }
+
+    unsigned unanswered = 0; ///< Requests that had no answer at all at their deadline.
+
+private:
+    void addEngine(std::size_t number)
+    {
+        m_engines[number] = std::make_unique<Relay::CallerServer>(
+            m_loop, Relay::CallerServerSettings{},
+            [this, number](const Exchange &exchange) { serve(number, exchange); });
+        UpstreamRecord record;
+        record.instance = "e" + std::to_string(number);
+        record.service = "s";
+        record.slots = slots;
+        record.startedAt = 1;
+        record.endpoint = {"127.0.0.1", m_engines[number]->listen({"127.0.0.1", 0}), false};
+        record.targets = {{"m", 1}, {"m/a", 1}};
+        m_context.upstreams.onRecord(record, BootClock{}.now() - std::chrono::seconds{1});
+    }
+
+    void serve(std::size_t engine, const Exchange &exchange)
+    {
+        if (m_isFailing || m_running[engine] >= slots)
+            return exchange->respond({503, {{"Not-Run", "1"}}, ""});
+        ++m_running[engine];
+        exchange->begin(200, {{"Id", std::string(exchange->request().headers.get("Id"))}, {"Proof", "p"}},
+                        std::nullopt);
+        makeEvents(engine, exchange, 1);
+    }
+
+    void makeEvents(std::size_t engine, const Exchange &exchange, int number)
+    {
+        m_loop.runAfter(eventPause, [this, engine, exchange, number] {
+            exchange->write("id: " + std::to_string(number) + "\ndata: x\n\n");
+            if (number < eventsOfAStream)
+                return makeEvents(engine, exchange, number + 1);
+            --m_running[engine];
+            exchange->end();
+        });
+    }
+
+    void sendNext()
+    {
+        const auto now = BootClock{}.now();
+        if (now >= m_until)
+            return;
+        send(now);
+        m_loop.runAfter(m_pause, [this] { sendNext(); });
+    }
+
+    void send(Instant now)
+    {
+        auto first = std::make_shared<Instant>();
+        auto status = std::make_shared<unsigned>(0);
+        Relay::ExchangeObserver observer;
+        observer.onHead = [status](const Relay::ResponseHead &head) { *status = head.status; };
+        observer.onBody = [first](std::string_view) {
+            if (*first == Instant{})
+                *first = BootClock{}.now();
+        };
+        const bool counts = now >= m_countFrom;
+        observer.onEnd = [this, first, status, now, counts] {
+            if (counts && *status == 200 && *first - now < objective)
+                ++m_inTime;
+        };
+        observer.onFailure = [this](const Relay::FailedExchange &) { ++unanswered; };
+        const auto id = "r" + std::to_string(++m_sent);
+        m_client.send({m_entryEndpoint, {}}, {"POST", "/s/1", {{"Host", "h"}, {"Id", id}, {"Target", "m/a"}}, "q"},
+                      std::move(observer), {});
+    }
+
+    void tick()
+    {
+        const auto now = BootClock{}.now();
+        m_forwarder.sweep(now);
+        m_client.sweep(now);
+        m_loop.runAfter(std::chrono::milliseconds{50}, [this] { tick(); });
+    }
+
+    Logging m_logging;
+    GatewayLog m_log;
+    Metrics m_metrics;
+    Http::EventLoop m_loop;
+    CallContext m_context;
+    CallForwarder<Testing::PlainDialect> m_forwarder;
+    std::array<std::unique_ptr<Relay::CallerServer>, engineCount> m_engines;
+    std::array<unsigned, engineCount> m_running{};
+    Relay::CallerServer m_entry;
+    Relay::UpstreamClient m_client;
+    Http::Endpoint m_entryEndpoint;
+    Instant m_countFrom{};
+    Instant m_until{};
+    Duration m_pause{};
+    unsigned m_sent = 0;
+    double m_inTime = 0;
+    bool m_isFailing = false;
+};
+
+struct TroubleCase {
+    double load; ///< Over what the engines serve.
+    bool isFailing; ///< The engines refuse everything.
+};
+
+const TroubleCase troubles[] = {{3, false}, {0.6, true}, {3, true}};
+
+constexpr double ordinaryLoad = 0.6;
+constexpr double recovered = 0.95; ///< Of the goodput before.
+
+} // namespace
+
+/// Overload and outages end when their cause does: within 5 s, as many are served in time as before, and every request
+/// has had an answer.
+TABLE_TEST(Overload, endsWithItsCause, troubles)
+{
+    Overload overload;
+    const double before = overload.run(ordinaryLoad, std::chrono::seconds{3});
+    overload.setFailing(row.isFailing);
+    overload.run(row.load, std::chrono::seconds{5});
+    overload.setFailing(false);
+    overload.run(ordinaryLoad, std::chrono::seconds{3});
+    const double after = overload.run(ordinaryLoad, std::chrono::seconds{4});
+    cr_assert_gt(before, 0.9 * ordinaryLoad * capacity, "%f", before);
+    cr_assert_geq(after, recovered * before, "%f after %f", after, before);
+    cr_assert_eq(overload.unanswered, 0U);
+}
--- /dev/null
+++ b/tests/support/plaindialect.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "gateway/dialect.h"
+
+#include <string>
+#include <variant>
+
+namespace Gypsumtally::Testing
+{
+
+/// A dialect for tests: the path is the route, headers carry their plain names.
+struct PlainDialect {
+    static std::variant<Gateway::CallerRequest, Gateway::BadRequest> readRequest(const Http::Request &request)
+    {
+        Gateway::CallerRequest decoded;
+        decoded.id = std::string(request.headers.get("Id"));
+        decoded.host = "h";
+        decoded.path = request.target;
+        decoded.timeout = std::chrono::seconds{5};
+        decoded.target = std::string(request.headers.get("Target"));
+        decoded.promptTokens = decoded.target.empty() ? 0 : 500;
+        return decoded;
+    }
+
+    static Http::Request writeRequest(const Http::Request &request, const Gateway::SendInstructions &instructions)
+    {
+        Http::Request sent{request.method,
+                           request.target,
+                           {{"Host", "h"}, {"Id", std::string(request.headers.get("Id"))}},
+                           request.body};
+        if (instructions.resumeAfter)
+            sent.headers.add("Resume", std::to_string(*instructions.resumeAfter));
+        return sent;
+    }
+
+    static Gateway::UpstreamReply readReply(const Relay::ResponseHead &head)
+    {
+        Gateway::UpstreamReply reply;
+        reply.status = head.status;
+        reply.requestId = std::string(head.headers.get("Id"));
+        reply.isSigned = head.headers.contains("Proof");
+        reply.notRun = head.headers.contains("Not-Run");
+        reply.statement.isLeaving = head.headers.contains("Leaving");
+        if (const auto away = head.headers.get("Away-Ms"); !away.empty())
+            reply.statement.turnsAwayFor = std::chrono::milliseconds{std::stoi(std::string(away))};
+        reply.headers = head.headers.contains("Proof") ? Http::Headers{{"Proof", "p"}} : Http::Headers{};
+        return reply;
+    }
+};
+
+} // namespace Gypsumtally::Testing
