Prompt speed is learnt from prompts that wait behind others

Cause: only a prompt that met no other was a sample. Ruled out: the engines (all of these waited at their node), the step (learnt within 0.3 s). Change: a sample is the time to the first event over what the engine had to read when the prompt was sent, by its own prompt window. Test: promptpacetest plays the restart in virtual time; five of its six loads fail with samples of lone prompts only.

--- a/src/estimates/promptspeed.cpp
+++ b/src/estimates/promptspeed.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr double priorTokensPerMs = 20; ///< Of a large model on current accelerators.
 constexpr double priorFirstMs = 50; ///< To the first event of an empty prompt.
 constexpr double priorPromptTokens = 1000;
 constexpr double priorWeight = 3; ///< Of each of two made-up samples, which are forgotten like others.
@@ -20,13 +19,17 @@
 constexpr double mostMsPerToken = 2;
 /// Keeps the slope while all prompts have nearly the same size: part of the squared mean size.
 constexpr double ridgePart = 0.02;
+constexpr double mostRise = 1.05; ///< Of the speed, by one sample.
+constexpr double mostFall = 0.9;
 
 } // namespace
 
-PromptSpeed::PromptSpeed()
+PromptSpeed::PromptSpeed(double expected)
+    : m_expected(expected)
+    , m_tokensPerMs(expected)
 {
     addWeighted(0, priorFirstMs, priorWeight);
-    addWeighted(priorPromptTokens, priorFirstMs + priorPromptTokens / priorTokensPerMs, priorWeight);
+    addWeighted(priorPromptTokens, priorFirstMs + priorPromptTokens / expected, priorWeight);
 }
 
 void PromptSpeed::add(double tokens, double ms)
@@ -39,6 +42,7 @@
         *sum *= kept;
     addWeighted(tokens, std::clamp(ms, expected / largestRatio, expected * largestRatio), 1);
     ++m_samples;
+    m_tokensPerMs = std::clamp(1 / slope(), m_tokensPerMs * mostFall, m_tokensPerMs * mostRise);
 }
 
 void PromptSpeed::addWeighted(double tokens, double ms, double weight)
@@ -57,12 +61,7 @@
     const double ridge = ridgePart * meanTokens * meanTokens;
     const double variance = m_tokensSquared / m_weight - meanTokens * meanTokens;
     const double covariance = m_tokensMs / m_weight - meanTokens * meanMs;
-    return std::clamp((covariance + ridge / priorTokensPerMs) / (variance + ridge), leastMsPerToken, mostMsPerToken);
-}
-
-double PromptSpeed::tokensPerMs() const
-{
-    return 1 / slope();
+    return std::clamp((covariance + ridge / m_expected) / (variance + ridge), leastMsPerToken, mostMsPerToken);
 }
 
 } // namespace Gypsumtally::Estimates
--- a/src/estimates/promptspeed.h
+++ b/src/estimates/promptspeed.h
@@ -3,18 +3,23 @@
 namespace Gypsumtally::Estimates
 {
 
-/// Learns how fast engines read prompts, from the time to the first event of prompts of different sizes: the slope of
-/// that time, whatever a request waits for besides. Older samples count for less. Not thread-safe; does no I/O.
+/// Learns how fast engines read prompts, from the time to the first event and what was to be read until then: the slope
+/// of that time, whatever a request waits for besides. Older samples count for less. Not thread-safe; does no I/O.
 class PromptSpeed
 {
 public:
-    PromptSpeed();
+    /// Reckons with @p expected tokens a ms until samples tell otherwise. Precondition: it is positive.
+    explicit PromptSpeed(double expected = usualTokensPerMs);
 
-    /// A prompt of @p tokens that met no other prompt had its first event after @p ms.
+    /// A request had its first event after @p ms, when its engine had read @p tokens: those of its prompt and of others
+    /// that came before.
     void add(double tokens, double ms);
 
-    /// Returns the learnt speed; a usual one while there are few samples.
-    double tokensPerMs() const;
+    /// Returns the learnt speed; the expected one while there are few samples.
+    double tokensPerMs() const
+    {
+        return m_tokensPerMs;
+    }
 
     /// Returns how many samples were taken in.
     unsigned samples() const
@@ -23,9 +28,13 @@
     }
 
 private:
+    static constexpr double usualTokensPerMs = 20; ///< Of a large model on current accelerators.
+
     double slope() const;
     void addWeighted(double tokens, double ms, double weight);
 
+    double m_expected;
+    double m_tokensPerMs; ///< Follows the samples in steps, as few of them may be far off together.
     double m_weight = 0;
     double m_tokens = 0;
     double m_ms = 0;
--- a/src/estimates/servicespeed.cpp
+++ b/src/estimates/servicespeed.cpp
@@ -63,9 +63,9 @@
     m_step.add(msOf(pause) / std::max(1U, tokensPerEvent), now);
 }
 
-void ServiceSpeed::onFirstEvent(double promptTokens, Duration time, double slowness)
+void ServiceSpeed::onFirstEvent(double unreadTokens, Duration time, double slowness)
 {
-    m_prompts.add(promptTokens * slowness, msOf(time));
+    m_prompts.add(unreadTokens * slowness, msOf(time));
 }
 
 void ServiceSpeed::onStream(Duration time, Instant now)
--- a/src/estimates/servicespeed.h
+++ b/src/estimates/servicespeed.h
@@ -33,9 +33,9 @@
     /// Two events of a stream of @p tokensPerEvent each came @p pause apart.
     void onPause(Duration pause, unsigned tokensPerEvent, Instant now);
 
-    /// The first event of a request came @p time after it was sent to an engine that had no other prompt to read and is
-    /// @p slowness times as slow as others.
-    void onFirstEvent(double promptTokens, Duration time, double slowness);
+    /// The first event of a request came @p time after it was sent to an engine that had @p unreadTokens of prompts to
+    /// read then, those of the request included, and is @p slowness times as slow as others.
+    void onFirstEvent(double unreadTokens, Duration time, double slowness);
 
     /// A stream came to its end @p time after its request was sent.
     void onStream(Duration time, Instant now);
--- a/src/gateway/promptwindow.cpp
+++ b/src/gateway/promptwindow.cpp
@@ -30,6 +30,25 @@
     return sum;
 }
 
+double PromptWindow::unread(double tokensPerMs, Instant now) const
+{
+    double left = 0;
+    Instant before{};
+    const auto readUntil = [&](Instant at) {
+        const auto passed = std::chrono::duration<double, std::milli>(at - before).count();
+        left = std::max(0.0, left - passed * tokensPerMs);
+        before = at;
+    };
+    for (const auto &entry : m_entries) {
+        if (entry.at > now)
+            break;
+        readUntil(entry.at);
+        left = std::max(0.0, left + entry.tokens);
+    }
+    readUntil(now);
+    return left;
+}
+
 /// Returns the most tokens that any span around @p at has.
 double PromptWindow::mostBeside(Instant at, Duration span) const
 {
--- a/src/gateway/promptwindow.h
+++ b/src/gateway/promptwindow.h
@@ -18,6 +18,10 @@
     /// Returns the tokens since @p span before @p now, those to come included.
     double sum(Duration span, Instant now) const;
 
+    /// Returns the tokens that an engine which reads @p tokensPerMs has not read yet at @p now, in the order in which
+    /// they were sent. Those to come do not count. Precondition: @p tokensPerMs is positive.
+    double unread(double tokensPerMs, Instant now) const;
+
     /// Returns the first time from @p from on at which @p tokens more keep the sum of each @p span within @p limit. One
     /// prompt alone is always let in where a span has no other.
     Instant roomAt(double tokens, double limit, Duration span, Instant from) const;
--- /dev/null
+++ b/tests/gateway/promptpacetest.cpp
@@ -0,0 +1,120 @@
+#include "estimates/servicespeed.h"
+#include "gateway/enginechoice.h"
+#include "gateway/promptwindow.h"
+
+#include "support/table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <random>
+#include <vector>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+/// The load of nodes that have all been restarted while engines are busy: they know nothing of the engines' speed, and
+/// prompts come faster than the usual speed would let them through.
+struct RestartCase {
+    double tokensPerMs; ///< Of the engine.
+    double load; ///< Of that, by the prompts that come.
+    double meanTokens; ///< Of a prompt.
+};
+
+const RestartCase restarts[] = {
+    {38, 0.5, 826}, {38, 0.8, 826}, {38, 0.8, 2368}, {60, 0.6, 1000}, {20.4, 0.8, 1460}, {8, 0.6, 800},
+};
+
+constexpr Duration longestPause = std::chrono::milliseconds{300};
+constexpr double firstMs = 45; ///< To a first event, beside what is read.
+constexpr Duration timeToLearn = std::chrono::seconds{5};
+constexpr unsigned engines = 4;
+constexpr unsigned nodes = 8; ///< Each hears the first events of its own requests.
+constexpr double wrongBy = 0.3; ///< What the pace bears: a pause has room for a third more.
+
+Duration ms(double time)
+{
+    return Duration{static_cast<std::int64_t>(time * 1000)};
+}
+
+/// Prompts that wait for longer are refused.
+constexpr Duration longestWait = std::chrono::milliseconds{600};
+
+struct Engine {
+    PromptWindow window;
+    Instant idleFrom{}; ///< When it will have read all prompts.
+};
+
+/// Engines that read prompts in the order in which they come, before a node that learns their speed.
+class RestartedFleet
+{
+public:
+    RestartedFleet(const RestartCase &load, unsigned seed)
+        : m_load(load)
+        , m_random(seed)
+    {
+    }
+
+    /// Plays the load for timeToLearn and returns the speed that the node reckons with then.
+    double learntTokensPerMs()
+    {
+        std::exponential_distribution<double> gap(m_load.load * m_load.tokensPerMs * engines / m_load.meanTokens);
+        const Instant start{std::chrono::seconds{100}};
+        for (Instant now = start; now < start + timeToLearn; now += ms(gap(m_random))) {
+            runEvents(now);
+            plan(now);
+        }
+        return m_speed.speed().promptTokensPerMs;
+    }
+
+private:
+    void runEvents(Instant until)
+    {
+        while (!m_events.empty() && m_events.begin()->first <= until) {
+            const auto event = m_events.extract(m_events.begin());
+            event.mapped()(event.key());
+        }
+    }
+
+    void plan(Instant now)
+    {
+        auto &engine = m_fleet[m_random() % engines];
+        const double tokens = 10 + m_size(m_random);
+        const double limit = tokensWithinPause({longestPause, 1, 1}, m_speed.speed(), 1);
+        const auto sendAt = engine.window.roomAt(tokens, limit, longestPause, now);
+        if (sendAt - now > longestWait)
+            return;
+        engine.window.add(tokens, sendAt, now);
+        m_events.emplace(sendAt, [this, &engine, tokens](Instant at) { send(engine, tokens, at); });
+    }
+
+    void send(Engine &engine, double tokens, Instant now)
+    {
+        const double unread = std::max(tokens, engine.window.unread(m_speed.speed().promptTokensPerMs, now));
+        engine.idleFrom = std::max(engine.idleFrom, now) + ms(tokens / m_load.tokensPerMs);
+        const auto time = engine.idleFrom - now + ms(firstMs);
+        if (m_random() % nodes == 0)
+            m_events.emplace(now + time, [this, unread, time](Instant) { m_speed.onFirstEvent(unread, time, 1); });
+    }
+
+    const RestartCase &m_load;
+    std::mt19937 m_random;
+    std::exponential_distribution<double> m_size{1 / m_load.meanTokens};
+    Estimates::ServiceSpeed m_speed;
+    std::vector<Engine> m_fleet{engines};
+    std::multimap<Instant, std::function<void(Instant)>> m_events;
+};
+
+} // namespace
+
+TABLE_TEST(PromptPace, speedIsLearntUnderFullLoadAfterARestart, restarts)
+{
+    double sum = 0;
+    for (unsigned seed = 1; seed <= nodes; ++seed)
+        sum += std::log(RestartedFleet(row, seed).learntTokensPerMs() / row.tokensPerMs);
+    cr_assert_lt(std::abs(sum / nodes), wrongBy, "%f times as fast as the engines", std::exp(sum / nodes));
+}
--- a/tests/gateway/promptwindowtest.cpp
+++ b/tests/gateway/promptwindowtest.cpp
@@ -56,6 +56,35 @@
     cr_assert(window.roomAt(row.tokens, limit, span, after(row.from)) == after(row.roomAt));
 }
 
+namespace
+{
+
+struct UnreadCase {
+    std::vector<Prompt> prompts;
+    double left; ///< At a speed of 10 tokens a ms.
+};
+
+const UnreadCase unread[] = {
+    {{}, 0},
+    {{{0, 500}}, 500},
+    {{{-20, 500}}, 300},
+    {{{-80, 500}}, 0},
+    {{{-80, 500}, {-10, 500}}, 400}, // The engine was idle in between.
+    {{{-80, 1000}, {-10, 500}}, 700}, // It was not.
+    {{{50, 500}}, 0}, // To come.
+    {{{-80, 1000}, {-80, -1000}, {-10, 500}}, 400}, // Withdrawn.
+};
+
+} // namespace
+
+TABLE_TEST(PromptWindow, reckonsWhatTheEngineHasNotRead, unread)
+{
+    PromptWindow window;
+    for (const auto &prompt : row.prompts)
+        window.add(prompt.tokens, after(prompt.at), now);
+    cr_assert_float_eq(window.unread(10, now), row.left, 1e-6);
+}
+
 Test(PromptWindow, sumsWhatIsRecentOrToCome)
 {
     PromptWindow window;
