Lines about late answers name what was waited for; gypsumtally report loss adds them up

Requests wait for a load, a load under way, room, the pace or an upstream's return; the line of a late answer or a refusal has each time. Late answers are logged at level info, bounded as other lines on requests. The command counts losses by two seconds, route, kind and cause.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -17,6 +17,7 @@
 Result<ExitCode> quarantineList(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> quarantineClear(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> reportBurn(const CommandContext &context, const Arguments &arguments);
+Result<ExitCode> reportLoss(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> ask(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> completion(const CommandContext &context, const Arguments &arguments);
 Result<ExitCode> help(const CommandContext &context, const Arguments &arguments);
--- a/src/cli/commandtable.cpp
+++ b/src/cli/commandtable.cpp
@@ -35,6 +35,8 @@
          "gypsumtally quarantine clear 9f3c0a7712ab44de", Commands::quarantineClear},
         {"report burn", "", 0, 0, "Reports service-level burn over all nodes; --html=FILE writes a page with plots.",
          "gypsumtally report burn --html=burn.html", Commands::reportBurn},
+        {"report loss", "LOG...", 1, 200, "Adds up from the logs of gateways what was not served in time, and why.",
+         "gypsumtally report loss gateway-*.log", Commands::reportLoss},
         {"ask", "MODEL PROMPT", 2, 2, "Asks a model; --server is a callers address here.",
          "gypsumtally ask llama/roster@3 'Who is on shift?' --server=127.0.0.1:8080", Commands::ask},
         {"completion", "bash", 1, 1, "Prints a completion script.", "source <(gypsumtally completion bash)",
--- a/src/cli/logcommands.cpp
+++ b/src/cli/logcommands.cpp
@@ -1,6 +1,8 @@
 #include "cli/command.h"
 #include "cli/commands.h"
+#include "cli/lossreport.h"
 #include "cli/requeststory.h"
+#include "cli/texttable.h"
 
 #include <boost/json.hpp>
 
@@ -34,17 +36,36 @@
     out << '\n';
 }
 
-} // namespace
+constexpr std::int64_t lossSpanMs = 2000;
 
-Result<ExitCode> explainRequest(const CommandContext &context, const Arguments &arguments)
+/// Reads the logs that @p arguments name from @p first on.
+template<typename Reader>
+Result<void> readLogs(Reader &reader, const Arguments &arguments, std::size_t first)
 {
-    RequestStory story(arguments[0]);
-    for (std::size_t i = 1; i < arguments.size(); ++i) {
+    for (std::size_t i = first; i < arguments.size(); ++i) {
         std::ifstream log(arguments[i]);
         if (!log)
             return boost::leaf::new_error(CommandError{ExitCode::Usage, arguments[i] + ": cannot be read"});
-        story.read(log);
+        reader.read(log);
     }
+    return {};
+}
+
+boost::json::object toJson(const LossRow &row)
+{
+    return {{"from_ms", row.fromMs},
+            {"route", row.route},
+            {"kind", nameOf(row.kind)},
+            {"cause", row.cause},
+            {"requests", row.requests}};
+}
+
+} // namespace
+
+Result<ExitCode> explainRequest(const CommandContext &context, const Arguments &arguments)
+{
+    RequestStory story(arguments[0]);
+    BOOST_LEAF_CHECK(readLogs(story, arguments, 1));
     const auto events = story.events();
     if (events.empty())
         return boost::leaf::new_error(
@@ -67,4 +88,22 @@
     return ExitCode::Success;
 }
 
+Result<ExitCode> reportLoss(const CommandContext &context, const Arguments &arguments)
+{
+    LossReport report(lossSpanMs);
+    BOOST_LEAF_CHECK(readLogs(report, arguments, 0));
+    const auto rows = report.rows();
+    TextTable table({"from, s", "route", "kind", "cause", "requests"});
+    for (const auto &row : rows) {
+        if (context.isJson())
+            context.writeJson(toJson(row));
+        else
+            table.add({std::to_string((row.fromMs - rows.front().fromMs) / 1000), row.route,
+                       std::string(nameOf(row.kind)), row.cause, std::to_string(row.requests)});
+    }
+    if (!context.isJson())
+        table.write(context.out());
+    return ExitCode::Success;
+}
+
 } // namespace Gypsumtally::Commands
--- a/src/cli/requeststory.cpp
+++ b/src/cli/requeststory.cpp
@@ -1,9 +1,5 @@
 #include "cli/requeststory.h"
 
-#include "common/jsonfields.h"
-
-#include <boost/json.hpp>
-
 #include <algorithm>
 #include <array>
 #include <set>
@@ -26,46 +22,8 @@
                                                              "loop_late",         "version_declared",
                                                              "order_failed",      "configuration_in_force"};
 
-std::string textOf(const boost::json::value &value)
-{
-    return value.is_string() ? std::string(value.get_string()) : boost::json::serialize(value);
-}
-
-std::string fieldOf(const LoggedEvent &event, std::string_view name)
-{
-    for (const auto &[field, value] : event.fields) {
-        if (field == name)
-            return value;
-    }
-    return {};
-}
-
 } // namespace
 
-std::optional<LoggedEvent> readLogLine(const std::string &line)
-{
-    const auto begin = line.find('{');
-    if (begin == std::string::npos)
-        return std::nullopt;
-    const auto object = parseObject(std::string_view(line).substr(begin));
-    if (!object)
-        return std::nullopt;
-    LoggedEvent event;
-    for (const auto &[name, field] : *object) {
-        if (name == "time_ms")
-            event.timeMs = numberAt<std::int64_t>(*object, "time_ms");
-        else if (name == "node")
-            event.node = textOf(field);
-        else if (name == "event")
-            event.event = textOf(field);
-        else if (name == "request")
-            event.request = textOf(field);
-        else if (name != "level")
-            event.fields.emplace_back(std::string(name), textOf(field));
-    }
-    return event.event.empty() ? std::nullopt : std::optional(std::move(event));
-}
-
 RequestStory::RequestStory(std::string request)
     : m_request(std::move(request))
 {
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -5,6 +5,7 @@
 #include "gateway/dialect.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/gatewaylog.h"
+#include "gateway/waittimes.h"
 #include "http/eventloop.h"
 #include "relay/callerserver.h"
 #include "relay/upstreamclient.h"
@@ -101,7 +102,7 @@
     static constexpr Duration leastSilence = std::chrono::milliseconds{150};
     static constexpr Duration usualSilence = std::chrono::milliseconds{900}; ///< Where a route allows any pause.
     static constexpr Duration crashWindow = std::chrono::milliseconds{1500}; ///< Within which breaks tell of one crash.
-    static constexpr Duration promptEcho = std::chrono::milliseconds{150}; ///< A prompt sent before may still be read.
+    static constexpr Duration loadEcho = std::chrono::milliseconds{150}; ///< A load may end so much later than told.
     /// What a request waits for room before it asks for a copy at another engine.
     static constexpr Duration fullPatience = std::chrono::milliseconds{100};
     /// Of all slots; beyond, further copies would only push out others that are needed.
@@ -131,6 +132,7 @@
         std::string_view code = "ok"; ///< For metrics: an ErrorCode's name if the call failed.
         bool waiting = false; ///< For a load.
         Instant waitingSince{};
+        WaitTimes waits;
         Instant waitUntil{};
         Instant wantedAt{};
         unsigned wants = 0; ///< How often a holder was asked for a load.
@@ -145,6 +147,7 @@
         Instant heard{};
         double slownessAtSend = 1; ///< Of the upstream, as far as was learnt.
         unsigned inFlightAtSend = 0; ///< At the upstream, by all nodes as far as they have told.
+        double unreadAtSend = 0; ///< Prompt tokens that the upstream had to read then, those of the call included.
         bool promptRead = false; ///< An event has come.
         UpstreamReply reply;
         std::string body;
@@ -221,7 +224,7 @@
                 return giveUp(call, ErrorCode::Overloaded, "the engines that have the adapter are full");
             if (const auto later = dispersal(*call, *choice, now); later > Duration{}) {
                 call->notBefore = now + later;
-                startWaiting(call, now);
+                startWaiting(call, WaitCause::ComingLoad, now);
                 call->waitUntil = std::max(call->waitUntil, choice->sendAt + longestLoadWait);
                 return wakeAt(call, call->notBefore, now);
             }
@@ -233,7 +236,7 @@
                 announcePrompt(*call, choice->instance, choice->sendAt, now);
                 call->reservation = *choice;
             }
-            startWaiting(call, now);
+            startWaiting(call, causeOf(*choice, now), now);
             call->waitUntil = std::max(call->waitUntil, choice->sendAt + std::chrono::milliseconds{500});
             return wakeAt(call, choice->sendAt, now);
         }
@@ -335,8 +338,9 @@
             return giveUp(call, ErrorCode::NoUpstream, "every upstream of the service has failed the request");
         if (!m_context.hasOrderHolder)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now");
-        if (!call->waiting) {
-            startWaiting(call, now);
+        const bool isFirst = !call->waiting;
+        startWaiting(call, WaitCause::Load, now);
+        if (isFirst) {
             const auto part = std::chrono::duration_cast<Duration>((call->deadline - now) * longestLoadWaitPart);
             call->waitUntil = now + std::min(longestLoadWait, part);
         }
@@ -363,13 +367,21 @@
         if (wait > (call->deadline - now) * longestReturnPart)
             return giveUp(call, ErrorCode::Overloaded, "the upstreams want no requests for now", wait);
         call->notBefore = next;
-        startWaiting(call, now);
+        startWaiting(call, WaitCause::Return, now);
         call->waitUntil = std::max(call->waitUntil, next + longestLoadWait);
         wakeAt(call, next, now);
     }
 
-    void startWaiting(const CallPtr &call, Instant now)
+    static WaitCause causeOf(const UpstreamChoice &choice, Instant now)
     {
+        if (choice.usableAt > now)
+            return WaitCause::ComingLoad;
+        return choice.isFull ? WaitCause::Room : WaitCause::Pace;
+    }
+
+    void startWaiting(const CallPtr &call, WaitCause cause, Instant now)
+    {
+        call->waits.begin(cause, now);
         if (std::exchange(call->waiting, true))
             return;
         call->waitingSince = now;
@@ -388,6 +400,7 @@
         call->waiting = false;
         m_waiting.erase(call);
         const auto now = BootClock{}.now();
+        call->waits.end(now);
         m_metrics.observe(Metric::LoadStallSeconds, labelsOf(*call), now - call->waitingSince, now);
     }
 
@@ -449,12 +462,15 @@
         call->pauses = {};
         call->processStartedAt = upstream->record.startedAt;
         call->inFlightAtSend = upstream->inFlight();
-        call->slownessAtSend = slownessOf(*upstream, m_context.speeds[call->service].speed());
+        const auto speed = m_context.speeds[call->service].speed();
+        call->slownessAtSend = slownessOf(*upstream, speed);
         if (upstream->ownInFlight == 0)
             upstream->waitingSince = now;
         ++upstream->ownInFlight;
         if (!std::exchange(call->reservation, std::nullopt))
             announcePrompt(*call, choice.instance, now, now);
+        call->unreadAtSend = std::max(call->request.promptTokens,
+                                      upstream->prompts.unread(speed.promptTokensPerMs / call->slownessAtSend, now));
         Relay::SendOptions options;
         options.connectTimeout = std::chrono::milliseconds{call->request.target.empty() ? 150 : 300};
         if (!call->route.mayRepeat())
@@ -614,7 +630,7 @@
         m_context.speeds[call.service].onAnswer(now - call.sentAt, now);
     }
 
-    /// Learns from a first event whose prompt has met no other one at its engine, as far as nodes have told.
+    /// Learns from a first event, whose prompt was read after those that the engine had before.
     void learnPromptSpeed(const Call &call, Instant now)
     {
         const auto *upstream = m_context.upstreams.find(call.instance);
@@ -622,11 +638,8 @@
             || call.inFlightAtSend >= upstream->record.slots)
             return;
         const auto *copy = upstream->residency.find(call.request.target);
-        const auto since = call.sentAt - promptEcho;
-        const bool isAlone = upstream->prompts.sum(now - since, now) <= call.request.promptTokens;
-        if (copy && copy->usableAt < since && isAlone)
-            m_context.speeds[call.service].onFirstEvent(call.request.promptTokens, now - call.sentAt,
-                                                        call.slownessAtSend);
+        if (copy && copy->usableAt < call.sentAt - loadEcho)
+            m_context.speeds[call.service].onFirstEvent(call.unreadAtSend, now - call.sentAt, call.slownessAtSend);
     }
 
     void onEnd(const CallPtr &call)
@@ -695,7 +708,7 @@
         if (call->refused > maxRefusedSends)
             return giveUp(call, ErrorCode::UpstreamRefused, "the upstreams have no room");
         if (call->notBefore > now) {
-            startWaiting(call, now);
+            startWaiting(call, WaitCause::ComingLoad, now);
             call->waitUntil = std::max(call->waitUntil, now + longestLoadWait);
             return wakeAt(call, call->notBefore, now);
         }
@@ -766,23 +779,41 @@
         proceed(call);
     }
 
+    /// Writes a line about a stream that was late, and about each one where details are wanted.
     void noteAnswered(const Call &call)
     {
-        if (!m_log.isDetailed())
+        const bool isLate = call.firstEvent > call.route.latencyObjective
+                            || (call.route.longestPause > Duration{} && call.longestPause > call.route.longestPause);
+        if (!isLate && !m_log.isDetailed())
             return;
         const auto ms = [](Duration duration) { return std::to_string(duration.count() / 1000); };
-        m_log.detail(GatewayEvent::Answered, call.request.id,
-                     {{"route", call.route.name},
-                      {"target", call.request.target},
-                      {"upstream", call.instance},
-                      {"sent_after_ms", ms(call.sentAt - call.arrival)},
-                      {"first_event_ms", ms(call.firstEvent)},
-                      {"longest_pause_ms", ms(call.longestPause)},
-                      {"total_ms", ms(BootClock{}.now() - call.arrival)},
-                      {"sends", std::to_string(call.sends)},
-                      {"in_flight", std::to_string(call.inFlightAtSend)},
-                      {"slowness", std::to_string(call.slownessAtSend)},
-                      {"prompt", std::to_string(static_cast<long>(call.request.promptTokens))}});
+        std::vector<LogField> fields{{"route", call.route.name},
+                                     {"late", isLate ? "yes" : "no"},
+                                     {"target", call.request.target},
+                                     {"upstream", call.instance},
+                                     {"sent_after_ms", ms(call.sentAt - call.arrival)},
+                                     {"first_event_ms", ms(call.firstEvent)},
+                                     {"longest_pause_ms", ms(call.longestPause)},
+                                     {"total_ms", ms(BootClock{}.now() - call.arrival)},
+                                     {"objective_ms", ms(call.route.latencyObjective)},
+                                     {"sends", std::to_string(call.sends)},
+                                     {"in_flight", std::to_string(call.inFlightAtSend)},
+                                     {"slowness", std::to_string(call.slownessAtSend)},
+                                     {"prompt", std::to_string(static_cast<long>(call.request.promptTokens))},
+                                     {"unread", std::to_string(static_cast<long>(call.unreadAtSend))}};
+        addWaits(call, fields);
+        if (m_log.isDetailed())
+            m_log.detail(GatewayEvent::Answered, call.request.id, std::move(fields));
+        else
+            m_log.decision(GatewayEvent::Answered, call.request.id, std::move(fields));
+    }
+
+    static void addWaits(const Call &call, std::vector<LogField> &fields)
+    {
+        for (const auto &[cause, name] : enumNames<WaitCause>) {
+            if (const auto time = call.waits.of(cause); time > Duration{})
+                fields.emplace_back("waited_" + std::string(name) + "_ms", std::to_string(time.count() / 1000));
+        }
     }
 
     /// Hands a whole answer of the upstream to the caller as it is.
@@ -826,14 +857,19 @@
                 std::optional<Duration> retryAfter)
     {
         call->code = nameOf(code);
-        m_log.decision(GatewayEvent::Refused, call->request.id,
-                       {{"status", std::to_string(status)},
-                        {"code", std::string(nameOf(code))},
-                        {"reason", reason},
-                        {"target", call->request.target},
-                        {"upstream", call->instance},
-                        {"sends", std::to_string(call->sends)},
-                        {"verdict", std::string(nameOf(call->verdict))}});
+        const auto now = BootClock{}.now();
+        call->waits.end(now);
+        std::vector<LogField> fields{{"status", std::to_string(status)},
+                                     {"code", std::string(nameOf(code))},
+                                     {"reason", reason},
+                                     {"route", call->route.name},
+                                     {"target", call->request.target},
+                                     {"upstream", call->instance},
+                                     {"sends", std::to_string(call->sends)},
+                                     {"after_ms", std::to_string((now - call->arrival).count() / 1000)},
+                                     {"verdict", std::string(nameOf(call->verdict))}};
+        addWaits(*call, fields);
+        m_log.decision(GatewayEvent::Refused, call->request.id, std::move(fields));
         Http::Headers headers{{"Content-Type", "text/plain"}};
         if (retryAfter) {
             std::array<char, 32> text{};
