The store's speed is probed in larger steps until loads are late

Change: steps of 30% until loads are late for the first time, 8% after. Test: aFastStoreIsKnownSoon, red with the old step (10.9 of 32 after 2.4 s).

--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -33,6 +33,7 @@
 constexpr Duration storeJudgingPause = std::chrono::milliseconds{300}; ///< About the time of a load.
 constexpr double mostLatePart = 0.1; ///< Of the loads; more of them show that the store is slower than was reckoned.
 constexpr double timelyLoadFactor = 1.08;
+constexpr double firstTimelyLoadFactor = 1.3; ///< Until loads are late for the first time.
 constexpr double lateLoadFactor = 0.9;
 constexpr double leastStoreFactor = 0.25;
 constexpr double mostStoreFactor = 8;
@@ -187,10 +188,13 @@
     m_storeJudged = now;
     const auto late = std::exchange(m_lateLoads, 0);
     const auto timely = std::exchange(m_timelyLoads, 0);
-    if (late > mostLatePart * (late + timely))
+    if (late > mostLatePart * (late + timely)) {
         m_storeFactor = std::max(leastStoreFactor, m_storeFactor * lateLoadFactor);
-    else if (timely > 0)
-        m_storeFactor = std::min(mostStoreFactor, m_storeFactor * timelyLoadFactor);
+        m_storeLimitMet = true;
+    } else if (timely > 0) {
+        m_storeFactor
+            = std::min(mostStoreFactor, m_storeFactor * (m_storeLimitMet ? timelyLoadFactor : firstTimelyLoadFactor));
+    }
 }
 
 /// Loads share what the store serves: each that begins delays all that are under way. Nodes are told where that shows.
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -287,6 +287,7 @@
     std::vector<PlacementNews> m_answers;
     std::uint64_t m_lastOrder = 0;
     double m_storeFactor = 1; ///< What the store serves at full speed, as learnt, over what was taken for granted.
+    bool m_storeLimitMet = false; ///< Loads were late as the store had too many.
     unsigned m_lateLoads = 0; ///< Since the factor was last corrected: a request had to wait for them.
     unsigned m_timelyLoads = 0; ///< Those that ended in time while the store was as busy as it may be.
     Instant m_storeJudged{};
--- a/tests/gateway/adapterplacertest.cpp
+++ b/tests/gateway/adapterplacertest.cpp
@@ -271,6 +271,14 @@
     cr_assert(store.learnt() > row / 2 && store.learnt() < row * 2, "%f of %f", store.learnt(), row);
 }
 
+/// A start of the whole fleet, with all adapters cold: the first seconds decide how many requests are late.
+Test(AdapterPlacer, aFastStoreIsKnownSoon)
+{
+    BusyStore store(32);
+    store.run(std::chrono::milliseconds{2400});
+    cr_assert(store.learnt() > 16 && store.learnt() < 64, "%f", store.learnt());
+}
+
 Test(AdapterPlacer, followsAStoreThatTurnsSlow)
 {
     BusyStore store(32);
