Holders of orders say when they have stopped, and permissions to order are shorter than leases

Ruled out: the rule itself, which asks for 3 s between the orders of two holders. Change: the store keeps the term and its holder beside the leased record, written in one call. A holder that stops or loses the lease tells all nodes when it, or one before it, may have ordered last; the holder of the very next term waits for 3.3 s from then on. The last holder takes a shard again without a wait and before others, if its term had waited for earlier ones (the record says so). Permission lasts 0.7 s from a renewal, the lease 1.2 s. Found by reading, and mended: a process restarted while its predecessor was still waiting for another machine's lease ordered at once; a lease taken by a call whose answer was lost could be renewed under the id of a later attempt; a holder whose record was removed went on until its lease ended.

--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -26,6 +26,7 @@
     append(into.speeds, std::move(from.speeds));
     append(into.departures, std::move(from.departures));
     append(into.turnedAway, std::move(from.turnedAway));
+    append(into.released, std::move(from.released));
     if (from.sequence < into.sequence) {
         if (!into.hasInFlight) {
             into.changedInFlight.merge(from.changedInFlight);
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -130,6 +130,12 @@
         object["from"] = json::object{{"node", report.from.node}, {"started", report.from.startedAt}};
     if (!report.ordering.empty())
         object["ordering"] = json::value_from(report.ordering);
+    if (!report.released.empty()) {
+        json::array rows;
+        for (const auto &released : report.released)
+            rows.push_back({released.shard, released.term, released.quietFor.count()});
+        object["released"] = std::move(rows);
+    }
     if (report.hasInFlight) {
         json::array rows;
         for (const auto &[instance, requests] : report.inFlight)
@@ -202,6 +208,10 @@
                 report.ordering.push_back(static_cast<unsigned>(shard.get_int64()));
         }
     }
+    eachRow(object, "released", [&](const json::array &row) {
+        report.released.push_back(
+            {numberIn<unsigned>(row, 0), numberIn<std::uint64_t>(row, 1), Duration{numberIn<std::int64_t>(row, 2)}});
+    });
     report.hasInFlight = arrayAt(object, "in_flight") != nullptr;
     eachRow(object, "in_flight",
             [&](const json::array &row) { report.inFlight[textIn(row, 0)] = numberIn<unsigned>(row, 1); });
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -75,6 +75,13 @@
     Duration time{};
 };
 
+/// A node gives no more orders to a shard's engines.
+struct ReleaseNotice {
+    unsigned shard = 0;
+    std::uint64_t term = 0; ///< That it held the shard's lease in.
+    Duration quietFor{}; ///< Since when nobody has ordered in that term or before; negative: until when one may.
+};
+
 /// What one node tells all others. Each part may be empty.
 struct NodeReport {
     NodeAddress from; ///< Only node and startedAt, unless this is a digest.
@@ -82,6 +89,7 @@
     bool takesCallers = true; ///< False from the beginning of a graceful stop, and before the first configuration.
     bool reachesStore = true; ///< The store has answered the last call that follows it.
     std::vector<unsigned> ordering; ///< Shards whose engines the node orders at present.
+    std::vector<ReleaseNotice> released; ///< Shards that it ordered until a moment ago.
     std::map<std::string, unsigned> inFlight; ///< Its requests at work, by upstream instance.
     bool hasInFlight = false; ///< Whether @c inFlight replaces what was told before.
     std::map<std::string, unsigned> changedInFlight; ///< Its requests at work at upstreams where that has changed.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -117,7 +117,12 @@
         for (unsigned shard = 0; shard < orderShards; ++shard) {
             m_orders.push_back(std::make_unique<Orders>(m_loop, m_store, m_context, m_log, m_metrics,
                                                         OrderHolder{settings.node, m_address.startedAt}, shard,
-                                                        holderKey(shard), leaseSettings(settings)));
+                                                        orderKeys(shard), leaseSettings(settings)));
+            m_orders.back()->onReleased([this] {
+                auto notice = report();
+                addReleases(notice, BootClock{}.now());
+                tell(std::move(notice));
+            });
             m_orders.back()->onNews([this](const std::vector<PlacementNews> &news) { tellNews(news); });
             m_orders.back()->onFound(
                 [this](const std::string &asker, const std::vector<PlacementNews> &news) { tellFound(asker, news); });
@@ -161,6 +166,8 @@
     /// A vacant shard is taken by the node that ranks first for it; the next ones follow if it does not.
     static constexpr Duration patiencePerRank = std::chrono::milliseconds{250};
     static constexpr Duration leastPatience = std::chrono::milliseconds{50};
+    /// What the last holder of a shard has beyond that to take it again, while it reaches the store.
+    static constexpr Duration returnPatience = std::chrono::milliseconds{800};
     static constexpr Duration orderingHeard = std::chrono::milliseconds{1500};
     static constexpr unsigned attemptsPerShard = 3; ///< Wants that a shard's holder gets before the next one does.
     static constexpr Duration handoverSlack = std::chrono::milliseconds{300}; ///< For an order on its way.
@@ -194,9 +201,10 @@
         return ownPrefix() + "nodes/";
     }
 
-    static std::string holderKey(unsigned shard)
+    static OrderKeys orderKeys(unsigned shard)
     {
-        return ownPrefix() + "order-holder/" + std::to_string(shard);
+        return {ownPrefix() + "order-holder/" + std::to_string(shard),
+                ownPrefix() + "order-term/" + std::to_string(shard)};
     }
 
     static std::int64_t wallMilliseconds()
@@ -209,7 +217,7 @@
     static OrderLeaseSettings leaseSettings(const GatewaySettings &settings)
     {
         OrderLeaseSettings lease;
-        lease.handoverWait = lease.ttl - lease.margin + settings.orderHandover + handoverSlack;
+        lease.handover = settings.orderHandover + handoverSlack;
         return lease;
     }
 
@@ -269,24 +277,20 @@
     {
         return {[this](const std::vector<KeyValue> &values) {
                     std::vector<NodeAddress> nodes;
-                    std::vector<KeyValue> holders(orderShards);
+                    std::map<std::string, KeyValue> others;
                     for (const auto &value : values) {
-                        if (const auto shard = shardOfKey(value.key)) {
-                            holders[*shard] = value;
-                        } else if (const auto address = decodeNodeAddress(value.value)) {
+                        if (const auto address = decodeNodeAddress(value.value))
                             nodes.push_back(*address);
-                        }
+                        else
+                            others.emplace(value.key, value);
                     }
                     m_members.onSnapshot(nodes, BootClock{}.now());
-                    for (unsigned shard = 0; shard < orderShards; ++shard) {
-                        const auto &holder = holders[shard];
-                        m_orders[shard]->onHolderRecord(holder.key.empty() ? std::nullopt : std::optional(holder.value),
-                                                        holder.modRevision);
-                    }
+                    for (unsigned shard = 0; shard < orderShards; ++shard)
+                        onOrderRecords(shard, others);
                 },
                 [this](const KeyChange &change) {
-                    if (const auto shard = shardOfKey(change.key))
-                        return m_orders[*shard]->onHolderRecord(change.value, change.revision);
+                    if (takeOrderRecord(change))
+                        return;
                     if (!change.value)
                         return m_members.onUnlisted(change.key.substr(nodesPrefix().size()));
                     if (const auto address = decodeNodeAddress(*change.value))
@@ -333,13 +337,31 @@
         }
     }
 
-    static std::optional<unsigned> shardOfKey(const std::string &key)
+    /// Takes in what a snapshot of the store has of the leases of @p shard.
+    void onOrderRecords(unsigned shard, const std::map<std::string, KeyValue> &records)
+    {
+        const auto at = [&](const std::string &key) {
+            const auto it = records.find(key);
+            return it == records.end() ? std::pair{std::optional<std::string>{}, Revision{}}
+                                       : std::pair{std::optional(it->second.value), it->second.modRevision};
+        };
+        const auto [term, termRevision] = at(orderKeys(shard).term);
+        m_orders[shard]->onTermRecord(term, termRevision);
+        const auto [holder, holderRevision] = at(orderKeys(shard).holder);
+        m_orders[shard]->onHolderRecord(holder, holderRevision);
+    }
+
+    /// Returns whether @p change is one of the leases of a shard.
+    bool takeOrderRecord(const KeyChange &change)
     {
         for (unsigned shard = 0; shard < orderShards; ++shard) {
-            if (key == holderKey(shard))
-                return shard;
+            const auto keys = orderKeys(shard);
+            if (change.key == keys.term)
+                return m_orders[shard]->onTermRecord(change.value, change.revision), true;
+            if (change.key == keys.holder)
+                return m_orders[shard]->onHolderRecord(change.value, change.revision), true;
         }
-        return std::nullopt;
+        return false;
     }
 
     static std::string instanceOf(const std::string &key)
@@ -552,13 +574,21 @@
             auto &orders = *m_orders[shard];
             const bool wasOrdering = orders.isOrdering();
             orders.setShardSizes(m_shardSizes);
-            orders.setPatience(patiencePerRank * m_members.rankOfSelf(holderKey(shard), now) + leastPatience);
+            orders.setPatience(patience(shard, now));
             orders.tick(now);
             if (orders.isOrdering() && !wasOrdering)
                 tell(report()); // It begins to order: others may ask it for loads.
         }
     }
 
+    /// Returns how long this node leaves a vacant lease to others. Its last holder need not wait for anybody's orders.
+    Duration patience(unsigned shard, Instant now) const
+    {
+        const auto byRank = patiencePerRank * m_members.rankOfSelf(orderKeys(shard).holder, now) + leastPatience;
+        const bool mayReturn = m_members.reachesStore(m_orders[shard]->lastHolder(), now);
+        return mayReturn ? byRank + returnPatience : byRank;
+    }
+
     /// Returns how many engines of each shard can be ordered at present.
     ShardSizes shardSizes(Instant now) const
     {
@@ -615,6 +645,15 @@
             notice.changedInFlight[instance] = upstream->ownInFlight;
     }
 
+    /// Adds the shards that this node ordered until a moment ago.
+    void addReleases(NodeReport &notice, Instant now) const
+    {
+        for (unsigned shard = 0; shard < orderShards; ++shard) {
+            if (const auto released = m_orders[shard]->released(now))
+                notice.released.push_back({shard, released->term, now - released->lastOrderAt});
+        }
+    }
+
     /// Returns a message without contents for one other node.
     GatewayMessage message() const
     {
@@ -679,6 +718,7 @@
             it = use.inFlight == 0 ? m_context.uses.erase(it) : std::next(it);
         }
         digest.crashes = m_context.crashes.recent(now, crashNewsAge);
+        addReleases(digest, now);
         tell(std::move(digest));
         tellUse(used);
         for (const auto &node : m_members.silentNodes(now))
@@ -835,6 +875,10 @@
             for (const auto &[instance, requests] : report.changedInFlight)
                 m_context.upstreams.onPeerLoad(stamp, instance, requests);
         }
+        for (const auto &released : report.released) {
+            if (released.shard < orderShards)
+                m_orders[released.shard]->onReleasedByOther({released.term, now - released.quietFor});
+        }
         for (const auto &step : report.steps) {
             if (auto *upstream = m_context.upstreams.find(step.instance))
                 noteStep(*upstream, step.stepMs, now);
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -93,6 +93,12 @@
     return it != m_members.end() && isLive(it->second, now);
 }
 
+bool MemberTable::reachesStore(const std::string &node, Instant now) const
+{
+    const auto it = m_members.find(node);
+    return it != m_members.end() && isLive(it->second, now) && it->second.reachesStore;
+}
+
 MemberTable::Rank MemberTable::rankOf(const NodeAddress &address, std::uint64_t key)
 {
     return {address.capacity, rendezvousScore(key, address.node)};
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -78,6 +78,9 @@
     /// Whether @p node was heard lately.
     bool isLive(const std::string &node, Instant now) const;
 
+    /// Whether @p node was heard lately and reaches the store, as it said last.
+    bool reachesStore(const std::string &node, Instant now) const;
+
     const NodeAddress &self() const
     {
         return m_self;
--- a/src/gateway/orderlease.cpp
+++ b/src/gateway/orderlease.cpp
@@ -10,17 +10,23 @@
 {
 }
 
-void OrderLease::onAcquired(std::uint64_t fence, Instant sent, Instant now, bool isOwnPredecessor)
+void OrderLease::onAcquired(std::uint64_t term, std::uint64_t fence, Instant sent, Instant now, Predecessor predecessor)
 {
+    // The store may take a key away long before its lease ends, and the holder need not hear of it: it goes on for as
+    // long as its last renewal allows.
+    const auto othersUntil = now + m_settings.permission;
     m_held = true;
+    m_term = term;
     m_fence = fence;
-    m_until = sent + m_settings.ttl;
-    m_from = isOwnPredecessor ? now : now + m_settings.handoverWait;
+    m_renewed = sent;
+    m_from = predecessor == Predecessor::Own ? now : othersUntil + m_settings.handover;
+    if (m_released)
+        takeUp(*m_released);
 }
 
 void OrderLease::onRenewed(Instant sent)
 {
-    m_until = std::max(m_until, sent + m_settings.ttl);
+    m_renewed = std::max(m_renewed, sent);
 }
 
 void OrderLease::onLost()
@@ -28,14 +34,39 @@
     m_held = false;
 }
 
+void OrderLease::onReleased(const ReleasedOrders &released)
+{
+    if (m_released && released.term < m_released->term)
+        return;
+    m_released = released;
+    if (m_held)
+        takeUp(released);
+}
+
+void OrderLease::takeUp(const ReleasedOrders &released)
+{
+    if (released.term + 1 == m_term)
+        m_from = std::min(m_from, released.lastOrderAt + m_settings.handover);
+}
+
+void OrderLease::onOrder(Instant now)
+{
+    m_lastOrderAt = now;
+}
+
 bool OrderLease::isHeld(Instant now) const
 {
-    return m_held && now < m_until;
+    return m_held && now < m_renewed + m_settings.ttl;
 }
 
 bool OrderLease::mayOrder(Instant now) const
 {
-    return m_held && now >= m_from && now < m_until - m_settings.margin;
+    return m_held && now >= m_from && now < m_renewed + m_settings.permission;
+}
+
+ReleasedOrders OrderLease::released() const
+{
+    return {m_term, std::max(m_lastOrderAt, m_from - m_settings.handover)};
 }
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/orderlease.h
+++ b/src/gateway/orderlease.h
@@ -9,12 +9,23 @@
 {
 
 struct OrderLeaseSettings {
-    Duration ttl = std::chrono::milliseconds{2400}; ///< Of the lease in the store.
-    /// Orders end this long before the lease can: a freeze may lie between the check and the write.
-    Duration margin = std::chrono::milliseconds{400};
-    /// A new holder waits this long. The store may take a key away long before its lease ends, and the holder need not
-    /// hear of it: it goes on until its lease would have ended, and orders of two holders must lie 3 s apart.
-    Duration handoverWait = std::chrono::milliseconds{5300};
+    Duration ttl = std::chrono::milliseconds{1200}; ///< Of the lease in the store.
+    /// What a renewal allows, from its sending on. Shorter than the lease: a successor waits for it once more.
+    Duration permission = std::chrono::milliseconds{700};
+    /// Between the last order of one holder and the first of the next one, at least.
+    Duration handover = std::chrono::milliseconds{3300};
+};
+
+/// A holder that gives no more orders.
+struct ReleasedOrders {
+    std::uint64_t term = 0; ///< Counts the holders of a shard.
+    Instant lastOrderAt{}; ///< When it, or one before it, may have ordered last; perhaps to come.
+};
+
+/// What a holder has to do with the one before it.
+enum class Predecessor {
+    Other, ///< Another machine, or one that may not have waited for others long enough.
+    Own, ///< An earlier process of this machine, or this one: its orders have ended.
 };
 
 /// Whether this node may order engines to load and unload. Exactly one node holds the lease; fencing tokens alone do
@@ -24,9 +35,8 @@
 public:
     explicit OrderLease(OrderLeaseSettings settings = {});
 
-    /// The lease was taken with a call sent at @p sent. @p fence grows with each holder. With @p isOwnPredecessor the
-    /// former holder was an earlier process of this very machine, so that nothing needs to be waited for.
-    void onAcquired(std::uint64_t fence, Instant sent, Instant now, bool isOwnPredecessor);
+    /// The lease was taken for @p term with a call sent at @p sent. @p fence grows with each holder.
+    void onAcquired(std::uint64_t term, std::uint64_t fence, Instant sent, Instant now, Predecessor predecessor);
 
     /// A renewal that was sent at @p sent has succeeded.
     void onRenewed(Instant sent);
@@ -34,28 +44,53 @@
     /// The lease has ended or was given back.
     void onLost();
 
+    /// The holder of some term has said that it gives no more orders; a successor need not wait for its lease.
+    void onReleased(const ReleasedOrders &released);
+
+    /// An order is written at @p now. Precondition: mayOrder().
+    void onOrder(Instant now);
+
     /// Whether an order may be written at this moment.
     bool mayOrder(Instant now) const;
 
     /// Whether the lease can still be held.
     bool isHeld(Instant now) const;
 
+    /// Whether no earlier holder can be ordering any more at @p now.
+    bool isSettled(Instant now) const
+    {
+        return m_held && now >= m_from;
+    }
+
+    /// Returns what a successor has to know. Precondition: the lease was held.
+    ReleasedOrders released() const;
+
     std::uint64_t fence() const
     {
         return m_fence;
     }
 
+    std::uint64_t term() const
+    {
+        return m_term;
+    }
+
     const OrderLeaseSettings &settings() const
     {
         return m_settings;
     }
 
 private:
+    void takeUp(const ReleasedOrders &released);
+
     OrderLeaseSettings m_settings;
     bool m_held = false;
+    std::uint64_t m_term = 0;
     std::uint64_t m_fence = 0;
-    Instant m_until{};
+    Instant m_renewed{}; ///< When the last renewal that succeeded was sent.
     Instant m_from{};
+    Instant m_lastOrderAt{};
+    std::optional<ReleasedOrders> m_released; ///< By the holder of the latest term that has said so.
 };
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -47,10 +47,18 @@
         } -> std::same_as<UpstreamStatement>;
 };
 
-/// Who holds the order lease, as the store has it.
+/// A process that may hold an order lease.
 struct OrderHolder {
     std::string node;
     std::int64_t startedAt = 0;
+
+    friend bool operator==(const OrderHolder &, const OrderHolder &) = default;
+};
+
+/// Where a shard's lease is kept in the store.
+struct OrderKeys {
+    std::string holder; ///< Under the holder's lease.
+    std::string term; ///< Lasts: tells a new holder who it follows.
 };
 
 /// Takes the order lease when nobody has it, and while this node has it, places adapters and orders engines. Loop's
@@ -60,7 +68,7 @@
 {
 public:
     OrderPlane(Http::EventLoop &loop, Store &store, CallContext &context, GatewayLog &log, Metrics &metrics,
-               OrderHolder self, unsigned shard, std::string holderKey, OrderLeaseSettings leaseSettings)
+               OrderHolder self, unsigned shard, OrderKeys keys, OrderLeaseSettings leaseSettings)
         : m_loop(loop)
         , m_store(store)
         , m_context(context)
@@ -68,7 +76,7 @@
         , m_metrics(metrics)
         , m_self(std::move(self))
         , m_shard(shard)
-        , m_key(std::move(holderKey))
+        , m_keys(std::move(keys))
         , m_lease(leaseSettings)
         , m_client(loop)
     {
@@ -99,6 +107,46 @@
         m_onFound = std::move(task);
     }
 
+    /// Called when this node gives no more orders, with what its successor has to know.
+    void onReleased(std::function<void()> task)
+    {
+        m_onReleased = std::move(task);
+    }
+
+    /// Another node has said that it gives no more orders.
+    void onReleasedByOther(const ReleasedOrders &released)
+    {
+        m_lease.onReleased(released);
+    }
+
+    /// Returns what a successor has to know, for as long as it may ask itself; nothing if this node holds the lease or
+    /// has not held it lately.
+    std::optional<ReleasedOrders> released(Instant now) const
+    {
+        if (m_held || m_lostAt == Instant{} || now - m_lostAt > m_lease.settings().ttl + m_lease.settings().handover)
+            return std::nullopt;
+        return m_lease.released();
+    }
+
+    /// Returns the node that has held the lease last, as far as is known, or an empty string.
+    const std::string &lastHolder() const
+    {
+        return m_lastTerm.holder.node;
+    }
+
+    /// The store has @p value at the term's key, or nothing.
+    void onTermRecord(const std::optional<std::string> &value, Revision revision)
+    {
+        m_lastTerm = {};
+        const auto object = value ? parseObject(*value) : std::nullopt;
+        if (!object)
+            return;
+        m_lastTerm.revision = revision;
+        m_lastTerm.number = numberAt<std::uint64_t>(*object, "term");
+        m_lastTerm.holder = {textAt(*object, "node"), numberAt<std::int64_t>(*object, "started")};
+        m_lastTerm.settled = flagAt(*object, "settled");
+    }
+
     /// The store has @p value at the holder's key, or nothing.
     void onHolderRecord(const std::optional<std::string> &value, Revision revision)
     {
@@ -109,18 +157,24 @@
             m_vacantSince = BootClock{}.now();
         m_recordKnown = true;
         m_recordRevision = value ? revision : 0;
-        if (!value)
+        if (!value) {
+            if (m_held && revision > static_cast<Revision>(m_lease.fence()))
+                lose("the store has taken it away");
             return;
+        }
         const auto object = parseObject(*value);
         if (!object)
             return;
         m_holder = OrderHolder{textAt(*object, "node"), numberAt<std::int64_t>(*object, "started")};
         const auto now = BootClock{}.now();
-        const bool isSelf = m_holder->node == m_self.node && m_holder->startedAt == m_self.startedAt;
-        if (isSelf && !m_lease.isHeld(now) && m_leaseId != 0 && !m_acquiring)
-            take(static_cast<std::uint64_t>(revision), m_acquireSent, now, false);
-        else if (!isSelf && m_lease.isHeld(now))
+        const bool isSelf = *m_holder == m_self;
+        // A term that was given up has been told to be over: it is not taken up again.
+        if (isSelf && !m_lease.isHeld(now) && m_nextTerm > m_lostTerm && !m_acquiring) {
+            m_leaseId = numberAt<StoreLease>(*object, "lease"); // Of the attempt that has succeeded after all.
+            take(static_cast<std::uint64_t>(revision), m_acquireSent, now);
+        } else if (!isSelf && m_lease.isHeld(now)) {
             lose("another node has it");
+        }
     }
 
     /// Whether this node gives orders at present.
@@ -170,10 +224,12 @@
         if (m_held && !m_lease.isHeld(now))
             lose("it was not renewed in time");
         if (m_held) {
-            if (now - m_renewSent >= m_lease.settings().ttl / 4)
+            if (now - m_renewSent >= m_lease.settings().permission / renewalsPerPermission)
                 renew(now);
             if (!m_lease.mayOrder(now))
                 cancelOrders();
+            if (m_lease.isSettled(now))
+                recordSettled();
             forgetAskers(now);
             plan();
         } else if (!m_stopping) {
@@ -188,8 +244,7 @@
         if (!m_held)
             return;
         lose("the node stops");
-        // The successor counts on orders having ended a margin before the lease.
-        m_loop.runAfter(m_lease.settings().margin, [this] { m_store.endLease(m_leaseId); });
+        m_store.endLease(m_leaseId);
     }
 
 private:
@@ -199,6 +254,8 @@
     /// Ten round trips between regions. An engine gets no other order while an answer is awaited.
     static constexpr Duration orderTimeout = std::chrono::milliseconds{300};
     static constexpr Duration inspectionTimeout = std::chrono::milliseconds{1000};
+    static constexpr int renewalsPerPermission = 3; ///< So that two lost answers in a row cost nothing.
+    static constexpr Duration settledPause = std::chrono::seconds{1}; ///< Until the view of the store should tell.
     static constexpr Duration planPause = std::chrono::milliseconds{5};
     static constexpr Duration askerMemory = std::chrono::seconds{2}; ///< As long as requests wait for a load.
     static constexpr unsigned orderUnsentTimeoutMs = 1000;
@@ -206,32 +263,65 @@
     void acquire(Instant now)
     {
         const bool isOwn = m_holder && m_holder->node == m_self.node;
+        const bool wasHolder = lastHolder() == m_self.node;
         if (!m_recordKnown || m_acquiring || now - m_acquireSent < acquirePause || (m_holder && !isOwn)
-            || (!isOwn && now - m_vacantSince < m_patience))
+            || (!isOwn && !wasHolder && now - m_vacantSince < m_patience))
             return;
         m_acquiring = true;
         m_acquireSent = now;
-        const auto expected = m_recordRevision; // As it was when nobody else had the lease.
-        m_store.grantLease(m_lease.settings().ttl, [this, now, isOwn, expected](std::optional<StoreLease> lease) {
+        m_nextTerm = m_lastTerm.number + 1;
+        m_predecessor = predecessor();
+        const auto holderRevision = m_recordRevision; // As it was when nobody else had the lease.
+        const auto termRevision = m_lastTerm.revision;
+        m_store.grantLease(m_lease.settings().ttl, [this, holderRevision, termRevision](auto lease) {
             if (!lease) {
                 m_acquiring = false;
                 return;
             }
             m_leaseId = *lease;
-            const auto value
-                = boost::json::serialize(boost::json::object{{"node", m_self.node}, {"started", m_self.startedAt}});
+            const auto holder
+                = boost::json::object{{"node", m_self.node}, {"started", m_self.startedAt}, {"lease", *lease}};
             KeyTransaction transaction;
-            transaction.compares.push_back({m_key, expected});
-            transaction.puts.push_back({m_key, value, KeyLifetime::NodeLease});
-            m_store.transact(transaction, *lease, [this, now, isOwn](const KeyReply &reply) {
+            transaction.compares = {{m_keys.holder, holderRevision}, {m_keys.term, termRevision}};
+            transaction.puts = {{m_keys.holder, boost::json::serialize(holder), KeyLifetime::NodeLease},
+                                {m_keys.term, termValue(m_nextTerm, false), KeyLifetime::Durable}};
+            m_store.transact(transaction, *lease, [this](const KeyReply &reply) {
                 m_acquiring = false;
                 if (reply.outcome == KeyOutcome::Applied)
-                    take(static_cast<std::uint64_t>(reply.revision), now, BootClock{}.now(), isOwn);
+                    take(static_cast<std::uint64_t>(reply.revision), m_acquireSent, BootClock{}.now());
             });
         });
     }
 
-    void take(std::uint64_t fence, Instant sent, Instant now, bool isOwnPredecessor)
+    /// Returns what a lease that is taken now has to do with the one before. One that was not settled may have had
+    /// predecessors of its own that still order.
+    Predecessor predecessor() const
+    {
+        return lastHolder() == m_self.node && m_lastTerm.settled ? Predecessor::Own : Predecessor::Other;
+    }
+
+    std::string termValue(std::uint64_t number, bool settled) const
+    {
+        return boost::json::serialize(boost::json::object{
+            {"term", number}, {"node", m_self.node}, {"started", m_self.startedAt}, {"settled", settled}});
+    }
+
+    /// Has the store know, once, that no earlier holder can be ordering any more.
+    void recordSettled()
+    {
+        const auto now = BootClock{}.now();
+        if (m_lastTerm.number != m_lease.term() || !(m_lastTerm.holder == m_self) || m_lastTerm.settled
+            || now - m_settledSent < settledPause)
+            return;
+        m_settledSent = now;
+        KeyTransaction transaction;
+        transaction.compares = {{m_keys.term, m_lastTerm.revision}};
+        transaction.puts = {{m_keys.term, termValue(m_lease.term(), true), KeyLifetime::Durable}};
+        // The view of the store tells whether it is written.
+        m_store.transact(transaction, m_leaseId, [](const KeyReply &) {});
+    }
+
+    void take(std::uint64_t fence, Instant sent, Instant now)
     {
         if (m_stopping) {
             m_store.endLease(m_leaseId);
@@ -239,14 +329,16 @@
         }
         m_held = true;
         m_renewSent = sent;
-        m_lease.onAcquired(fence, sent, now, isOwnPredecessor);
+        m_lease.onAcquired(m_nextTerm, fence, sent, now, m_predecessor);
         auto placer = AdapterPlacer{};
         for (const auto &[target, declared] : m_context.declared)
             placer.onVersionDeclared(target, declared.version);
         m_placer = std::move(placer);
-        m_log.note(GatewayEvent::OrderLeaseTaken, {{"shard", std::to_string(m_shard)},
-                                                   {"fence", std::to_string(fence)},
-                                                   {"own_predecessor", isOwnPredecessor ? "yes" : "no"}});
+        m_log.note(GatewayEvent::OrderLeaseTaken,
+                   {{"shard", std::to_string(m_shard)},
+                    {"term", std::to_string(m_nextTerm)},
+                    {"fence", std::to_string(fence)},
+                    {"own_predecessor", m_predecessor == Predecessor::Own ? "yes" : "no"}});
     }
 
     void renew(Instant now)
@@ -265,9 +357,12 @@
     void lose(const std::string &reason)
     {
         m_held = false;
+        m_lostAt = BootClock{}.now();
+        m_lostTerm = m_lease.term();
         m_lease.onLost();
         m_askers.clear();
         cancelOrders();
+        m_onReleased();
         m_log.note(GatewayEvent::OrderLeaseLost, {{"shard", std::to_string(m_shard)}, {"reason", reason}});
     }
 
@@ -416,6 +511,7 @@
             m_placer.onAnswer(order, OrderOutcome::Conflict, now);
             return;
         }
+        m_lease.onOrder(now);
         Relay::SendOptions options;
         options.timeout = orderTimeout;
         options.unsentBytesTimeoutMs = orderUnsentTimeoutMs;
@@ -483,14 +579,29 @@
     Metrics &m_metrics;
     OrderHolder m_self;
     unsigned m_shard;
-    std::string m_key;
+    OrderKeys m_keys;
     OrderLease m_lease;
     AdapterPlacer m_placer;
     Relay::UpstreamClient m_client;
     std::function<void(const std::vector<PlacementNews> &)> m_onNews;
     std::function<void(const std::string &, const std::vector<PlacementNews> &)> m_onFound;
+    std::function<void()> m_onReleased;
     std::unordered_map<ModelTarget, std::map<std::string, Instant>> m_askers; ///< And when they asked last.
     std::map<Relay::UpstreamClient::Token, EngineOrder> m_open;
+    /// The last time that the lease was taken by anybody, as the store has it.
+    struct Term {
+        Revision revision = 0;
+        std::uint64_t number = 0;
+        OrderHolder holder;
+        bool settled = false; ///< No earlier holder can be ordering any more.
+    };
+
+    Term m_lastTerm;
+    std::uint64_t m_nextTerm = 0; ///< Of the last attempt to take the lease.
+    Predecessor m_predecessor = Predecessor::Other; ///< Of that attempt.
+    Instant m_settledSent{};
+    Instant m_lostAt{};
+    std::uint64_t m_lostTerm = 0; ///< The last one that this process has held and lost.
     std::optional<OrderHolder> m_holder;
     Duration m_patience{};
     Instant m_vacantSince{};
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -20,6 +20,7 @@
     report.inFlight["e1"] = 3;
     report.changedInFlight["e6"] = 4;
     report.steps = {{"e1", 13.2}};
+    report.released = {{1, 7, std::chrono::milliseconds{-30}}};
     report.speeds = {{"s", {10.25, 20.5, 1500, 0}}};
     report.prompts = {{"e1", 1110, std::chrono::milliseconds{40}}};
     report.crashes = {{0xfedcba9876543210, "e1"}};
@@ -64,6 +65,10 @@
     cr_assert_eq(report.inFlight.at("e1"), 3U);
     cr_assert_eq(report.changedInFlight.at("e6"), 4U);
     cr_assert_eq(report.steps.front().stepMs, 13.2);
+    cr_assert_eq(report.released.size(), 1U);
+    cr_assert_eq(report.released.front().shard, 1U);
+    cr_assert_eq(report.released.front().term, 7U);
+    cr_assert(report.released.front().quietFor == std::chrono::milliseconds{-30});
     cr_assert_eq(report.speeds.size(), 1U);
     cr_assert_eq(report.speeds.front().service, std::string("s"));
     cr_assert(report.speeds.front().speed == sent.speeds.front().speed);
