Adapters come back to engines that keep them

The placer's list of what engines keep was emptied at 120 entries and lost with the lease, and an engine that awaits an answer to an order was passed over. Change: what engines keep is a list by the last holding, known to all nodes from placements; it shrinks when a reload turns out to be late. Wanted adapters go there first, whatever the store is loaded with; an order under way is awaited. Engines that have failed the request come last. Tests: whatAnEngineKeepsComesBackThere, keptadapterstest.

--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -21,7 +21,8 @@
 constexpr Duration routineVictimIdle = std::chrono::milliseconds{1500};
 constexpr double crowdedFactor = 1.4; ///< Of the mean load; above this an engine gets no new adapters.
 constexpr double crowdedSlackPart = 1.0 / 16; ///< Of the slots.
-constexpr double cachedPreference = 4; ///< Loads from an engine's own memory are fast and not priced.
+constexpr double unfitPreference = 0.01; ///< Engines that have failed the request that waits.
+constexpr double keptPreference = 4; ///< Loads from what an engine keeps are fast and not priced.
 constexpr double newRegionPreference = 6; ///< A further copy spares its region's callers the way to another one.
 constexpr double leastRateOfFurtherCopy = 1; ///< Requests a second.
 constexpr double pressingNeed = 2; ///< Twice the rate that the copies are meant for.
@@ -39,7 +40,6 @@
 constexpr double mostStoreFactor = 8;
 constexpr std::size_t maxDemand = 20000;
 constexpr double forgottenWeight = 0.01;
-constexpr std::size_t cachedAdapters = 120; ///< What an engine keeps in its memory; the platform's sheet.
 
 /// Returns the requests above which an engine of a service with @p mean of them gets no new adapters.
 double crowdedLoad(double mean, unsigned slots)
@@ -66,8 +66,11 @@
     for (const auto &placed : engines) {
         present.insert(placed.instance);
         auto &engine = m_engines[placed.instance];
-        if (engine.placed.startedAt != placed.startedAt)
+        if (engine.placed.startedAt != placed.startedAt || engine.placed.instance.empty()) {
             engine = Engine{};
+            if (placed.kept)
+                engine.kept = *placed.kept;
+        }
         engine.placed = placed;
     }
     std::erase_if(m_engines, [&](const auto &item) { return !present.contains(item.first); });
@@ -314,10 +317,12 @@
     actions.orders.push_back(order);
 }
 
-void AdapterPlacer::place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions)
+void AdapterPlacer::place(const ModelTarget &target, const Demand &demand, Instant now, PlacerActions &actions)
 {
     const std::string model(baseOf(target));
+    const auto &service = demand.service;
     const double mean = meanLoad(service);
+    const bool isWanted = demand.wantedAt != Instant{};
     const bool isHeld = m_surroundings.copies.contains(target) || copiesOf(target) > 0;
     const double rate = std::max(rateOf(target, now), leastRateOfWanted);
     std::set<std::string> regions; // That have a copy already.
@@ -335,15 +340,14 @@
         const bool isBusy = engine.placed.load >= engine.placed.slots;
         if (isBusy && isHeld)
             continue; // A further copy would be as little use there as those that there are.
+        if (!hasRoomFor(engine, rate, now))
+            continue;
         const bool full = used(engine) >= engine.placed.adapterSlots;
-        if (full) {
-            const auto &victim = wantedVictim(engine, now);
-            if (!victim || victim->rate >= rate)
-                continue;
-        }
         double score = rendezvousScore(key, instance);
-        if (engine.cached.contains(target))
-            score *= cachedPreference;
+        if (isWanted && demand.unfit.contains(instance))
+            score *= unfitPreference;
+        else if (engine.kept.contains(target))
+            score *= keptPreference;
         if (isBusy)
             score *= 1e-6;
         else if (engine.placed.load > crowdedLoad(mean, engine.placed.slots))
@@ -359,12 +363,48 @@
             bestScore = score;
         }
     }
-    if (!best)
-        return;
-    if (best->copies.contains(target) || used(*best) < best->placed.adapterSlots)
-        order(*best, OrderKind::Load, target, actions);
+    if (best)
+        loadOn(*best, target, now, actions);
+}
+
+/// Whether @p engine has a place, or an adapter that is asked for less often than @p rate to make way.
+bool AdapterPlacer::hasRoomFor(const Engine &engine, double rate, Instant now)
+{
+    if (used(engine) < engine.placed.adapterSlots)
+        return true;
+    const auto &victim = wantedVictim(engine, now);
+    return victim && victim->rate < rate;
+}
+
+void AdapterPlacer::loadOn(Engine &engine, const ModelTarget &target, Instant now, PlacerActions &actions)
+{
+    if (engine.copies.contains(target) || used(engine) < engine.placed.adapterSlots)
+        order(engine, OrderKind::Load, target, actions);
     else
-        order(*best, OrderKind::Unload, wantedVictim(*best, now)->target, actions);
+        order(engine, OrderKind::Unload, wantedVictim(engine, now)->target, actions);
+}
+
+bool AdapterPlacer::reload(const ModelTarget &target, const Demand &demand, Instant now, PlacerActions &actions)
+{
+    if (newestVersion(target) > 0)
+        return false; // Engines may keep an older one.
+    const std::string model(baseOf(target));
+    const double rate = std::max(rateOf(target, now), leastRateOfWanted);
+    Engine *best = nullptr;
+    bool isAwaited = false;
+    for (auto &[instance, engine] : m_engines) {
+        if (engine.placed.service != demand.service || demand.unfit.contains(instance) || !engine.placed.takesOrders
+            || !engine.known || !engine.models.contains(model) || !engine.kept.contains(target)
+            || serves(engine, target) || engine.placed.load >= engine.placed.slots || !hasRoomFor(engine, rate, now))
+            continue;
+        if (!canOrder(engine) || m_overview.comingTo[instance] >= m_settings.loadsPerEngine)
+            isAwaited = true;
+        else if (!best || engine.placed.load < best->placed.load)
+            best = &engine;
+    }
+    if (best)
+        loadOn(*best, target, now, actions);
+    return best || isAwaited;
 }
 
 bool AdapterPlacer::helps(const ModelTarget &target, const Demand &demand)
@@ -398,9 +438,11 @@
             demand.wantedAt = {};
             continue;
         }
+        if (reload(target, demand, now, actions))
+            continue;
         // More at once would only make each of them slower; the most wanted ones go first.
         if (static_cast<double>(m_overview.coming) < m_settings.wantedLoads * loadsAtFullSpeed())
-            place(demand.service, target, now, actions);
+            place(target, demand, now, actions);
     }
 }
 
@@ -457,7 +499,7 @@
     for (const auto &[need, target] : needy) {
         if (static_cast<double>(m_overview.coming) >= m_settings.furtherLoads * loadsAtFullSpeed())
             return;
-        place(m_demand[target].service, target, now, actions);
+        place(target, m_demand[target], now, actions);
     }
 }
 
@@ -538,19 +580,18 @@
         engine.busyUntil = now + longestWeightLoad;
         return;
     }
-    const bool cached = engine.cached.contains(order.target) && order.version == 0;
+    const bool isReload = engine.kept.contains(order.target) && order.version == 0;
     const double storeUse = (comingEverywhere(now) + 1.0) / loadsAtFullSpeed();
-    const auto time = cached ? m_settings.adapterReloadTime : m_settings.adapterLoadTime;
-    const auto usableAt = now + std::chrono::duration_cast<Duration>(time * std::max(1.0, storeUse));
-    Copy copy{order.version, usableAt, usableAt, false, 0, {}, usableAt};
-    if (!cached) {
+    const auto time = isReload ? m_settings.adapterReloadTime : m_settings.adapterLoadTime;
+    const double delay = isReload ? 1 : std::max(1.0, storeUse);
+    const auto usableAt = now + std::chrono::duration_cast<Duration>(time * delay);
+    Copy copy{order.version, usableAt, usableAt, false, isReload, 0, {}, usableAt};
+    if (!isReload) {
         copy.storeUse = storeUse;
         copy.work = time;
     }
     engine.copies[order.target] = copy;
-    if (engine.cached.size() >= cachedAdapters)
-        engine.cached.clear();
-    engine.cached.insert(order.target);
+    engine.kept.onHeld(order.target);
     m_news.push_back({engine.placed.instance, order.target, order.version, false, usableAt});
 }
 
@@ -596,7 +637,7 @@
             engine.acceptedAt = now;
             settleLate(engine);
         } else if (isAdapter(order.target)) {
-            engine.copies.try_emplace(order.target, Copy{order.version, now, now, false, 0, {}, {}});
+            engine.copies.try_emplace(order.target, Copy{order.version, now, now, false, false, 0, {}, {}});
             m_news.push_back({order.instance, order.target, order.version, false, now});
         }
         return;
@@ -628,6 +669,8 @@
     if (isLoading) {
         if (std::exchange(copy->second.storeUse, 0) > 0)
             ++m_lateLoads;
+        if (std::exchange(copy->second.isReload, false))
+            engine.kept.onNotKept();
         // Others that wait for it are told to wait longer.
         copy->second.work = std::max(copy->second.work, m_settings.adapterLoadTime / lateLoadParts);
     }
@@ -667,10 +710,12 @@
             return;
         }
         const auto known = before.find(listed.target);
-        Copy copy{listed.version, now, now - routineVictimIdle, false, 0, {}, {}};
+        engine.kept.onHeld(listed.target);
+        Copy copy{listed.version, now, now - routineVictimIdle, false, false, 0, {}, {}};
         if (known != before.end()) {
             copy.lastUsed = known->second.lastUsed;
             copy.leaving = known->second.leaving;
+            copy.isReload = known->second.isReload;
             copy.storeUse = known->second.storeUse;
             copy.told = known->second.told;
             if (isComing)
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "common/decayedrate.h"
 #include "common/enumtable.h"
+#include "gateway/keptadapters.h"
 #include "gateway/residency.h"
 
 #include <cstdint>
@@ -85,6 +86,7 @@
     unsigned slots = 1; ///< Requests that it works on at once.
     double load = 0; ///< Requests at work, of the whole fleet.
     std::set<std::string> storedModels; ///< Loaded from its own disk or memory.
+    const KeptAdapters *kept = nullptr; ///< As placers of all nodes have had it load; null: not known.
 };
 
 /// A base model that engines of a service are to hold.
@@ -199,6 +201,7 @@
         Instant usableAt{};
         Instant lastUsed{};
         bool leaving = false; ///< An unload waits for its requests.
+        bool isReload = false; ///< Its engine was taken to keep it.
         double storeUse = 0; ///< Of what the store serves at full speed, when its load began; 0 once that was judged.
         Duration work{}; ///< Of its load that is left, as the time that it takes while the store has few.
         Instant told{}; ///< When its load ends, as nodes were told last.
@@ -213,7 +216,7 @@
         std::set<std::string> models;
         std::optional<EngineOrder> open; ///< The one that an answer is awaited for.
         std::vector<EngineOrder> late; ///< Without an answer: may still be carried out.
-        std::set<ModelTarget> cached; ///< Held before, so that they load faster.
+        KeptAdapters kept;
         bool inspecting = false;
         Instant inspectAt{};
         Instant busyUntil{}; ///< A base model is on its way.
@@ -258,7 +261,11 @@
     bool serves(const Engine &engine, const ModelTarget &target) const;
     unsigned copiesOf(const ModelTarget &target) const;
     const std::optional<Overview::Victim> &wantedVictim(const Engine &engine, Instant now);
-    void place(const std::string &service, const ModelTarget &target, Instant now, PlacerActions &actions);
+    void place(const ModelTarget &target, const Demand &demand, Instant now, PlacerActions &actions);
+    bool hasRoomFor(const Engine &engine, double rate, Instant now);
+    void loadOn(Engine &engine, const ModelTarget &target, Instant now, PlacerActions &actions);
+    /// Has an engine that keeps @p target load it again. Returns whether one does, or will be able to in a moment.
+    bool reload(const ModelTarget &target, const Demand &demand, Instant now, PlacerActions &actions);
     std::optional<Overview::Victim> victimOf(const Engine &engine, Duration idleTime, Instant now) const;
     void order(Engine &engine, OrderKind kind, const ModelTarget &target, PlacerActions &actions);
     void inspect(Engine &engine, Instant now, PlacerActions &actions);
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -827,10 +827,13 @@
             auto *upstream = m_context.upstreams.find(each.instance);
             if (!upstream)
                 continue;
-            if (each.dropped)
+            if (each.dropped) {
                 upstream->residency.onDropped(each.target, now);
-            else
-                upstream->residency.onLoading(each.target, each.version, now + each.usableIn, now);
+                continue;
+            }
+            upstream->residency.onLoading(each.target, each.version, now + each.usableIn, now);
+            if (each.version == 0)
+                upstream->kept.onHeld(each.target);
         }
         if (!placements.empty())
             m_loop.post([this] { m_forwarder.onPlacement(); });
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -411,7 +411,8 @@
             }
             engines.push_back({instance, service->name, regionOf(upstream.record.failureDomain, m_context.regions),
                                upstream.record.startedAt, takesOrders, service->engine->adapterSlots,
-                               std::max(1U, upstream.record.slots), load, upstream.record.storedModels});
+                               std::max(1U, upstream.record.slots), load, upstream.record.storedModels,
+                               &upstream.kept});
         }
         for (auto &[service, load] : others.meanLoads)
             load /= count[service];
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "common/decayedrate.h"
 #include "estimates/stepestimate.h"
+#include "gateway/keptadapters.h"
 #include "gateway/promptwindow.h"
 #include "gateway/residency.h"
 #include "http/message.h"
@@ -39,6 +40,7 @@
 
     UpstreamRecord record;
     Residency residency;
+    KeptAdapters kept; ///< As holders of orders have told.
     unsigned ownInFlight = 0; ///< Requests of this node that it is working on.
     unsigned peersInFlight = 0; ///< Those of other nodes, as they last said.
     PromptWindow prompts; ///< Of all nodes.
--- a/tests/gateway/adapterplacertest.cpp
+++ b/tests/gateway/adapterplacertest.cpp
@@ -81,6 +81,48 @@
     cr_assert_eq(orders.front().instance, std::string("e2"));
 }
 
+namespace
+{
+
+struct ReloadCase {
+    double load; ///< Of the engine that keeps the adapter.
+    std::vector<std::string> unfit; ///< Engines that have failed the request.
+    bool hasOpenOrder; ///< At the engine that keeps it.
+    const char *ordered; ///< The engine that loads it, or none for now.
+};
+
+const ReloadCase reloads[] = {
+    {0, {}, false, "keeper"}, {40, {}, false, "keeper"}, // More load than others have.
+    {64, {}, false, "other"}, {0, {"keeper"}, false, "other"},
+    {0, {}, true, ""}, // It answers in a moment, which is sooner than a load from the store.
+};
+
+} // namespace
+
+/// The load: requests for adapters that were pushed out a moment ago, which their engine still keeps at hand.
+TABLE_TEST(AdapterPlacer, whatAnEngineKeepsComesBackThere, reloads)
+{
+    AdapterPlacer placer;
+    const Instant now{std::chrono::seconds{100}};
+    KeptAdapters kept;
+    kept.onHeld("m/a");
+    placer.setEngines(
+        {{"keeper", "s", "r", 1, true, 2, 64, row.load, {}, &kept}, {"other", "s", "r", 1, true, 8, 64, 0, {}}}, {});
+    placer.plan(now);
+    placer.onReport("keeper", EngineReport{1, false, {{"m", 1}}, {}}, now);
+    placer.onReport("other", EngineReport{1, false, {{"m", 1}}, {}}, now);
+    if (row.hasOpenOrder) {
+        placer.onWanted("s", "m/b", 1, {"other"}, now);
+        placer.onWanted("s", "m/c", 1, {"keeper"}, now);
+        cr_assert_eq(placer.plan(now).orders.size(), 2U);
+    }
+    placer.onWanted("s", "m/a", 1, row.unfit, now);
+    const auto actions = placer.plan(now);
+    const auto order = std::ranges::find(actions.orders, ModelTarget("m/a"), &EngineOrder::target);
+    const auto ordered = order == actions.orders.end() ? std::string{} : order->instance;
+    cr_assert_eq(ordered, std::string(row.ordered), "%s", ordered.c_str());
+}
+
 Test(AdapterPlacer, aHotAdapterGetsFurtherCopies)
 {
     PlacementHistory history({}, 1);
--- /dev/null
+++ b/tests/gateway/keptadapterstest.cpp
@@ -0,0 +1,62 @@
+#include "gateway/keptadapters.h"
+
+#include "support/table.h"
+
+#include <string>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+std::string target(int number)
+{
+    return "m/a" + std::to_string(number);
+}
+
+} // namespace
+
+Test(KeptAdapters, whatWasHeldIsKept)
+{
+    KeptAdapters kept;
+    for (int i = 0; i < 500; ++i)
+        kept.onHeld(target(i));
+    cr_assert(kept.contains(target(0)));
+    cr_assert_not(kept.contains(target(500)));
+}
+
+Test(KeptAdapters, theOldestIsTakenToBeLostFirst)
+{
+    KeptAdapters kept;
+    for (int i = 0; i < 100; ++i)
+        kept.onHeld(target(i));
+    kept.onHeld(target(0)); // Held again, so that it is not the oldest any more.
+    kept.onNotKept();
+    cr_assert(kept.contains(target(0)));
+    cr_assert_not(kept.contains(target(1)));
+    cr_assert(kept.contains(target(99)));
+}
+
+Test(KeptAdapters, manyMistakesLeaveWhatAnEngineHolds)
+{
+    KeptAdapters kept;
+    for (int i = 0; i < 100; ++i)
+        kept.onHeld(target(i));
+    for (int i = 0; i < 20; ++i)
+        kept.onNotKept();
+    cr_assert(kept.contains(target(99)));
+    cr_assert(kept.contains(target(70)));
+    cr_assert_not(kept.contains(target(60)));
+}
+
+Test(KeptAdapters, copiesAreApart)
+{
+    KeptAdapters kept;
+    kept.onHeld(target(1));
+    auto copy = kept;
+    copy.onHeld(target(2));
+    copy.onHeld(target(1));
+    cr_assert(copy.contains(target(2)));
+    cr_assert_not(kept.contains(target(2)));
+}
