What the fleet has learnt of prompt speeds weighs more than a node's own samples

One burst stalls all streams of the engine. Ruled out: slow engines (slowness 0.9 to 1.1 in the groups of paused streams). Change: what others tell counts like 300 samples beside at most 100 of one's own, for prompts only.

--- a/src/estimates/servicespeed.cpp
+++ b/src/estimates/servicespeed.cpp
@@ -16,19 +16,22 @@
 constexpr std::size_t fewestSamples = 8; ///< Below it nothing is told to others.
 constexpr double toldWeight = 0.1; ///< Of what one node tells.
 constexpr double toldSamples = 8; ///< What others have learnt counts like so many samples.
+/// For prompts, whose samples scatter: others have several times as many as one node remembers.
+constexpr double toldPromptSamples = 300;
+constexpr unsigned mostOwnPromptSamples = 100;
 
 double msOf(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-double combined(double own, double samples, double told, double prior)
+double combined(double own, double samples, double told, double prior, double toldWeightInSamples = toldSamples)
 {
     if (samples == 0 || own <= 0)
         return told > 0 ? told : prior;
     if (told <= 0)
         return own;
-    return std::exp((samples * std::log(own) + toldSamples * std::log(told)) / (samples + toldSamples));
+    return std::exp((samples * std::log(own) + toldWeightInSamples * std::log(told)) / (samples + toldWeightInSamples));
 }
 
 void approach(double &figure, double told)
@@ -90,7 +93,8 @@
 {
     const Speed prior;
     return {combined(m_step.value(), static_cast<double>(m_step.samples()), m_told.stepMs, prior.stepMs),
-            combined(m_prompts.tokensPerMs(), m_prompts.samples(), m_told.promptTokensPerMs, prior.promptTokensPerMs),
+            combined(m_prompts.tokensPerMs(), std::min(mostOwnPromptSamples, m_prompts.samples()),
+                     m_told.promptTokensPerMs, prior.promptTokensPerMs, toldPromptSamples),
             combined(m_stream.value(), static_cast<double>(m_stream.samples()), m_told.streamMs, prior.streamMs),
             combined(m_answer.value(), static_cast<double>(m_answer.samples()), m_told.answerMs, prior.answerMs)};
 }
--- a/tests/estimates/servicespeedtest.cpp
+++ b/tests/estimates/servicespeedtest.cpp
@@ -90,6 +90,18 @@
     cr_assert_lt(node.speed().stepMs, 12);
 }
 
+// Seen on a standard day: one of eight nodes took the engines for three times as fast, and its prompts stalled streams.
+Test(ServiceSpeed, oddSamplesOfOneNodeHardlyMoveWhatOthersAgreeOn)
+{
+    auto node = nodeBefore(engines[2]);
+    for (int i = 0; i < 100; ++i)
+        node.onTold(nodeBefore(engines[2]).learnt());
+    for (int i = 0; i < 100; ++i)
+        node.onFirstEvent(200.0 + 20 * i, milliseconds(60), 1); // However large they are.
+    cr_assert(std::abs(std::log(node.speed().promptTokensPerMs / engines[2].tokensPerMs)) < 0.4, "%f",
+              node.speed().promptTokensPerMs);
+}
+
 Test(ServiceSpeed, slowEnginesAreNotTakenForSlowKinds)
 {
     ServiceSpeed node;
