Requests wait for the configuration of a node that starts

Change: such requests wait for at most 0.4 s. A node that has just started also takes loads for possible until it has heard of the holders. Test: waitsForTheConfigurationOfANodeThatStarts.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -58,6 +58,16 @@
         const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(), m_calls.end());
         for (const auto &call : calls)
             sweepCall(call, now);
+        refuseUnrouted(now);
+    }
+
+    /// A configuration is known: calls that wait for one are taken up.
+    void onConfiguration()
+    {
+        for (const auto &call : std::exchange(m_unrouted, {})) {
+            if (!call->done)
+                route(call);
+        }
     }
 
     /// What engines hold has changed: calls that wait for a load are looked at again.
@@ -82,6 +92,9 @@
     }
 
 private:
+    /// What a call waits for the first configuration of a node that has just started: ten times what the store takes.
+    static constexpr Duration longestUnrouted = std::chrono::milliseconds{400};
+    static constexpr Duration unroutedRetryAfter = std::chrono::milliseconds{500};
     /// Margin after a deadline for the upstream's own answer to it.
     static constexpr Duration deadlineMargin = std::chrono::milliseconds{60};
     /// Sends of one request that upstreams may refuse unstarted.
@@ -162,13 +175,24 @@
 
     void start(const CallPtr &call)
     {
+        call->exchange->onGone([this, weak = std::weak_ptr<Call>(call)] {
+            if (const auto gone = weak.lock())
+                onCallerGone(gone);
+        });
         auto decoded = Dialect::readRequest(call->exchange->request());
         if (const auto *bad = std::get_if<BadRequest>(&decoded))
             return refuse(call, 400, ErrorCode::BadRequest, bad->reason, {});
         call->request = std::move(std::get<CallerRequest>(decoded));
-        if (!m_context.routes)
-            return refuse(call, 503, ErrorCode::PlatformUnavailable, "no configuration is known yet",
-                          std::chrono::milliseconds{500});
+        if (!m_context.routes) {
+            m_unrouted.push_back(call);
+            return;
+        }
+        this->route(call);
+    }
+
+    /// Finds the call's route and sends it on its way. Precondition: a configuration is known.
+    void route(const CallPtr &call)
+    {
         const auto *route = m_context.routes->match(call->request.host, call->request.path);
         if (!route)
             return refuse(call, 404, ErrorCode::UnknownRoute, "no route has this host and path", {});
@@ -183,10 +207,6 @@
         call->fingerprint
             = XXH3_64bits_withSeed(raw.body.data(), raw.body.size(), XXH3_64bits(raw.target.data(), raw.target.size()));
         m_calls.insert(call);
-        call->exchange->onGone([this, weak = std::weak_ptr<Call>(call)] {
-            if (const auto gone = weak.lock())
-                onCallerGone(gone);
-        });
         m_context.allowance.onRequest(call->service, call->arrival);
         if (!call->request.target.empty()) {
             auto &use = m_context.uses[call->request.target];
@@ -197,6 +217,19 @@
         proceed(call);
     }
 
+    /// Refuses calls that no configuration has come for in time.
+    void refuseUnrouted(Instant now)
+    {
+        std::erase_if(m_unrouted, [&](const CallPtr &call) {
+            if (call->done)
+                return true;
+            if (now - call->arrival < longestUnrouted)
+                return false;
+            refuse(call, 503, ErrorCode::PlatformUnavailable, "no configuration is known yet", unroutedRetryAfter);
+            return true;
+        });
+    }
+
     /// Sends the call if an upstream can take it, waits for a load, or gives up.
     void proceed(const CallPtr &call)
     {
@@ -336,7 +369,7 @@
             return giveUp(call, ErrorCode::NoUpstream, "no upstream of the service takes requests");
         if (!needsLoad)
             return giveUp(call, ErrorCode::NoUpstream, "every upstream of the service has failed the request");
-        if (!m_context.hasOrderHolder)
+        if (!m_context.mayLoadSoon)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now");
         const bool isFirst = !call->waiting;
         startWaiting(call, WaitCause::Load, now);
@@ -999,6 +1032,7 @@
     Relay::UpstreamClient m_client;
     std::unordered_set<CallPtr> m_calls;
     std::unordered_set<CallPtr> m_waiting;
+    std::vector<CallPtr> m_unrouted; ///< No configuration is known yet.
     std::unordered_map<std::string, std::vector<Break>> m_breaks;
     std::size_t m_keptBytes = 0; ///< Of answers that are not whole yet.
 };
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -387,6 +387,7 @@
             server.headerTimeout = limits.headerTimeout;
             server.idleTimeout = limits.idleTimeout;
             m_callers.setSettings(server);
+            m_loop.post([this] { m_forwarder.onConfiguration(); });
         } else if (const auto *declared = std::get_if<VersionDeclaration>(&document)) {
             auto &known = m_context.declared[declared->target];
             if (declared->version <= known.version)
@@ -569,7 +570,8 @@
     void tickOrders(Instant now)
     {
         m_shardSizes = shardSizes(now);
-        m_context.hasOrderHolder = std::ranges::any_of(m_shardSizes, [](unsigned size) { return size > 0; });
+        m_context.mayLoadSoon = now - m_started < settlingTime
+                                || std::ranges::any_of(m_shardSizes, [](unsigned size) { return size > 0; });
         for (unsigned shard = 0; shard < orderShards; ++shard) {
             auto &orders = *m_orders[shard];
             const bool wasOrdering = orders.isOrdering();
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -201,6 +201,18 @@
         ask(path, target);
     }
 
+    /// The configuration is not known until @p time from now; never if it is zero.
+    void configureAfter(Duration time)
+    {
+        const auto routes = std::exchange(m_context.routes, nullptr);
+        if (time == Duration{})
+            return;
+        m_loop.runAfter(time, [this, routes] {
+            m_context.routes = routes;
+            m_forwarder.onConfiguration();
+        });
+    }
+
     Http::EventLoop &loop()
     {
         return m_loop;
@@ -542,3 +554,32 @@
     cr_assert_geq(stage.announced.size(), 2U);
     cr_assert_eq(stage.announcedTokens, 0);
 }
+
+namespace
+{
+
+struct StartCase {
+    int configuredAfter; ///< In ms; 0: never.
+    const char *path;
+    unsigned status;
+    int longest; ///< Until the answer, in ms.
+};
+
+/// All nodes have been restarted, and their callers come back before the configuration is read.
+const StartCase starts[] = {
+    {50, "/safe/1", 200, 200},
+    {50, "/once/1", 200, 200},
+    {50, "/unknown/1", 404, 200},
+    {0, "/safe/1", 503, 600}, // The store is away as well.
+};
+
+} // namespace
+
+TABLE_TEST(CallForwarder, waitsForTheConfigurationOfANodeThatStarts, starts)
+{
+    Stage stage({answer});
+    stage.configureAfter(std::chrono::milliseconds{row.configuredAfter});
+    cr_assert_eq(stage.ask(row.path), row.status);
+    cr_assert(stage.took < std::chrono::milliseconds{row.longest});
+    cr_assert_eq(stage.retryAfter.empty(), row.status != 503);
+}
