The pace of prompts leaves a margin that follows the pauses of streams

Cause: a late stream is worth half, and one burst of prompts stalls every stream of its engine. Change: each node uses 5% less of the pace of a service after a pause that prompts have brought about, and 0.25% a second more again. Test: pacemargintest.

--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "estimates/pacemargin.h"
 #include "gateway/crashledger.h"
 #include "gateway/enginechoice.h"
 #include "gateway/retryallowance.h"
@@ -36,6 +37,7 @@
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
     UpstreamTable upstreams;
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
+    std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
     RetryAllowance allowance{RetryBound{}};
     CrashLedger crashes;
     std::unordered_map<ModelTarget, DeclaredVersion> declared;
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -125,6 +125,7 @@
     static constexpr Duration together = std::chrono::milliseconds{150};
     static constexpr Duration announcementTime = std::chrono::milliseconds{30}; ///< Until all nodes know of a prompt.
     static constexpr double latePacePart = 0.6;
+    static constexpr double slowEngine = 1.5; ///< Its pauses tell nothing of those of others.
     static constexpr double retryAfterPart = 0.3; ///< Of the time left: callers ignore more than a third.
 
     struct Call {
@@ -342,13 +343,14 @@
     }
 
     /// Calls that are late anyway leave a part of the pace to those that are not.
-    PromptPace paceOf(const Call &call, Instant now) const
+    PromptPace paceOf(const Call &call, Instant now)
     {
         const auto *engine = engineOf(call);
         if (!engine)
             return {};
         const bool isLate = now - call.arrival > call.route.latencyObjective;
-        return {call.route.longestPause, engine->tokensPerEvent, isLate ? latePacePart : 1};
+        const double share = m_context.paceMargins[call.service].share(now);
+        return {call.route.longestPause, engine->tokensPerEvent, isLate ? share * latePacePart : share};
     }
 
     void wakeAt(const CallPtr &call, Instant time, Instant now)
@@ -609,7 +611,7 @@
             learnStep(*call, now);
         }
         if (call->answering)
-            call->longestPause = std::max(call->longestPause, now - call->lastEventAt);
+            notePause(*call, now - call->lastEventAt, now);
         call->lastEventAt = now;
         if (!call->answering) {
             call->answering = true;
@@ -620,6 +622,13 @@
         call->exchange->write(events);
     }
 
+    void notePause(Call &call, Duration pause, Instant now)
+    {
+        call.longestPause = std::max(call.longestPause, pause);
+        if (call.route.longestPause > Duration{} && call.slownessAtSend < slowEngine)
+            m_context.paceMargins[call.service].onPause(pause, call.route.longestPause, now);
+    }
+
     /// Keeps a piece of an answer until it is whole, unless it is larger than answers are.
     void keep(const CallPtr &call, std::string_view piece)
     {
@@ -649,7 +658,7 @@
         const auto pause = (before + last) / 2;
         const auto *engine = engineOf(call);
         const auto tokens = engine ? engine->tokensPerEvent : 1;
-        notePause(*upstream, pause, tokens, now);
+        Gateway::notePause(*upstream, pause, tokens, now);
         m_context.speeds[call.service].onPause(pause, tokens, now);
     }
 
--- /dev/null
+++ b/tests/estimates/pacemargintest.cpp
@@ -0,0 +1,47 @@
+#include "estimates/pacemargin.h"
+
+#include "support/table.h"
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Estimates;
+
+namespace
+{
+
+constexpr Instant start{std::chrono::seconds{100}};
+constexpr Duration allowed = std::chrono::milliseconds{300};
+
+Instant after(int ms)
+{
+    return start + std::chrono::milliseconds{ms};
+}
+
+struct PauseCase {
+    int pause; ///< In ms, of each stream.
+    int streams; ///< That pause at the same time.
+    int every; ///< In ms.
+    double least; ///< Of the share after a minute.
+    double most;
+};
+
+const PauseCase pauses[] = {
+    {300, 10, 500, 1, 1}, // Allowed.
+    {350, 30, 60000, 0.95, 1}, // One burst a minute is forgotten.
+    {350, 1, 20000, 0.94, 1}, // What is borne.
+    {350, 1, 8000, 0.7, 0.9},   {350, 30, 8000, 0.7, 0.9}, // However many streams it holds up.
+    {350, 30, 1000, 0.6, 0.65}, // Never less than there must be for prompts to come through.
+    {900, 30, 1000, 1, 1}, // An engine that has turned slow.
+};
+
+} // namespace
+
+TABLE_TEST(PaceMargin, followsBurstsOfPrompts, pauses)
+{
+    PaceMargin margin;
+    for (int ms = 0; ms < 60000; ms += row.every) {
+        for (int i = 0; i < row.streams; ++i)
+            margin.onPause(std::chrono::milliseconds{row.pause}, allowed, after(ms + i % 20));
+    }
+    const double share = margin.share(after(60000));
+    cr_assert(share >= row.least && share <= row.most, "%f", share);
+}
