Callers are told when they can be served; what the fleet has learnt lasts in the store

Cause: callers come back once, and were told to come after at most 1 s whatever was known: into an outage of 8 s, or to engines booked for longer. Change: where nothing can be loaded, as long as that has lasted already; where engines are booked, when their prompts are read; at most 0.3 of the time left, beyond which callers ignore it. Test: tellsCallersWhenTheyCanBeServed. Change: the node that orders the first shard writes them to the store when they have changed by a quarter, at most every 3 s; nodes that know nothing else go on from them, and placers after a change of holder.

--- a/src/estimates/servicespeed.cpp
+++ b/src/estimates/servicespeed.cpp
@@ -89,9 +89,32 @@
     approach(m_told.answerMs, told.answerMs);
 }
 
+void ServiceSpeed::onRemembered(const LearntSpeed &remembered)
+{
+    const auto takeIn = [](double &figure, double value) {
+        if (figure == 0 && std::isfinite(value))
+            figure = value;
+    };
+    if (m_prompts.samples() == 0 && remembered.promptTokensPerMs > 0)
+        m_prompts = PromptSpeed(remembered.promptTokensPerMs);
+    takeIn(m_told.stepMs, remembered.stepMs);
+    takeIn(m_told.promptTokensPerMs, remembered.promptTokensPerMs);
+    takeIn(m_told.streamMs, remembered.streamMs);
+    takeIn(m_told.answerMs, remembered.answerMs);
+}
+
 Speed ServiceSpeed::speed() const
 {
-    const Speed prior;
+    return speedWith({});
+}
+
+LearntSpeed ServiceSpeed::known() const
+{
+    return speedWith({0, 0, 0, 0});
+}
+
+Speed ServiceSpeed::speedWith(const Speed &prior) const
+{
     return {combined(m_step.value(), static_cast<double>(m_step.samples()), m_told.stepMs, prior.stepMs),
             combined(m_prompts.tokensPerMs(), std::min(mostOwnPromptSamples, m_prompts.samples()),
                      m_told.promptTokensPerMs, prior.promptTokensPerMs, toldPromptSamples),
--- a/src/estimates/servicespeed.h
+++ b/src/estimates/servicespeed.h
@@ -46,13 +46,21 @@
     /// Takes in what another node has learnt by itself.
     void onTold(const LearntSpeed &told);
 
+    /// Takes in what the fleet had learnt before all of its nodes started anew. What was learnt or told since stands.
+    void onRemembered(const LearntSpeed &remembered);
+
     /// Returns what is to be reckoned with.
     Speed speed() const;
 
+    /// Returns what is known from this node's samples and from others.
+    LearntSpeed known() const;
+
     /// Returns what this node has learnt by itself, to be told to others.
     LearntSpeed learnt() const;
 
 private:
+    Speed speedWith(const Speed &prior) const;
+
     RecentQuantile m_step;
     RecentQuantile m_stream;
     RecentQuantile m_answer;
--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -167,6 +167,14 @@
     return sum;
 }
 
+void AdapterPlacer::rememberStore(double factor)
+{
+    if (!(factor > 0))
+        return;
+    m_storeFactor = std::clamp(factor, leastStoreFactor, mostStoreFactor);
+    m_storeLimitMet = true;
+}
+
 double AdapterPlacer::loadsAtFullSpeed() const
 {
     const auto engines = std::max(m_engines.size(), m_surroundings.engines);
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -188,6 +188,16 @@
     /// Returns what is to be done. Orders are to be sent at once or answered as Conflict.
     PlacerActions plan(Instant now);
 
+    /// Goes on from what an earlier placer has learnt of the weight store: storeFactor(). Call before the first plan.
+    void rememberStore(double factor);
+
+    /// Returns what the weight store serves at full speed, as learnt, over what was taken for granted; 0 if nothing was
+    /// learnt.
+    double storeFactor() const
+    {
+        return m_storeLimitMet ? m_storeFactor : 0;
+    }
+
     /// Returns how many loads at once the weight store serves at full speed, as far as was learnt, of this placer's
     /// part.
     double loadsAtFullSpeed() const;
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -127,6 +127,7 @@
     static constexpr double latePacePart = 0.6;
     static constexpr double slowEngine = 1.5; ///< Its pauses tell nothing of those of others.
     static constexpr double retryAfterPart = 0.3; ///< Of the time left: callers ignore more than a third.
+    static constexpr Duration leastReturn = std::chrono::seconds{1};
 
     struct Call {
         std::shared_ptr<Relay::CallerExchange> exchange;
@@ -255,7 +256,8 @@
             return waitForLoad(call, now);
         if (choice->sendAt > now) {
             if (choice->sendAt > latestSend(*call))
-                return giveUp(call, ErrorCode::Overloaded, "the engines that have the adapter are full");
+                return giveUp(call, ErrorCode::Overloaded, "the engines that have the adapter are full",
+                              acceptedReturn(*call, choice->sendAt - now, now));
             if (const auto later = dispersal(*call, *choice, now); later > Duration{}) {
                 call->notBefore = now + later;
                 startWaiting(call, WaitCause::ComingLoad, now);
@@ -290,6 +292,14 @@
                    std::min(longestQueuePart * time, longestPatiencePart * patience));
     }
 
+    /// Returns when the call is best sent again if it can be served in @p servedIn: callers come back once at the most, but
+    /// not when they are told to wait for longer than they accept.
+    static Duration acceptedReturn(const Call &call, Duration servedIn, Instant now)
+    {
+        const auto longest = std::chrono::duration_cast<Duration>((call.deadline - now) * retryAfterPart);
+        return std::min(longest, std::max<Duration>(servedIn, leastReturn));
+    }
+
     /// Tells all nodes that what was announced for the call will not come.
     void withdrawReservation(Call &call, Instant now)
     {
@@ -372,7 +382,8 @@
         if (!needsLoad)
             return giveUp(call, ErrorCode::NoUpstream, "every upstream of the service has failed the request");
         if (!m_context.mayLoadSoon)
-            return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now");
+            return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now",
+                          acceptedReturn(*call, now - m_context.noLoadsSince, now));
         const bool isFirst = !call->waiting;
         startWaiting(call, WaitCause::Load, now);
         if (isFirst) {
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -2,6 +2,7 @@
 
 #include "gateway/callforwarder.h"
 #include "gateway/dissemination.h"
+#include "gateway/fleetestimates.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/membertable.h"
 #include "gateway/orderplane.h"
@@ -181,6 +182,7 @@
     static constexpr double largestImpatience = 0.3;
     static constexpr double noteworthySpeedRatio = 1.3;
     static constexpr Duration speedNotePause = std::chrono::seconds{5};
+    static constexpr Duration estimatesPause = std::chrono::seconds{3}; ///< Each writing is a priced call.
     static constexpr std::size_t mostDepartures = 64; ///< In one digest.
     static constexpr Duration crashNewsAge = std::chrono::seconds{2};
     /// The slack of sends beyond the first is divided by more than the number of nodes, as nodes that were replaced or
@@ -201,6 +203,11 @@
         return ownPrefix() + "nodes/";
     }
 
+    static std::string estimatesKey()
+    {
+        return ownPrefix() + "estimates";
+    }
+
     static OrderKeys orderKeys(unsigned shard)
     {
         return {ownPrefix() + "order-holder/" + std::to_string(shard),
@@ -287,10 +294,14 @@
                     m_members.onSnapshot(nodes, BootClock{}.now());
                     for (unsigned shard = 0; shard < orderShards; ++shard)
                         onOrderRecords(shard, others);
+                    if (const auto estimates = others.find(estimatesKey()); estimates != others.end())
+                        onStoredEstimates(estimates->second.value);
                 },
                 [this](const KeyChange &change) {
                     if (takeOrderRecord(change))
                         return;
+                    if (change.key == estimatesKey())
+                        return onStoredEstimates(change.value.value_or(""));
                     if (!change.value)
                         return m_members.onUnlisted(change.key.substr(nodesPrefix().size()));
                     if (const auto address = decodeNodeAddress(*change.value))
@@ -570,8 +581,11 @@
     void tickOrders(Instant now)
     {
         m_shardSizes = shardSizes(now);
-        m_context.mayLoadSoon = now - m_started < settlingTime
-                                || std::ranges::any_of(m_shardSizes, [](unsigned size) { return size > 0; });
+        const bool mayLoad = now - m_started < settlingTime
+                             || std::ranges::any_of(m_shardSizes, [](unsigned size) { return size > 0; });
+        if (m_context.mayLoadSoon && !mayLoad)
+            m_context.noLoadsSince = now;
+        m_context.mayLoadSoon = mayLoad;
         for (unsigned shard = 0; shard < orderShards; ++shard) {
             auto &orders = *m_orders[shard];
             const bool wasOrdering = orders.isOrdering();
@@ -706,6 +720,7 @@
                 digest.steps.push_back({instance, upstream.step.learnt()});
         }
         noteSpeeds(now);
+        storeEstimates(now);
         for (const auto &[service, speed] : m_context.speeds) {
             if (const auto learnt = speed.learnt(); learnt != Estimates::LearntSpeed{0, 0, 0, 0})
                 digest.speeds.push_back({service, learnt});
@@ -729,6 +744,40 @@
         m_loop.runAfter(std::max<Duration>(digestInterval, byFleet), [this] { this->digest(); });
     }
 
+    void onStoredEstimates(const std::string &value)
+    {
+        const auto estimates = decodeFleetEstimates(value);
+        if (!estimates)
+            return;
+        m_storedEstimates = *estimates;
+        for (const auto &[service, speed] : estimates->speeds)
+            m_context.speeds[service].onRemembered(speed);
+        for (const auto &orders : m_orders)
+            orders->rememberStore(estimates->storeFactor);
+    }
+
+    /// Has the store keep what the fleet has learnt. One node does so: the one that orders the first shard.
+    void storeEstimates(Instant now)
+    {
+        if (!m_orders.front()->isOrdering() || now - m_estimatesSent < estimatesPause)
+            return;
+        FleetEstimates estimates;
+        estimates.storeFactor = m_orders.front()->storeFactor();
+        if (estimates.storeFactor == 0)
+            estimates.storeFactor = m_storedEstimates.storeFactor;
+        for (const auto &[service, speed] : m_context.speeds) {
+            if (const auto known = speed.known(); known != Estimates::LearntSpeed{0, 0, 0, 0})
+                estimates.speeds.emplace(service, known);
+        }
+        if (!isWorthStoring(estimates, m_storedEstimates))
+            return;
+        m_estimatesSent = now;
+        KeyTransaction transaction;
+        transaction.puts.push_back({estimatesKey(), encode(estimates), KeyLifetime::Durable});
+        // The view of the store tells whether it is written.
+        m_store.transact(transaction, 0, [](const KeyReply &) {});
+    }
+
     /// Writes a line about each service whose speed is reckoned otherwise than when the last one was written.
     void noteSpeeds(Instant now)
     {
@@ -970,6 +1019,8 @@
         Instant at{};
     };
 
+    FleetEstimates m_storedEstimates; ///< As the store has them.
+    Instant m_estimatesSent{};
     std::map<std::string, NotedSpeed> m_notedSpeeds; ///< As the log has them, by service.
     std::set<std::string> m_livePeers; ///< As the log has them.
     bool m_stopping = false;
--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -95,6 +95,18 @@
         m_shardSizes = sizes;
     }
 
+    /// Sets what was learnt of the weight store before this node orders.
+    void rememberStore(double factor)
+    {
+        m_rememberedStore = factor;
+    }
+
+    /// Returns what this node's placer has learnt of the weight store; 0 if it orders nothing or has learnt nothing.
+    double storeFactor() const
+    {
+        return isOrdering() ? m_placer.storeFactor() : 0;
+    }
+
     /// Called with what is to be told to all nodes.
     void onNews(std::function<void(const std::vector<PlacementNews> &)> task)
     {
@@ -331,6 +343,7 @@
         m_renewSent = sent;
         m_lease.onAcquired(m_nextTerm, fence, sent, now, m_predecessor);
         auto placer = AdapterPlacer{};
+        placer.rememberStore(m_rememberedStore);
         for (const auto &[target, declared] : m_context.declared)
             placer.onVersionDeclared(target, declared.version);
         m_placer = std::move(placer);
@@ -601,6 +614,7 @@
     std::uint64_t m_nextTerm = 0; ///< Of the last attempt to take the lease.
     Predecessor m_predecessor = Predecessor::Other; ///< Of that attempt.
     Instant m_settledSent{};
+    double m_rememberedStore = 0;
     Instant m_lostAt{};
     std::uint64_t m_lostTerm = 0; ///< The last one that this process has held and lost.
     std::optional<OrderHolder> m_holder;
--- a/tests/estimates/servicespeedtest.cpp
+++ b/tests/estimates/servicespeedtest.cpp
@@ -74,6 +74,28 @@
     assertKnows(restarted.speed(), row);
 }
 
+TABLE_TEST(ServiceSpeed, aFleetThatStartsAnewGoesOnFromWhatItKnew, engines)
+{
+    ServiceSpeed restarted;
+    restarted.onRemembered(nodeBefore(row).known());
+    assertKnows(restarted.speed(), row);
+    cr_assert(restarted.learnt() == LearntSpeed({0, 0, 0, 0}));
+    // Engines may have been exchanged meanwhile.
+    const EngineCase other{2 * row.stepMs, row.tokensPerMs / 2, row.tokensPerEvent, 2 * row.streamMs};
+    for (int i = 0; i < 30; ++i)
+        restarted.onTold(nodeBefore(other).learnt());
+    assertKnows(restarted.speed(), other);
+}
+
+Test(ServiceSpeed, whatWasRememberedDoesNotReplaceWhatIsTold)
+{
+    ServiceSpeed node;
+    node.onTold({40, 5, 6000, 90});
+    node.onRemembered({10, 20, 1500, 15});
+    cr_assert_eq(node.speed().stepMs, 40);
+    cr_assert_eq(node.speed().promptTokensPerMs, 5);
+}
+
 Test(ServiceSpeed, tellsOnlyWhatItHasLearntItself)
 {
     ServiceSpeed node;
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -213,6 +213,13 @@
         });
     }
 
+    /// Nobody answers for loads, for @p time already.
+    void stopLoads(Duration time)
+    {
+        m_context.mayLoadSoon = false;
+        m_context.noLoadsSince = BootClock{}.now() - time;
+    }
+
     Http::EventLoop &loop()
     {
         return m_loop;
@@ -583,3 +590,39 @@
     cr_assert(stage.took < std::chrono::milliseconds{row.longest});
     cr_assert_eq(stage.retryAfter.empty(), row.status != 503);
 }
+
+namespace
+{
+
+struct ReturnCase {
+    int bookedMs; ///< Prompts that the engines have to read already; 0: they do not hold the adapter.
+    int noLoadsMs; ///< For how long there have been no loads.
+    double least; ///< Of Retry-After, in seconds.
+    double most;
+};
+
+/// The load: engines that are booked out, and an outage in which nothing can be loaded. Callers come back once.
+const ReturnCase returns[] = {
+    {4000, 0, 1.4, 1.5}, // Callers of 5 s would not accept more.
+    {0, 200, 0.9, 1.1}, // Many outages are short.
+    {0, 1300, 1.2, 1.4}, // As long again.
+    {0, 60000, 1.4, 1.5},
+};
+
+} // namespace
+
+TABLE_TEST(CallForwarder, tellsCallersWhenTheyCanBeServed, returns)
+{
+    Stage stage({streamRest});
+    if (row.bookedMs > 0) {
+        stage.load("u0", "m/a", std::chrono::milliseconds{-1000});
+        stage.load("u1", "m/a", std::chrono::milliseconds{-1000});
+        stage.bookPrompts(std::chrono::milliseconds{row.bookedMs});
+    }
+    stage.stopLoads(std::chrono::milliseconds{row.noLoadsMs});
+    const auto status = stage.ask("/paced/1", "m/a");
+    cr_assert(status == 429 || status == 503);
+    cr_assert(stage.took < std::chrono::milliseconds{300});
+    const double seconds = std::stod(stage.retryAfter);
+    cr_assert(seconds >= row.least && seconds <= row.most, "%f", seconds);
+}
