--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -44,7 +44,8 @@
     std::unordered_map<ModelTarget, TargetUse> uses;
     std::size_t mostKeptBytes = 64 * 1024 * 1024; ///< Of answers that are kept until they are whole.
     bool mayLoadSoon = false; ///< Some node answers for loads, or this one has not heard yet which one does.
-    /// Since when no node answers for loads. It is taken to last for as long again: outages differ by orders of magnitude.
+    /// Since when no node answers for loads. It is taken to last for as long again: outages differ by orders of
+    /// magnitude.
     Instant noLoadsSince{};
     /// Asks a holder for a load, the @p attempt th time; copies at the engines in @p unfit do not help.
     std::function<void(const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit,
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -292,8 +292,8 @@
                    std::min(longestQueuePart * time, longestPatiencePart * patience));
     }
 
-    /// Returns when the call is best sent again if it can be served in @p servedIn: callers come back once at the most, but
-    /// not when they are told to wait for longer than they accept.
+    /// Returns when the call is best sent again if it can be served in @p servedIn: callers come back once at the most,
+    /// but not when they are told to wait for longer than they accept.
     static Duration acceptedReturn(const Call &call, Duration servedIn, Instant now)
     {
         const auto longest = std::chrono::duration_cast<Duration>((call.deadline - now) * retryAfterPart);
--- a/src/gateway/fleetestimates.h
+++ b/src/gateway/fleetestimates.h
@@ -10,8 +10,8 @@
 namespace Gypsumtally::Gateway
 {
 
-/// What the fleet has learnt and keeps in the store, for nodes that all start anew: figures that are learnt slowly under
-/// load, or make a load while they are wrong.
+/// What the fleet has learnt and keeps in the store, for nodes that all start anew: figures that are learnt slowly
+/// under load, or make a load while they are wrong.
 struct FleetEstimates {
     std::map<std::string, Estimates::LearntSpeed> speeds; ///< By service.
     double storeFactor = 0; ///< What the weight store serves over what is taken for granted; 0: not known.
