A node that was cut off reads the store as soon as it hears of it

It had been cut off from second 1 to 13; the operators' documents were read again at 13.03, but the upstreams' records not until 15.83, as a node that is read for puts off a failed call by 2.2 s, and shares with a gap were passed over meanwhile. Records that are missing are borne for 2.3 s after that, until 18.1. Change: an answer of the store for one view, or a share of another node that has a gap, has a call that was put off made at once. Tests: aCallThatWasPutOffIsMadeWhenTheStoreIsThere, aNodeThatWasCutOffReadsAllViewsWhenItHearsOfTheStore; red without.

--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -57,6 +57,7 @@
         std::function<void()> onBatchEnd; ///< After the changes of one answer.
         std::function<void(bool)> onReachable; ///< The service answers, or does not.
         std::function<void(const RegistryShare &)> onRead = {}; ///< What this node's own call has brought, if anything.
+        std::function<void()> onAnswered = {}; ///< The service has answered this node with a snapshot.
     };
 
     struct Pace {
@@ -87,15 +88,25 @@
             read();
     }
 
+    /// The store has just answered a node: a call that is put off after a failure is made at once.
+    void retryNow()
+    {
+        if (m_retryIsPutOff)
+            read();
+    }
+
     /// Takes in what another node has read, if it follows on what is known here; puts off the next call of this node.
     /// What is missing between is asked for at once. A node that does not reach the store goes on by shares alone.
     void onShared(const RegistryShare &share)
     {
         const bool isGap = share.after > m_revision;
         if (m_state == State::Reading) {
+            if (isGap)
+                retryNow();
             if (m_revision == 0 || isGap || share.revision < m_revision)
                 return;
             setReachable(true);
+            m_retryIsPutOff = false;
             m_state = State::Pausing;
         }
         if (!isGap && share.revision > m_revision)
@@ -140,12 +151,15 @@
     {
         ++m_generation;
         m_state = State::Reading;
+        m_retryIsPutOff = false;
         m_store.readPrefix(m_prefix, [this, generation = m_generation](const KeyReply &reply) {
             if (generation != m_generation)
                 return;
             setReachable(reply.outcome == KeyOutcome::Applied);
             if (reply.outcome != KeyOutcome::Applied)
                 return readAfter(m_pauses.afterFailure);
+            if (m_observer.onAnswered)
+                m_observer.onAnswered();
             if (m_revision > 0 && m_observer.onRead)
                 m_observer.onRead(changesTo(reply));
             m_known.clear();
@@ -189,6 +203,7 @@
     void readAfter(Duration pause)
     {
         m_state = State::Reading;
+        m_retryIsPutOff = true;
         m_loop.runAfter(pause, [this, generation = ++m_generation] {
             if (generation == m_generation)
                 read();
@@ -264,6 +279,7 @@
     std::map<std::string, Revision> m_known; ///< The keys that there are, and their last changes.
     std::uint64_t m_generation = 0; ///< Of the call under way; answers to earlier ones are ignored.
     State m_state = State::Reading;
+    bool m_retryIsPutOff = false; ///< After a failure.
     bool m_overdue = false;
     bool m_reachable = false;
     bool m_reported = false;
--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -135,6 +135,10 @@
             if (view == RegistryView::UpstreamRecords)
                 shareSignsOfLife();
         };
+        observer.onAnswered = [this] {
+            for (auto *follower : {&m_operatorDocuments, &m_upstreamRecords, &m_ownRecords})
+                follower->retryNow();
+        };
         return observer;
     }
 
--- a/tests/gateway/registryfollowertest.cpp
+++ b/tests/gateway/registryfollowertest.cpp
@@ -264,6 +264,39 @@
     cr_assert_eq(followed.store.watches, 1U);
 }
 
+namespace
+{
+
+struct RetryCase {
+    bool hearsShare; ///< Of a node that has just read the store, and knows more.
+    bool otherViewAnswered; ///< The store has answered this node for another view.
+    unsigned reads;
+};
+
+const RetryCase retries[] = {{false, false, 2}, {true, false, 3}, {false, true, 3}};
+
+} // namespace
+
+// Seen on a standard day: a node that had been cut off was heard again at once, and went on with engines that had left
+// for 4.3 s, of which it had put off its next call for 2.2 s.
+TABLE_TEST(RegistryFollower, aCallThatWasPutOffIsMadeWhenTheStoreIsThere, retries)
+{
+    Followed followed;
+    followed.answerRead(5, {});
+    followed.follower.setPauses({{}, {}, std::chrono::seconds{100}});
+    followed.answerWatch({false, false, {}, 0});
+    followed.store.read({KeyOutcome::Unavailable, 0, {}});
+    followed.settle();
+    cr_assert_eq(followed.store.reads, 2U);
+    if (row.hearsShare)
+        followed.follower.onShared({9, {}, 9});
+    if (row.otherViewAnswered)
+        followed.follower.retryNow();
+    cr_assert_eq(followed.store.reads, row.reads);
+    followed.follower.retryNow(); // There is one under way, or it is made now.
+    cr_assert_eq(followed.store.reads, 3U);
+}
+
 Test(RegistryFollower, aSnapshotIsSharedAsChanges)
 {
     Followed followed;
--- a/tests/gateway/registryviewstest.cpp
+++ b/tests/gateway/registryviewstest.cpp
@@ -21,7 +21,7 @@
     void readPrefix(const std::string &, const std::function<void(KeyReply)> &onReply)
     {
         ++reads;
-        onReply({KeyOutcome::Applied, 10, {}});
+        onReply({isCutOff ? KeyOutcome::Unavailable : KeyOutcome::Applied, 10, {}});
     }
 
     void watch(const std::string &, Revision after, Duration, const std::function<void(WatchResult)> &onResult)
@@ -46,6 +46,7 @@
     unsigned reads = 0;
     unsigned watches = 0;
     bool answersWatches = false;
+    bool isCutOff = false;
 };
 
 struct Viewer {
@@ -160,3 +161,14 @@
     cr_assert_eq(viewer.store.watches, 1U);
     cr_assert_eq(viewer.overdue, 0U);
 }
+
+Test(RegistryViews, aNodeThatWasCutOffReadsAllViewsWhenItHearsOfTheStore)
+{
+    Viewer viewer;
+    viewer.store.isCutOff = true;
+    viewer.start(ReadRole::ReadFor, std::chrono::milliseconds{50}, {});
+    cr_assert_eq(viewer.store.reads, 3U);
+    viewer.store.isCutOff = false;
+    viewer.views.onShared({RegistryView::OwnRecords, {10, {}, 10}});
+    cr_assert_eq(viewer.store.reads, 6U);
+}
