--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -7,6 +7,7 @@
 #include "gateway/gatewaymessage.h"
 #include "gateway/orderlease.h"
 #include "gateway/ordershard.h"
+#include "gateway/orderterm.h"
 #include "gateway/registryfollower.h"
 #include "http/eventloop.h"
 #include "relay/upstreamclient.h"
@@ -47,14 +48,6 @@
         } -> std::same_as<UpstreamStatement>;
 };
 
-/// A process that may hold an order lease.
-struct OrderHolder {
-    std::string node;
-    std::int64_t startedAt = 0;
-
-    friend bool operator==(const OrderHolder &, const OrderHolder &) = default;
-};
-
 /// Where a shard's lease is kept in the store.
 struct OrderKeys {
     std::string holder; ///< Under the holder's lease.
@@ -149,14 +142,7 @@
     /// The store has @p value at the term's key, or nothing.
     void onTermRecord(const std::optional<std::string> &value, Revision revision)
     {
-        m_lastTerm = {};
-        const auto object = value ? parseObject(*value) : std::nullopt;
-        if (!object)
-            return;
-        m_lastTerm.revision = revision;
-        m_lastTerm.number = numberAt<std::uint64_t>(*object, "term");
-        m_lastTerm.holder = {textAt(*object, "node"), numberAt<std::int64_t>(*object, "started")};
-        m_lastTerm.settled = flagAt(*object, "settled");
+        m_lastTerm = decodeOrderTerm(value, revision);
     }
 
     /// The store has @p value at the holder's key, or nothing.
@@ -282,7 +268,7 @@
         m_acquiring = true;
         m_acquireSent = now;
         m_nextTerm = m_lastTerm.number + 1;
-        m_predecessor = predecessor();
+        m_predecessor = predecessorOf(m_lastTerm, m_self);
         const auto holderRevision = m_recordRevision; // As it was when nobody else had the lease.
         const auto termRevision = m_lastTerm.revision;
         m_store.grantLease(m_lease.settings().ttl, [this, holderRevision, termRevision](auto lease) {
@@ -296,7 +282,7 @@
             KeyTransaction transaction;
             transaction.compares = {{m_keys.holder, holderRevision}, {m_keys.term, termRevision}};
             transaction.puts = {{m_keys.holder, boost::json::serialize(holder), KeyLifetime::NodeLease},
-                                {m_keys.term, termValue(m_nextTerm, false), KeyLifetime::Durable}};
+                                {m_keys.term, encode(OrderTerm{m_nextTerm, m_self, false}), KeyLifetime::Durable}};
             m_store.transact(transaction, *lease, [this](const KeyReply &reply) {
                 m_acquiring = false;
                 if (reply.outcome == KeyOutcome::Applied)
@@ -305,19 +291,6 @@
         });
     }
 
-    /// Returns what a lease that is taken now has to do with the one before. One that was not settled may have had
-    /// predecessors of its own that still order.
-    Predecessor predecessor() const
-    {
-        return lastHolder() == m_self.node && m_lastTerm.settled ? Predecessor::Own : Predecessor::Other;
-    }
-
-    std::string termValue(std::uint64_t number, bool settled) const
-    {
-        return boost::json::serialize(boost::json::object{
-            {"term", number}, {"node", m_self.node}, {"started", m_self.startedAt}, {"settled", settled}});
-    }
-
     /// Has the store know, once, that no earlier holder can be ordering any more.
     void recordSettled()
     {
@@ -328,7 +301,7 @@
         m_settledSent = now;
         KeyTransaction transaction;
         transaction.compares = {{m_keys.term, m_lastTerm.revision}};
-        transaction.puts = {{m_keys.term, termValue(m_lease.term(), true), KeyLifetime::Durable}};
+        transaction.puts = {{m_keys.term, encode(OrderTerm{m_lease.term(), m_self, true}), KeyLifetime::Durable}};
         // The view of the store tells whether it is written.
         m_store.transact(transaction, m_leaseId, [](const KeyReply &) {});
     }
@@ -602,15 +575,7 @@
     std::function<void()> m_onReleased;
     std::unordered_map<ModelTarget, std::map<std::string, Instant>> m_askers; ///< And when they asked last.
     std::map<Relay::UpstreamClient::Token, EngineOrder> m_open;
-    /// The last time that the lease was taken by anybody, as the store has it.
-    struct Term {
-        Revision revision = 0;
-        std::uint64_t number = 0;
-        OrderHolder holder;
-        bool settled = false; ///< No earlier holder can be ordering any more.
-    };
-
-    Term m_lastTerm;
+    OrderTerm m_lastTerm; ///< As the store has it.
     std::uint64_t m_nextTerm = 0; ///< Of the last attempt to take the lease.
     Predecessor m_predecessor = Predecessor::Other; ///< Of that attempt.
     Instant m_settledSent{};
--- /dev/null
+++ b/tests/gateway/ordertermtest.cpp
@@ -0,0 +1,240 @@
+#include "gateway/orderterm.h"
+
+#include "support/table.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <random>
+#include <utility>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+
+namespace
+{
+
+constexpr Duration apart = std::chrono::seconds{3}; ///< Orders of two nodes, at least.
+constexpr Duration step = std::chrono::milliseconds{10};
+constexpr Duration historyTime = std::chrono::minutes{3};
+constexpr unsigned nodes = 4;
+constexpr std::uint64_t seeds = 40;
+
+/// How often something happens to a node, or to the store, in each second.
+struct LeaseTrouble {
+    double takenAway = 0; ///< The store removes the leased record without telling the holder.
+    double cuts = 0; ///< A node and the store do not reach each other for a while.
+    double restarts = 0;
+    double freezes = 0;
+    double lostReleases = 0; ///< Part of them; the others come late.
+};
+
+const LeaseTrouble troubles[] = {
+    {},
+    {.takenAway = 0.2},
+    {.cuts = 0.2},
+    {.restarts = 0.2},
+    {.freezes = 0.2},
+    {.takenAway = 0.1, .cuts = 0.1, .restarts = 0.1, .freezes = 0.1, .lostReleases = 0.5},
+};
+
+/// Nodes that take the lease of one shard from a store, and order whenever they may. Times are virtual.
+class LeaseHistory
+{
+public:
+    LeaseHistory(const LeaseTrouble &trouble, std::uint64_t seed)
+        : m_trouble(trouble)
+        , m_random(seed)
+    {
+        for (unsigned i = 0; i < nodes; ++i)
+            start(m_nodes[i], i);
+    }
+
+    void run()
+    {
+        for (const auto end = m_now + historyTime; m_now < end; m_now += step) {
+            if (m_leased && m_now >= m_leaseEnds)
+                m_leased = 0;
+            if (happens(m_trouble.takenAway))
+                m_leased = 0;
+            while (!m_messages.empty() && m_messages.begin()->first <= m_now)
+                m_messages.extract(m_messages.begin()).mapped()();
+            for (unsigned i = 0; i < nodes; ++i)
+                tick(m_nodes[i], i);
+        }
+    }
+
+    /// Orders that came too soon after those of another node.
+    unsigned tooSoon = 0;
+    unsigned orders = 0;
+    unsigned holders = 0; ///< Changes of the node that orders.
+
+private:
+    struct Node {
+        OrderHolder self;
+        OrderLease lease{OrderLeaseSettings{}};
+        std::uint64_t leaseId = 0; ///< Of the store; 0 if the node does not hold it.
+        std::uint64_t nextTerm = 0;
+        Instant renewed{};
+        Instant cutUntil{};
+        Instant awayUntil{}; ///< Frozen, or down.
+    };
+
+    bool happens(double perSecond)
+    {
+        return m_chance(m_random) < perSecond * std::chrono::duration<double>(step).count();
+    }
+
+    Duration any(Duration longest)
+    {
+        return std::chrono::duration_cast<Duration>(longest * m_chance(m_random));
+    }
+
+    void start(Node &node, unsigned number)
+    {
+        const Instant awayUntil = node.awayUntil;
+        node = Node{};
+        node.self = {"n" + std::to_string(number), m_now.time_since_epoch().count()};
+        node.awayUntil = awayUntil;
+    }
+
+    void tick(Node &node, unsigned number)
+    {
+        if (m_now < node.awayUntil)
+            return;
+        if (happens(m_trouble.freezes)) {
+            node.awayUntil = m_now + any(std::chrono::seconds{4});
+            return;
+        }
+        if (happens(m_trouble.restarts)) {
+            node.awayUntil = m_now + any(std::chrono::seconds{2});
+            start(node, number);
+            return;
+        }
+        if (happens(m_trouble.cuts))
+            node.cutUntil = m_now + any(std::chrono::seconds{6});
+        const bool reachesStore = m_now >= node.cutUntil;
+        if (node.leaseId != 0 && !node.lease.isHeld(m_now))
+            lose(node);
+        if (node.leaseId == 0 && reachesStore && m_leased == 0)
+            acquire(node);
+        else if (node.leaseId != 0 && reachesStore && m_now - node.renewed >= node.lease.settings().permission / 3)
+            renew(node);
+        if (node.lease.isSettled(m_now) && reachesStore && m_term.number == node.lease.term())
+            m_term.settled = true;
+        if (node.lease.mayOrder(m_now))
+            order(node, number);
+    }
+
+    void acquire(Node &node)
+    {
+        node.nextTerm = m_term.number + 1;
+        const auto predecessor = predecessorOf(m_term, node.self);
+        m_leased = node.leaseId = ++m_lastLease;
+        m_leaseEnds = m_now + node.lease.settings().ttl;
+        m_term = {node.nextTerm, node.self, false, ++m_revision};
+        node.renewed = m_now;
+        node.lease.onAcquired(node.nextTerm, static_cast<std::uint64_t>(m_revision), m_now, m_now, predecessor);
+    }
+
+    void renew(Node &node)
+    {
+        node.renewed = m_now;
+        if (m_leased != node.leaseId)
+            return lose(node);
+        m_leaseEnds = m_now + node.lease.settings().ttl;
+        node.lease.onRenewed(m_now);
+    }
+
+    void lose(Node &node)
+    {
+        node.leaseId = 0;
+        node.lease.onLost();
+        const auto released = node.lease.released();
+        for (auto &other : m_nodes) {
+            if (&other == &node || m_chance(m_random) < m_trouble.lostReleases)
+                continue;
+            const auto delay = any(std::chrono::seconds{1});
+            m_messages.emplace(m_now + delay, [&other, released, delay] {
+                other.lease.onReleased({released.term, released.lastOrderAt + delay});
+            });
+        }
+    }
+
+    void order(Node &node, unsigned number)
+    {
+        node.lease.onOrder(m_now);
+        ++orders;
+        for (unsigned other = 0; other < nodes; ++other) {
+            const auto last = m_lastOrders.find(other);
+            if (other != number && last != m_lastOrders.end() && m_now - last->second < apart)
+                ++tooSoon;
+        }
+        if (std::exchange(m_orderer, number) != number)
+            ++holders;
+        m_lastOrders[number] = m_now;
+    }
+
+    const LeaseTrouble &m_trouble;
+    std::mt19937_64 m_random;
+    std::uniform_real_distribution<double> m_chance{0, 1};
+    std::array<Node, nodes> m_nodes;
+    std::multimap<Instant, std::function<void()>> m_messages;
+    Instant m_now{std::chrono::seconds{100}};
+    OrderTerm m_term; ///< In the store.
+    std::uint64_t m_leased = 0; ///< The lease that the holder's record hangs on; 0: there is none.
+    std::uint64_t m_lastLease = 0;
+    Instant m_leaseEnds{};
+    Revision m_revision = 0;
+    std::map<unsigned, Instant> m_lastOrders;
+    unsigned m_orderer = nodes;
+};
+
+} // namespace
+
+TABLE_TEST(OrderTerm, ordersOfTwoNodesLieApart, troubles)
+{
+    unsigned holders = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        LeaseHistory history(row, seed);
+        history.run();
+        cr_assert_eq(history.tooSoon, 0U, "seed %llu", static_cast<unsigned long long>(seed));
+        cr_assert_gt(history.orders, 1000U, "seed %llu", static_cast<unsigned long long>(seed));
+        holders += history.holders;
+    }
+    const bool isQuiet = row.takenAway + row.cuts + row.restarts + row.freezes == 0;
+    cr_assert(isQuiet ? holders == seeds : holders > 2 * seeds, "%u", holders);
+}
+
+namespace
+{
+
+struct PredecessorCase {
+    OrderTerm last;
+    Predecessor predecessor;
+};
+
+const PredecessorCase predecessors[] = {
+    {{}, Predecessor::Other},
+    {{3, {"n1", 50}, true, 9}, Predecessor::Own}, // An earlier process of this machine.
+    {{3, {"n1", 50}, false, 9}, Predecessor::Other}, // It may still have waited for another machine.
+    {{3, {"n2", 50}, true, 9}, Predecessor::Other},
+};
+
+const char *const strangeRecords[] = {"", "[]", "not json"};
+
+} // namespace
+
+TABLE_TEST(OrderTerm, onlyASettledTermOfThisMachineNeedsNoWait, predecessors)
+{
+    cr_assert(predecessorOf(row.last, {"n1", 70}) == row.predecessor);
+    const auto read = decodeOrderTerm(encode(row.last), row.last.revision);
+    cr_assert(read.holder == row.last.holder);
+    cr_assert_eq(read.number, row.last.number);
+    cr_assert_eq(read.settled, row.last.settled);
+}
+
+TABLE_TEST(OrderTerm, aRecordThatCannotBeReadIsNoTerm, strangeRecords)
+{
+    cr_assert_eq(decodeOrderTerm(std::string(row), 7).number, 0U);
+}
