A lease is taken up late only from the last attempt

Found by reading: where the answer to an attempt was lost and a later attempt had been sent, the record of the earlier one was taken up with the sending time of the later one, so that the node could have ordered for longer than its successor reckons with. Now such a record is replaced by the next attempt, as any own one.

--- a/src/gateway/orderplane.h
+++ b/src/gateway/orderplane.h
@@ -166,13 +166,13 @@
         m_holder = OrderHolder{textAt(*object, "node"), numberAt<std::int64_t>(*object, "started")};
         const auto now = BootClock{}.now();
         const bool isSelf = *m_holder == m_self;
-        // A term that was given up has been told to be over: it is not taken up again.
-        if (isSelf && !m_lease.isHeld(now) && m_nextTerm > m_lostTerm && !m_acquiring) {
-            m_leaseId = numberAt<StoreLease>(*object, "lease"); // Of the attempt that has succeeded after all.
+        // The answer to the last attempt was lost. An earlier attempt's lease may have ended meanwhile, and a term that
+        // was given up has been told to be over: neither is taken up.
+        const bool isLastAttempt = isSelf && numberAt<StoreLease>(*object, "lease") == m_leaseId;
+        if (isLastAttempt && !m_lease.isHeld(now) && m_nextTerm > m_lostTerm && !m_acquiring)
             take(static_cast<std::uint64_t>(revision), m_acquireSent, now);
-        } else if (!isSelf && m_lease.isHeld(now)) {
+        else if (!isSelf && m_lease.isHeld(now))
             lose("another node has it");
-        }
     }
 
     /// Whether this node gives orders at present.
