Request limits of upstreams are decoded, logged and counted; no request is sent otherwise

Nothing in logs or metrics of the incident's nodes told whether they had seen the limit. An answer's limit is now kept with the upstream, upstream_limits_requests is logged when it changes, and gypsumtally_limited_sends_total counts what is sent to such an upstream: first sends, repeats, orders and inspections. A limit is raised or ended only by the answer to a request that was sent after it was last stated, as answers overtake each other.

--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -12,12 +12,12 @@
 
 } // namespace
 
-void CallContext::recordStatement(const UpstreamProcess &process, const UpstreamStatement &statement, Instant now)
+void CallContext::recordStatement(const UpstreamProcess &process, const UpstreamStatement &statement, Instant now,
+                                  Instant sentAt)
 {
-    if (statement == UpstreamStatement{statement.instance, false, {}, {}})
-        return;
-    const auto effect = applyStatement(upstreams, process, statement, now);
-    if (onStatement)
+    const auto effect = applyStatement(upstreams, process, statement, now, sentAt);
+    const bool hasEffect = effect.leaves || effect.turnedAwayFor > Duration{} || effect.changesLimit;
+    if (onStatement && (hasEffect || !statement.unreadable.empty()))
         onStatement(process, effect, statement.unreadable);
 }
 
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -66,8 +66,9 @@
                        const std::vector<std::string> &unreadable)>
         onStatement;
 
-    /// Applies the statement in an answer of @p process.
-    void recordStatement(const UpstreamProcess &process, const UpstreamStatement &statement, Instant now);
+    /// Applies the statement in an answer of @p process to a request that was sent at @p sentAt; see applyStatement().
+    void recordStatement(const UpstreamProcess &process, const UpstreamStatement &statement, Instant now,
+                         Instant sentAt = {});
 
     /// Returns the oldest version of @p target that may serve at @p now; 0 if any may.
     std::uint64_t minVersion(const ModelTarget &target, Instant now) const;
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -531,6 +531,8 @@
         call->inFlightAtSend = upstream->inFlight();
         const auto speed = m_context.speeds[call->service].speed();
         call->slownessAtSend = slownessOf(*upstream, speed);
+        if (upstream->requestLimit.perSecond)
+            m_metrics.add(Metric::LimitedSends, {{"kind", call->sends > 1 ? "repeat" : "first"}});
         if (upstream->ownInFlight == 0)
             upstream->waitingSince = now;
         ++upstream->ownInFlight;
@@ -606,9 +608,10 @@
     {
         noteProgress(call, BootClock{}.now());
         call->reply = Dialect::readReply(head);
-        m_context.recordStatement({call->instance, call->processStartedAt}, call->reply.statement, BootClock{}.now());
         const bool success = call->reply.status / 100 == 2;
         const bool isMismatched = call->reply.requestId != call->request.id;
+        m_context.recordStatement({call->instance, call->processStartedAt}, call->reply.statement, BootClock{}.now(),
+                                  isMismatched ? Instant{} : call->sentAt);
         if ((success && (isMismatched || !call->reply.isSigned || call->reply.isEncoded))
             || (isMismatched && !call->reply.notRun))
             dropSend(call, "the answer is not one to this request");
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -28,6 +28,7 @@
     UpstreamLeaving,
     UpstreamGone,
     UpstreamTurnsAway,
+    UpstreamLimitsRequests,
     BadHeader,
     OrderLeaseTaken,
     OrderLeaseLost,
@@ -50,7 +51,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 28> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 29> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -65,6 +66,7 @@
     {Gateway::GatewayEvent::UpstreamLeaving, "upstream_leaving"},
     {Gateway::GatewayEvent::UpstreamGone, "upstream_gone"},
     {Gateway::GatewayEvent::UpstreamTurnsAway, "upstream_turns_away"},
+    {Gateway::GatewayEvent::UpstreamLimitsRequests, "upstream_limits_requests"},
     {Gateway::GatewayEvent::BadHeader, "bad_header"},
     {Gateway::GatewayEvent::OrderLeaseTaken, "order_lease_taken"},
     {Gateway::GatewayEvent::OrderLeaseLost, "order_lease_lost"},
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -478,12 +478,25 @@
                            {{"for_ms", std::to_string(effect.turnedAwayFor.count() / 1000)}});
             notice.turnedAway.push_back({process, effect.turnedAwayFor});
         }
+        if (const auto *upstream = m_context.upstreams.find(process.instance); upstream && effect.changesLimit) {
+            m_metrics.add(Metric::UpstreamStatements, {{"statement", "request_limit"}});
+            logRequestLimit(*upstream, "answer");
+        }
         if (!notice.departures.empty() || !notice.turnedAway.empty())
             broadcast(std::move(notice));
         if (effect.leaves)
             m_loop.post([this] { m_forwarder.onPlacement(); });
     }
 
+    /// Logs the request limit of @p upstream, or its end, as learnt from @p source.
+    void logRequestLimit(const Upstream &upstream, const std::string &source)
+    {
+        const auto &limit = upstream.requestLimit.perSecond;
+        m_log.note(GatewayEvent::UpstreamLimitsRequests, {{"upstream", upstream.record.instance},
+                                                          {"per_second", limit ? std::to_string(*limit) : "none"},
+                                                          {"source", source}});
+    }
+
     /// Applies the settings that a running process can change. Logs problems, and whether other changes need a restart.
     void reloadSettings(const Parsed<GatewaySettings> &read)
     {
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -503,6 +503,8 @@
             return;
         }
         m_lease.onOrder(now);
+        if (upstream->requestLimit.perSecond)
+            m_metrics.add(Metric::LimitedSends, {{"kind", "order"}});
         Relay::SendOptions options;
         options.timeout = orderTimeout;
         options.unsentBytesTimeoutMs = orderUnsentTimeoutMs;
@@ -547,6 +549,8 @@
         const auto *upstream = m_context.upstreams.find(instance);
         if (!upstream)
             return m_placer.onReport(instance, std::nullopt, BootClock{}.now());
+        if (upstream->requestLimit.perSecond)
+            m_metrics.add(Metric::LimitedSends, {{"kind", "inspection"}});
         Relay::SendOptions options;
         options.timeout = inspectionTimeout;
         const UpstreamProcess process{instance, upstream->record.startedAt};
--- a/src/gateway/upstreamstatement.cpp
+++ b/src/gateway/upstreamstatement.cpp
@@ -24,10 +24,16 @@
     return isSame ? upstream : nullptr;
 }
 
+/// Returns true if @p stated permits more requests than @p known.
+bool isHigher(const std::optional<double> &stated, const std::optional<double> &known)
+{
+    return known && (!stated || *stated > *known);
+}
+
 } // namespace
 
 StatementEffect applyStatement(UpstreamTable &table, const UpstreamProcess &process, const UpstreamStatement &statement,
-                               Instant now)
+                               Instant now, Instant sentAt)
 {
     StatementEffect effect;
     const bool isOther = !statement.instance.empty() && statement.instance != process.instance;
@@ -42,9 +48,23 @@
             effect.turnedAwayFor = time;
         upstream->backpressureUntil = std::max(upstream->backpressureUntil, now + time);
     }
+    const auto &known = upstream->requestLimit.perSecond;
+    if (known || statement.requestLimit)
+        effect.changesLimit = applyRequestLimit(
+            table, process, {statement.requestLimit, isHigher(statement.requestLimit, known) ? sentAt : now});
     return effect;
 }
 
+bool applyRequestLimit(UpstreamTable &table, const UpstreamProcess &process, const RequestLimit &limit)
+{
+    auto *upstream = findProcess(table, process);
+    if (!upstream || limit.asOf < upstream->requestLimit.asOf)
+        return false;
+    const bool isChange = limit.perSecond != upstream->requestLimit.perSecond;
+    upstream->requestLimit = limit;
+    return isChange;
+}
+
 bool applyDeparture(UpstreamTable &table, const UpstreamProcess &process)
 {
     return findProcess(table, process) && table.markLeaving(process.instance);
--- a/src/gateway/upstreamstatement.h
+++ b/src/gateway/upstreamstatement.h
@@ -17,6 +17,8 @@
     bool isLeaving = false; ///< Accepts no new requests any more.
     std::optional<Duration> turnsAwayFor; ///< Time during which it applies backpressure to this node.
     std::vector<std::string> unreadable; ///< Headers with invalid values.
+    /// Requests per second that it accepts from all nodes together; nothing if it states no limit.
+    std::optional<double> requestLimit{};
 
     friend bool operator==(const UpstreamStatement &, const UpstreamStatement &) = default;
 };
@@ -31,12 +33,18 @@
 struct StatementEffect {
     bool leaves = false; ///< The departure of the upstream is new.
     Duration turnedAwayFor{}; ///< Zero if it was already applying backpressure or does not do so.
+    bool changesLimit = false; ///< The upstream's request limit is new, has another value or has ended.
 };
 
-/// Applies @p statement from the answer to a request that was sent to @p process. Ignores it if another instance made
-/// it or if a new process has replaced @p process.
+/// Applies @p statement from the answer to a request that was sent to @p process at @p sentAt. Ignores it if another
+/// instance made it or if a new process has replaced @p process. Answers may overtake each other, so a request limit is
+/// raised or ended only by the answer to a request that was sent after the limit was last stated; with the default
+/// @p sentAt by none.
 StatementEffect applyStatement(UpstreamTable &table, const UpstreamProcess &process, const UpstreamStatement &statement,
-                               Instant now);
+                               Instant now, Instant sentAt = {});
+
+/// Records the request limit of @p process unless a later statement is known. Returns true if its value changes.
+bool applyRequestLimit(UpstreamTable &table, const UpstreamProcess &process, const RequestLimit &limit);
 
 /// Records that @p process has announced its departure to another node. Returns true if it was not recorded before.
 bool applyDeparture(UpstreamTable &table, const UpstreamProcess &process);
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -33,6 +33,12 @@
     std::set<std::string> storedModels; ///< Base models that it can load without the weight store.
 };
 
+/// The limit on its requests that an upstream states, or its absence.
+struct RequestLimit {
+    std::optional<double> perSecond; ///< Requests per second from all nodes together; nothing if they are not limited.
+    Instant asOf{}; ///< Latest time at which the upstream is known to have stated this.
+};
+
 /// State of one upstream as seen by this node.
 struct Upstream {
     /// Short, so that a restarted or repaired upstream is retried soon.
@@ -52,6 +58,7 @@
     bool isLeaving = false; ///< An answer has announced its departure, regardless of its record.
     bool announcedLeaving = false; ///< It announced its departure to this node, which notifies the others.
     Instant backpressureUntil{}; ///< Must get no requests from this node until then.
+    RequestLimit requestLimit;
     /// Until then, gets new requests only if no other upstream can take them, for example after a refused connection.
     Instant avoidUntil{};
 
--- a/tests/gateway/upstreamstatementtest.cpp
+++ b/tests/gateway/upstreamstatementtest.cpp
@@ -4,6 +4,9 @@
 
 #include "support/table.h"
 
+#include <optional>
+#include <vector>
+
 using namespace Gypsumtally;
 using namespace Gypsumtally::Gateway;
 
@@ -202,3 +205,67 @@
     cr_assert_eq(saturatedEngines(table, "m/a", now).size(), 1U);
     cr_assert(saturatedEngines(table, "m/b", now).empty());
 }
+
+namespace
+{
+
+/// An answer to a request that was sent and answered at the given times, in ms after the start.
+struct LimitAnswer {
+    std::int64_t sentAt;
+    std::int64_t answeredAt;
+    std::optional<double> limit;
+};
+
+struct LimitCase {
+    const char *name;
+    std::vector<LimitAnswer> answers;
+    std::optional<double> known;
+};
+
+const LimitCase limitAnswers[] = {
+    {"none", {{0, 10, {}}}, {}},
+    {"stated", {{0, 10, 2.2}}, 2.2},
+    {"lowered", {{0, 10, 2.2}, {0, 20, 1.5}}, 1.5},
+    {"raised", {{0, 10, 1.5}, {11, 20, 2.2}}, 2.2},
+    {"raised by an answer that was overtaken", {{0, 10, 1.5}, {5, 20, 2.2}}, 1.5},
+    {"ended", {{0, 10, 1.5}, {11, 20, {}}}, {}},
+    {"ended by an answer that was overtaken", {{0, 10, 1.5}, {5, 20, {}}}, 1.5},
+    {"repeated meanwhile", {{0, 10, 1.5}, {0, 30, 1.5}, {20, 40, {}}}, 1.5},
+    {"stated again", {{0, 10, 1.5}, {11, 20, {}}, {21, 30, 3}}, 3.0},
+};
+
+} // namespace
+
+TABLE_TEST(UpstreamStatement, requestLimitFromAnswers, limitAnswers)
+{
+    auto table = tableOf(recordOf(7));
+    for (const auto &each : row.answers) {
+        const auto before = table.find("u")->requestLimit.perSecond;
+        UpstreamStatement statement;
+        statement.requestLimit = each.limit;
+        const auto effect = applyStatement(table, {"u", 7}, statement, now + std::chrono::milliseconds{each.answeredAt},
+                                           now + std::chrono::milliseconds{each.sentAt});
+        cr_assert_eq(effect.changesLimit, before != table.find("u")->requestLimit.perSecond, "%s", row.name);
+    }
+    cr_assert(table.find("u")->requestLimit.perSecond == row.known, "%s", row.name);
+}
+
+Test(UpstreamStatement, answerToOrderDoesNotEndRequestLimit)
+{
+    auto table = tableOf(recordOf(7));
+    UpstreamStatement limited;
+    limited.requestLimit = 2;
+    applyStatement(table, {"u", 7}, limited, now);
+    cr_assert_not(applyStatement(table, {"u", 7}, {}, now + std::chrono::seconds{1}).changesLimit);
+    cr_assert(table.find("u")->requestLimit.perSecond == 2.0);
+}
+
+Test(UpstreamStatement, staleRequestLimitReportedByOtherNode)
+{
+    auto table = tableOf(recordOf(7));
+    cr_assert(applyRequestLimit(table, {"u", 7}, {2.0, now}));
+    cr_assert(applyRequestLimit(table, {"u", 7}, {std::nullopt, now + std::chrono::seconds{1}}));
+    cr_assert_not(applyRequestLimit(table, {"u", 7}, {2.0, now}), "an older statement");
+    cr_assert_not(applyRequestLimit(table, {"u", 6}, {2.0, now + std::chrono::seconds{2}}), "a replaced process");
+    cr_assert_not(table.find("u")->requestLimit.perSecond.has_value());
+}
--- a/tests/platformadapter/statementheaderstest.cpp
+++ b/tests/platformadapter/statementheaderstest.cpp
@@ -14,6 +14,7 @@
     bool isLeaving;
     std::optional<int> turnsAwayForMs;
     std::size_t unreadable;
+    std::optional<double> requestLimit{};
 };
 
 const StatementCase statements[] = {
@@ -41,6 +42,14 @@
     {503, {{"Retry-After", ""}}, false, 1000, 1},
     {503, {{"Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT"}}, false, 1000, 1},
     {503, {{"Retry-After", "x"}, {"Server-Leaving", "x"}}, true, 1000, 2},
+    {200, {{"Server-Limit", "2.2"}}, false, {}, 0, 2.2},
+    {500, {{"server-limit", "40"}}, false, {}, 0, 40},
+    {503, {{"Server-Limit", "0"}, {"Retry-After", "3"}}, false, 3000, 0, 0},
+    {200, {{"Server-Limit", "1e999"}}, false, {}, 0, 1e6},
+    {200, {{"Server-Limit", "-1"}}, false, {}, 1, 1},
+    {200, {{"Server-Limit", "nan"}}, false, {}, 1, 1},
+    {200, {{"Server-Limit", ""}}, false, {}, 1, 1},
+    {200, {{"Server-Limit", "2 a second"}}, false, {}, 1, 1},
 };
 
 } // namespace
@@ -53,5 +62,6 @@
     if (row.turnsAwayForMs)
         cr_assert(*statement.turnsAwayFor == std::chrono::milliseconds{*row.turnsAwayForMs});
     cr_assert_eq(statement.unreadable.size(), row.unreadable);
+    cr_assert(statement.requestLimit == row.requestLimit);
     cr_assert_eq(statement.instance, std::string(row.headers.get("X-Instance-Id")));
 }
