Failing test: nodes together exceed the request limit that an upstream states

Real gateway processes before stand-ins of the store and of upstreams, which state, change and end limits; callers on open connections; nodes freeze, are killed, stopped and reloaded. A record at each upstream applies the users' rule to all that arrives, orders and inspections too.

--- /dev/null
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -0,0 +1,314 @@
+#include "gatewayfleet/gatewayfleet.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+namespace Gypsumtally::GatewayFleet
+{
+
+namespace
+{
+
+constexpr Duration sweepInterval = std::chrono::milliseconds{50};
+constexpr Duration readyTimeout = std::chrono::seconds{20};
+constexpr Duration stopGrace = std::chrono::seconds{4};
+/// Time for which callers still use a node that has been asked to stop, as they cache its address.
+constexpr Duration addressCacheTime = std::chrono::seconds{1};
+/// Time after a disturbance of a node for which its requests are still excused: the window of the rule on limits.
+constexpr Duration excuseTime = std::chrono::seconds{4};
+constexpr unsigned adapters = 6;
+
+enum Port {
+    Callers,
+    Readiness,
+    Entries,
+    Peers,
+    Metrics,
+    PortCount,
+};
+
+struct RequestForm {
+    const char *method;
+    const char *path;
+    Duration timeout;
+};
+
+RequestForm formOf(CallerRequest kind)
+{
+    switch (kind) {
+    case CallerRequest::Read:
+        return {"GET", "/read/1", std::chrono::milliseconds{800}};
+    case CallerRequest::Book:
+        return {"POST", "/book/1", std::chrono::milliseconds{800}};
+    case CallerRequest::Stream:
+        break;
+    }
+    return {"POST", "/stream/1", std::chrono::seconds{6}};
+}
+
+bool promisesNotRun(unsigned status)
+{
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+} // namespace
+
+Fleet::Fleet(const FleetSize &size, unsigned seed)
+    : m_random(seed)
+    , m_store(m_loop)
+    , m_client(m_loop)
+{
+    for (unsigned number = 0; number < size.engines; ++number)
+        m_engines.push_back(std::make_unique<UpstreamStandIn>(m_loop, m_store, "e" + std::to_string(number), "model",
+                                                              true, seed + number));
+    for (unsigned number = 0; number < size.workers; ++number)
+        m_workers.push_back(std::make_unique<UpstreamStandIn>(m_loop, m_store, "w" + std::to_string(number), "web",
+                                                              false, seed + number));
+    configure();
+    for (unsigned number = 0; number < size.nodes; ++number) {
+        Node node;
+        node.name = "n" + std::to_string(number);
+        for (int port = 0; port < PortCount; ++port)
+            node.ports.push_back(std::make_unique<Processes::ReservedPort>());
+        m_nodes.push_back(std::move(node));
+    }
+    for (auto &node : m_nodes)
+        start(node);
+    sweep();
+}
+
+Fleet::~Fleet() = default;
+
+void Fleet::configure()
+{
+    m_store.put("op/config", R"({"version": 1, "routes": [
+        {"name": "read", "host": "h", "prefix": "/read/", "kind": "idempotent", "timeout_ms": 800, "goal_ms": 120,
+         "service": "web", "attempts": 2},
+        {"name": "book", "host": "h", "prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 800, "goal_ms": 120,
+         "service": "web", "attempts": 2},
+        {"name": "stream", "host": "h", "prefix": "/stream/", "kind": "streaming", "timeout_ms": 6000, "goal_ms": 800,
+         "gap_target_ms": 300, "service": "model", "attempts": 2, "can_resume": true}],
+        "services": [{"name": "web"}, {"name": "model", "engine": {"slots": 16, "stride": 3, "adapter_slots": 8,
+        "models": [{"name": "m", "load_s": 0.1}]}}],
+        "limits": {"header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})");
+}
+
+void Fleet::start(Node &node)
+{
+    const auto address = [&](Port port) { return Http::toString(node.ports[port]->endpoint()); };
+    const auto settings = m_files.file(node.name + ".yaml");
+    std::ofstream(settings) << "node: " << node.name
+                            << "\nfailure_domain: a\nregion: r\nregions: {a: r}\nlisten:\n  callers: "
+                            << address(Callers) << "\n  readiness: " << address(Readiness)
+                            << "\n  entries: " << address(Entries) << "\n  peers: " << address(Peers)
+                            << "\n  metrics: " << address(Metrics) << "\nstore: " << Http::toString(m_store.endpoint())
+                            << "\norder_handover: 3000ms\ndrain_bound: 2500ms\nstop_grace: " << stopGrace.count() / 1000
+                            << "ms\nentry_ttl: 1s\nretries:\n  ratio: 0.2\n  slack: 58\n  window: 10s\nlog:\n"
+                               "  level: info\n  format: json\n";
+    node.process = std::make_unique<Processes::ChildProcess>(
+        std::vector<std::string>{GYPSUMTALLY_GATEWAYD, "--settings=" + settings}, m_files.file(node.name + ".log"));
+    node.isOpen = true;
+}
+
+void Fleet::run(Duration time)
+{
+    m_loop.runAfter(time, [this] { m_loop.stop(); });
+    m_loop.context().restart();
+    m_loop.run();
+}
+
+void Fleet::waitUntilReady()
+{
+    const auto end = BootClock{}.now() + readyTimeout;
+    for (std::size_t number = 0; number < m_nodes.size();) {
+        if (BootClock{}.now() > end)
+            throw std::runtime_error(m_nodes[number].name + " does not become ready");
+        bool isReady = false;
+        Relay::SendOptions options;
+        options.timeout = std::chrono::seconds{1};
+        m_client.fetch(
+            {m_nodes[number].ports[Readiness]->endpoint(), {}}, {"GET", "/readyz", {{"Host", "h"}}, {}},
+            [&](const Relay::WholeResponse &response) { isReady = response.head.status == 200; }, options);
+        run(std::chrono::milliseconds{100});
+        if (isReady)
+            ++number;
+    }
+}
+
+void Fleet::setLoad(const Load &load)
+{
+    m_rates
+        = {{CallerRequest::Read, load.reads}, {CallerRequest::Book, load.books}, {CallerRequest::Stream, load.streams}};
+    for (const auto &[kind, rate] : m_rates) {
+        ++m_generations[kind];
+        sendNext(kind);
+    }
+}
+
+void Fleet::sendNext(CallerRequest kind)
+{
+    const auto rate = m_rates[kind];
+    if (rate <= 0)
+        return;
+    const double seconds = std::exponential_distribution<>{rate}(m_random);
+    const auto generation = m_generations[kind];
+    m_loop.runAfter(Duration{static_cast<std::int64_t>(seconds * 1e6)}, [this, kind, generation] {
+        if (generation != m_generations[kind])
+            return;
+        send(kind);
+        sendNext(kind);
+    });
+}
+
+void Fleet::send(CallerRequest kind)
+{
+    std::vector<const Node *> open;
+    for (const auto &node : m_nodes) {
+        if (node.isOpen)
+            open.push_back(&node);
+    }
+    if (open.empty())
+        return;
+    const auto &node = *open[m_random() % open.size()];
+    const auto form = formOf(kind);
+    const auto id = node.name + ":" + std::to_string(++m_sent);
+    Http::Request request{
+        form.method,
+        form.path,
+        {{"Host", "h"}, {"X-Request-Id", id}, {"X-Timeout-Ms", std::to_string(form.timeout.count() / 1000)}},
+        {}};
+    if (kind == CallerRequest::Stream) {
+        request.headers.add("X-Model", "m/a" + std::to_string(m_random() % adapters));
+        request.headers.add("X-Token-Count", "200,18");
+    }
+    if (kind == CallerRequest::Book)
+        m_booked.insert(id);
+    Relay::SendOptions options;
+    options.timeout = 2 * form.timeout;
+    ++m_tallies[kind].sent;
+    const auto now = BootClock{}.now();
+    m_client.fetch(
+        {node.ports[Callers]->endpoint(), {}}, request,
+        [this, kind, id, now](const Relay::WholeResponse &response) { onAnswer(kind, id, now, response); }, options);
+}
+
+void Fleet::onAnswer(CallerRequest kind, const std::string &id, Instant sentAt, const Relay::WholeResponse &response)
+{
+    auto &tally = m_tallies[kind];
+    const auto status = response.head.status;
+    if (status == 200) {
+        ++tally.served;
+        if (response.head.headers.get("X-Request-Id") != id || !response.head.headers.contains("X-Response-Signature"))
+            m_problems.push_back(id + " got an answer that is not an upstream's answer to it");
+        const bool isWhole
+            = kind == CallerRequest::Stream ? response.body.find("id: 6\n") != std::string::npos : response.body == id;
+        if (!isWhole)
+            m_problems.push_back(id + " got an answer that is not whole");
+        return;
+    }
+    if (!promisesNotRun(status)) {
+        ++(status == 0 ? tally.broken : tally.failed);
+        return;
+    }
+    ++tally.refused;
+    m_notRun[id] = std::to_string(status);
+    if (BootClock{}.now() - sentAt > formOf(kind).timeout / 2)
+        ++tally.lateRefusals;
+    if (!response.head.headers.contains("Retry-After"))
+        ++tally.refusedWithoutTime;
+}
+
+void Fleet::after(Duration delay, std::function<void()> task)
+{
+    m_loop.runAfter(delay, std::move(task));
+}
+
+void Fleet::excuse(const Node &node, Instant from, Instant to)
+{
+    for (const auto *group : {&m_engines, &m_workers}) {
+        for (const auto &upstream : *group)
+            upstream->limits.excuse(node.name, from, to + excuseTime);
+    }
+}
+
+void Fleet::freeze(std::size_t number, Duration time)
+{
+    auto &node = m_nodes[number];
+    const auto now = BootClock{}.now();
+    node.process->signal(SIGSTOP);
+    after(time, [this, number, now] {
+        m_nodes[number].process->signal(SIGCONT);
+        excuse(m_nodes[number], now, BootClock{}.now());
+    });
+}
+
+void Fleet::restart(std::size_t number, Duration pause)
+{
+    m_nodes[number].process->kill();
+    m_nodes[number].isOpen = false;
+    after(pause, [this, number, since = BootClock{}.now()] { startAgain(number, since); });
+}
+
+void Fleet::stop(std::size_t number)
+{
+    m_nodes[number].process->signal(SIGTERM);
+    after(addressCacheTime, [this, number] { m_nodes[number].isOpen = false; });
+    startWhenEnded(number, BootClock{}.now());
+}
+
+void Fleet::startWhenEnded(std::size_t number, Instant since)
+{
+    after(std::chrono::milliseconds{100}, [this, number, since] {
+        if (m_nodes[number].process->isRunning())
+            return startWhenEnded(number, since);
+        startAgain(number, since);
+    });
+}
+
+void Fleet::startAgain(std::size_t number, Instant since)
+{
+    if (m_nodes[number].process->isRunning())
+        return; // A later change has started it already.
+    start(m_nodes[number]);
+    excuse(m_nodes[number], since, BootClock{}.now());
+}
+
+void Fleet::reload(std::size_t number)
+{
+    m_nodes[number].process->signal(SIGHUP);
+}
+
+std::vector<std::string> Fleet::finish()
+{
+    for (auto &node : m_nodes)
+        node.process->kill();
+    auto problems = m_problems;
+    std::map<std::string, unsigned> runs;
+    for (const auto *group : {&m_engines, &m_workers}) {
+        for (const auto &upstream : *group) {
+            std::ranges::move(upstream->limits.violations(), std::back_inserter(problems));
+            for (const auto &[id, count] : upstream->runs())
+                runs[id] += count;
+        }
+    }
+    for (const auto &[id, count] : runs) {
+        if (const auto refused = m_notRun.find(id); refused != m_notRun.end())
+            problems.push_back(id + " was answered " + refused->second + " and has run");
+        if (count > 1 && m_booked.contains(id))
+            problems.push_back(id + " has run " + std::to_string(count) + " times");
+    }
+    return problems;
+}
+
+void Fleet::sweep()
+{
+    m_client.sweep(BootClock{}.now());
+    m_loop.runAfter(sweepInterval, [this] { sweep(); });
+}
+
+} // namespace Gypsumtally::GatewayFleet
--- /dev/null
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "gatewayfleet/storestandin.h"
+#include "gatewayfleet/upstreamstandin.h"
+#include "processes/childprocess.h"
+#include "processes/reservedport.h"
+#include "processes/temporarydirectory.h"
+#include "relay/upstreamclient.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Gypsumtally::GatewayFleet
+{
+
+struct FleetSize {
+    unsigned nodes = 3;
+    unsigned engines = 2;
+    unsigned workers = 2; ///< Of the plain service.
+};
+
+/// The kinds of requests that callers send.
+enum class CallerRequest {
+    Read, ///< Idempotent, to the plain service.
+    Book, ///< Not idempotent, to the plain service.
+    Stream, ///< To an engine, for one of a few adapters.
+};
+
+/// Requests per second of each kind, from all callers.
+struct Load {
+    double reads = 0;
+    double books = 0;
+    double streams = 0;
+};
+
+/// What callers got in answer to one kind of request.
+struct Tally {
+    unsigned sent = 0;
+    unsigned served = 0;
+    unsigned refused = 0; ///< With status 429 or 503.
+    unsigned failed = 0; ///< With any other status.
+    unsigned broken = 0; ///< Without a complete answer.
+    unsigned lateRefusals = 0; ///< Refused after more than half of the caller's time.
+    unsigned refusedWithoutTime = 0; ///< Refused without a Retry-After.
+};
+
+/// Real gateway processes before stand-ins for the store and the upstreams, with callers on open connections, all over
+/// the loopback interface. One event loop runs the stand-ins and the callers.
+class Fleet
+{
+public:
+    Fleet(const FleetSize &size, unsigned seed);
+    ~Fleet();
+
+    /// Runs stand-ins and callers for @p time.
+    void run(Duration time);
+
+    /// Runs until all nodes are ready. Throws std::runtime_error if they do not become ready.
+    void waitUntilReady();
+
+    /// Changes the load from now on.
+    void setLoad(const Load &load);
+
+    /// Schedules @p task after @p delay; it runs within run().
+    void after(Duration delay, std::function<void()> task);
+
+    /// Freezes a node's process for @p time.
+    void freeze(std::size_t node, Duration time);
+
+    /// Kills a node's process and starts it again after @p pause.
+    void restart(std::size_t node, Duration pause);
+
+    /// Stops a node's process by SIGTERM and starts it again once it has ended.
+    void stop(std::size_t node);
+
+    /// Lets a node read its settings again.
+    void reload(std::size_t node);
+
+    /// Ends all processes, and returns what callers and upstreams have seen that must not happen.
+    std::vector<std::string> finish();
+
+    StoreStandIn &store()
+    {
+        return m_store;
+    }
+
+    UpstreamStandIn &engine(std::size_t number)
+    {
+        return *m_engines[number];
+    }
+
+    UpstreamStandIn &worker(std::size_t number)
+    {
+        return *m_workers[number];
+    }
+
+    const Tally &tally(CallerRequest kind)
+    {
+        return m_tallies[kind];
+    }
+
+    std::mt19937_64 &random()
+    {
+        return m_random;
+    }
+
+    /// Keeps logs and settings, and prints where they are.
+    void keepFiles()
+    {
+        m_files.keep();
+    }
+
+private:
+    struct Node {
+        std::string name;
+        std::vector<std::unique_ptr<Processes::ReservedPort>> ports; ///< Callers, readiness, entries, peers, metrics.
+        std::unique_ptr<Processes::ChildProcess> process;
+        bool isOpen = true; ///< Callers use it for new requests.
+    };
+
+    void configure();
+    void start(Node &node);
+    void startAgain(std::size_t number, Instant since);
+    void startWhenEnded(std::size_t number, Instant since);
+    void excuse(const Node &node, Instant from, Instant to);
+    void sendNext(CallerRequest kind);
+    void send(CallerRequest kind);
+    void onAnswer(CallerRequest kind, const std::string &id, Instant sentAt, const Relay::WholeResponse &response);
+    void sweep();
+
+    Http::EventLoop m_loop;
+    Processes::TemporaryDirectory m_files;
+    std::mt19937_64 m_random;
+    StoreStandIn m_store;
+    std::vector<std::unique_ptr<UpstreamStandIn>> m_engines;
+    std::vector<std::unique_ptr<UpstreamStandIn>> m_workers;
+    std::vector<Node> m_nodes;
+    Relay::UpstreamClient m_client;
+    std::map<CallerRequest, double> m_rates;
+    std::map<CallerRequest, unsigned> m_generations; ///< Counts changes of the load, which end earlier senders.
+    std::map<CallerRequest, Tally> m_tallies;
+    std::map<std::string, std::string> m_notRun; ///< Answers that promise that a request did not run, by its id.
+    std::set<std::string> m_booked; ///< Ids of requests that must not run twice.
+    std::vector<std::string> m_problems;
+    std::uint64_t m_sent = 0;
+};
+
+} // namespace Gypsumtally::GatewayFleet
--- /dev/null
+++ b/tests/gatewayfleet/requestlimitcheck.cpp
@@ -0,0 +1,111 @@
+#include "gatewayfleet/requestlimitcheck.h"
+
+#include <algorithm>
+
+namespace Gypsumtally::GatewayFleet
+{
+
+namespace
+{
+
+constexpr Duration window = std::chrono::seconds{4};
+constexpr Duration rampUp = std::chrono::seconds{3}; ///< Time from a limit's first statement until it is binding.
+constexpr double tolerance = 1.5; ///< Factor on the limit that the platform tolerates.
+constexpr double slack = 5; ///< Requests per window that the platform tolerates in addition.
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+void RequestLimitRecord::onStated(Instant at, std::optional<double> limit)
+{
+    if (m_stated.empty() ? limit.has_value() : m_stated.back().limit != limit)
+        m_stated.push_back({at, limit});
+}
+
+void RequestLimitRecord::onArrival(Instant at, const std::string &node)
+{
+    m_arrivals.push_back({at, node});
+}
+
+void RequestLimitRecord::excuse(const std::string &node, Instant from, Instant to)
+{
+    m_excuses.emplace(node, Excuse{from, to});
+}
+
+bool RequestLimitRecord::isExcused(const Arrival &arrival) const
+{
+    const auto [first, last] = m_excuses.equal_range(arrival.node);
+    return std::any_of(
+        first, last, [&](const auto &item) { return arrival.at >= item.second.from && arrival.at <= item.second.to; });
+}
+
+/// Returns when the upstream began to state the limits that are in force at @p at; nothing if none is.
+std::optional<Instant> RequestLimitRecord::limitedSince(Instant at) const
+{
+    std::optional<Instant> since;
+    for (const auto &each : m_stated) {
+        if (each.at > at)
+            break;
+        if (!each.limit)
+            since.reset();
+        else if (!since)
+            since = each.at;
+    }
+    return since;
+}
+
+/// Returns the requests that the limits permit between @p from and @p to, counting the time before the first statement
+/// like that after it; nothing if a part of the time was unlimited.
+std::optional<double> RequestLimitRecord::permitted(Instant from, Instant to) const
+{
+    double requests = 0;
+    for (std::size_t i = 0; i < m_stated.size(); ++i) {
+        const auto begin = i == 0 ? from : std::max(from, m_stated[i].at);
+        const auto end = i + 1 < m_stated.size() ? std::min(to, m_stated[i + 1].at) : to;
+        if (end <= begin)
+            continue;
+        if (!m_stated[i].limit)
+            return std::nullopt;
+        requests += *m_stated[i].limit * secondsOf(end - begin);
+    }
+    return requests;
+}
+
+std::vector<std::string> RequestLimitRecord::violations() const
+{
+    std::vector<std::string> found;
+    if (m_stated.empty())
+        return found;
+    std::vector<Instant> counted;
+    for (const auto &arrival : m_arrivals) {
+        if (!isExcused(arrival))
+            counted.push_back(arrival.at);
+    }
+    const auto begin = m_stated.front().at;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < counted.size(); ++last) {
+        const auto end = counted[last];
+        while (counted[first] <= end - window)
+            ++first;
+        const auto since = limitedSince(end);
+        const auto allowed = permitted(end - window, end);
+        const double arrived = static_cast<double>(last - first + 1);
+        if (since && end >= *since + rampUp && allowed && arrived > tolerance * *allowed + slack)
+            found.push_back(std::to_string(arrived) + " requests in 4 s, " + std::to_string(secondsOf(end - begin))
+                            + " s after the first limit; limits permit " + std::to_string(*allowed));
+    }
+    return found;
+}
+
+double RequestLimitRecord::use(Instant from, Instant to) const
+{
+    const auto arrived = std::ranges::count_if(
+        m_arrivals, [&](const Arrival &arrival) { return arrival.at >= from && arrival.at < to; });
+    return static_cast<double>(arrived) / permitted(from, to).value_or(1);
+}
+
+} // namespace Gypsumtally::GatewayFleet
--- /dev/null
+++ b/tests/gatewayfleet/requestlimitcheck.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "common/clock.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Gypsumtally::GatewayFleet
+{
+
+/// What one upstream has seen of a request limit: the requests that arrived and the limits that it stated.
+class RequestLimitRecord
+{
+public:
+    /// Records that the upstream states @p limit, in requests per second, from @p at on; nothing if it states none.
+    void onStated(Instant at, std::optional<double> limit);
+
+    /// Records the arrival of a request of @p node. Precondition: not before earlier arrivals.
+    void onArrival(Instant at, const std::string &node);
+
+    /// Excuses the requests of @p node that arrive between @p from and @p to, as it restarts, freezes or is cut off.
+    void excuse(const std::string &node, Instant from, Instant to);
+
+    /// Returns a description of each window in which more requests arrived than are tolerated: one and a half times
+    /// the limits, and 5 more, in every 4 s that end 3 s or more after limits began to be stated.
+    std::vector<std::string> violations() const;
+
+    /// Returns the requests that arrived between @p from and @p to, divided by what the limits permitted in that time.
+    double use(Instant from, Instant to) const;
+
+private:
+    struct Arrival {
+        Instant at{};
+        std::string node;
+    };
+
+    struct Stated {
+        Instant at{};
+        std::optional<double> limit;
+    };
+
+    struct Excuse {
+        Instant from{};
+        Instant to{};
+    };
+
+    std::optional<Instant> limitedSince(Instant at) const;
+    std::optional<double> permitted(Instant from, Instant to) const;
+    bool isExcused(const Arrival &arrival) const;
+
+    std::vector<Arrival> m_arrivals;
+    std::vector<Stated> m_stated; ///< Ordered by time.
+    std::multimap<std::string, Excuse> m_excuses; ///< By node.
+};
+
+} // namespace Gypsumtally::GatewayFleet
--- /dev/null
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -0,0 +1,175 @@
+#include "gatewayfleet/upstreamstandin.h"
+
+#include "common/jsonfields.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+namespace Gypsumtally::GatewayFleet
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr unsigned eventsOfStream = 6;
+constexpr unsigned eventsBeforeBreak = 2;
+constexpr unsigned slots = 16;
+
+/// Returns the node that has sent a request. Callers choose ids of the form `NODE:NUMBER`, as each knows its node.
+std::string nodeOf(const std::string &id)
+{
+    return id.substr(0, id.find(':'));
+}
+
+} // namespace
+
+UpstreamStandIn::UpstreamStandIn(Http::EventLoop &loop, StoreStandIn &store, const std::string &instance,
+                                 const std::string &service, bool isEngine, unsigned seed)
+    : m_loop(loop)
+    , m_store(store)
+    , m_instance(instance)
+    , m_service(service)
+    , m_isEngine(isEngine)
+    , m_server(loop, {}, [this](const Exchange &exchange) { serve(exchange); })
+    , m_random(seed)
+{
+    m_endpoint = {"127.0.0.1", m_server.listen({"127.0.0.1", 0}), false};
+    publish();
+}
+
+void UpstreamStandIn::setLimit(std::optional<double> limit)
+{
+    behaviour.limit = limit;
+    limits.onStated(BootClock{}.now(), limit);
+}
+
+void UpstreamStandIn::publish()
+{
+    json::object record{{"service", m_service}, {"address", Http::toString(m_endpoint)},
+                        {"zone", "a"},          {"version", "v1"},
+                        {"slots", slots},       {"state", "ready"},
+                        {"cold_ms", 0},         {"seq", m_orders},
+                        {"born", 1000}};
+    if (m_isEngine) {
+        json::array adapters;
+        for (const auto &adapter : m_adapters)
+            adapters.push_back(json::string(adapter + "@1"));
+        record["models"] = json::array{json::object{{"name", "m"}, {"version", 1}, {"adapters", std::move(adapters)}}};
+    }
+    m_store.put("servers/" + m_instance, json::serialize(record));
+}
+
+bool UpstreamStandIn::chance(double ratio)
+{
+    return std::uniform_real_distribution<>{}(m_random) < ratio;
+}
+
+Http::Headers UpstreamStandIn::headersFor(const Http::Request &request) const
+{
+    Http::Headers headers{{"X-Instance-Id", m_instance}};
+    if (const auto id = request.headers.get("X-Request-Id"); !id.empty())
+        headers.add("X-Request-Id", std::string(id));
+    if (behaviour.limit) {
+        char text[32];
+        std::snprintf(text, sizeof text, "%.3g", *behaviour.limit);
+        headers.add("Server-Limit", text);
+    }
+    return headers;
+}
+
+void UpstreamStandIn::serve(const Exchange &exchange)
+{
+    const auto &request = exchange->request();
+    const auto now = BootClock{}.now();
+    const auto path = request.path();
+    if (path == "/order") {
+        const auto body = parseObject(request.body).value_or(json::object{});
+        limits.onArrival(now, textAt(body, "holder"));
+        return carryOutOrder(exchange);
+    }
+    limits.onArrival(now, nodeOf(std::string(request.headers.get("X-Request-Id"))));
+    if (path == "/report")
+        return answerReport(exchange);
+    auto headers = headersFor(request);
+    const std::string target(request.headers.get("X-Model"));
+    const bool holds = target.empty() || m_adapters.contains(target.substr(target.find('/') + 1));
+    if (request.headers.get("X-Expect-Instance") != m_instance || !holds)
+        return exchange->respond({421, headers, ""});
+    if (m_server.activeRequests() > 2 * slots) {
+        headers.add("X-Not-Executed", "1");
+        return exchange->respond({503, headers, ""});
+    }
+    ++m_runs[std::string(request.headers.get("X-Request-Id"))];
+    if (target.empty())
+        answerPlain(exchange);
+    else
+        answerStream(exchange);
+}
+
+void UpstreamStandIn::answerPlain(const Exchange &exchange)
+{
+    const unsigned status = chance(behaviour.failureRatio) ? 500 : 200;
+    m_loop.runAfter(behaviour.answerTime, [this, exchange, status] {
+        auto headers = headersFor(exchange->request());
+        headers.add("X-Response-Signature", "s");
+        exchange->respond({status, headers, std::string(exchange->request().headers.get("X-Request-Id"))});
+    });
+}
+
+void UpstreamStandIn::answerStream(const Exchange &exchange)
+{
+    auto headers = headersFor(exchange->request());
+    headers.add("X-Response-Signature", "s");
+    headers.add("Content-Type", "text/event-stream");
+    const std::string last(exchange->request().headers.get("Last-Event-Id"));
+    const auto begin = static_cast<unsigned>(std::strtoul(last.c_str(), nullptr, 10)) + 1;
+    const bool isComplete = !chance(behaviour.breakRatio);
+    exchange->begin(200, headers, std::nullopt);
+    const auto end = isComplete ? eventsOfStream : std::min(begin + eventsBeforeBreak - 1, eventsOfStream);
+    sendEvents(exchange, begin, end, isComplete);
+}
+
+/// Sends the events from @p next to @p end, and then ends the stream or breaks it off.
+void UpstreamStandIn::sendEvents(const Exchange &exchange, unsigned next, unsigned end, bool isComplete)
+{
+    if (next > end)
+        return isComplete ? exchange->end() : exchange->abort();
+    m_loop.runAfter(behaviour.answerTime, [this, exchange, next, end, isComplete] {
+        exchange->write("id: " + std::to_string(next) + "\ndata: x\n\n");
+        sendEvents(exchange, next + 1, end, isComplete);
+    });
+}
+
+void UpstreamStandIn::answerReport(const Exchange &exchange)
+{
+    json::array adapters;
+    for (const auto &adapter : m_adapters)
+        adapters.push_back(json::string(adapter + "@1"));
+    const json::object report{
+        {"models", json::array{json::object{{"name", "m"}, {"version", 1}, {"adapters", std::move(adapters)}}}},
+        {"busy", false},
+        {"seq", m_orders}};
+    auto headers = headersFor(exchange->request());
+    headers.add("Content-Type", "application/json");
+    exchange->respond({200, headers, json::serialize(report)});
+}
+
+void UpstreamStandIn::carryOutOrder(const Exchange &exchange)
+{
+    const auto body = parseObject(exchange->request().body).value_or(json::object{});
+    const auto headers = headersFor(exchange->request());
+    if (numberAt<std::int64_t>(body, "expected") != m_orders)
+        return exchange->respond({409, headers, ""});
+    ++m_orders;
+    const auto adapter = textAt(body, "adapter");
+    if (textAt(body, "opcode") == "load")
+        m_adapters.insert(adapter);
+    else
+        m_adapters.erase(adapter);
+    exchange->respond({202, headers, ""});
+}
+
+} // namespace Gypsumtally::GatewayFleet
--- /dev/null
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "gatewayfleet/requestlimitcheck.h"
+#include "gatewayfleet/storestandin.h"
+#include "http/eventloop.h"
+#include "relay/callerserver.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace Gypsumtally::GatewayFleet
+{
+
+/// The behaviour of an UpstreamStandIn. It can change at any time.
+struct UpstreamBehaviour {
+    Duration answerTime = std::chrono::milliseconds{15}; ///< Of a plain request, and of each event of a stream.
+    double failureRatio = 0; ///< Of plain requests that are answered with status 500.
+    double breakRatio = 0; ///< Of streams that are cut off after their second event.
+    std::optional<double> limit; ///< The request limit that it states in its answers, in requests per second.
+};
+
+/// A stand-in for an engine or a worker of a plain service: publishes its record in the store, answers requests,
+/// inspections and orders, and records what it gets. Use only on the event loop's thread.
+class UpstreamStandIn
+{
+public:
+    UpstreamStandIn(Http::EventLoop &loop, StoreStandIn &store, const std::string &instance, const std::string &service,
+                    bool isEngine, unsigned seed);
+
+    /// Changes the request limit that it states; nothing ends it.
+    void setLimit(std::optional<double> limit);
+
+    /// Returns how often it has begun to run each request, by id.
+    const std::map<std::string, unsigned> &runs() const
+    {
+        return m_runs;
+    }
+
+    UpstreamBehaviour behaviour;
+    RequestLimitRecord limits;
+
+private:
+    using Exchange = std::shared_ptr<Relay::CallerExchange>;
+
+    void serve(const Exchange &exchange);
+    void answerPlain(const Exchange &exchange);
+    void answerStream(const Exchange &exchange);
+    void sendEvents(const Exchange &exchange, unsigned next, unsigned end, bool isComplete);
+    void answerReport(const Exchange &exchange);
+    void carryOutOrder(const Exchange &exchange);
+    Http::Headers headersFor(const Http::Request &request) const;
+    bool chance(double ratio);
+    void publish();
+
+    Http::EventLoop &m_loop;
+    StoreStandIn &m_store;
+    std::string m_instance;
+    std::string m_service;
+    bool m_isEngine;
+    Relay::CallerServer m_server;
+    Http::Endpoint m_endpoint;
+    std::mt19937_64 m_random;
+    std::map<std::string, unsigned> m_runs;
+    std::set<std::string> m_adapters;
+    std::int64_t m_orders = 1;
+};
+
+} // namespace Gypsumtally::GatewayFleet
