Nodes share the request limit that an upstream states, by a schedule of all their sends

Each node now keeps, for each upstream with a limit, the schedule of what all nodes send there. A send is announced to all nodes, as prompts are, and a wait reserves its time ahead; requests that meet at one time go in order, each an interval later. A waiting node holds no more than its share of the next seconds. The limit reaches all nodes by the first answer's node and by digests; a first notice also tells what each node sent in the second before. Retries, resumed streams, orders and inspections go through the same schedule. A call takes another upstream if that serves it earlier, asks for a copy of its adapter elsewhere, waits up to its latest useful time, or is refused at once with the time at which the schedule is free. An engine with a limit gets no orders while others can load. A node in contact with no more than half of the known ones uses its part of a limit only. A limit outlives its upstream's record.

--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -21,6 +21,12 @@
         onStatement(process, effect, statement.unreadable);
 }
 
+void CallContext::announceSend(const SendNotice &notice, Instant now)
+{
+    applySendNotice(upstreams, node, notice, now);
+    onSend(notice);
+}
+
 std::uint64_t CallContext::minVersion(const ModelTarget &target, Instant now) const
 {
     const auto it = declared.find(target);
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -3,6 +3,7 @@
 #include "estimates/pacemargin.h"
 #include "gateway/crashledger.h"
 #include "gateway/enginechoice.h"
+#include "gateway/gatewaymessage.h"
 #include "gateway/retryallowance.h"
 #include "gateway/trafficpolicy.h"
 #include "gateway/upstreamstatement.h"
@@ -32,6 +33,7 @@
 
 /// State and callbacks with which this node decides how to route requests. Not thread-safe: for the loop's thread only.
 struct CallContext {
+    std::string node; ///< This node.
     std::string failureDomain;
     Regions regions;
     std::shared_ptr<const RouteTable> routes; ///< Null until the first configuration is received.
@@ -42,6 +44,8 @@
     CrashLedger crashes;
     std::unordered_map<ModelTarget, DeclaredVersion> declared;
     std::unordered_map<ModelTarget, TargetUse> uses;
+    /// Fraction of upstreams' request limits that this node and those in contact with it may use.
+    double limitShare = 1;
     std::size_t maxBufferedAnswerBytes = 64 * 1024 * 1024; ///< Limit on the buffered bytes of all incomplete answers.
     /// True if some node orders loads, or if this node has started too recently to have received reports of one.
     bool loadOrdersAvailable = false;
@@ -53,9 +57,8 @@
     std::function<void(const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit,
                        unsigned attempt)>
         onLoadRequested;
-    /// Announces to the other nodes that a prompt of @p tokens is sent to an engine after @p in, which may be zero. A
-    /// negative number of tokens withdraws an announcement.
-    std::function<void(const std::string &instance, double tokens, Duration in)> onPrompt;
+    /// Announces to the other nodes that a request is sent to an upstream, or withdraws an announcement.
+    std::function<void(const SendNotice &notice)> onSend;
     /// Notifies the other nodes that a request of this one has ended at an upstream with few free slots.
     std::function<void(const std::string &instance)> onCapacityFreed;
     /// Notifies the lease holder that an engine does not hold a target.
@@ -70,6 +73,9 @@
     void recordStatement(const UpstreamProcess &process, const UpstreamStatement &statement, Instant now,
                          Instant sentAt = {});
 
+    /// Records in the upstream's tables that this node sends the request of @p notice, and announces it to the others.
+    void announceSend(const SendNotice &notice, Instant now);
+
     /// Returns the oldest version of @p target that may serve at @p now; 0 if any may.
     std::uint64_t minVersion(const ModelTarget &target, Instant now) const;
 };
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -145,6 +145,10 @@
     static constexpr double slowEngineThreshold = 1.5;
     /// Longest Retry-After as a fraction of the request's remaining time: callers ignore more than a third.
     static constexpr double maxRetryAfterFraction = 0.3;
+    /// A reserved time that has passed by more than this lapses, for example after the process was suspended.
+    static constexpr Duration maxReservationDelay = std::chrono::milliseconds{200};
+    /// Time by which another upstream must serve a call earlier for the call to give up its reserved time.
+    static constexpr Duration minGainForChange = std::chrono::milliseconds{50};
     static constexpr Duration minRetryAfter = std::chrono::seconds{1}; ///< Shortest Retry-After, if callers accept it.
 
     struct Call {
@@ -264,8 +268,15 @@
             stopWaiting(call);
             return send(call, *reserved, now);
         }
+        std::optional<UpstreamChoice> choice;
+        if (awaitsLimitedUpstream(*call, now)) {
+            choice = earlierChoice(*call, now);
+            if (!choice)
+                return requestCopyElsewhere(*call, *call->reservation, now);
+        }
         withdrawReservation(*call, now);
-        auto choice = choose(*call, now);
+        if (!choice)
+            choice = choose(*call, now);
         if (!choice && !call->excluded.empty() && call->runs == 0) {
             call->excluded.clear();
             choice = choose(*call, now);
@@ -282,12 +293,15 @@
                 call->waitUntil = std::max(call->waitUntil, choice->sendAt + maxLoadWait);
                 return wakeAt(call, call->notBefore, now);
             }
-            call->notBefore = choice->sendAt;
+            // A call with a time at a limited upstream looks for a better upstream meanwhile.
+            call->notBefore = choice->isLimited && !choice->isFull ? Instant{} : choice->sendAt;
+            if (choice->isLimited)
+                requestCopyElsewhere(*call, *choice, now);
             if (choice->isFull && now - call->arrival > furtherCopyDelay
                 && utilisationOf(m_context.upstreams, call->service, now) < maxUtilisationForFurtherCopy)
                 requestLoad(*call, now);
             if (!choice->isFull) {
-                announcePrompt(*call, choice->instance, choice->sendAt, now);
+                announceSend(*call, *choice, now);
                 call->reservation = *choice;
             }
             startWaiting(call, causeOf(*choice, now), now);
@@ -318,12 +332,45 @@
         return std::min(longest, std::max<Duration>(servedIn, minRetryAfter));
     }
 
-    /// Withdraws the call's reservation, and announces that to all nodes if the prompt still counts at its engine.
+    /// Withdraws the call's reservation, and announces that to all nodes if it still counts at its upstream.
     void withdrawReservation(Call &call, Instant now)
     {
         const auto reservation = std::exchange(call.reservation, std::nullopt);
-        if (reservation && now - reservation->sendAt < call.route.longestPause)
-            announce(-call.request.promptTokens, reservation->instance, reservation->sendAt, now);
+        if (!reservation)
+            return;
+        const bool isPromptCounted = now - reservation->sendAt < call.route.longestPause;
+        if (isPromptCounted || reservation->isLimited)
+            m_context.announceSend({reservation->instance, isPromptCounted ? -call.request.promptTokens : 0,
+                                    reservation->sendAt - now, reservation->isLimited ? -1 : 0},
+                                   now);
+    }
+
+    /// Returns true if the call has a reserved time, still to come, at an upstream that limits its requests.
+    bool awaitsLimitedUpstream(const Call &call, Instant now) const
+    {
+        if (!call.reservation || !call.reservation->isLimited)
+            return false;
+        const auto it = m_context.upstreams.all().find(call.reservation->instance);
+        if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || !it->second.limitsRequests())
+            return false;
+        const auto due = dueAt(it->second, *call.reservation);
+        return due > now && due <= latestSend(call);
+    }
+
+    /// Returns the choice of an upstream other than the reserved one if that can serve the call earlier.
+    std::optional<UpstreamChoice> earlierChoice(const Call &call, Instant now)
+    {
+        const auto other = choose(call, now, call.reservation->instance);
+        if (!other || other->isFull || other->sendAt + minGainForChange > call.reservation->sendAt)
+            return std::nullopt;
+        return other;
+    }
+
+    /// Requests a copy of the call's adapter at another engine if the limited one of @p choice is not free soon.
+    void requestCopyElsewhere(Call &call, const UpstreamChoice &choice, Instant now)
+    {
+        if (choice.sendAt - now > furtherCopyDelay)
+            requestLoad(call, now);
     }
 
     /// Returns the jitter by which the call delays its announcement while its load is in progress. All nodes that wait
@@ -338,7 +385,8 @@
         return std::chrono::duration_cast<Duration>(spare * fractionOf(hash));
     }
 
-    std::optional<UpstreamChoice> choose(const Call &call, Instant now)
+    /// Chooses an upstream other than those that the call has excluded and @p alsoExcluded.
+    std::optional<UpstreamChoice> choose(const Call &call, Instant now, const std::string &alsoExcluded = {})
     {
         UpstreamDemand demand{call.service,
                               call.request.target,
@@ -348,7 +396,12 @@
                               call.excluded,
                               call.request.promptTokens,
                               paceOf(call, now),
-                              m_context.speeds[call.service].speed()};
+                              m_context.speeds[call.service].speed(),
+                              m_context.node,
+                              m_context.limitShare,
+                              std::max(latestSend(call), now)};
+        if (!alsoExcluded.empty())
+            demand.excluded.push_back(alsoExcluded);
         if (call.request.target.empty())
             return chooseUpstream(m_context.upstreams, demand, now);
         // Prefers the newest version as soon as it is declared; an older one serves until the new one is loaded.
@@ -396,6 +449,12 @@
         if (const auto next = endOfBackpressure(m_context.upstreams, call->service, now);
             next && !(needsLoad && hasUpstream(m_context.upstreams, call->service, now)))
             return waitOutBackpressure(call, *next, now);
+        const bool isLoadable
+            = needsLoad && canLoad(m_context.upstreams, call->service, call->request.target, m_context.limitShare, now);
+        if (const auto next = endOfRequestLimit(m_context.upstreams, call->service, m_context.limitShare, now);
+            next && !isLoadable)
+            return giveUp(call, ErrorCode::Overloaded, "the upstreams limit their requests",
+                          acceptableRetryAfter(*call, *next - now, now));
         if (!hasUpstream(m_context.upstreams, call->service, now))
             return giveUp(call, ErrorCode::NoUpstream, "no upstream of the service takes requests");
         if (!needsLoad)
@@ -443,7 +502,9 @@
     {
         if (choice.usableAt > now)
             return WaitCause::LoadInProgress;
-        return choice.isFull ? WaitCause::Room : WaitCause::Pace;
+        if (choice.isFull)
+            return WaitCause::Room;
+        return choice.isLimited ? WaitCause::RequestLimit : WaitCause::Pace;
     }
 
     void startWaiting(const CallPtr &call, WaitCause cause, Instant now)
@@ -471,18 +532,13 @@
         m_metrics.observe(Metric::LoadStallSeconds, labelsOf(*call), now - call->waitingSince, now);
     }
 
-    /// Announces to all nodes that the call's prompt is sent to @p instance at @p at.
-    void announcePrompt(const Call &call, const std::string &instance, Instant at, Instant now)
+    /// Announces to all nodes that the call is sent as in @p choice.
+    void announceSend(const Call &call, const UpstreamChoice &choice, Instant now)
     {
-        if (call.request.promptTokens > 0)
-            announce(call.request.promptTokens, instance, at, now);
-    }
-
-    void announce(double tokens, const std::string &instance, Instant at, Instant now)
-    {
-        if (auto *upstream = m_context.upstreams.find(instance))
-            upstream->prompts.add(tokens, at, now);
-        m_context.onPrompt(instance, tokens, at - now);
+        if (call.request.promptTokens > 0 || choice.isLimited)
+            m_context.announceSend({choice.instance, call.request.promptTokens,
+                                    std::max(Duration{}, choice.sendAt - now), choice.isLimited ? 1 : 0},
+                                   now);
     }
 
     /// Returns the call's reservation if the call can be sent there now.
@@ -492,8 +548,11 @@
             return std::nullopt;
         const auto it = m_context.upstreams.all().find(call.reservation->instance);
         if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || now < it->second.avoidUntil
-            || it->second.inFlight() >= it->second.record.slots)
+            || it->second.inFlight() >= it->second.record.slots
+            || !keepsRequestLimit(it->second, *call.reservation, now))
             return std::nullopt;
+        if (call.request.target.empty())
+            return call.reservation;
         const auto *copy = it->second.residency.find(call.request.target);
         if (!copy || copy->usableAt > now || copy->version < m_context.minVersion(call.request.target, now))
             return std::nullopt;
@@ -502,6 +561,22 @@
         return choice;
     }
 
+    /// Returns true if @p upstream does not limit its requests, or if @p reservation is due in its schedule.
+    bool keepsRequestLimit(const Upstream &upstream, const UpstreamChoice &reservation, Instant now) const
+    {
+        if (!upstream.limitsRequests())
+            return true;
+        const auto due = dueAt(upstream, reservation);
+        return reservation.isLimited && due <= now && now - due <= maxReservationDelay;
+    }
+
+    /// Returns when a call with @p reservation may be sent to @p upstream, which limits its requests.
+    Instant dueAt(const Upstream &upstream, const UpstreamChoice &reservation) const
+    {
+        return upstream.sends.dueAt(m_context.node, *upstream.requestLimit.perSecond * m_context.limitShare,
+                                    reservation.sendAt);
+    }
+
     void send(const CallPtr &call, const UpstreamChoice &choice, Instant now)
     {
         if (call->sends > 0 && !m_context.allowance.tryTake(call->service, now))
@@ -531,13 +606,15 @@
         call->inFlightAtSend = upstream->inFlight();
         const auto speed = m_context.speeds[call->service].speed();
         call->slownessAtSend = slownessOf(*upstream, speed);
-        if (upstream->requestLimit.perSecond)
+        if (upstream->limitsRequests())
             m_metrics.add(Metric::LimitedSends, {{"kind", call->sends > 1 ? "repeat" : "first"}});
+        else
+            upstream->sends.addUnlimited(now);
         if (upstream->ownInFlight == 0)
             upstream->waitingSince = now;
         ++upstream->ownInFlight;
         if (!std::exchange(call->reservation, std::nullopt))
-            announcePrompt(*call, choice.instance, now, now);
+            announceSend(*call, choice, now);
         call->prefillBacklogAtSend
             = std::max(call->request.promptTokens,
                        upstream->prompts.prefillBacklog(speed.promptTokensPerMs / call->slownessAtSend, now));
--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -19,13 +19,14 @@
 /// Merges a report into another one of the same process. Keeps all events of both; for state, the later report wins.
 void merge(NodeReport &into, NodeReport &&from)
 {
-    append(into.prompts, std::move(from.prompts));
+    append(into.sends, std::move(from.sends));
     append(into.crashes, std::move(from.crashes));
     append(into.placements, std::move(from.placements));
     append(into.steps, std::move(from.steps));
     append(into.speeds, std::move(from.speeds));
     append(into.departures, std::move(from.departures));
     append(into.turnedAway, std::move(from.turnedAway));
+    append(into.limits, std::move(from.limits));
     append(into.released, std::move(from.released));
     if (from.sequence < into.sequence) {
         if (!into.hasInFlight) {
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -109,7 +109,7 @@
         if (!upstream.takesRequests(now) || upstream.record.service != demand.service
             || std::ranges::find(demand.excluded, instance) != demand.excluded.end())
             continue;
-        UpstreamChoice choice{instance, 0, now, now, false, 0};
+        UpstreamChoice choice{instance, 0, now, now, false, upstream.limitsRequests(), 0};
         if (!demand.target.empty()) {
             const auto *copy = upstream.residency.find(demand.target);
             if (!copy || (copy->version < demand.minVersion))
@@ -118,10 +118,17 @@
             choice.usableAt = copy->usableAt;
         }
         choice.sendAt = choice.usableAt;
+        if (choice.isLimited) {
+            const auto next = upstream.sends.nextFor(demand.node, *upstream.requestLimit.perSecond * demand.limitShare,
+                                                     std::max(choice.usableAt, now), now);
+            if (!next || *next > demand.latestSend)
+                continue;
+            choice.sendAt = *next;
+        }
         if (!demand.target.empty() && demand.pace.longestPause > Duration{})
             choice.sendAt = upstream.prompts.earliestSendAt(
                 demand.promptTokens, tokensWithinPause(demand.pace, demand.speed, slownessOf(upstream, demand.speed)),
-                demand.pace.longestPause, std::max(choice.usableAt, now));
+                demand.pace.longestPause, std::max(choice.sendAt, now));
         choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.record.slots;
         if (choice.isFull)
             choice.sendAt = std::max(choice.sendAt, now + fullEngineDelay);
@@ -139,6 +146,32 @@
     });
 }
 
+bool canLoad(const UpstreamTable &table, const std::string &service, const ModelTarget &target, double limitShare,
+             Instant now)
+{
+    return std::ranges::any_of(table.all(), [&](const auto &item) {
+        const auto &upstream = item.second;
+        if (upstream.record.service != service || !upstream.takesRequests(now))
+            return false;
+        return !upstream.limitsRequests()
+               || (!upstream.residency.find(target)
+                   && upstream.sends.nextFree(*upstream.requestLimit.perSecond * limitShare, now) <= now);
+    });
+}
+
+std::optional<Instant> endOfRequestLimit(const UpstreamTable &table, const std::string &service, double limitShare,
+                                         Instant now)
+{
+    std::optional<Instant> earliest;
+    for (const auto &[instance, upstream] : table.all()) {
+        if (upstream.record.service != service || !upstream.takesRequests(now) || !upstream.limitsRequests())
+            continue;
+        const auto next = upstream.sends.nextFree(*upstream.requestLimit.perSecond * limitShare, now);
+        earliest = std::min(earliest.value_or(next), next);
+    }
+    return earliest;
+}
+
 std::optional<Instant> endOfBackpressure(const UpstreamTable &table, const std::string &service, Instant now)
 {
     std::optional<Instant> earliest;
@@ -166,7 +199,8 @@
 {
     std::vector<std::string> holders;
     for (const auto &[instance, upstream] : table.all()) {
-        const bool hasRoom = upstream.backpressureUntil <= now && upstream.inFlight() < upstream.record.slots;
+        const bool hasRoom = upstream.backpressureUntil <= now && upstream.inFlight() < upstream.record.slots
+                             && !upstream.limitsRequests();
         if (!hasRoom && upstream.residency.find(target))
             holders.push_back(instance);
     }
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -44,6 +44,9 @@
     double promptTokens = 0;
     PromptPace pace;
     Estimates::Speed speed; ///< The service's.
+    std::string node{}; ///< This node.
+    double limitShare = 1; ///< Fraction of upstreams' request limits that the nodes in contact with this one may use.
+    Instant latestSend = Instant::max(); ///< Upstreams that limit their requests are skipped if they are free later.
 };
 
 /// The upstream selected for a request.
@@ -53,6 +56,7 @@
     Instant usableAt{}; ///< End of the copy's load; in the past if it is loaded already.
     Instant sendAt{}; ///< Time to send: the engine has room for the prompt beside its streams; not before @c usableAt.
     bool isFull = false; ///< The upstream has no free slot, and it is not known when it will have one.
+    bool isLimited = false; ///< The upstream limits its requests, so that the send has to be scheduled.
     double score = 0; ///< Expected time to first event by load and distance, plus penalties, in ms; lower is better.
 };
 
@@ -76,12 +80,22 @@
 /// nothing if no upstream applies backpressure. Thread-safe.
 std::optional<Instant> endOfBackpressure(const UpstreamTable &table, const std::string &service, Instant now);
 
+/// Returns true if an upstream of @p service that accepts requests could load @p target now: one that does not limit
+/// its requests, or one that does and is free for an order. Thread-safe.
+bool canLoad(const UpstreamTable &table, const std::string &service, const ModelTarget &target, double limitShare,
+             Instant now);
+
+/// Returns the earliest time at which an upstream of @p service that limits its requests is free; nothing if none
+/// does. Thread-safe.
+std::optional<Instant> endOfRequestLimit(const UpstreamTable &table, const std::string &service, double limitShare,
+                                         Instant now);
+
 /// Returns the requests in flight per slot of the upstreams of @p service that accept requests: 1 if all slots are
 /// taken or there are none, more if requests queue. Thread-safe.
 double utilisationOf(const UpstreamTable &table, const std::string &service, Instant now);
 
-/// Returns the upstreams that hold a copy of @p target but cannot serve it now, because all their slots are taken or
-/// they apply backpressure to this node. Thread-safe.
+/// Returns the upstreams that hold a copy of @p target but cannot serve it now, because all their slots are taken, they
+/// apply backpressure to this node or they limit their requests. Thread-safe.
 std::vector<std::string> saturatedEngines(const UpstreamTable &table, const ModelTarget &target, Instant now);
 
 /// Updates the failure ratio of @p upstream with the outcome of a request.
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -161,11 +161,15 @@
                               rounded(speed.answerMs)});
         object["speeds"] = std::move(speeds);
     }
-    if (!report.prompts.empty()) {
-        json::array prompts;
-        for (const auto &prompt : report.prompts)
-            prompts.push_back({prompt.instance, static_cast<std::int64_t>(prompt.tokens), prompt.in.count()});
-        object["prompts"] = std::move(prompts);
+    if (!report.sends.empty()) {
+        json::array rows;
+        for (const auto &send : report.sends) {
+            json::array row{send.instance, static_cast<std::int64_t>(send.tokens), send.in.count()};
+            if (send.requests != 0)
+                row.push_back(send.requests);
+            rows.push_back(std::move(row));
+        }
+        object["prompts"] = std::move(rows);
     }
     if (!report.crashes.empty()) {
         json::array crashes;
@@ -185,6 +189,13 @@
             rows.push_back({process.instance, process.startedAt, time.count()});
         object["turned_away"] = std::move(rows);
     }
+    if (!report.limits.empty()) {
+        json::array rows;
+        for (const auto &[process, perSecond, age, earlierSends] : report.limits)
+            rows.push_back({process.instance, process.startedAt, age.count(),
+                            perSecond ? json::value(*perSecond) : json::value(), earlierSends});
+        object["limits"] = std::move(rows);
+    }
     if (!report.placements.empty())
         object["placements"] = noticesToJson(report.placements);
     return object;
@@ -226,7 +237,16 @@
              {numberIn<double>(row, 1), numberIn<double>(row, 2), numberIn<double>(row, 3), numberIn<double>(row, 4)}});
     });
     eachRow(object, "prompts", [&](const json::array &row) {
-        report.prompts.push_back({textIn(row, 0), numberIn<double>(row, 1), Duration{numberIn<std::int64_t>(row, 2)}});
+        report.sends.push_back({textIn(row, 0), numberIn<double>(row, 1), Duration{numberIn<std::int64_t>(row, 2)},
+                                numberIn<int>(row, 3)});
+    });
+    eachRow(object, "limits", [&](const json::array &row) {
+        LimitNotice notice{
+            {textIn(row, 0), numberIn<std::int64_t>(row, 1)}, {}, Duration{numberIn<std::int64_t>(row, 2)}};
+        if (row.size() > 3 && row[3].is_number())
+            notice.perSecond = numberIn<double>(row, 3);
+        notice.earlierSends = numberIn<unsigned>(row, 4);
+        report.limits.push_back(std::move(notice));
     });
     eachRow(object, "crashes", [&](const json::array &row) {
         report.crashes.push_back({numberIn<std::uint64_t>(row, 0), textIn(row, 1)});
@@ -316,6 +336,20 @@
     return json::serialize(object);
 }
 
+void applySendNotice(UpstreamTable &table, const std::string &node, const SendNotice &notice, Instant now)
+{
+    auto *upstream = table.find(notice.instance);
+    if (!upstream)
+        return;
+    const auto at = now + notice.in;
+    if (notice.tokens != 0)
+        upstream->prompts.add(notice.tokens, at, now);
+    if (notice.requests > 0)
+        upstream->sends.add(node, at, now);
+    else if (notice.requests < 0)
+        upstream->sends.remove(node, at);
+}
+
 std::optional<GatewayMessage> decodeGatewayMessage(std::string_view text)
 {
     const auto parsed = parseObject(text);
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -49,11 +49,22 @@
     Duration usableIn{}; ///< Time from the notice until the copy is usable.
 };
 
-/// The prompt tokens of a request that is sent to an upstream.
-struct PromptNotice {
+/// A request that a node sends to an upstream, or has scheduled to send; or the withdrawal of such a notice.
+struct SendNotice {
     std::string instance;
-    double tokens = 0;
-    Duration in{}; ///< Time from the notice until they are sent.
+    double tokens = 0; ///< Prompt tokens; negative in a withdrawal.
+    Duration in{}; ///< Time from the notice until the request is sent.
+    /// 1 if the upstream limits its requests, -1 in a withdrawal; 0 if it does not, as other requests are not counted.
+    int requests = 0;
+};
+
+/// The request limit of an upstream, or its end, as known to the reporting node.
+struct LimitNotice {
+    UpstreamProcess process;
+    std::optional<double> perSecond; ///< Nothing if the upstream does not limit its requests any more.
+    Duration age{}; ///< Time from RequestLimit::asOf to the notice.
+    unsigned earlierSends
+        = 0; ///< The node's own in the second before it learnt of the limit; only in its first notice.
 };
 
 /// A node's estimate of an engine's speed.
@@ -96,10 +107,11 @@
     std::map<std::string, unsigned> changedInFlight; ///< Changed counts; others stay as reported.
     std::vector<StepNotice> steps; ///< Estimates updated since the last digest.
     std::vector<SpeedNotice> speeds; ///< Sent in digests only.
-    std::vector<PromptNotice> prompts; ///< Being sent, or scheduled to be.
+    std::vector<SendNotice> sends;
     std::vector<CrashReport> crashes;
     std::vector<UpstreamProcess> departures; ///< Upstreams that have announced to the node that they leave.
     std::vector<TurnAwayNotice> turnedAway; ///< Upstreams that have just applied backpressure to the node.
+    std::vector<LimitNotice> limits;
     std::vector<PlacementNotice> placements; ///< Sent by the holder of an order lease only.
 };
 
@@ -123,6 +135,9 @@
     std::vector<RegistryUpdate> registry; ///< Changes that the sender has read from the store for its failure domain.
 };
 
+/// Records in the upstream's tables that @p node sends the request of @p notice, or withdraws the notice.
+void applySendNotice(UpstreamTable &table, const std::string &node, const SendNotice &notice, Instant now);
+
 /// Returns the datagram of @p message. Thread-safe.
 std::string encode(const GatewayMessage &message);
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -92,6 +92,7 @@
                      jitterFactorOf(settings.node),
                      [this](const RegistryUpdate &update, bool isOverdue) { publishUpdate(update, isOverdue); })
     {
+        m_context.node = settings.node;
         m_context.failureDomain = settings.failureDomain;
         m_context.regions = settings.regions;
         m_context.maxBufferedAnswerBytes = settings.answerBufferBytes;
@@ -100,10 +101,10 @@
                                            const std::vector<std::string> &unfit, unsigned attempt) {
             requestLoad({service, target, 1, unfit}, attempt);
         };
-        m_context.onPrompt = [this](const std::string &instance, double tokens, Duration in) {
+        m_context.onSend = [this](const SendNotice &send) {
             auto notice = report();
-            notice.prompts.push_back({instance, tokens, in});
-            addLoad(notice, instance);
+            notice.sends.push_back(send);
+            addLoad(notice, send.instance);
             broadcast(std::move(notice));
         };
         m_context.onCapacityFreed = [this](const std::string &instance) {
@@ -203,6 +204,12 @@
     /// Minimum time between two writes of the estimates to the store, each of which is a billed call.
     static constexpr Duration estimatesInterval = std::chrono::seconds{3};
     static constexpr std::size_t maxDepartures = 64; ///< Maximum number in one digest.
+    static constexpr std::size_t maxLimits = 64; ///< Maximum number in one digest.
+    /// Time during which digests repeat the end of an upstream's request limit.
+    static constexpr Duration limitNewsTime = std::chrono::seconds{10};
+    /// Fraction of the known nodes that must be live for this node to use all of an upstream's request limit. Otherwise
+    /// the others may be alive but cut off from this one, and have a part of the limit.
+    static constexpr double liveMajority = 0.5;
     /// Time during which digests repeat this node's own crash reports, as others may not have received them.
     static constexpr Duration crashReportAge = std::chrono::seconds{2};
     /// The fleet's retry slack is divided into more shares than there are nodes, as nodes that were replaced or
@@ -478,13 +485,14 @@
                            {{"for_ms", std::to_string(effect.turnedAwayFor.count() / 1000)}});
             notice.turnedAway.push_back({process, effect.turnedAwayFor});
         }
-        if (const auto *upstream = m_context.upstreams.find(process.instance); upstream && effect.changesLimit) {
+        if (auto *upstream = m_context.upstreams.find(process.instance); upstream && effect.changesLimit) {
             m_metrics.add(Metric::UpstreamStatements, {{"statement", "request_limit"}});
             logRequestLimit(*upstream, "answer");
+            addLimit(notice, *upstream, BootClock{}.now());
         }
-        if (!notice.departures.empty() || !notice.turnedAway.empty())
+        if (!notice.departures.empty() || !notice.turnedAway.empty() || !notice.limits.empty())
             broadcast(std::move(notice));
-        if (effect.leaves)
+        if (effect.leaves || effect.changesLimit)
             m_loop.post([this] { m_forwarder.onPlacement(); });
     }
 
@@ -601,6 +609,8 @@
         tickOrders(now);
         const auto shares = allowanceSharesPerNode * static_cast<double>(1 + m_members.peerCount(now));
         m_context.allowance.setNodes(std::max(minAllowanceShares, static_cast<unsigned>(shares)));
+        const double live = m_members.liveShare(now);
+        m_context.limitShare = live > liveMajority ? 1 : live;
         m_forwarder.sweep(now);
         m_callers.sweep(now);
         if (++m_ticks % 10 == 0) {
@@ -699,6 +709,34 @@
             notice.changedInFlight[instance] = upstream->ownInFlight;
     }
 
+    /// Adds what is known of the request limit of @p upstream, and this node's requests before it began if they have
+    /// not been told yet.
+    static void addLimit(NodeReport &notice, Upstream &upstream, Instant now)
+    {
+        notice.limits.push_back({{upstream.record.instance, upstream.record.startedAt},
+                                 upstream.requestLimit.perSecond,
+                                 now - upstream.requestLimit.asOf,
+                                 upstream.limitsRequests() ? upstream.sends.takeEarlier(now) : 0});
+    }
+
+    /// Records the request limit that another node reports. Tells all nodes of this one's earlier requests if it is
+    /// new.
+    void onPeerLimit(const std::string &node, const LimitNotice &limit, Instant now)
+    {
+        const bool isChange = applyRequestLimit(m_context.upstreams, limit.process, {limit.perSecond, now - limit.age});
+        auto *upstream = m_context.upstreams.find(limit.process.instance);
+        if (upstream && upstream->limitsRequests())
+            upstream->sends.addEarlier(limit.earlierSends);
+        if (!isChange)
+            return;
+        logRequestLimit(*upstream, node);
+        auto notice = report();
+        addLimit(notice, *upstream, now);
+        if (notice.limits.front().earlierSends > 0)
+            broadcast(std::move(notice));
+        m_loop.post([this] { m_forwarder.onPlacement(); });
+    }
+
     /// Adds the shards whose lease this node has released recently.
     void addReleases(NodeReport &notice, Instant now) const
     {
@@ -754,6 +792,11 @@
                 digest.inFlight.emplace(instance, upstream.ownInFlight);
             if (upstream.announcedLeaving && !upstream.record.draining && digest.departures.size() < maxDepartures)
                 digest.departures.push_back({instance, upstream.record.startedAt});
+            const auto limitAsOf = upstream.requestLimit.asOf;
+            const bool isLimitNews
+                = upstream.limitsRequests() || (limitAsOf != Instant{} && now - limitAsOf < limitNewsTime);
+            if (isLimitNews && digest.limits.size() < maxLimits)
+                addLimit(digest, upstream, now);
             if (std::exchange(upstream.ownStepSamples, 0) > 0)
                 digest.steps.push_back({instance, upstream.step.learnt()});
         }
@@ -980,10 +1023,10 @@
             if (m_context.routes && m_context.routes->service(estimate.service))
                 m_context.speeds[estimate.service].onPeerReport(estimate.speed);
         }
-        for (const auto &prompt : report.prompts) {
-            if (auto *upstream = m_context.upstreams.find(prompt.instance))
-                upstream->prompts.add(prompt.tokens, now + prompt.in, now);
-        }
+        for (const auto &send : report.sends)
+            applySendNotice(m_context.upstreams, report.from.node, send, now);
+        for (const auto &limit : report.limits)
+            onPeerLimit(report.from.node, limit, now);
         for (const auto &process : report.departures) {
             if (applyDeparture(m_context.upstreams, process))
                 m_log.note(GatewayEvent::UpstreamLeaving,
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -210,6 +210,11 @@
     return nodes;
 }
 
+double MemberTable::liveShare(Instant now) const
+{
+    return static_cast<double>(1 + liveNodes(now).size()) / static_cast<double>(1 + peerCount(now));
+}
+
 std::vector<std::string> MemberTable::silentNodes(Instant now) const
 {
     std::vector<std::string> nodes;
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <numeric>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -381,12 +382,13 @@
         fleet.storeShare = all == 0 ? 1 : static_cast<double>(m_shardSizes[m_shard]) / all;
         fleet.isNext = [this](const ModelTarget &target, unsigned copies) { return isNext(target, copies); };
         std::map<std::string, unsigned> count;
+        const auto unlimited = servicesWithUnlimitedEngines(now);
         for (const auto &[instance, upstream] : m_context.upstreams.all()) {
             const auto *service = m_context.routes->service(upstream.record.service);
             if (!service || !service->engine)
                 continue;
             const auto load = static_cast<double>(upstream.inFlight());
-            const bool takesOrders = upstream.takesRequests(now);
+            const bool takesOrders = mayOrder(upstream, unlimited, now);
             if (takesOrders) {
                 fleet.meanLoads[service->name] += load;
                 ++count[service->name];
@@ -410,6 +412,35 @@
         m_placer.setFleetView(std::move(fleet));
     }
 
+    std::set<std::string> servicesWithUnlimitedEngines(Instant now) const
+    {
+        std::set<std::string> services;
+        for (const auto &[instance, upstream] : m_context.upstreams.all()) {
+            if (upstream.takesRequests(now) && !upstream.limitsRequests())
+                services.insert(upstream.record.service);
+        }
+        return services;
+    }
+
+    /// Returns true if the engine may get orders and inspections. One that limits its requests gets none while others
+    /// can load adapters instead, as they count as requests; @p unlimited are the services with such engines.
+    bool mayOrder(const Upstream &upstream, const std::set<std::string> &unlimited, Instant now) const
+    {
+        if (!upstream.takesRequests(now) || !upstream.limitsRequests())
+            return upstream.takesRequests(now);
+        const double limit = *upstream.requestLimit.perSecond * m_context.limitShare;
+        return !unlimited.contains(upstream.record.service) && upstream.sends.nextFree(limit, now) <= now;
+    }
+
+    /// Counts an order or inspection among the requests that the engine gets.
+    void countSend(Upstream &upstream, const std::string &kind, Instant now)
+    {
+        if (!upstream.limitsRequests())
+            return upstream.sends.addUnlimited(now);
+        m_metrics.add(Metric::LimitedSends, {{"kind", kind}});
+        m_context.announceSend({upstream.record.instance, 0, {}, 1}, now);
+    }
+
     /// Returns true if the engine holds no base model and can only load one from the weight store.
     static bool needsModelFromStore(const Upstream &upstream, const EngineProfile &profile)
     {
@@ -497,14 +528,13 @@
     void sendOrder(const EngineOrder &order)
     {
         const auto now = BootClock{}.now();
-        const auto *upstream = m_context.upstreams.find(order.instance);
+        auto *upstream = m_context.upstreams.find(order.instance);
         if (!upstream || !m_lease.mayOrder(now)) {
             m_placer.onAnswer(order, OrderOutcome::Conflict, now);
             return;
         }
         m_lease.onOrder(now);
-        if (upstream->requestLimit.perSecond)
-            m_metrics.add(Metric::LimitedSends, {{"kind", "order"}});
+        countSend(*upstream, "order", now);
         Relay::SendOptions options;
         options.timeout = orderTimeout;
         options.unsentBytesTimeoutMs = orderUnsentTimeoutMs;
@@ -546,11 +576,10 @@
 
     void inspect(const std::string &instance)
     {
-        const auto *upstream = m_context.upstreams.find(instance);
+        auto *upstream = m_context.upstreams.find(instance);
         if (!upstream)
             return m_placer.onReport(instance, std::nullopt, BootClock{}.now());
-        if (upstream->requestLimit.perSecond)
-            m_metrics.add(Metric::LimitedSends, {{"kind", "inspection"}});
+        countSend(*upstream, "inspection", BootClock{}.now());
         Relay::SendOptions options;
         options.timeout = inspectionTimeout;
         const UpstreamProcess process{instance, upstream->record.startedAt};
--- /dev/null
+++ b/src/gateway/sendschedule.cpp
@@ -0,0 +1,149 @@
+#include "gateway/sendschedule.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+/// Longest time between two requests, also for a lower limit: only an answer tells that the limit was raised or has
+/// ended. The platform tolerates 5 requests in 4 s beyond any limit.
+constexpr Duration maxInterval = std::chrono::seconds{4};
+/// Age limit of entries. At least maxInterval, so that an entry counts for as long as it delays the next.
+constexpr Duration retention = maxInterval;
+/// Time by which requests may precede their schedule. Covers the time between two looks at the schedule, which would
+/// otherwise be lost for the upstream.
+constexpr Duration earliness = std::chrono::milliseconds{60};
+constexpr Duration reservedSpan = std::chrono::seconds{4}; ///< Time that the shares of waiting nodes divide.
+/// Time before the begin of a limit from which requests count. The platform counts windows of 4 s that end 3 s or more
+/// after a limit was first stated.
+constexpr Duration earlierSpan = std::chrono::seconds{1};
+constexpr double rampUpSeconds = 3;
+constexpr double maxExcess = 1e6; ///< Guards the product of excess and interval.
+/// Requests in a window beyond any limit. The platform tolerates 5; the rest covers those that are on their way when a
+/// limit begins.
+constexpr double toleratedRequests = 3;
+/// Largest difference between the times of one request in the views of two nodes.
+constexpr Duration maxSkew = std::chrono::milliseconds{300};
+
+Duration intervalOf(double perSecond)
+{
+    const double longest = std::chrono::duration<double>(maxInterval).count();
+    const double seconds = perSecond * longest > 1 ? 1 / perSecond : longest;
+    return Duration{static_cast<std::int64_t>(seconds * 1e6)};
+}
+
+} // namespace
+
+void SendSchedule::add(const std::string &node, Instant at, Instant now)
+{
+    while (!m_entries.empty() && now - m_entries.front().at > retention)
+        m_entries.pop_front();
+    const auto later = std::ranges::upper_bound(m_entries, at, {}, &Entry::at);
+    m_entries.insert(later, {at, node});
+}
+
+void SendSchedule::addUnlimited(Instant now)
+{
+    while (!m_unlimited.empty() && now - m_unlimited.front() > earlierSpan)
+        m_unlimited.pop_front();
+    m_unlimited.push_back(now);
+}
+
+void SendSchedule::begin(Instant now)
+{
+    m_begin = now;
+    m_earlier = 0;
+    m_entries.clear();
+}
+
+unsigned SendSchedule::takeEarlier(Instant now)
+{
+    const auto requests = static_cast<unsigned>(
+        std::ranges::count_if(m_unlimited, [&](Instant at) { return now - at <= earlierSpan; }));
+    m_unlimited.clear();
+    addEarlier(requests);
+    return requests;
+}
+
+void SendSchedule::addEarlier(unsigned requests)
+{
+    m_earlier += requests;
+}
+
+/// Returns when the upstream can get its first request since the limit began, so that a flood before it and the
+/// requests of the first seconds together stay within what the platform tolerates.
+Instant SendSchedule::firstFree(double perSecond) const
+{
+    const double excess = m_earlier - rampUpSeconds * perSecond - toleratedRequests;
+    return excess <= 0 ? Instant{}
+                       : m_begin
+                             + std::min(retention, intervalOf(perSecond)
+                                                       * static_cast<int>(std::ceil(std::min(excess, maxExcess))));
+}
+
+void SendSchedule::remove(const std::string &node, Instant at)
+{
+    auto closest = m_entries.end();
+    auto smallest = maxSkew;
+    for (auto it = m_entries.begin(); it != m_entries.end(); ++it) {
+        const auto distance = std::chrono::abs(it->at - at);
+        if (it->node == node && distance < smallest) {
+            smallest = distance;
+            closest = it;
+        }
+    }
+    if (closest != m_entries.end())
+        m_entries.erase(closest);
+}
+
+Instant SendSchedule::nextFree(double perSecond, Instant from) const
+{
+    const auto interval = intervalOf(perSecond);
+    auto free = firstFree(perSecond); // After the entries so far.
+    for (const auto &entry : m_entries) {
+        const auto begin = std::max(from, free - earliness);
+        if (begin + interval <= entry.at)
+            return begin;
+        free = std::max(free, entry.at) + interval;
+    }
+    return std::max(from, free - earliness);
+}
+
+std::optional<Instant> SendSchedule::nextFor(const std::string &node, double perSecond, Instant from, Instant now) const
+{
+    const auto next = nextFree(perSecond, from);
+    if (next == from)
+        return next;
+    std::set<std::string> waiting{node};
+    std::size_t own = 0;
+    for (const auto &entry : m_entries) {
+        if (entry.at <= now)
+            continue;
+        waiting.insert(entry.node);
+        own += entry.node == node ? 1 : 0;
+    }
+    const double requests = std::chrono::duration<double>(reservedSpan).count() * perSecond;
+    const double share = requests / static_cast<double>(waiting.size() + 1);
+    return static_cast<double>(own) < std::max(1.0, share) ? std::optional(next) : std::nullopt;
+}
+
+Instant SendSchedule::dueAt(const std::string &node, double perSecond, Instant at) const
+{
+    const auto interval = intervalOf(perSecond);
+    auto free = firstFree(perSecond);
+    for (const auto &entry : m_entries) {
+        if (entry.at > at)
+            break;
+        if (entry.at == at && entry.node >= node)
+            continue; // Its own, or one that is sent after it.
+        free = std::max(free, entry.at) + interval;
+    }
+    return std::max(at, free - earliness);
+}
+
+} // namespace Gypsumtally::Gateway
--- a/src/gateway/upstreamstatement.cpp
+++ b/src/gateway/upstreamstatement.cpp
@@ -48,10 +48,12 @@
             effect.turnedAwayFor = time;
         upstream->backpressureUntil = std::max(upstream->backpressureUntil, now + time);
     }
-    const auto &known = upstream->requestLimit.perSecond;
-    if (known || statement.requestLimit)
+    auto &known = upstream->requestLimit;
+    if (known.perSecond && statement.requestLimit == known.perSecond)
+        known.asOf = now;
+    else if (statement.requestLimit != known.perSecond)
         effect.changesLimit = applyRequestLimit(
-            table, process, {statement.requestLimit, isHigher(statement.requestLimit, known) ? sentAt : now});
+            table, process, {statement.requestLimit, isHigher(statement.requestLimit, known.perSecond) ? sentAt : now});
     return effect;
 }
 
@@ -60,9 +62,12 @@
     auto *upstream = findProcess(table, process);
     if (!upstream || limit.asOf < upstream->requestLimit.asOf)
         return false;
-    const bool isChange = limit.perSecond != upstream->requestLimit.perSecond;
+    if (limit.perSecond == upstream->requestLimit.perSecond)
+        return false;
+    if (!upstream->limitsRequests())
+        upstream->sends.begin(limit.asOf);
     upstream->requestLimit = limit;
-    return isChange;
+    return true;
 }
 
 bool applyDeparture(UpstreamTable &table, const UpstreamProcess &process)
--- a/src/gateway/upstreamstatement.h
+++ b/src/gateway/upstreamstatement.h
@@ -43,7 +43,8 @@
 StatementEffect applyStatement(UpstreamTable &table, const UpstreamProcess &process, const UpstreamStatement &statement,
                                Instant now, Instant sentAt = {});
 
-/// Records the request limit of @p process unless a later statement is known. Returns true if its value changes.
+/// Records the request limit of @p process unless a later statement is known. Returns true if its value changes; a
+/// value that is known already does not renew its time, as nodes repeat to each other what they know.
 bool applyRequestLimit(UpstreamTable &table, const UpstreamProcess &process, const RequestLimit &limit);
 
 /// Records that @p process has announced its departure to another node. Returns true if it was not recorded before.
--- a/src/gateway/upstreamtable.cpp
+++ b/src/gateway/upstreamtable.cpp
@@ -12,9 +12,9 @@
 /// Time after a registry outage before lapsed upstreams are removed; live ones renew their records within about two
 /// seconds.
 constexpr Duration lapseGracePeriod = std::chrono::milliseconds{2300};
-/// Number of entries at which m_leftProcesses is cleared. It would otherwise grow, as most instance names are not
-/// reused.
-constexpr std::size_t maxLeftProcesses = 10000;
+/// Number of entries at which a table of former processes is cleared. It would otherwise grow, as most instance names
+/// are not reused.
+constexpr std::size_t maxKeptProcesses = 10000;
 
 } // namespace
 
@@ -31,8 +31,10 @@
             peer.loads.erase(record.instance);
     }
     upstream.record = record;
+    if (isNew)
+        restoreLimit(upstream);
     if (const auto left = m_leftProcesses.find(record.instance); left != m_leftProcesses.end()) {
-        if (left->second == LeftProcess{record.startedAt, record.endpoint})
+        if (left->second == ProcessKey{record.startedAt, record.endpoint})
             upstream.isLeaving = true;
         else
             m_leftProcesses.erase(left);
@@ -53,7 +55,31 @@
     if (mayHaveLapsed(now))
         m_lapsed.insert(instance);
     else
-        m_upstreams.erase(instance);
+        remove(instance);
+}
+
+void UpstreamTable::remove(const std::string &instance)
+{
+    const auto it = m_upstreams.find(instance);
+    if (it == m_upstreams.end())
+        return;
+    auto &upstream = it->second;
+    if (upstream.limitsRequests()) {
+        if (m_keptLimits.size() >= maxKeptProcesses)
+            m_keptLimits.clear();
+        m_keptLimits[instance]
+            = {{upstream.record.startedAt, upstream.record.endpoint}, upstream.requestLimit, std::move(upstream.sends)};
+    }
+    m_upstreams.erase(it);
+}
+
+void UpstreamTable::restoreLimit(Upstream &upstream)
+{
+    const auto kept = m_keptLimits.extract(upstream.record.instance);
+    if (kept.empty() || kept.mapped().process != ProcessKey{upstream.record.startedAt, upstream.record.endpoint})
+        return;
+    upstream.requestLimit = kept.mapped().limit;
+    upstream.sends = std::move(kept.mapped().sends);
 }
 
 void UpstreamTable::onSnapshot(const std::set<std::string> &instances, Instant now)
@@ -85,7 +111,7 @@
     if (m_lapsed.empty() || mayHaveLapsed(now))
         return;
     for (const auto &instance : m_lapsed)
-        m_upstreams.erase(instance);
+        remove(instance);
     m_lapsed.clear();
 }
 
@@ -94,7 +120,7 @@
     auto *upstream = find(instance);
     if (!upstream || std::exchange(upstream->isLeaving, true))
         return false;
-    if (m_leftProcesses.size() >= maxLeftProcesses)
+    if (m_leftProcesses.size() >= maxKeptProcesses)
         m_leftProcesses.clear();
     m_leftProcesses[instance] = {upstream->record.startedAt, upstream->record.endpoint};
     return true;
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -6,6 +6,7 @@
 #include "gateway/adaptercacheestimate.h"
 #include "gateway/promptwindow.h"
 #include "gateway/residency.h"
+#include "gateway/sendschedule.h"
 #include "http/message.h"
 
 #include <cstdint>
@@ -59,6 +60,7 @@
     bool announcedLeaving = false; ///< It announced its departure to this node, which notifies the others.
     Instant backpressureUntil{}; ///< Must get no requests from this node until then.
     RequestLimit requestLimit;
+    SendSchedule sends; ///< Requests from all nodes while it limits them.
     /// Until then, gets new requests only if no other upstream can take them, for example after a refused connection.
     Instant avoidUntil{};
 
@@ -68,6 +70,12 @@
         return staysInService() && now >= backpressureUntil;
     }
 
+    /// Returns true if it limits the requests of all nodes together.
+    bool limitsRequests() const
+    {
+        return requestLimit.perSecond.has_value();
+    }
+
     /// Returns true if it is neither draining nor has announced its departure.
     bool staysInService() const
     {
@@ -163,14 +171,25 @@
     void setLoad(Peer &peer, const std::string &instance, PeerLoad load);
 
     std::unordered_map<std::string, Peer> m_peers; ///< By node.
-    struct LeftProcess {
+    struct ProcessKey {
         std::int64_t startedAt = 0;
         Http::Endpoint endpoint;
 
-        friend bool operator==(const LeftProcess &, const LeftProcess &) = default;
+        friend bool operator==(const ProcessKey &, const ProcessKey &) = default;
     };
 
-    std::map<std::string, LeftProcess> m_leftProcesses; ///< Processes that have announced their departure, by instance.
+    /// The request limit of a process whose record was removed; it applies again if the record returns.
+    struct KeptLimit {
+        ProcessKey process;
+        RequestLimit limit;
+        SendSchedule sends;
+    };
+
+    void remove(const std::string &instance);
+    void restoreLimit(Upstream &upstream);
+
+    std::map<std::string, ProcessKey> m_leftProcesses; ///< Processes that have announced their departure, by instance.
+    std::map<std::string, KeptLimit> m_keptLimits; ///< By instance.
     std::set<std::string> m_lapsed; ///< Upstreams whose record may only be missing due to a registry outage.
     bool m_registryLost = true;
     Instant m_registryBackAt{};
--- a/src/gateway/waittimes.h
+++ b/src/gateway/waittimes.h
@@ -17,6 +17,7 @@
     Room, ///< The engines that hold the adapter have no free slot.
     Pace, ///< The engine has to process other prompts first, so as not to stall its streams.
     Backpressure, ///< Every upstream applies backpressure until a stated time.
+    RequestLimit, ///< The upstream limits its requests, and others go first.
 };
 
 } // namespace Gypsumtally::Gateway
@@ -25,12 +26,13 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::WaitCause, 5> enumNames<Gateway::WaitCause>{{
+inline constexpr EnumTable<Gateway::WaitCause, 6> enumNames<Gateway::WaitCause>{{
     {Gateway::WaitCause::Load, "load"},
     {Gateway::WaitCause::LoadInProgress, "coming_load"},
     {Gateway::WaitCause::Room, "room"},
     {Gateway::WaitCause::Pace, "pace"},
     {Gateway::WaitCause::Backpressure, "return"},
+    {Gateway::WaitCause::RequestLimit, "request_limit"},
 }};
 
 } // namespace Gypsumtally
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -166,9 +166,9 @@
             record.endpoint = {"127.0.0.1", server->listen({"127.0.0.1", 0}), false};
             m_context.upstreams.onRecord(record, BootClock{}.now());
         }
-        m_context.onPrompt = [this](const std::string &instance, double tokens, Duration in) {
-            announced.push_back({instance, in});
-            announcedTokens += tokens;
+        m_context.onSend = [this](const SendNotice &notice) {
+            announced.push_back({notice.instance, notice.in});
+            announcedTokens += notice.tokens;
         };
         tick();
     }
--- a/tests/gateway/disseminationtest.cpp
+++ b/tests/gateway/disseminationtest.cpp
@@ -34,7 +34,7 @@
     void broadcast(std::size_t from)
     {
         auto report = reportOf(m_nodes[from]->members.self(), ++m_sequence);
-        report.prompts.push_back({"e", 1});
+        report.sends.push_back({"e", 1});
         m_nodes[from]->dissemination.add(report);
         flush(*m_nodes[from]);
         while (!m_inTransit.empty()) {
@@ -132,7 +132,7 @@
             return;
         for (const auto &report : message.reports) {
             if (report.from.node != target)
-                (*node)->prompts += report.prompts.size();
+                (*node)->prompts += report.sends.size();
         }
         (*node)->dissemination.onMessage(message);
         flush(**node);
@@ -193,14 +193,14 @@
     for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
         report.sequence = sequence;
         report.takesCallers = sequence < 3;
-        report.prompts = {{"e", static_cast<double>(sequence)}};
+        report.sends = {{"e", static_cast<double>(sequence)}};
         dissemination.add(report);
     }
     const auto deliveries = dissemination.flush(members, start);
     cr_assert_eq(deliveries.size(), 1U);
     const auto &sent = deliveries.front().message.reports;
     cr_assert_eq(sent.size(), 1U);
-    cr_assert_eq(sent.front().prompts.size(), 3U);
+    cr_assert_eq(sent.front().sends.size(), 3U);
     cr_assert_eq(sent.front().sequence, 3U);
     cr_assert_not(sent.front().takesCallers);
     cr_assert(dissemination.isEmpty());
--- a/tests/gateway/membertabletest.cpp
+++ b/tests/gateway/membertabletest.cpp
@@ -156,3 +156,12 @@
     report("n3", 2, row.n3Reaches);
     cr_assert_eq(table.readerOf("a", row.selfReaches, start).node, std::string(row.reader));
 }
+
+Test(MemberTable, shareOfLiveNodes)
+{
+    const auto table = fiveNodes();
+    cr_assert_float_eq(table.liveShare(start), 1, 1e-9);
+    cr_assert_float_eq(table.liveShare(start + std::chrono::seconds{5}), 0.2, 1e-9,
+                       "the others are not heard any more");
+    cr_assert_float_eq(MemberTable(address("n1", "a")).liveShare(start), 1, 1e-9);
+}
--- a/tests/gateway/overloadtest.cpp
+++ b/tests/gateway/overloadtest.cpp
@@ -54,7 +54,7 @@
         m_context.routes = std::make_shared<RouteTable>(policy);
         m_context.allowance = RetryAllowance({0.2, 50, std::chrono::seconds{10}, 1});
         m_context.loadOrdersAvailable = true;
-        m_context.onPrompt = [](const std::string &, double, Duration) {};
+        m_context.onSend = [](const SendNotice &) {};
         m_context.onMissing = [](const std::string &, const ModelTarget &) {};
         m_context.onLoadRequested
             = [](const std::string &, const ModelTarget &, const std::vector<std::string> &, unsigned) {};
--- a/tests/gateway/upstreamstatementtest.cpp
+++ b/tests/gateway/upstreamstatementtest.cpp
@@ -269,3 +269,30 @@
     cr_assert_not(applyRequestLimit(table, {"u", 6}, {2.0, now + std::chrono::seconds{2}}), "a replaced process");
     cr_assert_not(table.find("u")->requestLimit.perSecond.has_value());
 }
+
+namespace
+{
+
+struct ReturnCase {
+    const char *name;
+    std::int64_t startedAt; ///< Of the process whose record comes after the removal.
+    bool isLimited;
+};
+
+const ReturnCase returns[] = {{"same process", 7, true}, {"new process", 8, false}};
+
+} // namespace
+
+TABLE_TEST(UpstreamStatement, requestLimitAfterItsRecordReturns, returns)
+{
+    auto table = tableOf(recordOf(7));
+    applyRequestLimit(table, {"u", 7}, {2.0, now});
+    table.find("u")->sends.add("n", now + std::chrono::milliseconds{500}, now);
+    table.onRemoved("u", now);
+    cr_assert_null(table.find("u"));
+    table.onRecord(recordOf(row.startedAt), now);
+    cr_assert_eq(table.find("u")->limitsRequests(), row.isLimited, "%s", row.name);
+    cr_assert_eq(table.find("u")->sends.nextFree(2, now + std::chrono::milliseconds{500})
+                     > now + std::chrono::milliseconds{500},
+                 row.isLimited, "%s: the schedule", row.name);
+}
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -103,6 +103,12 @@
         return m_tallies[kind];
     }
 
+    /// Forgets the answers so far.
+    void clearTallies()
+    {
+        m_tallies.clear();
+    }
+
     std::mt19937_64 &random()
     {
         return m_random;
