A refusal does not end an upstream's request limit

An upstream may refuse a request (421, or 503 not run) without its usual headers; its request limit was then taken to have ended, and all nodes sent without a limit until the next answer. Only the answer to a request that was not refused raises or ends a limit now. callforwardertest, row "refusal" of endsRequestLimitByWholeAnswersOnly, failed before.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -687,8 +687,10 @@
         call->reply = Dialect::readReply(head);
         const bool success = call->reply.status / 100 == 2;
         const bool isMismatched = call->reply.requestId != call->request.id;
+        // A refusal may be made without the upstream's state, so that it does not end a request limit.
+        const bool isOwnAnswer = !isMismatched && !call->reply.notRun;
         m_context.recordStatement({call->instance, call->processStartedAt}, call->reply.statement, BootClock{}.now(),
-                                  isMismatched ? Instant{} : call->sentAt);
+                                  isOwnAnswer ? call->sentAt : Instant{});
         if ((success && (isMismatched || !call->reply.isSigned || call->reply.isEncoded))
             || (isMismatched && !call->reply.notRun))
             dropSend(call, "the answer is not one to this request");
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -58,6 +58,20 @@
     exchange->respond({200, headers, "whole"});
 }
 
+void refuseById(const Exchange &exchange)
+{
+    auto headers = signedFor(exchange);
+    headers.add("Not-Run", "1");
+    exchange->respond({503, headers, ""});
+}
+
+void answerAndLimit(const Exchange &exchange)
+{
+    auto headers = signedFor(exchange);
+    headers.add("Limit", "1000");
+    exchange->respond({200, headers, "whole"});
+}
+
 void refuseAndLeave(const Exchange &exchange)
 {
     exchange->respond({503, {{"Not-Run", "1"}, {"Leaving", "1"}}, ""});
@@ -220,6 +234,13 @@
         m_context.loadOutageSince = BootClock{}.now() - time;
     }
 
+    /// Returns the request limits that the node knows of both upstreams.
+    unsigned knownLimits()
+    {
+        return (m_context.upstreams.find("u0")->limitsRequests() ? 1 : 0)
+               + (m_context.upstreams.find("u1")->limitsRequests() ? 1 : 0);
+    }
+
     Http::EventLoop &loop()
     {
         return m_loop;
@@ -632,3 +653,29 @@
     const double seconds = std::stod(fixture.retryAfter);
     cr_assert(seconds >= row.least && seconds <= row.most, "%f", seconds);
 }
+
+namespace
+{
+
+struct LimitEndCase {
+    const char *name;
+    ForwarderFixture::Responder second; ///< Answers the second request, without a limit.
+    unsigned limits; ///< Known afterwards.
+};
+
+const LimitEndCase limitEnds[] = {
+    {"answer", answer, 0},         {"failure that has run", fail, 0},
+    {"refusal", refuseById, 1},    {"answer of another request", answerAnother, 1},
+    {"broken connection", cut, 1},
+};
+
+} // namespace
+
+TABLE_TEST(CallForwarder, endsRequestLimitByWholeAnswersOnly, limitEnds)
+{
+    ForwarderFixture fixture({answerAndLimit, row.second, answer});
+    cr_assert_eq(fixture.ask("/once/1"), 200U);
+    fixture.ask("/once/1");
+    cr_assert_eq(fixture.sentTo.at(1), fixture.sentTo.at(0));
+    cr_assert_eq(fixture.knownLimits(), row.limits, "%s: %u", row.name, fixture.knownLimits());
+}
--- a/tests/support/plaindialect.h
+++ b/tests/support/plaindialect.h
@@ -43,6 +43,8 @@
         reply.statement.isLeaving = head.headers.contains("Leaving");
         if (const auto away = head.headers.get("Away-Ms"); !away.empty())
             reply.statement.turnsAwayFor = std::chrono::milliseconds{std::stoi(std::string(away))};
+        if (const auto limit = head.headers.get("Limit"); !limit.empty())
+            reply.statement.requestLimit = std::stod(std::string(limit));
         reply.headers = head.headers.contains("Proof") ? Http::Headers{{"Proof", "p"}} : Http::Headers{};
         return reply;
     }
