gateway-soak: real gateways disturbed at random, by seed

Freezes, kills of one or many, stops, series of reloads, outages of the store, failing upstreams and changes of their limits, single and overlapping, while callers use open connections until a process is gone. Checked: the users' rule on request limits, whole answers of the right request, true refusals, no second run of what may run once, no request cut by a planned stop, service 9 s after the last disturbance.

--- a/tests/gateway/sendscheduletest.cpp
+++ b/tests/gateway/sendscheduletest.cpp
@@ -186,7 +186,8 @@
 
     void arrive(double perSecond, Instant end)
     {
-        const auto pause = Duration{static_cast<std::int64_t>(2e6 * m_simulation.below(1000) / 1000 / perSecond)};
+        const auto pause
+            = Duration{static_cast<std::int64_t>(2e3 * static_cast<double>(m_simulation.below(1000)) / perSecond)};
         if (m_simulation.now() + pause >= end)
             return;
         m_simulation.after(pause, [this, perSecond, end] {
--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -167,14 +167,15 @@
 
 void Fleet::send(CallerRequest kind)
 {
-    std::vector<const Node *> open;
-    for (const auto &node : m_nodes) {
-        if (node.isOpen)
-            open.push_back(&node);
+    std::vector<std::size_t> open;
+    for (std::size_t number = 0; number < m_nodes.size(); ++number) {
+        if (m_nodes[number].isOpen)
+            open.push_back(number);
     }
     if (open.empty())
         return;
-    const auto &node = *open[m_random() % open.size()];
+    const auto number = open[m_random() % open.size()];
+    const auto &node = m_nodes[number];
     const auto form = formOf(kind);
     const auto id = node.name + ":" + std::to_string(++m_sent);
     Http::Request request{
@@ -192,12 +193,14 @@
     options.timeout = 2 * form.timeout;
     ++m_tallies[kind].sent;
     const auto now = BootClock{}.now();
-    m_client.fetch(
-        {node.ports[Callers]->endpoint(), {}}, request,
-        [this, kind, id, now](const Relay::WholeResponse &response) { onAnswer(kind, id, now, response); }, options);
+    const auto onResponse = [this, kind, id, number, now](const Relay::WholeResponse &response) {
+        onAnswer(kind, id, number, now, response);
+    };
+    m_client.fetch({node.ports[Callers]->endpoint(), {}}, request, onResponse, options);
 }
 
-void Fleet::onAnswer(CallerRequest kind, const std::string &id, Instant sentAt, const Relay::WholeResponse &response)
+void Fleet::onAnswer(CallerRequest kind, const std::string &id, std::size_t node, Instant sentAt,
+                     const Relay::WholeResponse &response)
 {
     auto &tally = m_tallies[kind];
     const auto status = response.head.status;
@@ -213,6 +216,8 @@
     }
     if (!promisesNotRun(status)) {
         ++(status == 0 ? tally.broken : tally.failed);
+        if (status == 0 && response.sent)
+            checkBroken(kind, id, m_nodes[node], sentAt);
         return;
     }
     ++tally.refused;
@@ -223,6 +228,17 @@
         ++tally.refusedWithoutTime;
 }
 
+/// Records a problem if nothing explains that the request got no whole answer: its node was neither killed nor frozen,
+/// and upstreams do not break streams.
+void Fleet::checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt)
+{
+    const bool mayBreak = kind == CallerRequest::Stream && std::ranges::any_of(m_engines, [](const auto &engine) {
+                              return engine->behaviour.breakRatio > 0;
+                          });
+    if (!mayBreak && node.disturbedAt < sentAt)
+        m_problems.push_back(id + " got no whole answer from a node that was neither killed nor frozen");
+}
+
 void Fleet::after(Duration delay, std::function<void()> task)
 {
     m_loop.runAfter(delay, std::move(task));
@@ -241,16 +257,22 @@
     auto &node = m_nodes[number];
     const auto now = BootClock{}.now();
     node.process->signal(SIGSTOP);
+    node.disturbedAt = now + time;
+    excuse(node, now, now + time);
     after(time, [this, number, now] {
-        m_nodes[number].process->signal(SIGCONT);
-        excuse(m_nodes[number], now, BootClock{}.now());
+        auto &frozen = m_nodes[number];
+        frozen.process->signal(SIGCONT);
+        frozen.disturbedAt = std::max(frozen.disturbedAt, BootClock{}.now());
+        excuse(frozen, now, BootClock{}.now());
     });
 }
 
 void Fleet::restart(std::size_t number, Duration pause)
 {
-    m_nodes[number].process->kill();
-    m_nodes[number].isOpen = false;
+    auto &node = m_nodes[number];
+    node.process->kill();
+    node.isOpen = false;
+    node.disturbedAt = std::max(node.disturbedAt, BootClock{}.now());
     after(pause, [this, number, since = BootClock{}.now()] { startAgain(number, since); });
 }
 
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -103,6 +103,21 @@
         return m_tallies[kind];
     }
 
+    std::size_t nodes() const
+    {
+        return m_nodes.size();
+    }
+
+    std::size_t engines() const
+    {
+        return m_engines.size();
+    }
+
+    std::size_t workers() const
+    {
+        return m_workers.size();
+    }
+
     /// Forgets the answers so far.
     void clearTallies()
     {
@@ -126,6 +141,7 @@
         std::vector<std::unique_ptr<Processes::ReservedPort>> ports; ///< Callers, readiness, entries, peers, metrics.
         std::unique_ptr<Processes::ChildProcess> process;
         bool isOpen = true; ///< Callers use it for new requests.
+        Instant disturbedAt{}; ///< When it was last killed, frozen or thawed.
     };
 
     void configure();
@@ -135,7 +151,9 @@
     void excuse(const Node &node, Instant from, Instant to);
     void sendNext(CallerRequest kind);
     void send(CallerRequest kind);
-    void onAnswer(CallerRequest kind, const std::string &id, Instant sentAt, const Relay::WholeResponse &response);
+    void onAnswer(CallerRequest kind, const std::string &id, std::size_t node, Instant sentAt,
+                  const Relay::WholeResponse &response);
+    void checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt);
     void sweep();
 
     Http::EventLoop m_loop;
--- /dev/null
+++ b/tests/gatewayfleet/soakmain.cpp
@@ -0,0 +1,204 @@
+#include "gatewayfleet/gatewayfleet.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <exception>
+#include <string>
+
+ABSL_FLAG(unsigned, first_seed, 1, "seed of the first run");
+ABSL_FLAG(unsigned, runs, 1, "number of runs, with successive seeds");
+ABSL_FLAG(unsigned, nodes, 0, "number of gateways; 0 draws one for each run");
+ABSL_FLAG(bool, keep, false, "keep the logs of runs that find a problem");
+
+namespace
+{
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::GatewayFleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration warmUp = seconds{6}; ///< Covers the first acquisition of the order leases.
+constexpr Duration disturbances = seconds{14};
+/// Time from the last disturbance until callers must be served again: a successor's wait for an order lease, two
+/// seconds for the registry, and the loads of all adapters.
+constexpr Duration recovery = seconds{9};
+constexpr Duration judged = seconds{3}; ///< Time after that in which callers' answers are judged.
+constexpr double servedAfterwards = 0.9;
+
+/// Draws what happens to one fleet.
+class Soak
+{
+public:
+    explicit Soak(Fleet &fleet)
+        : m_fleet(fleet)
+    {
+    }
+
+    /// Schedules disturbances, single ones and series that overlap, and the end of all of them.
+    void schedule()
+    {
+        const unsigned count = 6 + below(12);
+        for (unsigned i = 0; i < count; ++i)
+            m_fleet.after(below(disturbances), [this] { disturb(); });
+        m_fleet.after(disturbances, [this] { end(); });
+    }
+
+private:
+    std::uint64_t below(std::uint64_t limit)
+    {
+        return m_fleet.random()() % limit;
+    }
+
+    Duration below(Duration limit)
+    {
+        return Duration{static_cast<std::int64_t>(below(static_cast<std::uint64_t>(limit.count())))};
+    }
+
+    std::size_t anyNode()
+    {
+        return below(m_fleet.nodes());
+    }
+
+    UpstreamStandIn &anyUpstream()
+    {
+        const auto number = below(m_fleet.engines() + m_fleet.workers());
+        return number < m_fleet.engines() ? m_fleet.engine(number) : m_fleet.worker(number - m_fleet.engines());
+    }
+
+    void disturb()
+    {
+        switch (below(10)) {
+        case 0:
+            return m_fleet.freeze(anyNode(), milliseconds{100} + below(seconds{4}));
+        case 1:
+            return m_fleet.restart(anyNode(), below(seconds{2}));
+        case 2:
+            return m_fleet.stop(anyNode());
+        case 3:
+            return reloadSeries();
+        case 4:
+            return killMany();
+        case 5:
+            return storeOutage();
+        case 6:
+            return fail(anyUpstream());
+        default:
+            return changeLimit(anyUpstream());
+        }
+    }
+
+    void reloadSeries()
+    {
+        const auto node = anyNode();
+        for (int i = 0; i < 3; ++i)
+            m_fleet.after(i * milliseconds{100}, [this, node] { m_fleet.reload(node); });
+    }
+
+    void killMany()
+    {
+        for (std::size_t node = 0; node < m_fleet.nodes(); ++node) {
+            if (below(2) == 0)
+                m_fleet.restart(node, below(seconds{1}));
+        }
+    }
+
+    void storeOutage()
+    {
+        m_fleet.store().setDown(true);
+        m_fleet.after(below(seconds{3}), [this] { m_fleet.store().setDown(false); });
+    }
+
+    void fail(UpstreamStandIn &upstream)
+    {
+        upstream.behaviour.failureRatio = 0.1 * static_cast<double>(below(4));
+        upstream.behaviour.breakRatio = 0.1 * static_cast<double>(below(4));
+    }
+
+    void changeLimit(UpstreamStandIn &upstream)
+    {
+        if (below(4) == 0)
+            upstream.setLimit(std::nullopt);
+        else
+            upstream.setLimit(0.5 + 0.1 * static_cast<double>(below(80)));
+    }
+
+    void end()
+    {
+        m_fleet.store().setDown(false);
+        for (std::size_t number = 0; number < m_fleet.engines(); ++number)
+            calm(m_fleet.engine(number));
+        for (std::size_t number = 0; number < m_fleet.workers(); ++number)
+            calm(m_fleet.worker(number));
+    }
+
+    static void calm(UpstreamStandIn &upstream)
+    {
+        upstream.behaviour.failureRatio = 0;
+        upstream.behaviour.breakRatio = 0;
+        upstream.setLimit(std::nullopt);
+    }
+
+    Fleet &m_fleet;
+};
+
+FleetSize drawSize(unsigned seed)
+{
+    std::mt19937_64 random(seed);
+    const unsigned nodes = absl::GetFlag(FLAGS_nodes);
+    return {nodes > 0 ? nodes : 3 + static_cast<unsigned>(random() % 18), 2 + static_cast<unsigned>(random() % 3),
+            2 + static_cast<unsigned>(random() % 2)};
+}
+
+/// Runs one seed. Returns the number of problems, which it prints.
+std::size_t run(unsigned seed)
+{
+    const auto size = drawSize(seed);
+    Fleet fleet(size, seed);
+    fleet.waitUntilReady();
+    fleet.setLoad({20, 8, 10});
+    fleet.run(warmUp);
+    Soak soak(fleet);
+    soak.schedule();
+    fleet.run(disturbances + recovery);
+    fleet.clearTallies();
+    fleet.run(judged);
+    fleet.setLoad({});
+    fleet.run(seconds{2});
+    auto problems = fleet.finish();
+    for (const auto kind : {CallerRequest::Read, CallerRequest::Book, CallerRequest::Stream}) {
+        const auto &tally = fleet.tally(kind);
+        if (tally.served < servedAfterwards * tally.sent)
+            problems.push_back(std::to_string(tally.served) + " of " + std::to_string(tally.sent)
+                               + " requests of one kind are served after the disturbances");
+    }
+    std::printf("seed %u: %u nodes, %u engines, %u workers, %zu problems\n", seed, size.nodes, size.engines,
+                size.workers, problems.size());
+    for (std::size_t i = 0; i < std::min<std::size_t>(problems.size(), 10); ++i)
+        std::printf("  %s\n", problems[i].c_str());
+    std::fflush(stdout);
+    if (!problems.empty() && absl::GetFlag(FLAGS_keep))
+        fleet.keepFiles();
+    return problems.size();
+}
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    absl::SetProgramUsageMessage("disturbs real gateways at random and checks what callers and upstreams see");
+    absl::ParseCommandLine(argc, argv);
+    std::size_t problems = 0;
+    try {
+        for (unsigned i = 0; i < absl::GetFlag(FLAGS_runs); ++i)
+            problems += run(absl::GetFlag(FLAGS_first_seed) + i);
+    } catch (const std::exception &failure) {
+        std::fprintf(stderr, "gateway-soak: %s\n", failure.what());
+        return 2;
+    }
+    return problems == 0 ? 0 : 1;
+}
