A flood right before a request limit counts in the limit's first window

What nodes had sent in the second before a limit counted as if it were spread over that second; a flood in its last part and the first requests of the limit then meet in one window. The schedule now begins later by what the flood exceeds the tolerance of a whole window. sendscheduletest, floodRightBeforeALimitIsWithinItsFirstWindow: 6 of 8 rows failed before.

--- a/src/gateway/sendschedule.cpp
+++ b/src/gateway/sendschedule.cpp
@@ -1,7 +1,6 @@
 #include "gateway/sendschedule.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 
 namespace Gypsumtally::Gateway
@@ -19,14 +18,14 @@
 /// otherwise be lost for the upstream.
 constexpr Duration earliness = std::chrono::milliseconds{60};
 constexpr Duration reservedSpan = std::chrono::seconds{4}; ///< Time that the shares of waiting nodes divide.
-/// Time before the begin of a limit from which requests count. The platform counts windows of 4 s that end 3 s or more
+/// Time before the begin of a limit from which requests count: the platform counts windows of 4 s that end 3 s or more
 /// after a limit was first stated.
 constexpr Duration earlierSpan = std::chrono::seconds{1};
-constexpr double rampUpSeconds = 3;
-constexpr double maxExcess = 1e6; ///< Guards the product of excess and interval.
-/// Requests in a window beyond any limit. The platform tolerates 5; the rest covers those that are on their way when a
-/// limit begins.
-constexpr double toleratedRequests = 3;
+/// Time whose requests, at the limit's rate, the platform tolerates in a window beyond the limit itself.
+constexpr double toleratedSeconds = 2;
+/// Requests in a window beyond these. The platform tolerates 5; the rest covers those that are on their way when a
+/// limit begins, and those that nodes send before they learn of each other's.
+constexpr double toleratedRequests = 1;
 /// Largest difference between the times of one request in the views of two nodes.
 constexpr Duration maxSkew = std::chrono::milliseconds{300};
 
@@ -76,14 +75,15 @@
 }
 
 /// Returns when the upstream can get its first request since the limit began, so that a flood before it and the
-/// requests of the first seconds together stay within what the platform tolerates.
+/// requests of its first window together stay within what the platform tolerates.
 Instant SendSchedule::firstFree(double perSecond) const
 {
-    const double excess = m_earlier - rampUpSeconds * perSecond - toleratedRequests;
-    return excess <= 0 ? Instant{}
-                       : m_begin
-                             + std::min(retention, intervalOf(perSecond)
-                                                       * static_cast<int>(std::ceil(std::min(excess, maxExcess))));
+    const double excess = m_earlier - toleratedSeconds * perSecond - toleratedRequests;
+    if (excess <= 0)
+        return {};
+    const double seconds = excess * std::chrono::duration<double>(intervalOf(perSecond)).count();
+    const double longest = std::chrono::duration<double>(retention + 2 * earliness).count();
+    return m_begin + Duration{static_cast<std::int64_t>(std::min(seconds, longest) * 1e6)};
 }
 
 void SendSchedule::remove(const std::string &node, Instant at)
--- a/tests/gateway/sendscheduletest.cpp
+++ b/tests/gateway/sendscheduletest.cpp
@@ -104,7 +104,7 @@
     int next; ///< In ms after the begin.
 };
 
-const EarlierCase earlierRequests[] = {{0, 2, 0}, {9, 2, 0}, {11, 2, 940}, {24, 5, 1140}, {100, 0, 3940}};
+const EarlierCase earlierRequests[] = {{0, 2, 0}, {5, 2, 0}, {7, 2, 940}, {24, 5, 2540}, {100, 0, 4060}};
 
 } // namespace
 
@@ -143,6 +143,21 @@
         record.onStated(m_simulation.now(), perSecond);
     }
 
+    /// Sends @p requests requests at once, and then sets the limit in the view of all nodes.
+    void floodThenLimit(unsigned requests, double perSecond)
+    {
+        for (unsigned i = 0; i < requests; ++i) {
+            m_nodes[0]->schedule.addUnlimited(m_simulation.now());
+            send(*m_nodes[0]);
+        }
+        setLimit(perSecond);
+        for (auto &node : m_nodes)
+            node->schedule.begin(m_simulation.now());
+        const auto earlier = m_nodes[0]->schedule.takeEarlier(m_simulation.now());
+        for (std::size_t number = 1; number < m_nodes.size(); ++number)
+            m_nodes[number]->schedule.addEarlier(earlier);
+    }
+
     /// Lets @p perSecond requests a second arrive at random nodes for @p time.
     void run(double perSecond, Duration time)
     {
@@ -339,3 +354,28 @@
     shared.run(20, seconds{20});
     cr_assert(shared.record.violations().empty());
 }
+
+namespace
+{
+
+struct FloodCase {
+    unsigned requests;
+    double limit;
+};
+
+const FloodCase floods[] = {{0, 2}, {8, 2}, {12, 2}, {17, 2}, {20, 5.4}, {28, 5.4}, {37, 5.4}, {60, 10}};
+
+} // namespace
+
+TABLE_TEST(SendSchedule, floodRightBeforeALimitIsWithinItsFirstWindow, floods)
+{
+    for (unsigned seed = 1; seed <= sharedSeeds; ++seed) {
+        SharedSchedule shared(seed, 9, milliseconds{20}, 0);
+        shared.run(1, seconds{1});
+        shared.floodThenLimit(row.requests, row.limit);
+        shared.run(10 * row.limit, seconds{10});
+        const auto violations = shared.record.violations();
+        cr_assert(violations.empty(), "%u requests before a limit of %.1f, seed %u: %s", row.requests, row.limit, seed,
+                  violations.front().c_str());
+    }
+}
--- a/tests/processes/childprocess.cpp
+++ b/tests/processes/childprocess.cpp
@@ -27,6 +27,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Otherwise connections that the test closes would stay open in the child process.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t id = -1;
     const int error = posix_spawnp(&id, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
