gateway-soak: streams that an engine broke off before the end of the disturbances are no finding

The check also looked at whether engines break streams now, not at whether one has done so since the request was sent.

--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -228,14 +228,14 @@
         ++tally.refusedWithoutTime;
 }
 
-/// Records a problem if nothing explains that the request got no whole answer: its node was neither killed nor frozen,
-/// and upstreams do not break streams.
+/// Records a problem if nothing explains that the request got no whole answer: its node was neither killed nor frozen
+/// meanwhile, and no upstream has broken off a stream.
 void Fleet::checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt)
 {
-    const bool mayBreak = kind == CallerRequest::Stream && std::ranges::any_of(m_engines, [](const auto &engine) {
-                              return engine->behaviour.breakRatio > 0;
-                          });
-    if (!mayBreak && node.disturbedAt < sentAt)
+    const bool mayBeBrokenOff
+        = kind == CallerRequest::Stream
+          && std::ranges::any_of(m_engines, [&](const auto &engine) { return engine->lastBreak() >= sentAt; });
+    if (!mayBeBrokenOff && node.disturbedAt < sentAt)
         m_problems.push_back(id + " got no whole answer from a node that was neither killed nor frozen");
 }
 
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -135,8 +135,12 @@
 /// Sends the events from @p next to @p end, and then ends the stream or breaks it off.
 void UpstreamStandIn::sendEvents(const Exchange &exchange, unsigned next, unsigned end, bool isComplete)
 {
-    if (next > end)
-        return isComplete ? exchange->end() : exchange->abort();
+    if (next > end) {
+        if (isComplete)
+            return exchange->end();
+        m_lastBreak = BootClock{}.now();
+        return exchange->abort();
+    }
     m_loop.runAfter(behaviour.answerTime, [this, exchange, next, end, isComplete] {
         exchange->write("id: " + std::to_string(next) + "\ndata: x\n\n");
         sendEvents(exchange, next + 1, end, isComplete);
--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -40,6 +40,12 @@
         return m_runs;
     }
 
+    /// Returns when it has last broken off a stream.
+    Instant lastBreak() const
+    {
+        return m_lastBreak;
+    }
+
     UpstreamBehaviour behaviour;
     RequestLimitRecord limits;
 
@@ -67,6 +73,7 @@
     std::map<std::string, unsigned> m_runs;
     std::set<std::string> m_adapters;
     std::int64_t m_orders = 1;
+    Instant m_lastBreak{};
 };
 
 } // namespace Gypsumtally::GatewayFleet
