--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -360,7 +360,7 @@
     /// Returns the choice of an upstream other than the reserved one if that can serve the call earlier.
     std::optional<UpstreamChoice> earlierChoice(const Call &call, Instant now)
     {
-        const auto other = choose(call, now, call.reservation->instance);
+        auto other = choose(call, now, call.reservation->instance);
         if (!other || other->isFull || other->sendAt + minGainForChange > call.reservation->sendAt)
             return std::nullopt;
         return other;
