--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -21,6 +21,9 @@
 constexpr Duration addressCacheTime = std::chrono::seconds{1};
 /// Time after a disturbance of a node for which its requests are still excused: the window of the rule on limits.
 constexpr Duration excuseTime = std::chrono::seconds{4};
+constexpr Duration loadingTime
+    = std::chrono::milliseconds{500}; ///< From the start of a process to its first statement.
+constexpr Duration restartPause = std::chrono::milliseconds{300};
 constexpr unsigned adapters = 6;
 
 enum Port {
@@ -113,6 +116,8 @@
     node.process = std::make_unique<Processes::ChildProcess>(
         std::vector<std::string>{GYPSUMTALLY_GATEWAYD, "--settings=" + settings}, m_files.file(node.name + ".log"));
     node.isOpen = true;
+    node.startedAt = BootClock{}.now();
+    node.isExpectedToRun = true;
 }
 
 void Fleet::run(Duration time)
@@ -167,14 +172,15 @@
 
 void Fleet::send(CallerRequest kind)
 {
-    std::vector<const Node *> open;
-    for (const auto &node : m_nodes) {
-        if (node.isOpen)
-            open.push_back(&node);
+    std::vector<std::size_t> open;
+    for (std::size_t number = 0; number < m_nodes.size(); ++number) {
+        if (m_nodes[number].isOpen)
+            open.push_back(number);
     }
     if (open.empty())
         return;
-    const auto &node = *open[m_random() % open.size()];
+    const auto number = open[m_random() % open.size()];
+    const auto &node = m_nodes[number];
     const auto form = formOf(kind);
     const auto id = node.name + ":" + std::to_string(++m_sent);
     Http::Request request{
@@ -192,12 +198,14 @@
     options.timeout = 2 * form.timeout;
     ++m_tallies[kind].sent;
     const auto now = BootClock{}.now();
-    m_client.fetch(
-        {node.ports[Callers]->endpoint(), {}}, request,
-        [this, kind, id, now](const Relay::WholeResponse &response) { onAnswer(kind, id, now, response); }, options);
+    const auto onResponse = [this, kind, id, number, now](const Relay::WholeResponse &response) {
+        onAnswer(kind, id, number, now, response);
+    };
+    m_client.fetch({node.ports[Callers]->endpoint(), {}}, request, onResponse, options);
 }
 
-void Fleet::onAnswer(CallerRequest kind, const std::string &id, Instant sentAt, const Relay::WholeResponse &response)
+void Fleet::onAnswer(CallerRequest kind, const std::string &id, std::size_t node, Instant sentAt,
+                     const Relay::WholeResponse &response)
 {
     auto &tally = m_tallies[kind];
     const auto status = response.head.status;
@@ -213,6 +221,8 @@
     }
     if (!promisesNotRun(status)) {
         ++(status == 0 ? tally.broken : tally.failed);
+        if (status == 0 && response.sent)
+            checkBroken(kind, id, m_nodes[node], sentAt);
         return;
     }
     ++tally.refused;
@@ -223,6 +233,17 @@
         ++tally.refusedWithoutTime;
 }
 
+/// Records a problem if nothing explains that the request got no whole answer: its node was neither killed nor frozen
+/// meanwhile, and no upstream has broken off a stream.
+void Fleet::checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt)
+{
+    const bool mayBeBrokenOff
+        = kind == CallerRequest::Stream
+          && std::ranges::any_of(m_engines, [&](const auto &engine) { return engine->lastBreak() >= sentAt; });
+    if (!mayBeBrokenOff && node.disturbedAt < sentAt)
+        m_problems.push_back(id + " got no whole answer from a node that was neither killed nor frozen");
+}
+
 void Fleet::after(Duration delay, std::function<void()> task)
 {
     m_loop.runAfter(delay, std::move(task));
@@ -241,22 +262,30 @@
     auto &node = m_nodes[number];
     const auto now = BootClock{}.now();
     node.process->signal(SIGSTOP);
+    node.disturbedAt = now + time;
+    excuse(node, now, now + time);
     after(time, [this, number, now] {
-        m_nodes[number].process->signal(SIGCONT);
-        excuse(m_nodes[number], now, BootClock{}.now());
+        auto &frozen = m_nodes[number];
+        frozen.process->signal(SIGCONT);
+        frozen.disturbedAt = std::max(frozen.disturbedAt, BootClock{}.now());
+        excuse(frozen, now, BootClock{}.now());
     });
 }
 
 void Fleet::restart(std::size_t number, Duration pause)
 {
-    m_nodes[number].process->kill();
-    m_nodes[number].isOpen = false;
+    auto &node = m_nodes[number];
+    node.process->kill();
+    node.isExpectedToRun = false;
+    node.isOpen = false;
+    node.disturbedAt = std::max(node.disturbedAt, BootClock{}.now());
     after(pause, [this, number, since = BootClock{}.now()] { startAgain(number, since); });
 }
 
 void Fleet::stop(std::size_t number)
 {
     m_nodes[number].process->signal(SIGTERM);
+    m_nodes[number].isExpectedToRun = false;
     after(addressCacheTime, [this, number] { m_nodes[number].isOpen = false; });
     startWhenEnded(number, BootClock{}.now());
 }
@@ -285,8 +314,10 @@
 
 std::vector<std::string> Fleet::finish()
 {
-    for (auto &node : m_nodes)
+    for (auto &node : m_nodes) {
+        node.isExpectedToRun = false;
         node.process->kill();
+    }
     auto problems = m_problems;
     std::map<std::string, unsigned> runs;
     for (const auto *group : {&m_engines, &m_workers}) {
@@ -305,9 +336,25 @@
     return problems;
 }
 
+/// Starts processes again that have ended by themselves, as the platform does. That is a problem unless the process had
+/// just started: a signal ends it while it is still being loaded.
+void Fleet::superviseNodes(Instant now)
+{
+    for (std::size_t number = 0; number < m_nodes.size(); ++number) {
+        auto &node = m_nodes[number];
+        if (!node.isExpectedToRun || node.process->isRunning())
+            continue;
+        if (now - node.startedAt > loadingTime)
+            m_problems.push_back(node.name + " has ended by itself");
+        restart(number, restartPause);
+    }
+}
+
 void Fleet::sweep()
 {
-    m_client.sweep(BootClock{}.now());
+    const auto now = BootClock{}.now();
+    m_client.sweep(now);
+    superviseNodes(now);
     m_loop.runAfter(sweepInterval, [this] { sweep(); });
 }
 
