A crash of an upstream is logged with the prompt parts of the requests that had not begun

No line said that a crash was recognised, nor what the requests at it had in common, so that the hypotheses of the incident cannot be told apart. The shared parts of a prompt are decoded; each crash is logged with the number of broken requests, the crashes charged so far to the most suspected of them, and the parts. Requests are sent as before.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1136,7 +1136,7 @@
     {
         auto &breaks = m_breaks[call->instance];
         std::erase_if(breaks, [&](const Break &each) { return now - each.at > crashWindow; });
-        breaks.push_back({call->fingerprint, now});
+        breaks.push_back({call->fingerprint, call->request.sharedParts, call->eventReceived, now});
         const auto simultaneous
             = std::ranges::count_if(breaks, [&](const Break &each) { return now - each.at < simultaneousBreakWindow; });
         if (simultaneous > 1)
@@ -1150,6 +1150,7 @@
         const auto it = m_breaks.find(instance);
         if (it == m_breaks.end())
             return;
+        logCrash(instance, it->second, now);
         for (const auto &each : it->second) {
             if (now - each.at <= crashWindow)
                 m_context.crashes.addOwn(
@@ -1161,9 +1162,40 @@
     /// An exchange that broke after its request had been sent.
     struct Break {
         Fingerprint fingerprint = 0;
+        std::vector<std::uint64_t> sharedParts; ///< Of the request's prompt.
+        bool hadBegun = false; ///< An event of the answer had arrived.
         Instant at{};
     };
 
+    /// Logs a crash with the prompt parts of the requests whose answers had not begun, and with how many crashes the
+    /// most suspected of these requests has been charged so far.
+    void logCrash(const std::string &instance, const std::vector<Break> &breaks, Instant now)
+    {
+        unsigned broken = 0;
+        std::size_t mostCrashes = 0;
+        std::map<std::uint64_t, unsigned> parts;
+        for (const auto &each : breaks) {
+            if (now - each.at > crashWindow)
+                continue;
+            ++broken;
+            mostCrashes = std::max(mostCrashes, m_context.crashes.crashCount(each.fingerprint));
+            for (const auto part : each.hadBegun ? std::vector<std::uint64_t>{} : each.sharedParts)
+                ++parts[part];
+        }
+        std::string text;
+        for (const auto &[part, count] : parts) {
+            std::array<char, 40> entry{};
+            std::snprintf(entry.data(), entry.size(), "%s%llx:%u", text.empty() ? "" : ",",
+                          static_cast<unsigned long long>(part), count);
+            text += entry.data();
+        }
+        if (broken > 0)
+            m_log.decision(GatewayEvent::UpstreamCrashed, instance,
+                           {{"broken", std::to_string(broken)},
+                            {"most_earlier_crashes", std::to_string(mostCrashes)},
+                            {"parts", text}});
+    }
+
     Http::EventLoop &m_loop;
     CallContext &m_context;
     GatewayLog &m_log;
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace Gypsumtally::Gateway
 {
@@ -25,6 +26,8 @@
     double outputTokens = 0; ///< Upper bound on the tokens of the answer.
     std::optional<Duration> timeout; ///< Time for which the caller waits.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller has of an earlier answer.
+    /// Ids of the parts of the prompt that other requests may share, in the prompt's order.
+    std::vector<std::uint64_t> sharedParts;
 };
 
 /// The reason for which a request is invalid under any configuration.
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -29,6 +29,7 @@
     UpstreamGone,
     UpstreamTurnsAway,
     UpstreamLimitsRequests,
+    UpstreamCrashed,
     BadHeader,
     OrderLeaseTaken,
     OrderLeaseLost,
@@ -51,7 +52,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 29> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 30> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -67,6 +68,7 @@
     {Gateway::GatewayEvent::UpstreamGone, "upstream_gone"},
     {Gateway::GatewayEvent::UpstreamTurnsAway, "upstream_turns_away"},
     {Gateway::GatewayEvent::UpstreamLimitsRequests, "upstream_limits_requests"},
+    {Gateway::GatewayEvent::UpstreamCrashed, "upstream_crashed"},
     {Gateway::GatewayEvent::BadHeader, "bad_header"},
     {Gateway::GatewayEvent::OrderLeaseTaken, "order_lease_taken"},
     {Gateway::GatewayEvent::OrderLeaseLost, "order_lease_lost"},
--- a/tests/platformadapter/calldialecttest.cpp
+++ b/tests/platformadapter/calldialecttest.cpp
@@ -29,6 +29,21 @@
             "body"};
 }
 
+struct PartsCase {
+    const char *list;
+    std::vector<std::uint64_t> shared;
+};
+
+const PartsCase parts[] = {
+    {"", {}},
+    {"5c:800", {}}, // The last part is the request's own.
+    {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {0x5c1e07a2, 0x91bd3f06}},
+    {"5c:800, a:10,b:1", {0x5c, 0xa}},
+    {"ffffffffffffffff:1,,b:1", {0xffffffffffffffff}},
+    {"5c,b", {0x5c}},
+    {"5c:800,b:1,", {0x5c, 0xb}},
+};
+
 struct ReplyCase {
     unsigned status;
     Http::Headers headers;
@@ -61,6 +76,14 @@
     cr_assert_eq(call.outputTokens, 80);
 }
 
+TABLE_TEST(CallDialect, readsSharedPartsOfPrompts, parts)
+{
+    const Http::Request prompted{
+        "POST", "/x/1", {{"Host", "a.example"}, {"X-Request-Id", "r1"}, {"X-Prompt-Prefix", row.list}}, {}};
+    const auto call = std::get<CallerRequest>(CallDialect::readRequest(prompted));
+    cr_assert(call.sharedParts == row.shared, "%s", row.list);
+}
+
 Test(CallDialect, rejectsRequestWithoutId)
 {
     auto anonymous = request();
