--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -25,6 +25,7 @@
     = std::chrono::milliseconds{500}; ///< From the start of a process to its first statement.
 constexpr Duration restartPause = std::chrono::milliseconds{300};
 constexpr unsigned adapters = 6;
+constexpr unsigned subjects = 8; ///< Second parts of prompts.
 
 enum Port {
     Callers,
@@ -49,11 +50,17 @@
     case CallerRequest::Book:
         return {"POST", "/book/1", std::chrono::milliseconds{800}};
     case CallerRequest::Stream:
+    case CallerRequest::CrashingStream:
         break;
     }
     return {"POST", "/stream/1", std::chrono::seconds{6}};
 }
 
+bool isStream(CallerRequest kind)
+{
+    return kind == CallerRequest::Stream || kind == CallerRequest::CrashingStream;
+}
+
 bool promisesNotRun(unsigned status)
 {
     return status == 429 || status == 503 || status == 408 || status == 421;
@@ -68,10 +75,10 @@
 {
     for (unsigned number = 0; number < size.engines; ++number)
         m_engines.push_back(std::make_unique<UpstreamStandIn>(m_loop, m_store, "e" + std::to_string(number), "model",
-                                                              true, seed + number));
+                                                              true, seed + number, m_crashing));
     for (unsigned number = 0; number < size.workers; ++number)
         m_workers.push_back(std::make_unique<UpstreamStandIn>(m_loop, m_store, "w" + std::to_string(number), "web",
-                                                              false, seed + number));
+                                                              false, seed + number, m_crashing));
     configure();
     for (unsigned number = 0; number < size.nodes; ++number) {
         Node node;
@@ -147,8 +154,10 @@
 
 void Fleet::setLoad(const Load &load)
 {
-    m_rates
-        = {{CallerRequest::Read, load.reads}, {CallerRequest::Book, load.books}, {CallerRequest::Stream, load.streams}};
+    m_rates = {{CallerRequest::Read, load.reads},
+               {CallerRequest::Book, load.books},
+               {CallerRequest::Stream, load.streams},
+               {CallerRequest::CrashingStream, load.crashingStreams}};
     for (const auto &[kind, rate] : m_rates) {
         ++m_generations[kind];
         sendNext(kind);
@@ -170,27 +179,55 @@
     });
 }
 
-void Fleet::send(CallerRequest kind)
+std::optional<std::size_t> Fleet::drawOpenNode()
 {
     std::vector<std::size_t> open;
     for (std::size_t number = 0; number < m_nodes.size(); ++number) {
         if (m_nodes[number].isOpen)
             open.push_back(number);
     }
-    if (open.empty())
+    return open.empty() ? std::nullopt : std::optional(open[m_random() % open.size()]);
+}
+
+/// Draws a prompt. Crashing ones have all parts of sound ones and, before the last part, one that crashes engines.
+Fleet::Prompt Fleet::drawPrompt(CallerRequest kind)
+{
+    const bool isCrashing = kind == CallerRequest::CrashingStream;
+    if (kind != CallerRequest::Stream && !isCrashing)
+        return {};
+    const auto subject = 0x50 + m_random() % subjects;
+    char parts[64];
+    std::snprintf(parts, sizeof parts, "aa:100,%llx:60,", static_cast<unsigned long long>(subject));
+    Prompt prompt{"m/a" + std::to_string(m_random() % adapters), parts, "prompt " + std::to_string(++m_prompts)};
+    if (isCrashing)
+        prompt.parts += m_crashingParts[m_random() % m_crashingParts.size()] + ":30,";
+    prompt.parts += std::to_string(m_prompts) + ":40";
+    return prompt;
+}
+
+void Fleet::send(CallerRequest kind)
+{
+    sendPrompt(kind, drawPrompt(kind), kind == CallerRequest::CrashingStream ? 1 : 0);
+}
+
+/// Sends a request; its caller sends it again up to @p retries times if it fails.
+void Fleet::sendPrompt(CallerRequest kind, const Prompt &prompt, unsigned retries)
+{
+    const auto number = drawOpenNode();
+    if (!number)
         return;
-    const auto number = open[m_random() % open.size()];
-    const auto &node = m_nodes[number];
+    const auto &node = m_nodes[*number];
     const auto form = formOf(kind);
     const auto id = node.name + ":" + std::to_string(++m_sent);
     Http::Request request{
         form.method,
         form.path,
         {{"Host", "h"}, {"X-Request-Id", id}, {"X-Timeout-Ms", std::to_string(form.timeout.count() / 1000)}},
-        {}};
-    if (kind == CallerRequest::Stream) {
-        request.headers.add("X-Model", "m/a" + std::to_string(m_random() % adapters));
+        prompt.body};
+    if (!prompt.adapter.empty()) {
+        request.headers.add("X-Model", prompt.adapter);
         request.headers.add("X-Token-Count", "200,18");
+        request.headers.add("X-Prompt-Prefix", prompt.parts);
     }
     if (kind == CallerRequest::Book)
         m_booked.insert(id);
@@ -198,12 +235,20 @@
     options.timeout = 2 * form.timeout;
     ++m_tallies[kind].sent;
     const auto now = BootClock{}.now();
-    const auto onResponse = [this, kind, id, number, now](const Relay::WholeResponse &response) {
-        onAnswer(kind, id, number, now, response);
+    const auto onResponse = [this, kind, id, number, now, prompt, retries](const Relay::WholeResponse &response) {
+        onAnswer(kind, id, *number, now, response);
+        if (response.head.status != 200 && retries > 0)
+            sendPrompt(kind, prompt, retries - 1);
     };
     m_client.fetch({node.ports[Callers]->endpoint(), {}}, request, onResponse, options);
 }
 
+void Fleet::addCrashingPart(const std::string &part)
+{
+    m_crashing.add(part);
+    m_crashingParts.push_back(part);
+}
+
 void Fleet::onAnswer(CallerRequest kind, const std::string &id, std::size_t node, Instant sentAt,
                      const Relay::WholeResponse &response)
 {
@@ -213,8 +258,7 @@
         ++tally.served;
         if (response.head.headers.get("X-Request-Id") != id || !response.head.headers.contains("X-Response-Signature"))
             m_problems.push_back(id + " got an answer that is not an upstream's answer to it");
-        const bool isWhole
-            = kind == CallerRequest::Stream ? response.body.find("id: 6\n") != std::string::npos : response.body == id;
+        const bool isWhole = isStream(kind) ? response.body.find("id: 6\n") != std::string::npos : response.body == id;
         if (!isWhole)
             m_problems.push_back(id + " got an answer that is not whole");
         return;
@@ -237,9 +281,9 @@
 /// meanwhile, and no upstream has broken off a stream.
 void Fleet::checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt)
 {
-    const bool mayBeBrokenOff
-        = kind == CallerRequest::Stream
-          && std::ranges::any_of(m_engines, [&](const auto &engine) { return engine->lastBreak() >= sentAt; });
+    const bool mayBeBrokenOff = isStream(kind) && std::ranges::any_of(m_engines, [&](const auto &engine) {
+                                    return engine->lastBreak() >= sentAt;
+                                });
     if (!mayBeBrokenOff && node.disturbedAt < sentAt)
         m_problems.push_back(id + " got no whole answer from a node that was neither killed nor frozen");
 }
@@ -255,6 +299,7 @@
         for (const auto &upstream : *group)
             upstream->limits.excuse(node.name, from, to + excuseTime);
     }
+    m_crashing.excuse(node.name, from, to + excuseTime);
 }
 
 void Fleet::freeze(std::size_t number, Duration time)
@@ -319,6 +364,7 @@
         node.process->kill();
     }
     auto problems = m_problems;
+    std::ranges::move(m_crashing.violations(), std::back_inserter(problems));
     std::map<std::string, unsigned> runs;
     for (const auto *group : {&m_engines, &m_workers}) {
         for (const auto &upstream : *group) {
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -28,6 +28,7 @@
     Read, ///< Idempotent, to the plain service.
     Book, ///< Not idempotent, to the plain service.
     Stream, ///< To an engine, for one of a few adapters.
+    CrashingStream, ///< Such a request, of a caller who tries once more, with a prompt part that crashes engines.
 };
 
 /// Requests per second of each kind, from all callers.
@@ -35,6 +36,7 @@
     double reads = 0;
     double books = 0;
     double streams = 0;
+    double crashingStreams = 0;
 };
 
 /// What callers got in answer to one kind of request.
@@ -80,6 +82,9 @@
     /// Lets a node read its settings again.
     void reload(std::size_t node);
 
+    /// Makes a further prompt part crash engines; crashing streams have one of these parts.
+    void addCrashingPart(const std::string &part);
+
     /// Ends all processes, and returns what callers and upstreams have seen that must not happen.
     std::vector<std::string> finish();
 
@@ -98,6 +103,11 @@
         return *m_workers[number];
     }
 
+    const CrashingParts &crashingParts() const
+    {
+        return m_crashing;
+    }
+
     const Tally &tally(CallerRequest kind)
     {
         return m_tallies[kind];
@@ -146,6 +156,13 @@
         bool isExpectedToRun = true; ///< False from a kill or stop until its next start.
     };
 
+    /// What a caller keeps when it sends a request once more.
+    struct Prompt {
+        std::string adapter;
+        std::string parts;
+        std::string body;
+    };
+
     void configure();
     void start(Node &node);
     void startAgain(std::size_t number, Instant since);
@@ -154,6 +171,9 @@
     void excuse(const Node &node, Instant from, Instant to);
     void sendNext(CallerRequest kind);
     void send(CallerRequest kind);
+    void sendPrompt(CallerRequest kind, const Prompt &prompt, unsigned retries);
+    Prompt drawPrompt(CallerRequest kind);
+    std::optional<std::size_t> drawOpenNode();
     void onAnswer(CallerRequest kind, const std::string &id, std::size_t node, Instant sentAt,
                   const Relay::WholeResponse &response);
     void checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt);
@@ -163,6 +183,8 @@
     Processes::TemporaryDirectory m_files;
     std::mt19937_64 m_random;
     StoreStandIn m_store;
+    CrashingParts m_crashing;
+    std::vector<std::string> m_crashingParts;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_engines;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_workers;
     std::vector<Node> m_nodes;
@@ -174,6 +196,7 @@
     std::set<std::string> m_booked; ///< Ids of requests that must not run twice.
     std::vector<std::string> m_problems;
     std::uint64_t m_sent = 0;
+    std::uint64_t m_prompts = 0;
 };
 
 } // namespace Gypsumtally::GatewayFleet
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned eventsOfStream = 6;
 constexpr unsigned eventsBeforeBreak = 2;
 constexpr unsigned slots = 16;
+constexpr Duration recordLifetime = std::chrono::milliseconds{1500}; ///< Of the record of a process that has crashed.
+constexpr Duration crashDownTime = std::chrono::seconds{2}; ///< After a request has crashed it.
 
 /// Returns the node that has sent a request. Callers choose ids of the form `NODE:NUMBER`, as each knows its node.
 std::string nodeOf(const std::string &id)
@@ -27,19 +29,59 @@
 } // namespace
 
 UpstreamStandIn::UpstreamStandIn(Http::EventLoop &loop, StoreStandIn &store, const std::string &instance,
-                                 const std::string &service, bool isEngine, unsigned seed)
+                                 const std::string &service, bool isEngine, unsigned seed, CrashingParts &crashingParts)
     : m_loop(loop)
     , m_store(store)
-    , m_instance(instance)
+    , m_name(instance)
     , m_service(service)
     , m_isEngine(isEngine)
-    , m_server(loop, {}, [this](const Exchange &exchange) { serve(exchange); })
+    , m_crashingParts(crashingParts)
     , m_random(seed)
 {
-    m_endpoint = {"127.0.0.1", m_server.listen({"127.0.0.1", 0}), false};
+    startProcess();
+}
+
+void UpstreamStandIn::startProcess()
+{
+    m_instance = m_processes == 0 || behaviour.keepsInstance ? m_name : m_name + "-" + std::to_string(m_processes);
+    ++m_processes;
+    m_adapters.clear();
+    m_orders = 1;
+    m_server = std::make_unique<Relay::CallerServer>(m_loop, Relay::CallerServerSettings{},
+                                                     [this](const Exchange &exchange) { serve(exchange); });
+    m_endpoint = {"127.0.0.1", m_server->listen({"127.0.0.1", 0}), false};
     publish();
 }
 
+void UpstreamStandIn::crash(Duration downTime)
+{
+    if (!m_server)
+        return;
+    m_lastBreak = BootClock{}.now();
+    m_server->stopAccepting();
+    for (const auto &each : std::exchange(m_exchanges, {})) {
+        if (const auto exchange = each.lock())
+            exchange->abort();
+    }
+    m_server.reset();
+    m_loop.runAfter(recordLifetime, [this, instance = m_instance, process = m_processes] {
+        if (m_processes == process || m_instance != instance)
+            m_store.remove("servers/" + instance);
+    });
+    m_loop.runAfter(downTime, [this] { startProcess(); });
+}
+
+/// Crashes if the prompt of the request has a part that crashes engines. Returns true if it does.
+bool UpstreamStandIn::crashAt(const Exchange &exchange)
+{
+    const auto part = m_crashingParts.partIn(exchange->request());
+    if (!part || !m_server)
+        return part.has_value();
+    m_crashingParts.onCrash(*part, BootClock{}.now());
+    crash(crashDownTime);
+    return true;
+}
+
 void UpstreamStandIn::setLimit(std::optional<double> limit)
 {
     behaviour.limit = limit;
@@ -48,11 +90,15 @@
 
 void UpstreamStandIn::publish()
 {
-    json::object record{{"service", m_service}, {"address", Http::toString(m_endpoint)},
-                        {"zone", "a"},          {"version", "v1"},
-                        {"slots", slots},       {"state", "ready"},
-                        {"cold_ms", 0},         {"seq", m_orders},
-                        {"born", 1000}};
+    json::object record{{"service", m_service},
+                        {"address", Http::toString(m_endpoint)},
+                        {"zone", "a"},
+                        {"version", "v1"},
+                        {"slots", slots},
+                        {"state", "ready"},
+                        {"cold_ms", 0},
+                        {"seq", m_orders},
+                        {"born", 1000 + m_processes}};
     if (m_isEngine) {
         json::array adapters;
         for (const auto &adapter : m_adapters)
@@ -93,16 +139,20 @@
     limits.onArrival(now, nodeOf(std::string(request.headers.get("X-Request-Id"))));
     if (path == "/report")
         return answerReport(exchange);
+    if (const auto part = m_crashingParts.partIn(request))
+        m_crashingParts.onArrival(*part, nodeOf(std::string(request.headers.get("X-Request-Id"))), now);
     auto headers = headersFor(request);
     const std::string target(request.headers.get("X-Model"));
     const bool holds = target.empty() || m_adapters.contains(target.substr(target.find('/') + 1));
     if (request.headers.get("X-Expect-Instance") != m_instance || !holds)
         return exchange->respond({421, headers, ""});
-    if (m_server.activeRequests() > 2 * slots) {
+    if (m_server->activeRequests() > 2 * slots) {
         headers.add("X-Not-Executed", "1");
         return exchange->respond({503, headers, ""});
     }
     ++m_runs[std::string(request.headers.get("X-Request-Id"))];
+    m_exchanges.emplace_back(exchange);
+    std::erase_if(m_exchanges, [](const auto &each) { return each.expired(); });
     if (target.empty())
         answerPlain(exchange);
     else
@@ -142,6 +192,8 @@
         return exchange->abort();
     }
     m_loop.runAfter(behaviour.answerTime, [this, exchange, next, end, isComplete] {
+        if (crashAt(exchange))
+            return;
         exchange->write("id: " + std::to_string(next) + "\ndata: x\n\n");
         sendEvents(exchange, next + 1, end, isComplete);
     });
--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gatewayfleet/crashingparts.h"
 #include "gatewayfleet/requestlimitcheck.h"
 #include "gatewayfleet/storestandin.h"
 #include "http/eventloop.h"
@@ -11,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Gypsumtally::GatewayFleet
 {
@@ -20,6 +22,7 @@
     Duration answerTime = std::chrono::milliseconds{15}; ///< Of a plain request, and of each event of a stream.
     double failureRatio = 0; ///< Of plain requests that are answered with status 500.
     double breakRatio = 0; ///< Of streams that are cut off after their second event.
+    bool keepsInstance = false; ///< Starts again under the same instance after a crash.
     std::optional<double> limit; ///< The request limit that it states in its answers, in requests per second.
 };
 
@@ -29,7 +32,11 @@
 {
 public:
     UpstreamStandIn(Http::EventLoop &loop, StoreStandIn &store, const std::string &instance, const std::string &service,
-                    bool isEngine, unsigned seed);
+                    bool isEngine, unsigned seed, CrashingParts &crashingParts);
+
+    /// Crashes: breaks its connections, refuses new ones, and starts again after @p downTime as another process, which
+    /// holds no adapters.
+    void crash(Duration downTime);
 
     /// Changes the request limit that it states; nothing ends it.
     void setLimit(std::optional<double> limit);
@@ -40,7 +47,7 @@
         return m_runs;
     }
 
-    /// Returns when it has last broken off a stream.
+    /// Returns when it has last crashed or broken off a stream.
     Instant lastBreak() const
     {
         return m_lastBreak;
@@ -52,6 +59,8 @@
 private:
     using Exchange = std::shared_ptr<Relay::CallerExchange>;
 
+    void startProcess();
+    bool crashAt(const Exchange &exchange);
     void serve(const Exchange &exchange);
     void answerPlain(const Exchange &exchange);
     void answerStream(const Exchange &exchange);
@@ -64,10 +73,14 @@
 
     Http::EventLoop &m_loop;
     StoreStandIn &m_store;
-    std::string m_instance;
+    std::string m_name;
+    std::string m_instance; ///< Of the current process.
     std::string m_service;
     bool m_isEngine;
-    Relay::CallerServer m_server;
+    CrashingParts &m_crashingParts;
+    unsigned m_processes = 0; ///< Number of processes started.
+    std::unique_ptr<Relay::CallerServer> m_server; ///< Null while it is down.
+    std::vector<std::weak_ptr<Relay::CallerExchange>> m_exchanges; ///< Requests of the current process.
     Http::Endpoint m_endpoint;
     std::mt19937_64 m_random;
     std::map<std::string, unsigned> m_runs;
