A prompt part that crashes upstreams is found by the crashes and successes of all nodes, and blocked

Callers of a route lost most requests for minutes: engines crashed one after the other, each under a request that was otherwise unlike those before. Ruled out: crashes that are not recognised (breaks at 7 nodes within 11 ms), and restarted or cut-off nodes as the senders.

Crashes are counted against causes: the request and each shared part of its prompt. Suspects are the requests whose answers had not begun or had just begun; an engine is asked whether it lives when exchanges break there, so that a lone break counts too. A success with a cause acquits it of crashes, which spares parts that are in every prompt. Three crashes at different times by two requests block a part, after a proposal to which a node that knows of a success objects. Verdicts are keys of the store, read before a node takes requests. Requests are judged before each send; those that engines have not begun are withdrawn.

--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -27,6 +27,13 @@
     onSend(notice);
 }
 
+void CallContext::recordSuccess(const std::vector<CrashCause> &causes, Instant sentAt, Instant now)
+{
+    const auto effects = crashes.onSuccess(causes, sentAt, now);
+    if (onSuccess && (!effects.acquittals.empty() || !effects.lifted.empty()))
+        onSuccess(effects);
+}
+
 std::uint64_t CallContext::minVersion(const ModelTarget &target, Instant now) const
 {
     const auto it = declared.find(target);
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -42,6 +42,7 @@
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
     RetryAllowance allowance{RetryBound{}};
     CrashLedger crashes;
+    bool awaitsVerdicts = false; ///< The store's verdicts on causes of crashes are not known yet.
     std::unordered_map<ModelTarget, DeclaredVersion> declared;
     std::unordered_map<ModelTarget, TargetUse> uses;
     /// Fraction of upstreams' request limits that this node and those in contact with it may use.
@@ -69,6 +70,14 @@
                        const std::vector<std::string> &unreadable)>
         onStatement;
 
+    /// Broadcasts what this node has seen of the crash of an upstream.
+    std::function<void(const CrashReport &report)> onCrash;
+    /// Broadcasts what follows from a success for causes of crashes.
+    std::function<void(const SuccessEffects &effects)> onSuccess;
+
+    /// Records that an upstream wrote an answer to a request with @p causes that was sent at @p sentAt.
+    void recordSuccess(const std::vector<CrashCause> &causes, Instant sentAt, Instant now);
+
     /// Applies the statement in an answer of @p process to a request that was sent at @p sentAt; see applyStatement().
     void recordStatement(const UpstreamProcess &process, const UpstreamStatement &statement, Instant now,
                          Instant sentAt = {});
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -2,6 +2,7 @@
 
 #include "common/verdict.h"
 #include "gateway/callcontext.h"
+#include "gateway/crashdetector.h"
 #include "gateway/dialect.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/gatewaylog.h"
@@ -61,9 +62,11 @@
         refuseUnrouted(now);
     }
 
-    /// Routes the calls that wait for a configuration. Precondition: the context has a route table.
+    /// Routes the calls that wait for the node's first configuration, if it is ready for them.
     void onConfiguration()
     {
+        if (!canRoute())
+            return;
         for (const auto &call : std::exchange(m_unrouted, {})) {
             if (!call->done)
                 route(call);
@@ -83,7 +86,26 @@
     /// Records crash reports for an upstream process that has ended or was replaced.
     void onUpstreamGone(const std::string &instance)
     {
-        reportCrashes(instance, BootClock{}.now());
+        reportCrash(instance, BootClock{}.now());
+    }
+
+    /// Ends the calls with a blocked cause that upstreams have not begun to answer. Call it several times per second.
+    void onVerdicts()
+    {
+        if (m_context.crashes.verdicts().empty())
+            return;
+        const std::vector<CallPtr> calls(m_calls.begin(), m_calls.end());
+        for (const auto &call : calls) {
+            if (call->token == 0 || call->request.target.empty() || call->eventReceived)
+                continue;
+            const auto *verdict = m_context.crashes.verdictOn(call->causes);
+            if (!verdict)
+                continue;
+            m_client.cancel(call->token);
+            release(call);
+            call->verdict = Verdict::MayHaveRun;
+            giveUp(call, ErrorCode::Quarantined, reasonOf(*verdict));
+        }
     }
 
     std::size_t activeCalls() const
@@ -125,8 +147,6 @@
     /// Silence after which a request is moved off its upstream if it is streaming on a route that does not bound
     /// pauses, or if the upstream has no record any more.
     static constexpr Duration defaultSilence = std::chrono::milliseconds{900};
-    /// Exchanges that broke at an upstream within this time before its crash was detected are attributed to the crash.
-    static constexpr Duration crashWindow = std::chrono::milliseconds{1500};
     /// Time before a send from which an earlier prompt or load may still delay the first event.
     static constexpr Duration interferenceTime = std::chrono::milliseconds{150};
     /// Wait for a free slot after which the node requests a copy of the adapter at another engine.
@@ -136,8 +156,8 @@
     /// Utilisation of an engine's slots from which other nodes are notified of each request that ends.
     static constexpr double crowdedUtilisation = 0.75;
     static constexpr std::size_t maxAnswerBytes = 4 * 1024 * 1024; ///< Equals the limit on request bodies.
-    /// Two exchanges that break at one upstream within this time are attributed to a crash.
-    static constexpr Duration simultaneousBreakWindow = std::chrono::milliseconds{150};
+    static constexpr Duration livenessTimeout = std::chrono::milliseconds{500}; ///< Of a check for a crash.
+    static constexpr Duration verdictPollInterval = std::chrono::milliseconds{50}; ///< While a verdict is undecided.
     /// Time until all nodes have received the announcement of a prompt.
     static constexpr Duration announcementDelay = std::chrono::milliseconds{30};
     static constexpr double latePaceShare = 0.6; ///< Share of the prompt pace for calls past their latency objective.
@@ -158,7 +178,7 @@
         std::string service;
         Instant arrival{};
         Instant deadline{};
-        Fingerprint fingerprint = 0;
+        std::vector<CrashCause> causes; ///< What may crash upstreams: the request itself, then its prompt's parts.
         std::vector<std::string> excluded; ///< Instances that have failed the request.
         unsigned sends = 0; ///< Sends that reached an upstream, or may have.
         unsigned runs = 0; ///< Sends that an upstream may have run.
@@ -186,6 +206,8 @@
         unsigned inFlightAtSend = 0; ///< Other requests in flight at the upstream, with those that peers last reported.
         double prefillBacklogAtSend = 0; ///< Prompt tokens, those of the call included; see PromptWindow.
         bool eventReceived = false; ///< An event has arrived.
+        Instant firstEventAt{}; ///< Of the current send.
+        bool isAcquitted = false; ///< The current send has shown that its causes do not crash upstreams.
         UpstreamReply reply;
         std::string body;
         std::unique_ptr<EventSplitter> events;
@@ -207,13 +229,19 @@
         if (const auto *bad = std::get_if<BadRequest>(&decoded))
             return refuse(call, 400, ErrorCode::BadRequest, bad->reason, {});
         call->request = std::move(std::get<CallerRequest>(decoded));
-        if (!m_context.routes) {
+        if (!canRoute()) {
             m_unrouted.push_back(call);
             return;
         }
         this->route(call);
     }
 
+    /// Returns true if this node knows how to route calls, and which must not be sent.
+    bool canRoute() const
+    {
+        return m_context.routes && !m_context.awaitsVerdicts;
+    }
+
     /// Matches the call to a route and starts to process it. Precondition: the context has a route table.
     void route(const CallPtr &call)
     {
@@ -227,9 +255,7 @@
         const auto timeout = std::min(call->request.timeout.value_or(route->timeout), route->timeout);
         call->deadline = call->arrival + timeout;
         call->lastEvent = call->request.resumeAfter;
-        const auto &raw = call->exchange->request();
-        call->fingerprint
-            = XXH3_64bits_withSeed(raw.body.data(), raw.body.size(), XXH3_64bits(raw.target.data(), raw.target.size()));
+        call->causes = causesOf(*call);
         m_calls.insert(call);
         m_context.allowance.onRequest(call->service, call->arrival);
         if (!call->request.target.empty()) {
@@ -241,6 +267,22 @@
         proceed(call);
     }
 
+    static std::vector<CrashCause> causesOf(const Call &call)
+    {
+        const auto &raw = call.exchange->request();
+        const auto path = XXH3_64bits(raw.target.data(), raw.target.size());
+        std::vector<CrashCause> causes{
+            {CauseKind::Request, XXH3_64bits_withSeed(raw.body.data(), raw.body.size(), path)}};
+        for (const auto part : call.request.sharedParts)
+            causes.push_back({CauseKind::PromptPart, part});
+        return causes;
+    }
+
+    static std::string reasonOf(const CrashVerdict &verdict)
+    {
+        return "upstreams crash when they run requests with " + toText(verdict.cause);
+    }
+
     /// Refuses the calls that have waited too long for a configuration.
     void refuseUnrouted(Instant now)
     {
@@ -262,8 +304,13 @@
         const auto now = BootClock{}.now();
         if (now < call->notBefore)
             return;
-        if (m_context.crashes.isBlocked(call->fingerprint))
-            return giveUp(call, ErrorCode::Quarantined, "upstreams died whenever they ran this request");
+        if (const auto *verdict = m_context.crashes.verdictOn(call->causes))
+            return giveUp(call, ErrorCode::Quarantined, reasonOf(*verdict));
+        if (m_context.crashes.isUndecided(call->causes, now)) {
+            startWaiting(call, WaitCause::Verdict, now);
+            call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
+            return wakeAt(call, now + verdictPollInterval, now);
+        }
         if (const auto reserved = usableReservation(*call, now)) {
             stopWaiting(call);
             return send(call, *reserved, now);
@@ -601,6 +648,7 @@
         if (call->lastEvent)
             instructions.resumeAfter = call->lastEvent;
         call->eventReceived = false;
+        call->isAcquitted = false;
         call->pauses = {};
         call->processStartedAt = upstream->record.startedAt;
         call->inFlightAtSend = upstream->inFlight();
@@ -717,6 +765,7 @@
             return;
         noteProgress(call, now); // Bytes that complete no event are no progress.
         if (!std::exchange(call->eventReceived, true)) {
+            call->firstEventAt = now;
             if (!call->answering) {
                 call->firstEvent = now - call->arrival;
                 m_metrics.observe(Metric::FirstTokenSeconds, labelsOf(*call), call->firstEvent, now);
@@ -724,6 +773,8 @@
             }
         } else {
             learnStep(*call, now);
+            if (now - call->firstEventAt > CrashLedger::beginningTime)
+                acquit(*call, now);
         }
         if (call->answering)
             notePause(*call, now - call->lastEventAt, now);
@@ -737,6 +788,13 @@
         call->exchange->write(events);
     }
 
+    /// Records that the causes of the current send have not crashed its upstream.
+    void acquit(Call &call, Instant now)
+    {
+        if (!std::exchange(call.isAcquitted, true))
+            m_context.recordSuccess(call.causes, call.sentAt, now);
+    }
+
     void notePause(Call &call, Duration pause, Instant now)
     {
         call.longestPause = std::max(call.longestPause, pause);
@@ -820,6 +878,7 @@
             if (call->events->hasPartial() || !call->answering)
                 return onBroken(call, "the stream ended inside an event");
             noteResult(call, false);
+            acquit(*call, BootClock{}.now());
             call->verdict = Verdict::Ran;
             noteStreamTime(*call, BootClock{}.now());
             logAnswered(*call);
@@ -827,6 +886,7 @@
             return finish(call);
         }
         noteResult(call, false);
+        acquit(*call, BootClock{}.now());
         if (call->request.target.empty())
             noteAnswerTime(*call, BootClock{}.now());
         forwardAnswer(call);
@@ -839,12 +899,14 @@
         if (failure.kind == Relay::ExchangeFailure::NotConnected || !failure.sent) {
             --call->sends;
             avoid(call->instance, now);
-            reportCrashes(call->instance, now);
+            if (failure.isRefused)
+                reportCrash(call->instance, now);
             m_log.decision(GatewayEvent::SendFailed, call->request.id,
                            {{"upstream", call->instance}, {"reason", failure.reason}, {"verdict", "not-run"}});
             return retry(call);
         }
-        noteBroken(call, now);
+        if (failure.kind == Relay::ExchangeFailure::Broken)
+            noteBroken(*call, now);
         onBroken(call, failure.reason);
     }
 
@@ -1132,68 +1194,56 @@
         onBroken(call, "the upstream has gone silent");
     }
 
-    void noteBroken(const CallPtr &call, Instant now)
+    /// Finds out whether the upstream of a send that broke has crashed.
+    void noteBroken(const Call &call, Instant now)
     {
-        auto &breaks = m_breaks[call->instance];
-        std::erase_if(breaks, [&](const Break &each) { return now - each.at > crashWindow; });
-        breaks.push_back({call->fingerprint, call->request.sharedParts, call->eventReceived, now});
-        const auto simultaneous
-            = std::ranges::count_if(breaks, [&](const Break &each) { return now - each.at < simultaneousBreakWindow; });
-        if (simultaneous > 1)
-            reportCrashes(call->instance, now);
+        const auto *upstream = m_context.upstreams.find(call.instance);
+        if (!upstream || !upstream->staysInService() || upstream->record.startedAt != call.processStartedAt)
+            return; // It has left, which ends its requests whatever they are.
+        const UpstreamProcess process{call.instance, call.processStartedAt};
+        std::optional<CrashSuspect> suspect;
+        if (!call.eventReceived || now - call.firstEventAt < CrashLedger::beginningTime)
+            suspect = CrashSuspect{call.causes.front().id, call.request.sharedParts};
+        const bool isCheckDue = m_crashDetector.onBroken(process, std::move(suspect), now);
+        // Plain services have no state to ask for, and an upstream that limits its requests may count the question.
+        if (!call.request.target.empty() && !upstream->limitsRequests()) {
+            if (isCheckDue)
+                checkLiveness(call.instance, upstream->record.endpoint);
+        } else if (m_crashDetector.isSimultaneous(process, now)) {
+            reportCrash(call.instance, now);
+        }
     }
 
-    /// Records a crash report for each request that broke at @p instance within crashWindow, as its crash is presumed
-    /// to be the cause.
-    void reportCrashes(const std::string &instance, Instant now)
+    /// Asks an engine at which an exchange broke for its state, and reports its crash if there is no such process.
+    void checkLiveness(const std::string &instance, const Http::Endpoint &endpoint)
     {
-        const auto it = m_breaks.find(instance);
-        if (it == m_breaks.end())
-            return;
-        logCrash(instance, it->second, now);
-        for (const auto &each : it->second) {
-            if (now - each.at <= crashWindow)
-                m_context.crashes.addOwn(
-                    {each.fingerprint, instance + '@' + std::to_string(each.at.time_since_epoch().count() / 3000000)},
-                    now);
-        }
+        Relay::ExchangeObserver observer;
+        observer.onHead = [this, instance](const Relay::ResponseHead &head) {
+            if (Dialect::readReply(head).wrongInstance)
+                reportCrash(instance, BootClock{}.now());
+        };
+        observer.onFailure = [this, instance](const Relay::FailedExchange &failure) {
+            if (failure.isRefused)
+                reportCrash(instance, BootClock{}.now());
+        };
+        Relay::SendOptions options;
+        options.connectTimeout = livenessTimeout;
+        options.timeout = livenessTimeout;
+        options.maxIdleAge = {};
+        m_client.send({endpoint, instance}, Dialect::writeLivenessCheck(instance), std::move(observer), options);
     }
 
-    /// An exchange that broke after its request had been sent.
-    struct Break {
-        Fingerprint fingerprint = 0;
-        std::vector<std::uint64_t> sharedParts; ///< Of the request's prompt.
-        bool hadBegun = false; ///< An event of the answer had arrived.
-        Instant at{};
-    };
-
-    /// Logs a crash with the prompt parts of the requests whose answers had not begun, and with how many crashes the
-    /// most suspected of these requests has been charged so far.
-    void logCrash(const std::string &instance, const std::vector<Break> &breaks, Instant now)
+    /// Reports the crash of an upstream if exchanges broke there recently, as it is presumed to be the cause.
+    void reportCrash(const std::string &instance, Instant now)
     {
-        unsigned broken = 0;
-        std::size_t mostCrashes = 0;
-        std::map<std::uint64_t, unsigned> parts;
-        for (const auto &each : breaks) {
-            if (now - each.at > crashWindow)
-                continue;
-            ++broken;
-            mostCrashes = std::max(mostCrashes, m_context.crashes.crashCount(each.fingerprint));
-            for (const auto part : each.hadBegun ? std::vector<std::uint64_t>{} : each.sharedParts)
-                ++parts[part];
-        }
-        std::string text;
-        for (const auto &[part, count] : parts) {
-            std::array<char, 40> entry{};
-            std::snprintf(entry.data(), entry.size(), "%s%llx:%u", text.empty() ? "" : ",",
-                          static_cast<unsigned long long>(part), count);
-            text += entry.data();
-        }
-        if (broken > 0)
-            m_log.decision(GatewayEvent::UpstreamCrashed, instance,
-                           {{"broken", std::to_string(broken)},
-                            {"most_earlier_crashes", std::to_string(mostCrashes)},
-                            {"parts", text}});
+        const auto report = m_crashDetector.onCrash(instance, now);
+        if (!report)
+            return;
+        avoid(instance, now);
+        if (m_context.onCrash)
+            m_context.onCrash(*report);
+        else
+            m_context.crashes.addOwn(*report, now);
     }
 
     Http::EventLoop &m_loop;
@@ -1204,7 +1254,7 @@
     std::unordered_set<CallPtr> m_calls;
     std::unordered_set<CallPtr> m_waiting;
     std::vector<CallPtr> m_unrouted; ///< Calls that wait for the node's first configuration.
-    std::unordered_map<std::string, std::vector<Break>> m_breaks;
+    CrashDetector m_crashDetector;
     std::size_t m_bufferedBytes = 0; ///< Size of the buffered parts of answers that are not complete yet.
 };
 
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -58,8 +58,9 @@
 
 /// Translates between a platform's wire format and the node's types. Implementations are stateless.
 template<typename D>
-concept CallDialect = requires(const Http::Request &request, const CallerRequest &decoded,
-                               const SendInstructions &instructions, const Relay::ResponseHead &head)
+concept CallDialect
+    = requires(const Http::Request &request, const CallerRequest &decoded, const SendInstructions &instructions,
+               const Relay::ResponseHead &head, const std::string &text)
 {
     {
         D::readRequest(request)
@@ -67,6 +68,10 @@
     {
         D::writeRequest(request, instructions)
         } -> std::same_as<Http::Request>;
+    /// A request that any live process of the instance answers without running anything; others refuse it.
+    {
+        D::writeLivenessCheck(text)
+        } -> std::same_as<Http::Request>;
     {
         D::readReply(head)
         } -> std::same_as<UpstreamReply>;
--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -21,6 +21,10 @@
 {
     append(into.sends, std::move(from.sends));
     append(into.crashes, std::move(from.crashes));
+    append(into.acquittals, std::move(from.acquittals));
+    append(into.lifted, std::move(from.lifted));
+    append(into.proposals, std::move(from.proposals));
+    append(into.verdicts, std::move(from.verdicts));
     append(into.placements, std::move(from.placements));
     append(into.steps, std::move(from.steps));
     append(into.speeds, std::move(from.speeds));
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -30,6 +30,8 @@
     UpstreamTurnsAway,
     UpstreamLimitsRequests,
     UpstreamCrashed,
+    CauseBlocked,
+    CauseUnblocked,
     BadHeader,
     OrderLeaseTaken,
     OrderLeaseLost,
@@ -52,7 +54,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 30> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 32> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -69,6 +71,8 @@
     {Gateway::GatewayEvent::UpstreamTurnsAway, "upstream_turns_away"},
     {Gateway::GatewayEvent::UpstreamLimitsRequests, "upstream_limits_requests"},
     {Gateway::GatewayEvent::UpstreamCrashed, "upstream_crashed"},
+    {Gateway::GatewayEvent::CauseBlocked, "cause_blocked"},
+    {Gateway::GatewayEvent::CauseUnblocked, "cause_unblocked"},
     {Gateway::GatewayEvent::BadHeader, "bad_header"},
     {Gateway::GatewayEvent::OrderLeaseTaken, "order_lease_taken"},
     {Gateway::GatewayEvent::OrderLeaseLost, "order_lease_lost"},
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -113,6 +113,52 @@
     return demands;
 }
 
+/// Returns the instance, the start of its process, and an array for each suspect: its fingerprint and its parts.
+json::array crashToJson(const CrashReport &crash)
+{
+    json::array row{crash.process.instance, crash.process.startedAt};
+    for (const auto &suspect : crash.suspects) {
+        json::array entry{suspect.fingerprint};
+        for (const auto part : suspect.parts)
+            entry.push_back(part);
+        row.push_back(std::move(entry));
+    }
+    return row;
+}
+
+CrashReport crashFrom(const json::array &row)
+{
+    CrashReport crash{{textIn(row, 0), numberIn<std::int64_t>(row, 1)}, {}};
+    for (std::size_t i = 2; i < row.size() && crash.suspects.size() < CrashLedger::maxSuspects; ++i) {
+        const auto *entry = row[i].if_array();
+        if (!entry)
+            continue;
+        CrashSuspect suspect{numberIn<std::uint64_t>(*entry, 0), {}};
+        for (std::size_t part = 1; part < entry->size(); ++part)
+            suspect.parts.push_back(numberIn<std::uint64_t>(*entry, part));
+        crash.suspects.push_back(std::move(suspect));
+    }
+    return crash;
+}
+
+json::array causesToJson(const std::vector<CrashCause> &causes)
+{
+    json::array array;
+    for (const auto &cause : causes)
+        array.push_back(json::string(toText(cause)));
+    return array;
+}
+
+std::vector<CrashCause> causesFrom(const json::object &object, std::string_view name)
+{
+    std::vector<CrashCause> causes;
+    for (const auto &text : textsAt(object, name)) {
+        if (const auto cause = parseCrashCause(text))
+            causes.push_back(*cause);
+    }
+    return causes;
+}
+
 /// Rounds to three decimal places to save bytes in the datagram.
 double rounded(double figure)
 {
@@ -174,9 +220,25 @@
     if (!report.crashes.empty()) {
         json::array crashes;
         for (const auto &crash : report.crashes)
-            crashes.push_back({crash.fingerprint, crash.instance});
+            crashes.push_back(crashToJson(crash));
         object["crashes"] = std::move(crashes);
     }
+    if (!report.acquittals.empty()) {
+        json::array rows;
+        for (const auto &[cause, age] : report.acquittals)
+            rows.push_back({toText(cause), age.count()});
+        object["acquittals"] = std::move(rows);
+    }
+    if (!report.proposals.empty())
+        object["proposals"] = causesToJson(report.proposals);
+    if (!report.lifted.empty())
+        object["lifted"] = causesToJson(report.lifted);
+    if (!report.verdicts.empty()) {
+        json::array rows;
+        for (const auto &verdict : report.verdicts)
+            rows.push_back({toText(verdict.cause), verdict.crashes, verdict.requests, verdict.decidedAt, verdict.node});
+        object["verdicts"] = std::move(rows);
+    }
     if (!report.departures.empty()) {
         json::array departures;
         for (const auto &process : report.departures)
@@ -248,8 +310,17 @@
         notice.earlierSends = numberIn<unsigned>(row, 4);
         report.limits.push_back(std::move(notice));
     });
-    eachRow(object, "crashes", [&](const json::array &row) {
-        report.crashes.push_back({numberIn<std::uint64_t>(row, 0), textIn(row, 1)});
+    eachRow(object, "crashes", [&](const json::array &row) { report.crashes.push_back(crashFrom(row)); });
+    eachRow(object, "acquittals", [&](const json::array &row) {
+        if (const auto cause = parseCrashCause(textIn(row, 0)))
+            report.acquittals.push_back({*cause, Duration{numberIn<std::int64_t>(row, 1)}});
+    });
+    report.proposals = causesFrom(object, "proposals");
+    report.lifted = causesFrom(object, "lifted");
+    eachRow(object, "verdicts", [&](const json::array &row) {
+        if (const auto cause = parseCrashCause(textIn(row, 0)))
+            report.verdicts.push_back({*cause, numberIn<std::uint32_t>(row, 1), numberIn<std::uint32_t>(row, 2),
+                                       numberIn<std::int64_t>(row, 3), textIn(row, 4)});
     });
     eachRow(object, "departures", [&](const json::array &row) {
         report.departures.push_back({textIn(row, 0), numberIn<std::int64_t>(row, 1)});
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -109,6 +109,10 @@
     std::vector<SpeedNotice> speeds; ///< Sent in digests only.
     std::vector<SendNotice> sends;
     std::vector<CrashReport> crashes;
+    std::vector<CauseAcquittal> acquittals;
+    std::vector<CrashCause> proposals; ///< Causes of crashes that the node is about to block.
+    std::vector<CrashCause> lifted; ///< Causes that must not be blocked any more.
+    std::vector<CrashVerdict> verdicts; ///< That the store may not have yet.
     std::vector<UpstreamProcess> departures; ///< Upstreams that have announced to the node that they leave.
     std::vector<TurnAwayNotice> turnedAway; ///< Upstreams that have just applied backpressure to the node.
     std::vector<LimitNotice> limits;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/callforwarder.h"
+#include "gateway/crashquarantine.h"
 #include "gateway/dissemination.h"
 #include "gateway/fleetestimates.h"
 #include "gateway/gatewaysettings.h"
@@ -81,6 +82,9 @@
         , m_address{settings.node,  settings.failureDomain, settings.region,  settings.callers,
                     settings.peers, wallMilliseconds(),     settings.capacity}
         , m_members(m_address)
+        , m_quarantine(
+              m_store, m_context, m_log, m_metrics, quarantinePrefix(), [this] { return report(); },
+              [this](NodeReport notice) { broadcast(std::move(notice)); })
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
         , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(exchange); })
         , m_readiness(m_loop, {}, [this](auto exchange) { answerReadiness(*exchange); })
@@ -97,6 +101,10 @@
         m_context.regions = settings.regions;
         m_context.maxBufferedAnswerBytes = settings.answerBufferBytes;
         m_context.allowance = RetryAllowance(retryBound(settings));
+        m_context.crashes = CrashLedger(settings.node);
+        m_context.awaitsVerdicts = true;
+        m_context.onCrash = [this](const CrashReport &crash) { m_quarantine.onCrash(crash, BootClock{}.now()); };
+        m_context.onSuccess = [this](const SuccessEffects &effects) { m_quarantine.onSuccess(effects); };
         m_context.onLoadRequested = [this](const std::string &service, const ModelTarget &target,
                                            const std::vector<std::string> &unfit, unsigned attempt) {
             requestLoad({service, target, 1, unfit}, attempt);
@@ -210,8 +218,6 @@
     /// Fraction of the known nodes that must be live for this node to use all of an upstream's request limit. Otherwise
     /// the others may be alive but cut off from this one, and have a part of the limit.
     static constexpr double liveMajority = 0.5;
-    /// Time during which digests repeat this node's own crash reports, as others may not have received them.
-    static constexpr Duration crashReportAge = std::chrono::seconds{2};
     /// The fleet's retry slack is divided into more shares than there are nodes, as nodes that were replaced or
     /// restarted have used a share too, and into at least this many, as a new node has not discovered all others yet.
     static constexpr unsigned minAllowanceShares = 12;
@@ -231,6 +237,11 @@
         return ownPrefix() + "nodes/";
     }
 
+    static std::string quarantinePrefix()
+    {
+        return ownPrefix() + "quarantine/";
+    }
+
     static std::string estimatesKey()
     {
         return ownPrefix() + "estimates";
@@ -324,9 +335,11 @@
                         onOrderRecords(shard, others);
                     if (const auto estimates = others.find(estimatesKey()); estimates != others.end())
                         onStoredEstimates(estimates->second.value);
+                    m_quarantine.onSnapshot(others, BootClock{}.now());
+                    m_loop.post([this] { m_forwarder.onConfiguration(); });
                 },
                 [this](const KeyChange &change) {
-                    if (applyOrderRecord(change))
+                    if (applyOrderRecord(change) || m_quarantine.onChange(change, BootClock{}.now()))
                         return;
                     if (change.key == estimatesKey())
                         return onStoredEstimates(change.value.value_or(""));
@@ -541,7 +554,7 @@
 
     bool isReady() const
     {
-        return m_context.routes && !m_stopping;
+        return m_context.routes && !m_context.awaitsVerdicts && !m_stopping;
     }
 
     void answerReadiness(Relay::CallerExchange &exchange)
@@ -611,6 +624,8 @@
         m_context.allowance.setNodes(std::max(minAllowanceShares, static_cast<unsigned>(shares)));
         const double live = m_members.liveShare(now);
         m_context.limitShare = live > liveMajority ? 1 : live;
+        m_quarantine.tick(now, wallMilliseconds(), m_members.rankOfSelf(quarantinePrefix(), now));
+        m_forwarder.onVerdicts();
         m_forwarder.sweep(now);
         m_callers.sweep(now);
         if (++m_ticks % 10 == 0) {
@@ -815,7 +830,7 @@
             use.started = 0;
             it = use.inFlight == 0 ? m_context.uses.erase(it) : std::next(it);
         }
-        digest.crashes = m_context.crashes.recent(now, crashReportAge);
+        m_quarantine.addTo(digest, now);
         addReleases(digest, now);
         broadcast(std::move(digest));
         sendUse(used);
@@ -1034,8 +1049,7 @@
         }
         for (const auto &[process, time] : report.turnedAway)
             applyTurnedAwayHint(m_context.upstreams, process, time, now);
-        for (const auto &crash : report.crashes)
-            m_context.crashes.add(crash, now);
+        m_quarantine.onReport(report, now);
         applyPlacements(report.placements);
     }
 
@@ -1072,6 +1086,7 @@
     NodeAddress m_address;
     MemberTable m_members;
     CallContext m_context;
+    CrashQuarantine<typename Platform::Store> m_quarantine;
     CallForwarder<typename Platform::Calls> m_forwarder;
     std::vector<std::unique_ptr<Orders>> m_orders; ///< Indexed by shard.
     Relay::CallerServer m_callers;
--- a/src/gateway/upstreamstatement.h
+++ b/src/gateway/upstreamstatement.h
@@ -23,12 +23,6 @@
     friend bool operator==(const UpstreamStatement &, const UpstreamStatement &) = default;
 };
 
-/// Process of an upstream that a request was sent to.
-struct UpstreamProcess {
-    std::string instance;
-    std::int64_t startedAt = 0; ///< 0 if unknown.
-};
-
 /// Change that a statement caused.
 struct StatementEffect {
     bool leaves = false; ///< The departure of the upstream is new.
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -34,6 +34,14 @@
     std::set<std::string> storedModels; ///< Base models that it can load without the weight store.
 };
 
+/// A process of an upstream.
+struct UpstreamProcess {
+    std::string instance;
+    std::int64_t startedAt = 0; ///< 0 if unknown.
+
+    friend auto operator<=>(const UpstreamProcess &, const UpstreamProcess &) = default;
+};
+
 /// The limit on its requests that an upstream states, or its absence.
 struct RequestLimit {
     std::optional<double> perSecond; ///< Requests per second from all nodes together; nothing if they are not limited.
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -99,7 +99,8 @@
             if (self->m_closed)
                 return;
             if (result)
-                return self->fail(ExchangeFailure::NotConnected, result.message());
+                return self->fail(ExchangeFailure::NotConnected, result.message(),
+                                  result == asio::error::connection_refused);
             self->m_connected = true;
             ErrorCode ignored;
             self->m_socket.non_blocking(true, ignored);
@@ -252,7 +253,7 @@
             exchange->observer.onEnd();
     }
 
-    void fail(ExchangeFailure kind, const std::string &reason)
+    void fail(ExchangeFailure kind, const std::string &reason, bool isRefused = false)
     {
         if (!m_exchange)
             return;
@@ -261,7 +262,7 @@
         m_shared->busy.erase(exchange->token);
         close();
         if (exchange->observer.onFailure)
-            exchange->observer.onFailure({kind, exchange->sent, reason});
+            exchange->observer.onFailure({kind, exchange->sent, reason, isRefused});
     }
 
     tcp::socket m_socket;
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -34,6 +34,7 @@
     ExchangeFailure kind = ExchangeFailure::Broken;
     bool sent = false; ///< True if a byte of the request may have left this process.
     std::string reason;
+    bool isRefused = false; ///< The endpoint refused the connection, as no process listens there.
 };
 
 /// Callbacks for one request, in this order: onHead at most once, onBody any number of times, then either onEnd or
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -23,7 +23,11 @@
     report.released = {{1, 7, std::chrono::milliseconds{-30}}};
     report.speeds = {{"s", {10.25, 20.5, 1500, 0}}};
     report.sends = {{"e1", 1110, std::chrono::milliseconds{40}}, {"e7", 0, std::chrono::milliseconds{-5}, -1}};
-    report.crashes = {{0xfedcba9876543210, "e1"}};
+    report.crashes = {{{"e1", 1234567890126}, {{0xfedcba9876543210, {0x5c1e07a2, 7}}, {8, {}}}}};
+    report.acquittals = {{{CauseKind::PromptPart, 0x5c}, std::chrono::milliseconds{40}}};
+    report.proposals = {{CauseKind::PromptPart, 0xfedcba9876543210}};
+    report.lifted = {{CauseKind::Request, 9}};
+    report.verdicts = {{{CauseKind::PromptPart, 0xbad}, 3, 2, 1234567890127, "n4"}};
     report.departures = {{"e4", 1234567890124}};
     report.turnedAway = {{{"e5", 1234567890125}, std::chrono::milliseconds{1500}}};
     report.limits = {{{"e7", 5}, 2.2, std::chrono::milliseconds{30}, 4}, {{"e8", 6}, {}, std::chrono::seconds{2}}};
@@ -86,6 +90,10 @@
     cr_assert_eq(report.limits.front().earlierSends, 4U);
     cr_assert_not(report.limits.back().perSecond.has_value());
     cr_assert(report.crashes == sent.crashes);
+    cr_assert(report.acquittals == sent.acquittals);
+    cr_assert(report.proposals == sent.proposals);
+    cr_assert(report.lifted == sent.lifted);
+    cr_assert(report.verdicts == sent.verdicts);
     cr_assert_eq(report.departures.size(), 1U);
     cr_assert_eq(report.departures.front().instance, std::string("e4"));
     cr_assert_eq(report.departures.front().startedAt, 1234567890124);
--- a/tests/gatewayfleet/crashingparttest.cpp
+++ b/tests/gatewayfleet/crashingparttest.cpp
@@ -25,6 +25,8 @@
 constexpr Duration judged = seconds{5}; ///< Time after that in which callers' answers are judged.
 constexpr double servedShare = 0.95; ///< Of sound streams, in that time.
 
+constexpr std::size_t mostCrashes = 8; ///< By one part: five, and three requests more.
+
 constexpr Load ordinary{20, 4, 20, 3};
 constexpr Load few{4, 1, 3, 1};
 
@@ -119,6 +121,9 @@
     const auto crashes = crashesOf(fleet, row);
     finish(fleet, row);
     cr_expect_eq(crashesOf(fleet, row), crashes, "%s: engines still crash", row.name);
+    for (const auto *part : row.parts)
+        cr_expect_leq(fleet.crashingParts().crashes(part), mostCrashes, "%s: part %s has crashed %zu engines", row.name,
+                      part, fleet.crashingParts().crashes(part));
 }
 
 /// All nodes lose power after a part was blocked, and none of them remembers it.
--- a/tests/support/plaindialect.h
+++ b/tests/support/plaindialect.h
@@ -33,6 +33,11 @@
         return sent;
     }
 
+    static Http::Request writeLivenessCheck(const std::string &instance)
+    {
+        return {"GET", "/alive", {{"Host", "h"}, {"Instance", instance}}, {}};
+    }
+
     static Gateway::UpstreamReply readReply(const Relay::ResponseHead &head)
     {
         Gateway::UpstreamReply reply;
