Software versions of upstreams and taken-up streams are decoded and logged

No line said at which software version a stream began or went on, so that breaks within an answer, over callers' tries and by records that are behind could not be told apart. Resumed sends are logged with the version, the upstream and the try that began the stream; requests are sent as before.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -200,6 +200,7 @@
         std::string instance;
         Relay::UpstreamClient::Token token = 0; ///< 0 if nothing is being sent.
         std::int64_t processStartedAt = 0; ///< Start time of the upstream process.
+        std::string softwareAtSend; ///< Software version of the upstream.
         Instant sentAt{};
         Instant lastProgress{}; ///< Last time the upstream made progress on the answer; initially the time of the send.
         double slownessAtSend = 1; ///< Estimate for the upstream, see slownessOf().
@@ -651,6 +652,14 @@
         call->isAcquitted = false;
         call->pauses = {};
         call->processStartedAt = upstream->record.startedAt;
+        call->softwareAtSend = upstream->record.softwareVersion;
+        if (call->lastEvent)
+            m_log.decision(GatewayEvent::StreamResumed, call->request.id,
+                           {{"resumes", call->request.resumedId},
+                            {"after_event", std::to_string(*call->lastEvent)},
+                            {"within_answer", call->answering ? "yes" : "no"},
+                            {"upstream", call->instance},
+                            {"software", call->softwareAtSend}});
         call->inFlightAtSend = upstream->inFlight();
         const auto speed = m_context.speeds[call->service].speed();
         call->slownessAtSend = slownessOf(*upstream, speed);
@@ -1021,6 +1030,7 @@
                                      {"late", isLate ? "yes" : "no"},
                                      {"target", call.request.target},
                                      {"upstream", call.instance},
+                                     {"software", call.softwareAtSend},
                                      {"sent_after_ms", ms(call.sentAt - call.arrival)},
                                      {"first_event_ms", ms(call.firstEvent)},
                                      {"longest_pause_ms", ms(call.longestPause)},
@@ -1059,6 +1069,7 @@
         call->code = nameOf(ErrorCode::UpstreamLost);
         m_log.decision(GatewayEvent::BrokenOff, call->request.id,
                        {{"upstream", call->instance},
+                        {"software", call->softwareAtSend},
                         {"reason", reason},
                         {"events", std::to_string(call->lastEvent.value_or(0))}});
         call->exchange->abort();
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -26,6 +26,7 @@
     double outputTokens = 0; ///< Upper bound on the tokens of the answer.
     std::optional<Duration> timeout; ///< Time for which the caller waits.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller has of an earlier answer.
+    std::string resumedId; ///< Id of the send that brought the first event of that answer; empty if not stated.
     /// Ids of the parts of the prompt that other requests may share, in the prompt's order.
     std::vector<std::uint64_t> sharedParts;
 };
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -43,6 +43,7 @@
     SendFailed,
     NotRunByUpstream,
     BrokenOff,
+    StreamResumed,
     Answered,
     LoopLate,
     SpeedLearnt,
@@ -54,7 +55,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 32> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 33> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -84,6 +85,7 @@
     {Gateway::GatewayEvent::SendFailed, "send_failed"},
     {Gateway::GatewayEvent::NotRunByUpstream, "not_run_by_upstream"},
     {Gateway::GatewayEvent::BrokenOff, "answer_broken_off"},
+    {Gateway::GatewayEvent::StreamResumed, "stream_resumed"},
     {Gateway::GatewayEvent::Answered, "answered"},
     {Gateway::GatewayEvent::LoopLate, "loop_late"},
     {Gateway::GatewayEvent::SpeedLearnt, "speed_learnt"},
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -468,6 +468,7 @@
             m_forwarder.onUpstreamGone(instance);
             m_log.note(GatewayEvent::UpstreamFound, {{"upstream", instance},
                                                      {"service", known.service},
+                                                     {"software", known.softwareVersion},
                                                      {"endpoint", Http::toString(known.endpoint)},
                                                      {"targets", std::to_string(known.targets.size())}});
         }
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -32,6 +32,7 @@
     std::int64_t startedAt = 0; ///< Distinguishes successive processes of one instance; 0 if not stated.
     std::vector<ListedTarget> targets; ///< Models and adapters that it holds.
     std::set<std::string> storedModels; ///< Base models that it can load without the weight store.
+    std::string softwareVersion; ///< Streams go on only at the version that began them; may be empty.
 };
 
 /// A process of an upstream.
--- a/tests/platformadapter/calldialecttest.cpp
+++ b/tests/platformadapter/calldialecttest.cpp
@@ -25,6 +25,7 @@
              {"Connection", "keep-alive, X-Hop"},
              {"X-Hop", "1"},
              {"Content-Length", "4"},
+             {"Resumes", "r0"},
              {"X-Other", "kept"}},
             "body"};
 }
@@ -74,6 +75,7 @@
     cr_assert(call.timeout == std::chrono::seconds{15});
     cr_assert_eq(call.promptTokens, 1460);
     cr_assert_eq(call.outputTokens, 80);
+    cr_assert_eq(call.resumedId, std::string("r0"));
 }
 
 TABLE_TEST(CallDialect, readsSharedPartsOfPrompts, parts)
@@ -99,6 +101,7 @@
     cr_assert_eq(sent.headers.get("X-Request-Id"), std::string("r1"));
     cr_assert_eq(sent.headers.get("X-Prompt-Prefix"), std::string("5c:800"));
     cr_assert_eq(sent.headers.get("X-Other"), std::string("kept"));
+    cr_assert_eq(sent.headers.get("Resumes"), std::string("r0"));
     cr_assert_eq(sent.headers.get("X-Expect-Instance"), std::string("i-1"));
     cr_assert_eq(sent.headers.get("X-Expect-Version"), std::string("3"));
     cr_assert_eq(sent.headers.get("X-Request-Priority"), std::string("2"));
--- a/tests/platformadapter/documentstest.cpp
+++ b/tests/platformadapter/documentstest.cpp
@@ -85,6 +85,7 @@
     cr_assert_eq(upstream.endpoint.port, 80);
     cr_assert_eq(upstream.targets.size(), 3U);
     cr_assert_eq(upstream.targets[1].target, std::string("m/a1"));
+    cr_assert_eq(upstream.softwareVersion, std::string("v1"));
     cr_assert_eq(upstream.targets[1].version, 2U);
     cr_assert_eq(upstream.startedAt, 1700000000000);
     cr_assert(upstream.storedModels.contains("m"));
