--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -21,6 +21,7 @@
 constexpr Duration addressCacheTime = std::chrono::seconds{1};
 /// Time after a disturbance of a node for which its requests are still excused: the window of the rule on limits.
 constexpr Duration excuseTime = std::chrono::seconds{4};
+constexpr Duration touchTime = std::chrono::seconds{3}; ///< From a disturbance until the users' rules bind a node.
 constexpr Duration loadingTime
     = std::chrono::milliseconds{500}; ///< From the start of a process to its first statement.
 constexpr Duration restartPause = std::chrono::milliseconds{300};
@@ -51,6 +52,7 @@
         return {"POST", "/book/1", std::chrono::milliseconds{800}};
     case CallerRequest::Stream:
     case CallerRequest::CrashingStream:
+    case CallerRequest::TakenUpStream:
         break;
     }
     return {"POST", "/stream/1", std::chrono::seconds{6}};
@@ -72,6 +74,7 @@
     : m_random(seed)
     , m_store(m_loop)
     , m_client(m_loop)
+    , m_streamCallers(m_loop, m_client, [this] { return drawTarget(); })
 {
     for (unsigned number = 0; number < size.engines; ++number)
         m_engines.push_back(std::make_unique<UpstreamStandIn>(m_loop, m_store, "e" + std::to_string(number), "model",
@@ -157,7 +160,8 @@
     m_rates = {{CallerRequest::Read, load.reads},
                {CallerRequest::Book, load.books},
                {CallerRequest::Stream, load.streams},
-               {CallerRequest::CrashingStream, load.crashingStreams}};
+               {CallerRequest::CrashingStream, load.crashingStreams},
+               {CallerRequest::TakenUpStream, load.takenUpStreams}};
     for (const auto &[kind, rate] : m_rates) {
         ++m_generations[kind];
         sendNext(kind);
@@ -205,8 +209,21 @@
     return prompt;
 }
 
+std::optional<CallerTarget> Fleet::drawTarget()
+{
+    const auto number = drawOpenNode();
+    if (!number)
+        return std::nullopt;
+    const auto &node = m_nodes[*number];
+    const auto now = BootClock{}.now();
+    const bool isInTouch = now - std::max(node.disturbedAt, node.startedAt) > touchTime;
+    return CallerTarget{node.ports[Callers]->endpoint(), node.name + ":" + std::to_string(++m_sent), isInTouch};
+}
+
 void Fleet::send(CallerRequest kind)
 {
+    if (kind == CallerRequest::TakenUpStream)
+        return m_streamCallers.start("m/a" + std::to_string(m_random() % adapters));
     sendPrompt(kind, drawPrompt(kind), kind == CallerRequest::CrashingStream ? 1 : 0);
 }
 
@@ -365,6 +382,7 @@
     }
     auto problems = m_problems;
     std::ranges::move(m_crashing.violations(), std::back_inserter(problems));
+    std::ranges::move(m_streamCallers.problems(), std::back_inserter(problems));
     std::map<std::string, unsigned> runs;
     for (const auto *group : {&m_engines, &m_workers}) {
         for (const auto &upstream : *group) {
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gatewayfleet/storestandin.h"
+#include "gatewayfleet/streamcallers.h"
 #include "gatewayfleet/upstreamstandin.h"
 #include "processes/childprocess.h"
 #include "processes/reservedport.h"
@@ -28,6 +29,7 @@
     Read, ///< Idempotent, to the plain service.
     Book, ///< Not idempotent, to the plain service.
     Stream, ///< To an engine, for one of a few adapters.
+    TakenUpStream, ///< Such a request, of a caller who takes it up again if it breaks off.
     CrashingStream, ///< Such a request, of a caller who tries once more, with a prompt part that crashes engines.
 };
 
@@ -37,6 +39,7 @@
     double books = 0;
     double streams = 0;
     double crashingStreams = 0;
+    double takenUpStreams = 0;
 };
 
 /// What callers got in answer to one kind of request.
@@ -103,6 +106,11 @@
         return *m_workers[number];
     }
 
+    StreamCallers &streamCallers()
+    {
+        return m_streamCallers;
+    }
+
     const CrashingParts &crashingParts() const
     {
         return m_crashing;
@@ -174,6 +182,7 @@
     void sendPrompt(CallerRequest kind, const Prompt &prompt, unsigned retries);
     Prompt drawPrompt(CallerRequest kind);
     std::optional<std::size_t> drawOpenNode();
+    std::optional<CallerTarget> drawTarget();
     void onAnswer(CallerRequest kind, const std::string &id, std::size_t node, Instant sentAt,
                   const Relay::WholeResponse &response);
     void checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt);
@@ -189,6 +198,7 @@
     std::vector<std::unique_ptr<UpstreamStandIn>> m_workers;
     std::vector<Node> m_nodes;
     Relay::UpstreamClient m_client;
+    StreamCallers m_streamCallers;
     std::map<CallerRequest, double> m_rates;
     std::map<CallerRequest, unsigned> m_generations; ///< Counts changes of the load, which end earlier senders.
     std::map<CallerRequest, Tally> m_tallies;
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -45,6 +45,7 @@
 {
     m_instance = m_processes == 0 || behaviour.keepsInstance ? m_name : m_name + "-" + std::to_string(m_processes);
     ++m_processes;
+    m_software = behaviour.software;
     m_adapters.clear();
     m_orders = 1;
     m_server = std::make_unique<Relay::CallerServer>(m_loop, Relay::CallerServerSettings{},
@@ -57,6 +58,19 @@
 {
     if (!m_server)
         return;
+    endProcess();
+    m_loop.runAfter(downTime, [this] { startProcess(); });
+}
+
+void UpstreamStandIn::retire(Duration time)
+{
+    m_isDraining = true;
+    publish();
+    m_loop.runAfter(time, [this] { endProcess(); });
+}
+
+void UpstreamStandIn::endProcess()
+{
     m_lastBreak = BootClock{}.now();
     m_server->stopAccepting();
     for (const auto &each : std::exchange(m_exchanges, {})) {
@@ -68,7 +82,6 @@
         if (m_processes == process || m_instance != instance)
             m_store.remove("servers/" + instance);
     });
-    m_loop.runAfter(downTime, [this] { startProcess(); });
 }
 
 /// Crashes if the prompt of the request has a part that crashes engines. Returns true if it does.
@@ -93,9 +106,9 @@
     json::object record{{"service", m_service},
                         {"address", Http::toString(m_endpoint)},
                         {"zone", "a"},
-                        {"version", "v1"},
+                        {"version", m_software},
                         {"slots", slots},
-                        {"state", "ready"},
+                        {"state", m_isDraining ? "draining" : "ready"},
                         {"cold_ms", 0},
                         {"seq", m_orders},
                         {"born", 1000 + m_processes}};
@@ -194,7 +207,7 @@
     m_loop.runAfter(behaviour.answerTime, [this, exchange, next, end, isComplete] {
         if (crashAt(exchange))
             return;
-        exchange->write("id: " + std::to_string(next) + "\ndata: x\n\n");
+        exchange->write("id: " + std::to_string(next) + "\ndata: " + m_software + "\n\n");
         sendEvents(exchange, next + 1, end, isComplete);
     });
 }
--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -22,6 +22,7 @@
     Duration answerTime = std::chrono::milliseconds{15}; ///< Of a plain request, and of each event of a stream.
     double failureRatio = 0; ///< Of plain requests that are answered with status 500.
     double breakRatio = 0; ///< Of streams that are cut off after their second event.
+    std::string software = "v1"; ///< Version of its software, from its next start on.
     bool keepsInstance = false; ///< Starts again under the same instance after a crash.
     std::optional<double> limit; ///< The request limit that it states in its answers, in requests per second.
 };
@@ -38,6 +39,9 @@
     /// holds no adapters.
     void crash(Duration downTime);
 
+    /// Announces that it leaves, serves on for @p time, and then ends for good.
+    void retire(Duration time);
+
     /// Changes the request limit that it states; nothing ends it.
     void setLimit(std::optional<double> limit);
 
@@ -60,6 +64,7 @@
     using Exchange = std::shared_ptr<Relay::CallerExchange>;
 
     void startProcess();
+    void endProcess();
     bool crashAt(const Exchange &exchange);
     void serve(const Exchange &exchange);
     void answerPlain(const Exchange &exchange);
@@ -78,6 +83,8 @@
     std::string m_service;
     bool m_isEngine;
     CrashingParts &m_crashingParts;
+    std::string m_software; ///< Of the current process.
+    bool m_isDraining = false;
     unsigned m_processes = 0; ///< Number of processes started.
     std::unique_ptr<Relay::CallerServer> m_server; ///< Null while it is down.
     std::vector<std::weak_ptr<Relay::CallerExchange>> m_exchanges; ///< Requests of the current process.
