--- a/src/common/verdict.h
+++ b/src/common/verdict.h
@@ -43,6 +43,7 @@
     Overloaded,
     QuotaExceeded,
     Quarantined,
+    StreamUnknown,
     NoUpstream,
     NotOwner,
     UpstreamRefused,
@@ -56,7 +57,7 @@
 };
 
 template<>
-inline constexpr EnumTable<ErrorCode, 22> enumNames<ErrorCode>{{
+inline constexpr EnumTable<ErrorCode, 23> enumNames<ErrorCode>{{
     {ErrorCode::BadRequest, "bad_request"},
     {ErrorCode::Unauthorized, "unauthorized"},
     {ErrorCode::UnknownAdapter, "unknown_adapter"},
@@ -69,6 +70,7 @@
     {ErrorCode::Overloaded, "overloaded"},
     {ErrorCode::QuotaExceeded, "quota_exceeded"},
     {ErrorCode::Quarantined, "quarantined"},
+    {ErrorCode::StreamUnknown, "stream_unknown"},
     {ErrorCode::NoUpstream, "no_upstream"},
     {ErrorCode::NotOwner, "not_owner"},
     {ErrorCode::UpstreamRefused, "upstream_refused"},
--- a/src/entry/failureresponse.cpp
+++ b/src/entry/failureresponse.cpp
@@ -51,6 +51,7 @@
     case ErrorCode::AdapterLoadFailed:
         return 502;
     case ErrorCode::NoUpstream:
+    case ErrorCode::StreamUnknown:
     case ErrorCode::NotOwner:
     case ErrorCode::UpstreamRefused:
     case ErrorCode::PlatformUnavailable:
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -5,6 +5,7 @@
 #include "gateway/enginechoice.h"
 #include "gateway/gatewaymessage.h"
 #include "gateway/retryallowance.h"
+#include "gateway/streamversions.h"
 #include "gateway/trafficpolicy.h"
 #include "gateway/upstreamstatement.h"
 #include "gateway/upstreamtable.h"
@@ -43,6 +44,7 @@
     RetryAllowance allowance{RetryBound{}};
     CrashLedger crashes;
     bool awaitsVerdicts = false; ///< The store's verdicts on causes of crashes are not known yet.
+    StreamVersions streams;
     std::unordered_map<ModelTarget, DeclaredVersion> declared;
     std::unordered_map<ModelTarget, TargetUse> uses;
     /// Fraction of upstreams' request limits that this node and those in contact with it may use.
@@ -75,6 +77,11 @@
     /// Broadcasts what follows from a success for causes of crashes.
     std::function<void(const SuccessEffects &effects)> onSuccess;
 
+    /// Broadcasts that a stream of this node broke off, so that its caller may take it up at any node.
+    std::function<void(const StreamOrigin &stream)> onStreamBroken;
+    /// Reads from the store at which software version other nodes' streams began.
+    std::function<void()> onStreamWanted;
+
     /// Records that an upstream wrote an answer to a request with @p causes that was sent at @p sentAt.
     void recordSuccess(const std::vector<CrashCause> &causes, Instant sentAt, Instant now);
 
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -157,6 +157,13 @@
     static constexpr double crowdedUtilisation = 0.75;
     static constexpr std::size_t maxAnswerBytes = 4 * 1024 * 1024; ///< Equals the limit on request bodies.
     static constexpr Duration livenessTimeout = std::chrono::milliseconds{500}; ///< Of a check for a crash.
+    /// Longest time to find out at which software version a stream began. Covers two reads of the store, and a report
+    /// of the node at which it broke off.
+    static constexpr Duration maxStreamWait = std::chrono::milliseconds{400};
+    static constexpr Duration streamReadInterval = std::chrono::milliseconds{150};
+    static constexpr Duration streamPollInterval = std::chrono::milliseconds{20};
+    /// Time for which the start time that an engine stated counts, shorter than a restart takes.
+    static constexpr Duration verificationTime = std::chrono::milliseconds{300};
     static constexpr Duration verdictPollInterval = std::chrono::milliseconds{50}; ///< While a verdict is undecided.
     /// Time until all nodes have received the announcement of a prompt.
     static constexpr Duration announcementDelay = std::chrono::milliseconds{30};
@@ -213,6 +220,11 @@
         std::string body;
         std::unique_ptr<EventSplitter> events;
         std::optional<std::uint64_t> lastEvent; ///< Id of the last event that the caller has.
+        StreamId streamId = 0;
+        std::optional<std::string> streamVersion; ///< Software version that began the stream; nothing before.
+        Instant streamWantedAt{}; ///< When the records of streams were last read for the call.
+        UpstreamProcess verified; ///< Process that has stated its start time, so that its software version is known.
+        Instant verifiedAt{};
         Instant lastEventAt{};
         std::array<Duration, 2> pauses{}; ///< The last two between events of the current send.
         Duration firstEvent{}; ///< Time from the call's arrival to the first event.
@@ -252,10 +264,13 @@
         call->route = *route;
         if (route->services.empty())
             return refuse(call, 503, ErrorCode::UnknownService, "the route has no service", {});
-        call->service = chooseService(*route, call->request.id);
+        // A stream that is taken up goes on at the service that began it.
+        call->service
+            = chooseService(*route, call->request.resumedId.empty() ? call->request.id : call->request.resumedId);
         const auto timeout = std::min(call->request.timeout.value_or(route->timeout), route->timeout);
         call->deadline = call->arrival + timeout;
         call->lastEvent = call->request.resumeAfter;
+        call->streamId = streamIdOf(call->lastEvent ? call->request.resumedId : call->request.id);
         call->causes = causesOf(*call);
         m_calls.insert(call);
         m_context.allowance.onRequest(call->service, call->arrival);
@@ -312,7 +327,11 @@
             call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
             return wakeAt(call, now + verdictPollInterval, now);
         }
+        if (call->lastEvent && !call->streamVersion && !findStreamVersion(call, now))
+            return;
         if (const auto reserved = usableReservation(*call, now)) {
+            if (!isVerified(call, reserved->instance, now))
+                return;
             stopWaiting(call);
             return send(call, *reserved, now);
         }
@@ -356,10 +375,78 @@
             call->waitUntil = std::max(call->waitUntil, choice->sendAt + std::chrono::milliseconds{500});
             return wakeAt(call, choice->sendAt, now);
         }
+        if (!isVerified(call, choice->instance, now))
+            return;
         stopWaiting(call);
         send(call, *choice, now);
     }
 
+    /// Finds out at which software version the stream of the call, which another answer began, may go on. Returns false
+    /// if that is not known yet, or if the call has been refused because it cannot be known.
+    bool findStreamVersion(const CallPtr &call, Instant now)
+    {
+        call->streamVersion = m_context.streams.versionFor(call->streamId, call->service,
+                                                           now - m_context.upstreams.lastRecordAt(), now);
+        if (call->streamVersion)
+            return true;
+        if (now - call->arrival > maxStreamWait) {
+            giveUp(call, ErrorCode::StreamUnknown, "the software version that began the stream is not known");
+            return false;
+        }
+        if (now - call->streamWantedAt >= streamReadInterval && m_context.onStreamWanted) {
+            call->streamWantedAt = now;
+            m_context.onStreamWanted();
+        }
+        startWaiting(call, WaitCause::StreamVersion, now);
+        call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
+        wakeAt(call, now + streamPollInterval, now);
+        return false;
+    }
+
+    /// Returns true if the call may be sent to @p instance. While several software versions serve, an engine with which
+    /// a stream is to go on must state its start time first, as it may have started again under its id at another
+    /// version since its record was read; returns false until it has.
+    bool isVerified(const CallPtr &call, const std::string &instance, Instant now)
+    {
+        const auto *upstream = m_context.upstreams.find(instance);
+        if (!call->lastEvent || call->request.target.empty() || !upstream || upstream->record.startedAt == 0
+            || !m_context.streams.isMixed(call->service, now))
+            return true;
+        const UpstreamProcess process{instance, upstream->record.startedAt};
+        if (call->verified == process && now - call->verifiedAt < verificationTime)
+            return true;
+        startWaiting(call, WaitCause::StreamVersion, now);
+        call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
+        call->notBefore = now + livenessTimeout;
+        wakeAt(call, call->notBefore, now);
+        verifyProcess(call, process, upstream->record.endpoint);
+        return false;
+    }
+
+    /// Asks @p process for its start time. Excludes it for the call unless it states the one of its record.
+    void verifyProcess(const CallPtr &call, const UpstreamProcess &process, const Http::Endpoint &endpoint)
+    {
+        const auto onState = [this, weak = std::weak_ptr<Call>(call), process](const Relay::WholeResponse &response) {
+            const auto current = weak.lock();
+            if (!current || current->done)
+                return;
+            const auto now = BootClock{}.now();
+            current->notBefore = {};
+            if (response.head.status == 200 && Dialect::readStartTime(response.body) == process.startedAt) {
+                current->verified = process;
+                current->verifiedAt = now;
+            } else {
+                avoid(process.instance, now);
+                current->excluded.push_back(process.instance);
+            }
+            proceed(current);
+        };
+        Relay::SendOptions options;
+        options.connectTimeout = livenessTimeout;
+        options.timeout = livenessTimeout;
+        m_client.fetch({endpoint, process.instance}, Dialect::writeLivenessCheck(process.instance), onState, options);
+    }
+
     /// Returns the latest useful time to send the call: the caller must still be waiting when the first event arrives.
     static Instant latestSend(const Call &call)
     {
@@ -447,7 +534,11 @@
                               m_context.speeds[call.service].speed(),
                               m_context.node,
                               m_context.limitShare,
+                              call.streamVersion ? &*call.streamVersion : nullptr,
+                              {},
                               std::max(latestSend(call), now)};
+        if (call.route.kind == RequestKind::Streaming && !call.streamVersion)
+            demand.heldVersions = m_context.streams.heldVersions(call.service, now);
         if (!alsoExcluded.empty())
             demand.excluded.push_back(alsoExcluded);
         if (call.request.target.empty())
@@ -505,6 +596,9 @@
                           acceptableRetryAfter(*call, *next - now, now));
         if (!hasUpstream(m_context.upstreams, call->service, now))
             return giveUp(call, ErrorCode::NoUpstream, "no upstream of the service takes requests");
+        if (call->streamVersion && !hasUpstream(m_context.upstreams, call->service, now, &*call->streamVersion))
+            return giveUp(call, ErrorCode::NoUpstream,
+                          "no upstream of the software version that began the stream takes requests");
         if (!needsLoad)
             return giveUp(call, ErrorCode::NoUpstream, "every upstream of the service has failed the request");
         if (!m_context.loadOrdersAvailable)
@@ -530,6 +624,10 @@
         call.loadRequestedAt = now;
         auto unfit = saturatedEngines(m_context.upstreams, call.request.target, now);
         unfit.insert(unfit.end(), call.excluded.begin(), call.excluded.end());
+        if (call.streamVersion) {
+            const auto others = upstreamsOfOtherSoftware(m_context.upstreams, call.service, *call.streamVersion);
+            unfit.insert(unfit.end(), others.begin(), others.end());
+        }
         m_context.onLoadRequested(call.service, call.request.target, unfit, call.loadRequests++);
     }
 
@@ -790,6 +888,10 @@
         call->lastEventAt = now;
         if (!call->answering) {
             call->answering = true;
+            if (!call->streamVersion) {
+                call->streamVersion = call->softwareAtSend;
+                m_context.streams.onBegun(originOf(*call), now);
+            }
             call->exchange->begin(call->reply.status, call->reply.headers, std::nullopt);
         }
         if (call->events->lastId())
@@ -797,6 +899,12 @@
         call->exchange->write(events);
     }
 
+    /// Precondition: the call's stream has begun.
+    static StreamOrigin originOf(const Call &call)
+    {
+        return {call.streamId, call.service, *call.streamVersion};
+    }
+
     /// Records that the causes of the current send have not crashed its upstream.
     void acquit(Call &call, Instant now)
     {
@@ -888,6 +996,7 @@
                 return onBroken(call, "the stream ended inside an event");
             noteResult(call, false);
             acquit(*call, BootClock{}.now());
+            m_context.streams.onCompleted(call->streamId);
             call->verdict = Verdict::Ran;
             noteStreamTime(*call, BootClock{}.now());
             logAnswered(*call);
@@ -1072,12 +1181,21 @@
                         {"software", call->softwareAtSend},
                         {"reason", reason},
                         {"events", std::to_string(call->lastEvent.value_or(0))}});
+        noteStreamBroken(*call);
         call->exchange->abort();
         finish(call);
     }
 
+    /// Tells all nodes that the call's stream broke off, as its caller may take it up at any of them.
+    void noteStreamBroken(const Call &call)
+    {
+        if (call.answering && call.streamVersion && call.route.canResume && m_context.onStreamBroken)
+            m_context.onStreamBroken(originOf(call));
+    }
+
     /// Fails the call. A request that was not run may be retried by its caller. It gets a Retry-After: @p servedIn if
-    /// that is given, otherwise one that depends on the time left, unless it is quarantined or too little time is left.
+    /// that is given, otherwise one that depends on the time left, unless it would be refused again or too little time
+    /// is left.
     void giveUp(const CallPtr &call, ErrorCode code, const std::string &reason,
                 std::optional<Duration> servedIn = std::nullopt)
     {
@@ -1087,7 +1205,8 @@
         if (call->verdict == Verdict::NotRun) {
             const auto left = call->deadline - now;
             auto retryAfter = servedIn;
-            if (!retryAfter && code != ErrorCode::Quarantined && left > std::chrono::milliseconds{100})
+            const bool isFinal = code == ErrorCode::Quarantined || code == ErrorCode::StreamUnknown;
+            if (!retryAfter && !isFinal && left > std::chrono::milliseconds{100})
                 retryAfter = std::min<Duration>(std::chrono::seconds{1},
                                                 std::chrono::duration_cast<Duration>(left * maxRetryAfterFraction));
             return refuse(call, code == ErrorCode::Overloaded ? 429 : 503, code, reason, retryAfter);
@@ -1127,6 +1246,7 @@
         if (call->done)
             return;
         call->code = "caller_gone";
+        noteStreamBroken(*call);
         if (call->token != 0) {
             m_client.cancel(call->token);
             release(call);
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -73,6 +73,10 @@
     {
         D::writeLivenessCheck(text)
         } -> std::same_as<Http::Request>;
+    /// The start time of the process in its answer to the check, as in its record; 0 if it is not stated.
+    {
+        D::readStartTime(text)
+        } -> std::same_as<std::int64_t>;
     {
         D::readReply(head)
         } -> std::same_as<UpstreamReply>;
--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -25,6 +25,7 @@
     append(into.lifted, std::move(from.lifted));
     append(into.proposals, std::move(from.proposals));
     append(into.verdicts, std::move(from.verdicts));
+    append(into.brokenStreams, std::move(from.brokenStreams));
     append(into.placements, std::move(from.placements));
     append(into.steps, std::move(from.steps));
     append(into.speeds, std::move(from.speeds));
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -52,6 +52,13 @@
     return penalty;
 }
 
+bool hasUsableSoftware(const UpstreamRecord &record, const UpstreamDemand &demand)
+{
+    if (demand.softwareVersion)
+        return record.softwareVersion == *demand.softwareVersion;
+    return !demand.heldVersions.contains(record.softwareVersion);
+}
+
 double distanceMs(const Upstream &upstream, const UpstreamDemand &demand, const DistanceCost &cost)
 {
     if (upstream.record.failureDomain == demand.failureDomain)
@@ -107,7 +114,8 @@
     std::optional<UpstreamChoice> best;
     for (const auto &[instance, upstream] : table.all()) {
         if (!upstream.takesRequests(now) || upstream.record.service != demand.service
-            || std::ranges::find(demand.excluded, instance) != demand.excluded.end())
+            || std::ranges::find(demand.excluded, instance) != demand.excluded.end()
+            || !hasUsableSoftware(upstream.record, demand))
             continue;
         UpstreamChoice choice{instance, 0, now, now, false, upstream.limitsRequests(), 0};
         if (!demand.target.empty()) {
@@ -139,13 +147,27 @@
     return best;
 }
 
-bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now)
+bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
+                 const std::string *softwareVersion)
 {
     return std::ranges::any_of(table.all(), [&](const auto &item) {
-        return item.second.record.service == service && item.second.takesRequests(now);
+        const auto &record = item.second.record;
+        return record.service == service && (!softwareVersion || record.softwareVersion == *softwareVersion)
+               && item.second.takesRequests(now);
     });
 }
 
+std::vector<std::string> upstreamsOfOtherSoftware(const UpstreamTable &table, const std::string &service,
+                                                  const std::string &softwareVersion)
+{
+    std::vector<std::string> others;
+    for (const auto &[instance, upstream] : table.all()) {
+        if (upstream.record.service == service && upstream.record.softwareVersion != softwareVersion)
+            others.push_back(instance);
+    }
+    return others;
+}
+
 bool canLoad(const UpstreamTable &table, const std::string &service, const ModelTarget &target, double limitShare,
              Instant now)
 {
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
     Estimates::Speed speed; ///< The service's.
     std::string node{}; ///< This node.
     double limitShare = 1; ///< Fraction of upstreams' request limits that the nodes in contact with this one may use.
+    const std::string *softwareVersion = nullptr; ///< The upstream's must be this one; null if any may serve.
+    std::set<std::string> heldVersions{}; ///< Software versions that may not serve.
     Instant latestSend = Instant::max(); ///< Upstreams that limit their requests are skipped if they are free later.
 };
 
@@ -73,8 +76,14 @@
 std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
                                              const DistanceCost &cost = {});
 
-/// Returns true if any upstream of @p service accepts requests of this node. Thread-safe.
-bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now);
+/// Returns true if any upstream of @p service accepts requests of this node; of those of @p softwareVersion only, if it
+/// is not null. Thread-safe.
+bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
+                 const std::string *softwareVersion = nullptr);
+
+/// Returns the upstreams of @p service that have another software version than @p softwareVersion. Thread-safe.
+std::vector<std::string> upstreamsOfOtherSoftware(const UpstreamTable &table, const std::string &service,
+                                                  const std::string &softwareVersion);
 
 /// Returns the earliest time at which an upstream of @p service that now applies backpressure accepts requests again;
 /// nothing if no upstream applies backpressure. Thread-safe.
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -159,6 +159,23 @@
     return causes;
 }
 
+json::array streamsToJson(const std::vector<StreamOrigin> &streams)
+{
+    json::array rows;
+    for (const auto &stream : streams)
+        rows.push_back({stream.id, stream.service, stream.version});
+    return rows;
+}
+
+std::vector<StreamOrigin> streamsFrom(const json::object &object, std::string_view name)
+{
+    std::vector<StreamOrigin> streams;
+    eachRow(object, name, [&](const json::array &row) {
+        streams.push_back({numberIn<StreamId>(row, 0), textIn(row, 1), textIn(row, 2)});
+    });
+    return streams;
+}
+
 /// Rounds to three decimal places to save bytes in the datagram.
 double rounded(double figure)
 {
@@ -258,6 +275,8 @@
                             perSecond ? json::value(*perSecond) : json::value(), earlierSends});
         object["limits"] = std::move(rows);
     }
+    if (!report.brokenStreams.empty())
+        object["broken_streams"] = streamsToJson(report.brokenStreams);
     if (!report.placements.empty())
         object["placements"] = noticesToJson(report.placements);
     return object;
@@ -329,6 +348,7 @@
         report.turnedAway.push_back(
             {{textIn(row, 0), numberIn<std::int64_t>(row, 1)}, Duration{numberIn<std::int64_t>(row, 2)}});
     });
+    report.brokenStreams = streamsFrom(object, "broken_streams");
     report.placements = noticesFrom(object, "placements");
     return report;
 }
@@ -399,6 +419,8 @@
         object["missing"] = noticesToJson(message.missing);
     if (!message.found.empty())
         object["found"] = noticesToJson(message.found);
+    if (!message.begunStreams.empty())
+        object["begun_streams"] = streamsToJson(message.begunStreams);
     json::array registry;
     for (const auto &update : message.registry)
         registry.push_back(updateToJson(update));
@@ -441,6 +463,7 @@
     message.wanted = demandsFrom(object, "wanted");
     message.missing = noticesFrom(object, "missing");
     message.found = noticesFrom(object, "found");
+    message.begunStreams = streamsFrom(object, "begun_streams");
     eachObjectAt(object, "registry", [&](const json::object &each) {
         if (auto update = updateFrom(each))
             message.registry.push_back(std::move(*update));
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -6,6 +6,7 @@
 #include "gateway/crashledger.h"
 #include "gateway/registrydelta.h"
 #include "gateway/residency.h"
+#include "gateway/streamversions.h"
 #include "gateway/upstreamstatement.h"
 #include "gateway/upstreamtable.h"
 
@@ -116,6 +117,7 @@
     std::vector<UpstreamProcess> departures; ///< Upstreams that have announced to the node that they leave.
     std::vector<TurnAwayNotice> turnedAway; ///< Upstreams that have just applied backpressure to the node.
     std::vector<LimitNotice> limits;
+    std::vector<StreamOrigin> brokenStreams; ///< Streams of the node that callers may take up.
     std::vector<PlacementNotice> placements; ///< Sent by the holder of an order lease only.
 };
 
@@ -136,6 +138,7 @@
     std::vector<TargetDemand> wanted; ///< To the lease holder: requests that wait for a load.
     std::vector<PlacementNotice> missing; ///< To the lease holder: targets that engines have refused to serve.
     std::vector<PlacementNotice> found; ///< From the lease holder: copies of targets that the receiver requested.
+    std::vector<StreamOrigin> begunStreams; ///< To the recorder of the failure domain.
     std::vector<RegistryUpdate> registry; ///< Changes that the sender has read from the store for its failure domain.
 };
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -9,6 +9,7 @@
 #include "gateway/peerlink.h"
 #include "gateway/placementcontroller.h"
 #include "gateway/registryviews.h"
+#include "gateway/streamrecords.h"
 
 #include <algorithm>
 #include <array>
@@ -85,6 +86,8 @@
         , m_quarantine(
               m_store, m_context, m_log, m_metrics, quarantinePrefix(), [this] { return report(); },
               [this](NodeReport notice) { broadcast(std::move(notice)); })
+        , m_streams(m_store, m_context, m_log, streamKeys(),
+                    [this](const std::vector<StreamOrigin> &streams) { return sendToRecorder(streams); })
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
         , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(exchange); })
         , m_readiness(m_loop, {}, [this](auto exchange) { answerReadiness(*exchange); })
@@ -104,6 +107,13 @@
         m_context.crashes = CrashLedger(settings.node);
         m_context.awaitsVerdicts = true;
         m_context.onCrash = [this](const CrashReport &crash) { m_quarantine.onCrash(crash, BootClock{}.now()); };
+        m_context.onStreamBroken = [this](const StreamOrigin &stream) {
+            auto notice = report();
+            notice.brokenStreams.push_back(stream);
+            broadcast(std::move(notice));
+        };
+        m_context.onStreamWanted
+            = [this] { m_streams.read([this] { m_loop.post([this] { m_forwarder.onPlacement(); }); }); };
         m_context.onSuccess = [this](const SuccessEffects &effects) { m_quarantine.onSuccess(effects); };
         m_context.onLoadRequested = [this](const std::string &service, const ModelTarget &target,
                                            const std::vector<std::string> &unfit, unsigned attempt) {
@@ -242,6 +252,12 @@
         return ownPrefix() + "quarantine/";
     }
 
+    StreamRecordKeys streamKeys() const
+    {
+        return {ownPrefix() + "software/", "gypsumtally-streams/",
+                m_address.node + '-' + std::to_string(m_address.startedAt)};
+    }
+
     static std::string estimatesKey()
     {
         return ownPrefix() + "estimates";
@@ -306,7 +322,10 @@
                     m_forwarder.onUpstreamGone(instance);
                     m_log.note(GatewayEvent::UpstreamGone, {{"upstream", instance}});
                 },
-                [this] { m_forwarder.onPlacement(); },
+                [this] {
+                    m_streams.observeServing(BootClock{}.now());
+                    m_forwarder.onPlacement();
+                },
                 [this](bool reachable) {
                     const auto now = BootClock{}.now();
                     m_reachesStore = reachable;
@@ -336,10 +355,13 @@
                     if (const auto estimates = others.find(estimatesKey()); estimates != others.end())
                         onStoredEstimates(estimates->second.value);
                     m_quarantine.onSnapshot(others, BootClock{}.now());
+                    m_streams.onSnapshot(others, BootClock{}.now(), wallMilliseconds());
                     m_loop.post([this] { m_forwarder.onConfiguration(); });
                 },
                 [this](const KeyChange &change) {
-                    if (applyOrderRecord(change) || m_quarantine.onChange(change, BootClock{}.now()))
+                    const auto now = BootClock{}.now();
+                    if (applyOrderRecord(change) || m_quarantine.onChange(change, now)
+                        || m_streams.onChange(change, now, wallMilliseconds()))
                         return;
                     if (change.key == estimatesKey())
                         return onStoredEstimates(change.value.value_or(""));
@@ -625,6 +647,7 @@
         m_context.allowance.setNodes(std::max(minAllowanceShares, static_cast<unsigned>(shares)));
         const double live = m_members.liveShare(now);
         m_context.limitShare = live > liveMajority ? 1 : live;
+        m_streams.tick(now, wallMilliseconds(), m_members.rankOfSelf(streamKeys().history, now));
         m_quarantine.tick(now, wallMilliseconds(), m_members.rankOfSelf(quarantinePrefix(), now));
         m_forwarder.onVerdicts();
         m_forwarder.sweep(now);
@@ -762,6 +785,19 @@
         }
     }
 
+    /// Sends streams that this node has begun to the node that records them for the failure domain. Returns false if
+    /// this is it.
+    bool sendToRecorder(const std::vector<StreamOrigin> &streams)
+    {
+        const auto recorder = m_members.readerOf(m_address.failureDomain, m_reachesStore, BootClock{}.now());
+        if (recorder == m_address)
+            return false;
+        auto notice = message();
+        notice.begunStreams = streams;
+        m_peers.send(notice, {recorder});
+        return true;
+    }
+
     /// Returns an empty message from this node.
     GatewayMessage message() const
     {
@@ -1006,6 +1042,7 @@
         for (const auto &missing : message.missing)
             m_orders[shardOf(missing.instance)]->onMissing(missing.instance, missing.target);
         applyPlacements(message.found);
+        m_streams.record(message.begunStreams);
         for (const auto &update : message.registry)
             m_registry.onDelta(update);
     }
@@ -1051,6 +1088,8 @@
         for (const auto &[process, time] : report.turnedAway)
             applyTurnedAwayHint(m_context.upstreams, process, time, now);
         m_quarantine.onReport(report, now);
+        for (const auto &stream : report.brokenStreams)
+            m_context.streams.learn(stream, now);
         applyPlacements(report.placements);
     }
 
@@ -1088,6 +1127,7 @@
     MemberTable m_members;
     CallContext m_context;
     CrashQuarantine<typename Platform::Store> m_quarantine;
+    StreamRecords<typename Platform::Store> m_streams;
     CallForwarder<typename Platform::Calls> m_forwarder;
     std::vector<std::unique_ptr<Orders>> m_orders; ///< Indexed by shard.
     Relay::CallerServer m_callers;
--- /dev/null
+++ b/src/gateway/streamversions.cpp
@@ -0,0 +1,172 @@
+#include "gateway/streamversions.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Gypsumtally::Gateway
+{
+
+namespace
+{
+
+constexpr std::size_t maxStreams = 100000; ///< Further streams are not known, so that they are not taken up.
+/// Allowance for clocks of machines that differ or jump.
+constexpr std::chrono::milliseconds clockTolerance = std::chrono::seconds{10};
+
+} // namespace
+
+StreamId streamIdOf(std::string_view requestId)
+{
+    return XXH3_64bits(requestId.data(), requestId.size());
+}
+
+void StreamVersions::onServing(const std::string &service, const std::map<std::string, unsigned> &versions, Instant now)
+{
+    auto &known = m_versions[service];
+    const bool isFirst = known.empty();
+    for (const auto &[version, upstreams] : versions) {
+        auto &seen = known[version];
+        if (seen.firstSeen == Instant{})
+            seen.firstSeen = now;
+        seen.isServing = true;
+        seen.lastSeen = now;
+    }
+    if (isFirst && !versions.empty()) {
+        const auto most = std::ranges::max_element(versions, {}, [](const auto &item) { return item.second; });
+        known[most->first].isEstablished = true;
+    }
+    for (auto &[version, seen] : known) {
+        if (!versions.contains(version))
+            seen.isServing = false;
+    }
+    std::erase_if(known, [now](const auto &item) {
+        return !item.second.isServing && now - item.second.lastSeen > streamLifetime;
+    });
+}
+
+void StreamVersions::onHistory(const std::string &service, const SoftwareHistory &history, Instant now,
+                               std::int64_t wallMs)
+{
+    auto &known = m_versions[service];
+    const auto add = [&](const std::string &version) {
+        auto &seen = known[version];
+        seen.isEstablished = true;
+        seen.lastSeen = std::max(seen.lastSeen, now);
+    };
+    for (const auto &version : history.serving)
+        add(version);
+    for (const auto &[version, leftMs] : history.left) {
+        const std::chrono::milliseconds age{wallMs - leftMs};
+        if (!known.contains(version) && age < streamLifetime + clockTolerance)
+            add(version);
+    }
+}
+
+SoftwareHistory StreamVersions::historyOf(const std::string &service, Instant now, std::int64_t wallMs) const
+{
+    SoftwareHistory history;
+    const auto it = m_versions.find(service);
+    if (it == m_versions.end())
+        return history;
+    for (const auto &[version, seen] : it->second) {
+        if (seen.isServing)
+            history.serving.insert(version);
+        else if (now - seen.lastSeen < streamLifetime)
+            history.left.emplace(
+                version, wallMs - std::chrono::duration_cast<std::chrono::milliseconds>(now - seen.lastSeen).count());
+    }
+    return history;
+}
+
+std::vector<std::string> StreamVersions::services() const
+{
+    std::vector<std::string> services;
+    for (const auto &[service, versions] : m_versions)
+        services.push_back(service);
+    return services;
+}
+
+bool StreamVersions::isMixed(const std::string &service, Instant now) const
+{
+    const auto it = m_versions.find(service);
+    return it != m_versions.end() && std::ranges::count_if(it->second, [now](const auto &item) {
+                                         return item.second.isServing || now - item.second.lastSeen < streamLifetime;
+                                     }) > 1;
+}
+
+std::set<std::string> StreamVersions::heldVersions(const std::string &service, Instant now) const
+{
+    std::set<std::string> held;
+    bool hasOther = false;
+    const auto it = m_versions.find(service);
+    if (it == m_versions.end())
+        return held;
+    for (const auto &[version, seen] : it->second) {
+        if (!seen.isServing)
+            continue;
+        if (seen.isEstablished || now - seen.firstSeen >= admissionDelay)
+            hasOther = true;
+        else
+            held.insert(version);
+    }
+    // Without another version that serves, there is nothing to wait for.
+    return hasOther ? held : std::set<std::string>{};
+}
+
+void StreamVersions::onBegun(const StreamOrigin &stream, Instant now)
+{
+    if (m_streams.size() >= maxStreams)
+        return;
+    m_streams[stream.id] = {stream.service, stream.version, now + streamLifetime};
+    m_unrecorded.push_back(stream.id);
+}
+
+void StreamVersions::onCompleted(StreamId id)
+{
+    m_streams.erase(id);
+}
+
+void StreamVersions::learn(const StreamOrigin &stream, Instant now)
+{
+    if (m_streams.size() < maxStreams)
+        m_streams.try_emplace(stream.id, Stream{stream.service, stream.version, now + streamLifetime});
+}
+
+std::optional<std::string> StreamVersions::versionFor(StreamId id, const std::string &service, Duration viewAge,
+                                                      Instant now) const
+{
+    if (const auto it = m_streams.find(id); it != m_streams.end())
+        return it->second.service == service ? std::optional(it->second.version) : std::nullopt;
+    const auto known = m_versions.find(service);
+    if (known == m_versions.end() || viewAge > maxViewAge || isMixed(service, now))
+        return std::nullopt;
+    for (const auto &[version, seen] : known->second) {
+        if (seen.isServing)
+            return version;
+    }
+    return std::nullopt;
+}
+
+std::vector<StreamOrigin> StreamVersions::takeUnrecorded(Instant now)
+{
+    std::vector<StreamOrigin> streams;
+    std::erase_if(m_unrecorded, [&](StreamId id) {
+        const auto it = m_streams.find(id);
+        if (it == m_streams.end())
+            return true;
+        if (!isMixed(it->second.service, now))
+            return false;
+        streams.push_back({id, it->second.service, it->second.version});
+        return true;
+    });
+    return streams;
+}
+
+void StreamVersions::prune(Instant now)
+{
+    std::erase_if(m_streams, [now](const auto &item) { return now > item.second.until; });
+    std::erase_if(m_unrecorded, [this](StreamId id) { return !m_streams.contains(id); });
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/streamversions.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "common/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// Identifies a stream: a hash of the id of the request that brought its first event.
+using StreamId = std::uint64_t;
+
+/// Returns the identifier of the stream that the request with @p requestId began. Thread-safe.
+StreamId streamIdOf(std::string_view requestId);
+
+/// A stream and the software version of the upstream that began it.
+struct StreamOrigin {
+    StreamId id = 0;
+    std::string service;
+    std::string version;
+
+    friend bool operator==(const StreamOrigin &, const StreamOrigin &) = default;
+};
+
+/// The software versions that have served a service lately, as kept in the store.
+struct SoftwareHistory {
+    std::set<std::string> serving;
+    std::map<std::string, std::int64_t> left; ///< Versions that serve no more, with the time, in ms of the wall clock.
+
+    friend bool operator==(const SoftwareHistory &, const SoftwareHistory &) = default;
+};
+
+/// Knows which software versions serve, and at which one each stream may go on: what two versions write does not fit
+/// together. Not thread-safe; does no I/O.
+class StreamVersions
+{
+public:
+    /// Time for which callers may take up a stream, and for which a version counts after it has left.
+    static constexpr Duration streamLifetime = std::chrono::seconds{40};
+    /// Time from the first sight of a further version until new streams begin there. All nodes that read the registry
+    /// know of it by then; those that do not have a view that is older than maxViewAge.
+    static constexpr Duration admissionDelay = std::chrono::milliseconds{2500};
+    /// Age of the view of the registry from which a node does not conclude that a version is the only one.
+    static constexpr Duration maxViewAge = std::chrono::seconds{2};
+
+    /// Records the versions of the upstreams of @p service in the registry, with the number of upstreams of each.
+    void onServing(const std::string &service, const std::map<std::string, unsigned> &versions, Instant now);
+
+    /// Records the history of @p service in the store. @p wallMs is the time by the wall clock.
+    void onHistory(const std::string &service, const SoftwareHistory &history, Instant now, std::int64_t wallMs);
+
+    /// Returns the history of @p service to be kept in the store.
+    SoftwareHistory historyOf(const std::string &service, Instant now, std::int64_t wallMs) const;
+
+    /// Returns the services whose versions have been observed.
+    std::vector<std::string> services() const;
+
+    /// Returns true if streams of more than one version of @p service may exist.
+    bool isMixed(const std::string &service, Instant now) const;
+
+    /// Returns the versions of @p service that serve and at which new streams may not begin yet.
+    std::set<std::string> heldVersions(const std::string &service, Instant now) const;
+
+    /// Records that a stream of this node has brought its first event.
+    void onBegun(const StreamOrigin &stream, Instant now);
+
+    /// Records that the stream has ended in order, so that it will not be taken up.
+    void onCompleted(StreamId id);
+
+    /// Records the version of a stream that another node or the store knows.
+    void learn(const StreamOrigin &stream, Instant now);
+
+    /// Returns the version at which stream @p id of @p service may go on; nothing if that is unknown. @p viewAge is the
+    /// age of the view of the registry.
+    std::optional<std::string> versionFor(StreamId id, const std::string &service, Duration viewAge, Instant now) const;
+
+    /// Returns the streams of this node that have begun since the last call and have not ended, of services with more
+    /// than one version; all of a service's once a second version appears.
+    std::vector<StreamOrigin> takeUnrecorded(Instant now);
+
+    /// Forgets streams that cannot be taken up any more. Call it several times per minute.
+    void prune(Instant now);
+
+private:
+    struct Version {
+        Instant firstSeen{};
+        Instant lastSeen{};
+        bool isServing = false;
+        bool isEstablished = false; ///< The first one that this node has seen, or one that the store knew of.
+    };
+
+    struct Stream {
+        std::string service;
+        std::string version;
+        Instant until{};
+    };
+
+    std::map<std::string, std::map<std::string, Version>> m_versions; ///< By service and version.
+    std::unordered_map<StreamId, Stream> m_streams;
+    std::vector<StreamId> m_unrecorded; ///< Own streams that takeUnrecorded() has not returned.
+};
+
+} // namespace Gypsumtally::Gateway
--- a/src/gateway/waittimes.h
+++ b/src/gateway/waittimes.h
@@ -18,6 +18,7 @@
     Pace, ///< The engine has to process other prompts first, so as not to stall its streams.
     Backpressure, ///< Every upstream applies backpressure until a stated time.
     RequestLimit, ///< The upstream limits its requests, and others go first.
+    StreamVersion, ///< It is being found out at which software version the stream may go on.
     Verdict, ///< It is about to be decided whether a part of its prompt crashes upstreams.
 };
 
@@ -27,13 +28,14 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::WaitCause, 7> enumNames<Gateway::WaitCause>{{
+inline constexpr EnumTable<Gateway::WaitCause, 8> enumNames<Gateway::WaitCause>{{
     {Gateway::WaitCause::Load, "load"},
     {Gateway::WaitCause::LoadInProgress, "coming_load"},
     {Gateway::WaitCause::Room, "room"},
     {Gateway::WaitCause::Pace, "pace"},
     {Gateway::WaitCause::Backpressure, "return"},
     {Gateway::WaitCause::RequestLimit, "request_limit"},
+    {Gateway::WaitCause::StreamVersion, "stream_version"},
     {Gateway::WaitCause::Verdict, "verdict"},
 }};
 
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -73,8 +73,38 @@
      "near"},
 };
 
+struct SoftwareCase {
+    const char *nearVersion;
+    const char *farVersion;
+    const char *wanted; ///< Software version that must serve; null if any may.
+    std::set<std::string> held;
+    const char *chosen; ///< Empty: none.
+};
+
+const SoftwareCase softwareCases[] = {
+    {"v1", "v2", nullptr, {}, "near"},  {"v1", "v2", "v2", {}, "far"}, {"v1", "v2", "v3", {}, ""},
+    {"v1", "v1", "v1", {}, "near"},     {"", "", "", {}, "near"},      {"v1", "v2", nullptr, {"v1"}, "far"},
+    {"v1", "v2", "v1", {"v1"}, "near"}, // Streams that began there go on.
+};
+
 } // namespace
 
+TABLE_TEST(EngineChoice, choosesTheWantedSoftwareVersionOnly, softwareCases)
+{
+    auto table = twoEngines();
+    table.find("near")->record.softwareVersion = row.nearVersion;
+    table.find("far")->record.softwareVersion = row.farVersion;
+    auto wanting = demand;
+    const std::string wanted = row.wanted ? row.wanted : "";
+    wanting.softwareVersion = row.wanted ? &wanted : nullptr;
+    wanting.heldVersions = row.held;
+    const auto choice = chooseUpstream(table, wanting, now);
+    cr_assert_eq(choice ? choice->instance : std::string(), std::string(row.chosen));
+    cr_assert_eq(hasUpstream(table, "s", now, wanting.softwareVersion),
+                 !row.wanted || row.wanted == std::string(row.nearVersion)
+                     || row.wanted == std::string(row.farVersion));
+}
+
 TABLE_TEST(EngineChoice, prefersLowestScore, choices)
 {
     auto table = twoEngines();
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -28,6 +28,7 @@
     report.proposals = {{CauseKind::PromptPart, 0xfedcba9876543210}};
     report.lifted = {{CauseKind::Request, 9}};
     report.verdicts = {{{CauseKind::PromptPart, 0xbad}, 3, 2, 1234567890127, "n4"}};
+    report.brokenStreams = {{0xfedcba9876543211, "s", "v1"}};
     report.departures = {{"e4", 1234567890124}};
     report.turnedAway = {{{"e5", 1234567890125}, std::chrono::milliseconds{1500}}};
     report.limits = {{{"e7", 5}, 2.2, std::chrono::milliseconds{30}, 4}, {{"e8", 6}, {}, std::chrono::seconds{2}}};
@@ -39,6 +40,7 @@
     message.used = {{"s", "m/a", 2, {}}};
     message.wanted = {{"s", "m/b", 1, {"e1"}}};
     message.found = {{"e3", "m/c", 0, false, {}}};
+    message.begunStreams = {{11, "s", "v2"}, {12, "t", ""}};
     message.registry = {{RegistryView::OwnRecords, {7, {{"u/a", "{}", 8}, {"u/b", {}, 9}}, 12}},
                         {RegistryView::OperatorDocuments, {12, {}, 12}}};
     return message;
@@ -90,6 +92,8 @@
     cr_assert_eq(report.limits.front().earlierSends, 4U);
     cr_assert_not(report.limits.back().perSecond.has_value());
     cr_assert(report.crashes == sent.crashes);
+    cr_assert(report.brokenStreams == sent.brokenStreams);
+    cr_assert(read->begunStreams == example().begunStreams);
     cr_assert(report.acquittals == sent.acquittals);
     cr_assert(report.proposals == sent.proposals);
     cr_assert(report.lifted == sent.lifted);
--- /dev/null
+++ b/tests/gateway/streamversionstest.cpp
@@ -0,0 +1,285 @@
+#include "gateway/streamversions.h"
+
+#include "support/table.h"
+
+#include <algorithm>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr Instant start{std::chrono::hours{1}};
+constexpr std::int64_t wallStart = 1'700'000'000'000;
+constexpr Duration freshView = milliseconds{500};
+using Serving = std::map<std::string, unsigned>;
+
+/// Something that a node observes.
+struct Step {
+    int atMs;
+    std::function<void(StreamVersions &, Instant)> apply;
+};
+
+Step serving(int atMs, const Serving &versions)
+{
+    return {atMs, [versions](StreamVersions &streams, Instant now) { streams.onServing("s", versions, now); }};
+}
+
+Step history(int atMs, const SoftwareHistory &stored)
+{
+    return {atMs, [stored, atMs](StreamVersions &streams, Instant now) {
+                streams.onHistory("s", stored, now, wallStart + atMs);
+            }};
+}
+
+Step begun(int atMs, const char *version)
+{
+    return {atMs, [version](StreamVersions &streams, Instant now) { streams.onBegun({1, "s", version}, now); }};
+}
+
+Step learnt(int atMs, const char *service, const char *version)
+{
+    return {atMs, [service, version](StreamVersions &streams, Instant now) {
+                streams.learn({1, service, version}, now);
+            }};
+}
+
+Step completed(int atMs)
+{
+    return {atMs, [](StreamVersions &streams, Instant) { streams.onCompleted(1); }};
+}
+
+struct ResumeCase {
+    const char *name;
+    std::vector<Step> steps;
+    int atMs;
+    Duration viewAge;
+    std::optional<std::string> version; ///< At which stream 1 may go on.
+};
+
+const ResumeCase resumes[] = {
+    {"nothing known", {}, 0, freshView, {}},
+    {"one version", {serving(0, {{"v1", 3}})}, 10, freshView, "v1"},
+    {"one version, by an old view", {serving(0, {{"v1", 3}})}, 10, seconds{3}, {}},
+    {"no version is stated", {serving(0, {{"", 3}})}, 10, freshView, ""},
+    {"two versions", {serving(0, {{"v1", 3}, {"v2", 1}})}, 10, freshView, {}},
+    {"two versions, begun here", {serving(0, {{"v1", 3}, {"v2", 1}}), begun(5, "v2")}, 10, freshView, "v2"},
+    {"begun here, by an old view", {serving(0, {{"v1", 3}, {"v2", 1}}), begun(5, "v2")}, 10, seconds{30}, "v2"},
+    {"two versions, told by another node",
+     {serving(0, {{"v1", 3}, {"v2", 1}}), learnt(5, "s", "v1")},
+     10,
+     freshView,
+     "v1"},
+    {"told of another service", {serving(0, {{"v1", 3}, {"v2", 1}}), learnt(5, "t", "v1")}, 10, freshView, {}},
+    {"what another node tells does not replace what was begun here",
+     {serving(0, {{"v1", 3}, {"v2", 1}}), begun(5, "v2"), learnt(6, "s", "v1")},
+     10,
+     freshView,
+     "v2"},
+    {"completed here", {serving(0, {{"v1", 3}, {"v2", 1}}), begun(5, "v2"), completed(6)}, 10, freshView, {}},
+    {"the older version has just left",
+     {serving(0, {{"v1", 3}, {"v2", 1}}), serving(1000, {{"v2", 4}})},
+     2000,
+     freshView,
+     {}},
+    {"the older version left long ago",
+     {serving(0, {{"v1", 3}, {"v2", 1}}), serving(1000, {{"v2", 4}}), serving(41001, {{"v2", 4}})},
+     41002,
+     freshView,
+     "v2"},
+    {"no upstream serves", {serving(0, {{"v1", 3}}), serving(1000, {})}, 1001, freshView, {}},
+    {"the version left by the history only",
+     {history(0, {{"v2"}, {{"v1", wallStart - 5000}}}), serving(1, {{"v2", 4}})},
+     10,
+     freshView,
+     {}},
+    {"the version left long ago by the history",
+     {history(0, {{"v2"}, {{"v1", wallStart - 90000}}}), serving(1, {{"v2", 4}})},
+     10,
+     freshView,
+     "v2"},
+    {"the history was not updated when the version left",
+     {history(0, {{"v1", "v2"}, {}}), serving(1, {{"v2", 4}})},
+     10,
+     freshView,
+     {}},
+    {"the history is read after the registry",
+     {serving(0, {{"v2", 4}}), history(5, {{"v1", "v2"}, {}})},
+     10,
+     freshView,
+     {}},
+};
+
+struct AdmissionCase {
+    const char *name;
+    std::vector<Step> steps;
+    int atMs;
+    std::set<std::string> held;
+};
+
+const AdmissionCase admissions[] = {
+    {"one version", {serving(0, {{"v1", 3}})}, 1, {}},
+    {"a second version has just appeared",
+     {serving(0, {{"v1", 3}}), serving(5000, {{"v1", 3}, {"v2", 1}})},
+     5100,
+     {"v2"}},
+    {"a second version that all nodes know",
+     {serving(0, {{"v1", 3}}), serving(5000, {{"v1", 3}, {"v2", 1}})},
+     7500,
+     {}},
+    {"the first version leaves at once", {serving(0, {{"v1", 3}}), serving(5000, {{"v2", 1}})}, 5100, {}},
+    {"a node starts between two versions", {serving(0, {{"v1", 3}, {"v2", 1}})}, 1, {"v2"}},
+    {"a node starts between two versions that the store knows",
+     {history(0, {{"v1", "v2"}, {}}), serving(1, {{"v1", 3}, {"v2", 1}})},
+     2,
+     {}},
+    {"a third version",
+     {serving(0, {{"v1", 3}}), serving(1, {{"v1", 3}, {"v2", 1}}), serving(9000, {{"v2", 1}, {"v3", 1}})},
+     9001,
+     {"v3"}},
+};
+
+void play(StreamVersions &streams, const std::vector<Step> &steps)
+{
+    for (const auto &step : steps)
+        step.apply(streams, start + milliseconds{step.atMs});
+}
+
+/// A service whose upstreams change their version one after the other, before nodes that read the registry with a lag.
+struct ReleaseCase {
+    const char *name;
+    int lagMs; ///< Longest time from a change of the registry to its view at a node.
+    int killAllAtMs; ///< All nodes start again; 0 for never.
+    bool isComplete; ///< The older version leaves.
+};
+
+const ReleaseCase releases[] = {
+    {"half of the upstreams are replaced", 1000, 0, false},
+    {"all upstreams are replaced", 1000, 0, true},
+    {"all nodes are killed during the release", 1000, 9000, true},
+    {"all nodes are killed when the older version has just left", 1000, 13200, true},
+    {"views are behind", 1900, 9000, true},
+};
+
+constexpr std::size_t nodes = 5;
+constexpr unsigned seeds = 30;
+
+} // namespace
+
+TABLE_TEST(StreamVersions, streamsGoOnAtAKnownVersionOnly, resumes)
+{
+    StreamVersions streams;
+    play(streams, row.steps);
+    const auto version = streams.versionFor(1, "s", row.viewAge, start + milliseconds{row.atMs});
+    cr_assert(version == row.version, "%s: %s", row.name, version ? version->c_str() : "unknown");
+}
+
+TABLE_TEST(StreamVersions, streamsBeginAtANewVersionWhenAllNodesKnowIt, admissions)
+{
+    StreamVersions streams;
+    play(streams, row.steps);
+    cr_assert(streams.heldVersions("s", start + milliseconds{row.atMs}) == row.held, "%s", row.name);
+}
+
+Test(StreamVersions, allLiveStreamsAreRecordedOnceASecondVersionAppears)
+{
+    StreamVersions streams;
+    streams.onServing("s", {{"v1", 2}}, start);
+    for (StreamId id = 1; id <= 4; ++id)
+        streams.onBegun({id, "s", "v1"}, start);
+    streams.onCompleted(2);
+    cr_assert(streams.takeUnrecorded(start).empty());
+    streams.onServing("s", {{"v1", 2}, {"v2", 1}}, start + seconds{1});
+    cr_assert_eq(streams.takeUnrecorded(start + seconds{1}).size(), 3U);
+    cr_assert(streams.takeUnrecorded(start + seconds{1}).empty());
+    streams.onBegun({5, "s", "v2"}, start + seconds{2});
+    const auto begun = streams.takeUnrecorded(start + seconds{2});
+    cr_assert_eq(begun.size(), 1U);
+    cr_assert_eq(begun.front().version, std::string("v2"));
+    streams.prune(start + seconds{90});
+    cr_assert_not(streams.versionFor(1, "s", freshView, start + seconds{2}).has_value());
+}
+
+Test(StreamVersions, theHistoryTellsWhatServesAndWhatHasLeft)
+{
+    StreamVersions streams;
+    streams.onServing("s", {{"v1", 2}, {"v2", 1}}, start);
+    streams.onServing("s", {{"v2", 3}}, start + seconds{2});
+    const auto history = streams.historyOf("s", start + seconds{5}, wallStart);
+    cr_assert(history.serving == std::set<std::string>{"v2"});
+    cr_assert_eq(history.left.at("v1"), wallStart - 5000);
+}
+
+/// Streams begin and break off at random nodes during a release, and are taken up at others that may know nothing of
+/// them but the versions.
+TABLE_TEST(StreamVersions, noStreamIsJoinedWhileUpstreamsAreReplaced, releases)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        std::mt19937_64 random(seed);
+        std::vector<StreamVersions> fleet(nodes);
+        std::vector<Instant> viewAt(nodes, start); ///< Time of the registry that each node has read.
+        std::vector<Serving> view(nodes);
+        SoftwareHistory stored;
+        bool hasStored = false;
+        const auto servingAt = [&](Instant at) -> Serving {
+            const auto ms = (at - start) / milliseconds{1};
+            const auto replaced = std::clamp<std::int64_t>((ms - 5000) / 1000, 0, row.isComplete ? 8 : 4);
+            Serving result;
+            if (replaced < 8)
+                result["v1"] = static_cast<unsigned>(8 - replaced);
+            if (replaced > 0)
+                result["v2"] = static_cast<unsigned>(replaced);
+            return result;
+        };
+        const auto read = [&](std::size_t node, Instant now) {
+            viewAt[node] = now;
+            view[node] = servingAt(now);
+            fleet[node].onServing("s", view[node], now);
+        };
+        unsigned joined = 0;
+        for (int ms = 0; ms < 25000; ms += 50) {
+            const auto now = start + milliseconds{ms};
+            const auto wall = wallStart + ms;
+            if (row.killAllAtMs > 0 && ms == row.killAllAtMs) {
+                for (std::size_t i = 0; i < nodes; ++i) {
+                    fleet[i] = StreamVersions();
+                    if (hasStored)
+                        fleet[i].onHistory("s", stored, now, wall);
+                    read(i, now);
+                }
+            }
+            for (std::size_t i = 0; i < nodes; ++i) {
+                const auto age = (now - viewAt[i]) / milliseconds{1};
+                if (age >= row.lagMs || random() % 10 == 0)
+                    read(i, now);
+            }
+            if (ms % 500 == 0 && fleet[0].isMixed("s", now)) {
+                stored = fleet[0].historyOf("s", now, wall);
+                hasStored = true;
+            }
+            // A stream begins at one node and is taken up at another that was not told of it.
+            const auto first = random() % nodes;
+            const auto second = random() % nodes;
+            const auto held = fleet[first].heldVersions("s", now);
+            std::vector<std::string> usable;
+            for (const auto &[version, count] : view[first]) {
+                if (!held.contains(version))
+                    usable.push_back(version);
+            }
+            if (usable.empty())
+                continue;
+            const auto version = usable[random() % usable.size()];
+            const auto taken = fleet[second].versionFor(random(), "s", now - viewAt[second], now);
+            if (taken && *taken != version)
+                ++joined;
+        }
+        cr_expect_eq(joined, 0U, "%s, seed %u: %u streams joined", row.name, seed, joined);
+    }
+}
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -17,6 +17,7 @@
 constexpr unsigned eventsOfStream = 6;
 constexpr unsigned eventsBeforeBreak = 2;
 constexpr unsigned slots = 16;
+constexpr Duration heartbeatInterval = std::chrono::milliseconds{1000};
 constexpr Duration recordLifetime = std::chrono::milliseconds{1500}; ///< Of the record of a process that has crashed.
 constexpr Duration crashDownTime = std::chrono::seconds{2}; ///< After a request has crashed it.
 
@@ -39,6 +40,14 @@
     , m_random(seed)
 {
     startProcess();
+    sendHeartbeats();
+}
+
+void UpstreamStandIn::sendHeartbeats()
+{
+    if (m_server)
+        publish();
+    m_loop.runAfter(heartbeatInterval, [this] { sendHeartbeats(); });
 }
 
 void UpstreamStandIn::startProcess()
@@ -220,6 +229,7 @@
     const json::object report{
         {"models", json::array{json::object{{"name", "m"}, {"version", 1}, {"adapters", std::move(adapters)}}}},
         {"busy", false},
+        {"born", 1000 + m_processes},
         {"seq", m_orders}};
     auto headers = headersFor(exchange->request());
     headers.add("Content-Type", "application/json");
--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -65,6 +65,7 @@
 
     void startProcess();
     void endProcess();
+    void sendHeartbeats();
     bool crashAt(const Exchange &exchange);
     void serve(const Exchange &exchange);
     void answerPlain(const Exchange &exchange);
--- a/tests/support/plaindialect.h
+++ b/tests/support/plaindialect.h
@@ -2,6 +2,7 @@
 
 #include "gateway/dialect.h"
 
+#include <cstdlib>
 #include <string>
 #include <variant>
 
@@ -38,6 +39,11 @@
         return {"GET", "/alive", {{"Host", "h"}, {"Instance", instance}}, {}};
     }
 
+    static std::int64_t readStartTime(const std::string &text)
+    {
+        return std::atoll(text.c_str());
+    }
+
     static Gateway::UpstreamReply readReply(const Relay::ResponseHead &head)
     {
         Gateway::UpstreamReply reply;
