Tests of answers that end with their connection, on both HTTP stacks and through the gateway

An answer without a length or chunks is whole only when its connection ends in order, is bounded like others, and its connection is not used again; a stream that ends inside an event has been broken off. All rows pass on the code as it was: no change was needed.

--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -2,6 +2,7 @@
 
 #include "support/endlessserver.h"
 #include "support/plaindialect.h"
+#include "support/rawserver.h"
 #include "support/table.h"
 
 #include <boost/asio/io_context.hpp>
@@ -523,6 +524,44 @@
     cr_assert_lt(server.bytesSent, server.connections * maxReceivedPerSend);
 }
 
+namespace
+{
+
+struct UnframedAnswerCase {
+    const char *name;
+    const char *path;
+    const char *bytes; ///< After the head of the upstream's answer, which states neither a length nor chunks.
+    Testing::ConnectionEnd end;
+    unsigned status; ///< That the caller gets; 0 if it gets no whole answer.
+    const char *body;
+};
+
+const UnframedAnswerCase unframed[] = {
+    {"whole", "/once/1", "all of it", Testing::ConnectionEnd::Close, 200, "all of it"},
+    {"reset", "/once/1", "only a pa", Testing::ConnectionEnd::Reset, 502, ""},
+    {"a stream", "/solo/1", "id: 1\ndata: a\n\n", Testing::ConnectionEnd::Close, 200, "id: 1\ndata: a\n\n"},
+    {"a stream, ended inside an event", "/solo/1", "id: 1\ndata: a\n\nid: 2\nda", Testing::ConnectionEnd::Close, 0,
+     "id: 1\ndata: a\n\n"},
+    {"a stream, reset after an event", "/solo/1", "id: 1\ndata: a\n\n", Testing::ConnectionEnd::Reset, 0,
+     "id: 1\ndata: a\n\n"},
+    {"a stream without an event", "/solo/1", "", Testing::ConnectionEnd::Close, 502, ""},
+};
+
+} // namespace
+
+/// An upstream's answer without a length or chunks is framed for the caller, who can tell whether it is whole.
+TABLE_TEST(CallForwarder, framesAnswersWithoutLength, unframed)
+{
+    ForwarderFixture fixture({answer});
+    Testing::RawServer server(fixture.loop(), std::string("HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n\r\n") + row.bytes,
+                              row.end);
+    fixture.replaceUpstreams(server.endpoint());
+    const auto status = fixture.ask(row.path);
+    cr_assert_eq(status, row.status, "%s: status %u", row.name, status);
+    if (row.status != 502)
+        cr_assert_eq(fixture.body, std::string(row.body), "%s", row.name);
+}
+
 /// A stream that sends single bytes but completes no event is abandoned like a silent one.
 Test(CallForwarder, abandonsStreamWithoutEvents)
 {
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -3,6 +3,7 @@
 #include "http/eventloop.h"
 #include "http/server.h"
 #include "support/endlessserver.h"
+#include "support/rawserver.h"
 #include "support/table.h"
 
 #include <string>
@@ -176,3 +177,31 @@
     cr_assert_not(ended);
     cr_assert_lt(server.bytesSent, 8U * 1024 * 1024, "%zu", server.bytesSent);
 }
+
+/// An answer without a length or chunks is whole only if its connection ends in order, which is not used again.
+TABLE_TEST(Client, answersWithoutLengthEndWithTheirConnection, Testing::unframedAnswers)
+{
+    EventLoop loop;
+    Testing::RawServer server(loop, row.bytes, row.end);
+    Client client(loop);
+    RequestOptions options;
+    options.idleTimeout = std::chrono::milliseconds{300};
+    for (unsigned request = 1; request <= 2; ++request) {
+        std::string body;
+        bool ended = false;
+        ResponseObserver observer;
+        observer.onBody = [&](std::string_view piece) { body += piece; };
+        observer.onEnd = [&] {
+            ended = true;
+            loop.stop();
+        };
+        observer.onFailure = [&](const TransportFailure &) { loop.stop(); };
+        client.send(server.endpoint(), {}, observer, options);
+        loop.context().restart();
+        loop.run();
+        cr_assert_eq(ended, row.isWhole, "%s", row.name);
+        if (row.isWhole)
+            cr_assert_eq(body, std::string(row.body), "%s", row.name);
+        cr_assert_eq(server.connections, request, "%s", row.name);
+    }
+}
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -2,6 +2,7 @@
 #include "relay/callerserver.h"
 #include "relay/upstreamclient.h"
 
+#include "support/rawserver.h"
 #include "support/table.h"
 
 #include <boost/asio/io_context.hpp>
@@ -123,3 +124,59 @@
     pair.exchange();
     cr_assert(gone);
 }
+
+/// An answer without a length or chunks is whole only if its connection ends in order, which is not used again.
+TABLE_TEST(Relay, answersWithoutLengthEndWithTheirConnection, Testing::unframedAnswers)
+{
+    Http::EventLoop loop;
+    Testing::RawServer server(loop, row.bytes, row.end);
+    UpstreamClient client(loop);
+    std::function<void()> sweep = [&] {
+        client.sweep(BootClock{}.now());
+        loop.runAfter(std::chrono::milliseconds{20}, sweep);
+    };
+    sweep();
+    SendOptions options;
+    options.timeout = std::chrono::milliseconds{300};
+    for (unsigned request = 1; request <= 2; ++request) {
+        std::string body;
+        bool ended = false;
+        ExchangeObserver observer;
+        observer.onBody = [&](std::string_view piece) { body += piece; };
+        observer.onEnd = [&] {
+            ended = true;
+            loop.stop();
+        };
+        observer.onFailure = [&](const FailedExchange &) { loop.stop(); };
+        client.send({server.endpoint(), "a"}, {"GET", "/x", {{"Host", "h"}}, {}}, std::move(observer), options);
+        loop.context().restart();
+        loop.run();
+        cr_assert_eq(ended, row.isWhole, "%s", row.name);
+        if (row.isWhole)
+            cr_assert_eq(body, std::string(row.body), "%s", row.name);
+        cr_assert_eq(server.connections, request, "%s", row.name);
+    }
+}
+
+/// A body without a length is bounded like others.
+Test(Relay, endlessAnswerWithoutLengthIsAbandoned)
+{
+    constexpr std::size_t maxBody = 64 * 1024;
+    Http::EventLoop loop;
+    Testing::RawServer server(loop, "HTTP/1.1 200 OK\r\n\r\n" + std::string(2 * maxBody, 'x'),
+                              Testing::ConnectionEnd::KeepOpen);
+    UpstreamClient client(loop);
+    SendOptions options;
+    options.maxBodyBytes = maxBody;
+    std::optional<WholeResponse> received;
+    client.fetch(
+        {server.endpoint(), "a"}, {"GET", "/x", {{"Host", "h"}}, {}},
+        [&](const WholeResponse &response) {
+            received = response;
+            loop.stop();
+        },
+        options);
+    loop.run();
+    cr_assert(received.has_value());
+    cr_assert_eq(received->head.status, 0U);
+}
--- /dev/null
+++ b/tests/support/rawserver.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "http/eventloop.h"
+#include "http/message.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Gypsumtally::Testing
+{
+
+/// How a RawServer ends a connection after its bytes.
+enum class ConnectionEnd {
+    Close, ///< In order.
+    Reset,
+    KeepOpen,
+};
+
+/// A TCP server that answers the first request on each connection with given bytes and then ends the connection.
+class RawServer
+{
+public:
+    /// Listens on a free loopback port.
+    RawServer(Http::EventLoop &loop, std::string bytes, ConnectionEnd end)
+        : m_loop(loop)
+        , m_acceptor(loop.context(), {boost::asio::ip::address_v4::loopback(), 0})
+        , m_bytes(std::move(bytes))
+        , m_end(end)
+    {
+        accept();
+    }
+
+    Http::Endpoint endpoint() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port(), false};
+    }
+
+    unsigned connections = 0; ///< Number of accepted connections.
+
+private:
+    using tcp = boost::asio::ip::tcp;
+    static constexpr Duration deliveryTime = std::chrono::milliseconds{20}; ///< Until the client has read the bytes.
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            ++connections;
+            const auto connection = std::make_shared<tcp::socket>(std::move(socket));
+            m_open.push_back(connection);
+            connection->async_read_some(
+                boost::asio::buffer(m_request),
+                [this, connection](boost::system::error_code, std::size_t) { answer(connection); });
+            accept();
+        });
+    }
+
+    void answer(const std::shared_ptr<tcp::socket> &connection)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(*connection, boost::asio::buffer(m_bytes), ignored);
+        if (m_end == ConnectionEnd::KeepOpen)
+            return;
+        m_loop.runAfter(deliveryTime, [this, connection] {
+            boost::system::error_code error;
+            if (m_end == ConnectionEnd::Reset)
+                connection->set_option(boost::asio::socket_base::linger(true, 0), error);
+            connection->close(error);
+        });
+    }
+
+    Http::EventLoop &m_loop;
+    tcp::acceptor m_acceptor;
+    std::string m_bytes;
+    ConnectionEnd m_end;
+    std::array<char, 4096> m_request{};
+    std::vector<std::shared_ptr<tcp::socket>> m_open;
+};
+
+/// An answer that states neither a length nor chunks.
+struct UnframedCase {
+    const char *name;
+    const char *bytes;
+    ConnectionEnd end;
+    bool isWhole; ///< Expected; otherwise the exchange fails.
+    const char *body; ///< Expected of a whole answer.
+};
+
+inline const UnframedCase unframedAnswers[] = {
+    {"closed in order", "HTTP/1.1 200 OK\r\n\r\nall of it", ConnectionEnd::Close, true, "all of it"},
+    {"without a body", "HTTP/1.1 200 OK\r\n\r\n", ConnectionEnd::Close, true, ""},
+    {"with a keep-alive that cannot hold", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9\r\n\r\nall of it",
+     ConnectionEnd::Close, true, "all of it"},
+    {"reset", "HTTP/1.1 200 OK\r\n\r\nonly a pa", ConnectionEnd::Reset, false, ""},
+    {"closed within the head", "HTTP/1.1 200 OK\r\nServ", ConnectionEnd::Close, false, ""},
+    {"silent without an end", "HTTP/1.1 200 OK\r\n\r\nonly a pa", ConnectionEnd::KeepOpen, false, ""},
+};
+
+} // namespace Gypsumtally::Testing
