--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -2,10 +2,10 @@
 
 #include "common/verdict.h"
 #include "gateway/callcontext.h"
-#include "gateway/crashdetector.h"
 #include "gateway/dialect.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/gatewaylog.h"
+#include "gateway/upstreammonitor.h"
 #include "gateway/waittimes.h"
 #include "http/eventloop.h"
 #include "relay/callerserver.h"
@@ -40,6 +40,7 @@
         , m_log(log)
         , m_metrics(metrics)
         , m_client(loop)
+        , m_monitor(m_client, context)
     {
     }
 
@@ -86,7 +87,7 @@
     /// Records crash reports for an upstream process that has ended or was replaced.
     void onUpstreamGone(const std::string &instance)
     {
-        reportCrash(instance, BootClock{}.now());
+        m_monitor.onCrashed(instance, BootClock{}.now());
     }
 
     /// Ends the calls with a blocked cause that upstreams have not begun to answer. Call it several times per second.
@@ -137,7 +138,7 @@
     static constexpr double maxPatienceFraction = 0.6;
     /// Longest wait for the end of upstreams' backpressure, as a fraction of the request's remaining time.
     static constexpr double maxBackpressureWaitFraction = 0.3;
-    /// Time for which an upstream is avoided after a failed connection, a silence, or an answer from the wrong process.
+    /// Time for which an upstream is avoided after an answer from the wrong process.
     static constexpr Duration avoidanceTime = std::chrono::milliseconds{600};
     /// Silence after which a request that is not streaming is moved off its upstream, in usual answer times.
     static constexpr double silenceInAnswerTimes = 12;
@@ -156,7 +157,6 @@
     /// Utilisation of an engine's slots from which other nodes are notified of each request that ends.
     static constexpr double crowdedUtilisation = 0.75;
     static constexpr std::size_t maxAnswerBytes = 4 * 1024 * 1024; ///< Equals the limit on request bodies.
-    static constexpr Duration livenessTimeout = std::chrono::milliseconds{500}; ///< Of a check for a crash.
     /// Longest time to find out at which software version a stream began. Covers two reads of the store, and a report
     /// of the node at which it broke off.
     static constexpr Duration maxStreamWait = std::chrono::milliseconds{400};
@@ -322,11 +322,8 @@
             return;
         if (const auto *verdict = m_context.crashes.verdictOn(call->causes))
             return giveUp(call, ErrorCode::Quarantined, reasonOf(*verdict));
-        if (m_context.crashes.isUndecided(call->causes, now)) {
-            startWaiting(call, WaitCause::Verdict, now);
-            call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
-            return wakeAt(call, now + verdictPollInterval, now);
-        }
+        if (m_context.crashes.isUndecided(call->causes, now))
+            return waitFor(call, WaitCause::Verdict, verdictPollInterval, now);
         if (call->lastEvent && !call->streamVersion && !findStreamVersion(call, now))
             return;
         if (const auto reserved = usableReservation(*call, now)) {
@@ -397,9 +394,7 @@
             call->streamWantedAt = now;
             m_context.onStreamWanted();
         }
-        startWaiting(call, WaitCause::StreamVersion, now);
-        call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
-        wakeAt(call, now + streamPollInterval, now);
+        waitFor(call, WaitCause::StreamVersion, streamPollInterval, now);
         return false;
     }
 
@@ -415,36 +410,33 @@
         const UpstreamProcess process{instance, upstream->record.startedAt};
         if (call->verified == process && now - call->verifiedAt < verificationTime)
             return true;
-        startWaiting(call, WaitCause::StreamVersion, now);
-        call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
-        call->notBefore = now + livenessTimeout;
-        wakeAt(call, call->notBefore, now);
-        verifyProcess(call, process, upstream->record.endpoint);
+        waitFor(call, WaitCause::StreamVersion, UpstreamMonitor<Dialect>::livenessTimeout, now);
+        call->notBefore = now + UpstreamMonitor<Dialect>::livenessTimeout;
+        m_monitor.verify(*upstream, [this, weak = std::weak_ptr<Call>(call), process](bool isSame) {
+            if (const auto current = weak.lock(); current && !current->done)
+                onVerified(current, process, isSame);
+        });
         return false;
     }
 
-    /// Asks @p process for its start time. Excludes it for the call unless it states the one of its record.
-    void verifyProcess(const CallPtr &call, const UpstreamProcess &process, const Http::Endpoint &endpoint)
+    void onVerified(const CallPtr &call, const UpstreamProcess &process, bool isSame)
     {
-        const auto onState = [this, weak = std::weak_ptr<Call>(call), process](const Relay::WholeResponse &response) {
-            const auto current = weak.lock();
-            if (!current || current->done)
-                return;
-            const auto now = BootClock{}.now();
-            current->notBefore = {};
-            if (response.head.status == 200 && Dialect::readStartTime(response.body) == process.startedAt) {
-                current->verified = process;
-                current->verifiedAt = now;
-            } else {
-                avoid(process.instance, now);
-                current->excluded.push_back(process.instance);
-            }
-            proceed(current);
-        };
-        Relay::SendOptions options;
-        options.connectTimeout = livenessTimeout;
-        options.timeout = livenessTimeout;
-        m_client.fetch({endpoint, process.instance}, Dialect::writeLivenessCheck(process.instance), onState, options);
+        call->notBefore = {};
+        if (isSame) {
+            call->verified = process;
+            call->verifiedAt = BootClock{}.now();
+        } else {
+            call->excluded.push_back(process.instance);
+        }
+        proceed(call);
+    }
+
+    /// Makes the call wait and looks at it again after @p pause.
+    void waitFor(const CallPtr &call, WaitCause cause, Duration pause, Instant now)
+    {
+        startWaiting(call, cause, now);
+        call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
+        wakeAt(call, now + pause, now);
     }
 
     /// Returns the latest useful time to send the call: the caller must still be waiting when the first event arrives.
@@ -809,15 +801,6 @@
             m_context.onCapacityFreed(call->instance);
     }
 
-    /// Avoids the upstream for a while and closes its idle connections.
-    void avoid(const std::string &instance, Instant now)
-    {
-        if (auto *upstream = m_context.upstreams.find(instance)) {
-            upstream->avoidUntil = now + avoidanceTime;
-            m_client.dropIdle({upstream->record.endpoint, instance});
-        }
-    }
-
     void noteProgress(const CallPtr &call, Instant now)
     {
         call->lastProgress = now;
@@ -1016,9 +999,9 @@
         const auto now = BootClock{}.now();
         if (failure.kind == Relay::ExchangeFailure::NotConnected || !failure.sent) {
             --call->sends;
-            avoid(call->instance, now);
+            m_monitor.avoid(call->instance, now);
             if (failure.isRefused)
-                reportCrash(call->instance, now);
+                m_monitor.onCrashed(call->instance, now);
             m_log.decision(GatewayEvent::SendFailed, call->request.id,
                            {{"upstream", call->instance}, {"reason", failure.reason}, {"verdict", "not-run"}});
             return retry(call);
@@ -1321,60 +1304,17 @@
     {
         m_client.cancel(call->token);
         release(call);
-        avoid(call->instance, now);
+        m_monitor.avoid(call->instance, now);
         onBroken(call, "the upstream has gone silent");
     }
 
-    /// Finds out whether the upstream of a send that broke has crashed.
     void noteBroken(const Call &call, Instant now)
     {
-        const auto *upstream = m_context.upstreams.find(call.instance);
-        if (!upstream || !upstream->staysInService() || upstream->record.startedAt != call.processStartedAt)
-            return; // It has left, which ends its requests whatever they are.
-        const UpstreamProcess process{call.instance, call.processStartedAt};
         std::optional<CrashSuspect> suspect;
         if (!call.eventReceived || now - call.firstEventAt < CrashLedger::beginningTime)
             suspect = CrashSuspect{call.causes.front().id, call.request.sharedParts};
-        const bool isCheckDue = m_crashDetector.onBroken(process, std::move(suspect), now);
-        // Plain services have no state to ask for, and an upstream that limits its requests may count the question.
-        if (!call.request.target.empty() && !upstream->limitsRequests()) {
-            if (isCheckDue)
-                checkLiveness(call.instance, upstream->record.endpoint);
-        } else if (m_crashDetector.isSimultaneous(process, now)) {
-            reportCrash(call.instance, now);
-        }
-    }
-
-    /// Asks an engine at which an exchange broke for its state, and reports its crash if there is no such process.
-    void checkLiveness(const std::string &instance, const Http::Endpoint &endpoint)
-    {
-        Relay::ExchangeObserver observer;
-        observer.onHead = [this, instance](const Relay::ResponseHead &head) {
-            if (Dialect::readReply(head).wrongInstance)
-                reportCrash(instance, BootClock{}.now());
-        };
-        observer.onFailure = [this, instance](const Relay::FailedExchange &failure) {
-            if (failure.isRefused)
-                reportCrash(instance, BootClock{}.now());
-        };
-        Relay::SendOptions options;
-        options.connectTimeout = livenessTimeout;
-        options.timeout = livenessTimeout;
-        options.maxIdleAge = {};
-        m_client.send({endpoint, instance}, Dialect::writeLivenessCheck(instance), std::move(observer), options);
-    }
-
-    /// Reports the crash of an upstream if exchanges broke there recently, as it is presumed to be the cause.
-    void reportCrash(const std::string &instance, Instant now)
-    {
-        const auto report = m_crashDetector.onCrash(instance, now);
-        if (!report)
-            return;
-        avoid(instance, now);
-        if (m_context.onCrash)
-            m_context.onCrash(*report);
-        else
-            m_context.crashes.addOwn(*report, now);
+        m_monitor.onBroken({call.instance, call.processStartedAt}, std::move(suspect), !call.request.target.empty(),
+                           now);
     }
 
     Http::EventLoop &m_loop;
@@ -1385,7 +1325,7 @@
     std::unordered_set<CallPtr> m_calls;
     std::unordered_set<CallPtr> m_waiting;
     std::vector<CallPtr> m_unrouted; ///< Calls that wait for the node's first configuration.
-    CrashDetector m_crashDetector;
+    UpstreamMonitor<Dialect> m_monitor;
     std::size_t m_bufferedBytes = 0; ///< Size of the buffered parts of answers that are not complete yet.
 };
 
--- a/src/gateway/crashledger.cpp
+++ b/src/gateway/crashledger.cpp
@@ -457,8 +457,8 @@
         return;
     m_prunedAt = now;
     for (auto &[cause, evidence] : m_evidence) {
-        std::erase_if(evidence.crashes, [&](const auto &item) { return now - item.second.at > retention; });
-        updateProof(cause, evidence, now);
+        if (std::erase_if(evidence.crashes, [&](const auto &item) { return now - item.second.at > retention; }) > 0)
+            updateProof(cause, evidence, now);
     }
     std::erase_if(m_evidence, [](const auto &item) { return item.second.crashes.empty(); });
 }
--- a/src/gateway/crashquarantine.h
+++ b/src/gateway/crashquarantine.h
@@ -28,7 +28,9 @@
 class CrashQuarantine
 {
 public:
-    /// Verdicts are stored under @p keyPrefix. @p broadcast sends a report to all other nodes.
+    /// Verdicts are stored under @p keyPrefix. @p broadcast sends a report to all other nodes. Connects the callbacks
+    /// of
+    /// @p context, which awaits the stored verdicts from then on.
     CrashQuarantine(Store &store, CallContext &context, GatewayLog &log, Metrics &metrics, std::string keyPrefix,
                     std::function<NodeReport()> newReport, std::function<void(NodeReport)> broadcast)
         : m_store(store)
@@ -39,6 +41,9 @@
         , m_newReport(std::move(newReport))
         , m_broadcast(std::move(broadcast))
     {
+        m_context.awaitsVerdicts = true;
+        m_context.onCrash = [this](const CrashReport &crash) { onCrash(crash, BootClock{}.now()); };
+        m_context.onSuccess = [this](const SuccessEffects &effects) { onSuccess(effects); };
     }
 
     /// Records and broadcasts what this node has seen of a crash.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -105,8 +105,6 @@
         m_context.maxBufferedAnswerBytes = settings.answerBufferBytes;
         m_context.allowance = RetryAllowance(retryBound(settings));
         m_context.crashes = CrashLedger(settings.node);
-        m_context.awaitsVerdicts = true;
-        m_context.onCrash = [this](const CrashReport &crash) { m_quarantine.onCrash(crash, BootClock{}.now()); };
         m_context.onStreamBroken = [this](const StreamOrigin &stream) {
             auto notice = report();
             notice.brokenStreams.push_back(stream);
@@ -114,7 +112,6 @@
         };
         m_context.onStreamWanted
             = [this] { m_streams.read([this] { m_loop.post([this] { m_forwarder.onPlacement(); }); }); };
-        m_context.onSuccess = [this](const SuccessEffects &effects) { m_quarantine.onSuccess(effects); };
         m_context.onLoadRequested = [this](const std::string &service, const ModelTarget &target,
                                            const std::vector<std::string> &unfit, unsigned attempt) {
             requestLoad({service, target, 1, unfit}, attempt);
--- a/src/gateway/streamrecords.h
+++ b/src/gateway/streamrecords.h
@@ -74,7 +74,7 @@
     {
         std::map<std::string, std::map<std::string, unsigned>> serving;
         for (const auto &[instance, upstream] : m_context.upstreams.all())
-            ++serving[upstream.record.service][upstream.record.softwareVersion];
+            serving[upstream.record.service][upstream.record.softwareVersion] += upstream.staysInService() ? 1 : 0;
         for (const auto &service : m_context.streams.services())
             serving[service];
         for (const auto &[service, versions] : serving)
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -30,6 +30,7 @@
         if (seen.firstSeen == Instant{})
             seen.firstSeen = now;
         seen.isServing = true;
+        seen.upstreams = upstreams;
         seen.lastSeen = now;
     }
     if (isFirst && !versions.empty()) {
@@ -106,7 +107,7 @@
         if (!seen.isServing)
             continue;
         if (seen.isEstablished || now - seen.firstSeen >= admissionDelay)
-            hasOther = true;
+            hasOther = hasOther || seen.upstreams > 0;
         else
             held.insert(version);
     }
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -51,7 +51,8 @@
     /// Age of the view of the registry from which a node does not conclude that a version is the only one.
     static constexpr Duration maxViewAge = std::chrono::seconds{2};
 
-    /// Records the versions of the upstreams of @p service in the registry, with the number of upstreams of each.
+    /// Records the versions of the upstreams of @p service in the registry, with the number of upstreams of each that
+    /// stay in service.
     void onServing(const std::string &service, const std::map<std::string, unsigned> &versions, Instant now);
 
     /// Records the history of @p service in the store. @p wallMs is the time by the wall clock.
@@ -94,6 +95,7 @@
         Instant firstSeen{};
         Instant lastSeen{};
         bool isServing = false;
+        unsigned upstreams = 0; ///< That stay in service.
         bool isEstablished = false; ///< The first one that this node has seen, or one that the store knew of.
     };
 
--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -319,6 +319,13 @@
     m_crashing.excuse(node.name, from, to + excuseTime);
 }
 
+void Fleet::excuseAll(Duration time)
+{
+    const auto now = BootClock{}.now();
+    for (const auto &node : m_nodes)
+        m_crashing.excuse(node.name, now, now + time + touchTime);
+}
+
 void Fleet::freeze(std::size_t number, Duration time)
 {
     auto &node = m_nodes[number];
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -85,6 +85,10 @@
     /// Lets a node read its settings again.
     void reload(std::size_t node);
 
+    /// Excuses what all nodes do about crashing parts within @p time and until their rules bind again, as the store is
+    /// down.
+    void excuseAll(Duration time);
+
     /// Makes a further prompt part crash engines; crashing streams have one of these parts.
     void addCrashingPart(const std::string &part);
 
