--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -84,10 +84,22 @@
             proceed(call);
     }
 
-    /// Records crash reports for an upstream process that has ended or was replaced.
+    /// Handles the end or the replacement of an upstream process: reports its crash if exchanges broke there, and
+    /// forgets the software version of streams that may have begun at its successor.
     void onUpstreamGone(const std::string &instance)
     {
-        m_monitor.onCrashed(instance, BootClock{}.now());
+        const auto now = BootClock{}.now();
+        m_monitor.onCrashed(instance, now);
+        const auto *upstream = m_context.upstreams.find(instance);
+        if (!upstream)
+            return;
+        for (const auto &call : m_calls) {
+            if (call->instance == instance && call->answering && now - call->firstEventAt < maxRecordLag
+                && call->softwareAtSend != upstream->record.softwareVersion) {
+                m_context.streams.forget(call->streamId);
+                call->streamVersion.reset();
+            }
+        }
     }
 
     /// Ends the calls with a blocked cause that upstreams have not begun to answer. Call it several times per second.
@@ -162,6 +174,8 @@
     static constexpr Duration maxStreamWait = std::chrono::milliseconds{400};
     static constexpr Duration streamReadInterval = std::chrono::milliseconds{150};
     static constexpr Duration streamPollInterval = std::chrono::milliseconds{20};
+    /// Longest time from the start of an upstream process to its record at this node.
+    static constexpr Duration maxRecordLag = std::chrono::seconds{3};
     /// Time for which the start time that an engine stated counts, shorter than a restart takes.
     static constexpr Duration verificationTime = std::chrono::milliseconds{300};
     static constexpr Duration verdictPollInterval = std::chrono::milliseconds{50}; ///< While a verdict is undecided.
@@ -979,7 +993,7 @@
                 return onBroken(call, "the stream ended inside an event");
             noteResult(call, false);
             acquit(*call, BootClock{}.now());
-            m_context.streams.onCompleted(call->streamId);
+            m_context.streams.forget(call->streamId);
             call->verdict = Verdict::Ran;
             noteStreamTime(*call, BootClock{}.now());
             logAnswered(*call);
--- a/src/gateway/crashquarantine.h
+++ b/src/gateway/crashquarantine.h
@@ -269,6 +269,7 @@
                 ++counts[part];
         }
         std::vector<std::pair<unsigned, std::uint64_t>> parts;
+        parts.reserve(counts.size());
         for (const auto &[part, count] : counts)
             parts.emplace_back(count, part);
         std::ranges::sort(parts, std::greater{});
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -123,7 +123,7 @@
     m_unrecorded.push_back(stream.id);
 }
 
-void StreamVersions::onCompleted(StreamId id)
+void StreamVersions::forget(StreamId id)
 {
     m_streams.erase(id);
 }
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -73,8 +73,8 @@
     /// Records that a stream of this node has brought its first event.
     void onBegun(const StreamOrigin &stream, Instant now);
 
-    /// Records that the stream has ended in order, so that it will not be taken up.
-    void onCompleted(StreamId id);
+    /// Forgets a stream that has ended in order, so that it will not be taken up, or whose version is in doubt.
+    void forget(StreamId id);
 
     /// Records the version of a stream that another node or the store knows.
     void learn(const StreamOrigin &stream, Instant now);
--- a/tests/gateway/crashledgertest.cpp
+++ b/tests/gateway/crashledgertest.cpp
@@ -288,7 +288,8 @@
     /// Sends the verdicts that a node has decided, as the store has them only later.
     void tellVerdicts(std::size_t node)
     {
-        for (const auto &[cause, verdict] : m_nodes[node].verdicts()) {
+        for (const auto &item : m_nodes[node].verdicts()) {
+            const auto &verdict = item.second;
             if (verdict.node != "n" + std::to_string(node))
                 continue;
             send(node, [this, verdict](std::size_t to, Instant now) { m_nodes[to].onPeerVerdict(verdict, now); });
--- a/tests/gateway/crashquarantinetest.cpp
+++ b/tests/gateway/crashquarantinetest.cpp
@@ -27,19 +27,19 @@
         calls.emplace_back(transaction, std::move(onReply));
     }
 
-    void readPrefix(const std::string &, std::function<void(KeyReply)>)
+    void readPrefix(const std::string &, const std::function<void(KeyReply)> &)
     {
     }
 
-    void watch(const std::string &, Revision, Duration, std::function<void(WatchResult)>)
+    void watch(const std::string &, Revision, Duration, const std::function<void(WatchResult)> &)
     {
     }
 
-    void grantLease(Duration, std::function<void(std::optional<StoreLease>)>)
+    void grantLease(Duration, const std::function<void(std::optional<StoreLease>)> &)
     {
     }
 
-    void renewLease(StoreLease, std::function<void(std::optional<bool>)>)
+    void renewLease(StoreLease, const std::function<void(std::optional<bool>)> &)
     {
     }
 
--- a/tests/gateway/streamrecordstest.cpp
+++ b/tests/gateway/streamrecordstest.cpp
@@ -19,7 +19,7 @@
 
 /// A store that answers at once.
 struct FakeStore {
-    void transact(const KeyTransaction &transaction, StoreLease, std::function<void(KeyReply)> onReply)
+    void transact(const KeyTransaction &transaction, StoreLease, const std::function<void(KeyReply)> &onReply)
     {
         ++writes;
         if (outcome == KeyOutcome::Applied) {
@@ -29,7 +29,7 @@
         onReply({outcome, 1, {}});
     }
 
-    void readPrefix(const std::string &prefix, std::function<void(KeyReply)> onReply)
+    void readPrefix(const std::string &prefix, const std::function<void(KeyReply)> &onReply)
     {
         KeyReply reply{outcome, 1, {}};
         for (const auto &[key, value] : values) {
@@ -39,17 +39,17 @@
         onReply(reply);
     }
 
-    void watch(const std::string &, Revision, Duration, std::function<void(WatchResult)>)
+    void watch(const std::string &, Revision, Duration, const std::function<void(WatchResult)> &)
     {
     }
 
-    void grantLease(Duration, std::function<void(std::optional<StoreLease>)> onLease)
+    void grantLease(Duration, const std::function<void(std::optional<StoreLease>)> &onLease)
     {
         ++leases;
         onLease(outcome == KeyOutcome::Applied ? std::optional<StoreLease>(leases) : std::nullopt);
     }
 
-    void renewLease(StoreLease, std::function<void(std::optional<bool>)>)
+    void renewLease(StoreLease, const std::function<void(std::optional<bool>)> &)
     {
     }
 
--- a/tests/gateway/streamversionstest.cpp
+++ b/tests/gateway/streamversionstest.cpp
@@ -53,7 +53,7 @@
 
 Step completed(int atMs)
 {
-    return {atMs, [](StreamVersions &streams, Instant) { streams.onCompleted(1); }};
+    return {atMs, [](StreamVersions &streams, Instant) { streams.forget(1); }};
 }
 
 struct ResumeCase {
@@ -198,7 +198,7 @@
     streams.onServing("s", {{"v1", 2}}, start);
     for (StreamId id = 1; id <= 4; ++id)
         streams.onBegun({id, "s", "v1"}, start);
-    streams.onCompleted(2);
+    streams.forget(2);
     cr_assert(streams.takeUnrecorded(start).empty());
     streams.onServing("s", {{"v1", 2}, {"v2", 1}}, start + seconds{1});
     cr_assert_eq(streams.takeUnrecorded(start + seconds{1}).size(), 3U);
