--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <iterator>
+#include <utility>
 
 namespace Gypsumtally::GatewayFleet
 {
@@ -53,6 +55,10 @@
 void UpstreamStandIn::startProcess()
 {
     m_instance = m_processes == 0 || behaviour.keepsInstance ? m_name : m_name + "-" + std::to_string(m_processes);
+    if (m_processes > 0) {
+        m_pastLimits.push_back(std::exchange(limits, {}));
+        limits.onStated(BootClock{}.now(), behaviour.limit);
+    }
     ++m_processes;
     m_software = behaviour.software;
     m_adapters.clear();
@@ -110,6 +116,14 @@
     limits.onStated(BootClock{}.now(), limit);
 }
 
+std::vector<std::string> UpstreamStandIn::limitViolations() const
+{
+    auto violations = limits.violations();
+    for (const auto &past : m_pastLimits)
+        std::ranges::move(past.violations(), std::back_inserter(violations));
+    return violations;
+}
+
 void UpstreamStandIn::publish()
 {
     json::object record{{"service", m_service},
