--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -182,6 +182,9 @@
     /// Time until all nodes have received the announcement of a prompt.
     static constexpr Duration announcementDelay = std::chrono::milliseconds{30};
     static constexpr double latePaceShare = 0.6; ///< Share of the prompt pace for calls past their latency objective.
+    /// Share of the prompt pace for new calls while callers take up streams that only a part of the upstreams can
+    /// serve.
+    static constexpr double newPaceShare = 0.3;
     /// Slowness from which an engine's pauses don't adjust the pace margin, as they don't represent other engines.
     static constexpr double slowEngineThreshold = 1.5;
     /// Longest Retry-After as a fraction of the request's remaining time: callers ignore more than a third.
@@ -285,6 +288,8 @@
         call->deadline = call->arrival + timeout;
         call->lastEvent = call->request.resumeAfter;
         call->streamId = streamIdOf(call->lastEvent ? call->request.resumedId : call->request.id);
+        if (call->lastEvent)
+            m_context.streams.onTakenUp(call->service, call->arrival);
         call->causes = causesOf(*call);
         m_calls.insert(call);
         m_context.allowance.onRequest(call->service, call->arrival);
@@ -569,15 +574,19 @@
         return service && service->engine ? &*service->engine : nullptr;
     }
 
-    /// Returns the prompt pace for the call. Calls past their latency objective leave a part of it to the others.
+    /// Returns the prompt pace for the call. Calls past their latency objective leave a part of it to the others; while
+    /// callers take up streams that only a part of the upstreams can serve, new calls leave most of it to those.
     PromptPace paceOf(const Call &call, Instant now)
     {
         const auto *engine = engineOf(call);
         if (!engine)
             return {};
-        const bool isLate = now - call.arrival > call.route.latencyObjective;
-        const double share = m_context.paceMargins[call.service].share(now);
-        return {call.route.longestPause, engine->tokensPerEvent, isLate ? share * latePaceShare : share};
+        double share = m_context.paceMargins[call.service].share(now);
+        if (m_context.streams.yieldsToTakeUps(call.service, now))
+            share *= call.lastEvent ? 1 : newPaceShare;
+        else if (now - call.arrival > call.route.latencyObjective)
+            share *= latePaceShare;
+        return {call.route.longestPause, engine->tokensPerEvent, share};
     }
 
     void wakeAt(const CallPtr &call, Instant time, Instant now)
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+/// Time from a take-up in which others are expected: those of one loss of nodes or upstreams come within seconds.
+constexpr Duration yieldingTime = std::chrono::seconds{1};
 constexpr std::size_t maxStreams = 100000; ///< Further streams are not known, so that they are not taken up.
 /// Allowance for clocks of machines that differ or jump.
 constexpr std::chrono::milliseconds clockTolerance = std::chrono::seconds{10};
@@ -149,6 +151,17 @@
     return std::nullopt;
 }
 
+void StreamVersions::onTakenUp(const std::string &service, Instant now)
+{
+    m_takenUpAt[service] = now;
+}
+
+bool StreamVersions::yieldsToTakeUps(const std::string &service, Instant now) const
+{
+    const auto it = m_takenUpAt.find(service);
+    return it != m_takenUpAt.end() && now - it->second < yieldingTime && isMixed(service, now);
+}
+
 std::vector<StreamOrigin> StreamVersions::takeUnrecorded(Instant now)
 {
     std::vector<StreamOrigin> streams;
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -83,6 +83,13 @@
     /// age of the view of the registry.
     std::optional<std::string> versionFor(StreamId id, const std::string &service, Duration viewAge, Instant now) const;
 
+    /// Records that a caller takes up a stream of @p service.
+    void onTakenUp(const std::string &service, Instant now);
+
+    /// Returns true if new streams should leave room for those that callers take up, which only the upstreams of one of
+    /// several versions can serve.
+    bool yieldsToTakeUps(const std::string &service, Instant now) const;
+
     /// Returns the streams of this node that have begun since the last call and have not ended, of services with more
     /// than one version; all of a service's once a second version appears.
     std::vector<StreamOrigin> takeUnrecorded(Instant now);
@@ -107,6 +114,7 @@
 
     std::map<std::string, std::map<std::string, Version>> m_versions; ///< By service and version.
     std::unordered_map<StreamId, Stream> m_streams;
+    std::map<std::string, Instant> m_takenUpAt; ///< Last time that a caller took up a stream, by service.
     std::vector<StreamId> m_unrecorded; ///< Own streams that takeUnrecorded() has not returned.
 };
 
--- a/tests/gateway/streamversionstest.cpp
+++ b/tests/gateway/streamversionstest.cpp
@@ -287,3 +287,34 @@
         cr_expect_eq(joined, 0U, "%s, seed %u: %u streams joined", row.name, seed, joined);
     }
 }
+
+namespace
+{
+
+struct YieldCase {
+    const char *name;
+    Serving versions;
+    int takenUpBeforeMs; ///< Negative: never.
+    bool yields;
+};
+
+const YieldCase yields[] = {
+    {"nothing is taken up", {{"v1", 3}, {"v2", 1}}, -1, false},
+    {"streams of two versions are taken up", {{"v1", 3}, {"v2", 1}}, 500, true},
+    {"streams of two versions were taken up a while before", {{"v1", 3}, {"v2", 1}}, 1500, false},
+    {"all upstreams can go on with the streams", {{"v1", 3}}, 500, false},
+};
+
+} // namespace
+
+/// After the loss of all nodes, new streams took the room of those that only the upstreams of one version can go on
+/// with.
+TABLE_TEST(StreamVersions, newStreamsYieldToThoseThatAreTakenUp, yields)
+{
+    StreamVersions streams;
+    streams.onServing("s", row.versions, start);
+    if (row.takenUpBeforeMs >= 0)
+        streams.onTakenUp("s", start);
+    const auto now = start + milliseconds{std::max(0, row.takenUpBeforeMs)};
+    cr_assert_eq(streams.yieldsToTakeUps("s", now), row.yields, "%s", row.name);
+}
