A caller that is gone at the first event of its stream does not end the process

Sending the head of an answer may find the connection closed, which finishes the call; the first event was then passed to an exchange that is no more.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -899,6 +899,8 @@
                 m_context.streams.onBegun(originOf(*call), now);
             }
             call->exchange->begin(call->reply.status, call->reply.headers, std::nullopt);
+            if (call->done)
+                return; // The head could not be sent, as the caller is gone.
         }
         if (call->events->lastId())
             call->lastEvent = call->events->lastId();
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -282,6 +282,15 @@
         return m_status;
     }
 
+    /// Passes @p exchange to the forwarder and runs the loop for @p time.
+    void accept(const std::shared_ptr<Relay::CallerExchange> &exchange, Duration time)
+    {
+        m_forwarder.accept(exchange);
+        m_loop.runAfter(time, [this] { m_loop.stop(); });
+        m_loop.context().restart();
+        m_loop.run();
+    }
+
     struct Announcement {
         std::string instance;
         Duration in{};
@@ -718,3 +727,66 @@
     cr_assert_eq(fixture.sentTo.at(1), fixture.sentTo.at(0));
     cr_assert_eq(fixture.knownLimits(), row.limits, "%s: %u", row.name, fixture.knownLimits());
 }
+
+namespace
+{
+
+/// A caller whose connection turns out to be closed when the head of the answer is sent.
+class GoneCaller : public Relay::CallerExchange
+{
+public:
+    const Http::Request &request() const override
+    {
+        return m_request;
+    }
+
+    Instant arrival() const override
+    {
+        return m_arrival;
+    }
+
+    void respond(const Http::Response &) override
+    {
+    }
+
+    void begin(unsigned, const Http::Headers &, std::optional<std::uint64_t>) override
+    {
+        wasBegun = true;
+        m_onGone();
+    }
+
+    void write(std::string_view) override
+    {
+    }
+
+    void end() override
+    {
+    }
+
+    void abort() override
+    {
+    }
+
+    void onGone(std::function<void()> task) override
+    {
+        m_onGone = std::move(task);
+    }
+
+    bool wasBegun = false;
+
+private:
+    Http::Request m_request{"POST", "/stream/1", {{"Host", "h"}, {"Id", "r1"}}, "question"};
+    Instant m_arrival = BootClock{}.now();
+    std::function<void()> m_onGone;
+};
+
+} // namespace
+
+/// The process ended when a caller was found gone while the first event of its stream was passed on.
+Test(CallForwarder, survivesCallerThatIsGoneAtTheFirstEvent)
+{
+    ForwarderFixture fixture({streamRest});
+    const auto caller = std::make_shared<GoneCaller>();
+    fixture.accept(caller, std::chrono::milliseconds{300});
+    cr_assert(caller->wasBegun);
+}
--- a/tests/gateway/crashquarantinetest.cpp
+++ b/tests/gateway/crashquarantinetest.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-constexpr Instant start{std::chrono::hours{1}};
 const CrashCause bad{CauseKind::PromptPart, 0xbad};
 const std::string prefix = "own/quarantine/";
 const std::string badKey = prefix + "prompt-part/bad";
@@ -100,7 +99,7 @@
                                           prefix,
                                           [] { return NodeReport{}; },
                                           [this](NodeReport report) { sent.push_back(std::move(report)); }};
-    Instant now = start;
+    Instant now = BootClock{}.now(); ///< Retries are due by this clock.
 };
 
 struct WriteCase {
