--- a/src/gateway/crashquarantine.h
+++ b/src/gateway/crashquarantine.h
@@ -29,8 +29,7 @@
 {
 public:
     /// Verdicts are stored under @p keyPrefix. @p broadcast sends a report to all other nodes. Connects the callbacks
-    /// of
-    /// @p context, which awaits the stored verdicts from then on.
+    /// of @p context, which awaits the stored verdicts from then on.
     CrashQuarantine(Store &store, CallContext &context, GatewayLog &log, Metrics &metrics, std::string keyPrefix,
                     std::function<NodeReport()> newReport, std::function<void(NodeReport)> broadcast)
         : m_store(store)
