--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -136,6 +136,33 @@
     writeLater(exchange, "data: a\n\n", std::chrono::milliseconds{700}, 3);
 }
 
+/// Longer than any silence after which a request is moved to another upstream, and shorter than callers wait.
+constexpr Duration soundSilence = std::chrono::milliseconds{1300};
+
+void streamAfterSilence(const Exchange &exchange)
+{
+    fixtureLoop->runAfter(soundSilence, [exchange] {
+        exchange->begin(200, signedFor(exchange), std::nullopt);
+        exchange->write("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        exchange->end();
+    });
+}
+
+void streamWithSilence(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    exchange->write("id: 1\ndata: a\n\n");
+    fixtureLoop->runAfter(soundSilence, [exchange] {
+        exchange->write("id: 2\ndata: b\n\n");
+        exchange->end();
+    });
+}
+
+void answerAfterSilence(const Exchange &exchange)
+{
+    fixtureLoop->runAfter(soundSilence, [exchange] { answer(exchange); });
+}
+
 /// Sends the rest of the stream after the event from which the request resumes.
 void streamRest(const Exchange &exchange)
 {
@@ -181,6 +208,8 @@
             record.endpoint = {"127.0.0.1", server->listen({"127.0.0.1", 0}), false};
             m_context.upstreams.onRecord(record, BootClock{}.now());
         }
+        m_context.onLoadRequested
+            = [](const std::string &, const ModelTarget &, const std::vector<std::string> &, unsigned) {};
         m_context.onSend = [this](const SendNotice &notice) {
             announced.push_back({notice.instance, notice.in});
             announcedTokens += notice.tokens;
@@ -216,6 +245,17 @@
         ask(path, target);
     }
 
+    Upstream &upstream(const std::string &instance)
+    {
+        return *m_context.upstreams.find(instance);
+    }
+
+    /// Leaves no further sends of one request to the node.
+    void spendRetries()
+    {
+        m_context.allowance.setBound({0, 0, std::chrono::seconds{10}, 1});
+    }
+
     /// Withholds the configuration until @p time from now, or for good if @p time is zero.
     void configureAfter(Duration time)
     {
@@ -581,6 +621,88 @@
     cr_assert_eq(fixture.sends, 2U);
 }
 
+namespace
+{
+
+struct SilenceCase {
+    const char *name;
+    const char *path;
+    const char *target;
+    ForwarderFixture::Responder responder; ///< Of the silent upstream, u0.
+    const char *body; ///< Of its whole answer.
+    void (*spoilOther)(ForwarderFixture &fixture); ///< Makes u1 unable to take the request.
+};
+
+const char wholeStream[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+void fillOther(ForwarderFixture &fixture)
+{
+    fixture.upstream("u1").peersInFlight = 4;
+}
+
+void dropCopyOfOther(ForwarderFixture &fixture)
+{
+    fixture.upstream("u1").residency.onDropped("m/a", BootClock{}.now());
+}
+
+void loadCopyOfOther(ForwarderFixture &fixture)
+{
+    dropCopyOfOther(fixture);
+    fixture.load("u1", "m/a", std::chrono::seconds{4});
+}
+
+void fillPromptWindowOfOther(ForwarderFixture &fixture)
+{
+    const auto now = BootClock{}.now();
+    for (Duration at{}; at < std::chrono::seconds{4}; at += std::chrono::milliseconds{100})
+        fixture.upstream("u1").prompts.add(2000, now + at, now);
+}
+
+void applyBackpressureOfOther(ForwarderFixture &fixture)
+{
+    fixture.upstream("u1").backpressureUntil = BootClock{}.now() + std::chrono::seconds{20};
+}
+
+void changeSoftwareOfOther(ForwarderFixture &fixture)
+{
+    fixture.upstream("u1").record.softwareVersion = "v2";
+}
+
+void spendRetries(ForwarderFixture &fixture)
+{
+    fixture.spendRetries();
+}
+
+const SilenceCase silences[] = {
+    {"begun, other full", "/paced/1", "m/a", streamWithSilence, wholeStream, fillOther},
+    {"begun, other without copy", "/paced/1", "m/a", streamWithSilence, wholeStream, dropCopyOfOther},
+    {"begun, other loading", "/paced/1", "m/a", streamWithSilence, wholeStream, loadCopyOfOther},
+    {"begun, other reading prompts", "/paced/1", "m/a", streamWithSilence, wholeStream, fillPromptWindowOfOther},
+    {"begun, other under backpressure", "/paced/1", "m/a", streamWithSilence, wholeStream, applyBackpressureOfOther},
+    {"begun, other of another software", "/paced/1", "m/a", streamWithSilence, wholeStream, changeSoftwareOfOther},
+    {"begun, no budget", "/paced/1", "m/a", streamWithSilence, wholeStream, spendRetries},
+    {"begun without target, no budget", "/stream/1", "", streamWithSilence, wholeStream, spendRetries},
+    {"not begun, other full", "/paced/1", "m/a", streamAfterSilence, wholeStream, fillOther},
+    {"not begun, no budget", "/paced/1", "m/a", streamAfterSilence, wholeStream, spendRetries},
+    {"plain, other under backpressure", "/safe/1", "", answerAfterSilence, "whole", applyBackpressureOfOther},
+    {"plain, no budget", "/safe/1", "", answerAfterSilence, "whole", spendRetries},
+};
+
+} // namespace
+
+/// Guards against a request that is cut off at a silent upstream although no other upstream can take it.
+TABLE_TEST(CallForwarder, staysAtSilentUpstreamWithoutAnother, silences)
+{
+    ForwarderFixture fixture({row.responder, fail});
+    for (const auto *instance : {"u0", "u1"})
+        fixture.load(instance, "m/a", std::chrono::milliseconds{-1000});
+    fixture.loop().runAfter(std::chrono::milliseconds{100}, [&] { row.spoilOther(fixture); });
+    const auto status = fixture.ask(row.path, row.target);
+    cr_assert_eq(status, 200U, "%s: status %u", row.name, status);
+    cr_assert_eq(fixture.body, std::string(row.body), "%s: %s", row.name, fixture.body.c_str());
+    cr_assert_eq(fixture.sends, 1U, "%s: %u sends", row.name, fixture.sends);
+}
+
 /// A slow stream that keeps sending events is not abandoned.
 Test(CallForwarder, keepsSlowStream)
 {
