A request stays at a silent upstream unless another one takes it at once

Callers saw streams end midway: a sound upstream was silent for a second, the node reset the connection and only then looked for another upstream. Where that was full, loading, of other software or the budget was used up, the answer was broken off although its upstream would have gone on.

Cause: leaveSilentUpstream ended the exchange before an alternative was in hand. Now the node chooses first: the other upstream must take the request at once, respond, have the version of the stream (and have stated its process while several software versions serve), and the budget must have room. Otherwise the exchange goes on, until the caller leaves or the deadline passes. The old send is cancelled in the same step, so that two runs never overlap.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -242,6 +242,7 @@
         Instant streamWantedAt{}; ///< When the records of streams were last read for the call.
         UpstreamProcess verified; ///< Process that has stated its start time, so that its software version is known.
         Instant verifiedAt{};
+        Instant verifyingUntil{}; ///< Time until which the process that was asked last may answer.
         Instant lastEventAt{};
         std::array<Duration, 2> pauses{}; ///< The last two between events of the current send.
         Duration firstEvent{}; ///< Time from the call's arrival to the first event.
@@ -429,8 +430,13 @@
         const UpstreamProcess process{instance, upstream->record.startedAt};
         if (call->verified == process && now - call->verifiedAt < verificationTime)
             return true;
-        waitFor(call, WaitCause::StreamVersion, UpstreamMonitor<Dialect>::livenessTimeout, now);
-        call->notBefore = now + UpstreamMonitor<Dialect>::livenessTimeout;
+        if (now < call->verifyingUntil)
+            return false;
+        call->verifyingUntil = now + UpstreamMonitor<Dialect>::livenessTimeout;
+        if (call->token == 0) {
+            waitFor(call, WaitCause::StreamVersion, UpstreamMonitor<Dialect>::livenessTimeout, now);
+            call->notBefore = call->verifyingUntil;
+        }
         m_monitor.verify(*upstream, [this, weak = std::weak_ptr<Call>(call), process](bool isSame) {
             if (const auto current = weak.lock(); current && !current->done)
                 onVerified(current, process, isSame);
@@ -440,6 +446,7 @@
 
     void onVerified(const CallPtr &call, const UpstreamProcess &process, bool isSame)
     {
+        call->verifyingUntil = {};
         call->notBefore = {};
         if (isSame) {
             call->verified = process;
@@ -1104,13 +1111,19 @@
         forwardAnswer(call);
     }
 
-    void onBroken(const CallPtr &call, const std::string &reason)
+    /// Records that the current send has failed after its upstream may have run the request.
+    void noteMayHaveRun(const CallPtr &call, const std::string &reason)
     {
         noteResult(call, true);
         ++call->runs;
         call->verdict = Verdict::MayHaveRun;
         m_log.decision(GatewayEvent::SendFailed, call->request.id,
                        {{"upstream", call->instance}, {"reason", reason}, {"verdict", "may-have-run"}});
+    }
+
+    void onBroken(const CallPtr &call, const std::string &reason)
+    {
+        noteMayHaveRun(call, reason);
         if (mayRunAgain(*call))
             return retry(call);
         if (call->answering)
@@ -1300,12 +1313,11 @@
         if (call->waiting)
             return proceed(call);
         if (call->token != 0 && isSilent(*call, now))
-            leaveSilentUpstream(call, now);
+            moveFromSilentUpstream(call, now);
     }
 
     bool isSilent(const Call &call, Instant now) const
     {
-        // An unresponsive upstream may still answer, so it is left only if the request may run once more elsewhere.
         if (!mayRunAgain(call) || call.runs + 1 >= call.route.attempts)
             return false;
         const auto it = m_context.upstreams.all().find(call.instance);
@@ -1325,12 +1337,22 @@
         return std::max(minSilence, Duration{static_cast<std::int64_t>(silenceInAnswerTimes * answerMs * 1000)});
     }
 
-    void leaveSilentUpstream(const CallPtr &call, Instant now)
+    /// Sends the call to another upstream if one takes it at once. Otherwise it stays, as its upstream may be sound and
+    /// go on later.
+    void moveFromSilentUpstream(const CallPtr &call, Instant now)
     {
+        if (!m_context.allowance.hasRoom(call->service, now))
+            return;
+        const auto other = choose(*call, now, call->instance);
+        if (!other || other->isFull || other->isSuspect || other->sendAt > now
+            || !isVerified(call, other->instance, now))
+            return;
         m_client.cancel(call->token);
         release(call);
         m_monitor.avoid(call->instance, now);
-        onBroken(call, "the upstream has gone silent");
+        noteMayHaveRun(call, "the upstream has gone silent");
+        call->excluded.push_back(call->instance);
+        send(call, *other, now);
     }
 
     void noteBroken(const Call &call, Instant now)
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -42,12 +42,17 @@
            && msOf(now - upstream.waitingSince) > std::max(minSilenceMs, longestMs);
 }
 
+bool isSuspect(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
+{
+    return isSilent(upstream, demand, now) || now < upstream.avoidUntil;
+}
+
 double penaltyMs(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
 {
     double penalty = 0;
     if (upstream.outcomes.weightAt(now) >= minOutcomes && upstream.failureRatio > badFailureRatio)
         penalty += badUpstreamPenaltyMs * upstream.failureRatio;
-    if (isSilent(upstream, demand, now) || now < upstream.avoidUntil)
+    if (isSuspect(upstream, demand, now))
         penalty += badUpstreamPenaltyMs;
     return penalty;
 }
@@ -117,7 +122,8 @@
             || std::ranges::find(demand.excluded, instance) != demand.excluded.end()
             || !hasUsableSoftware(upstream.record, demand))
             continue;
-        UpstreamChoice choice{instance, 0, now, now, false, upstream.limitsRequests(), 0};
+        UpstreamChoice choice{instance, 0, now, now, false, upstream.limitsRequests(), isSuspect(upstream, demand, now),
+                              0};
         if (!demand.target.empty()) {
             const auto *copy = upstream.residency.find(demand.target);
             if (!copy || (copy->version < demand.minVersion))
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -60,6 +60,7 @@
     Instant sendAt{}; ///< Time to send: the engine has room for the prompt beside its streams; not before @c usableAt.
     bool isFull = false; ///< The upstream has no free slot, and it is not known when it will have one.
     bool isLimited = false; ///< The upstream limits its requests, so that the send has to be scheduled.
+    bool isSuspect = false; ///< The upstream does not respond, or is avoided after a failure.
     double score = 0; ///< Expected time to first event by load and distance, plus penalties, in ms; lower is better.
 };
 
--- a/src/gateway/retryallowance.cpp
+++ b/src/gateway/retryallowance.cpp
@@ -62,9 +62,14 @@
     return names;
 }
 
+bool RetryAllowance::hasRoom(const std::string &service, Instant now)
+{
+    return left(service, now) >= 1;
+}
+
 bool RetryAllowance::tryTake(const std::string &service, Instant now)
 {
-    if (left(service, now) < 1)
+    if (!hasRoom(service, now))
         return false;
     m_accounts[service].extraSends.push_back(now);
     return true;
--- a/src/gateway/retryallowance.h
+++ b/src/gateway/retryallowance.h
@@ -34,6 +34,9 @@
     /// Records a caller's request for @p service.
     void onRequest(const std::string &service, Instant now);
 
+    /// Returns true if the allowance permits an extra send.
+    bool hasRoom(const std::string &service, Instant now);
+
     /// Records an extra send and returns true if the allowance permits one; otherwise returns false.
     bool tryTake(const std::string &service, Instant now);
 
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -663,6 +663,11 @@
     fixture.upstream("u1").backpressureUntil = BootClock{}.now() + std::chrono::seconds{20};
 }
 
+void avoidOther(ForwarderFixture &fixture)
+{
+    fixture.upstream("u1").avoidUntil = BootClock{}.now() + std::chrono::seconds{4};
+}
+
 void changeSoftwareOfOther(ForwarderFixture &fixture)
 {
     fixture.upstream("u1").record.softwareVersion = "v2";
@@ -680,6 +685,7 @@
     {"begun, other reading prompts", "/paced/1", "m/a", streamWithSilence, wholeStream, fillPromptWindowOfOther},
     {"begun, other under backpressure", "/paced/1", "m/a", streamWithSilence, wholeStream, applyBackpressureOfOther},
     {"begun, other of another software", "/paced/1", "m/a", streamWithSilence, wholeStream, changeSoftwareOfOther},
+    {"begun, other avoided", "/paced/1", "m/a", streamWithSilence, wholeStream, avoidOther},
     {"begun, no budget", "/paced/1", "m/a", streamWithSilence, wholeStream, spendRetries},
     {"begun without target, no budget", "/stream/1", "", streamWithSilence, wholeStream, spendRetries},
     {"not begun, other full", "/paced/1", "m/a", streamAfterSilence, wholeStream, fillOther},
