Stand-ins of upstreams have paths that can be cut for single nodes, and may be silent

A proxy on loopback before each stand-in holds, resets or closes the path of a node, which it knows by the local address of the node's connections: a node's new setting connect_from chooses it.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -44,6 +44,12 @@
     {
     }
 
+    /// Sets the local address of connections to upstreams.
+    void connectFrom(const Http::Endpoint &local)
+    {
+        m_client.connectFrom(local);
+    }
+
     /// Accepts a caller's request and begins to route it.
     void accept(const std::shared_ptr<Relay::CallerExchange> &exchange)
     {
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -100,6 +100,7 @@
                      [this](const RegistryUpdate &update, bool isOverdue) { publishUpdate(update, isOverdue); })
     {
         m_context.node = settings.node;
+        m_forwarder.connectFrom(settings.connectFrom);
         m_context.failureDomain = settings.failureDomain;
         m_context.regions = settings.regions;
         m_context.maxBufferedAnswerBytes = settings.answerBufferBytes;
@@ -136,6 +137,7 @@
             m_orders.push_back(std::make_unique<Orders>(m_loop, m_store, m_context, m_log, m_metrics,
                                                         OrderHolder{settings.node, m_address.startedAt}, shard,
                                                         orderKeys(shard), leaseSettings(settings)));
+            m_orders.back()->connectFrom(settings.connectFrom);
             m_orders.back()->onReleased([this] {
                 auto notice = report();
                 addReleases(notice, BootClock{}.now());
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -67,6 +67,7 @@
     reader.scalar("drain_bound", Presence::Optional, settings.drainBound, shortTimes);
     reader.map("listen", Presence::Required, [&](MapReader &map) { readListeners(map, settings); });
     reader.scalar("store", Presence::Required, settings.store);
+    reader.scalar("connect_from", Presence::Optional, settings.connectFrom);
     reader.map("machine", Presence::Optional, [&](MapReader &map) { readMachine(map, settings); });
     reader.scalar("order_handover", Presence::Optional, settings.orderHandover, shortTimes);
     reader.scalar("stop_grace", Presence::Optional, settings.stopGrace, shortTimes);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -26,6 +26,9 @@
     Http::Endpoint peers; ///< UDP.
     std::optional<Http::Endpoint> metrics;
     Http::Endpoint store;
+    /// Local address of connections to upstreams; the kernel chooses it if the address is empty, and the port if it
+    /// is 0.
+    Http::Endpoint connectFrom;
     /// Relative capacity of the machine for work on behalf of other nodes: its share of a core over 0.25, or its link
     /// rate over 100 Mbit/s, whichever is less.
     double capacity = 1;
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -76,6 +76,12 @@
     {
     }
 
+    /// Sets the local address of connections to engines.
+    void connectFrom(const Http::Endpoint &local)
+    {
+        m_client.connectFrom(local);
+    }
+
     /// Sets how long this node waits before it tries to acquire a vacant lease, unless it was the last holder, which
     /// does not wait. The delay differs between nodes, so that they do not all try at once.
     void setAcquireDelay(Duration delay)
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -69,6 +69,7 @@
     std::map<std::string, std::vector<std::shared_ptr<Connection>>> idle;
     std::unordered_map<UpstreamClient::Token, std::shared_ptr<Connection>> busy;
     std::uint64_t opened = 0;
+    tcp::endpoint local; ///< Unspecified: the kernel chooses it.
 };
 
 class Connection : public std::enable_shared_from_this<Connection>
@@ -87,6 +88,8 @@
         const auto address = asio::ip::make_address(endpoint.address, error);
         if (!error)
             m_socket.open(tcp::v4(), error);
+        if (!error && !m_shared->local.address().is_unspecified())
+            m_socket.bind(m_shared->local, error);
         if (error)
             return asio::post(m_shared->context, [self = shared_from_this(), error] {
                 self->fail(ExchangeFailure::NotConnected, error.message());
@@ -311,6 +314,12 @@
 
 UpstreamClient::~UpstreamClient() = default;
 
+void UpstreamClient::connectFrom(const Http::Endpoint &local)
+{
+    m_d->shared->local
+        = local.address.empty() ? tcp::endpoint() : tcp::endpoint(asio::ip::make_address(local.address), local.port);
+}
+
 UpstreamClient::Token UpstreamClient::send(const Destination &destination, const Http::Request &request,
                                            ExchangeObserver observer, const SendOptions &options)
 {
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -75,6 +75,9 @@
     UpstreamClient(const UpstreamClient &) = delete;
     UpstreamClient &operator=(const UpstreamClient &) = delete;
 
+    /// Sets the local address of connections that are opened from now on; an empty address leaves it to the kernel.
+    void connectFrom(const Http::Endpoint &local);
+
     /// Sends @p request and adds the Content-Length of its body. Precondition: its headers include Host.
     Token send(const Destination &destination, const Http::Request &request, ExchangeObserver observer,
                const SendOptions &options);
--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -78,14 +78,15 @@
 {
     for (unsigned number = 0; number < size.engines; ++number)
         m_engines.push_back(std::make_unique<UpstreamStandIn>(m_loop, m_store, "e" + std::to_string(number), "model",
-                                                              true, seed + number, m_crashing));
+                                                              true, seed + number, m_crashing, m_paths));
     for (unsigned number = 0; number < size.workers; ++number)
         m_workers.push_back(std::make_unique<UpstreamStandIn>(m_loop, m_store, "w" + std::to_string(number), "web",
-                                                              false, seed + number, m_crashing));
+                                                              false, seed + number, m_crashing, m_paths));
     configure();
     for (unsigned number = 0; number < size.nodes; ++number) {
         Node node;
         node.name = "n" + std::to_string(number);
+        node.address = "127.1." + std::to_string(number / 250) + '.' + std::to_string(1 + number % 250);
         for (int port = 0; port < PortCount; ++port)
             node.ports.push_back(std::make_unique<Processes::ReservedPort>());
         m_nodes.push_back(std::move(node));
@@ -119,7 +120,8 @@
                             << "\nfailure_domain: a\nregion: r\nregions: {a: r}\nlisten:\n  callers: "
                             << address(Callers) << "\n  readiness: " << address(Readiness)
                             << "\n  entries: " << address(Entries) << "\n  peers: " << address(Peers)
-                            << "\n  metrics: " << address(Metrics) << "\nstore: " << Http::toString(m_store.endpoint())
+                            << "\n  metrics: " << address(Metrics) << "\nconnect_from: " << node.address
+                            << ":0\nstore: " << Http::toString(m_store.endpoint())
                             << "\norder_handover: 3000ms\ndrain_bound: 2500ms\nstop_grace: " << stopGrace.count() / 1000
                             << "ms\nentry_ttl: 1s\nretries:\n  ratio: 0.2\n  slack: 58\n  window: 10s\nlog:\n"
                                "  level: info\n  format: json\n";
@@ -251,6 +253,7 @@
     Relay::SendOptions options;
     options.timeout = 2 * form.timeout;
     ++m_tallies[kind].sent;
+    ++m_nodeTallies[*number].sent;
     const auto now = BootClock{}.now();
     const auto onResponse = [this, kind, id, number, now, prompt, retries](const Relay::WholeResponse &response) {
         onAnswer(kind, id, *number, now, response);
@@ -273,6 +276,7 @@
     const auto status = response.head.status;
     if (status == 200) {
         ++tally.served;
+        ++m_nodeTallies[node].served;
         if (response.head.headers.get("X-Request-Id") != id || !response.head.headers.contains("X-Response-Signature"))
             m_problems.push_back(id + " got an answer that is not an upstream's answer to it");
         const bool isWhole = isStream(kind) ? response.body.find("id: 6\n") != std::string::npos : response.body == id;
@@ -376,6 +380,17 @@
     excuse(m_nodes[number], since, BootClock{}.now());
 }
 
+void Fleet::partition(std::size_t number, PathState state, Duration time)
+{
+    auto &node = m_nodes[number];
+    m_paths.set(node.address, {}, state);
+    node.partitionedUntil = BootClock{}.now() + time;
+    after(time, [this, address = node.address, number] {
+        if (BootClock{}.now() >= m_nodes[number].partitionedUntil)
+            m_paths.set(address, {}, PathState::Open);
+    });
+}
+
 void Fleet::reload(std::size_t number)
 {
     m_nodes[number].process->signal(SIGHUP);
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gatewayfleet/pathproxy.h"
 #include "gatewayfleet/storestandin.h"
 #include "gatewayfleet/streamcallers.h"
 #include "gatewayfleet/upstreamstandin.h"
@@ -82,6 +83,9 @@
     /// Stops a node's process by SIGTERM and starts it again once it has ended.
     void stop(std::size_t node);
 
+    /// Puts the paths from @p node to all upstreams into @p state for @p time.
+    void partition(std::size_t node, PathState state, Duration time);
+
     /// Lets a node read its settings again.
     void reload(std::size_t node);
 
@@ -125,6 +129,12 @@
         return m_tallies[kind];
     }
 
+    /// Returns what callers got from @p node, in answer to all kinds of requests.
+    const Tally &tallyOf(std::size_t node)
+    {
+        return m_nodeTallies[node];
+    }
+
     std::size_t nodes() const
     {
         return m_nodes.size();
@@ -144,6 +154,7 @@
     void clearTallies()
     {
         m_tallies.clear();
+        m_nodeTallies.clear();
     }
 
     std::mt19937_64 &random()
@@ -160,10 +171,12 @@
 private:
     struct Node {
         std::string name;
+        std::string address; ///< Local address of its connections to upstreams.
         std::vector<std::unique_ptr<Processes::ReservedPort>> ports; ///< Callers, readiness, entries, peers, metrics.
         std::unique_ptr<Processes::ChildProcess> process;
         bool isOpen = true; ///< Callers use it for new requests.
         Instant disturbedAt{}; ///< When it was last killed, frozen or thawed.
+        Instant partitionedUntil{}; ///< From all upstreams, which may break its requests that are in flight.
         Instant startedAt{};
         bool isExpectedToRun = true; ///< False from a kill or stop until its next start.
     };
@@ -197,6 +210,7 @@
     std::mt19937_64 m_random;
     StoreStandIn m_store;
     CrashingParts m_crashing;
+    Paths m_paths;
     std::vector<std::string> m_crashingParts;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_engines;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_workers;
@@ -206,6 +220,7 @@
     std::map<CallerRequest, double> m_rates;
     std::map<CallerRequest, unsigned> m_generations; ///< Counts changes of the load, which end earlier senders.
     std::map<CallerRequest, Tally> m_tallies;
+    std::map<std::size_t, Tally> m_nodeTallies;
     std::map<std::string, std::string> m_notRun; ///< Answers that promise that a request did not run, by its id.
     std::set<std::string> m_booked; ///< Ids of requests that must not run twice.
     std::vector<std::string> m_problems;
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned slots = 16;
 constexpr Duration heartbeatInterval = std::chrono::milliseconds{1000};
 constexpr Duration recordLifetime = std::chrono::milliseconds{1500}; ///< Of the record of a process that has crashed.
+constexpr Duration pathSweepInterval = std::chrono::milliseconds{10};
 constexpr Duration crashDownTime = std::chrono::seconds{2}; ///< After a request has crashed it.
 
 /// Returns the node that has sent a request. Callers choose ids of the form `NODE:NUMBER`, as each knows its node.
@@ -32,17 +33,33 @@
 } // namespace
 
 UpstreamStandIn::UpstreamStandIn(Http::EventLoop &loop, StoreStandIn &store, const std::string &instance,
-                                 const std::string &service, bool isEngine, unsigned seed, CrashingParts &crashingParts)
+                                 const std::string &service, bool isEngine, unsigned seed, CrashingParts &crashingParts,
+                                 const Paths &paths)
     : m_loop(loop)
     , m_store(store)
     , m_name(instance)
     , m_service(service)
     , m_isEngine(isEngine)
     , m_crashingParts(crashingParts)
+    , m_paths(paths)
     , m_random(seed)
 {
     startProcess();
     sendHeartbeats();
+    sweepPaths();
+}
+
+void UpstreamStandIn::sweepPaths()
+{
+    if (m_proxy)
+        m_proxy->sweep();
+    m_loop.runAfter(pathSweepInterval, [this] { sweepPaths(); });
+}
+
+void UpstreamStandIn::silence(Duration time)
+{
+    if (m_proxy)
+        m_proxy->silence(time);
 }
 
 void UpstreamStandIn::sendHeartbeats()
@@ -65,7 +82,9 @@
     m_orders = 1;
     m_server = std::make_unique<Relay::CallerServer>(m_loop, Relay::CallerServerSettings{},
                                                      [this](const Exchange &exchange) { serve(exchange); });
-    m_endpoint = {"127.0.0.1", m_server->listen({"127.0.0.1", 0}), false};
+    m_proxy = std::make_unique<PathProxy>(m_loop, m_paths, m_name,
+                                          Http::Endpoint{"127.0.0.1", m_server->listen({"127.0.0.1", 0}), false});
+    m_endpoint = m_proxy->endpoint();
     publish();
 }
 
@@ -93,6 +112,7 @@
             exchange->abort();
     }
     m_server.reset();
+    m_proxy.reset();
     m_loop.runAfter(recordLifetime, [this, instance = m_instance, process = m_processes] {
         if (m_processes == process || m_instance != instance)
             m_store.remove("servers/" + instance);
--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gatewayfleet/crashingparts.h"
+#include "gatewayfleet/pathproxy.h"
 #include "gatewayfleet/requestlimitcheck.h"
 #include "gatewayfleet/storestandin.h"
 #include "http/eventloop.h"
@@ -33,12 +34,15 @@
 {
 public:
     UpstreamStandIn(Http::EventLoop &loop, StoreStandIn &store, const std::string &instance, const std::string &service,
-                    bool isEngine, unsigned seed, CrashingParts &crashingParts);
+                    bool isEngine, unsigned seed, CrashingParts &crashingParts, const Paths &paths);
 
     /// Crashes: breaks its connections, refuses new ones, and starts again after @p downTime as another process, which
     /// holds no adapters.
     void crash(Duration downTime);
 
+    /// Sends nothing for @p time and then goes on.
+    void silence(Duration time);
+
     /// Announces that it leaves, serves on for @p time, and then ends for good.
     void retire(Duration time);
 
@@ -69,6 +73,7 @@
     void startProcess();
     void endProcess();
     void sendHeartbeats();
+    void sweepPaths();
     bool crashAt(const Exchange &exchange);
     void serve(const Exchange &exchange);
     void answerPlain(const Exchange &exchange);
@@ -87,10 +92,12 @@
     std::string m_service;
     bool m_isEngine;
     CrashingParts &m_crashingParts;
+    const Paths &m_paths;
     std::string m_software; ///< Of the current process.
     bool m_isDraining = false;
     unsigned m_processes = 0; ///< Number of processes started.
     std::unique_ptr<Relay::CallerServer> m_server; ///< Null while it is down.
+    std::unique_ptr<PathProxy> m_proxy; ///< Null while it is down.
     std::vector<std::weak_ptr<Relay::CallerExchange>> m_exchanges; ///< Requests of the current process.
     Http::Endpoint m_endpoint;
     std::mt19937_64 m_random;
