Callers' requests and connections left unanswered are counted and logged

The behaviour of connections is unchanged.

Tests: relaytest countsRequestsLeftUnanswered and closesConnectionsBeyondTheLimitUnread. The latter shows that a connection beyond the limit is reset unread, as it was before; only its count is new.

--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -47,6 +47,7 @@
     Answered,
     LoopLate,
     SpeedLearnt,
+    CallersUnanswered,
 };
 
 } // namespace Gypsumtally::Gateway
@@ -55,7 +56,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 33> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 34> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -89,6 +90,7 @@
     {Gateway::GatewayEvent::Answered, "answered"},
     {Gateway::GatewayEvent::LoopLate, "loop_late"},
     {Gateway::GatewayEvent::SpeedLearnt, "speed_learnt"},
+    {Gateway::GatewayEvent::CallersUnanswered, "callers_unanswered"},
 }};
 
 } // namespace Gypsumtally
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -653,6 +653,7 @@
         m_callers.sweep(now);
         if (++m_ticks % 10 == 0) {
             logMemberChanges(now);
+            reportCallerLosses();
             m_readiness.sweep(now);
             m_metricsServer.sweep(now);
             m_entries.sweep(now);
@@ -662,6 +663,21 @@
         m_loop.runAfter(tickInterval, [this] { tick(); });
     }
 
+    /// Logs and counts the callers' requests and connections that were closed without an answer.
+    void reportCallerLosses()
+    {
+        const auto last = std::exchange(m_callerLosses, m_callers.losses());
+        const auto requests = m_callerLosses.requests - last.requests;
+        const auto connections = m_callerLosses.connections - last.connections;
+        if (requests == 0 && connections == 0)
+            return;
+        m_log.note(GatewayEvent::CallersUnanswered, {{"requests", std::to_string(requests)},
+                                                     {"connections", std::to_string(connections)},
+                                                     {"open", std::to_string(m_callers.connections())}});
+        m_metrics.add(Metric::CallerLosses, {{"kind", "request"}}, static_cast<double>(requests));
+        m_metrics.add(Metric::CallerLosses, {{"kind", "connection"}}, static_cast<double>(connections));
+    }
+
     void tickOrders(Instant now)
     {
         m_shardSizes = shardSizes(now);
@@ -1130,6 +1146,7 @@
     CallForwarder<typename Platform::Calls> m_forwarder;
     std::vector<std::unique_ptr<Orders>> m_orders; ///< Indexed by shard.
     Relay::CallerServer m_callers;
+    Relay::CallerLosses m_callerLosses; ///< That were reported.
     Relay::CallerServer m_readiness;
     Relay::CallerServer m_entries;
     Relay::CallerServer m_metricsServer;
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -101,6 +101,7 @@
     CallerServer::Handler handler;
     bool closing = false;
     std::size_t active = 0;
+    CallerLosses losses;
     std::unordered_set<std::shared_ptr<Connection>> connections;
 };
 
@@ -238,8 +239,10 @@
             return waitForBytes();
         if (error)
             return closeNow();
-        if (m_lingering)
+        if (m_lingering) {
+            noteUnanswered();
             return waitForBytes();
+        }
         m_input.append(bytes.data(), got);
         parse();
         if (m_input.size() < maxPipelinedBytes)
@@ -274,6 +277,7 @@
 
     void refuse(unsigned status, const std::string &reason)
     {
+        m_isRefused = true;
         const auto body = reason + '\n';
         send(headText(status, {{"Content-Type", "text/plain"},
                                {"Content-Length", std::to_string(body.size())},
@@ -288,11 +292,20 @@
             return;
         m_lingering = true;
         m_stateSince = BootClock{}.now();
+        if (m_reader->keepsConnection() && !m_input.empty())
+            noteUnanswered();
         if (m_output.empty())
             shutdownSend();
         waitForBytes();
     }
 
+    /// Records that a request, or a part of one, will not be answered. The rest of a refused request is none.
+    void noteUnanswered()
+    {
+        if (!m_isRefused && !std::exchange(m_hasUnanswered, true))
+            ++m_shared->losses.requests;
+    }
+
     void shutdownSend()
     {
         ErrorCode ignored;
@@ -332,6 +345,8 @@
     bool m_waitingForBytes = false;
     bool m_waitingForWritable = false;
     bool m_lingering = false; ///< Sends only buffered bytes and gives the caller time to read them.
+    bool m_isRefused = false; ///< What still arrives belongs to a request that was refused.
+    bool m_hasUnanswered = false;
     bool m_closed = false;
 };
 
@@ -401,7 +416,7 @@
 struct CallerServer::Private : std::enable_shared_from_this<CallerServer::Private> {
     Private(Http::EventLoop &eventLoop, CallerServerSettings settings, Handler handler)
         : context(eventLoop.context())
-        , shared(std::make_shared<Shared>(Shared{settings, std::move(handler), false, 0, {}}))
+        , shared(std::make_shared<Shared>(Shared{settings, std::move(handler), false, 0, {}, {}}))
         , acceptor(context)
     {
     }
@@ -411,7 +426,9 @@
         acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
             if (error == asio::error::operation_aborted || !self->acceptor.is_open())
                 return;
-            if (!error && self->shared->connections.size() < self->shared->settings.maxConnections) {
+            if (!error && self->shared->connections.size() >= self->shared->settings.maxConnections) {
+                ++self->shared->losses.connections;
+            } else if (!error) {
                 auto connection = std::make_shared<Connection>(std::move(socket), self->shared);
                 self->shared->connections.insert(connection);
                 connection->start();
@@ -485,4 +502,9 @@
     return m_d->shared->active;
 }
 
+const CallerLosses &CallerServer::losses() const
+{
+    return m_d->shared->losses;
+}
+
 } // namespace Gypsumtally::Relay
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -60,6 +60,12 @@
     std::size_t maxBufferedBytes = 4 * 1024 * 1024; ///< Unsent bytes above which a slow caller is disconnected.
 };
 
+/// What a server has left unanswered. The counts only grow.
+struct CallerLosses {
+    std::uint64_t requests = 0; ///< Connections on which a request, or a part, came after the last answer.
+    std::uint64_t connections = 0; ///< Connections closed unread, because there were too many.
+};
+
 /// An HTTP/1.1 server on one event loop. Connections have no timers of their own: sweep() enforces the timeouts. Use
 /// only on the event loop's thread.
 class CallerServer
@@ -92,6 +98,9 @@
     /// Returns the number of requests whose response has not ended.
     std::size_t activeRequests() const;
 
+    /// Returns what has been left unanswered since the start.
+    const CallerLosses &losses() const;
+
 private:
     struct Private;
     std::shared_ptr<Private> m_d;
--- a/src/report/metrics.cpp
+++ b/src/report/metrics.cpp
@@ -32,7 +32,7 @@
     const char *help;
 };
 
-constexpr std::array<Description, 22> descriptions{{
+constexpr std::array<Description, 23> descriptions{{
     {Metric::Requests, Kind::Counter, "gypsumtally_requests_total", "Requests that have ended."},
     {Metric::RequestSeconds, Kind::Histogram, "gypsumtally_request_seconds", "Time from arrival to the whole answer."},
     {Metric::FirstTokenSeconds, Kind::Histogram, "gypsumtally_first_token_seconds",
@@ -60,6 +60,8 @@
      "What upstreams have said of themselves in answers."},
     {Metric::LimitedSends, Kind::Counter, "gypsumtally_limited_sends_total",
      "Requests sent to upstreams that state a request limit."},
+    {Metric::CallerLosses, Kind::Counter, "gypsumtally_caller_losses_total",
+     "Callers' requests and connections that were closed without an answer."},
 }};
 
 const prometheus::Histogram::BucketBoundaries secondsBuckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -35,6 +35,7 @@
     RetriesLeft, ///< Label: service.
     UpstreamStatements, ///< States that upstreams reported in answers. Label: statement.
     LimitedSends, ///< Requests to upstreams that limit their requests. Label: kind.
+    CallerLosses, ///< Requests and connections of callers that were left unanswered. Label: kind.
 };
 
 /// The names and values of the labels of one time series.
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -2,6 +2,7 @@
 #include "relay/callerserver.h"
 #include "relay/upstreamclient.h"
 
+#include "support/rawcaller.h"
 #include "support/rawserver.h"
 #include "support/table.h"
 
@@ -180,3 +181,85 @@
     cr_assert(received.has_value());
     cr_assert_eq(received->head.status, 0U);
 }
+
+namespace
+{
+
+using Testing::RawCaller;
+
+const char question[] = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nqq";
+const char lastQuestion[] = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\nqq";
+
+/// A server that answers each request at once, unless it holds the answers back.
+struct AnsweringServer {
+    explicit AnsweringServer(const CallerServerSettings &settings = {})
+        : server(loop, settings, [this](auto exchange) { take(std::move(exchange)); })
+    {
+        endpoint = {"127.0.0.1", server.listen({"127.0.0.1", 0}), false};
+    }
+
+    void take(std::shared_ptr<CallerExchange> exchange)
+    {
+        ++requests;
+        if (holdsAnswers)
+            held.push_back(std::move(exchange));
+        else
+            exchange->respond({200, {}, "a"});
+    }
+
+    void answerHeld()
+    {
+        for (const auto &exchange : std::exchange(held, {}))
+            exchange->respond({200, {}, "a"});
+    }
+
+    Http::EventLoop loop;
+    std::vector<std::shared_ptr<CallerExchange>> held;
+    unsigned requests = 0; ///< That were read as a whole.
+    bool holdsAnswers = false;
+    CallerServer server;
+    Http::Endpoint endpoint;
+};
+
+unsigned answersIn(const std::string &text)
+{
+    unsigned count = 0;
+    for (auto at = text.find("HTTP/1.1 200"); at != std::string::npos; at = text.find("HTTP/1.1 200", at + 1))
+        ++count;
+    return count;
+}
+
+} // namespace
+
+/// A request that came on a connection after its last answer was discarded, and nothing told of it.
+Test(Relay, countsRequestsLeftUnanswered)
+{
+    AnsweringServer server;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(lastQuestion);
+    caller.wait();
+    cr_assert_eq(answersIn(caller.received()), 1U);
+    cr_assert_eq(server.server.losses().requests, 0U);
+    caller.send(question);
+    caller.wait();
+    cr_assert_eq(server.server.losses().requests, 1U);
+    cr_assert_eq(server.requests, 1U);
+}
+
+/// A connection beyond the limit is closed unread, so that its caller sends the request again elsewhere.
+Test(Relay, closesConnectionsBeyondTheLimitUnread)
+{
+    CallerServerSettings settings;
+    settings.maxConnections = 1;
+    AnsweringServer server(settings);
+    RawCaller first(server.loop, server.endpoint);
+    RawCaller second(server.loop, server.endpoint);
+    second.send(question);
+    first.wait();
+    cr_assert(second.wasReset());
+    cr_assert_eq(server.server.losses().connections, 1U);
+    cr_assert_eq(server.requests, 0U);
+    first.send(question);
+    first.wait();
+    cr_assert_eq(answersIn(first.received()), 1U);
+}
--- /dev/null
+++ b/tests/support/rawcaller.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "http/eventloop.h"
+#include "http/message.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <string>
+#include <string_view>
+
+namespace Gypsumtally::Testing
+{
+
+/// A caller that sends given bytes over TCP and observes what becomes of its connection. Sends at once; the loop has to
+/// run for the server to read.
+class RawCaller
+{
+public:
+    /// Connects to @p endpoint, which must be listening on loopback.
+    RawCaller(Http::EventLoop &loop, const Http::Endpoint &endpoint)
+        : m_loop(loop)
+        , m_socket(loop.context())
+    {
+        m_socket.connect({boost::asio::ip::make_address(endpoint.address), endpoint.port});
+        m_socket.non_blocking(true);
+    }
+
+    void send(std::string_view bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// Ends the caller's direction of the connection only.
+    void endSending()
+    {
+        m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    }
+
+    /// Runs the loop for @p time.
+    void wait(Duration time = std::chrono::milliseconds{30})
+    {
+        m_loop.context().restart();
+        m_loop.context().run_for(time);
+    }
+
+    /// Reads what has arrived and returns all that has arrived so far.
+    const std::string &received()
+    {
+        std::array<char, 64 * 1024> bytes{};
+        boost::system::error_code error;
+        while (const auto got = m_socket.read_some(boost::asio::buffer(bytes), error))
+            m_received.append(bytes.data(), got);
+        m_hasEnd = m_hasEnd || error == boost::asio::error::eof;
+        return m_received;
+    }
+
+    /// Returns true if the server has ended its direction of the connection in order.
+    bool hasEnd()
+    {
+        received();
+        return m_hasEnd;
+    }
+
+    /// Returns true if the connection was reset: the server has not read all that was sent.
+    bool wasReset()
+    {
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        ::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+        return info.tcpi_state == TCP_CLOSE;
+    }
+
+private:
+    Http::EventLoop &m_loop;
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_received;
+    bool m_hasEnd = false;
+};
+
+} // namespace Gypsumtally::Testing
