A connection that closes as idle leaves no request read and unanswered

Callers saw a whole request end with its connection and no answer when the connection had just become too old. An idle connection was half-closed and read on for a second; what arrived, also what the kernel already held, was read and discarded. A change of the configuration that shortens the idle time-out closes many connections like that at once.

The kernel's buffer is now read first, and a request in it is served. Otherwise the connection is closed in both directions, so that a request that arrives later is reset unread, and its caller may send it again. Connections after a refusal or a last answer still linger.

Test: relaytest answersOrLeavesRequestsUnread; both rows failed before (one answer of two; the late request was read).

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -188,13 +188,13 @@
         if (reading)
             refuse(408, "the request did not come in time");
         else
-            closeGracefully();
+            closeUnlessUsed();
     }
 
     void closeIfIdle()
     {
-        if (m_exchange.expired() && m_reader->state() == RequestReader::State::Idle && !m_lingering)
-            closeGracefully();
+        if (isIdle())
+            closeUnlessUsed();
     }
 
     /// Closes the connection at once. A caller that waits for a response observes that there is none.
@@ -215,6 +215,22 @@
     }
 
 private:
+    bool isIdle() const
+    {
+        return m_exchange.expired() && m_reader->state() == RequestReader::State::Idle && !m_lingering
+               && m_output.empty();
+    }
+
+    /// Closes an idle connection at once, unless the kernel holds a request for it. A request that arrives later is
+    /// certainly unread, so that its caller may send it again.
+    void closeUnlessUsed()
+    {
+        const auto idleSince = m_stateSince;
+        read();
+        if (m_exchange.expired() && !m_lingering && m_stateSince == idleSince)
+            closeNow();
+    }
+
     void resetReader()
     {
         m_reader = std::make_unique<RequestReader>(m_shared->settings.limits);
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -263,3 +263,70 @@
     first.wait();
     cr_assert_eq(answersIn(first.received()), 1U);
 }
+
+namespace
+{
+
+/// Where a caller's request is when its connection closes.
+enum class Place {
+    InFlight, ///< Its answer is not there yet.
+    HalfRead,
+    InKernel, ///< In the kernel's buffer, unread.
+    OnItsWay, ///< It arrives after the close.
+};
+
+void expireIdle(AnsweringServer &server)
+{
+    server.server.sweep(BootClock{}.now() + std::chrono::seconds{16});
+}
+
+struct CloseCase {
+    const char *name;
+    void (*close)(AnsweringServer &server); ///< Closes connections that are idle.
+    Place place;
+    bool isAnswered; ///< Otherwise the request must remain unread.
+};
+
+const CloseCase closes[] = {
+    {"idle for too long, in the kernel", expireIdle, Place::InKernel, true},
+    {"idle for too long, on its way", expireIdle, Place::OnItsWay, false},
+};
+
+/// Lets a request come to @p place, closes as in @p row, and lets the rest of the request come.
+void closeAround(const CloseCase &row, AnsweringServer &server, RawCaller &caller)
+{
+    const std::string_view text = question;
+    std::size_t early = 0;
+    if (row.place == Place::InFlight || row.place == Place::InKernel)
+        early = text.size();
+    else if (row.place == Place::HalfRead)
+        early = text.size() / 2;
+    server.holdsAnswers = row.place == Place::InFlight;
+    caller.send(text.substr(0, early));
+    if (row.place != Place::InKernel)
+        caller.wait();
+    row.close(server);
+    caller.wait();
+    caller.send(text.substr(early));
+    caller.wait();
+    server.answerHeld();
+    caller.wait();
+}
+
+} // namespace
+
+/// Guards against a whole request that is read on a connection that closes, and then gets no answer.
+TABLE_TEST(Relay, answersOrLeavesRequestsUnread, closes)
+{
+    AnsweringServer server;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(question);
+    caller.wait();
+    cr_assert_eq(answersIn(caller.received()), 1U, "%s", row.name);
+    closeAround(row, server, caller);
+    const auto answers = answersIn(caller.received());
+    cr_assert_eq(answers, row.isAnswered ? 2U : 1U, "%s: %u answers", row.name, answers);
+    cr_assert_eq(server.requests, answers, "%s: %u read", row.name, server.requests);
+    cr_assert_eq(server.server.losses().requests, 0U, "%s", row.name);
+    cr_assert(row.isAnswered || caller.wasReset(), "%s", row.name);
+}
