A shorter time-out applies to connections that become idle after it

Callers' kept connections closed all at once when a configuration shortened the idle time-out, while they used them by the limit that was stated before; requests that were half read were refused with 408 when the header time-out was shortened. Each connection now keeps the time-out that held when its idle spell or its request began; a longer one applies at once.

Test: relaytest answersOrLeavesRequestsUnread, rows 'shorter time-outs' (half read and on its way failed before) and appliesShorterTimeoutToConnectionsThatBecomeIdleLater (failed before).

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <unordered_set>
@@ -172,6 +173,12 @@
         return !m_keepsConnection;
     }
 
+    /// Lets new settings extend the time-out that the connection is subject to, which they never shorten.
+    void onSettings()
+    {
+        m_limit = std::max(m_limit, timeoutOfState());
+    }
+
     void sweep(Instant now)
     {
         if (m_lingering) {
@@ -181,11 +188,9 @@
         }
         if (!m_exchange.expired())
             return;
-        const bool reading = m_reader->state() == RequestReader::State::Reading;
-        const auto limit = reading ? m_shared->settings.headerTimeout : m_shared->settings.idleTimeout;
-        if (now - m_stateSince <= limit)
+        if (now - m_stateSince <= m_limit)
             return;
-        if (reading)
+        if (isReading())
             refuse(408, "the request did not come in time");
         else
             closeUnlessUsed();
@@ -221,6 +226,22 @@
                && m_output.empty();
     }
 
+    bool isReading() const
+    {
+        return m_reader->state() == RequestReader::State::Reading;
+    }
+
+    Duration timeoutOfState() const
+    {
+        return isReading() ? m_shared->settings.headerTimeout : m_shared->settings.idleTimeout;
+    }
+
+    void startState()
+    {
+        m_stateSince = BootClock{}.now();
+        m_limit = timeoutOfState();
+    }
+
     /// Closes an idle connection at once, unless the kernel holds a request for it. A request that arrives later is
     /// certainly unread, so that its caller may send it again.
     void closeUnlessUsed()
@@ -234,7 +255,7 @@
     void resetReader()
     {
         m_reader = std::make_unique<RequestReader>(m_shared->settings.limits);
-        m_stateSince = BootClock{}.now();
+        startState();
     }
 
     void waitForBytes()
@@ -273,7 +294,7 @@
         const auto used = m_reader->feed(m_input);
         m_input.erase(0, used);
         if (wasIdle)
-            m_stateSince = BootClock{}.now();
+            startState();
         if (m_reader->takeExpectContinue() && m_reader->state() == RequestReader::State::Reading)
             send("HTTP/1.1 100 Continue\r\n\r\n");
         if (m_reader->state() == RequestReader::State::Failed)
@@ -357,6 +378,7 @@
     std::string m_input;
     std::string m_output;
     Instant m_stateSince{}; ///< Start of the current state, for timeouts.
+    Duration m_limit{}; ///< Timeout of the current state, while no request is in progress.
     bool m_keepsConnection = true;
     bool m_waitingForBytes = false;
     bool m_waitingForWritable = false;
@@ -483,6 +505,8 @@
 void CallerServer::setSettings(const CallerServerSettings &settings)
 {
     m_d->shared->settings = settings;
+    for (const auto &connection : m_d->shared->connections)
+        connection->onSettings();
 }
 
 void CallerServer::sweep(Instant now)
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -81,7 +81,8 @@
     /// Listens on @p endpoint and returns the port; port 0 selects a free one. Throws std::system_error on failure.
     std::uint16_t listen(const Http::Endpoint &endpoint);
 
-    /// Replaces the limits and timeouts for requests that have not begun.
+    /// Replaces the limits and timeouts. A shorter timeout applies to requests that begin, and to connections that
+    /// become idle, after the call.
     void setSettings(const CallerServerSettings &settings);
 
     /// Closes connections that have exceeded a timeout. Call it several times per second.
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -280,6 +280,16 @@
     server.server.sweep(BootClock{}.now() + std::chrono::seconds{16});
 }
 
+/// A configuration shortens both time-outs, and more than their new length passes.
+void shortenTimeouts(AnsweringServer &server)
+{
+    CallerServerSettings settings;
+    settings.headerTimeout = std::chrono::milliseconds{200};
+    settings.idleTimeout = std::chrono::milliseconds{500};
+    server.server.setSettings(settings);
+    server.server.sweep(BootClock{}.now() + std::chrono::seconds{1});
+}
+
 struct CloseCase {
     const char *name;
     void (*close)(AnsweringServer &server); ///< Closes connections that are idle.
@@ -290,6 +300,10 @@
 const CloseCase closes[] = {
     {"idle for too long, in the kernel", expireIdle, Place::InKernel, true},
     {"idle for too long, on its way", expireIdle, Place::OnItsWay, false},
+    {"shorter time-outs, in flight", shortenTimeouts, Place::InFlight, true},
+    {"shorter time-outs, half read", shortenTimeouts, Place::HalfRead, true},
+    {"shorter time-outs, in the kernel", shortenTimeouts, Place::InKernel, true},
+    {"shorter time-outs, on its way", shortenTimeouts, Place::OnItsWay, true},
 };
 
 /// Lets a request come to @p place, closes as in @p row, and lets the rest of the request come.
@@ -330,3 +344,19 @@
     cr_assert_eq(server.server.losses().requests, 0U, "%s", row.name);
     cr_assert(row.isAnswered || caller.wasReset(), "%s", row.name);
 }
+
+/// New time-outs hold for what begins after them.
+Test(Relay, appliesShorterTimeoutToConnectionsThatBecomeIdleLater)
+{
+    AnsweringServer server;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(question);
+    caller.wait();
+    shortenTimeouts(server);
+    cr_assert_eq(server.server.connections(), 1U);
+    caller.send(question);
+    caller.wait();
+    cr_assert_eq(answersIn(caller.received()), 2U);
+    server.server.sweep(BootClock{}.now() + std::chrono::seconds{1});
+    cr_assert_eq(server.server.connections(), 0U);
+}
