New limits on sizes apply to connections that are idle

A caller's request that a new configuration allows was refused with 413 or 431 if its connection had been idle at the change, as the reader of the next request had been made with the old limits.

Test: relaytest appliesSizeLimitsToIdleConnections (413 before).

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -173,9 +173,12 @@
         return !m_keepsConnection;
     }
 
-    /// Lets new settings extend the time-out that the connection is subject to, which they never shorten.
+    /// Lets new settings extend the time-out that the connection is subject to, which they never shorten, and applies
+    /// the limits on requests to the next one.
     void onSettings()
     {
+        if (m_reader->state() == RequestReader::State::Idle)
+            m_reader = std::make_unique<RequestReader>(m_shared->settings.limits);
         m_limit = std::max(m_limit, timeoutOfState());
     }
 
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -360,3 +360,17 @@
     server.server.sweep(BootClock{}.now() + std::chrono::seconds{1});
     cr_assert_eq(server.server.connections(), 0U);
 }
+
+/// A request that a new configuration allows was refused with 413 on a connection that had been idle at the change.
+Test(Relay, appliesSizeLimitsToIdleConnections)
+{
+    CallerServerSettings settings;
+    settings.limits.bodyBytes = 1;
+    AnsweringServer server(settings);
+    RawCaller caller(server.loop, server.endpoint);
+    caller.wait();
+    server.server.setSettings({});
+    caller.send(question);
+    caller.wait();
+    cr_assert_eq(answersIn(caller.received()), 1U, "%s", caller.received().c_str());
+}
