--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -28,6 +29,24 @@
 constexpr unsigned adapters = 6;
 constexpr unsigned subjects = 8; ///< Second parts of prompts.
 
+/// Returns a record of an upstream with @p slots and at @p address.
+std::string recordWith(const std::string &slots, const std::string &address)
+{
+    return R"({"service": "web", "address": ")" + address + R"(", "zone": "a", "version": "v1", "state": "ready",)"
+           + R"("cold_ms": 0, "seq": 1, "born": 1, "slots": )" + slots + '}';
+}
+
+const std::array<std::string (*)(), 8> oddRecords{
+    [] { return recordWith("5000000000.0", "127.0.0.1:9"); },
+    [] { return recordWith("1e999", "127.0.0.1:9"); },
+    [] { return recordWith(std::string(30, '9'), "127.0.0.1:9"); },
+    [] { return recordWith("-1.0", "127.0.0.1:9"); },
+    [] { return recordWith("16", "127.0.0.1:65536"); },
+    [] { return recordWith("16", "127.0.0.1:0"); },
+    [] { return std::string(100'000, '['); },
+    [] { return std::string("\xff\xfe"); },
+};
+
 enum Port {
     Callers,
     Readiness,
@@ -78,10 +97,10 @@
 {
     for (unsigned number = 0; number < size.engines; ++number)
         m_engines.push_back(std::make_unique<UpstreamStandIn>(m_loop, m_store, "e" + std::to_string(number), "model",
-                                                              true, seed + number, m_crashing, m_paths));
+                                                              true, seed + number, m_crashing, m_versions, m_paths));
     for (unsigned number = 0; number < size.workers; ++number)
         m_workers.push_back(std::make_unique<UpstreamStandIn>(m_loop, m_store, "w" + std::to_string(number), "web",
-                                                              false, seed + number, m_crashing, m_paths));
+                                                              false, seed + number, m_crashing, m_versions, m_paths));
     configure();
     for (unsigned number = 0; number < size.nodes; ++number) {
         Node node;
@@ -305,6 +324,8 @@
     const bool mayBeBrokenOff = isStream(kind) && std::ranges::any_of(m_engines, [&](const auto &engine) {
                                     return engine->lastBreak() >= sentAt;
                                 });
+    if (isStream(kind) && node.partitionedUntil >= sentAt)
+        return; // Its connections may have been reset while no other node could go on.
     if (!mayBeBrokenOff && node.disturbedAt < sentAt)
         m_problems.push_back(id + " got no whole answer from a node that was neither killed nor frozen");
 }
@@ -321,6 +342,7 @@
             upstream->limits.excuse(node.name, from, to + excuseTime);
     }
     m_crashing.excuse(node.name, from, to + excuseTime);
+    m_versions.excuse(to + touchTime);
 }
 
 void Fleet::excuseAll(Duration time)
@@ -328,6 +350,7 @@
     const auto now = BootClock{}.now();
     for (const auto &node : m_nodes)
         m_crashing.excuse(node.name, now, now + time + touchTime);
+    m_versions.excuse(now + time + touchTime);
 }
 
 void Fleet::freeze(std::size_t number, Duration time)
@@ -380,10 +403,26 @@
     excuse(m_nodes[number], since, BootClock{}.now());
 }
 
+void Fleet::declareNextVersion(unsigned number)
+{
+    const auto adapter = "a" + std::to_string(number % adapters);
+    const auto version = m_versions.newest(adapter) + 1;
+    m_store.put("op/version/m." + adapter,
+                R"({"model": "m", "adapter": ")" + adapter + R"(", "version": )" + std::to_string(version) + '}');
+    m_versions.declare(adapter, version, BootClock{}.now());
+}
+
+void Fleet::writeOddRecord()
+{
+    const auto number = m_random() % oddRecords.size();
+    m_store.put("servers/odd" + std::to_string(number), oddRecords[number]());
+}
+
 void Fleet::partition(std::size_t number, PathState state, Duration time)
 {
     auto &node = m_nodes[number];
     m_paths.set(node.address, {}, state);
+    m_versions.excuse(BootClock{}.now() + time);
     node.partitionedUntil = BootClock{}.now() + time;
     after(time, [this, address = node.address, number] {
         if (BootClock{}.now() >= m_nodes[number].partitionedUntil)
@@ -405,6 +444,7 @@
     auto problems = m_problems;
     std::ranges::move(m_crashing.violations(), std::back_inserter(problems));
     std::ranges::move(m_streamCallers.problems(), std::back_inserter(problems));
+    std::ranges::copy(m_versions.violations(), std::back_inserter(problems));
     std::map<std::string, unsigned> runs;
     for (const auto *group : {&m_engines, &m_workers}) {
         for (const auto &upstream : *group) {
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -83,6 +83,12 @@
     /// Stops a node's process by SIGTERM and starts it again once it has ended.
     void stop(std::size_t node);
 
+    /// Declares the next version of adapter @p number.
+    void declareNextVersion(unsigned number);
+
+    /// Writes what no upstream writes among the records of the upstreams.
+    void writeOddRecord();
+
     /// Puts the paths from @p node to all upstreams into @p state for @p time.
     void partition(std::size_t node, PathState state, Duration time);
 
@@ -211,6 +217,7 @@
     StoreStandIn m_store;
     CrashingParts m_crashing;
     Paths m_paths;
+    AdapterVersions m_versions;
     std::vector<std::string> m_crashingParts;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_engines;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_workers;
--- a/tests/gatewayfleet/soakmain.cpp
+++ b/tests/gatewayfleet/soakmain.cpp
@@ -5,6 +5,7 @@
 #include <absl/flags/usage.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <exception>
 #include <string>
@@ -75,7 +76,7 @@
 
     void disturb()
     {
-        switch (below(13)) {
+        switch (below(20)) {
         case 0:
             return m_fleet.freeze(anyNode(), milliseconds{100} + below(seconds{4}));
         case 1:
@@ -95,6 +96,17 @@
             return replace(m_fleet.engine(below(m_fleet.engines())));
         case 9:
             return makePartCrash();
+        case 10:
+        case 11:
+            return anyUpstream().silence(milliseconds{200} + below(milliseconds{1200}));
+        case 12:
+        case 13:
+            return partitionSome();
+        case 14:
+        case 15:
+            return declareSeries();
+        case 16:
+            return m_fleet.writeOddRecord();
         default:
             return changeLimit(anyUpstream());
         }
@@ -129,6 +141,26 @@
         upstream.behaviour.breakRatio = 0.1 * static_cast<double>(below(4));
     }
 
+    /// Cuts some of the nodes, at least one and never all, from all upstreams.
+    void partitionSome()
+    {
+        const auto state = partitions[below(partitions.size())];
+        const auto time = milliseconds{500} + below(seconds{5});
+        const auto first = anyNode();
+        const auto count = 1 + below(m_fleet.nodes() - 1);
+        for (std::size_t i = 0; i < count; ++i)
+            m_fleet.partition((first + i) % m_fleet.nodes(), state, time);
+    }
+
+    /// Declares up to three versions of one adapter, some seconds apart or at once.
+    void declareSeries()
+    {
+        const auto adapter = static_cast<unsigned>(below(8));
+        const auto pause = below(seconds{4});
+        for (unsigned i = 0; i < 1 + below(3); ++i)
+            m_fleet.after(i * pause, [this, adapter] { m_fleet.declareNextVersion(adapter); });
+    }
+
     /// Crashes an engine, which starts again with one of two software versions, at times under the same instance.
     void replace(UpstreamStandIn &engine)
     {
@@ -171,6 +203,7 @@
     }
 
     static constexpr unsigned maxCrashingParts = 2;
+    static constexpr std::array partitions{PathState::Silent, PathState::Reset, PathState::ClosedToNew};
 
     Fleet &m_fleet;
     unsigned m_crashingParts = 0;
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -30,17 +30,25 @@
     return id.substr(0, id.find(':'));
 }
 
+/// Returns the adapter that the request names, or an empty string.
+std::string adapterOf(const Http::Request &request)
+{
+    const std::string target(request.headers.get("X-Model"));
+    return target.substr(target.find('/') + 1);
+}
+
 } // namespace
 
 UpstreamStandIn::UpstreamStandIn(Http::EventLoop &loop, StoreStandIn &store, const std::string &instance,
                                  const std::string &service, bool isEngine, unsigned seed, CrashingParts &crashingParts,
-                                 const Paths &paths)
+                                 AdapterVersions &versions, const Paths &paths)
     : m_loop(loop)
     , m_store(store)
     , m_name(instance)
     , m_service(service)
     , m_isEngine(isEngine)
     , m_crashingParts(crashingParts)
+    , m_versions(versions)
     , m_paths(paths)
     , m_random(seed)
 {
@@ -155,12 +163,8 @@
                         {"cold_ms", 0},
                         {"seq", m_orders},
                         {"born", 1000 + m_processes}};
-    if (m_isEngine) {
-        json::array adapters;
-        for (const auto &adapter : m_adapters)
-            adapters.push_back(json::string(adapter + "@1"));
-        record["models"] = json::array{json::object{{"name", "m"}, {"version", 1}, {"adapters", std::move(adapters)}}};
-    }
+    if (m_isEngine)
+        record["models"] = heldModels();
     m_store.put("servers/" + m_instance, json::serialize(record));
 }
 
@@ -198,9 +202,7 @@
     if (const auto part = m_crashingParts.partIn(request))
         m_crashingParts.onArrival(*part, nodeOf(std::string(request.headers.get("X-Request-Id"))), now);
     auto headers = headersFor(request);
-    const std::string target(request.headers.get("X-Model"));
-    const bool holds = target.empty() || m_adapters.contains(target.substr(target.find('/') + 1));
-    if (request.headers.get("X-Expect-Instance") != m_instance || !holds)
+    if (!serves(request))
         return exchange->respond({421, headers, ""});
     if (m_server->activeRequests() > 2 * slots) {
         headers.add("X-Not-Executed", "1");
@@ -209,7 +211,7 @@
     ++m_runs[std::string(request.headers.get("X-Request-Id"))];
     m_exchanges.emplace_back(exchange);
     std::erase_if(m_exchanges, [](const auto &each) { return each.expired(); });
-    if (target.empty())
+    if (adapterOf(request).empty())
         answerPlain(exchange);
     else
         answerStream(exchange);
@@ -233,6 +235,9 @@
     const std::string last(exchange->request().headers.get("Last-Event-Id"));
     const auto begin = static_cast<unsigned>(std::strtoul(last.c_str(), nullptr, 10)) + 1;
     const bool isComplete = !chance(behaviour.breakRatio);
+    const auto adapter = adapterOf(exchange->request());
+    m_versions.onRun(std::string(exchange->request().headers.get("X-Request-Id")), adapter, m_adapters.at(adapter),
+                     BootClock{}.now());
     exchange->begin(200, headers, std::nullopt);
     const auto end = isComplete ? eventsOfStream : std::min(begin + eventsBeforeBreak - 1, eventsOfStream);
     sendEvents(exchange, begin, end, isComplete);
@@ -255,16 +260,30 @@
     });
 }
 
-void UpstreamStandIn::answerReport(const Exchange &exchange)
+json::array UpstreamStandIn::heldModels() const
 {
     json::array adapters;
-    for (const auto &adapter : m_adapters)
-        adapters.push_back(json::string(adapter + "@1"));
+    for (const auto &[adapter, version] : m_adapters)
+        adapters.push_back(json::string(adapter + '@' + std::to_string(version)));
+    return {json::object{{"name", "m"}, {"version", 1}, {"adapters", std::move(adapters)}}};
+}
+
+/// Returns true if it is the instance that the request names, and holds the adapter in the version that it names.
+bool UpstreamStandIn::serves(const Http::Request &request) const
+{
+    if (request.headers.get("X-Expect-Instance") != m_instance)
+        return false;
+    const auto adapter = adapterOf(request);
+    const auto held = m_adapters.find(adapter);
+    const auto version = request.headers.get("X-Expect-Version");
+    return adapter.empty()
+           || (held != m_adapters.end() && (version.empty() || version == std::to_string(held->second)));
+}
+
+void UpstreamStandIn::answerReport(const Exchange &exchange)
+{
     const json::object report{
-        {"models", json::array{json::object{{"name", "m"}, {"version", 1}, {"adapters", std::move(adapters)}}}},
-        {"busy", false},
-        {"born", 1000 + m_processes},
-        {"seq", m_orders}};
+        {"models", heldModels()}, {"busy", false}, {"born", 1000 + m_processes}, {"seq", m_orders}};
     auto headers = headersFor(exchange->request());
     headers.add("Content-Type", "application/json");
     exchange->respond({200, headers, json::serialize(report)});
@@ -279,7 +298,7 @@
     ++m_orders;
     const auto adapter = textAt(body, "adapter");
     if (textAt(body, "opcode") == "load")
-        m_adapters.insert(adapter);
+        m_adapters[adapter] = std::max(numberAt<unsigned>(body, "version"), m_versions.newest(adapter));
     else
         m_adapters.erase(adapter);
     exchange->respond({202, headers, ""});
--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gatewayfleet/adapterversions.h"
 #include "gatewayfleet/crashingparts.h"
 #include "gatewayfleet/pathproxy.h"
 #include "gatewayfleet/requestlimitcheck.h"
@@ -7,11 +8,12 @@
 #include "http/eventloop.h"
 #include "relay/callerserver.h"
 
+#include <boost/json.hpp>
+
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -34,7 +36,8 @@
 {
 public:
     UpstreamStandIn(Http::EventLoop &loop, StoreStandIn &store, const std::string &instance, const std::string &service,
-                    bool isEngine, unsigned seed, CrashingParts &crashingParts, const Paths &paths);
+                    bool isEngine, unsigned seed, CrashingParts &crashingParts, AdapterVersions &versions,
+                    const Paths &paths);
 
     /// Crashes: breaks its connections, refuses new ones, and starts again after @p downTime as another process, which
     /// holds no adapters.
@@ -79,6 +82,8 @@
     void answerPlain(const Exchange &exchange);
     void answerStream(const Exchange &exchange);
     void sendEvents(const Exchange &exchange, unsigned next, unsigned end, bool isComplete);
+    boost::json::array heldModels() const;
+    bool serves(const Http::Request &request) const;
     void answerReport(const Exchange &exchange);
     void carryOutOrder(const Exchange &exchange);
     Http::Headers headersFor(const Http::Request &request) const;
@@ -92,6 +97,7 @@
     std::string m_service;
     bool m_isEngine;
     CrashingParts &m_crashingParts;
+    AdapterVersions &m_versions;
     const Paths &m_paths;
     std::string m_software; ///< Of the current process.
     bool m_isDraining = false;
@@ -103,7 +109,7 @@
     std::mt19937_64 m_random;
     std::map<std::string, unsigned> m_runs;
     std::vector<RequestLimitRecord> m_pastLimits; ///< Of earlier processes.
-    std::set<std::string> m_adapters;
+    std::map<std::string, unsigned> m_adapters; ///< Version of each adapter that it holds.
     std::int64_t m_orders = 1;
     Instant m_lastBreak{};
 };
