A request behind the last answer of a connection is answered or stays unread

On SIGTERM callers lost pipelined requests: the answer before them said 'Connection: close', and they were read and dropped. What came after a last answer was read and dropped as well, and its caller heard of it only a second later.

While the server closes its connections, an answer is now the last one only if no further request has arrived; the kernel's buffer is looked into as well. What comes after the head of the last answer is left in the kernel's buffer, so that the close resets the connection as soon as the answer is delivered, and the caller knows that its request is unread. A caller that leaves behind such bytes, or behind a paused pipeline, is noticed by the state of the connection.

A caller that ends its sending direction and waits for its answer still counts as gone: its kernel shows the same end of input as a close, and only a reply to bytes of ours would tell them apart.

Test: relaytest answersPipelinedRequestsAtStop; all three rows failed before (one answer of two; no reset after the last). The 'stop' rows of answersOrLeavesRequestsUnread and noticesDepartureBehindUnreadRequest are new and passed before this change.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -7,6 +7,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -165,11 +171,12 @@
         closeNow();
     }
 
-    /// Returns true if the connection closes after this response, which must then carry `Connection: close`.
+    /// Returns true if the connection closes after this response, which must then carry `Connection: close`. While the
+    /// server closes its connections, that is the response to the last request that has arrived.
     bool closesAfterResponse()
     {
-        if (m_shared->closing)
-            m_keepsConnection = false;
+        if (m_shared->closing && m_keepsConnection)
+            m_keepsConnection = hasNextRequest();
         return !m_keepsConnection;
     }
 
@@ -185,12 +192,15 @@
     void sweep(Instant now)
     {
         if (m_lingering) {
-            if (now - m_stateSince > lingerTime)
+            if (now - m_stateSince > lingerTime || (m_hasUnread && isDelivered()))
                 closeNow();
             return;
         }
-        if (!m_exchange.expired())
+        if (!m_exchange.expired()) {
+            if (!m_waitingForBytes && hasCallerClosed())
+                closeNow();
             return;
+        }
         if (now - m_stateSince <= m_limit)
             return;
         if (isReading())
@@ -272,23 +282,79 @@
     {
         if (m_closed)
             return;
-        static thread_local std::array<char, readBytes> bytes;
-        ErrorCode error;
-        const auto got = m_socket.read_some(asio::buffer(bytes), error);
+        if (isLastRequestRead())
+            return leaveUnread();
+        const auto error = receive();
         if (error == asio::error::would_block)
             return waitForBytes();
         if (error)
             return closeNow();
         if (m_lingering) {
-            noteUnanswered();
+            m_input.clear(); // The rest of a refused request.
             return waitForBytes();
         }
-        m_input.append(bytes.data(), got);
         parse();
         if (m_input.size() < maxPipelinedBytes)
             waitForBytes();
     }
 
+    /// Appends what has arrived to the input.
+    ErrorCode receive()
+    {
+        static thread_local std::array<char, readBytes> bytes;
+        ErrorCode error;
+        m_input.append(bytes.data(), m_socket.read_some(asio::buffer(bytes), error));
+        return error;
+    }
+
+    /// Returns true if another request, or a part of one, has arrived.
+    bool hasNextRequest()
+    {
+        const auto isInInput = [this] { return m_input.find_first_not_of("\r\n") != std::string::npos; };
+        if (isInInput())
+            return true;
+        receive(); // An error is handled by read(), where it occurs again.
+        return isInInput();
+    }
+
+    /// Returns true if the connection closes after a response that is in progress or has ended.
+    bool isLastRequestRead() const
+    {
+        return m_lingering ? !m_isRefused : !m_exchange.expired() && !m_keepsConnection;
+    }
+
+    /// Leaves what has arrived in the kernel's buffer, so that the close resets the connection and the caller knows
+    /// that its request is unread.
+    void leaveUnread()
+    {
+        char byte = 0;
+        ErrorCode error;
+        m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        if (error == asio::error::would_block)
+            return waitForBytes();
+        if (error)
+            return closeNow();
+        if (!std::exchange(m_hasUnread, true))
+            ++m_shared->losses.requests;
+    }
+
+    /// Returns true if the caller's kernel has received all that was written.
+    bool isDelivered()
+    {
+        int unacknowledged = 0;
+        ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged);
+        return m_output.empty() && unacknowledged == 0;
+    }
+
+    /// Returns true if the caller has closed or reset the connection, also behind bytes that have not been read.
+    bool hasCallerClosed()
+    {
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        return ::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+               && info.tcpi_state != TCP_ESTABLISHED;
+    }
+
     void parse()
     {
         if (m_closed || m_lingering || !m_exchange.expired() || m_input.empty())
@@ -332,20 +398,11 @@
             return;
         m_lingering = true;
         m_stateSince = BootClock{}.now();
-        if (m_reader->keepsConnection() && !m_input.empty())
-            noteUnanswered();
         if (m_output.empty())
             shutdownSend();
         waitForBytes();
     }
 
-    /// Records that a request, or a part of one, will not be answered. The rest of a refused request is none.
-    void noteUnanswered()
-    {
-        if (!m_isRefused && !std::exchange(m_hasUnanswered, true))
-            ++m_shared->losses.requests;
-    }
-
     void shutdownSend()
     {
         ErrorCode ignored;
@@ -387,7 +444,7 @@
     bool m_waitingForWritable = false;
     bool m_lingering = false; ///< Sends only buffered bytes and gives the caller time to read them.
     bool m_isRefused = false; ///< What still arrives belongs to a request that was refused.
-    bool m_hasUnanswered = false;
+    bool m_hasUnread = false; ///< Bytes after the last request are in the kernel's buffer.
     bool m_closed = false;
 };
 
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -62,7 +62,8 @@
 
 /// What a server has left unanswered. The counts only grow.
 struct CallerLosses {
-    std::uint64_t requests = 0; ///< Connections on which a request, or a part, came after the last answer.
+    std::uint64_t requests
+        = 0; ///< Connections on which a request, or a part, came after the last answer, and is unread.
     std::uint64_t connections = 0; ///< Connections closed unread, because there were too many.
 };
 
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -290,6 +290,12 @@
     server.server.sweep(BootClock{}.now() + std::chrono::seconds{1});
 }
 
+void stop(AnsweringServer &server)
+{
+    server.server.announceClose();
+    server.server.stopAccepting();
+}
+
 struct CloseCase {
     const char *name;
     void (*close)(AnsweringServer &server); ///< Closes connections that are idle.
@@ -304,6 +310,10 @@
     {"shorter time-outs, half read", shortenTimeouts, Place::HalfRead, true},
     {"shorter time-outs, in the kernel", shortenTimeouts, Place::InKernel, true},
     {"shorter time-outs, on its way", shortenTimeouts, Place::OnItsWay, true},
+    {"stop, in flight", stop, Place::InFlight, true},
+    {"stop, half read", stop, Place::HalfRead, true},
+    {"stop, in the kernel", stop, Place::InKernel, true},
+    {"stop, on its way", stop, Place::OnItsWay, false},
 };
 
 /// Lets a request come to @p place, closes as in @p row, and lets the rest of the request come.
@@ -374,3 +384,83 @@
     caller.wait();
     cr_assert_eq(answersIn(caller.received()), 1U, "%s", caller.received().c_str());
 }
+
+namespace
+{
+
+/// When the second of two pipelined requests comes, while the first is in progress.
+enum class SecondComes {
+    BeforeStop,
+    InKernelAtAnswer, ///< It is unread when the answer to the first one is made.
+    AfterLastHead, ///< The answer to the first one has begun, and has said that it is the last.
+};
+
+struct PipelineCase {
+    const char *name;
+    SecondComes second;
+    unsigned answers; ///< A second request without an answer must remain unread.
+};
+
+const PipelineCase pipelines[] = {
+    {"before the stop", SecondComes::BeforeStop, 2},
+    {"in the kernel at the answer", SecondComes::InKernelAtAnswer, 2},
+    {"after the head of the last answer", SecondComes::AfterLastHead, 1},
+};
+
+} // namespace
+
+/// Guards against a pipelined request that is read and then dropped, as the answer before it was the last.
+TABLE_TEST(Relay, answersPipelinedRequestsAtStop, pipelines)
+{
+    AnsweringServer server;
+    server.holdsAnswers = true;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(question);
+    caller.wait();
+    if (row.second == SecondComes::BeforeStop) {
+        caller.send(question);
+        caller.wait();
+    }
+    stop(server);
+    const auto first = std::exchange(server.held, {}).at(0);
+    if (row.second == SecondComes::InKernelAtAnswer)
+        caller.send(question);
+    first->begin(200, {}, 1);
+    if (row.second == SecondComes::AfterLastHead) {
+        caller.send(question);
+        caller.wait();
+    }
+    first->write("a");
+    first->end();
+    caller.wait();
+    server.answerHeld();
+    caller.wait();
+    server.server.sweep(BootClock{}.now());
+    caller.wait();
+    const auto answers = answersIn(caller.received());
+    cr_assert_eq(answers, row.answers, "%s: %u answers", row.name, answers);
+    cr_assert_eq(server.requests, answers, "%s: %u read", row.name, server.requests);
+    cr_assert(row.answers == 2 || caller.wasReset(), "%s", row.name);
+    cr_assert(row.answers == 1 || caller.hasEnd(), "%s", row.name);
+}
+
+/// A caller that leaves must be noticed also behind a request that stays unread.
+Test(Relay, noticesDepartureBehindUnreadRequest)
+{
+    AnsweringServer server;
+    server.holdsAnswers = true;
+    bool isGone = false;
+    auto caller = std::make_unique<RawCaller>(server.loop, server.endpoint);
+    caller->send(question);
+    caller->wait();
+    stop(server);
+    server.held.at(0)->onGone([&] { isGone = true; });
+    server.held.at(0)->begin(200, {}, 1);
+    caller->send(question);
+    caller->wait();
+    caller->received();
+    caller.reset();
+    RawCaller::runLoop(server.loop, std::chrono::milliseconds{30});
+    server.server.sweep(BootClock{}.now());
+    cr_assert(isGone);
+}
--- a/tests/support/rawcaller.h
+++ b/tests/support/rawcaller.h
@@ -44,11 +44,16 @@
         m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
     }
 
+    static void runLoop(Http::EventLoop &loop, Duration time)
+    {
+        loop.context().restart();
+        loop.context().run_for(time);
+    }
+
     /// Runs the loop for @p time.
     void wait(Duration time = std::chrono::milliseconds{30})
     {
-        m_loop.context().restart();
-        m_loop.context().run_for(time);
+        runLoop(m_loop, time);
     }
 
     /// Reads what has arrived and returns all that has arrived so far.
