A stop waits for requests that are half read and answers that are not written

After SIGTERM the process ended as soon as the last answer had been made. Callers lost what of it was still buffered in the process because they read slowly, and requests that were half read.

Test: relaytest isNotDrainedWhileARequestIsRead; it failed with the condition used before, the number of requests in progress.

--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1129,7 +1129,7 @@
         if (passed < acceptTimeAfterStop)
             return;
         m_callers.stopAccepting();
-        if (m_callers.activeRequests() == 0 || passed > m_settings.stopGrace - exitMargin)
+        if (m_callers.isDrained() || passed > m_settings.stopGrace - exitMargin)
             m_loop.stop();
     }
 
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -209,6 +209,12 @@
             closeUnlessUsed();
     }
 
+    /// Returns true if a request is being read or answered, or a part of an answer has not been written.
+    bool isBusy() const
+    {
+        return !m_exchange.expired() || !m_output.empty() || (!m_lingering && isReading());
+    }
+
     void closeIfIdle()
     {
         if (isIdle())
@@ -602,6 +608,11 @@
     return m_d->shared->active;
 }
 
+bool CallerServer::isDrained() const
+{
+    return std::ranges::none_of(m_d->shared->connections, [](const auto &connection) { return connection->isBusy(); });
+}
+
 const CallerLosses &CallerServer::losses() const
 {
     return m_d->shared->losses;
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -100,6 +100,9 @@
     /// Returns the number of requests whose response has not ended.
     std::size_t activeRequests() const;
 
+    /// Returns true if no request is being read or answered and everything that was sent has been written.
+    bool isDrained() const;
+
     /// Returns what has been left unanswered since the start.
     const CallerLosses &losses() const;
 
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -464,3 +464,19 @@
     server.server.sweep(BootClock{}.now());
     cr_assert(isGone);
 }
+
+/// A stop cut off requests that were half read when the last answer had ended.
+Test(Relay, isNotDrainedWhileARequestIsRead)
+{
+    AnsweringServer server;
+    RawCaller caller(server.loop, server.endpoint);
+    const std::string_view text = question;
+    caller.send(text.substr(0, text.size() / 2));
+    caller.wait();
+    stop(server);
+    cr_assert_not(server.server.isDrained());
+    caller.send(text.substr(text.size() / 2));
+    caller.wait();
+    cr_assert_eq(answersIn(caller.received()), 1U);
+    cr_assert(server.server.isDrained());
+}
