An answer is not cut off because its caller reads it slowly

Callers that took more than a second to read a last answer got a part of it: the connection was closed a second after the answer had been made, whatever was still buffered. Callers that had ended their sending direction meanwhile lost the rest as well, and so did callers of kept connections that read for longer than the idle time-out.

The second of lingering now begins when all has been written; until then the idle time-out applies, from the last bytes that the caller took. An end of input after the answer leaves the rest to be written.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -192,7 +192,8 @@
     void sweep(Instant now)
     {
         if (m_lingering) {
-            if (now - m_stateSince > lingerTime || (m_hasUnread && isDelivered()))
+            const auto limit = m_output.empty() ? lingerTime : m_limit;
+            if (now - m_stateSince > limit || (m_hasUnread && isDelivered()))
                 closeNow();
             return;
         }
@@ -217,7 +218,7 @@
 
     void closeIfIdle()
     {
-        if (isIdle())
+        if (isIdle() && m_output.empty())
             closeUnlessUsed();
     }
 
@@ -241,8 +242,7 @@
 private:
     bool isIdle() const
     {
-        return m_exchange.expired() && m_reader->state() == RequestReader::State::Idle && !m_lingering
-               && m_output.empty();
+        return m_exchange.expired() && m_reader->state() == RequestReader::State::Idle && !m_lingering;
     }
 
     bool isReading() const
@@ -294,7 +294,7 @@
         if (error == asio::error::would_block)
             return waitForBytes();
         if (error)
-            return closeNow();
+            return onInputEnd(error);
         if (m_lingering) {
             m_input.clear(); // The rest of a refused request.
             return waitForBytes();
@@ -339,11 +339,19 @@
         if (error == asio::error::would_block)
             return waitForBytes();
         if (error)
-            return closeNow();
+            return onInputEnd(error);
         if (!std::exchange(m_hasUnread, true))
             ++m_shared->losses.requests;
     }
 
+    /// Closes the connection. A caller that has ended only its sending direction gets the rest of an answer first.
+    void onInputEnd(const ErrorCode &error)
+    {
+        if (error != asio::error::eof || !m_exchange.expired() || m_output.empty())
+            return closeNow();
+        m_lingering = true;
+    }
+
     /// Returns true if the caller's kernel has received all that was written.
     bool isDelivered()
     {
@@ -403,7 +411,7 @@
         if (m_closed || m_lingering)
             return;
         m_lingering = true;
-        m_stateSince = BootClock{}.now();
+        startState();
         if (m_output.empty())
             shutdownSend();
         waitForBytes();
@@ -431,6 +439,8 @@
         if (error && error != asio::error::would_block)
             return closeNow();
         m_output.erase(0, error ? 0 : written);
+        if (m_lingering || isIdle())
+            m_stateSince = BootClock{}.now(); // The time-out is one of callers that do not read.
         if (!m_output.empty())
             return waitForWritable();
         if (m_lingering)
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -465,6 +465,107 @@
     cr_assert(isGone);
 }
 
+namespace
+{
+
+constexpr std::size_t largeAnswer = 12 * 1024 * 1024; ///< More than the kernel's buffers hold.
+
+CallerServerSettings settingsForLargeAnswers()
+{
+    CallerServerSettings settings;
+    settings.maxBufferedBytes = 2 * largeAnswer;
+    return settings;
+}
+
+struct SlowReaderCase {
+    const char *name;
+    const char *request;
+    void (*close)(AnsweringServer &server); ///< Called when the answer has been made.
+    bool endsSending; ///< The caller ends its sending direction once the answer has begun.
+    bool isKept; ///< The connection remains open after the answer.
+};
+
+void linger(AnsweringServer &server)
+{
+    server.server.sweep(BootClock{}.now() + std::chrono::milliseconds{1500});
+}
+
+void stopAndLinger(AnsweringServer &server)
+{
+    stop(server);
+    linger(server);
+}
+
+const SlowReaderCase slowReaders[] = {
+    {"last answer", lastQuestion, linger, false, false},
+    {"kept connection, at a stop", question, stopAndLinger, false, true},
+    {"half-closed", question, linger, true, false},
+};
+
+} // namespace
+
+/// Guards against an answer that is cut off because its caller takes a second or two to read it.
+TABLE_TEST(Relay, deliversAnswersToSlowReaders, slowReaders)
+{
+    AnsweringServer server(settingsForLargeAnswers());
+    server.holdsAnswers = true;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(row.request);
+    caller.wait();
+    server.held.at(0)->respond({200, {}, std::string(largeAnswer, 'x')});
+    server.held.clear();
+    cr_assert_eq(server.server.activeRequests(), 0U, "%s", row.name);
+    cr_assert_not(server.server.isDrained(), "%s", row.name);
+    if (row.endsSending)
+        caller.endSending();
+    caller.wait();
+    row.close(server);
+    std::size_t before = 0;
+    do {
+        before = caller.received().size();
+        caller.wait();
+    } while (caller.received().size() > before);
+    cr_assert_geq(caller.received().size(), largeAnswer, "%s: %zu", row.name, caller.received().size());
+    cr_assert(server.server.isDrained(), "%s", row.name);
+    cr_assert_eq(caller.hasEnd(), !row.isKept, "%s", row.name);
+}
+
+/// A kept connection closed as idle while its caller was still reading the answer.
+Test(Relay, countsIdleTimeFromTheLastBytesOfAnAnswer)
+{
+    auto settings = settingsForLargeAnswers();
+    settings.idleTimeout = std::chrono::milliseconds{300};
+    AnsweringServer server(settings);
+    server.holdsAnswers = true;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(question);
+    caller.wait();
+    server.held.at(0)->respond({200, {}, std::string(largeAnswer, 'x')});
+    server.held.clear();
+    constexpr std::size_t portion = largeAnswer / 6;
+    for (std::size_t size = portion; size <= largeAnswer; size += portion) {
+        caller.read(size);
+        caller.wait(std::chrono::milliseconds{100});
+        server.server.sweep(BootClock{}.now());
+    }
+    cr_assert_geq(caller.received().size(), largeAnswer, "%zu", caller.received().size());
+}
+
+/// A caller that does not read its answer does not hold its connection for good.
+Test(Relay, closesConnectionOfCallerThatDoesNotRead)
+{
+    AnsweringServer server(settingsForLargeAnswers());
+    server.holdsAnswers = true;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(lastQuestion);
+    caller.wait();
+    server.held.at(0)->respond({200, {}, std::string(largeAnswer, 'x')});
+    server.held.clear();
+    caller.wait();
+    server.server.sweep(BootClock{}.now() + std::chrono::seconds{16});
+    cr_assert_eq(server.server.connections(), 0U);
+}
+
 /// A stop cut off requests that were half read when the last answer had ended.
 Test(Relay, isNotDrainedWhileARequestIsRead)
 {
--- a/tests/support/rawcaller.h
+++ b/tests/support/rawcaller.h
@@ -56,14 +56,20 @@
         runLoop(m_loop, time);
     }
 
-    /// Reads what has arrived and returns all that has arrived so far.
-    const std::string &received()
+    /// Reads until @p size bytes or a little more have been received in all, or nothing more has arrived.
+    void read(std::size_t size)
     {
         std::array<char, 64 * 1024> bytes{};
         boost::system::error_code error;
-        while (const auto got = m_socket.read_some(boost::asio::buffer(bytes), error))
-            m_received.append(bytes.data(), got);
+        while (!error && m_received.size() < size)
+            m_received.append(bytes.data(), m_socket.read_some(boost::asio::buffer(bytes), error));
         m_hasEnd = m_hasEnd || error == boost::asio::error::eof;
+    }
+
+    /// Reads what has arrived and returns all that has arrived so far.
+    const std::string &received()
+    {
+        read(std::string::npos);
         return m_received;
     }
 
