Each declared version of an adapter keeps the bound of its own declaration

Cause: the node kept only the newest declaration, and while its grace period of 1.2 s ran, any version could serve: also those that an earlier declaration had ruled out, of which engines with spare adapter slots keep copies. DeclaredVersion keeps the declarations whose grace period runs besides the last one that is over, so that each rules out what is older than itself after its own grace period.

--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -3,15 +3,6 @@
 namespace Gypsumtally::Gateway
 {
 
-namespace
-{
-
-/// Time after a version's declaration for which older versions still serve. Requests may queue in an engine for seconds
-/// and must not begin on an older version later than 5 s after the declaration, the platform's bound.
-constexpr Duration olderVersionGracePeriod = std::chrono::milliseconds{1200};
-
-} // namespace
-
 void CallContext::recordStatement(const UpstreamProcess &process, const UpstreamStatement &statement, Instant now,
                                   Instant sentAt)
 {
@@ -36,19 +27,13 @@
 
 bool CallContext::declare(const ModelTarget &target, std::uint64_t version, Instant now)
 {
-    auto &known = declared[target];
-    if (version <= known.version)
-        return false;
-    known = {version, now};
-    return true;
+    return declared[target].declare(version, now);
 }
 
 std::uint64_t CallContext::minVersion(const ModelTarget &target, Instant now) const
 {
     const auto it = declared.find(target);
-    if (it == declared.end() || now - it->second.learned < olderVersionGracePeriod)
-        return 0;
-    return it->second.version;
+    return it == declared.end() ? 0 : it->second.oldestUsable(now);
 }
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -2,6 +2,7 @@
 
 #include "estimates/pacemargin.h"
 #include "gateway/crashledger.h"
+#include "gateway/declaredversion.h"
 #include "gateway/enginechoice.h"
 #include "gateway/gatewaymessage.h"
 #include "gateway/retryallowance.h"
@@ -19,12 +20,6 @@
 namespace Gypsumtally::Gateway
 {
 
-/// The newest declared version of an adapter.
-struct DeclaredVersion {
-    std::uint64_t version = 0;
-    Instant learned{}; ///< Time at which this node received it.
-};
-
 /// Demand for one target at this node.
 struct TargetUse {
     std::string service;
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -569,7 +569,7 @@
             return chooseUpstream(m_context.upstreams, demand, now);
         // Prefers the newest version as soon as it is declared; an older one serves until the new one is loaded.
         if (const auto it = m_context.declared.find(call.request.target); it != m_context.declared.end()) {
-            demand.minVersion = it->second.version;
+            demand.minVersion = it->second.newest();
             auto newest = chooseUpstream(m_context.upstreams, demand, now);
             if (newest && newest->usableAt <= now)
                 return newest;
@@ -769,7 +769,7 @@
         if (!call->request.target.empty()) {
             instructions.priority = std::min(9U, call->route.priority);
             if (const auto it = m_context.declared.find(call->request.target);
-                it != m_context.declared.end() && choice.version >= it->second.version)
+                it != m_context.declared.end() && choice.version >= it->second.newest())
                 instructions.version = choice.version;
         }
         if (call->lastEvent)
--- /dev/null
+++ b/src/gateway/declaredversion.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "common/clock.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Gypsumtally::Gateway
+{
+
+/// The declared versions of one adapter, and the oldest of them that may still serve. Not thread-safe.
+class DeclaredVersion
+{
+public:
+    /// Records a declaration of @p version that this node received at @p now. Returns false if it has received the same
+    /// or a later version before.
+    bool declare(std::uint64_t version, Instant now);
+
+    /// Returns the newest declared version; 0 if none is.
+    std::uint64_t newest() const
+    {
+        return m_declarations.empty() ? 0 : m_declarations.back().version;
+    }
+
+    /// Returns the oldest version that may serve at @p now; 0 if any may. Each declaration rules out the versions
+    /// before it after a grace period of its own, whatever is declared in the meantime.
+    std::uint64_t oldestUsable(Instant now) const;
+
+private:
+    struct Declaration {
+        std::uint64_t version = 0;
+        Instant graceEnd{};
+    };
+
+    /// In ascending order of the versions, without those whose grace period had ended before a later declaration.
+    std::vector<Declaration> m_declarations;
+};
+
+} // namespace Gypsumtally::Gateway
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -329,7 +329,7 @@
         auto placer = AdapterPlacer{};
         placer.restoreStoreFactor(m_initialStoreFactor);
         for (const auto &[target, declared] : m_context.declared)
-            placer.onVersionDeclared(target, declared.version);
+            placer.onVersionDeclared(target, declared.newest());
         m_placer = std::move(placer);
         m_log.note(GatewayEvent::OrderLeaseTaken,
                    {{"shard", std::to_string(m_shard)},
@@ -459,7 +459,7 @@
     {
         upstream.residency.forEachCopy([&](const ModelTarget &target, const ResidentCopy &copy) {
             const auto declared = m_context.declared.find(target);
-            if (declared != m_context.declared.end() && copy.version < declared->second.version)
+            if (declared != m_context.declared.end() && copy.version < declared->second.newest())
                 return;
             auto &copies = fleet.copies[target];
             copies.lightestLoad = copies.count == 0 ? load : std::min(copies.lightestLoad, load);
