Failing test: a node that learns of a declaration late lets older versions serve for longer

CallContext::declare() takes the earliest time at which the declaration may have been made, without using it yet.

--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -25,9 +25,9 @@
         onSuccess(effects);
 }
 
-bool CallContext::declare(const ModelTarget &target, std::uint64_t version, Instant now)
+bool CallContext::declare(const ModelTarget &target, std::uint64_t version, Instant earliest, Instant now)
 {
-    return declared[target].declare(version, now);
+    return declared[target].declare(version, earliest, now);
 }
 
 std::uint64_t CallContext::minVersion(const ModelTarget &target, Instant now) const
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -87,9 +87,8 @@
     /// Records in the upstream's tables that this node sends the request of @p notice, and announces it to the others.
     void announceSend(const SendNotice &notice, Instant now);
 
-    /// Records the declaration of a version of @p target, which this node received at @p now. Returns false if it has
-    /// received the same or a later version before.
-    bool declare(const ModelTarget &target, std::uint64_t version, Instant now);
+    /// Records the declaration of a version of @p target; see DeclaredVersion::declare().
+    bool declare(const ModelTarget &target, std::uint64_t version, Instant earliest, Instant now);
 
     /// Returns the oldest version of @p target that may serve at @p now; 0 if any may.
     std::uint64_t minVersion(const ModelTarget &target, Instant now) const;
--- a/src/gateway/declaredversion.cpp
+++ b/src/gateway/declaredversion.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-bool DeclaredVersion::declare(std::uint64_t version, Instant now)
+bool DeclaredVersion::declare(std::uint64_t version, Instant /*earliest*/, Instant now)
 {
     if (version <= newest())
         return false;
--- a/src/gateway/declaredversion.h
+++ b/src/gateway/declaredversion.h
@@ -12,9 +12,9 @@
 class DeclaredVersion
 {
 public:
-    /// Records a declaration of @p version that this node received at @p now. Returns false if it has received the same
-    /// or a later version before.
-    bool declare(std::uint64_t version, Instant now);
+    /// Records a declaration of @p version that was made at @p earliest or later, which this node received at @p now.
+    /// Returns false if it has received the same or a later version before.
+    bool declare(std::uint64_t version, Instant earliest, Instant now);
 
     /// Returns the newest declared version; 0 if none is.
     std::uint64_t newest() const
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -463,7 +463,7 @@
             m_callers.setSettings(server);
             m_loop.post([this] { m_forwarder.onConfiguration(); });
         } else if (const auto *declared = std::get_if<VersionDeclaration>(&document)) {
-            if (!m_context.declare(declared->target, declared->version, BootClock{}.now()))
+            if (!m_context.declare(declared->target, declared->version, Instant::min(), BootClock{}.now()))
                 return;
             for (const auto &orders : m_orders)
                 orders->onVersionDeclared(declared->target, declared->version);
--- a/tests/gateway/callcontexttest.cpp
+++ b/tests/gateway/callcontexttest.cpp
@@ -12,6 +12,11 @@
 
 constexpr Instant declared{std::chrono::seconds{100}};
 
+Instant timeAt(int milliseconds)
+{
+    return declared + std::chrono::milliseconds{milliseconds};
+}
+
 struct Declaration {
     int atMs = 0;
     std::uint64_t version = 0;
@@ -62,6 +67,38 @@
 {
     CallContext context;
     for (const auto &each : row.declarations)
-        context.declare("m/a", each.version, declared + std::chrono::milliseconds{each.atMs});
-    cr_assert_eq(context.minVersion(row.target, declared + std::chrono::milliseconds{row.atMs}), row.least);
+        context.declare("m/a", each.version, timeAt(each.atMs), timeAt(each.atMs));
+    cr_assert_eq(context.minVersion(row.target, timeAt(row.atMs)), row.least);
+}
+
+namespace
+{
+
+constexpr int unknown = -1;
+
+struct LateCase {
+    const char *name;
+    int earliestMs; ///< Earliest time at which version 3 may have been declared.
+    int learnedMs;
+    int atMs;
+    std::uint64_t least;
+};
+
+const LateCase lates[] = {
+    {"learned soon", 0, 900, 2000, 2},         {"learned soon, over", 0, 900, 2150, 3},
+    {"learned late", 0, 2000, 2100, 2},        {"learned late, over", 0, 2000, 2500, 3},
+    {"learned too late", 0, 4000, 4000, 3},    {"process was suspended", 0, 60000, 60000, 3},
+    {"read at the start", unknown, 50, 50, 3},
+};
+
+} // namespace
+
+/// Guards against an older version that serves for longer where a node learns of a declaration late or at its start.
+TABLE_TEST(CallContext, graceCountsFromDeclaration, lates)
+{
+    CallContext context;
+    context.declare("m/a", 2, Instant::min(), timeAt(-9000));
+    const auto earliest = row.earliestMs == unknown ? Instant::min() : timeAt(row.earliestMs);
+    context.declare("m/a", 3, earliest, timeAt(row.learnedMs));
+    cr_assert_eq(context.minVersion("m/a", timeAt(row.atMs)), row.least, "%s", row.name);
 }
