The grace period of an older adapter version ends by the time of the declaration

Cause: the grace period counted from the moment at which the node learnt of the declaration. A node can tell how old a declaration may be: one counter numbers all changes of the store, and an answer states the revision that the store had not passed when the call was made. RevisionTimes keeps these pairs for all views, also from answers that other nodes pass on, with their age. What a node finds at its start has no grace period. A datagram that waited while the process was suspended counts from the tick before.

--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace Gypsumtally::Gateway
@@ -363,10 +364,13 @@
             row.push_back(json::string(*change.value));
         changes.push_back(std::move(row));
     }
-    return {{"view", nameOf(update.view)},
-            {"after", delta.after},
-            {"revision", delta.revision},
-            {"changes", std::move(changes)}};
+    json::object object{{"view", nameOf(update.view)},
+                        {"after", delta.after},
+                        {"revision", delta.revision},
+                        {"changes", std::move(changes)}};
+    if (delta.age)
+        object["age"] = delta.age->count();
+    return object;
 }
 
 std::optional<RegistryUpdate> updateFrom(const json::object &object)
@@ -374,7 +378,9 @@
     const auto view = valueOf<RegistryView>(textAt(object, "view"));
     if (!view)
         return std::nullopt;
-    RegistryDelta delta{numberAt<Revision>(object, "after"), {}, numberAt<Revision>(object, "revision")};
+    RegistryDelta delta{numberAt<Revision>(object, "after"), {}, numberAt<Revision>(object, "revision"), {}};
+    if (object.contains("age"))
+        delta.age = std::max(Duration{}, Duration{numberAt<std::int64_t>(object, "age")});
     eachRow(object, "changes", [&](const json::array &row) {
         KeyChange change{textIn(row, 1), {}, numberIn<Revision>(row, 0)};
         if (row.size() > 2)
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -291,11 +291,11 @@
     {
         return {[this](const std::vector<KeyValue> &values) {
                     for (const auto &value : values)
-                        onOperatorDocument(value.key, value.value);
+                        onOperatorDocument(value.key, value.value, value.modRevision);
                 },
                 [this](const KeyChange &change) {
                     if (change.value)
-                        onOperatorDocument(change.key, *change.value);
+                        onOperatorDocument(change.key, *change.value, change.revision);
                 },
                 {},
                 [this](bool reachable) {
@@ -443,7 +443,7 @@
         return key.substr(std::string(Platform::upstreamPrefix()).size());
     }
 
-    void onOperatorDocument(const std::string &key, const std::string &value)
+    void onOperatorDocument(const std::string &key, const std::string &value, Revision revision)
     {
         auto document = Platform::readOperatorDocument(key, value);
         if (const auto *bad = std::get_if<BadDocument>(&document)) {
@@ -463,7 +463,8 @@
             m_callers.setSettings(server);
             m_loop.post([this] { m_forwarder.onConfiguration(); });
         } else if (const auto *declared = std::get_if<VersionDeclaration>(&document)) {
-            if (!m_context.declare(declared->target, declared->version, Instant::min(), BootClock{}.now()))
+            if (!m_context.declare(declared->target, declared->version, m_registry.earliestTimeOf(revision),
+                                   BootClock{}.now()))
                 return;
             for (const auto &orders : m_orders)
                 orders->onVersionDeclared(declared->target, declared->version);
@@ -635,7 +636,7 @@
         const auto now = BootClock{}.now();
         if (m_lastTick != Instant{} && now - m_lastTick > tickInterval + lateTickDelay)
             m_log.note(GatewayEvent::LoopLate, {{"ms", std::to_string((now - m_lastTick).count() / 1000)}});
-        m_lastTick = now;
+        m_tickBefore = std::exchange(m_lastTick, now);
         m_context.upstreams.sweep(now);
         m_store.sweep(now);
         m_registry.setRole(readRole(now), m_settings.drainBound);
@@ -1057,7 +1058,7 @@
         applyPlacements(message.found);
         m_streams.record(message.begunStreams);
         for (const auto &update : message.registry)
-            m_registry.onDelta(update);
+            m_registry.onDelta(update, m_tickBefore);
     }
 
     void onReport(const NodeReport &report, Instant now)
@@ -1166,6 +1167,8 @@
     std::uint64_t m_ticks = 0;
     Instant m_started = BootClock{}.now();
     Instant m_lastTick{};
+    /// The tick before the last. What is read now arrived later, also if the process was suspended until the last tick.
+    Instant m_tickBefore{};
     Instant m_lastPeerMessage{};
     struct LoggedSpeed {
         Estimates::Speed speed;
--- a/src/gateway/registrydelta.cpp
+++ b/src/gateway/registrydelta.cpp
@@ -40,10 +40,11 @@
         part.changes.push_back(std::move(change));
     }
     part.revision = delta.revision;
+    part.age = delta.age;
     parts.push_back(std::move(part));
     for (auto &each : parts) {
         if (bytesOf(each) > largest)
-            each = {each.revision, {}, each.revision};
+            each = {each.revision, {}, each.revision, each.age};
     }
     return parts;
 }
--- a/src/gateway/registrydelta.h
+++ b/src/gateway/registrydelta.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/clock.h"
 #include "common/enumtable.h"
 #include "common/keyvalue.h"
 
@@ -31,6 +32,8 @@
     Revision after = 0; ///< The last revision before those that are covered.
     std::vector<KeyChange> changes; ///< Ordered by revision.
     Revision revision = 0; ///< The last revision that is covered.
+    /// Time since the store had not passed @c revision yet; nothing if it is not known.
+    std::optional<Duration> age{};
 };
 
 /// Changes of one view, as one node has read them.
@@ -41,7 +44,7 @@
 
 /// Splits @p delta into consecutive parts, each with at most @p bytes of keys and values or with the changes of a
 /// single revision. Drops the changes of a part above @p largest bytes and leaves a gap in its place, from which
-/// receivers detect that they must call the store themselves. Thread-safe.
+/// receivers detect that they must call the store themselves. Only the last part has an age. Thread-safe.
 std::vector<RegistryDelta> split(RegistryDelta delta, std::size_t bytes, std::size_t largest);
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -60,6 +60,8 @@
         std::function<void(bool)> onReachable; ///< Called after the first call and on each change.
         std::function<void(const RegistryDelta &)> onRead = {}; ///< Called with changes that this node has read itself.
         std::function<void()> onAnswered = {}; ///< Called when the store has answered with a snapshot.
+        /// Called with the revision in each answer of the store, which it had not passed yet when the call was made.
+        std::function<void(Revision revision, Instant calledAt)> onRevision = {};
     };
 
     /// The initial pause and the timeout of watches.
@@ -134,7 +136,7 @@
     /// while a snapshot is read.
     std::optional<RegistryDelta> emptyDelta() const
     {
-        return m_state == State::Reading ? std::nullopt : std::optional(RegistryDelta{m_revision, {}, m_revision});
+        return m_state == State::Reading ? std::nullopt : std::optional(RegistryDelta{m_revision, {}, m_revision, {}});
     }
 
     /// The pauses before this node's next call to the store.
@@ -162,7 +164,8 @@
         ++m_generation;
         m_state = State::Reading;
         m_retryScheduled = false;
-        m_store.readPrefix(m_prefix, [this, generation = m_generation](const KeyReply &reply) {
+        const auto calledAt = BootClock{}.now();
+        m_store.readPrefix(m_prefix, [this, generation = m_generation, calledAt](const KeyReply &reply) {
             if (generation != m_generation)
                 return;
             setReachable(reply.outcome == KeyOutcome::Applied);
@@ -170,8 +173,9 @@
                 return readAfter(m_pauses.afterFailure);
             if (m_observer.onAnswered)
                 m_observer.onAnswered();
+            noteRevision(reply.revision, calledAt);
             if (m_revision > 0 && m_observer.onRead)
-                m_observer.onRead(deltaTo(reply));
+                m_observer.onRead(deltaTo(reply, calledAt));
             m_known.clear();
             for (const auto &value : reply.values)
                 m_known[value.key] = value.modRevision;
@@ -191,23 +195,27 @@
         const auto generation = ++m_generation;
         m_state = State::Waiting;
         const auto after = m_revision;
-        m_store.watch(m_prefix, after, m_timing.watchTimeout, [this, generation, after](const WatchResult &result) {
-            if (generation != m_generation)
-                return;
-            if (result.historyLost)
-                return readAfter(m_pauses.afterFailure);
-            if (!result.answered) {
-                // A resumed watch may miss changes made while the connection was cut: reads a snapshot instead.
-                const bool wasReachable = m_reachable;
-                setReachable(false);
-                return readAfter(wasReachable ? Duration{} : m_pauses.afterFailure);
-            }
-            setReachable(true);
-            if (m_observer.onRead)
-                m_observer.onRead({after, result.changes, result.revision});
-            apply(result.changes, result.revision);
-            followAfter(result.changes.empty() ? m_pauses.afterNothing : m_pauses.afterChanges);
-        });
+        const auto calledAt = BootClock{}.now();
+        m_store.watch(m_prefix, after, m_timing.watchTimeout,
+                      [this, generation, after, calledAt](const WatchResult &result) {
+                          if (generation != m_generation)
+                              return;
+                          if (result.historyLost)
+                              return readAfter(m_pauses.afterFailure);
+                          if (!result.answered) {
+                              // A resumed watch may miss changes made while the connection was cut: reads a snapshot
+                              // instead.
+                              const bool wasReachable = m_reachable;
+                              setReachable(false);
+                              return readAfter(wasReachable ? Duration{} : m_pauses.afterFailure);
+                          }
+                          setReachable(true);
+                          noteRevision(result.revision, calledAt);
+                          if (m_observer.onRead)
+                              m_observer.onRead({after, result.changes, result.revision, BootClock{}.now() - calledAt});
+                          apply(result.changes, result.revision);
+                          followAfter(result.changes.empty() ? m_pauses.afterNothing : m_pauses.afterChanges);
+                      });
     }
 
     void readAfter(Duration pause)
@@ -220,10 +228,17 @@
         });
     }
 
-    /// Returns the changes from this node's revision to @p snapshot, for nodes at the same revision.
-    RegistryDelta deltaTo(const KeyReply &snapshot) const
+    void noteRevision(Revision revision, Instant calledAt)
+    {
+        if (m_observer.onRevision)
+            m_observer.onRevision(revision, calledAt);
+    }
+
+    /// Returns the changes from this node's revision to @p snapshot, read by a call at @p calledAt, for nodes at the
+    /// same revision.
+    RegistryDelta deltaTo(const KeyReply &snapshot, Instant calledAt) const
     {
-        RegistryDelta delta{m_revision, {}, snapshot.revision};
+        RegistryDelta delta{m_revision, {}, snapshot.revision, BootClock{}.now() - calledAt};
         std::set<std::string> present;
         for (const auto &value : snapshot.values) {
             present.insert(value.key);
--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/registryfollower.h"
+#include "gateway/revisiontimes.h"
 
 #include <functional>
 #include <string>
@@ -81,12 +82,21 @@
         m_ownRecords.setPauses(pausesOf(ownPause, joiningOwnPause));
     }
 
-    /// Applies changes that the reader of the failure domain has sent.
-    void onDelta(const RegistryUpdate &update)
+    /// Applies changes that the reader of the failure domain has sent, which arrived at @p arrivedAt or later.
+    void onDelta(const RegistryUpdate &update, Instant arrivedAt)
     {
+        if (update.delta.age)
+            m_revisionTimes.record(update.delta.revision, arrivedAt - *update.delta.age);
         followerOf(update.view).onDelta(update.delta);
     }
 
+    /// Returns the earliest time at which the change with @p revision may have been made in the store; Instant::min()
+    /// if nothing is known of it, as for what the first snapshot contains.
+    Instant earliestTimeOf(Revision revision) const
+    {
+        return m_revisionTimes.earliestTimeOf(revision);
+    }
+
     /// Reads snapshots of the other views after the watch on the upstreams' records has failed: their connections may
     /// have failed too, undetected so far.
     void reconnectOthers()
@@ -141,6 +151,8 @@
             if (view == RegistryView::UpstreamRecords)
                 publishEmptyDeltas();
         };
+        observer.onRevision
+            = [this](Revision revision, Instant calledAt) { m_revisionTimes.record(revision, calledAt); };
         observer.onAnswered = [this] {
             for (auto *follower : {&m_operatorDocuments, &m_upstreamRecords, &m_ownRecords})
                 follower->retryNow();
@@ -160,6 +172,7 @@
 
     double m_jitterFactor;
     OnRead m_onRead;
+    RevisionTimes m_revisionTimes;
     Follower m_operatorDocuments;
     Follower m_upstreamRecords;
     Follower m_ownRecords;
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -41,8 +41,9 @@
     message.wanted = {{"s", "m/b", 1, {"e1"}}};
     message.found = {{"e3", "m/c", 0, false, {}}};
     message.begunStreams = {{11, "s", "v2"}, {12, "t", ""}};
-    message.registry = {{RegistryView::OwnRecords, {7, {{"u/a", "{}", 8}, {"u/b", {}, 9}}, 12}},
-                        {RegistryView::OperatorDocuments, {12, {}, 12}}};
+    message.registry
+        = {{RegistryView::OwnRecords, {7, {{"u/a", "{}", 8}, {"u/b", {}, 9}}, 12, std::chrono::milliseconds{30}}},
+           {RegistryView::OperatorDocuments, {12, {}, 12}}};
     return message;
 }
 
@@ -118,6 +119,8 @@
     const auto &delta = read->registry[0].delta;
     cr_assert_eq(delta.after, 7);
     cr_assert_eq(delta.revision, 12);
+    cr_assert(delta.age == std::chrono::milliseconds{30});
+    cr_assert_not(read->registry[1].delta.age.has_value());
     cr_assert_eq(delta.changes.size(), 2U);
     cr_assert_eq(*delta.changes[0].value, std::string("{}"));
     cr_assert_not(delta.changes[1].value.has_value());
--- a/tests/gateway/registrydeltatest.cpp
+++ b/tests/gateway/registrydeltatest.cpp
@@ -12,7 +12,7 @@
 
 RegistryDelta deltaOf(const std::vector<Revision> &revisions)
 {
-    RegistryDelta delta{10, {}, 99};
+    RegistryDelta delta{10, {}, 99, std::chrono::milliseconds{30}};
     for (const auto revision : revisions)
         delta.changes.push_back({"k", std::string(9, 'v'), revision});
     return delta;
@@ -45,6 +45,7 @@
         cr_assert(std::ranges::all_of(parts[i].changes, [&](const KeyChange &change) {
             return change.revision > parts[i].after && change.revision <= parts[i].revision;
         }));
+        cr_assert_eq(parts[i].age.has_value(), i + 1 == parts.size(), "the store may have passed other revisions");
         after = parts[i].revision;
     }
     cr_assert_eq(after, 99);
--- a/tests/gateway/registryviewstest.cpp
+++ b/tests/gateway/registryviewstest.cpp
@@ -79,7 +79,7 @@
         loop.runAfter(pause, [this, pause, revision] {
             for (const auto view :
                  {RegistryView::OperatorDocuments, RegistryView::UpstreamRecords, RegistryView::OwnRecords})
-                views.onDelta({view, {revision, {{"k", "v", revision + 1}}, revision + 1}});
+                views.onDelta({view, {revision, {{"k", "v", revision + 1}}, revision + 1}}, BootClock{}.now());
             sendDeltas(pause, revision + 1);
         });
     }
@@ -154,7 +154,7 @@
     viewer.views.setRole(ReadRole::Standby, std::chrono::milliseconds{2500});
     viewer.views.start();
     viewer.loop.runAfter(std::chrono::milliseconds{20}, [&] {
-        viewer.views.onDelta({RegistryView::OperatorDocuments, {15, {}, 16}});
+        viewer.views.onDelta({RegistryView::OperatorDocuments, {15, {}, 16}}, BootClock{}.now());
     });
     viewer.loop.runAfter(std::chrono::milliseconds{200}, [&] { viewer.loop.stop(); });
     viewer.loop.run();
@@ -169,6 +169,22 @@
     viewer.start(ReadRole::Standby, std::chrono::milliseconds{50}, {});
     cr_assert_eq(viewer.store.reads, 3U);
     viewer.store.isCutOff = false;
-    viewer.views.onDelta({RegistryView::OwnRecords, {10, {}, 10}});
+    viewer.views.onDelta({RegistryView::OwnRecords, {10, {}, 10}}, BootClock{}.now());
     cr_assert_eq(viewer.store.reads, 6U);
 }
+
+/// What the first snapshot contains may be old; later changes are dated by answers of other views and by other nodes.
+Test(RegistryViews, datesChangesByRevision)
+{
+    Viewer viewer;
+    const auto started = BootClock{}.now();
+    viewer.start(ReadRole::Standby, std::chrono::milliseconds{50}, {});
+    cr_assert(viewer.views.earliestTimeOf(10) == Instant::min());
+    const auto later = viewer.views.earliestTimeOf(11);
+    cr_assert(later >= started && later <= BootClock{}.now() - std::chrono::milliseconds{40});
+    const auto arrivedAt = BootClock{}.now();
+    viewer.views.onDelta({RegistryView::UpstreamRecords, {10, {}, 14, std::chrono::milliseconds{5}}}, arrivedAt);
+    viewer.views.onDelta({RegistryView::OwnRecords, {10, {}, 10, {}}}, arrivedAt);
+    cr_assert(viewer.views.earliestTimeOf(14) == later);
+    cr_assert(viewer.views.earliestTimeOf(15) == arrivedAt - std::chrono::milliseconds{5});
+}
