--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -288,10 +288,17 @@
     }
 
     /// Records a load of @p target at upstream @p instance that ends after @p time, which may be negative.
-    void load(const std::string &instance, const ModelTarget &target, Duration time)
+    void load(const std::string &instance, const ModelTarget &target, Duration time, std::uint64_t version = 0)
     {
         const auto now = BootClock{}.now();
-        m_context.upstreams.find(instance)->residency.onLoading(target, 0, now + time, now);
+        m_context.upstreams.find(instance)->residency.onLoading(target, version, now + time, now);
+    }
+
+    /// Records that @p version of @p target was declared @p age ago, of which this node learns now.
+    void declare(const ModelTarget &target, std::uint64_t version, Duration age)
+    {
+        const auto now = BootClock{}.now();
+        m_context.declare(target, version, now - age, now);
     }
 
     /// Sends a request to @p path and returns the status of the answer, or 0 if the answer was incomplete.
@@ -341,6 +348,7 @@
     std::string retryAfter; ///< Retry-After of the last answer.
     unsigned sends = 0;
     std::vector<std::size_t> sentTo; ///< Index of the upstream that received each send.
+    std::vector<std::string> versions; ///< Adapter version that each send asked for; empty if any may serve.
     double announcedTokens = 0; ///< Sum over all announcements; withdrawals count as negative.
     std::vector<Announcement> announced; ///< Prompt announcements to other nodes.
 
@@ -362,6 +370,7 @@
         return std::make_unique<Relay::CallerServer>(
             m_loop, Relay::CallerServerSettings{}, [this, number](const Exchange &exchange) {
                 sentTo.push_back(number);
+                versions.emplace_back(exchange->request().headers.get("Version"));
                 const auto responder = m_responders[std::min<std::size_t>(sends++, m_responders.size() - 1)];
                 if (responder)
                     responder(exchange);
@@ -709,6 +718,40 @@
     cr_assert_eq(fixture.sends, 1U, "%s: %u sends", row.name, fixture.sends);
 }
 
+namespace
+{
+
+struct ExpectedVersionCase {
+    const char *name;
+    std::vector<std::pair<std::uint64_t, int>> declarations; ///< Version and age in milliseconds.
+    std::uint64_t held; ///< Version of the copies.
+    const char *expected;
+};
+
+const ExpectedVersionCase expectedVersions[] = {
+    {"none declared", {}, 1, ""},
+    {"newest", {{2, 100}}, 2, "2"},
+    {"older, in the grace period", {{2, 100}}, 1, ""},
+    {"older than the newest, first bound over", {{2, 9000}, {3, 100}}, 2, "2"},
+    {"newest of two", {{2, 9000}, {3, 100}}, 3, "3"},
+};
+
+} // namespace
+
+/// Guards against a request on a version that is ruled out, where this node's view of an engine is older than the
+/// engine.
+TABLE_TEST(CallForwarder, statesVersionOnceAnyIsRuledOut, expectedVersions)
+{
+    ForwarderFixture fixture({streamRest});
+    for (const auto *instance : {"u0", "u1"})
+        fixture.load(instance, "m/a", std::chrono::milliseconds{-1000}, row.held);
+    for (const auto &[version, age] : row.declarations)
+        fixture.declare("m/a", version, std::chrono::milliseconds{age});
+    cr_assert_eq(fixture.ask("/paced/1", "m/a"), 200U, "%s", row.name);
+    cr_assert_eq(fixture.versions.front(), std::string(row.expected), "%s: %s", row.name,
+                 fixture.versions.front().c_str());
+}
+
 /// A slow stream that keeps sending events is not abandoned.
 Test(CallForwarder, keepsSlowStream)
 {
--- a/tests/support/plaindialect.h
+++ b/tests/support/plaindialect.h
@@ -31,6 +31,8 @@
                            request.body};
         if (instructions.resumeAfter)
             sent.headers.add("Resume", std::to_string(*instructions.resumeAfter));
+        if (instructions.version)
+            sent.headers.add("Version", std::to_string(*instructions.version));
         return sent;
     }
 
