A request states its adapter version as soon as any version is ruled out

Callers could get an answer of a superseded version from an engine that holds another one than the node believes (rule VERSION): the list of an engine lags by seconds, and an order may be carried out late.

Cause: a request stated the version that it expects only for the newest one, so not while the grace period of a further declaration runs. Now it does as soon as any version is ruled out, and an engine that holds another one answers that it has not run the request.

statesVersionOnceAnyIsRuledOut: 1 of 5 rows failed before; 5 of 5 pass.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -769,7 +769,8 @@
         if (!call->request.target.empty()) {
             instructions.priority = std::min(9U, call->route.priority);
             if (const auto it = m_context.declared.find(call->request.target);
-                it != m_context.declared.end() && choice.version >= it->second.newest())
+                it != m_context.declared.end()
+                && (choice.version >= it->second.newest() || it->second.oldestUsable(now) > 0))
                 instructions.version = choice.version;
         }
         if (call->lastEvent)
