Failing test: a request waits in an engine for its first event beyond the bound of a newer version

The first event of a stream counts as its beginning. A request that was sent while its version could serve may wait in an engine's queue for seconds and states no version then. 4 of 7 rows fail on this code: the request stays where it is.

--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -752,6 +752,67 @@
                  fixture.versions.front().c_str());
 }
 
+namespace
+{
+
+void streamWithoutEvent(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    fixtureLoop->runAfter(soundSilence, [exchange] { exchange->end(); });
+}
+
+void streamWithPause(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    exchange->write("id: 1\ndata: a\n\n");
+    fixtureLoop->runAfter(std::chrono::milliseconds{400}, [exchange] {
+        exchange->write("id: 2\ndata: b\n\n");
+        exchange->end();
+    });
+}
+
+constexpr int boundIsNear = 4600; ///< Age of a declaration, in milliseconds.
+constexpr int boundIsNotNear = 3000;
+
+struct QueuedCase {
+    const char *name;
+    const char *path;
+    ForwarderFixture::Responder responder; ///< Of u0, whose copy has version 1.
+    int declaredMs; ///< Age of the declaration of version 2, of which the node learns after the send.
+    std::uint64_t versionOfOther; ///< Version of the copy of u1, which is loaded after that; 0 if it has none.
+    unsigned status;
+    unsigned sends;
+    bool isLeft; ///< The request leaves u0 before it begins.
+};
+
+const QueuedCase queuedCases[] = {
+    {"not answered", "/stream/1", nullptr, boundIsNear, 2, 200, 2, true},
+    {"head without an event", "/stream/1", streamWithoutEvent, boundIsNear, 2, 200, 2, true},
+    {"may not run again", "/solo/1", streamWithoutEvent, boundIsNear, 2, 502, 1, true},
+    {"no other copy", "/stream/1", streamWithoutEvent, boundIsNear, 0, 502, 1, true},
+    {"begun", "/stream/1", streamWithPause, boundIsNear, 2, 200, 1, false},
+    {"bound not near", "/stream/1", streamSlowly, boundIsNotNear, 2, 200, 1, false},
+    {"not a stream", "/safe/1", answerAfterSilence, boundIsNear, 0, 200, 1, false}, // It shows no beginning.
+};
+
+} // namespace
+
+/// Guards against a request that waits in an engine until the bound of a newer version is over, and then begins.
+TABLE_TEST(CallForwarder, leavesSupersededCopyBeforeItBegins, queuedCases)
+{
+    ForwarderFixture fixture({row.responder, streamRest});
+    fixture.load("u0", "m/a", std::chrono::milliseconds{-1000}, 1);
+    fixture.loop().runAfter(std::chrono::milliseconds{100}, [&] {
+        fixture.declare("m/a", 2, std::chrono::milliseconds{row.declaredMs});
+        if (row.versionOfOther > 0)
+            fixture.load("u1", "m/a", std::chrono::milliseconds{-1000}, row.versionOfOther);
+    });
+    const auto status = fixture.ask(row.path, "m/a");
+    cr_assert_eq(status, row.status, "%s: status %u", row.name, status);
+    cr_assert_eq(fixture.sends, row.sends, "%s: %u sends", row.name, fixture.sends);
+    cr_assert_eq(fixture.elapsed < std::chrono::milliseconds{400}, row.isLeft, "%s", row.name);
+}
+
 /// A slow stream that keeps sending events is not abandoned.
 Test(CallForwarder, keepsSlowStream)
 {
