A stream leaves a superseded copy of its adapter before it begins there too late

Cause: the version of a request was checked when it was sent, not until it began. Now the node ends a send without a first event 4.5 s after the earliest time of the declaration that supersedes its copy, half a second before the bound, and sends the request elsewhere where it may run again. Answers that are no streams don't show when they begin and are left alone.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -229,6 +229,7 @@
         // State of the current send.
         std::string instance;
         Relay::UpstreamClient::Token token = 0; ///< 0 if nothing is being sent.
+        std::uint64_t adapterVersion = 0; ///< Version of the upstream's copy; 0 if it is not known.
         std::int64_t processStartedAt = 0; ///< Start time of the upstream process.
         std::string softwareAtSend; ///< Software version of the upstream.
         Instant sentAt{};
@@ -778,6 +779,7 @@
         call->eventReceived = false;
         call->isAcquitted = false;
         call->pauses = {};
+        call->adapterVersion = choice.version;
         call->processStartedAt = upstream->record.startedAt;
         call->softwareAtSend = upstream->record.softwareVersion;
         if (call->lastEvent)
@@ -1319,10 +1321,29 @@
         }
         if (call->waiting)
             return proceed(call);
+        if (call->token != 0 && mustNotBegin(*call, now))
+            return leaveSupersededCopy(call);
         if (call->token != 0 && isSilent(*call, now))
             moveFromSilentUpstream(call, now);
     }
 
+    /// Returns true if the call's stream has not begun and must not begin any more on the version of the adapter to
+    /// which it was sent. Other calls do not show when they begin.
+    bool mustNotBegin(const Call &call, Instant now) const
+    {
+        if (call.route.kind != RequestKind::Streaming || call.eventReceived)
+            return false;
+        const auto it = m_context.declared.find(call.request.target);
+        return it != m_context.declared.end() && call.adapterVersion < it->second.oldestBeginning(now);
+    }
+
+    void leaveSupersededCopy(const CallPtr &call)
+    {
+        m_client.cancel(call->token);
+        release(call);
+        onBroken(call, "a newer version of the adapter was declared before the stream began");
+    }
+
     bool isSilent(const Call &call, Instant now) const
     {
         if (!mayRunAgain(call) || call.runs + 1 >= call.route.attempts)
--- a/src/gateway/declaredversion.h
+++ b/src/gateway/declaredversion.h
@@ -26,13 +26,19 @@
     /// before it after a grace period of its own, whatever is declared in the meantime.
     std::uint64_t oldestUsable(Instant now) const;
 
+    /// Returns the oldest version on which a request that was sent before may still begin at @p now; 0 if any may.
+    std::uint64_t oldestBeginning(Instant now) const;
+
 private:
     struct Declaration {
         std::uint64_t version = 0;
         Instant graceEnd{};
+        Instant lastBeginning{}; ///< Of a request on an older version.
     };
 
-    /// In ascending order of the versions, without those whose grace period had ended before a later declaration.
+    std::uint64_t newestPast(Instant Declaration::*end, Instant now) const;
+
+    /// In ascending order of the versions, without those that a later one had superseded before the last declaration.
     std::vector<Declaration> m_declarations;
 };
 
--- a/tests/gateway/callcontexttest.cpp
+++ b/tests/gateway/callcontexttest.cpp
@@ -102,3 +102,32 @@
     context.declare("m/a", 3, earliest, timeAt(row.learnedMs));
     cr_assert_eq(context.minVersion("m/a", timeAt(row.atMs)), row.least, "%s", row.name);
 }
+
+namespace
+{
+
+struct BeginningCase {
+    std::vector<Declaration> declarations;
+    int atMs;
+    std::uint64_t oldest;
+};
+
+const BeginningCase beginnings[] = {
+    {{}, 9000, 0},
+    {{{0, 2}}, 4000, 0},
+    {{{0, 2}}, 4600, 2},
+    {{{0, 2}, {2000, 3}}, 4600, 2},
+    {{{0, 2}, {2000, 3}}, 6600, 3},
+    {{{0, 2}, {2000, 3}, {4000, 4}}, 4600, 2}, // The grace period of version 3 is over, its bound is not.
+    {inSuccession(10, 1000), 9600, 7},
+};
+
+} // namespace
+
+TABLE_TEST(DeclaredVersion, requestsBeginWithinBound, beginnings)
+{
+    DeclaredVersion version;
+    for (const auto &each : row.declarations)
+        version.declare(each.version, timeAt(each.atMs), timeAt(each.atMs));
+    cr_assert_eq(version.oldestBeginning(timeAt(row.atMs)), row.oldest);
+}
