A refused request is not sent again where its refusal was read

Callers were told that a request had not run, or it ran at a second upstream, when an upstream wrote a refusal once more on a connection in use again. The id of a response cannot tell that where the same request was refused and is sent to the same upstream again, or where the refusal bears no id.

A connection now remembers the ids that were refused on it and gets none of them again; one that has brought a refusal without an id, or 32 refusals, is closed after the response. Other requests go on using it, so that a refusal alone costs no new connection.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -808,6 +808,7 @@
         options.connectTimeout = std::chrono::milliseconds{call->request.target.empty() ? 150 : 300};
         if (!call->route.mayRepeat())
             options.maxIdleAge = std::chrono::seconds{2};
+        options.requestId = call->request.id;
         const std::weak_ptr<Call> weak = call;
         const auto forward = [weak](auto &&handler) {
             return [weak, handler](auto &&...arguments) {
@@ -870,7 +871,9 @@
                                   isOwnAnswer ? call->sentAt : Instant{});
         if ((success && (isMismatched || !call->reply.isSigned || call->reply.isEncoded))
             || (isMismatched && !call->reply.notRun))
-            dropSend(call, "the answer is not one to this request");
+            return dropSend(call, "the answer is not one to this request");
+        if (call->reply.notRun)
+            m_client.noteRefusal(call->token, call->reply.requestId);
     }
 
     /// Cancels the current send and treats it as broken.
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -11,7 +11,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <cstddef>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +30,8 @@
 
 constexpr std::size_t readBytes = 32 * 1024;
 constexpr std::size_t maxIdlePerDestination = 64;
+/// Number of refused requests from which a connection is not reused.
+constexpr std::size_t maxRefusedIds = 32;
 /// Idle connections are not reused this shortly before the timeout in the upstream's Keep-Alive header.
 constexpr Duration keepAliveMargin = std::chrono::milliseconds{500};
 
@@ -142,6 +146,18 @@
         return !m_closed && now - m_idleSince < std::min(longestAge, m_idleLimit) && isStillOpen();
     }
 
+    void noteRefusal(const std::string &requestId)
+    {
+        m_isRetired = m_isRetired || requestId.empty() || m_refusedIds.size() + 1 >= maxRefusedIds;
+        m_refusedIds.push_back(requestId);
+    }
+
+    /// Returns true if a refusal of a request with @p requestId was received on the connection.
+    bool hasRefused(const std::string &requestId) const
+    {
+        return std::ranges::find(m_refusedIds, requestId) != m_refusedIds.end();
+    }
+
     /// Resets the connection, so that bytes that were written but not delivered cannot arrive later.
     void closeWithReset()
     {
@@ -239,7 +255,7 @@
     {
         const auto exchange = std::move(m_exchange);
         m_shared->busy.erase(exchange->token);
-        if (isClean && m_reader->keepsConnection()) {
+        if (isClean && !m_isRetired && m_reader->keepsConnection()) {
             if (const auto seconds = m_reader->keepAliveSeconds())
                 m_idleLimit = std::max(Duration{}, Duration{std::chrono::seconds{*seconds}} - keepAliveMargin);
             m_idleSince = BootClock{}.now();
@@ -275,6 +291,8 @@
     std::unique_ptr<ResponseReader> m_reader;
     Instant m_idleSince{};
     Duration m_idleLimit = std::chrono::hours{1};
+    std::vector<std::string> m_refusedIds; ///< Ids of requests whose refusal was received.
+    bool m_isRetired = false; ///< Is closed after the current response.
     bool m_connected = false;
     bool m_waitingForBytes = false;
     bool m_closed = false;
@@ -288,14 +306,19 @@
     {
     }
 
-    std::shared_ptr<Connection> takeIdle(const std::string &key, Instant now, Duration longestAge)
+    /// Returns an idle connection on which a request with @p requestId may be sent, or null.
+    std::shared_ptr<Connection> takeIdle(const std::string &key, const std::string &requestId, Instant now,
+                                         Duration longestAge)
     {
         const auto pool = shared->idle.find(key);
         if (pool == shared->idle.end())
             return nullptr;
-        while (!pool->second.empty()) {
-            auto connection = std::move(pool->second.back());
-            pool->second.pop_back();
+        auto &connections = pool->second;
+        for (auto i = connections.size(); i-- > 0;) {
+            if (connections[i]->hasRefused(requestId))
+                continue;
+            const auto connection = connections[i];
+            connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
             if (connection->isUsable(now, longestAge))
                 return connection;
             connection->close();
@@ -329,7 +352,7 @@
     PendingExchange exchange{token, requestText(request), std::move(observer), now + options.connectTimeout, {}, false};
     if (options.timeout > Duration{})
         exchange.responseDeadline = now + options.timeout;
-    auto connection = m_d->takeIdle(key, now, options.maxIdleAge);
+    auto connection = m_d->takeIdle(key, options.requestId, now, options.maxIdleAge);
     const bool isNew = !connection;
     if (isNew)
         connection = std::make_shared<Connection>(m_d->shared, key);
@@ -371,6 +394,12 @@
     connection->closeWithReset();
 }
 
+void UpstreamClient::noteRefusal(Token token, const std::string &requestId)
+{
+    if (const auto it = m_d->shared->busy.find(token); it != m_d->shared->busy.end())
+        it->second->noteRefusal(requestId);
+}
+
 void UpstreamClient::dropIdle(const Destination &destination)
 {
     const auto pool = m_d->shared->idle.find(poolKey(destination));
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -61,6 +61,9 @@
     Duration maxIdleAge = std::chrono::seconds{10}; ///< Limit of idle time for reuse; zero: no reuse.
     Duration timeout{}; ///< Limit from sending to the end of the response; zero: no limit.
     unsigned unsentBytesTimeoutMs = 5000; ///< How long the kernel tries to deliver written bytes.
+    /// Id that the response echoes, if it bears one. The request is not sent on connections that noteRefusal() has
+    /// excluded for this id.
+    std::string requestId{};
 };
 
 /// An HTTP/1.1 client that pools connections and passes on bodies as they arrive. Use only on the event loop's thread.
@@ -91,6 +94,11 @@
     /// Closes the connection of a request, whose observer is not called again. Does nothing for a finished request.
     void cancel(Token token);
 
+    /// Records that the response to an unfinished request refuses it, so that a repetition of the response cannot be
+    /// taken for that to a later request: no request with @p requestId is sent on the connection any more, and no
+    /// request at all if @p requestId is empty because the response bears none. Does nothing for a finished request.
+    void noteRefusal(Token token, const std::string &requestId);
+
     /// Closes the idle connections to @p destination, for example after one of them turned out to be dead.
     void dropIdle(const Destination &destination);
 
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -3,6 +3,7 @@
 #include "support/endlessserver.h"
 #include "support/plaindialect.h"
 #include "support/rawserver.h"
+#include "support/scriptedserver.h"
 #include "support/table.h"
 
 #include <boost/asio/io_context.hpp>
@@ -319,7 +320,7 @@
             m_status = 0;
             m_loop.stop();
         };
-        Http::Request request{"POST", path, {{"Host", "h"}, {"Id", "r1"}}, "question"};
+        Http::Request request{"POST", path, {{"Host", "h"}, {"Id", requestId}}, "question"};
         if (!target.empty())
             request.headers.add("Target", target);
         m_client.send({m_entryEndpoint, {}}, request, std::move(observer), {});
@@ -343,6 +344,7 @@
         Duration in{};
     };
 
+    std::string requestId = "r1"; ///< Of the next request.
     std::string body;
     Duration elapsed{}; ///< Time that the last request took.
     std::string retryAfter; ///< Retry-After of the last answer.
@@ -1022,3 +1024,76 @@
     fixture.accept(caller, std::chrono::milliseconds{300});
     cr_assert(caller->wasBegun);
 }
+
+namespace
+{
+
+/// An upstream that refuses the first request on its first connection and writes that refusal once more instead of the
+/// answer to each later request there. It answers a request on each other connection and closes that.
+class RepeatingUpstream
+{
+public:
+    /// @p refusal is a status line and headers without the length; @p statement are more headers of the repetition.
+    RepeatingUpstream(Http::EventLoop &loop, const std::string &refusal, const std::string &statement = {})
+        : m_refusal("HTTP/1.1 " + refusal + "Content-Length: 0\r\n\r\n")
+        , m_repetition("HTTP/1.1 " + refusal + statement + "Content-Length: 0\r\n\r\n")
+        , m_server(loop, [this](const Testing::ScriptedRequest &request) { return reply(request); })
+    {
+    }
+
+    Http::Endpoint endpoint() const
+    {
+        return m_server.endpoint();
+    }
+
+    unsigned hidden = 0; ///< Number of requests that may run, as the repetition only takes the place of their answer.
+
+private:
+    std::string reply(const Testing::ScriptedRequest &request)
+    {
+        if (request.connection == 1) {
+            if (request.number == 1)
+                return m_refusal;
+            ++hidden;
+            return m_repetition;
+        }
+        const auto begin = request.text.find("Id: ") + 4;
+        const auto id = request.text.substr(begin, request.text.find("\r\n", begin) - begin);
+        return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nProof: p\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole";
+    }
+
+    std::string m_refusal;
+    std::string m_repetition;
+    Testing::ScriptedServer m_server;
+};
+
+struct RepeatedRefusalCase {
+    const char *name;
+    const char *refusal;
+    const char *path;
+    const char *secondId; ///< Of the second request.
+    unsigned status; ///< Of the answer to the second request.
+    unsigned hidden; ///< Number of requests whose answer the repetition hides.
+};
+
+const RepeatedRefusalCase repeatedRefusals[] = {
+    {"without an id", "503 Full\r\nNot-Run: 1\r\n", "/once/1", "r2", 200, 0},
+    {"to the same request", "503 Full\r\nId: r1\r\nNot-Run: 1\r\n", "/once/1", "r1", 200, 0},
+    {"without an id, the same request", "503 Full\r\nNot-Run: 1\r\n", "/once/1", "r1", 200, 0},
+};
+
+} // namespace
+
+/// Callers were told that requests had not run when an upstream wrote an earlier refusal once more.
+TABLE_TEST(CallForwarder, believesNoRepeatedRefusal, repeatedRefusals)
+{
+    ForwarderFixture fixture({answer});
+    RepeatingUpstream upstream(fixture.loop(), row.refusal);
+    fixture.replaceUpstreams(upstream.endpoint());
+    fixture.upstream("u1").isLeaving = true;
+    fixture.ask("/once/1");
+    fixture.requestId = row.secondId;
+    const auto status = fixture.ask(row.path);
+    cr_assert_eq(upstream.hidden, row.hidden, "%s: %u", row.name, upstream.hidden);
+    cr_assert_eq(status, row.status, "%s: %u", row.name, status);
+}
