A refusal of another request is not the answer to this one

Callers were told that a request had not run, or it was sent to a second upstream, when the answer was a refusal with another request's id, for example one that the upstream had written before: whatever refused counted as "not run". What such an answer stated (departure, request limit, backpressure) was believed as well.

Only a response with the request's id answers it, or a refusal that bears none, as connections that have brought one of those are not used again. Anything else counts as a send that may have run, closes the connection and states nothing.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -864,16 +864,16 @@
         noteProgress(call, BootClock{}.now());
         call->reply = Dialect::readReply(head);
         const bool success = call->reply.status / 100 == 2;
-        const bool isMismatched = call->reply.requestId != call->request.id;
-        // A refusal may be made without the upstream's state, so that it does not end a request limit.
-        const bool isOwnAnswer = !isMismatched && !call->reply.notRun;
-        m_context.recordStatement({call->instance, call->processStartedAt}, call->reply.statement, BootClock{}.now(),
-                                  isOwnAnswer ? call->sentAt : Instant{});
-        if ((success && (isMismatched || !call->reply.isSigned || call->reply.isEncoded))
-            || (isMismatched && !call->reply.notRun))
+        // A connection that has brought a refusal without an id is not reused, so that one is not a repetition.
+        const bool isOwn
+            = call->reply.requestId == call->request.id || (call->reply.notRun && call->reply.requestId.empty());
+        if (!isOwn || (success && (!call->reply.isSigned || call->reply.isEncoded)))
             return dropSend(call, "the answer is not one to this request");
         if (call->reply.notRun)
             m_client.noteRefusal(call->token, call->reply.requestId);
+        // A refusal may be made without the upstream's state, so that it does not end a request limit.
+        m_context.recordStatement({call->instance, call->processStartedAt}, call->reply.statement, BootClock{}.now(),
+                                  call->reply.notRun ? Instant{} : call->sentAt);
     }
 
     /// Cancels the current send and treats it as broken.
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -1077,6 +1077,12 @@
 };
 
 const RepeatedRefusalCase repeatedRefusals[] = {
+    {"503 to another", "503 Full\r\nId: r1\r\nNot-Run: 1\r\n", "/once/1", "r2", 502, 1},
+    {"429 to another", "429 Full\r\nId: r1\r\nNot-Run: 1\r\n", "/once/1", "r2", 502, 1},
+    {"421 to another", "421 Misdirected\r\nId: r1\r\nNot-Run: 1\r\n", "/once/1", "r2", 502, 1},
+    {"400 to another", "400 Bad\r\nId: r1\r\nNot-Run: 1\r\n", "/once/1", "r2", 502, 1},
+    {"to another stream", "503 Full\r\nId: r1\r\nNot-Run: 1\r\n", "/solo/1", "r2", 502, 1},
+    {"to another, no second upstream", "503 Full\r\nId: r1\r\nNot-Run: 1\r\n", "/safe/1", "r2", 502, 1},
     {"without an id", "503 Full\r\nNot-Run: 1\r\n", "/once/1", "r2", 200, 0},
     {"to the same request", "503 Full\r\nId: r1\r\nNot-Run: 1\r\n", "/once/1", "r1", 200, 0},
     {"without an id, the same request", "503 Full\r\nNot-Run: 1\r\n", "/once/1", "r1", 200, 0},
@@ -1097,3 +1103,24 @@
     cr_assert_eq(upstream.hidden, row.hidden, "%s: %u", row.name, upstream.hidden);
     cr_assert_eq(status, row.status, "%s: %u", row.name, status);
 }
+
+namespace
+{
+
+const char *const repeatedStatements[] = {"Leaving: 1\r\n", "Limit: 1\r\n", "Away-Ms: 3000\r\n"};
+
+} // namespace
+
+/// Upstreams were avoided or limited because of what an answer to another request stated.
+TABLE_TEST(CallForwarder, ignoresStatementsToOtherRequests, repeatedStatements)
+{
+    ForwarderFixture fixture({answer});
+    RepeatingUpstream upstream(fixture.loop(), "503 Full\r\nId: r1\r\nNot-Run: 1\r\n", row);
+    fixture.replaceUpstreams(upstream.endpoint());
+    fixture.upstream("u1").isLeaving = true;
+    fixture.ask("/once/1");
+    fixture.requestId = "r2";
+    fixture.ask("/once/1");
+    cr_assert(fixture.upstream("u0").takesRequests(BootClock{}.now()), "%s", row);
+    cr_assert_eq(fixture.knownLimits(), 0U, "%s", row);
+}
