Orders, inspections and liveness checks take no earlier refusal for their answer

Their answers bear no id. An engine that wrote an earlier refusal once more could make an order that it carried out look refused, and a liveness check on a connection that callers' requests share could take a refused request for the end of the process.

Such requests are now marked: they use only connections that have brought no refusal, and their own refusal closes the connection. Callers' requests keep their connections.

Relay/anonymousRequestsAvoidRefusals: three of five rows failed before (one connection was used instead of two). Relay/bytesOnIdleConnectionSpoilIt, three rows, passed before: bytes that arrive between two requests already closed the connection; the check and the write of the next request are in one step of the loop.

--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -544,6 +544,7 @@
         Relay::SendOptions options;
         options.timeout = orderTimeout;
         options.unsentBytesTimeoutMs = orderUnsentTimeoutMs;
+        options.isAnonymous = true;
         auto token = std::make_shared<Relay::UpstreamClient::Token>(0);
         const UpstreamProcess process{order.instance, upstream->record.startedAt};
         const auto onResponse = [this, order, token, process](const Relay::WholeResponse &response) {
@@ -588,6 +589,7 @@
         countSend(*upstream, "inspection", BootClock{}.now());
         Relay::SendOptions options;
         options.timeout = inspectionTimeout;
+        options.isAnonymous = true;
         const UpstreamProcess process{instance, upstream->record.startedAt};
         const auto onResponse = [this, instance, process](const Relay::WholeResponse &response) {
             m_context.recordStatement(process, Dialect::readStatement(response.head), BootClock{}.now());
--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -95,6 +95,7 @@
         Relay::SendOptions options;
         options.connectTimeout = livenessTimeout;
         options.timeout = livenessTimeout;
+        options.isAnonymous = true;
         return options;
     }
 
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -30,6 +30,7 @@
 
 constexpr std::size_t readBytes = 32 * 1024;
 constexpr std::size_t maxIdlePerDestination = 64;
+constexpr unsigned minErrorStatus = 400;
 /// Number of refused requests from which a connection is not reused.
 constexpr std::size_t maxRefusedIds = 32;
 /// Idle connections are not reused this shortly before the timeout in the upstream's Keep-Alive header.
@@ -58,6 +59,7 @@
     ExchangeObserver observer;
     Instant connectDeadline{};
     Instant responseDeadline{};
+    bool isAnonymous = false;
     bool sent = false;
 };
 
@@ -121,6 +123,8 @@
         m_exchange = std::make_shared<PendingExchange>(std::move(exchange));
         m_reader = std::make_unique<ResponseReader>(
             ResponseReader::Observer{[this](const ResponseHead &head) {
+                                         if (m_exchange && m_exchange->isAnonymous && head.status >= minErrorStatus)
+                                             noteRefusal({});
                                          if (m_exchange && m_exchange->observer.onHead)
                                              m_exchange->observer.onHead(head);
                                      },
@@ -152,10 +156,11 @@
         m_refusedIds.push_back(requestId);
     }
 
-    /// Returns true if a refusal of a request with @p requestId was received on the connection.
-    bool hasRefused(const std::string &requestId) const
+    /// Returns true if a request with @p options could take the repetition of an earlier refusal for its response.
+    bool mayRepeatRefusal(const SendOptions &options) const
     {
-        return std::ranges::find(m_refusedIds, requestId) != m_refusedIds.end();
+        return options.isAnonymous ? !m_refusedIds.empty()
+                                   : std::ranges::find(m_refusedIds, options.requestId) != m_refusedIds.end();
     }
 
     /// Resets the connection, so that bytes that were written but not delivered cannot arrive later.
@@ -306,20 +311,19 @@
     {
     }
 
-    /// Returns an idle connection on which a request with @p requestId may be sent, or null.
-    std::shared_ptr<Connection> takeIdle(const std::string &key, const std::string &requestId, Instant now,
-                                         Duration longestAge)
+    /// Returns an idle connection on which a request with @p options may be sent, or null.
+    std::shared_ptr<Connection> takeIdle(const std::string &key, const SendOptions &options, Instant now)
     {
         const auto pool = shared->idle.find(key);
         if (pool == shared->idle.end())
             return nullptr;
         auto &connections = pool->second;
         for (auto i = connections.size(); i-- > 0;) {
-            if (connections[i]->hasRefused(requestId))
+            if (connections[i]->mayRepeatRefusal(options))
                 continue;
             const auto connection = connections[i];
             connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
-            if (connection->isUsable(now, longestAge))
+            if (connection->isUsable(now, options.maxIdleAge))
                 return connection;
             connection->close();
         }
@@ -349,10 +353,11 @@
     const auto token = ++m_d->lastToken;
     const auto now = BootClock{}.now();
     const auto key = poolKey(destination);
-    PendingExchange exchange{token, requestText(request), std::move(observer), now + options.connectTimeout, {}, false};
+    PendingExchange exchange{
+        token, requestText(request), std::move(observer), now + options.connectTimeout, {}, options.isAnonymous, false};
     if (options.timeout > Duration{})
         exchange.responseDeadline = now + options.timeout;
-    auto connection = m_d->takeIdle(key, options.requestId, now, options.maxIdleAge);
+    auto connection = m_d->takeIdle(key, options, now);
     const bool isNew = !connection;
     if (isNew)
         connection = std::make_shared<Connection>(m_d->shared, key);
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -61,6 +61,9 @@
     Duration maxIdleAge = std::chrono::seconds{10}; ///< Limit of idle time for reuse; zero: no reuse.
     Duration timeout{}; ///< Limit from sending to the end of the response; zero: no limit.
     unsigned unsentBytesTimeoutMs = 5000; ///< How long the kernel tries to deliver written bytes.
+    /// True for a request whose response bears no id: it is sent on connections without any refusal only, and its own
+    /// refusal (a status of 400 or more) closes the connection.
+    bool isAnonymous = false;
     /// Id that the response echoes, if it bears one. The request is not sent on connections that noteRefusal() has
     /// excluded for this id.
     std::string requestId{};
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -4,6 +4,7 @@
 
 #include "support/rawcaller.h"
 #include "support/rawserver.h"
+#include "support/scriptedserver.h"
 #include "support/table.h"
 
 #include <boost/asio/io_context.hpp>
@@ -581,3 +582,81 @@
     cr_assert_eq(answersIn(caller.received()), 1U);
     cr_assert(server.server.isDrained());
 }
+
+namespace
+{
+
+struct RefusalCase {
+    const char *name;
+    unsigned status; ///< Of the first response.
+    bool isAnonymous; ///< Of the first request.
+    bool isSecondAnonymous;
+    std::size_t connections; ///< Used for both.
+};
+
+const RefusalCase refusals[] = {
+    {"answer to an anonymous request", 200, true, true, 1},
+    {"refusal of an anonymous request", 409, true, true, 2},
+    {"refusal of an anonymous request, then one with an id", 503, true, false, 2},
+    {"refusal of a request with an id, then an anonymous one", 421, false, true, 2},
+    {"refusal of a request with an id, then another", 421, false, false, 1},
+};
+
+} // namespace
+
+/// Orders and inspections, whose responses bear no id, could take an earlier refusal for their response.
+TABLE_TEST(Relay, anonymousRequestsAvoidRefusals, refusals)
+{
+    Http::EventLoop loop;
+    Testing::ScriptedServer server(loop, [&](const Testing::ScriptedRequest &) {
+        return "HTTP/1.1 " + std::to_string(row.status) + " X\r\nContent-Length: 0\r\n\r\n";
+    });
+    UpstreamClient client(loop);
+    for (const bool isSecond : {false, true}) {
+        SendOptions options;
+        options.isAnonymous = isSecond ? row.isSecondAnonymous : row.isAnonymous;
+        options.requestId = options.isAnonymous ? "" : isSecond ? "r2" : "r1";
+        UpstreamClient::Token token = 0;
+        ExchangeObserver observer;
+        observer.onHead = [&](const ResponseHead &head) {
+            if (head.status >= 400 && !options.isAnonymous)
+                client.noteRefusal(token, options.requestId);
+        };
+        observer.onEnd = [&] { loop.stop(); };
+        token = client.send({server.endpoint(), "a"}, {"GET", "/x", {{"Host", "h"}}, {}}, std::move(observer), options);
+        loop.context().restart();
+        loop.run();
+    }
+    cr_assert_eq(server.connections(), row.connections, "%s: %zu", row.name, server.connections());
+}
+
+namespace
+{
+
+/// Bytes that arrive on an idle connection.
+const char *const strayBytes[] = {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n", "x"};
+
+} // namespace
+
+/// A response that arrives while no request waits is not the response to the next one.
+TABLE_TEST(Relay, bytesOnIdleConnectionSpoilIt, strayBytes)
+{
+    Http::EventLoop loop;
+    Testing::ScriptedServer server(
+        loop, [](const Testing::ScriptedRequest &) { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; });
+    UpstreamClient client(loop);
+    unsigned status = 0;
+    for (const bool isSecond : {false, true}) {
+        if (isSecond)
+            server.write(1, row);
+        ExchangeObserver observer;
+        observer.onHead = [&](const ResponseHead &head) { status = head.status; };
+        observer.onEnd = [&] { loop.stop(); };
+        observer.onFailure = [&](const FailedExchange &) { loop.stop(); };
+        client.send({server.endpoint(), "a"}, {"GET", "/x", {{"Host", "h"}}, {}}, std::move(observer), {});
+        loop.context().restart();
+        loop.run();
+        cr_assert_eq(status, 200U);
+    }
+    cr_assert_eq(server.connections(), 2U);
+}
