Http::Client reuses no connection that brought a refusal or surplus bytes

The daemon's responses bear no id. A request on a connection in use again took an upstream's earlier refusal, written once more, for its own, and the call was tried elsewhere or refused as not run although the upstream ran it. Bytes that came with a response, after its end, were dropped and the connection was reused in the middle of them.

A connection is kept only after a response below 400 with nothing behind it. Bytes on an idle connection closed it already.

Client/reusesNoConnectionThatMayRepeatResponses: two of four rows failed before (one connection instead of two).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -39,6 +39,7 @@
 
 constexpr std::size_t maxIdlePerEndpoint = 64;
 constexpr std::size_t readBufferBytes = 16 * 1024;
+constexpr unsigned minErrorStatus = 400;
 
 asio::redirect_error_t<asio::use_awaitable_t<>> into(ErrorCode &error)
 {
@@ -172,7 +173,9 @@
         if (error)
             co_return false;
     }
-    co_return parser.is_done() && parser.keep_alive();
+    // Bytes after the response, or a later repetition of a refusal, would be taken for the next response.
+    co_return parser.is_done() && parser.keep_alive() && buffer.size() == 0
+        && parser.get().result_int() < minErrorStatus;
 }
 
 asio::awaitable<void> Client::Private::run(Token token, std::shared_ptr<Exchange> exchange, Endpoint endpoint,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -37,7 +37,9 @@
     bool mayReuseConnection = true; ///< False for a request that must not fail on a connection that is being closed.
 };
 
-/// An HTTP/1.1 client that pools idle connections. Use only on the event loop's thread.
+/// An HTTP/1.1 client that pools idle connections. Responses are told apart by their connection alone, so that one that
+/// brought a refusal (a status of 400 or more) or bytes after a response is not used again. Use only on the event
+/// loop's thread.
 class Client
 {
 public:
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -4,6 +4,7 @@
 #include "http/server.h"
 #include "support/endlessserver.h"
 #include "support/rawserver.h"
+#include "support/scriptedserver.h"
 #include "support/table.h"
 
 #include <string>
@@ -205,3 +206,48 @@
         cr_assert_eq(server.connections, request, "%s", row.name);
     }
 }
+
+namespace
+{
+
+struct RepetitionCase {
+    const char *name;
+    const char *first; ///< Written as the first response.
+    const char *whileIdle; ///< Written between the requests; null if nothing is.
+    std::size_t connections; ///< Used for both requests.
+};
+
+const char refusedResponse[] = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+const char twoResponses[]
+    = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+const char okResponse[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+const RepetitionCase repetitions[] = {
+    {"answer", okResponse, nullptr, 1},
+    {"refusal", refusedResponse, nullptr, 2},
+    {"more bytes than the response", twoResponses, nullptr, 2},
+    {"refusal while idle", okResponse, refusedResponse, 2},
+};
+
+} // namespace
+
+/// Requests took an upstream's earlier refusal, written once more, for their own response.
+TABLE_TEST(Client, reusesNoConnectionThatMayRepeatResponses, repetitions)
+{
+    EventLoop loop;
+    Testing::ScriptedServer server(loop, [&](const Testing::ScriptedRequest &request) {
+        return request.connection == 1 && request.number == 1 ? row.first : okResponse;
+    });
+    Client client(loop);
+    for (const bool isSecond : {false, true}) {
+        if (isSecond && row.whileIdle)
+            server.write(1, row.whileIdle);
+        ResponseObserver observer;
+        observer.onEnd = [&] { loop.stop(); };
+        observer.onFailure = [&](const TransportFailure &) { loop.stop(); };
+        client.send(server.endpoint(), {}, observer);
+        loop.context().restart();
+        loop.run();
+    }
+    cr_assert_eq(server.connections(), row.connections, "%s: %zu", row.name, server.connections());
+}
