Test: accepted requests are served across configurations

All 54 combinations end with the whole answer; no code is changed. Calls keep the route and the deadline of the configuration under which they were accepted.

The fixture now records what the upstreams receive, and a failure prints it.

--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -269,6 +269,17 @@
         });
     }
 
+    /// Puts the configuration in force that @p change makes of the one before.
+    void configure(void (*change)(TrafficPolicy &policy))
+    {
+        auto policy = m_context.routes->policy();
+        ++policy.version;
+        change(policy);
+        m_context.routes = std::make_shared<RouteTable>(std::move(policy));
+        std::erase_if(m_context.speeds, [&](const auto &item) { return !m_context.routes->service(item.first); });
+        m_forwarder.onConfiguration();
+    }
+
     /// Simulates an outage of load orders that began @p time ago.
     void stopLoads(Duration time)
     {
@@ -349,6 +360,7 @@
     Duration elapsed{}; ///< Time that the last request took.
     std::string retryAfter; ///< Retry-After of the last answer.
     unsigned sends = 0;
+    std::string received; ///< What the upstreams have received, to explain a failure.
     std::vector<std::size_t> sentTo; ///< Index of the upstream that received each send.
     std::vector<std::string> versions; ///< Adapter version that each send asked for; empty if any may serve.
     double announcedTokens = 0; ///< Sum over all announcements; withdrawals count as negative.
@@ -371,6 +383,9 @@
     {
         return std::make_unique<Relay::CallerServer>(
             m_loop, Relay::CallerServerSettings{}, [this, number](const Exchange &exchange) {
+                const auto &request = exchange->request();
+                received += request.method + ' ' + request.target + ' ' + std::string(request.headers.get("Id"))
+                            + " at " + std::to_string(number) + "; ";
                 sentTo.push_back(number);
                 versions.emplace_back(exchange->request().headers.get("Version"));
                 const auto responder = m_responders[std::min<std::size_t>(sends++, m_responders.size() - 1)];
@@ -1124,3 +1139,162 @@
     cr_assert(fixture.upstream("u0").takesRequests(BootClock{}.now()), "%s", row);
     cr_assert_eq(fixture.knownLimits(), 0U, "%s", row);
 }
+
+namespace
+{
+
+constexpr Duration changeDelay = std::chrono::milliseconds{100}; ///< From the request to the change.
+constexpr Duration answerDelay = std::chrono::milliseconds{250}; ///< The change comes earlier.
+
+void streamLate(const Exchange &exchange)
+{
+    fixtureLoop->runAfter(answerDelay, [exchange] { streamRest(exchange); });
+}
+
+void answerLate(const Exchange &exchange)
+{
+    fixtureLoop->runAfter(answerDelay, [exchange] { answer(exchange); });
+}
+
+void streamWithPause(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    exchange->write("id: 1\ndata: a\n\n");
+    fixtureLoop->runAfter(answerDelay, [exchange] {
+        exchange->write("id: 2\ndata: b\n\n");
+        exchange->end();
+    });
+}
+
+void streamAndCutLate(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    exchange->write("id: 1\ndata: a\n\n");
+    fixtureLoop->runAfter(answerDelay, [exchange] { exchange->abort(); });
+}
+
+void failLate(const Exchange &exchange)
+{
+    fixtureLoop->runAfter(answerDelay, [exchange] { fail(exchange); });
+}
+
+void moveRoutes(TrafficPolicy &policy)
+{
+    policy.services.push_back({"t", EngineProfile{}});
+    for (auto &route : policy.routes)
+        route.services = {{"t", 1}};
+}
+
+void replaceService(TrafficPolicy &policy)
+{
+    policy.services = {{"t", EngineProfile{}}};
+    for (auto &route : policy.routes)
+        route.services = {{"t", 1}};
+}
+
+void removeRoutes(TrafficPolicy &policy)
+{
+    policy.routes.clear();
+}
+
+void makePlain(TrafficPolicy &policy)
+{
+    policy.services = {{"s", std::nullopt}};
+}
+
+void shortenTimeouts(TrafficPolicy &policy)
+{
+    for (auto &route : policy.routes)
+        route.timeout = std::chrono::milliseconds{50};
+}
+
+void forbidRepeats(TrafficPolicy &policy)
+{
+    for (auto &route : policy.routes) {
+        route.kind = RequestKind::NonIdempotent;
+        route.attempts = 1;
+    }
+}
+
+struct ConfigurationChange {
+    const char *name;
+    void (*apply)(TrafficPolicy &policy);
+};
+
+const ConfigurationChange changes[] = {
+    {"routes moved", moveRoutes},      {"service replaced", replaceService},     {"routes removed", removeRoutes},
+    {"service made plain", makePlain}, {"time-outs shortened", shortenTimeouts}, {"repeats forbidden", forbidRepeats},
+};
+
+struct ChangeCase {
+    const char *name;
+    const char *path;
+    const char *target;
+    std::vector<ForwarderFixture::Responder> responders;
+    const char *body;
+    unsigned sends; ///< Received by the upstreams.
+    void (*prepare)(ForwarderFixture &fixture);
+};
+
+void holdAdapter(ForwarderFixture &fixture)
+{
+    for (const auto *instance : {"u0", "u1"})
+        fixture.load(instance, "m/a", std::chrono::milliseconds{-1000});
+}
+
+void loadAdapter(ForwarderFixture &fixture)
+{
+    fixture.load("u0", "m/a", std::chrono::milliseconds{300});
+}
+
+void fillWindows(ForwarderFixture &fixture)
+{
+    holdAdapter(fixture);
+    fixture.fillPromptWindows(std::chrono::milliseconds{600});
+}
+
+void loadAdapterAtOther(ForwarderFixture &fixture)
+{
+    fixture.load("u0", "m/a", std::chrono::milliseconds{-1000});
+    fixture.load("u1", "m/a", std::chrono::milliseconds{500});
+}
+
+void prepareNothing(ForwarderFixture &)
+{
+}
+
+const ChangeCase changeCases[] = {
+    {"waits for a load", "/paced/1", "m/a", {streamRest}, wholeStream, 1, loadAdapter},
+    {"waits for the pace", "/paced/1", "m/a", {streamRest}, wholeStream, 1, fillWindows},
+    {"waits out backpressure",
+     "/once/1",
+     "",
+     {applyBriefBackpressure, applyBriefBackpressure, answer},
+     "whole",
+     3,
+     prepareNothing},
+    {"is sent", "/once/1", "", {answerLate}, "whole", 1, prepareNothing},
+    {"is sent as a stream", "/paced/1", "m/a", {streamLate}, wholeStream, 1, holdAdapter},
+    {"streams", "/paced/1", "m/a", {streamWithPause}, wholeStream, 1, holdAdapter},
+    {"is sent again", "/safe/1", "", {failLate, answer}, "whole", 2, prepareNothing},
+    // The liveness check of the upstream that broke the stream off is received like a send.
+    {"resumes", "/paced/1", "m/a", {streamAndCutLate, streamRest}, wholeStream, 3, holdAdapter},
+    {"waits to resume", "/paced/1", "m/a", {streamAndCutLate, streamRest}, wholeStream, 3, loadAdapterAtOther},
+};
+
+} // namespace
+
+/// A request that was accepted under one configuration is served by it, whatever the next one changes.
+TABLE_TEST(CallForwarder, servesAcceptedRequestsAcrossConfigurations, changeCases)
+{
+    for (const auto &change : changes) {
+        ForwarderFixture fixture(row.responders);
+        row.prepare(fixture);
+        fixture.loop().runAfter(changeDelay, [&] { fixture.configure(change.apply); });
+        const auto status = fixture.ask(row.path, row.target);
+        cr_assert_eq(status, 200U, "%s, %s: status %u, %s", row.name, change.name, status, fixture.body.c_str());
+        cr_assert_eq(fixture.body, std::string(row.body), "%s, %s: %s", row.name, change.name, fixture.body.c_str());
+        cr_assert_eq(fixture.sends, row.sends, "%s, %s: %s", row.name, change.name, fixture.received.c_str());
+        cr_assert(fixture.elapsed > changeDelay, "%s, %s", row.name, change.name);
+    }
+}
