An engine that does not state its start time in time is asked again

While two software versions serve, a stream goes on at an engine only once that has stated its start time. One that was silent for 0.5 s, reset the connection or was full counted as replaced: it was excluded for the rest of the request, and callers' streams ended as no other engine had the adapter. It is now avoided for 0.6 s as before, asked again after 150 ms, and a copy at another engine is requested meanwhile; only the answer of another process excludes it.

Test: callforwardertest resumesAtUpstreamThatVerifiesLate; the rows 'silent', 'reset' and 'full' failed before (answer broken off).

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -184,6 +184,8 @@
     static constexpr Duration maxRecordLag = std::chrono::seconds{3};
     /// Time for which the start time that an engine stated counts, shorter than a restart takes.
     static constexpr Duration verificationTime = std::chrono::milliseconds{300};
+    /// Time after which an engine that has not stated its start time is asked again for the same call.
+    static constexpr Duration verificationInterval = std::chrono::milliseconds{150};
     static constexpr Duration verdictPollInterval = std::chrono::milliseconds{50}; ///< While a verdict is undecided.
     /// Time until all nodes have received the announcement of a prompt.
     static constexpr Duration announcementDelay = std::chrono::milliseconds{30};
@@ -250,6 +252,8 @@
         UpstreamProcess verified; ///< Process that has stated its start time, so that its software version is known.
         Instant verifiedAt{};
         Instant verifyingUntil{}; ///< Time until which the process that was asked last may answer.
+        UpstreamProcess unanswered; ///< Process that has not answered when it was asked last.
+        Instant verifyAgainAt{}; ///< Time until which that process is not asked again.
         Instant lastEventAt{};
         std::array<Duration, 2> pauses{}; ///< The last two between events of the current send.
         Duration firstEvent{}; ///< Time from the call's arrival to the first event.
@@ -439,27 +443,43 @@
             return true;
         if (now < call->verifyingUntil)
             return false;
+        if (call->unanswered == process && now < call->verifyAgainAt) {
+            if (call->token == 0)
+                waitFor(call, WaitCause::StreamVersion, call->verifyAgainAt - now, now);
+            return false;
+        }
         call->verifyingUntil = now + UpstreamMonitor<Dialect>::livenessTimeout;
         if (call->token == 0) {
             waitFor(call, WaitCause::StreamVersion, UpstreamMonitor<Dialect>::livenessTimeout, now);
             call->notBefore = call->verifyingUntil;
         }
-        m_monitor.verify(*upstream, [this, weak = std::weak_ptr<Call>(call), process](bool isSame) {
+        m_monitor.verify(*upstream, [this, weak = std::weak_ptr<Call>(call), process](ProcessCheck result) {
             if (const auto current = weak.lock(); current && !current->done)
-                onVerified(current, process, isSame);
+                onVerified(current, process, result);
         });
         return false;
     }
 
-    void onVerified(const CallPtr &call, const UpstreamProcess &process, bool isSame)
+    /// Goes on after a verification. An upstream that has not answered is asked again later, and a copy at another one
+    /// is requested meanwhile.
+    void onVerified(const CallPtr &call, const UpstreamProcess &process, ProcessCheck result)
     {
+        const auto now = BootClock{}.now();
         call->verifyingUntil = {};
         call->notBefore = {};
-        if (isSame) {
+        switch (result) {
+        case ProcessCheck::Same:
             call->verified = process;
-            call->verifiedAt = BootClock{}.now();
-        } else {
+            call->verifiedAt = now;
+            break;
+        case ProcessCheck::Another:
             call->excluded.push_back(process.instance);
+            break;
+        case ProcessCheck::NoAnswer:
+            call->unanswered = process;
+            call->verifyAgainAt = now + verificationInterval;
+            if (call->token == 0)
+                requestLoad(*call, now, process.instance);
         }
         proceed(call);
     }
@@ -644,15 +664,17 @@
         requestLoad(*call, now);
     }
 
-    /// Requests a copy of the call's adapter, other than those that cannot serve the call. Sends no request if the
-    /// last one is recent or the call needs no adapter.
-    void requestLoad(Call &call, Instant now)
+    /// Requests a copy of the call's adapter, other than those that cannot serve the call and the one at @p alsoUnfit.
+    /// Sends no request if the last one is recent or the call needs no adapter.
+    void requestLoad(Call &call, Instant now, const std::string &alsoUnfit = {})
     {
         if (now - call.loadRequestedAt < loadRequestInterval || adapterOf(call.request.target).empty())
             return;
         call.loadRequestedAt = now;
         auto unfit = saturatedEngines(m_context.upstreams, call.request.target, now);
         unfit.insert(unfit.end(), call.excluded.begin(), call.excluded.end());
+        if (!alsoUnfit.empty())
+            unfit.push_back(alsoUnfit);
         if (call.streamVersion) {
             const auto others = upstreamsOfOtherSoftware(m_context.upstreams, call.service, *call.streamVersion);
             unfit.insert(unfit.end(), others.begin(), others.end());
--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -13,6 +13,13 @@
 namespace Gypsumtally::Gateway
 {
 
+/// Outcome of asking an upstream for its start time.
+enum class ProcessCheck {
+    Same, ///< The process of the record answered.
+    Another,
+    NoAnswer, ///< None, or one without a start time: the process may be silent or full, and still be the same.
+};
+
 /// Finds out what has become of upstream processes: whether they have crashed when exchanges break there, and whether
 /// they are still those of their records. Loop's thread only.
 template<CallDialect Dialect>
@@ -59,19 +66,19 @@
     }
 
     /// Asks the process of @p upstream for its start time, and calls @p onResult with whether it is the one of the
-    /// record. Where the upstream limits its requests, the question counts as one.
-    void verify(const Upstream &upstream, std::function<void(bool)> onResult)
+    /// record. Avoids the upstream for a while if it is not known to be. Where the upstream limits its requests, the
+    /// question counts as one.
+    void verify(const Upstream &upstream, std::function<void(ProcessCheck)> onResult)
     {
         const UpstreamProcess process{upstream.record.instance, upstream.record.startedAt};
         const auto endpoint = upstream.record.endpoint;
         if (upstream.limitsRequests())
             m_context.announceSend({process.instance, 0, {}, 1}, BootClock{}.now());
         const auto onState = [this, process, onResult = std::move(onResult)](const Relay::WholeResponse &response) {
-            const bool isSame
-                = response.head.status == 200 && Dialect::readStartTime(response.body) == process.startedAt;
-            if (!isSame)
+            const auto result = resultOf(response, process);
+            if (result != ProcessCheck::Same)
                 avoid(process.instance, BootClock{}.now());
-            onResult(isSame);
+            onResult(result);
         };
         m_client.fetch({endpoint, process.instance}, Dialect::writeLivenessCheck(process.instance), onState,
                        checkOptions());
@@ -90,6 +97,15 @@
     /// Time for which an upstream is avoided after a failed connection, a silence, or a crash.
     static constexpr Duration avoidanceTime = std::chrono::milliseconds{600};
 
+    static ProcessCheck resultOf(const Relay::WholeResponse &response, const UpstreamProcess &process)
+    {
+        if (response.head.status == 200)
+            return Dialect::readStartTime(response.body) == process.startedAt ? ProcessCheck::Same
+                                                                              : ProcessCheck::Another;
+        const bool isAnother = response.head.status != 0 && Dialect::readReply(response.head).wrongInstance;
+        return isAnother ? ProcessCheck::Another : ProcessCheck::NoAnswer;
+    }
+
     static Relay::SendOptions checkOptions()
     {
         Relay::SendOptions options;
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -23,6 +23,8 @@
 
 Http::EventLoop *fixtureLoop = nullptr; ///< Event loop of the current test's fixture.
 
+constexpr std::int64_t startTime = 7; ///< That upstreams state when they are asked.
+
 Http::Headers signedFor(const Exchange &exchange)
 {
     return {{"Id", std::string(exchange->request().headers.get("Id"))}, {"Proof", "p"}};
@@ -280,6 +282,17 @@
         m_forwarder.onConfiguration();
     }
 
+    /// Lets two software versions serve, of which both upstreams have the first, so that streams are resumed only at
+    /// processes that state their start time.
+    void mixSoftware()
+    {
+        for (const auto *instance : {"u0", "u1"}) {
+            upstream(instance).record.startedAt = startTime;
+            upstream(instance).record.softwareVersion = "v1";
+        }
+        m_context.streams.onServing("s", {{"v1", 2}, {"v2", 1}}, BootClock{}.now());
+    }
+
     /// Simulates an outage of load orders that began @p time ago.
     void stopLoads(Duration time)
     {
@@ -1298,3 +1311,65 @@
         cr_assert(fixture.elapsed > changeDelay, "%s, %s", row.name, change.name);
     }
 }
+
+namespace
+{
+
+/// How the other upstream answers liveness checks, while a stream is to be resumed there.
+struct VerificationCase {
+    const char *name;
+    ForwarderFixture::Responder atFirst; ///< Answers checks for some time, and then states the start time.
+    bool isResumed;
+};
+
+constexpr Duration verificationTrouble = std::chrono::milliseconds{1000}; ///< From the test's start.
+Instant troubleUntil{};
+ForwarderFixture::Responder verifier = nullptr;
+
+void holdCheck(const Exchange &exchange)
+{
+    fixtureLoop->runAfter(verificationTrouble, [exchange] {});
+}
+
+void refuseCheck(const Exchange &exchange)
+{
+    exchange->respond({503, {}, ""});
+}
+
+void stateAnotherStart(const Exchange &exchange)
+{
+    exchange->respond({200, {}, std::to_string(startTime + 1)});
+}
+
+void verifyOrResume(const Exchange &exchange)
+{
+    if (exchange->request().target != "/alive")
+        return streamRest(exchange);
+    if (BootClock{}.now() < troubleUntil)
+        return verifier(exchange);
+    exchange->respond({200, {}, std::to_string(startTime)});
+}
+
+const VerificationCase verifications[] = {
+    {"silent", holdCheck, true},
+    {"reset", cut, true},
+    {"full", refuseCheck, true},
+    {"another process", stateAnotherStart, false},
+};
+
+} // namespace
+
+/// Guards against a stream that is broken off because the upstream where it is to go on is silent for a second.
+TABLE_TEST(CallForwarder, resumesAtUpstreamThatVerifiesLate, verifications)
+{
+    ForwarderFixture fixture({streamAndCutLate, verifyOrResume});
+    holdAdapter(fixture);
+    fixture.mixSoftware();
+    verifier = row.atFirst;
+    troubleUntil = BootClock{}.now() + verificationTrouble;
+    const auto status = fixture.ask("/paced/1", "m/a");
+    cr_assert_eq(status, row.isResumed ? 200U : 0U, "%s: %u, %s", row.name, status, fixture.received.c_str());
+    if (row.isResumed)
+        cr_assert_eq(fixture.body, std::string(wholeStream), "%s: %s", row.name, fixture.body.c_str());
+    cr_assert_lt(fixture.sends, 20U, "%s: %s", row.name, fixture.received.c_str());
+}
