--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -356,8 +356,8 @@
     bool isDelivered()
     {
         int unacknowledged = 0;
-        ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged);
-        return m_output.empty() && unacknowledged == 0;
+        return m_output.empty() && ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0
+               && unacknowledged == 0;
     }
 
     /// Returns true if the caller has closed or reset the connection, also behind bytes that have not been read.
