--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -791,7 +791,7 @@
     fixtureLoop->runAfter(soundSilence, [exchange] { exchange->end(); });
 }
 
-void streamWithPause(const Exchange &exchange)
+void streamWithShortPause(const Exchange &exchange)
 {
     exchange->begin(200, signedFor(exchange), std::nullopt);
     exchange->write("id: 1\ndata: a\n\n");
@@ -820,7 +820,7 @@
     {"head without an event", "/stream/1", streamWithoutEvent, boundIsNear, 2, 200, 2, true},
     {"may not run again", "/solo/1", streamWithoutEvent, boundIsNear, 2, 502, 1, true},
     {"no other copy", "/stream/1", streamWithoutEvent, boundIsNear, 0, 502, 1, true},
-    {"begun", "/stream/1", streamWithPause, boundIsNear, 2, 200, 1, false},
+    {"begun", "/stream/1", streamWithShortPause, boundIsNear, 2, 200, 1, false},
     {"bound not near", "/stream/1", streamSlowly, boundIsNotNear, 2, 200, 1, false},
     {"not a stream", "/safe/1", answerAfterSilence, boundIsNear, 0, 200, 1, false}, // It shows no beginning.
 };
