A begun stream that has to move waits for room as long as its caller does

Callers lost streams late in their life: one whose upstream broke was broken off at once as 'the engines that have the adapter are full' if no other engine took it at that moment, because the latest time to send was half of the deadline after the arrival. Backpressure and loads had bounds of the remaining time, which shrinks, and without load orders it ended at once. A begun stream is now sent on until 0.6 of the caller's patience has passed since its last event, at most until its deadline. Requests without an answer keep their bounds.

Test: callforwardertest waitsForRoomLateInAStream, streams that break after 2.8 of 5 s; the five rows that expect the whole stream failed before (broken off).

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -152,7 +152,8 @@
     static constexpr Duration maxLoadWait = std::chrono::milliseconds{2000}; ///< Eight loads in sequence.
     static constexpr double maxLoadWaitFraction = 0.5; ///< Fraction of the request's remaining time.
     static constexpr double maxQueueTimeFraction = 0.5; ///< Fraction of the time from arrival to deadline.
-    /// Fraction of the caller's patience after which nothing is sent any more; the rest is for the first event.
+    /// Fraction of the caller's patience, from the arrival or the last event, after which nothing is sent any more; the
+    /// rest is for the next event.
     static constexpr double maxPatienceFraction = 0.6;
     /// Longest wait for the end of upstreams' backpressure, as a fraction of the request's remaining time.
     static constexpr double maxBackpressureWaitFraction = 0.3;
@@ -492,13 +493,14 @@
         wakeAt(call, now + pause, now);
     }
 
-    /// Returns the latest useful time to send the call: the caller must still be waiting when the first event arrives.
+    /// Returns the latest useful time to send the call: the caller must still be waiting when the next event arrives.
     static Instant latestSend(const Call &call)
     {
         const auto time = call.deadline - call.arrival;
-        const auto patience = call.route.callerPatience > Duration{} && !call.answering
-                                  ? std::min(time, call.route.callerPatience)
-                                  : time;
+        const auto patience = call.route.callerPatience > Duration{} ? std::min(time, call.route.callerPatience) : time;
+        if (call.answering)
+            return std::min(call.deadline,
+                            call.lastEventAt + std::chrono::duration_cast<Duration>(maxPatienceFraction * patience));
         return call.arrival
                + std::chrono::duration_cast<Duration>(
                    std::min(maxQueueTimeFraction * time, maxPatienceFraction * patience));
@@ -650,14 +652,15 @@
                           "no upstream of the software version that began the stream takes requests");
         if (!needsLoad)
             return giveUp(call, ErrorCode::NoUpstream, "every upstream of the service has failed the request");
-        if (!m_context.loadOrdersAvailable)
+        const bool maySendLater = call->answering && now < latestSend(*call);
+        if (!m_context.loadOrdersAvailable && !maySendLater)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now",
                           acceptableRetryAfter(*call, now - m_context.loadOutageSince, now));
         const bool isFirst = !call->waiting;
         startWaiting(call, WaitCause::Load, now);
         if (isFirst) {
             const auto part = std::chrono::duration_cast<Duration>((call->deadline - now) * maxLoadWaitFraction);
-            call->waitUntil = now + std::min(maxLoadWait, part);
+            call->waitUntil = std::min(now + maxLoadWait, call->answering ? latestSend(*call) : now + part);
         }
         if (now >= call->waitUntil)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "the adapter was not loaded in time");
@@ -687,7 +690,9 @@
     void waitOutBackpressure(const CallPtr &call, Instant next, Instant now)
     {
         const auto wait = next - now;
-        if (wait > (call->deadline - now) * maxBackpressureWaitFraction)
+        const bool isTooLate
+            = call->answering ? next > latestSend(*call) : wait > (call->deadline - now) * maxBackpressureWaitFraction;
+        if (isTooLate)
             return giveUp(call, ErrorCode::Overloaded, "the upstreams want no requests for now", wait);
         call->notBefore = next;
         startWaiting(call, WaitCause::Backpressure, now);
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -293,6 +293,12 @@
         m_context.streams.onServing("s", {{"v1", 2}, {"v2", 1}}, BootClock{}.now());
     }
 
+    /// Lets load orders be available, as they are once a node has found their holder.
+    void startLoads()
+    {
+        m_context.loadOrdersAvailable = true;
+    }
+
     /// Simulates an outage of load orders that began @p time ago.
     void stopLoads(Duration time)
     {
@@ -1373,3 +1379,105 @@
         cr_assert_eq(fixture.body, std::string(wholeStream), "%s: %s", row.name, fixture.body.c_str());
     cr_assert_lt(fixture.sends, 20U, "%s: %s", row.name, fixture.received.c_str());
 }
+
+namespace
+{
+
+/// Sends an event every 200 ms until most of the caller's time has passed, and then breaks off.
+void streamLongAndCut(const Exchange &exchange)
+{
+    constexpr int events = 14;
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    for (int event = 1; event <= events; ++event)
+        fixtureLoop->runAfter(event * std::chrono::milliseconds{200}, [exchange, event] {
+            exchange->write("id: " + std::to_string(event) + "\ndata: a\n\n");
+            if (event == events)
+                exchange->abort();
+        });
+}
+
+void streamLastEvent(const Exchange &exchange)
+{
+    if (exchange->request().target == "/alive")
+        return exchange->respond({200, {}, std::to_string(startTime)});
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    exchange->write("id: 15\ndata: b\n\n");
+    exchange->end();
+}
+
+struct LateBreakCase {
+    const char *name;
+    void (*occupyOther)(ForwarderFixture &fixture); ///< Makes u1 unable to take the stream for some time.
+    bool isResumed; ///< The time is shorter than callers wait for the next event.
+    int longestMs; ///< Bound on the time until the answer ends.
+};
+
+constexpr Duration breakTime = std::chrono::milliseconds{2800}; ///< Of streamLongAndCut().
+
+void freeOtherAfter(ForwarderFixture &fixture, Duration time)
+{
+    fixture.upstream("u1").peersInFlight = 4;
+    fixture.loop().runAfter(time, [&fixture] { fixture.upstream("u1").peersInFlight = 0; });
+}
+
+void occupyBriefly(ForwarderFixture &fixture)
+{
+    freeOtherAfter(fixture, breakTime + std::chrono::milliseconds{500});
+}
+
+void occupyForGood(ForwarderFixture &fixture)
+{
+    fixture.upstream("u1").peersInFlight = 4;
+}
+
+void readPrompts(ForwarderFixture &fixture)
+{
+    const auto now = BootClock{}.now();
+    for (Duration at{}; at < breakTime + std::chrono::milliseconds{500}; at += std::chrono::milliseconds{100})
+        fixture.upstream("u1").prompts.add(2000, now + at, now);
+}
+
+void applyLongBackpressure(ForwarderFixture &fixture)
+{
+    fixture.upstream("u1").backpressureUntil = BootClock{}.now() + breakTime + std::chrono::milliseconds{900};
+}
+
+void dropCopyForSomeTime(ForwarderFixture &fixture)
+{
+    dropCopyOfOther(fixture);
+    fixture.loop().runAfter(breakTime + std::chrono::milliseconds{1300},
+                            [&fixture] { fixture.load("u1", "m/a", Duration{}); });
+}
+
+void loadAfterSomeTime(ForwarderFixture &fixture)
+{
+    fixture.startLoads();
+    dropCopyForSomeTime(fixture);
+}
+
+const LateBreakCase lateBreaks[] = {
+    {"full for 0.5 s", occupyBriefly, true, 4000},
+    {"reading prompts for 0.5 s", readPrompts, true, 4000},
+    {"under backpressure for 0.9 s", applyLongBackpressure, true, 4300},
+    {"without the adapter for 1.3 s", loadAfterSomeTime, true, 4700},
+    {"without the adapter, in an outage of load orders", dropCopyForSomeTime, true, 4700},
+    {"full for good", occupyForGood, false, 5000},
+};
+
+} // namespace
+
+/// Guards against a stream that is broken off because it has lasted for long when it has to go on elsewhere, although
+/// its caller still waits for the next event.
+TABLE_TEST(CallForwarder, waitsForRoomLateInAStream, lateBreaks)
+{
+    ForwarderFixture fixture({streamLongAndCut, streamLastEvent});
+    holdAdapter(fixture);
+    row.occupyOther(fixture);
+    const auto status = fixture.ask("/paced/1", "m/a");
+    cr_assert_eq(status, row.isResumed ? 200U : 0U, "%s: %u, %s", row.name, status, fixture.received.c_str());
+    cr_assert_eq(fixture.body.ends_with("id: 15\ndata: b\n\n"), row.isResumed, "%s: %s", row.name,
+                 fixture.body.c_str());
+    cr_assert(fixture.elapsed > breakTime, "%s", row.name);
+    cr_assert(fixture.elapsed < std::chrono::milliseconds{row.longestMs}, "%s: %ld", row.name,
+              static_cast<long>(fixture.elapsed.count()));
+}
