--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -63,6 +63,7 @@
     void sweep(Instant now)
     {
         m_client.sweep(now);
+        m_monitor.sweep(now);
         const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(), m_calls.end());
         for (const auto &call : calls)
             sweepCall(call, now);
@@ -144,6 +145,8 @@
     /// Delay before the next send to an engine that refused a request, because it is still loading the adapter or has
     /// no room.
     static constexpr Duration refusalRetryDelay = std::chrono::milliseconds{60};
+    /// Number of sends of one request without a connection that are followed by another one at once.
+    static constexpr unsigned maxImmediateReconnects = 3;
     static constexpr unsigned maxRetryDelayDoublings = 2; ///< Limits the delay's growth by further refusals.
     /// A load that is overdue by more than this is no longer presumed to be in progress.
     static constexpr Duration maxLoadOverrun = std::chrono::milliseconds{800};
@@ -215,6 +218,7 @@
         std::vector<std::string> excluded; ///< Instances that have failed the request.
         unsigned sends = 0; ///< Sends that reached an upstream, or may have.
         unsigned runs = 0; ///< Sends that an upstream may have run.
+        unsigned unconnected = 0; ///< Sends for which no connection was made.
         unsigned refused = 0; ///< Sends that an upstream refused without starting the request.
         Verdict verdict = Verdict::NotRun;
         bool answering = false; ///< The head of the answer has been sent to the caller.
@@ -374,6 +378,8 @@
         if (!choice)
             choice = choose(*call, now);
         if (!choice && !call->excluded.empty() && call->runs == 0) {
+            if (call->unconnected > 0 && now > latestSend(*call))
+                return giveUp(call, ErrorCode::NoUpstream, "the upstreams accept no connections");
             call->excluded.clear();
             choice = choose(*call, now);
         }
@@ -873,11 +879,18 @@
         call->lastProgress = now;
         if (auto *upstream = m_context.upstreams.find(call->instance))
             upstream->waitingSince = now;
+        if (!call->reply.wrongInstance)
+            m_context.recordContact(processOf(*call), now, call->sentAt);
+    }
+
+    static UpstreamProcess processOf(const Call &call)
+    {
+        return {call.instance, call.processStartedAt};
     }
 
     void noteResult(const CallPtr &call, bool failed)
     {
-        if (auto *upstream = m_context.upstreams.find(call->instance))
+        if (auto *upstream = m_context.upstreams.find(call->instance); upstream && !upstream->isCutOff)
             noteOutcome(*upstream, failed, BootClock{}.now());
     }
 
@@ -888,8 +901,8 @@
 
     void onHead(const CallPtr &call, const Relay::ResponseHead &head)
     {
-        noteProgress(call, BootClock{}.now());
         call->reply = Dialect::readReply(head);
+        noteProgress(call, BootClock{}.now());
         const bool success = call->reply.status / 100 == 2;
         // A connection that has brought a refusal without an id is not reused, so that one is not a repetition.
         const bool isOwn
@@ -1068,6 +1081,11 @@
     {
         release(call);
         const auto now = BootClock{}.now();
+        if (failure.kind != Relay::ExchangeFailure::Malformed)
+            m_context.recordFailure(processOf(*call),
+                                    failure.kind == Relay::ExchangeFailure::NotConnected ? ReachFailure::NotConnected
+                                                                                         : ReachFailure::Broken,
+                                    now);
         if (failure.kind == Relay::ExchangeFailure::NotConnected || !failure.sent) {
             --call->sends;
             m_monitor.avoid(call->instance, now);
@@ -1075,13 +1093,28 @@
                 m_monitor.onCrashed(call->instance, now);
             m_log.decision(GatewayEvent::SendFailed, call->request.id,
                            {{"upstream", call->instance}, {"reason", failure.reason}, {"verdict", "not-run"}});
-            return retry(call);
+            return retryUnconnected(call, now);
         }
         if (failure.kind == Relay::ExchangeFailure::Broken)
             noteBroken(*call, now);
         onBroken(call, failure.reason);
     }
 
+    /// Sends the call to another upstream, as the current one has accepted no connection; after a delay if there is
+    /// none or several have failed it.
+    void retryUnconnected(const CallPtr &call, Instant now)
+    {
+        ++call->unconnected;
+        call->excluded.push_back(call->instance);
+        if (call->unconnected <= maxImmediateReconnects && choose(*call, now))
+            return retry(call);
+        const auto doublings = std::min(call->unconnected / maxImmediateReconnects, maxRetryDelayDoublings);
+        call->notBefore = now + refusalRetryDelay * (1U << doublings);
+        startWaiting(call, WaitCause::Connection, now);
+        call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
+        wakeAt(call, call->notBefore, now);
+    }
+
     /// Handles an upstream's statement that it has not run the request.
     void onNotRun(const CallPtr &call)
     {
@@ -1351,9 +1384,13 @@
         }
         if (call->waiting)
             return proceed(call);
-        if (call->token != 0 && mustNotBegin(*call, now))
+        if (call->token == 0)
+            return;
+        if (mustNotBegin(*call, now))
             return leaveSupersededCopy(call);
-        if (call->token != 0 && isSilent(*call, now))
+        if (isQuiet(*call, longestSilence(*call) / 2, now))
+            m_context.recordFailure(processOf(*call), ReachFailure::Silent, now);
+        if (isSilent(*call, now))
             moveFromSilentUpstream(call, now);
     }
 
@@ -1374,6 +1411,14 @@
         onBroken(call, "a newer version of the adapter was declared before the stream began");
     }
 
+    /// Returns true if neither the call nor any other of this node at its upstream has made progress for @p time.
+    bool isQuiet(const Call &call, Duration time, Instant now) const
+    {
+        const auto it = m_context.upstreams.all().find(call.instance);
+        return it != m_context.upstreams.all().end() && now - call.lastProgress > time
+               && now - it->second.waitingSince > time;
+    }
+
     bool isSilent(const Call &call, Instant now) const
     {
         if (!mayRunAgain(call) || call.runs + 1 >= call.route.attempts)
@@ -1381,8 +1426,8 @@
         const auto it = m_context.upstreams.all().find(call.instance);
         if (it == m_context.upstreams.all().end())
             return now - call.lastProgress > defaultSilence;
-        const auto limit = longestSilence(call);
-        return now - call.lastProgress > limit && now - it->second.waitingSince > limit;
+        const auto longest = longestSilence(call);
+        return isQuiet(call, it->second.isCutOff ? std::min<Duration>(longest, minSilence) : longest, now);
     }
 
     Duration longestSilence(const Call &call) const
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -8,6 +8,7 @@
 #include "gateway/membertable.h"
 #include "gateway/peerlink.h"
 #include "gateway/placementcontroller.h"
+#include "gateway/reachreport.h"
 #include "gateway/registryviews.h"
 #include "gateway/streamrecords.h"
 
@@ -113,6 +114,12 @@
         };
         m_context.onStreamWanted
             = [this] { m_streams.read([this] { m_loop.post([this] { m_forwarder.onPlacement(); }); }); };
+        m_context.onReachChange = [this](const ReachChange &change) { handleReachChange(change); };
+        m_context.onReachFailure = [this] { shareReachSoon(); };
+        m_context.onCrashRefuted = [this](const CrashReport &crash) {
+            m_log.note(GatewayEvent::CrashRefuted,
+                       {{"upstream", crash.process.instance}, {"suspects", std::to_string(crash.suspects.size())}});
+        };
         m_context.onLoadRequested = [this](const std::string &service, const ModelTarget &target,
                                            const std::vector<std::string> &unfit, unsigned attempt) {
             requestLoad({service, target, 1, unfit}, attempt);
@@ -182,6 +189,7 @@
     using Orders = PlacementController<typename Platform::Orders, typename Platform::Store>;
 
     static constexpr Duration tickInterval = std::chrono::milliseconds{50};
+    static constexpr Duration reachDelay = std::chrono::milliseconds{3};
     /// Delay of a tick from which it is logged, as it shows a stalled loop or a frozen machine.
     static constexpr Duration lateTickDelay = std::chrono::milliseconds{150};
     static constexpr Duration digestInterval = std::chrono::milliseconds{300};
@@ -192,8 +200,8 @@
     /// the minimum delay; the next ones follow if it does not.
     static constexpr Duration acquireDelayPerRank = std::chrono::milliseconds{250};
     static constexpr Duration minAcquireDelay = std::chrono::milliseconds{50};
-    /// Further delay of the other nodes while the last holder of a shard's lease reaches the store and may acquire it
-    /// again.
+    /// Further delay of the other nodes while the last holder of a shard's lease reaches the store and most engines and
+    /// may acquire it again.
     static constexpr Duration lastHolderHeadStart = std::chrono::milliseconds{800};
     /// Time after which a node that has stopped reporting that it orders a shard no longer counts as its holder.
     static constexpr Duration orderingTimeout = std::chrono::milliseconds{1500};
@@ -486,6 +494,7 @@
         const bool leaves = known.draining && (!before || !before->record.draining);
         if (m_context.upstreams.onRecord(known, BootClock{}.now())) {
             m_forwarder.onUpstreamGone(instance);
+            m_context.recordProcess(known, BootClock{}.now());
             m_log.note(GatewayEvent::UpstreamFound, {{"upstream", instance},
                                                      {"service", known.service},
                                                      {"software", known.softwareVersion},
@@ -539,6 +548,79 @@
                                                           {"source", source}});
     }
 
+    /// Logs that an upstream was lost or found, and has waiting calls routed again.
+    void handleReachChange(const ReachChange &change)
+    {
+        const auto ms = [](Duration duration) { return std::to_string(duration.count() / 1000); };
+        const auto &instance = change.process.instance;
+        if (change.isLost)
+            m_log.note(GatewayEvent::ReachLost, {{"upstream", instance},
+                                                 {"evidence", std::string(nameOf(change.evidence))},
+                                                 {"failure", std::string(nameOf(change.failure))},
+                                                 {"failing_ms", ms(change.lasted)},
+                                                 {"peer", change.peer},
+                                                 {"peer_contact_after_ms", ms(change.peerContactAfter)}});
+        else
+            m_log.note(GatewayEvent::ReachFound, {{"upstream", instance}, {"lost_ms", ms(change.lasted)}});
+        m_loop.post([this] { m_forwarder.onPlacement(); });
+    }
+
+    /// Tells the other nodes what they must know now of the upstreams that this one reaches.
+    void shareReach(Instant now)
+    {
+        NodeReport news;
+        if (!addReachNews(news, m_context.reach, now))
+            return;
+        auto notice = report();
+        notice.failedReach = std::move(news.failedReach);
+        notice.contacts = std::move(news.contacts);
+        notice.cutOff = std::move(news.cutOff);
+        notice.hasCutOff = news.hasCutOff;
+        broadcast(std::move(notice));
+    }
+
+    /// Shares the failures of the next few milliseconds at once, as a cut brings many.
+    void shareReachSoon()
+    {
+        if (std::exchange(m_reachScheduled, true))
+            return;
+        m_loop.runAfter(reachDelay, [this] {
+            m_reachScheduled = false;
+            shareReach(BootClock{}.now());
+        });
+    }
+
+    void tickReach(Instant now)
+    {
+        m_context.hasPeers = m_members.hasLivePeers(now);
+        m_context.applyReach(now);
+        const auto reach = ownReach();
+        m_members.setOwnReach(reach);
+        if (std::exchange(m_reach, reach) != reach)
+            broadcast(report());
+        shareReach(now);
+    }
+
+    /// Returns what this node reaches. Counts only engines for which @p counts returns true, if it is set.
+    NodeReach ownReach(const std::function<bool(const std::string &instance)> &counts = {}) const
+    {
+        if (m_context.reach.cutOff().empty())
+            return {};
+        return reachOf(m_context.upstreams, engineServices(), counts);
+    }
+
+    std::set<std::string> engineServices() const
+    {
+        std::set<std::string> services;
+        if (!m_context.routes)
+            return services;
+        for (const auto &service : m_context.routes->policy().services) {
+            if (service.engine)
+                services.insert(service.name);
+        }
+        return services;
+    }
+
     /// Applies the settings that a running process can change. Logs problems, and whether other changes need a restart.
     void reloadSettings(const Parsed<GatewaySettings> &read)
     {
@@ -597,6 +679,7 @@
         m_metrics.set(Metric::CallsInFlight, static_cast<double>(m_forwarder.activeCalls()));
         if (m_context.routes)
             m_metrics.set(Metric::ConfigurationVersion, static_cast<double>(m_context.routes->policy().version));
+        m_metrics.set(Metric::UnreachedUpstreams, static_cast<double>(m_context.reach.cutOff().size()));
         m_metrics.set(Metric::ViewAgeSeconds, age(m_context.upstreams.lastRecordAt()), {{"view", "upstreams"}});
         m_metrics.set(Metric::ViewAgeSeconds, age(m_lastPeerMessage), {{"view", "peers"}});
         for (const auto &service : m_context.allowance.services())
@@ -638,6 +721,7 @@
             m_log.note(GatewayEvent::LoopLate, {{"ms", std::to_string((now - m_lastTick).count() / 1000)}});
         m_tickBefore = std::exchange(m_lastTick, now);
         m_context.upstreams.sweep(now);
+        tickReach(now);
         m_store.sweep(now);
         m_registry.setRole(readRole(now), m_settings.drainBound);
         tickOrders(now);
@@ -653,6 +737,8 @@
         if (++m_ticks % 10 == 0) {
             logMemberChanges(now);
             reportCallerLosses();
+            m_context.reach.retain(
+                [this](const std::string &instance) { return m_context.upstreams.find(instance) != nullptr; }, now);
             m_readiness.sweep(now);
             m_metricsServer.sweep(now);
             m_entries.sweep(now);
@@ -689,6 +775,7 @@
             auto &orders = *m_orders[shard];
             const bool wasOrdering = orders.isOrdering();
             orders.setShardSizes(m_shardSizes);
+            orders.setReachesEngines(reachesShard(shard));
             orders.setAcquireDelay(acquireDelay(shard, now));
             orders.tick(now);
             if (orders.isOrdering() && !wasOrdering)
@@ -696,12 +783,19 @@
         }
     }
 
+    /// Returns true if this node reaches at least half of the engines of @p shard.
+    bool reachesShard(unsigned shard) const
+    {
+        return ownReach([shard](const std::string &instance) { return shardOf(instance) == shard; }).engines;
+    }
+
     /// Returns the time that this node waits before it acquires the vacant lease of @p shard. The last holder is
     /// preferred, as it need not wait for the end of another node's orders.
     Duration acquireDelay(unsigned shard, Instant now) const
     {
-        const auto byRank = acquireDelayPerRank * m_members.rankOfSelf(orderKeys(shard).holder, now) + minAcquireDelay;
-        const bool mayReturn = m_members.reachesStore(m_orders[shard]->lastHolder(), now);
+        const auto byRank
+            = acquireDelayPerRank * m_members.orderRankOfSelf(orderKeys(shard).holder, now) + minAcquireDelay;
+        const bool mayReturn = m_members.canOrder(m_orders[shard]->lastHolder(), now);
         return mayReturn ? byRank + lastHolderHeadStart : byRank;
     }
 
@@ -749,6 +843,7 @@
         report.sequence = ++m_sequence;
         report.takesCallers = isReady();
         report.reachesStore = m_reachesStore;
+        report.reach = m_reach;
         for (unsigned shard = 0; shard < orderShards; ++shard) {
             if (m_orders[shard]->isOrdering())
                 report.ordering.push_back(shard);
@@ -882,6 +977,7 @@
             it = use.inFlight == 0 ? m_context.uses.erase(it) : std::next(it);
         }
         m_quarantine.addTo(digest, now);
+        addCuts(digest, m_context.reach);
         addReleases(digest, now);
         broadcast(std::move(digest));
         sendUse(used);
@@ -1066,7 +1162,11 @@
         if (report.from.node == m_address.node)
             return;
         const ReportStamp stamp{report.from.node, report.from.startedAt, report.sequence};
-        if (m_members.onReport(report, now)) {
+        const bool isNewest = m_members.onReport(report, now);
+        applyReachNews(m_context.reach, report, isNewest, m_address.node,
+                       report.failedReach.empty() ? std::set<std::string>{} : m_members.liveNodes(now), now);
+        m_context.applyReach(now);
+        if (isNewest) {
             for (const auto shard : report.ordering) {
                 if (shard < orderShards)
                     m_ordering[shard] = {report.from.node, now};
@@ -1153,6 +1253,7 @@
     Dissemination m_dissemination;
     std::uint64_t m_sequence = 0;
     bool m_flushScheduled = false;
+    bool m_reachScheduled = false;
     Registry m_registry;
     StoreLease m_lease = 0;
     struct Ordering {
@@ -1164,6 +1265,7 @@
     ShardSizes m_shardSizes{}; ///< 0 for shards without a holder.
     /// True if the store answered the last call for the upstreams' records, the most frequent one.
     bool m_reachesStore = true;
+    NodeReach m_reach;
     std::uint64_t m_ticks = 0;
     Instant m_started = BootClock{}.now();
     Instant m_lastTick{};
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -79,6 +79,7 @@
     member.sequence = report.sequence;
     member.takesCallers = report.takesCallers;
     member.reachesStore = report.reachesStore;
+    member.reach = report.reach;
     return true;
 }
 
@@ -114,6 +115,21 @@
     }));
 }
 
+unsigned MemberTable::orderRankOfSelf(const std::string &key, Instant now) const
+{
+    const auto hash = XXH3_64bits(key.data(), key.size());
+    const auto own = rankOf(m_self, hash);
+    return static_cast<unsigned>(std::ranges::count_if(m_members, [&](const auto &item) {
+        return isLive(item.second, now) && item.second.reach.engines && rankOf(item.second.address, hash) > own;
+    }));
+}
+
+bool MemberTable::canOrder(const std::string &node, Instant now) const
+{
+    const auto it = m_members.find(node);
+    return it != m_members.end() && it->second.reach.engines && reachesStore(node, now);
+}
+
 bool MemberTable::isMember(const Member &member, Instant now) const
 {
     return member.listed || now - member.lastReportAt < unlistedTimeout;
@@ -210,6 +226,11 @@
     return nodes;
 }
 
+bool MemberTable::hasLivePeers(Instant now) const
+{
+    return std::ranges::any_of(m_members, [&](const auto &item) { return isLive(item.second, now); });
+}
+
 double MemberTable::liveShare(Instant now) const
 {
     return static_cast<double>(1 + liveNodes(now).size()) / static_cast<double>(1 + peerCount(now));
@@ -236,18 +257,20 @@
 std::vector<Http::Endpoint> MemberTable::entryPoints(const std::string &region, const std::string &failureDomain,
                                                      bool selfTakesCallers, Instant now) const
 {
-    std::vector<NodeAddress> candidates;
+    std::vector<std::pair<const NodeAddress *, bool>> candidates; // The latter: reaches all services.
     if (selfTakesCallers)
-        candidates.push_back(m_self);
+        candidates.emplace_back(&m_self, m_ownReach.services);
     for (const auto &[node, member] : m_members) {
         if (member.takesCallers && isLive(member, now))
-            candidates.push_back(member.address);
+            candidates.emplace_back(&member.address, member.reach.services);
     }
+    if (std::ranges::any_of(candidates, [](const auto &candidate) { return candidate.second; }))
+        std::erase_if(candidates, [](const auto &candidate) { return !candidate.second; });
     const auto endpointsWhere = [&](auto &&condition) {
         std::vector<Http::Endpoint> endpoints;
-        for (const auto &address : candidates) {
-            if (condition(address))
-                endpoints.push_back(address.callers);
+        for (const auto &[address, reachesServices] : candidates) {
+            if (condition(*address))
+                endpoints.push_back(address->callers);
         }
         return endpoints;
     };
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -62,6 +62,9 @@
     /// Returns the other nodes that are live.
     std::set<std::string> liveNodes(Instant now) const;
 
+    /// Returns true if another node is live.
+    bool hasLivePeers(Instant now) const;
+
     /// Returns the fraction of all known nodes that are live, with this one among both.
     double liveShare(Instant now) const;
 
@@ -71,9 +74,15 @@
     /// Returns the address of @p node, which may be this one, or null if it is not known.
     const NodeAddress *find(const std::string &node) const;
 
+    /// Records what this node reaches, as its own reports state it.
+    void setOwnReach(const NodeReach &reach)
+    {
+        m_ownReach = reach;
+    }
+
     /// Returns the endpoints for callers of @p region and @p failureDomain: those of live nodes that accept callers,
-    /// and of this one if @p selfTakesCallers. Returns only those in the failure domain, or else only those in the
-    /// region, if there are at least three.
+    /// and of this one if @p selfTakesCallers. Leaves out nodes that do not reach all services, unless none does.
+    /// Returns only those in the failure domain, or else only those in the region, if there are at least three.
     std::vector<Http::Endpoint> entryPoints(const std::string &region, const std::string &failureDomain,
                                             bool selfTakesCallers, Instant now) const;
 
@@ -81,6 +90,13 @@
     /// hashing of @p key among equals.
     unsigned rankOfSelf(const std::string &key, Instant now) const;
 
+    /// Returns rankOfSelf() among the nodes that reach most engines.
+    unsigned orderRankOfSelf(const std::string &key, Instant now) const;
+
+    /// Returns true if @p node is another node, live, and reached the store and most engines according to its last
+    /// report.
+    bool canOrder(const std::string &node, Instant now) const;
+
     /// Returns true if @p node is another node and live.
     bool isLive(const std::string &node, Instant now) const;
 
@@ -98,6 +114,7 @@
         bool listed = false;
         bool takesCallers = false;
         bool reachesStore = true;
+        NodeReach reach;
         std::uint64_t sequence = 0; ///< Sequence of the process's newest report; 0 if there is none.
         Instant lastReportAt{};
     };
@@ -112,6 +129,7 @@
     bool isLive(const Member &member, Instant now) const;
 
     NodeAddress m_self;
+    NodeReach m_ownReach;
     std::map<std::string, Member> m_members;
 };
 
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -95,6 +95,13 @@
         m_shardSizes = sizes;
     }
 
+    /// Sets whether this node reaches at least half of the shard's engines. Otherwise it does not acquire the lease,
+    /// and gives it up after a while.
+    void setReachesEngines(bool reachesEngines)
+    {
+        m_reachesEngines = reachesEngines;
+    }
+
     /// Sets the storeFactor() of an earlier holder, which the placer starts with when this node acquires the lease.
     void restoreStoreFactor(double factor)
     {
@@ -231,6 +238,10 @@
         m_client.sweep(now);
         if (m_held && !m_lease.isHeld(now))
             loseLease("it was not renewed in time");
+        if (m_reachesEngines)
+            m_reachedAt = now;
+        else if (m_held && now - m_reachedAt >= maxCutTime)
+            release("this node is cut off from most engines of the shard");
         if (m_held) {
             if (now - m_renewSent >= m_lease.settings().renewalValidity / renewalsPerValidity)
                 renew(now);
@@ -240,7 +251,7 @@
                 recordSettled();
             expireRequesters(now);
             plan();
-        } else if (!m_stopping) {
+        } else if (!m_stopping && m_reachesEngines) {
             acquire(now);
         }
     }
@@ -249,15 +260,16 @@
     void stop()
     {
         m_stopping = true;
-        if (!m_held)
-            return;
-        loseLease("the node is stopping");
-        m_store.endLease(m_leaseId);
+        if (m_held)
+            release("the node is stopping");
     }
 
 private:
     /// Delay until a new node has received messages from other nodes.
     static constexpr Duration initialAcquireDelay = std::chrono::milliseconds{900};
+    /// Time for which a holder that is cut off from most engines keeps the lease. A successor has to wait for longer
+    /// from the last order on, so that brief cuts cost no more than they last.
+    static constexpr Duration maxCutTime = std::chrono::seconds{1};
     static constexpr Duration acquireInterval = std::chrono::milliseconds{400};
     /// More than 18 round trips of 16 ms between regions. An engine gets no other order while one is in flight.
     static constexpr Duration orderTimeout = std::chrono::milliseconds{300};
@@ -269,6 +281,12 @@
     static constexpr Duration requesterTtl = std::chrono::seconds{2}; ///< Equals how long requests wait for a load.
     static constexpr unsigned orderUnsentTimeoutMs = 1000;
 
+    void release(const std::string &reason)
+    {
+        loseLease(reason);
+        m_store.endLease(m_leaseId);
+    }
+
     void acquire(Instant now)
     {
         const bool isOwn = m_holder && m_holder->node == m_self.node;
@@ -547,7 +565,8 @@
         options.isAnonymous = true;
         auto token = std::make_shared<Relay::UpstreamClient::Token>(0);
         const UpstreamProcess process{order.instance, upstream->record.startedAt};
-        const auto onResponse = [this, order, token, process](const Relay::WholeResponse &response) {
+        const auto onResponse = [this, order, token, process, now](const Relay::WholeResponse &response) {
+            recordReach(process, response, now);
             m_context.recordStatement(process, Dialect::readStatement(response.head), BootClock{}.now());
             const auto unanswered = response.sent ? OrderOutcome::Unknown : OrderOutcome::Conflict;
             onOrderAnswer(order, *token,
@@ -559,6 +578,16 @@
         m_pendingOrders.emplace(*token, order);
     }
 
+    /// Records whether @p process has answered an order or inspection that was sent at @p sentAt.
+    void recordReach(const UpstreamProcess &process, const Relay::WholeResponse &response, Instant sentAt)
+    {
+        const auto now = BootClock{}.now();
+        if (response.head.status != 0)
+            m_context.recordContact(process, now, sentAt);
+        else
+            m_context.recordFailure(process, response.sent ? ReachFailure::Silent : ReachFailure::NotConnected, now);
+    }
+
     void onOrderAnswer(const EngineOrder &order, Relay::UpstreamClient::Token token, OrderOutcome outcome,
                        unsigned status)
     {
@@ -586,12 +615,14 @@
         auto *upstream = m_context.upstreams.find(instance);
         if (!upstream)
             return m_placer.onReport(instance, std::nullopt, BootClock{}.now());
-        countSend(*upstream, "inspection", BootClock{}.now());
+        const auto now = BootClock{}.now();
+        countSend(*upstream, "inspection", now);
         Relay::SendOptions options;
         options.timeout = inspectionTimeout;
         options.isAnonymous = true;
         const UpstreamProcess process{instance, upstream->record.startedAt};
-        const auto onResponse = [this, instance, process](const Relay::WholeResponse &response) {
+        const auto onResponse = [this, instance, process, now](const Relay::WholeResponse &response) {
+            recordReach(process, response, now);
             m_context.recordStatement(process, Dialect::readStatement(response.head), BootClock{}.now());
             const auto report = response.head.status == 200 ? Dialect::readReport(response.body) : std::nullopt;
             if (m_log.isDetailed() && report)
@@ -641,6 +672,8 @@
     bool m_held = false;
     bool m_planning = false;
     bool m_stopping = false;
+    bool m_reachesEngines = true;
+    Instant m_reachedAt{}; ///< Last time at which it was true.
 };
 
 } // namespace Gypsumtally::Gateway
