Reachability: tells upstreams that a node is cut off from, by what other nodes see

A node cannot tell alone whether an upstream has crashed or only its own path to it is gone: both refuse connections. Peers that have had contact with the same process since can. Evidence is asked for when something fails, so that a calm fleet pays nothing: a few nodes with contact answer, and where none has any, two nodes probe the upstream. Once two upstreams are shown cut off, those that show nothing count as cut off too. A node probes what it is cut off from twice a second in all, and all of it at once after the first contact.

The decisions only; nothing uses them yet.

--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -4,6 +4,7 @@
 #include "gateway/crashledger.h"
 #include "gateway/enginechoice.h"
 #include "gateway/gatewaymessage.h"
+#include "gateway/reachability.h"
 #include "gateway/retryallowance.h"
 #include "gateway/streamversions.h"
 #include "gateway/trafficpolicy.h"
@@ -39,6 +40,7 @@
     Regions regions;
     std::shared_ptr<const RouteTable> routes; ///< Null until the first configuration is received.
     UpstreamTable upstreams;
+    Reachability reach; ///< Of the upstreams, from this node and the others.
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
     RetryAllowance allowance{RetryBound{}};
