Nodes' reports carry failures to reach upstreams, contacts with them and cuts

Four new parts of a report: processes that failed the node, with or without a question to the others; the ages of contacts; all processes that the node is cut off from; and whether it reaches some upstream of each service, and most engines.

--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -33,6 +33,12 @@
     append(into.turnedAway, std::move(from.turnedAway));
     append(into.limits, std::move(from.limits));
     append(into.released, std::move(from.released));
+    append(into.failedReach, std::move(from.failedReach));
+    append(into.contacts, std::move(from.contacts));
+    if (from.hasCutOff && (!into.hasCutOff || from.sequence > into.sequence)) {
+        into.hasCutOff = true;
+        into.cutOff = std::move(from.cutOff);
+    }
     if (from.sequence < into.sequence) {
         if (!into.hasInFlight) {
             into.changedInFlight.merge(from.changedInFlight);
@@ -44,6 +50,8 @@
     into.sequence = from.sequence;
     into.takesCallers = from.takesCallers;
     into.reachesStore = from.reachesStore;
+    into.reachesServices = from.reachesServices;
+    into.reachesEngines = from.reachesEngines;
     into.ordering = std::move(from.ordering);
     if (from.from.callers.port != 0)
         into.from = std::move(from.from);
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr Duration maxContactAge = std::chrono::minutes{1}; ///< Greater ages are not valid.
+
 json::object addressToJson(const NodeAddress &address)
 {
     return {{"node", address.node},
@@ -176,6 +178,63 @@
     return streams;
 }
 
+/// Adds what @p report says of the processes that the node reaches or fails to reach.
+void addReach(json::object &object, const NodeReport &report)
+{
+    if (!report.reachesServices)
+        object["no_service"] = true;
+    if (!report.reachesEngines)
+        object["no_engines"] = true;
+    if (!report.failedReach.empty()) {
+        json::array rows;
+        for (const auto &[process, isQuestion] : report.failedReach)
+            rows.push_back({process.instance, process.startedAt, isQuestion});
+        object["failed_reach"] = std::move(rows);
+    }
+    if (!report.contacts.empty()) {
+        json::array rows;
+        for (const auto &[process, age] : report.contacts)
+            rows.push_back({process.instance, process.startedAt, age.count()});
+        object["contacts"] = std::move(rows);
+    }
+    if (!report.hasCutOff)
+        return;
+    json::array rows;
+    for (const auto &process : report.cutOff)
+        rows.push_back({process.instance, process.startedAt});
+    object["unreached"] = std::move(rows);
+}
+
+/// Calls @p take with the process in each row of array @p name, and with the row, up to the limit of a report.
+template<typename Take>
+void eachProcess(const json::object &object, std::string_view name, Take &&take)
+{
+    std::size_t count = 0;
+    eachRow(object, name, [&](const json::array &row) {
+        UpstreamProcess process{textIn(row, 0), numberIn<std::int64_t>(row, 1)};
+        if (!process.instance.empty() && ++count <= Reachability::maxReported)
+            take(std::move(process), row);
+    });
+}
+
+void readReach(const json::object &object, NodeReport &report)
+{
+    report.reachesServices = !flagAt(object, "no_service");
+    report.reachesEngines = !flagAt(object, "no_engines");
+    eachProcess(object, "failed_reach", [&](UpstreamProcess process, const json::array &row) {
+        const bool isQuestion = row.size() > 2 && row[2].is_bool() && row[2].get_bool();
+        report.failedReach.push_back({std::move(process), isQuestion});
+    });
+    eachProcess(object, "contacts", [&](UpstreamProcess process, const json::array &row) {
+        const Duration age{numberIn<std::int64_t>(row, 2)};
+        if (row.size() > 2 && row[2].is_int64() && age >= Duration{} && age <= maxContactAge)
+            report.contacts.push_back({std::move(process), age});
+    });
+    report.hasCutOff = arrayAt(object, "unreached") != nullptr;
+    eachProcess(object, "unreached",
+                [&](UpstreamProcess process, const json::array &) { report.cutOff.push_back(std::move(process)); });
+}
+
 /// Rounds to three decimal places to save bytes in the datagram.
 double rounded(double figure)
 {
@@ -277,6 +336,7 @@
     }
     if (!report.brokenStreams.empty())
         object["broken_streams"] = streamsToJson(report.brokenStreams);
+    addReach(object, report);
     if (!report.placements.empty())
         object["placements"] = noticesToJson(report.placements);
     return object;
@@ -349,6 +409,7 @@
             {{textIn(row, 0), numberIn<std::int64_t>(row, 1)}, Duration{numberIn<std::int64_t>(row, 2)}});
     });
     report.brokenStreams = streamsFrom(object, "broken_streams");
+    readReach(object, report);
     report.placements = noticesFrom(object, "placements");
     return report;
 }
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -4,6 +4,7 @@
 #include "common/enumtable.h"
 #include "estimates/servicespeed.h"
 #include "gateway/crashledger.h"
+#include "gateway/reachability.h"
 #include "gateway/registrydelta.h"
 #include "gateway/residency.h"
 #include "gateway/streamversions.h"
@@ -101,6 +102,8 @@
     std::uint64_t sequence = 0; ///< Increases with each report of a process, as reports may arrive out of order.
     bool takesCallers = true; ///< False before the first configuration and during a graceful stop.
     bool reachesStore = true; ///< True if the store answered the node's last call for the upstreams' records.
+    bool reachesServices = true; ///< False if it is cut off from all upstreams of some service.
+    bool reachesEngines = true; ///< False if it is cut off from most engines.
     std::vector<unsigned> ordering; ///< Shards whose engines the node may send orders to.
     std::vector<ReleaseNotice> released; ///< Shards whose lease it has released recently.
     std::map<std::string, unsigned> inFlight; ///< Number of its in-flight requests, by upstream instance.
@@ -117,6 +120,10 @@
     std::vector<UpstreamProcess> departures; ///< Upstreams that have announced to the node that they leave.
     std::vector<TurnAwayNotice> turnedAway; ///< Upstreams that have just applied backpressure to the node.
     std::vector<LimitNotice> limits;
+    std::vector<FailedReach> failedReach; ///< Processes that have just failed the node.
+    std::vector<ReachContact> contacts; ///< With processes that nodes have asked about.
+    std::vector<UpstreamProcess> cutOff; ///< That the node is cut off from, while others reach them.
+    bool hasCutOff = false; ///< True if @c cutOff replaces what the node reported before.
     std::vector<StreamOrigin> brokenStreams; ///< Streams of the node that callers may take up.
     std::vector<PlacementNotice> placements; ///< Sent by the holder of an order lease only.
 };
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -32,6 +32,12 @@
     report.departures = {{"e4", 1234567890124}};
     report.turnedAway = {{{"e5", 1234567890125}, std::chrono::milliseconds{1500}}};
     report.limits = {{{"e7", 5}, 2.2, std::chrono::milliseconds{30}, 4}, {{"e8", 6}, {}, std::chrono::seconds{2}}};
+    report.reachesServices = false;
+    report.reachesEngines = false;
+    report.failedReach = {{{"e9", 7}, true}, {{"e10", 8}, false}};
+    report.contacts = {{{"e11", 9}, std::chrono::milliseconds{12}}};
+    report.cutOff = {{"e12", 10}};
+    report.hasCutOff = true;
     report.placements = {{"e1", "m/a", 2, false, std::chrono::milliseconds{250}}, {"e2", "m/b", 0, true, {}}};
     GatewayMessage message;
     message.sender = "n2";
@@ -104,6 +110,12 @@
     cr_assert_eq(report.turnedAway.size(), 1U);
     cr_assert_eq(report.turnedAway.front().process.instance, std::string("e5"));
     cr_assert(report.turnedAway.front().time == std::chrono::milliseconds{1500});
+    cr_assert_not(report.reachesServices);
+    cr_assert_not(report.reachesEngines);
+    cr_assert(report.failedReach == sent.failedReach);
+    cr_assert(report.contacts == sent.contacts);
+    cr_assert(report.hasCutOff);
+    cr_assert(report.cutOff == sent.cutOff);
     cr_assert_eq(report.placements.size(), 2U);
     cr_assert_eq(report.placements[0].version, 2U);
     cr_assert(report.placements[0].usableIn == std::chrono::milliseconds{250});
@@ -148,3 +160,55 @@
 {
     cr_assert_not(decodeGatewayMessage(row).has_value());
 }
+
+namespace
+{
+
+struct ReachCase {
+    const char *fields;
+    std::size_t failed;
+    std::size_t contacts;
+    std::size_t cutOff;
+    bool hasCutOff;
+};
+
+const ReachCase reachCases[] = {
+    {R"("open":true)", 0, 0, 0, false},
+    {R"("failed_reach":7,"contacts":"u","unreached":{})", 0, 0, 0, false},
+    {R"("failed_reach":[7,[],[3],["u"]],"contacts":[[]],"unreached":[])", 1, 0, 0, true},
+    {R"("failed_reach":[["u",1e300,"x"]],"unreached":[["u",5],["v",{}],null])", 1, 0, 2, true},
+    {R"("contacts":[["u",7,-1],["u",7,9000000000000000000],["u",7,1e300],["u",7],["u",7,40]])", 0, 1, 0, false},
+};
+
+} // namespace
+
+TABLE_TEST(GatewayMessage, readsReachOfAnySender, reachCases)
+{
+    const auto text = R"({"sender":"n","reports":[{"from":{"node":"n"},)" + std::string(row.fields) + "}]}";
+    const auto read = decodeGatewayMessage(text);
+    cr_assert(read.has_value(), "%s", row.fields);
+    const auto &report = read->reports.front();
+    cr_assert_eq(report.failedReach.size(), row.failed, "%s", row.fields);
+    cr_assert_eq(report.contacts.size(), row.contacts, "%s", row.fields);
+    cr_assert_eq(report.cutOff.size(), row.cutOff, "%s", row.fields);
+    cr_assert_eq(report.hasCutOff, row.hasCutOff, "%s", row.fields);
+}
+
+Test(GatewayMessage, boundsReachOfAnySender)
+{
+    NodeReport report;
+    report.from.node = "n";
+    report.hasCutOff = true;
+    for (std::int64_t i = 0; i < 5000; ++i) {
+        report.failedReach.push_back({{"e" + std::to_string(i), i}, true});
+        report.contacts.push_back({{"e" + std::to_string(i), i}, {}});
+        report.cutOff.push_back({"e" + std::to_string(i), i});
+    }
+    GatewayMessage message;
+    message.sender = "n";
+    message.reports = {report};
+    const auto read = decodeGatewayMessage(encode(message))->reports.front();
+    cr_assert_eq(read.failedReach.size(), Reachability::maxReported);
+    cr_assert_eq(read.contacts.size(), Reachability::maxReported);
+    cr_assert_eq(read.cutOff.size(), Reachability::maxReported);
+}
