Failures of upstreams that answer other nodes are no crashes

A refused connection after a break counted as the proof of a crash.

Each node now tells the others at once what fails it; nodes with contact since answer, and idle ones probe. A crash is reported 0.25 s later, unless the process has answered another node meanwhile or this node is known to be cut off from it; without other live nodes it is reported at once, as before. When an upstream is lost or found, its ratio of failures at this node starts anew. Probes go over new connections: engines are asked for their state, others get a connection only. Events reach_lost, reach_found and crash_refuted say why.

callreachtest: with the delay and the evidence taken out, n0 reported 3 to 4 crashes in the rows all reset, some upstreams and two of three nodes; now none, and crashes that all nodes see are reported once by each. callforwardertest 82, crashquarantinetest 14, crashdetectortest 8, crashingparttest 9 green.

--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -21,6 +21,44 @@
         onStatement(process, effect, statement.unreadable);
 }
 
+void CallContext::recordProcess(const UpstreamRecord &record, Instant now)
+{
+    reach.onProcess({record.instance, record.startedAt}, record.service, now);
+    applyReach(now);
+    if (auto *upstream = upstreams.find(record.instance))
+        upstream->isCutOff = reach.isCutOff(record.instance, now);
+}
+
+void CallContext::recordFailure(const UpstreamProcess &process, ReachFailure failure, Instant now)
+{
+    reach.onFailure(process, now, failure);
+    applyReach(now);
+    if (reach.hasNewFailures() && onReachFailure)
+        onReachFailure();
+}
+
+void CallContext::recordContact(const UpstreamProcess &process, Instant now, Instant sentAt)
+{
+    reach.onContact(process, now, sentAt);
+    applyReach(now);
+}
+
+void CallContext::applyReach(Instant now)
+{
+    for (const auto &change : reach.takeChanges()) {
+        auto *upstream = upstreams.find(change.process.instance);
+        if (!upstream)
+            continue;
+        upstream->isCutOff = reach.isCutOff(change.process.instance, now);
+        // What failed on the way is no evidence of the upstream.
+        upstream->failureRatio = 0;
+        upstream->outcomes = DecayedRate{Upstream::outcomeHalfLife};
+        upstream->avoidUntil = {};
+        if (onReachChange)
+            onReachChange(change);
+    }
+}
+
 void CallContext::announceSend(const SendNotice &notice, Instant now)
 {
     applySendNotice(upstreams, node, notice, now);
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -41,6 +41,7 @@
     std::shared_ptr<const RouteTable> routes; ///< Null until the first configuration is received.
     UpstreamTable upstreams;
     Reachability reach; ///< Of the upstreams, from this node and the others.
+    bool hasPeers = false; ///< Other nodes are live, whose evidence tells a cut from a crash.
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
     RetryAllowance allowance{RetryBound{}};
@@ -76,6 +77,8 @@
 
     /// Broadcasts what this node has seen of the crash of an upstream.
     std::function<void(const CrashReport &report)> onCrash;
+    /// Logs that a presumed crash was none, as the upstream has answered other nodes since.
+    std::function<void(const CrashReport &report)> onCrashRefuted;
     /// Broadcasts what follows from a success for causes of crashes.
     std::function<void(const SuccessEffects &effects)> onSuccess;
 
@@ -84,6 +87,23 @@
     /// Reads from the store at which software version other nodes' streams began.
     std::function<void()> onStreamWanted;
 
+    /// Logs that an upstream was lost or found, and lets waiting calls be routed again.
+    std::function<void(const ReachChange &change)> onReachChange;
+    /// Reports to the other nodes without delay that an upstream has failed this node.
+    std::function<void()> onReachFailure;
+
+    /// Records the current process of an upstream.
+    void recordProcess(const UpstreamRecord &record, Instant now);
+
+    /// Records that @p process has failed this node, which tells nothing about the process itself.
+    void recordFailure(const UpstreamProcess &process, ReachFailure failure, Instant now);
+
+    /// Records that bytes of an answer of @p process to a request that was sent at @p sentAt have arrived.
+    void recordContact(const UpstreamProcess &process, Instant now, Instant sentAt);
+
+    /// Applies changes of the reach to the upstreams. To be called after evidence of other nodes was recorded.
+    void applyReach(Instant now);
+
     /// Records that an upstream wrote an answer to a request with @p causes that was sent at @p sentAt.
     void recordSuccess(const std::vector<CrashCause> &causes, Instant sentAt, Instant now);
 
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -57,6 +57,7 @@
     void sweep(Instant now)
     {
         m_client.sweep(now);
+        m_monitor.sweep(now);
         const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(), m_calls.end());
         for (const auto &call : calls)
             sweepCall(call, now);
@@ -836,11 +837,18 @@
         call->lastProgress = now;
         if (auto *upstream = m_context.upstreams.find(call->instance))
             upstream->waitingSince = now;
+        if (!call->reply.wrongInstance)
+            m_context.recordContact(processOf(*call), now, call->sentAt);
+    }
+
+    static UpstreamProcess processOf(const Call &call)
+    {
+        return {call.instance, call.processStartedAt};
     }
 
     void noteResult(const CallPtr &call, bool failed)
     {
-        if (auto *upstream = m_context.upstreams.find(call->instance))
+        if (auto *upstream = m_context.upstreams.find(call->instance); upstream && !upstream->isCutOff)
             noteOutcome(*upstream, failed, BootClock{}.now());
     }
 
@@ -851,8 +859,8 @@
 
     void onHead(const CallPtr &call, const Relay::ResponseHead &head)
     {
-        noteProgress(call, BootClock{}.now());
         call->reply = Dialect::readReply(head);
+        noteProgress(call, BootClock{}.now());
         const bool success = call->reply.status / 100 == 2;
         const bool isMismatched = call->reply.requestId != call->request.id;
         // A refusal may be made without the upstream's state, so that it does not end a request limit.
@@ -1029,6 +1037,11 @@
     {
         release(call);
         const auto now = BootClock{}.now();
+        if (failure.kind != Relay::ExchangeFailure::Malformed)
+            m_context.recordFailure(processOf(*call),
+                                    failure.kind == Relay::ExchangeFailure::NotConnected ? ReachFailure::NotConnected
+                                                                                         : ReachFailure::Broken,
+                                    now);
         if (failure.kind == Relay::ExchangeFailure::NotConnected || !failure.sent) {
             --call->sends;
             m_monitor.avoid(call->instance, now);
@@ -1312,10 +1325,22 @@
         }
         if (call->waiting)
             return proceed(call);
-        if (call->token != 0 && isSilent(*call, now))
+        if (call->token == 0)
+            return;
+        if (isQuiet(*call, longestSilence(*call) / 2, now))
+            m_context.recordFailure(processOf(*call), ReachFailure::Silent, now);
+        if (isSilent(*call, now))
             moveFromSilentUpstream(call, now);
     }
 
+    /// Returns true if neither the call nor any other of this node at its upstream has made progress for @p time.
+    bool isQuiet(const Call &call, Duration time, Instant now) const
+    {
+        const auto it = m_context.upstreams.all().find(call.instance);
+        return it != m_context.upstreams.all().end() && now - call.lastProgress > time
+               && now - it->second.waitingSince > time;
+    }
+
     bool isSilent(const Call &call, Instant now) const
     {
         if (!mayRunAgain(call) || call.runs + 1 >= call.route.attempts)
@@ -1323,8 +1348,8 @@
         const auto it = m_context.upstreams.all().find(call.instance);
         if (it == m_context.upstreams.all().end())
             return now - call.lastProgress > defaultSilence;
-        const auto limit = longestSilence(call);
-        return now - call.lastProgress > limit && now - it->second.waitingSince > limit;
+        const auto longest = longestSilence(call);
+        return isQuiet(call, it->second.isCutOff ? std::min<Duration>(longest, minSilence) : longest, now);
     }
 
     Duration longestSilence(const Call &call) const
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -21,6 +21,8 @@
     StoreBack,
     PeersLost,
     PeersFound,
+    ReachLost,
+    ReachFound,
     SettingsRead,
     ConfigurationInForce,
     BadDocument,
@@ -30,6 +32,7 @@
     UpstreamTurnsAway,
     UpstreamLimitsRequests,
     UpstreamCrashed,
+    CrashRefuted,
     CauseBlocked,
     CauseUnblocked,
     BadHeader,
@@ -55,7 +58,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 33> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 36> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -63,6 +66,8 @@
     {Gateway::GatewayEvent::StoreBack, "store_back"},
     {Gateway::GatewayEvent::PeersLost, "peers_lost"},
     {Gateway::GatewayEvent::PeersFound, "peers_found"},
+    {Gateway::GatewayEvent::ReachLost, "reach_lost"},
+    {Gateway::GatewayEvent::ReachFound, "reach_found"},
     {Gateway::GatewayEvent::SettingsRead, "settings_read"},
     {Gateway::GatewayEvent::ConfigurationInForce, "configuration_in_force"},
     {Gateway::GatewayEvent::BadDocument, "bad_document"},
@@ -72,6 +77,7 @@
     {Gateway::GatewayEvent::UpstreamTurnsAway, "upstream_turns_away"},
     {Gateway::GatewayEvent::UpstreamLimitsRequests, "upstream_limits_requests"},
     {Gateway::GatewayEvent::UpstreamCrashed, "upstream_crashed"},
+    {Gateway::GatewayEvent::CrashRefuted, "crash_refuted"},
     {Gateway::GatewayEvent::CauseBlocked, "cause_blocked"},
     {Gateway::GatewayEvent::CauseUnblocked, "cause_unblocked"},
     {Gateway::GatewayEvent::BadHeader, "bad_header"},
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -8,6 +8,7 @@
 #include "gateway/membertable.h"
 #include "gateway/peerlink.h"
 #include "gateway/placementcontroller.h"
+#include "gateway/reachreport.h"
 #include "gateway/registryviews.h"
 #include "gateway/streamrecords.h"
 
@@ -112,6 +113,12 @@
         };
         m_context.onStreamWanted
             = [this] { m_streams.read([this] { m_loop.post([this] { m_forwarder.onPlacement(); }); }); };
+        m_context.onReachChange = [this](const ReachChange &change) { handleReachChange(change); };
+        m_context.onReachFailure = [this] { shareReachSoon(); };
+        m_context.onCrashRefuted = [this](const CrashReport &crash) {
+            m_log.note(GatewayEvent::CrashRefuted,
+                       {{"upstream", crash.process.instance}, {"suspects", std::to_string(crash.suspects.size())}});
+        };
         m_context.onLoadRequested = [this](const std::string &service, const ModelTarget &target,
                                            const std::vector<std::string> &unfit, unsigned attempt) {
             requestLoad({service, target, 1, unfit}, attempt);
@@ -180,6 +187,7 @@
     using Orders = PlacementController<typename Platform::Orders, typename Platform::Store>;
 
     static constexpr Duration tickInterval = std::chrono::milliseconds{50};
+    static constexpr Duration reachDelay = std::chrono::milliseconds{3};
     /// Delay of a tick from which it is logged, as it shows a stalled loop or a frozen machine.
     static constexpr Duration lateTickDelay = std::chrono::milliseconds{150};
     static constexpr Duration digestInterval = std::chrono::milliseconds{300};
@@ -485,6 +493,7 @@
         const bool leaves = known.draining && (!before || !before->record.draining);
         if (m_context.upstreams.onRecord(known, BootClock{}.now())) {
             m_forwarder.onUpstreamGone(instance);
+            m_context.recordProcess(known, BootClock{}.now());
             m_log.note(GatewayEvent::UpstreamFound, {{"upstream", instance},
                                                      {"service", known.service},
                                                      {"software", known.softwareVersion},
@@ -538,6 +547,56 @@
                                                           {"source", source}});
     }
 
+    /// Logs that an upstream was lost or found, and has waiting calls routed again.
+    void handleReachChange(const ReachChange &change)
+    {
+        const auto ms = [](Duration duration) { return std::to_string(duration.count() / 1000); };
+        const auto &instance = change.process.instance;
+        if (change.isLost)
+            m_log.note(GatewayEvent::ReachLost, {{"upstream", instance},
+                                                 {"evidence", std::string(nameOf(change.evidence))},
+                                                 {"failure", std::string(nameOf(change.failure))},
+                                                 {"failing_ms", ms(change.lasted)},
+                                                 {"peer", change.peer},
+                                                 {"peer_contact_after_ms", ms(change.peerContactAfter)}});
+        else
+            m_log.note(GatewayEvent::ReachFound, {{"upstream", instance}, {"lost_ms", ms(change.lasted)}});
+        m_loop.post([this] { m_forwarder.onPlacement(); });
+    }
+
+    /// Tells the other nodes what they must know now of the upstreams that this one reaches.
+    void shareReach(Instant now)
+    {
+        NodeReport news;
+        if (!addReachNews(news, m_context.reach, now))
+            return;
+        auto notice = report();
+        notice.failedReach = std::move(news.failedReach);
+        notice.contacts = std::move(news.contacts);
+        notice.cutOff = std::move(news.cutOff);
+        notice.hasCutOff = news.hasCutOff;
+        broadcast(std::move(notice));
+    }
+
+    /// Shares the failures of the next few milliseconds at once, as a cut brings many.
+    void shareReachSoon()
+    {
+        if (std::exchange(m_reachScheduled, true))
+            return;
+        m_loop.runAfter(reachDelay, [this] {
+            m_reachScheduled = false;
+            shareReach(BootClock{}.now());
+        });
+    }
+
+    void tickReach(Instant now)
+    {
+        m_context.hasPeers = m_members.hasLivePeers(now);
+        m_context.reach.retain([this](const std::string &instance) { return m_context.upstreams.find(instance); }, now);
+        m_context.applyReach(now);
+        shareReach(now);
+    }
+
     /// Applies the settings that a running process can change. Logs problems, and whether other changes need a restart.
     void reloadSettings(const Parsed<GatewaySettings> &read)
     {
@@ -637,6 +696,7 @@
             m_log.note(GatewayEvent::LoopLate, {{"ms", std::to_string((now - m_lastTick).count() / 1000)}});
         m_lastTick = now;
         m_context.upstreams.sweep(now);
+        tickReach(now);
         m_store.sweep(now);
         m_registry.setRole(readRole(now), m_settings.drainBound);
         tickOrders(now);
@@ -865,6 +925,7 @@
             it = use.inFlight == 0 ? m_context.uses.erase(it) : std::next(it);
         }
         m_quarantine.addTo(digest, now);
+        addCuts(digest, m_context.reach);
         addReleases(digest, now);
         broadcast(std::move(digest));
         sendUse(used);
@@ -1049,7 +1110,11 @@
         if (report.from.node == m_address.node)
             return;
         const ReportStamp stamp{report.from.node, report.from.startedAt, report.sequence};
-        if (m_members.onReport(report, now)) {
+        const bool isNewest = m_members.onReport(report, now);
+        applyReachNews(m_context.reach, report, isNewest, m_address.node,
+                       report.failedReach.empty() ? std::set<std::string>{} : m_members.liveNodes(now), now);
+        m_context.applyReach(now);
+        if (isNewest) {
             for (const auto shard : report.ordering) {
                 if (shard < orderShards)
                     m_ordering[shard] = {report.from.node, now};
@@ -1135,6 +1200,7 @@
     Dissemination m_dissemination;
     std::uint64_t m_sequence = 0;
     bool m_flushScheduled = false;
+    bool m_reachScheduled = false;
     Registry m_registry;
     StoreLease m_lease = 0;
     struct Ordering {
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -210,6 +210,11 @@
     return nodes;
 }
 
+bool MemberTable::hasLivePeers(Instant now) const
+{
+    return std::ranges::any_of(m_members, [&](const auto &item) { return isLive(item.second, now); });
+}
+
 double MemberTable::liveShare(Instant now) const
 {
     return static_cast<double>(1 + liveNodes(now).size()) / static_cast<double>(1 + peerCount(now));
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -62,6 +62,9 @@
     /// Returns the other nodes that are live.
     std::set<std::string> liveNodes(Instant now) const;
 
+    /// Returns true if another node is live.
+    bool hasLivePeers(Instant now) const;
+
     /// Returns the fraction of all known nodes that are live, with this one among both.
     double liveShare(Instant now) const;
 
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -540,7 +540,8 @@
         options.unsentBytesTimeoutMs = orderUnsentTimeoutMs;
         auto token = std::make_shared<Relay::UpstreamClient::Token>(0);
         const UpstreamProcess process{order.instance, upstream->record.startedAt};
-        const auto onResponse = [this, order, token, process](const Relay::WholeResponse &response) {
+        const auto onResponse = [this, order, token, process, now](const Relay::WholeResponse &response) {
+            recordReach(process, response, now);
             m_context.recordStatement(process, Dialect::readStatement(response.head), BootClock{}.now());
             const auto unanswered = response.sent ? OrderOutcome::Unknown : OrderOutcome::Conflict;
             onOrderAnswer(order, *token,
@@ -552,6 +553,16 @@
         m_pendingOrders.emplace(*token, order);
     }
 
+    /// Records whether @p process has answered an order or inspection that was sent at @p sentAt.
+    void recordReach(const UpstreamProcess &process, const Relay::WholeResponse &response, Instant sentAt)
+    {
+        const auto now = BootClock{}.now();
+        if (response.head.status != 0)
+            m_context.recordContact(process, now, sentAt);
+        else
+            m_context.recordFailure(process, response.sent ? ReachFailure::Silent : ReachFailure::NotConnected, now);
+    }
+
     void onOrderAnswer(const EngineOrder &order, Relay::UpstreamClient::Token token, OrderOutcome outcome,
                        unsigned status)
     {
@@ -579,11 +590,13 @@
         auto *upstream = m_context.upstreams.find(instance);
         if (!upstream)
             return m_placer.onReport(instance, std::nullopt, BootClock{}.now());
-        countSend(*upstream, "inspection", BootClock{}.now());
+        const auto now = BootClock{}.now();
+        countSend(*upstream, "inspection", now);
         Relay::SendOptions options;
         options.timeout = inspectionTimeout;
         const UpstreamProcess process{instance, upstream->record.startedAt};
-        const auto onResponse = [this, instance, process](const Relay::WholeResponse &response) {
+        const auto onResponse = [this, instance, process, now](const Relay::WholeResponse &response) {
+            recordReach(process, response, now);
             m_context.recordStatement(process, Dialect::readStatement(response.head), BootClock{}.now());
             const auto report = response.head.status == 200 ? Dialect::readReport(response.body) : std::nullopt;
             if (m_log.isDetailed() && report)
--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -48,10 +48,20 @@
     return link == m_links.end() ? nullptr : &link->second;
 }
 
+/// Returns true if @p process is an earlier process of its instance than the current one.
+bool Reachability::isOutdated(const UpstreamProcess &process) const
+{
+    const auto it = m_current.find(process.instance);
+    return it != m_current.end() && process.startedAt < it->second;
+}
+
 Reachability::Link &Reachability::currentOrNew(const UpstreamProcess &process, Instant now)
 {
-    if (!m_current.contains(process.instance))
+    const auto it = m_current.find(process.instance);
+    if (it == m_current.end())
         onProcess(process, {}, now);
+    else if (it->second != process.startedAt)
+        onProcess(process, std::string(m_links[{process.instance, it->second}].service), now);
     return m_links[process];
 }
 
@@ -99,9 +109,10 @@
 
 void Reachability::onFailure(const UpstreamProcess &process, Instant now, ReachFailure failure)
 {
-    if (m_current.contains(process.instance) && !current(process))
-        return; // An earlier process.
+    if (isOutdated(process))
+        return;
     auto &link = currentOrNew(process, now);
+    m_hasNewFailures = m_hasNewFailures || link.reports == 0;
     const bool isForPeer = link.isProbedForPeer && failure == ReachFailure::NotConnected && link.failures == 0;
     if (!link.isShownCut && link.failingSince != Instant{} && now - link.failedAt > failureWindow)
         clearFailures(link);
@@ -120,7 +131,7 @@
 
 void Reachability::onContact(const UpstreamProcess &process, Instant now, Instant sentAt)
 {
-    if (m_current.contains(process.instance) && !current(process))
+    if (isOutdated(process))
         return;
     auto &link = currentOrNew(process, now);
     const auto previous = std::exchange(link.contactAt, now);
@@ -261,6 +272,7 @@
         }
     }
     const auto before = std::exchange(m_cutOff, std::move(cutOff));
+    m_cutsChanged = m_cutsChanged || before != m_cutOff;
     for (const auto &instance : m_cutOff) {
         if (!before.contains(instance))
             addChange(instance, true, now);
@@ -298,6 +310,7 @@
 std::vector<FailedReach> Reachability::takeFailures(Instant now)
 {
     std::vector<FailedReach> failures;
+    m_hasNewFailures = false;
     for (auto &[process, link] : m_links) {
         if (link.failingSince == Instant{} || link.replacedAt != Instant{} || link.isShownCut
             || now - link.failedAt > failureWindow)
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Gypsumtally::Gateway
@@ -61,7 +62,7 @@
 {
 public:
     /// Time from a failure to the arrival of other nodes' evidence.
-    static constexpr Duration evidenceTime = std::chrono::milliseconds{220};
+    static constexpr Duration evidenceTime = std::chrono::milliseconds{250};
     /// Limit on the processes in each part of a report.
     static constexpr std::size_t maxReported = 128;
 
@@ -107,6 +108,31 @@
     /// Returns the processes that this node is cut off from, at most maxReported.
     std::vector<UpstreamProcess> cuts() const;
 
+    /// Removes the instances for which @p isKnown returns false.
+    template<typename IsKnown>
+    void retain(IsKnown &&isKnown, Instant now)
+    {
+        std::vector<std::string> gone;
+        for (const auto &[instance, startedAt] : m_current) {
+            if (!isKnown(instance))
+                gone.push_back(instance);
+        }
+        for (const auto &instance : gone)
+            onGone(instance, now);
+    }
+
+    /// Returns true if cuts() has changed since the last call.
+    bool takeCutsChanged()
+    {
+        return std::exchange(m_cutsChanged, false);
+    }
+
+    /// Returns true if processes have failed this node that were not reported yet.
+    bool hasNewFailures() const
+    {
+        return m_hasNewFailures;
+    }
+
     /// Returns the failures to report to all nodes now. Each is returned a few times, as datagrams may be lost.
     std::vector<FailedReach> takeFailures(Instant now);
 
@@ -160,6 +186,7 @@
     };
 
     Link *current(const UpstreamProcess &process);
+    bool isOutdated(const UpstreamProcess &process) const;
     Link &currentOrNew(const UpstreamProcess &process, Instant now);
     void clearFailures(Link &link);
     void update(Instant now);
@@ -175,6 +202,8 @@
     std::map<std::string, PeerState> m_peers;
     std::set<std::string> m_cutOff; ///< Instances.
     std::vector<ReachChange> m_changes;
+    bool m_cutsChanged = false;
+    bool m_hasNewFailures = false;
     Instant m_cutProbedAt{};
     Instant m_foundAt{}; ///< Last time at which an upstream that was cut off was found.
     Instant m_lastCutBegan{}; ///< Latest first failure of an upstream that is shown cut off.
--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Gypsumtally::Gateway
 {
@@ -39,7 +40,7 @@
         // Plain services have no state to ask for, and an upstream that limits its requests may count the question.
         if (isEngine && !upstream->limitsRequests()) {
             if (isCheckDue)
-                checkLiveness(process.instance, upstream->record.endpoint);
+                checkLiveness(process, upstream->record.endpoint);
         } else if (m_detector.isSimultaneous(process, now)) {
             onCrashed(process.instance, now);
         }
@@ -52,10 +53,32 @@
         if (!report)
             return;
         avoid(instance, now);
-        if (m_context.onCrash)
-            m_context.onCrash(*report);
+        if (m_context.hasPeers)
+            m_unconfirmed.push_back({*report, now});
         else
-            m_context.crashes.addOwn(*report, now);
+            publish(*report, now);
+    }
+
+    /// Probes upstreams of which this node has no contact, and reports the crashes of those that no other node has had
+    /// contact with since. Call it several times per second.
+    void sweep(Instant now)
+    {
+        if (m_context.hasPeers || !m_context.reach.cutOff().empty()) {
+            for (const auto &process : m_context.reach.takeProbes(now))
+                probe(process);
+        }
+        std::erase_if(m_unconfirmed, [&](const UnconfirmedCrash &crash) {
+            const auto &process = crash.report.process;
+            const bool isRefuted = m_context.reach.hasAnsweredPeerSince(process, crash.at)
+                                   || m_context.reach.isCutOff(process.instance, now);
+            if (!isRefuted && now - crash.at < Reachability::evidenceTime)
+                return false;
+            if (!isRefuted)
+                publish(crash.report, now);
+            else if (m_context.onCrashRefuted)
+                m_context.onCrashRefuted(crash.report);
+            return true;
+        });
     }
 
     /// Asks the process of @p upstream for its start time, and calls @p onResult with whether it is the one of the
@@ -66,7 +89,9 @@
         const auto endpoint = upstream.record.endpoint;
         if (upstream.limitsRequests())
             m_context.announceSend({process.instance, 0, {}, 1}, BootClock{}.now());
-        const auto onState = [this, process, onResult = std::move(onResult)](const Relay::WholeResponse &response) {
+        const auto onState = [this, process, sentAt = BootClock{}.now(),
+                              onResult = std::move(onResult)](const Relay::WholeResponse &response) {
+            recordAnswer(process, response, sentAt);
             const bool isSame
                 = response.head.status == 200 && Dialect::readStartTime(response.body) == process.startedAt;
             if (!isSame)
@@ -99,25 +124,85 @@
     }
 
     /// Asks an engine at which an exchange broke for its state, and reports its crash if there is no such process.
-    void checkLiveness(const std::string &instance, const Http::Endpoint &endpoint)
+    void checkLiveness(const UpstreamProcess &process, const Http::Endpoint &endpoint)
     {
         Relay::ExchangeObserver observer;
-        observer.onHead = [this, instance](const Relay::ResponseHead &head) {
+        const auto &instance = process.instance;
+        observer.onHead = [this, process, sentAt = BootClock{}.now()](const Relay::ResponseHead &head) {
+            const auto now = BootClock{}.now();
             if (Dialect::readReply(head).wrongInstance)
-                onCrashed(instance, BootClock{}.now());
+                onCrashed(process.instance, now);
+            else
+                m_context.recordContact(process, now, sentAt);
         };
-        observer.onFailure = [this, instance](const Relay::FailedExchange &failure) {
+        observer.onFailure = [this, process](const Relay::FailedExchange &failure) {
+            const auto now = BootClock{}.now();
+            m_context.recordFailure(process, ReachFailure::NotConnected, now);
             if (failure.isRefused)
-                onCrashed(instance, BootClock{}.now());
+                onCrashed(process.instance, now);
         };
         auto options = checkOptions();
         options.maxIdleAge = {};
         m_client.send({endpoint, instance}, Dialect::writeLivenessCheck(instance), std::move(observer), options);
     }
 
+    /// Finds out whether this node reaches @p process: asks an engine for its state, and connects to an upstream that
+    /// has no state to ask for or may count the question.
+    void probe(const UpstreamProcess &process)
+    {
+        const auto *upstream = m_context.upstreams.find(process.instance);
+        if (!upstream || upstream->record.startedAt != process.startedAt)
+            return;
+        const Relay::Destination destination{upstream->record.endpoint, process.instance};
+        const auto *service = m_context.routes ? m_context.routes->service(upstream->record.service) : nullptr;
+        const auto sentAt = BootClock{}.now();
+        auto options = checkOptions();
+        options.maxIdleAge = {};
+        if (service && service->engine && !upstream->limitsRequests()) {
+            const auto onState = [this, process, sentAt](const Relay::WholeResponse &response) {
+                recordAnswer(process, response, sentAt);
+            };
+            m_client.fetch(destination, Dialect::writeLivenessCheck(process.instance), onState, options);
+            return;
+        }
+        const auto onResult = [this, process, sentAt](bool isConnected) {
+            const auto now = BootClock{}.now();
+            if (isConnected)
+                m_context.recordContact(process, now, sentAt);
+            else
+                m_context.recordFailure(process, ReachFailure::NotConnected, now);
+        };
+        m_client.connect(destination, onResult, options);
+    }
+
+    /// Records whether @p process has answered a question for its state.
+    void recordAnswer(const UpstreamProcess &process, const Relay::WholeResponse &response, Instant sentAt)
+    {
+        const auto now = BootClock{}.now();
+        if (response.head.status == 0)
+            m_context.recordFailure(process, ReachFailure::NotConnected, now);
+        else if (!Dialect::readReply(response.head).wrongInstance)
+            m_context.recordContact(process, now, sentAt);
+    }
+
+    void publish(const CrashReport &report, Instant now)
+    {
+        if (m_context.onCrash)
+            m_context.onCrash(report);
+        else
+            m_context.crashes.addOwn(report, now);
+    }
+
+    /// A crash that this node presumes, until other nodes' evidence can have arrived.
+    struct UnconfirmedCrash {
+        CrashReport report;
+        Instant at{};
+    };
+
     Relay::UpstreamClient &m_client;
     CallContext &m_context;
     CrashDetector m_detector;
+    std::vector<UnconfirmedCrash> m_unconfirmed;
 };
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -66,6 +66,7 @@
     unsigned ownStepSamples = 0; ///< Samples of this node in the estimate since it was last sent to other nodes.
     Instant waitingSince{}; ///< Since when a request has been waiting without any byte of any response arriving.
     bool isLeaving = false; ///< An answer has announced its departure, regardless of its record.
+    bool isCutOff = false; ///< This node does not reach it, while others do.
     bool announcedLeaving = false; ///< It announced its departure to this node, which notifies the others.
     Instant backpressureUntil{}; ///< Must get no requests from this node until then.
     RequestLimit requestLimit;
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -55,6 +55,7 @@
     Instant connectDeadline{};
     Instant responseDeadline{};
     bool sent = false;
+    bool isConnectOnly = false; ///< Ends with the connection.
 };
 
 class Connection;
@@ -102,6 +103,8 @@
                 return self->fail(ExchangeFailure::NotConnected, result.message(),
                                   result == asio::error::connection_refused);
             self->m_connected = true;
+            if (self->m_exchange && self->m_exchange->isConnectOnly)
+                return self->complete(false);
             ErrorCode ignored;
             self->m_socket.non_blocking(true, ignored);
             self->transmit();
@@ -317,7 +320,8 @@
     const auto token = ++m_d->lastToken;
     const auto now = BootClock{}.now();
     const auto key = poolKey(destination);
-    PendingExchange exchange{token, requestText(request), std::move(observer), now + options.connectTimeout, {}, false};
+    PendingExchange exchange{token, requestText(request), std::move(observer), now + options.connectTimeout, {}, false,
+                             false};
     if (options.timeout > Duration{})
         exchange.responseDeadline = now + options.timeout;
     auto connection = m_d->takeIdle(key, now, options.maxIdleAge);
@@ -331,6 +335,20 @@
     return token;
 }
 
+UpstreamClient::Token UpstreamClient::connect(const Destination &destination, const std::function<void(bool)> &onResult,
+                                              const SendOptions &options)
+{
+    const auto token = ++m_d->lastToken;
+    ExchangeObserver observer;
+    observer.onEnd = [onResult] { onResult(true); };
+    observer.onFailure = [onResult](const FailedExchange &) { onResult(false); };
+    auto connection = std::make_shared<Connection>(m_d->shared, poolKey(destination));
+    m_d->shared->busy.emplace(token, connection);
+    connection->begin({token, {}, std::move(observer), BootClock{}.now() + options.connectTimeout, {}, false, true});
+    connection->connect(destination.endpoint, options.unsentBytesTimeoutMs);
+    return token;
+}
+
 UpstreamClient::Token UpstreamClient::fetch(const Destination &destination, const Http::Request &request,
                                             const std::function<void(const WholeResponse &)> &onResponse,
                                             const SendOptions &options)
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -85,6 +85,11 @@
     Token fetch(const Destination &destination, const Http::Request &request,
                 const std::function<void(const WholeResponse &)> &onResponse, const SendOptions &options);
 
+    /// Opens a connection to @p destination and closes it without sending anything. @p onResult is called once with
+    /// whether the connection was established, unless this is cancelled.
+    Token connect(const Destination &destination, const std::function<void(bool)> &onResult,
+                  const SendOptions &options);
+
     /// Closes the connection of a request, whose observer is not called again. Does nothing for a finished request.
     void cancel(Token token);
 
