CuttableLink keeps its port while it is closed

A link that refuses connections had given up its port, which another test process could get meanwhile: one of ten tests of callreachtest ended with 'bind: Address already in use'.

--- a/tests/support/cuttablelink.h
+++ b/tests/support/cuttablelink.h
@@ -31,8 +31,11 @@
     CuttableLink(boost::asio::io_context &context, const Http::Endpoint &target)
         : m_context(context)
         , m_target(boost::asio::ip::make_address(target.address), target.port)
+        , m_reservation(context)
         , m_acceptor(context)
     {
+        bind(m_reservation);
+        m_port = m_reservation.local_endpoint().port();
         listen(backlog);
         accept();
     }
@@ -83,13 +86,18 @@
     };
     using PairPtr = std::shared_ptr<Pair>;
 
+    template<typename Socket>
+    void bind(Socket &socket) const
+    {
+        socket.open(tcp::v4());
+        socket.set_option(tcp::acceptor::reuse_address(true));
+        socket.bind({boost::asio::ip::address_v4::loopback(), m_port});
+    }
+
     void listen(int connections)
     {
-        m_acceptor.open(tcp::v4());
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-        m_acceptor.bind({boost::asio::ip::address_v4::loopback(), m_port});
+        bind(m_acceptor);
         m_acceptor.listen(connections);
-        m_port = m_acceptor.local_endpoint().port();
     }
 
     /// Listens without accepting, so that the handshake of a further connection is not completed.
@@ -183,6 +191,7 @@
 
     boost::asio::io_context &m_context;
     tcp::endpoint m_target;
+    tcp::socket m_reservation; ///< Keeps the port while nothing listens.
     tcp::acceptor m_acceptor;
     std::uint16_t m_port = 0;
     LinkState m_state = LinkState::Open;
