Upstreams that a node is cut off from get no requests from it

Upstreams that it is cut off from do not take requests any more, as if they had announced a pause; probes find out when they do.

callreachtest sendsNothingToUpstreamsThatItIsCutOffFrom: fewer than 100 sends in that second, all of the two other nodes.

--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -77,7 +77,7 @@
     /// Returns true if this node may send it requests.
     bool takesRequests(Instant now) const
     {
-        return staysInService() && now >= backpressureUntil;
+        return staysInService() && !isCutOff && now >= backpressureUntil;
     }
 
     /// Returns true if it limits the requests of all nodes together.
--- a/tests/gateway/callreachtest.cpp
+++ b/tests/gateway/callreachtest.cpp
@@ -320,3 +320,20 @@
         cr_assert_not(fixture.isCutOff(node, 2), "%s: node %zu", row.name, node);
     }
 }
+
+/// A node that is cut off kept sending there.
+Test(CallReach, sendsNothingToUpstreamsThatItIsCutOffFrom)
+{
+    ReachFixture fixture(3);
+    fixture.callAll();
+    fixture.run(milliseconds{500});
+    for (const auto &link : fixture.nodes[0]->links)
+        link->set(LinkState::Reset);
+    fixture.run(milliseconds{500});
+    CountingDialect::sends = 0;
+    const auto asked = fixture.served;
+    fixture.run(milliseconds{1000});
+    cr_assert_leq(CountingDialect::sends, 4 * 20 + 20, "%u sends for two nodes that are not cut off",
+                  CountingDialect::sends);
+    cr_assert_gt(fixture.served, asked + 60);
+}
