A repeat whose upstream was not connected is given back to the allowance

A further send of a request took one from the retry allowance before its connection was made. If the upstream refused the connection, nothing reached the service, but the repeat stayed counted, so that a cut used up the budget for calls that were not sent at all.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1043,7 +1043,8 @@
                                                                                          : ReachFailure::Broken,
                                     now);
         if (failure.kind == Relay::ExchangeFailure::NotConnected || !failure.sent) {
-            --call->sends;
+            if (--call->sends > 0)
+                m_context.allowance.giveBack(call->service);
             m_monitor.avoid(call->instance, now);
             if (failure.isRefused)
                 m_monitor.onCrashed(call->instance, now);
--- a/src/gateway/retryallowance.cpp
+++ b/src/gateway/retryallowance.cpp
@@ -75,4 +75,11 @@
     return true;
 }
 
+void RetryAllowance::giveBack(const std::string &service)
+{
+    auto &account = m_accounts[service];
+    if (!account.extraSends.empty())
+        account.extraSends.pop_back();
+}
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/retryallowance.h
+++ b/src/gateway/retryallowance.h
@@ -40,6 +40,10 @@
     /// Records an extra send and returns true if the allowance permits one; otherwise returns false.
     bool tryTake(const std::string &service, Instant now);
 
+    /// Removes the last extra send, which was not made as its upstream was not connected. Precondition: tryTake()
+    /// returned true for it.
+    void giveBack(const std::string &service);
+
     /// Returns the services that have an account, among them all that had requests.
     std::vector<std::string> services() const;
 
--- a/tests/gateway/retryallowancetest.cpp
+++ b/tests/gateway/retryallowancetest.cpp
@@ -28,6 +28,18 @@
 
 } // namespace
 
+Test(RetryAllowance, takesAgainWhatWasGivenBack)
+{
+    RetryAllowance allowance(bound);
+    const Instant now{std::chrono::seconds{100}};
+    allowance.giveBack("s");
+    cr_assert(allowance.tryTake("s", now));
+    cr_assert(!allowance.tryTake("s", now));
+    allowance.giveBack("s");
+    cr_assert(allowance.tryTake("s", now));
+    cr_assert(!allowance.tryTake("s", now));
+}
+
 Test(RetryAllowance, isolatedNodeKeepsToItsShare)
 {
     RetryAllowance allowance(bound);
