A request that upstreams accept no connection for is sent again after a delay

The upstream is now excluded for the request; after three such sends, or when no other is left, the next one follows after 60 to 240 ms, and the request is refused once the time is too short to serve it.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -139,6 +139,8 @@
     /// Delay before the next send to an engine that refused a request, because it is still loading the adapter or has
     /// no room.
     static constexpr Duration refusalRetryDelay = std::chrono::milliseconds{60};
+    /// Number of sends of one request without a connection that are followed by another one at once.
+    static constexpr unsigned maxImmediateReconnects = 3;
     static constexpr unsigned maxRetryDelayDoublings = 2; ///< Limits the delay's growth by further refusals.
     /// A load that is overdue by more than this is no longer presumed to be in progress.
     static constexpr Duration maxLoadOverrun = std::chrono::milliseconds{800};
@@ -207,6 +209,7 @@
         std::vector<std::string> excluded; ///< Instances that have failed the request.
         unsigned sends = 0; ///< Sends that reached an upstream, or may have.
         unsigned runs = 0; ///< Sends that an upstream may have run.
+        unsigned unconnected = 0; ///< Sends for which no connection was made.
         unsigned refused = 0; ///< Sends that an upstream refused without starting the request.
         Verdict verdict = Verdict::NotRun;
         bool answering = false; ///< The head of the answer has been sent to the caller.
@@ -363,6 +366,8 @@
         if (!choice)
             choice = choose(*call, now);
         if (!choice && !call->excluded.empty() && call->runs == 0) {
+            if (call->unconnected > 0 && now > latestSend(*call))
+                return giveUp(call, ErrorCode::NoUpstream, "the upstreams accept no connections");
             call->excluded.clear();
             choice = choose(*call, now);
         }
@@ -1050,13 +1055,28 @@
                 m_monitor.onCrashed(call->instance, now);
             m_log.decision(GatewayEvent::SendFailed, call->request.id,
                            {{"upstream", call->instance}, {"reason", failure.reason}, {"verdict", "not-run"}});
-            return retry(call);
+            return retryUnconnected(call, now);
         }
         if (failure.kind == Relay::ExchangeFailure::Broken)
             noteBroken(*call, now);
         onBroken(call, failure.reason);
     }
 
+    /// Sends the call to another upstream, as the current one has accepted no connection; after a delay if there is
+    /// none or several have failed it.
+    void retryUnconnected(const CallPtr &call, Instant now)
+    {
+        ++call->unconnected;
+        call->excluded.push_back(call->instance);
+        if (call->unconnected <= maxImmediateReconnects && choose(*call, now))
+            return retry(call);
+        const auto doublings = std::min(call->unconnected / maxImmediateReconnects, maxRetryDelayDoublings);
+        call->notBefore = now + refusalRetryDelay * (1U << doublings);
+        startWaiting(call, WaitCause::Connection, now);
+        call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
+        wakeAt(call, call->notBefore, now);
+    }
+
     /// Handles an upstream's statement that it has not run the request.
     void onNotRun(const CallPtr &call)
     {
--- a/src/gateway/waittimes.h
+++ b/src/gateway/waittimes.h
@@ -19,6 +19,7 @@
     Backpressure, ///< Every upstream applies backpressure until a stated time.
     RequestLimit, ///< The upstream limits its requests, and others go first.
     StreamVersion, ///< It is being found out at which software version the stream may go on.
+    Connection, ///< The upstreams have accepted no connections.
     Verdict, ///< It is about to be decided whether a part of its prompt crashes upstreams.
 };
 
@@ -28,7 +29,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::WaitCause, 8> enumNames<Gateway::WaitCause>{{
+inline constexpr EnumTable<Gateway::WaitCause, 9> enumNames<Gateway::WaitCause>{{
     {Gateway::WaitCause::Load, "load"},
     {Gateway::WaitCause::LoadInProgress, "coming_load"},
     {Gateway::WaitCause::Room, "room"},
@@ -36,6 +37,7 @@
     {Gateway::WaitCause::Backpressure, "return"},
     {Gateway::WaitCause::RequestLimit, "request_limit"},
     {Gateway::WaitCause::StreamVersion, "stream_version"},
+    {Gateway::WaitCause::Connection, "connection"},
     {Gateway::WaitCause::Verdict, "verdict"},
 }};
 
--- a/tests/gateway/callreachtest.cpp
+++ b/tests/gateway/callreachtest.cpp
@@ -321,6 +321,19 @@
     }
 }
 
+/// A node that no upstream accepted connections from tried again at once, nine times within 10 ms.
+Test(CallReach, boundsSendsOfARequestThatIsNotAccepted)
+{
+    ReachFixture fixture(1);
+    for (std::size_t upstream = 0; upstream < upstreamCount; ++upstream)
+        fixture.crash(upstream);
+    fixture.ask(*fixture.nodes[0], "/safe/1", {});
+    fixture.run(milliseconds{100});
+    cr_assert_leq(CountingDialect::sends, 2 * upstreamCount, "%u sends in 100 ms", CountingDialect::sends);
+    fixture.run(milliseconds{1900});
+    cr_assert_leq(CountingDialect::sends, 16U, "%u sends in 2 s", CountingDialect::sends);
+}
+
 /// A node that is cut off kept sending there.
 Test(CallReach, sendsNothingToUpstreamsThatItIsCutOffFrom)
 {
