Callers are not sent to nodes that reach no upstream of some service

Each report now states whether its node reaches some upstream of each service, and answers about entry points leave out those that do not while any other node is left; the rule of nearness applies to the rest. Such a node stays ready.

--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -50,8 +50,7 @@
     into.sequence = from.sequence;
     into.takesCallers = from.takesCallers;
     into.reachesStore = from.reachesStore;
-    into.reachesServices = from.reachesServices;
-    into.reachesEngines = from.reachesEngines;
+    into.reach = from.reach;
     into.ordering = std::move(from.ordering);
     if (from.from.callers.port != 0)
         into.from = std::move(from.from);
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -181,9 +181,9 @@
 /// Adds what @p report says of the processes that the node reaches or fails to reach.
 void addReach(json::object &object, const NodeReport &report)
 {
-    if (!report.reachesServices)
+    if (!report.reach.services)
         object["no_service"] = true;
-    if (!report.reachesEngines)
+    if (!report.reach.engines)
         object["no_engines"] = true;
     if (!report.failedReach.empty()) {
         json::array rows;
@@ -219,8 +219,8 @@
 
 void readReach(const json::object &object, NodeReport &report)
 {
-    report.reachesServices = !flagAt(object, "no_service");
-    report.reachesEngines = !flagAt(object, "no_engines");
+    report.reach.services = !flagAt(object, "no_service");
+    report.reach.engines = !flagAt(object, "no_engines");
     eachProcess(object, "failed_reach", [&](UpstreamProcess process, const json::array &row) {
         const bool isQuestion = row.size() > 2 && row[2].is_bool() && row[2].get_bool();
         report.failedReach.push_back({std::move(process), isQuestion});
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -96,14 +96,21 @@
     Duration sinceLastOrder{};
 };
 
+/// What a node reaches. What fails all nodes counts as reached.
+struct NodeReach {
+    bool services = true; ///< Of each service, it reaches some upstream.
+    bool engines = true; ///< It reaches at least half of the engines.
+
+    friend bool operator==(const NodeReach &, const NodeReach &) = default;
+};
+
 /// One node's report to all others. Each part may be empty.
 struct NodeReport {
     NodeAddress from; ///< Full in digests; only node and startedAt otherwise.
     std::uint64_t sequence = 0; ///< Increases with each report of a process, as reports may arrive out of order.
     bool takesCallers = true; ///< False before the first configuration and during a graceful stop.
     bool reachesStore = true; ///< True if the store answered the node's last call for the upstreams' records.
-    bool reachesServices = true; ///< False if it is cut off from all upstreams of some service.
-    bool reachesEngines = true; ///< False if it is cut off from most engines.
+    NodeReach reach;
     std::vector<unsigned> ordering; ///< Shards whose engines the node may send orders to.
     std::vector<ReleaseNotice> released; ///< Shards whose lease it has released recently.
     std::map<std::string, unsigned> inFlight; ///< Number of its in-flight requests, by upstream instance.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -594,9 +594,25 @@
         m_context.hasPeers = m_members.hasLivePeers(now);
         m_context.reach.retain([this](const std::string &instance) { return m_context.upstreams.find(instance); }, now);
         m_context.applyReach(now);
+        const auto reach = reachOf(m_context.upstreams, engineServices());
+        m_members.setOwnReach(reach);
+        if (std::exchange(m_reach, reach) != reach)
+            broadcast(report());
         shareReach(now);
     }
 
+    std::set<std::string> engineServices() const
+    {
+        std::set<std::string> services;
+        if (!m_context.routes)
+            return services;
+        for (const auto &service : m_context.routes->policy().services) {
+            if (service.engine)
+                services.insert(service.name);
+        }
+        return services;
+    }
+
     /// Applies the settings that a running process can change. Logs problems, and whether other changes need a restart.
     void reloadSettings(const Parsed<GatewaySettings> &read)
     {
@@ -792,6 +808,7 @@
         report.sequence = ++m_sequence;
         report.takesCallers = isReady();
         report.reachesStore = m_reachesStore;
+        report.reach = m_reach;
         for (unsigned shard = 0; shard < orderShards; ++shard) {
             if (m_orders[shard]->isOrdering())
                 report.ordering.push_back(shard);
@@ -1212,6 +1229,7 @@
     ShardSizes m_shardSizes{}; ///< 0 for shards without a holder.
     /// True if the store answered the last call for the upstreams' records, the most frequent one.
     bool m_reachesStore = true;
+    NodeReach m_reach;
     std::uint64_t m_ticks = 0;
     Instant m_started = BootClock{}.now();
     Instant m_lastTick{};
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -79,6 +79,7 @@
     member.sequence = report.sequence;
     member.takesCallers = report.takesCallers;
     member.reachesStore = report.reachesStore;
+    member.reach = report.reach;
     return true;
 }
 
@@ -241,18 +242,20 @@
 std::vector<Http::Endpoint> MemberTable::entryPoints(const std::string &region, const std::string &failureDomain,
                                                      bool selfTakesCallers, Instant now) const
 {
-    std::vector<NodeAddress> candidates;
+    std::vector<std::pair<const NodeAddress *, bool>> candidates; // The latter: reaches all services.
     if (selfTakesCallers)
-        candidates.push_back(m_self);
+        candidates.emplace_back(&m_self, m_ownReach.services);
     for (const auto &[node, member] : m_members) {
         if (member.takesCallers && isLive(member, now))
-            candidates.push_back(member.address);
+            candidates.emplace_back(&member.address, member.reach.services);
     }
+    if (std::ranges::any_of(candidates, [](const auto &candidate) { return candidate.second; }))
+        std::erase_if(candidates, [](const auto &candidate) { return !candidate.second; });
     const auto endpointsWhere = [&](auto &&condition) {
         std::vector<Http::Endpoint> endpoints;
-        for (const auto &address : candidates) {
-            if (condition(address))
-                endpoints.push_back(address.callers);
+        for (const auto &[address, reachesServices] : candidates) {
+            if (condition(*address))
+                endpoints.push_back(address->callers);
         }
         return endpoints;
     };
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -74,9 +74,15 @@
     /// Returns the address of @p node, which may be this one, or null if it is not known.
     const NodeAddress *find(const std::string &node) const;
 
+    /// Records what this node reaches, as its own reports state it.
+    void setOwnReach(const NodeReach &reach)
+    {
+        m_ownReach = reach;
+    }
+
     /// Returns the endpoints for callers of @p region and @p failureDomain: those of live nodes that accept callers,
-    /// and of this one if @p selfTakesCallers. Returns only those in the failure domain, or else only those in the
-    /// region, if there are at least three.
+    /// and of this one if @p selfTakesCallers. Leaves out nodes that do not reach all services, unless none does.
+    /// Returns only those in the failure domain, or else only those in the region, if there are at least three.
     std::vector<Http::Endpoint> entryPoints(const std::string &region, const std::string &failureDomain,
                                             bool selfTakesCallers, Instant now) const;
 
@@ -101,6 +107,7 @@
         bool listed = false;
         bool takesCallers = false;
         bool reachesStore = true;
+        NodeReach reach;
         std::uint64_t sequence = 0; ///< Sequence of the process's newest report; 0 if there is none.
         Instant lastReportAt{};
     };
@@ -115,6 +122,7 @@
     bool isLive(const Member &member, Instant now) const;
 
     NodeAddress m_self;
+    NodeReach m_ownReach;
     std::map<std::string, Member> m_members;
 };
 
--- a/src/gateway/reachreport.cpp
+++ b/src/gateway/reachreport.cpp
@@ -1,8 +1,29 @@
 #include "gateway/reachreport.h"
 
+#include <algorithm>
+#include <map>
+
 namespace Gypsumtally::Gateway
 {
 
+NodeReach reachOf(const UpstreamTable &table, const std::set<std::string> &engineServices)
+{
+    std::map<std::string, bool> isReached;
+    std::size_t engines = 0;
+    std::size_t cutEngines = 0;
+    for (const auto &[instance, upstream] : table.all()) {
+        if (!upstream.staysInService())
+            continue;
+        const auto &service = upstream.record.service;
+        isReached[service] = isReached[service] || !upstream.isCutOff;
+        if (!engineServices.contains(service))
+            continue;
+        ++engines;
+        cutEngines += upstream.isCutOff ? 1 : 0;
+    }
+    return {std::ranges::all_of(isReached, [](const auto &item) { return item.second; }), 2 * cutEngines <= engines};
+}
+
 bool addReachNews(NodeReport &report, Reachability &reach, Instant now)
 {
     report.failedReach = reach.takeFailures(now);
--- a/src/gateway/reachreport.h
+++ b/src/gateway/reachreport.h
@@ -9,6 +9,9 @@
 namespace Gypsumtally::Gateway
 {
 
+/// Returns what a node reaches of the upstreams in @p table; those of @p engineServices are engines. Thread-safe.
+NodeReach reachOf(const UpstreamTable &table, const std::set<std::string> &engineServices);
+
 /// Moves what other nodes must know now from @p reach to @p report. Returns false if there is nothing.
 bool addReachNews(NodeReport &report, Reachability &reach, Instant now);
 
--- a/tests/gateway/callreachtest.cpp
+++ b/tests/gateway/callreachtest.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <string>
@@ -321,6 +322,39 @@
     }
 }
 
+namespace
+{
+
+struct SummaryCase {
+    const char *name;
+    std::vector<std::string> cutOff;
+    NodeReach reach;
+};
+
+const SummaryCase summaries[] = {
+    {"nothing", {}, {true, true}},
+    {"one worker", {"w0"}, {true, true}},
+    {"all workers", {"w0", "w1"}, {false, true}},
+    {"half of the engines", {"e0", "e1"}, {true, true}},
+    {"most engines", {"e0", "e1", "e2"}, {true, false}},
+    {"all engines", {"e0", "e1", "e2", "e3"}, {false, false}},
+};
+
+} // namespace
+
+TABLE_TEST(CallReach, summarisesWhatANodeReaches, summaries)
+{
+    UpstreamTable table;
+    for (const auto *instance : {"e0", "e1", "e2", "e3", "w0", "w1"}) {
+        UpstreamRecord record;
+        record.instance = instance;
+        record.service = instance[0] == 'e' ? "model" : "plain";
+        table.onRecord(record, BootClock{}.now());
+        table.find(instance)->isCutOff = std::ranges::find(row.cutOff, std::string(instance)) != row.cutOff.end();
+    }
+    cr_assert(reachOf(table, {"model"}) == row.reach, "%s", row.name);
+}
+
 /// A node that no upstream accepted connections from tried again at once, nine times within 10 ms.
 Test(CallReach, boundsSendsOfARequestThatIsNotAccepted)
 {
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -32,8 +32,7 @@
     report.departures = {{"e4", 1234567890124}};
     report.turnedAway = {{{"e5", 1234567890125}, std::chrono::milliseconds{1500}}};
     report.limits = {{{"e7", 5}, 2.2, std::chrono::milliseconds{30}, 4}, {{"e8", 6}, {}, std::chrono::seconds{2}}};
-    report.reachesServices = false;
-    report.reachesEngines = false;
+    report.reach = {false, false};
     report.failedReach = {{{"e9", 7}, true}, {{"e10", 8}, false}};
     report.contacts = {{{"e11", 9}, std::chrono::milliseconds{12}}};
     report.cutOff = {{"e12", 10}};
@@ -110,8 +109,7 @@
     cr_assert_eq(report.turnedAway.size(), 1U);
     cr_assert_eq(report.turnedAway.front().process.instance, std::string("e5"));
     cr_assert(report.turnedAway.front().time == std::chrono::milliseconds{1500});
-    cr_assert_not(report.reachesServices);
-    cr_assert_not(report.reachesEngines);
+    cr_assert(report.reach == sent.reach);
     cr_assert(report.failedReach == sent.failedReach);
     cr_assert(report.contacts == sent.contacts);
     cr_assert(report.hasCutOff);
--- a/tests/gateway/membertabletest.cpp
+++ b/tests/gateway/membertabletest.cpp
@@ -70,6 +70,38 @@
     cr_assert_eq(points.size(), row.entries);
 }
 
+namespace
+{
+
+struct CutEntryCase {
+    const char *domain;
+    std::string cutNodes; ///< Nodes that do not reach all services; 1 is this one.
+    std::string entries;
+};
+
+const CutEntryCase cutEntries[] = {
+    {"a", "", "123"},   {"a", "1", "2345"}, {"a", "2", "1345"}, {"a", "45", "123"},
+    {"a", "123", "45"}, {"b", "45", "123"}, {"a", "2345", "1"}, {"a", "12345", "123"},
+};
+
+} // namespace
+
+/// Nodes that reached no upstream were offered to callers like the others.
+TABLE_TEST(MemberTable, leavesOutNodesThatDoNotReachAllServices, cutEntries)
+{
+    auto table = fiveNodes();
+    for (const auto *node : {"n2", "n3", "n4", "n5"}) {
+        auto report = reportFrom(address(node, node[1] < '4' ? "a" : "b"), true, 2);
+        report.reach.services = row.cutNodes.find(node[1]) == std::string::npos;
+        table.onReport(report, start);
+    }
+    table.setOwnReach({row.cutNodes.find('1') == std::string::npos, true});
+    std::string entries;
+    for (const auto &endpoint : table.entryPoints("r-" + std::string(row.domain), row.domain, true, start))
+        entries += endpoint.address.back();
+    cr_assert_eq(entries, row.entries, "%s cut: %s", row.cutNodes.c_str(), entries.c_str());
+}
+
 Test(MemberTable, ignoresEarlierProcess)
 {
     auto table = fiveNodes();
