A holder of load orders that is cut off from most engines gives the lease up

A node whose own evidence shows it cut off from more than half of a shard's engines does not acquire the shard's lease; a holder gives it up after one second, by the path of a graceful stop, so that the successor waits from the last order on and there are never two. Briefer cuts cost no handover. The delay of acquisition ranks only nodes that reach most engines, and the last holder has its head start only if it does.

--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -198,8 +198,8 @@
     /// the minimum delay; the next ones follow if it does not.
     static constexpr Duration acquireDelayPerRank = std::chrono::milliseconds{250};
     static constexpr Duration minAcquireDelay = std::chrono::milliseconds{50};
-    /// Further delay of the other nodes while the last holder of a shard's lease reaches the store and may acquire it
-    /// again.
+    /// Further delay of the other nodes while the last holder of a shard's lease reaches the store and most engines and
+    /// may acquire it again.
     static constexpr Duration lastHolderHeadStart = std::chrono::milliseconds{800};
     /// Time after which a node that has stopped reporting that it orders a shard no longer counts as its holder.
     static constexpr Duration orderingTimeout = std::chrono::milliseconds{1500};
@@ -748,6 +748,7 @@
             auto &orders = *m_orders[shard];
             const bool wasOrdering = orders.isOrdering();
             orders.setShardSizes(m_shardSizes);
+            orders.setReachesEngines(reachesShard(shard));
             orders.setAcquireDelay(acquireDelay(shard, now));
             orders.tick(now);
             if (orders.isOrdering() && !wasOrdering)
@@ -755,12 +756,21 @@
         }
     }
 
+    /// Returns true if this node reaches at least half of the engines of @p shard.
+    bool reachesShard(unsigned shard) const
+    {
+        return reachOf(m_context.upstreams, engineServices(),
+                       [shard](const std::string &instance) { return shardOf(instance) == shard; })
+            .engines;
+    }
+
     /// Returns the time that this node waits before it acquires the vacant lease of @p shard. The last holder is
     /// preferred, as it need not wait for the end of another node's orders.
     Duration acquireDelay(unsigned shard, Instant now) const
     {
-        const auto byRank = acquireDelayPerRank * m_members.rankOfSelf(orderKeys(shard).holder, now) + minAcquireDelay;
-        const bool mayReturn = m_members.reachesStore(m_orders[shard]->lastHolder(), now);
+        const auto byRank
+            = acquireDelayPerRank * m_members.orderRankOfSelf(orderKeys(shard).holder, now) + minAcquireDelay;
+        const bool mayReturn = m_members.canOrder(m_orders[shard]->lastHolder(), now);
         return mayReturn ? byRank + lastHolderHeadStart : byRank;
     }
 
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -115,6 +115,21 @@
     }));
 }
 
+unsigned MemberTable::orderRankOfSelf(const std::string &key, Instant now) const
+{
+    const auto hash = XXH3_64bits(key.data(), key.size());
+    const auto own = rankOf(m_self, hash);
+    return static_cast<unsigned>(std::ranges::count_if(m_members, [&](const auto &item) {
+        return isLive(item.second, now) && item.second.reach.engines && rankOf(item.second.address, hash) > own;
+    }));
+}
+
+bool MemberTable::canOrder(const std::string &node, Instant now) const
+{
+    const auto it = m_members.find(node);
+    return it != m_members.end() && it->second.reach.engines && reachesStore(node, now);
+}
+
 bool MemberTable::isMember(const Member &member, Instant now) const
 {
     return member.listed || now - member.lastReportAt < unlistedTimeout;
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -90,6 +90,13 @@
     /// hashing of @p key among equals.
     unsigned rankOfSelf(const std::string &key, Instant now) const;
 
+    /// Returns rankOfSelf() among the nodes that reach most engines.
+    unsigned orderRankOfSelf(const std::string &key, Instant now) const;
+
+    /// Returns true if @p node is another node, live, and reached the store and most engines according to its last
+    /// report.
+    bool canOrder(const std::string &node, Instant now) const;
+
     /// Returns true if @p node is another node and live.
     bool isLive(const std::string &node, Instant now) const;
 
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -89,6 +89,13 @@
         m_shardSizes = sizes;
     }
 
+    /// Sets whether this node reaches at least half of the shard's engines. Otherwise it does not acquire the lease,
+    /// and gives it up after a while.
+    void setReachesEngines(bool reachesEngines)
+    {
+        m_reachesEngines = reachesEngines;
+    }
+
     /// Sets the storeFactor() of an earlier holder, which the placer starts with when this node acquires the lease.
     void restoreStoreFactor(double factor)
     {
@@ -225,6 +232,10 @@
         m_client.sweep(now);
         if (m_held && !m_lease.isHeld(now))
             loseLease("it was not renewed in time");
+        if (m_reachesEngines)
+            m_reachedAt = now;
+        else if (m_held && now - m_reachedAt >= maxCutTime)
+            release("this node is cut off from most engines of the shard");
         if (m_held) {
             if (now - m_renewSent >= m_lease.settings().renewalValidity / renewalsPerValidity)
                 renew(now);
@@ -234,7 +245,7 @@
                 recordSettled();
             expireRequesters(now);
             plan();
-        } else if (!m_stopping) {
+        } else if (!m_stopping && m_reachesEngines) {
             acquire(now);
         }
     }
@@ -243,15 +254,16 @@
     void stop()
     {
         m_stopping = true;
-        if (!m_held)
-            return;
-        loseLease("the node is stopping");
-        m_store.endLease(m_leaseId);
+        if (m_held)
+            release("the node is stopping");
     }
 
 private:
     /// Delay until a new node has received messages from other nodes.
     static constexpr Duration initialAcquireDelay = std::chrono::milliseconds{900};
+    /// Time for which a holder that is cut off from most engines keeps the lease. A successor has to wait for longer
+    /// from the last order on, so that brief cuts cost no more than they last.
+    static constexpr Duration maxCutTime = std::chrono::seconds{1};
     static constexpr Duration acquireInterval = std::chrono::milliseconds{400};
     /// More than 18 round trips of 16 ms between regions. An engine gets no other order while one is in flight.
     static constexpr Duration orderTimeout = std::chrono::milliseconds{300};
@@ -263,6 +275,12 @@
     static constexpr Duration requesterTtl = std::chrono::seconds{2}; ///< Equals how long requests wait for a load.
     static constexpr unsigned orderUnsentTimeoutMs = 1000;
 
+    void release(const std::string &reason)
+    {
+        loseLease(reason);
+        m_store.endLease(m_leaseId);
+    }
+
     void acquire(Instant now)
     {
         const bool isOwn = m_holder && m_holder->node == m_self.node;
@@ -646,6 +664,8 @@
     bool m_held = false;
     bool m_planning = false;
     bool m_stopping = false;
+    bool m_reachesEngines = true;
+    Instant m_reachedAt{}; ///< Last time at which it was true.
 };
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/reachreport.cpp
+++ b/src/gateway/reachreport.cpp
@@ -6,7 +6,8 @@
 namespace Gypsumtally::Gateway
 {
 
-NodeReach reachOf(const UpstreamTable &table, const std::set<std::string> &engineServices)
+NodeReach reachOf(const UpstreamTable &table, const std::set<std::string> &engineServices,
+                  const std::function<bool(const std::string &instance)> &counts)
 {
     std::map<std::string, bool> isReached;
     std::size_t engines = 0;
@@ -16,7 +17,7 @@
             continue;
         const auto &service = upstream.record.service;
         isReached[service] = isReached[service] || !upstream.isCutOff;
-        if (!engineServices.contains(service))
+        if (!engineServices.contains(service) || (counts && !counts(instance)))
             continue;
         ++engines;
         cutEngines += upstream.isCutOff ? 1 : 0;
--- a/src/gateway/reachreport.h
+++ b/src/gateway/reachreport.h
@@ -3,14 +3,17 @@
 #include "gateway/gatewaymessage.h"
 #include "gateway/reachability.h"
 
+#include <functional>
 #include <set>
 #include <string>
 
 namespace Gypsumtally::Gateway
 {
 
-/// Returns what a node reaches of the upstreams in @p table; those of @p engineServices are engines. Thread-safe.
-NodeReach reachOf(const UpstreamTable &table, const std::set<std::string> &engineServices);
+/// Returns what a node reaches of the upstreams in @p table; those of @p engineServices are engines. Counts only
+/// engines for which @p counts returns true, if it is set. Thread-safe.
+NodeReach reachOf(const UpstreamTable &table, const std::set<std::string> &engineServices,
+                  const std::function<bool(const std::string &instance)> &counts = {});
 
 /// Moves what other nodes must know now from @p reach to @p report. Returns false if there is nothing.
 bool addReachNews(NodeReport &report, Reachability &reach, Instant now);
