--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -592,15 +592,22 @@
     void tickReach(Instant now)
     {
         m_context.hasPeers = m_members.hasLivePeers(now);
-        m_context.reach.retain([this](const std::string &instance) { return m_context.upstreams.find(instance); }, now);
         m_context.applyReach(now);
-        const auto reach = reachOf(m_context.upstreams, engineServices());
+        const auto reach = ownReach();
         m_members.setOwnReach(reach);
         if (std::exchange(m_reach, reach) != reach)
             broadcast(report());
         shareReach(now);
     }
 
+    /// Returns what this node reaches. Counts only engines for which @p counts returns true, if it is set.
+    NodeReach ownReach(const std::function<bool(const std::string &instance)> &counts = {}) const
+    {
+        if (m_context.reach.cutOff().empty())
+            return {};
+        return reachOf(m_context.upstreams, engineServices(), counts);
+    }
+
     std::set<std::string> engineServices() const
     {
         std::set<std::string> services;
@@ -727,6 +734,8 @@
         m_callers.sweep(now);
         if (++m_ticks % 10 == 0) {
             logMemberChanges(now);
+            m_context.reach.retain(
+                [this](const std::string &instance) { return m_context.upstreams.find(instance) != nullptr; }, now);
             m_readiness.sweep(now);
             m_metricsServer.sweep(now);
             m_entries.sweep(now);
@@ -759,9 +768,7 @@
     /// Returns true if this node reaches at least half of the engines of @p shard.
     bool reachesShard(unsigned shard) const
     {
-        return reachOf(m_context.upstreams, engineServices(),
-                       [shard](const std::string &instance) { return shardOf(instance) == shard; })
-            .engines;
+        return ownReach([shard](const std::string &instance) { return shardOf(instance) == shard; }).engines;
     }
 
     /// Returns the time that this node waits before it acquires the vacant lease of @p shard. The last holder is
