--- a/src/cli/requesttimeline.cpp
+++ b/src/cli/requesttimeline.cpp
@@ -14,13 +14,15 @@
 constexpr std::int64_t lookbackMs = 10000;
 
 /// Events that change a node's view of the fleet or report its health.
-constexpr std::array<std::string_view, 14> contextEvents{"started",           "stopping",
+constexpr std::array<std::string_view, 17> contextEvents{"started",           "stopping",
                                                          "stopped",           "store_lost",
                                                          "store_back",        "upstream_gone",
                                                          "upstream_leaving",  "upstream_found",
                                                          "order_lease_taken", "order_lease_lost",
                                                          "loop_late",         "version_declared",
-                                                         "order_failed",      "configuration_in_force"};
+                                                         "order_failed",      "configuration_in_force",
+                                                         "reach_lost",        "reach_found",
+                                                         "crash_refuted"};
 
 } // namespace
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -678,6 +678,7 @@
         m_metrics.set(Metric::CallsInFlight, static_cast<double>(m_forwarder.activeCalls()));
         if (m_context.routes)
             m_metrics.set(Metric::ConfigurationVersion, static_cast<double>(m_context.routes->policy().version));
+        m_metrics.set(Metric::UnreachedUpstreams, static_cast<double>(m_context.reach.cutOff().size()));
         m_metrics.set(Metric::ViewAgeSeconds, age(m_context.upstreams.lastRecordAt()), {{"view", "upstreams"}});
         m_metrics.set(Metric::ViewAgeSeconds, age(m_lastPeerMessage), {{"view", "peers"}});
         for (const auto &service : m_context.allowance.services())
--- a/src/report/metrics.cpp
+++ b/src/report/metrics.cpp
@@ -32,7 +32,7 @@
     const char *help;
 };
 
-constexpr std::array<Description, 22> descriptions{{
+constexpr std::array<Description, 23> descriptions{{
     {Metric::Requests, Kind::Counter, "gypsumtally_requests_total", "Requests that have ended."},
     {Metric::RequestSeconds, Kind::Histogram, "gypsumtally_request_seconds", "Time from arrival to the whole answer."},
     {Metric::FirstTokenSeconds, Kind::Histogram, "gypsumtally_first_token_seconds",
@@ -58,6 +58,8 @@
     {Metric::RetriesLeft, Kind::Gauge, "gypsumtally_retries_left", "Sends beyond the first that are left now."},
     {Metric::UpstreamStatements, Kind::Counter, "gypsumtally_upstream_statements_total",
      "What upstreams have said of themselves in answers."},
+    {Metric::UnreachedUpstreams, Kind::Gauge, "gypsumtally_unreached_upstreams",
+     "Upstreams that this node does not reach while others do."},
     {Metric::LimitedSends, Kind::Counter, "gypsumtally_limited_sends_total",
      "Requests sent to upstreams that state a request limit."},
 }};
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -34,6 +34,7 @@
     ViewAgeSeconds, ///< Label: view.
     RetriesLeft, ///< Label: service.
     UpstreamStatements, ///< States that upstreams reported in answers. Label: statement.
+    UnreachedUpstreams, ///< That the node is cut off from.
     LimitedSends, ///< Requests to upstreams that limit their requests. Label: kind.
 };
 
