--- a/src/cli/lossreport.cpp
+++ b/src/cli/lossreport.cpp
@@ -57,8 +57,8 @@
 {
     for (std::string line; std::getline(log, line);) {
         const auto event = readLogLine(line);
-        if (!event)
-            continue;
+        if (!event || !fieldOf(*event, "relayed_from").empty())
+            continue; // A relayed call, which the node that the caller chose logs as well.
         if (event->event == "answered" && fieldOf(*event, "late") == "yes")
             count(*event, LossKind::Late, causeOfLateAnswer(*event));
         else if (event->event == "request_refused")
--- a/src/cli/requesttimeline.cpp
+++ b/src/cli/requesttimeline.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <sstream>
 
 namespace Gypsumtally
 {
@@ -24,6 +25,14 @@
                                                          "reach_lost",        "reach_found",
                                                          "crash_refuted"};
 
+/// Adds the names in @p list, which commas separate.
+void addNames(std::set<std::string> &names, const std::string &list)
+{
+    std::istringstream text(list);
+    for (std::string name; std::getline(text, name, ',');)
+        names.insert(name);
+}
+
 } // namespace
 
 RequestTimeline::RequestTimeline(std::string request)
@@ -60,6 +69,7 @@
         nodes.insert(event.node);
         upstreams.insert(fieldOf(event, "upstream"));
         targets.insert(fieldOf(event, "target"));
+        addNames(upstreams, fieldOf(event, "cut_off"));
     }
     upstreams.erase(std::string{});
     targets.erase(std::string{});
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -5,6 +5,7 @@
 #include "gateway/enginechoice.h"
 #include "gateway/gatewaymessage.h"
 #include "gateway/reachability.h"
+#include "gateway/relaychoice.h"
 #include "gateway/retryallowance.h"
 #include "gateway/streamversions.h"
 #include "gateway/trafficpolicy.h"
@@ -53,11 +54,16 @@
     /// Fraction of upstreams' request limits that this node and those in contact with it may use.
     double limitShare = 1;
     std::size_t maxBufferedAnswerBytes = 64 * 1024 * 1024; ///< Limit on the buffered bytes of all incomplete answers.
+    std::size_t maxRelayedCalls = 200; ///< Limit on the calls of other nodes in progress here.
     /// True if some node orders loads, or if this node has started too recently to have received reports of one.
     bool loadOrdersAvailable = false;
     /// Start of the outage of load orders. It is assumed to last for as long again, as the lengths of outages differ by
     /// orders of magnitude.
     Instant loadOutageSince{};
+    /// Returns the peers that calls may be passed to.
+    std::function<std::vector<RelayPeer>()> relayPeers;
+    /// Returns true if peer @p node is live; it may be about to stop.
+    std::function<bool(const std::string &node)> isPeerLive;
     /// Requests a load of @p target from a lease holder. @p attempt counts the request's earlier ones; copies at the
     /// engines in @p unfit cannot serve it.
     std::function<void(const std::string &service, const ModelTarget &target, const std::vector<std::string> &unfit,
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -2,6 +2,7 @@
 
 #include "common/verdict.h"
 #include "gateway/callcontext.h"
+#include "gateway/callrelay.h"
 #include "gateway/dialect.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/gatewaylog.h"
@@ -41,6 +42,7 @@
         , m_metrics(metrics)
         , m_client(loop)
         , m_monitor(m_client, context)
+        , m_relay(m_client, context)
     {
     }
 
@@ -53,6 +55,26 @@
         start(call);
     }
 
+    /// Accepts a call that another node passes on and begins to route it. Refuses it, so that the other node tries the
+    /// next one, unless @p takesCalls.
+    void acceptRelayed(const std::shared_ptr<Relay::CallerExchange> &exchange, bool takesCalls)
+    {
+        auto relayed = readRelayedCall(exchange->request().headers);
+        if (!relayed)
+            return exchange->respond({400, {{"Content-Type", "text/plain"}}, "not a relayed call\n"});
+        auto call = std::make_shared<Call>();
+        call->exchange = exchange;
+        call->arrival = exchange->arrival() - relayed->timeSpent;
+        call->sends = relayed->sends;
+        call->runs = relayed->runs;
+        call->relayed = std::move(relayed);
+        if (!takesCalls || !canRoute())
+            return refuseRelayed(call, ErrorCode::Stopping, "this node takes no calls");
+        if (m_relayedCalls >= m_context.maxRelayedCalls)
+            return refuseRelayed(call, ErrorCode::Overloaded, "this node has too many calls of other nodes");
+        start(call);
+    }
+
     /// Enforces deadlines and moves calls off unresponsive upstreams. To be called several times a second.
     void sweep(Instant now)
     {
@@ -115,9 +137,7 @@
             const auto *verdict = m_context.crashes.verdictOn(call->causes);
             if (!verdict)
                 continue;
-            m_client.cancel(call->token);
-            release(call);
-            call->verdict = Verdict::MayHaveRun;
+            cancelSend(call);
             giveUp(call, ErrorCode::Quarantined, reasonOf(*verdict));
         }
     }
@@ -197,6 +217,13 @@
     /// Time by which another upstream must serve a call earlier for the call to give up its reserved time.
     static constexpr Duration minGainForChange = std::chrono::milliseconds{50};
     static constexpr Duration minRetryAfter = std::chrono::seconds{1}; ///< Shortest Retry-After, if callers accept it.
+    /// Limit on the peers that one call is passed to in turn because each refuses it unstarted or is not connected.
+    static constexpr std::size_t maxFailedPeers = 4;
+    /// Silence after which a relayed stream is moved off its peer, in those after which the peer moves it.
+    static constexpr int peerSilenceFactor = 2;
+    static constexpr Duration evidencePollInterval = std::chrono::milliseconds{20}; ///< Of the other nodes.
+    static constexpr std::size_t maxLoggedUpstreams = 16; ///< In one line.
+    static constexpr double maxRetryAfterSeconds = 3600; ///< A peer states no longer time.
 
     struct Call {
         std::shared_ptr<Relay::CallerExchange> exchange;
@@ -224,8 +251,16 @@
         Instant notBefore{}; ///< Earliest time of the next attempt to send the call.
         bool jittered = false; ///< The jitter that separates this node's choice from those of others was applied.
         std::optional<UpstreamChoice> reservation; ///< Engine and time for which the prompt was announced.
+        Instant brokenAt{}; ///< Last time that a connection to an upstream failed or broke.
+        std::optional<RelayedCall> relayed; ///< Set if another node has passed the call to this one.
+        bool mayTryAnother = false; ///< A refusal of the relayed call is due to this node's state.
+        bool tookRepeat = false; ///< The current send is a repeat that this node's allowance has paid for.
+        std::vector<std::string> failedPeers; ///< Peers that have failed the call.
+        std::optional<Duration> peerRetryAfter; ///< That a peer's refusal stated.
         // State of the current send.
-        std::string instance;
+        std::string instance; ///< Empty if the call was passed to a peer.
+        std::string peer; ///< The peer that the call was passed to; empty if it was sent to an upstream.
+        RelayedAnswer peerAnswer; ///< From the head of the peer's answer.
         Relay::UpstreamClient::Token token = 0; ///< 0 if nothing is being sent.
         std::int64_t processStartedAt = 0; ///< Start time of the upstream process.
         std::string softwareAtSend; ///< Software version of the upstream.
@@ -290,23 +325,39 @@
         call->service
             = chooseService(*route, call->request.resumedId.empty() ? call->request.id : call->request.resumedId);
         const auto timeout = std::min(call->request.timeout.value_or(route->timeout), route->timeout);
-        call->deadline = call->arrival + timeout;
+        call->deadline = call->relayed ? call->exchange->arrival() + call->relayed->timeLeft : call->arrival + timeout;
         call->lastEvent = call->request.resumeAfter;
         call->streamId = streamIdOf(call->lastEvent ? call->request.resumedId : call->request.id);
         if (call->lastEvent)
             m_context.streams.onTakenUp(call->service, call->arrival);
         call->causes = causesOf(*call);
         m_calls.insert(call);
-        m_context.allowance.onRequest(call->service, call->arrival);
+        if (call->relayed)
+            takeOver(*call);
+        else
+            m_context.allowance.onRequest(call->service, call->arrival);
         if (!call->request.target.empty()) {
             auto &use = m_context.uses[call->request.target];
             use.service = call->service;
             ++use.inFlight;
-            ++use.started;
+            use.started += call->relayed ? 0 : 1; // The node that the caller chose counts the request.
         }
         proceed(call);
     }
 
+    /// Continues a relayed call where the other node has left it.
+    void takeOver(Call &call)
+    {
+        ++m_relayedCalls;
+        if (call.relayed->lastEvent)
+            call.lastEvent = call.relayed->lastEvent;
+        call.streamVersion = call.relayed->streamVersion;
+        m_log.decision(GatewayEvent::RelayedCallReceived, call.request.id,
+                       {{"from", call.relayed->origin},
+                        {"after_ms", std::to_string(call.relayed->timeSpent.count() / 1000)},
+                        {"runs", std::to_string(call.relayed->runs)}});
+    }
+
     static std::vector<CrashCause> causesOf(const Call &call)
     {
         const auto &raw = call.exchange->request();
@@ -342,8 +393,11 @@
         if (call->done || call->token != 0)
             return;
         const auto now = BootClock{}.now();
-        if (now < call->notBefore)
+        if (now < call->notBefore && !awaitsCutOffUpstream(*call)) {
+            if (call->unconnected > 0 && !m_context.reach.cutOff().empty())
+                relayAroundCut(call, choose(*call, now), now);
             return;
+        }
         if (const auto *verdict = m_context.crashes.verdictOn(call->causes))
             return giveUp(call, ErrorCode::Quarantined, reasonOf(*verdict));
         if (m_context.crashes.isUndecided(call->causes, now))
@@ -371,6 +425,10 @@
             call->excluded.clear();
             choice = choose(*call, now);
         }
+        if (relayAroundCut(call, choice, now))
+            return;
+        if (!choice && awaitsEvidence(*call, now))
+            return waitFor(call, WaitCause::Reach, evidencePollInterval, now);
         if (!choice)
             return waitForLoad(call, now);
         if (choice->sendAt > now) {
@@ -404,6 +462,103 @@
         send(call, *choice, now);
     }
 
+    /// Returns true if the call waits for its turn at an upstream that this node is cut off from.
+    bool awaitsCutOffUpstream(const Call &call) const
+    {
+        return call.reservation && isCutOff(call.reservation->instance);
+    }
+
+    /// Returns true if it is not known yet whether the upstreams that have failed the call have failed all nodes, or
+    /// this node is cut off from them.
+    bool awaitsEvidence(const Call &call, Instant now) const
+    {
+        return !call.relayed && call.brokenAt != Instant{} && now - call.brokenAt < Reachability::evidenceTime && m_context.relayPeers
+               && !m_context.relayPeers().empty();
+    }
+
+    /// Passes the call to a peer if an upstream that this node is cut off from can serve it, and earlier than @p direct
+    /// can. Refuses it if only such upstreams are left and no peer takes it. Returns true if it has done either.
+    bool relayAroundCut(const CallPtr &call, const std::optional<UpstreamChoice> &direct, Instant now)
+    {
+        if (m_context.reach.cutOff().empty() || (direct && !direct->isSuspect && direct->sendAt <= now))
+            return false;
+        const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
+        const bool isIsolated = m_relay.isIsolated(call->service, version);
+        if (call->relayed) {
+            if (isIsolated) {
+                call->mayTryAnother = true;
+                giveUp(call, ErrorCode::NoUpstream, "this node is cut off from the upstreams of the service");
+            }
+            return isIsolated;
+        }
+        if (!isIsolated && !isServedEarlierBehindCut(*call, direct, now))
+            return false;
+        if (relay(call, isIsolated, now))
+            return true;
+        if (isIsolated)
+            giveUp(call, ErrorCode::NoUpstream,
+                   "this node is cut off from the upstreams of the service, and no peer takes the call",
+                   call->peerRetryAfter);
+        return isIsolated;
+    }
+
+    /// Returns true if an upstream that this node is cut off from could serve the call earlier than @p direct.
+    bool isServedEarlierBehindCut(const Call &call, const std::optional<UpstreamChoice> &direct, Instant now)
+    {
+        const auto other = choose(call, now, {}, true);
+        return other && (!direct || direct->isSuspect || other->sendAt + minGainForChange < direct->sendAt);
+    }
+
+    /// Passes the call to a peer that reaches an upstream that can serve it; with @p mayLoad, also to one that reaches
+    /// only upstreams that do not hold its target yet. Returns false if there is no such peer.
+    bool relay(const CallPtr &call, bool mayLoad, Instant now)
+    {
+        if (call->failedPeers.size() >= maxFailedPeers)
+            return false;
+        const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
+        auto upstreams = m_relay.upstreamsBehindCut(call->service, call->request.target, version, now);
+        auto peer = m_relay.choose(call->request.id, upstreams, call->failedPeers, now);
+        if (!peer && mayLoad) {
+            upstreams = m_relay.upstreamsBehindCut(call->service, {}, version, now);
+            peer = m_relay.choose(call->request.id, upstreams, call->failedPeers, now);
+        }
+        if (!peer)
+            return false;
+        stopWaiting(call);
+        withdrawReservation(*call, now);
+        m_log.decision(GatewayEvent::CallRelayed, call->request.id,
+                       {{"peer", peer->node},
+                        {"cut_off", joined(upstreams)},
+                        {"after_ms", std::to_string((now - call->arrival).count() / 1000)},
+                        {"runs", std::to_string(call->runs)}});
+        sendToPeer(call, *peer, now);
+        return true;
+    }
+
+    static std::string joined(const std::vector<std::string> &names)
+    {
+        std::string text;
+        for (std::size_t i = 0; i < std::min(names.size(), maxLoggedUpstreams); ++i)
+            text.append(i == 0 ? "" : ",").append(names[i]);
+        return text;
+    }
+
+    void sendToPeer(const CallPtr &call, const RelayPeer &peer, Instant now)
+    {
+        beginSend(call, now);
+        call->instance.clear();
+        call->peer = peer.node;
+        call->peerAnswer = {};
+        call->processStartedAt = 0;
+        call->softwareAtSend.clear();
+        // If this node has none left, the peer's allowance pays.
+        const bool isPaid = call->sends > 0 && takeRepeat(*call, now);
+        const RelayedCall state{m_context.node,  call->deadline - now, now - call->arrival,
+                                call->sends,     call->runs,           isPaid,
+                                call->answering, call->lastEvent,      call->streamVersion};
+        call->token = m_relay.send(peer, call->exchange->request(), state, observerOf(call), call->route.mayRepeat());
+    }
+
     /// Finds out at which software version the stream of the call, which another answer began, may go on. Returns false
     /// if that is not known yet, or if the call has been refused because it cannot be known.
     bool findStreamVersion(const CallPtr &call, Instant now)
@@ -475,9 +630,9 @@
     static Instant latestSend(const Call &call)
     {
         const auto time = call.deadline - call.arrival;
-        const auto patience = call.route.callerPatience > Duration{} && !call.answering
-                                  ? std::min(time, call.route.callerPatience)
-                                  : time;
+        const bool hasHead = call.answering || (call.relayed && call.relayed->isAnswering);
+        const auto patience
+            = call.route.callerPatience > Duration{} && !hasHead ? std::min(time, call.route.callerPatience) : time;
         return call.arrival
                + std::chrono::duration_cast<Duration>(
                    std::min(maxQueueTimeFraction * time, maxPatienceFraction * patience));
@@ -546,13 +701,24 @@
 
     /// Chooses an upstream other than those that the call has excluded and @p alsoExcluded.
     std::optional<UpstreamChoice> choose(const Call &call, Instant now, const std::string &alsoExcluded = {})
+    {
+        auto excluded = call.excluded;
+        if (!alsoExcluded.empty())
+            excluded.push_back(alsoExcluded);
+        return choose(call, now, std::move(excluded), false);
+    }
+
+    /// Chooses an upstream other than those in @p excluded: with @p isBehindCut one that this node is cut off from,
+    /// otherwise one that it reaches.
+    std::optional<UpstreamChoice> choose(const Call &call, Instant now, std::vector<std::string> excluded,
+                                         bool isBehindCut)
     {
         UpstreamDemand demand{call.service,
                               call.request.target,
                               0,
                               m_context.failureDomain,
                               &m_context.regions,
-                              call.excluded,
+                              std::move(excluded),
                               call.request.promptTokens,
                               paceOf(call, now),
                               m_context.speeds[call.service].speed(),
@@ -560,11 +726,10 @@
                               m_context.limitShare,
                               call.streamVersion ? &*call.streamVersion : nullptr,
                               {},
-                              std::max(latestSend(call), now)};
+                              std::max(latestSend(call), now),
+                              isBehindCut};
         if (call.route.kind == RequestKind::Streaming && !call.streamVersion)
             demand.heldVersions = m_context.streams.heldVersions(call.service, now);
-        if (!alsoExcluded.empty())
-            demand.excluded.push_back(alsoExcluded);
         if (call.request.target.empty())
             return chooseUpstream(m_context.upstreams, demand, now);
         // Prefers the newest version as soon as it is declared; an older one serves until the new one is loaded.
@@ -652,6 +817,9 @@
         call.loadRequestedAt = now;
         auto unfit = saturatedEngines(m_context.upstreams, call.request.target, now);
         unfit.insert(unfit.end(), call.excluded.begin(), call.excluded.end());
+        // A copy behind a cut would have been used through a peer.
+        const auto &cutOff = m_context.reach.cutOff();
+        unfit.insert(unfit.end(), cutOff.begin(), cutOff.end());
         if (call.streamVersion) {
             const auto others = upstreamsOfOtherSoftware(m_context.upstreams, call.service, *call.streamVersion);
             unfit.insert(unfit.end(), others.begin(), others.end());
@@ -753,18 +921,19 @@
 
     void send(const CallPtr &call, const UpstreamChoice &choice, Instant now)
     {
-        if (call->sends > 0 && !m_context.allowance.tryTake(call->service, now))
+        if (call->sends > 0 && !isPaid(*call) && !takeRepeat(*call, now)) {
+            if (awaitsEvidence(*call, now))
+                return waitFor(call, WaitCause::Reach, evidencePollInterval, now);
+            call->mayTryAnother = true;
             return giveUp(call, ErrorCode::UpstreamFailed, "the budget for sending again is used up");
+        }
         auto *upstream = m_context.upstreams.find(choice.instance);
         if (call->sends > 0)
             m_metrics.add(Metric::Retries, {{"reason", call->runs > 0 ? "may-have-run" : "not-run"}});
         ++call->sends;
+        beginSend(call, now);
         call->instance = choice.instance;
-        call->sentAt = now;
-        call->lastProgress = now;
-        call->reply = {};
-        takeBody(*call);
-        call->events = std::make_unique<EventSplitter>();
+        call->peer.clear();
         SendInstructions instructions{choice.instance, call->deadline - now, {}, {}, {}};
         if (!call->request.target.empty()) {
             instructions.priority = std::min(9U, call->route.priority);
@@ -774,9 +943,6 @@
         }
         if (call->lastEvent)
             instructions.resumeAfter = call->lastEvent;
-        call->eventReceived = false;
-        call->isAcquitted = false;
-        call->pauses = {};
         call->processStartedAt = upstream->record.startedAt;
         call->softwareAtSend = upstream->record.softwareVersion;
         if (call->lastEvent)
@@ -805,6 +971,46 @@
         options.connectTimeout = std::chrono::milliseconds{call->request.target.empty() ? 150 : 300};
         if (!call->route.mayRepeat())
             options.maxIdleAge = std::chrono::seconds{2};
+        auto request = Dialect::writeRequest(call->exchange->request(), instructions);
+        if (call->relayed)
+            request.headers = withoutRelayHeaders(std::move(request.headers));
+        call->token = m_client.send({upstream->record.endpoint, choice.instance}, request, observerOf(call), options);
+    }
+
+    /// Returns true if the next send of a relayed call is a repeat that the other node's allowance has paid for.
+    static bool isPaid(const Call &call)
+    {
+        return call.relayed && call.relayed->isPaid && call.sends == call.relayed->sends;
+    }
+
+    bool takeRepeat(Call &call, Instant now)
+    {
+        call.tookRepeat = m_context.allowance.tryTake(call.service, now);
+        return call.tookRepeat;
+    }
+
+    /// Gives back the repeat that was taken for the current send, which was not made.
+    void giveBackRepeat(Call &call)
+    {
+        if (std::exchange(call.tookRepeat, false))
+            m_context.allowance.giveBack(call.service);
+    }
+
+    /// Resets the state of the last send.
+    void beginSend(const CallPtr &call, Instant now)
+    {
+        call->sentAt = now;
+        call->lastProgress = now;
+        call->reply = {};
+        takeBody(*call);
+        call->events = std::make_unique<EventSplitter>();
+        call->eventReceived = false;
+        call->isAcquitted = false;
+        call->pauses = {};
+    }
+
+    Relay::ExchangeObserver observerOf(const CallPtr &call)
+    {
         const std::weak_ptr<Call> weak = call;
         const auto forward = [weak](auto &&handler) {
             return [weak, handler](auto &&...arguments) {
@@ -819,15 +1025,15 @@
         observer.onEnd = forward([this](const CallPtr &current) { onEnd(current); });
         observer.onFailure = forward(
             [this](const CallPtr &current, const Relay::FailedExchange &failure) { onFailure(current, failure); });
-        call->token = m_client.send({upstream->record.endpoint, choice.instance},
-                                    Dialect::writeRequest(call->exchange->request(), instructions), std::move(observer),
-                                    options);
+        return observer;
     }
 
     /// Marks the current send as ended and removes it from the upstream's requests in flight.
     void release(const CallPtr &call)
     {
         call->token = 0;
+        if (!call->peer.empty())
+            return m_relay.onEnded(call->peer);
         auto *upstream = m_context.upstreams.find(call->instance);
         if (!upstream || upstream->record.startedAt != call->processStartedAt || upstream->ownInFlight == 0)
             return;
@@ -837,12 +1043,24 @@
             m_context.onCapacityFreed(call->instance);
     }
 
+    /// Ends the current send, if there is one, as the call has ended for another reason.
+    void cancelSend(const CallPtr &call)
+    {
+        if (call->token == 0)
+            return;
+        m_client.cancel(call->token);
+        release(call);
+        call->verdict = Verdict::MayHaveRun;
+        if (!call->peer.empty())
+            countRelayed("out", Verdict::MayHaveRun);
+    }
+
     void noteProgress(const CallPtr &call, Instant now)
     {
         call->lastProgress = now;
         if (auto *upstream = m_context.upstreams.find(call->instance))
             upstream->waitingSince = now;
-        if (!call->reply.wrongInstance)
+        if (call->peer.empty() && !call->reply.wrongInstance)
             m_context.recordContact(processOf(*call), now, call->sentAt);
     }
 
@@ -864,6 +1082,8 @@
 
     void onHead(const CallPtr &call, const Relay::ResponseHead &head)
     {
+        if (!call->peer.empty())
+            return onPeerHead(call, head);
         call->reply = Dialect::readReply(head);
         noteProgress(call, BootClock{}.now());
         const bool success = call->reply.status / 100 == 2;
@@ -877,6 +1097,21 @@
             dropSend(call, "the answer is not one to this request");
     }
 
+    void onPeerHead(const CallPtr &call, const Relay::ResponseHead &head)
+    {
+        noteProgress(call, BootClock{}.now());
+        auto answer = readRelayedAnswer(head.headers);
+        if (!answer)
+            return dropSend(call, "the answer is not one to a relayed call");
+        call->peerAnswer = std::move(*answer);
+        call->softwareAtSend = call->peerAnswer.streamVersion;
+        call->reply.status = head.status;
+        call->reply.headers = callerHeadersOf(head.headers);
+        const bool hasOtherVersion = call->streamVersion && *call->streamVersion != call->softwareAtSend;
+        if (isStream(*call) && hasOtherVersion)
+            dropSend(call, "the stream goes on at another software version");
+    }
+
     /// Cancels the current send and treats it as broken.
     void dropSend(const CallPtr &call, const std::string &reason)
     {
@@ -901,7 +1136,8 @@
             call->firstEventAt = now;
             if (!call->answering) {
                 call->firstEvent = now - call->arrival;
-                m_metrics.observe(Metric::FirstTokenSeconds, labelsOf(*call), call->firstEvent, now);
+                if (!call->relayed)
+                    m_metrics.observe(Metric::FirstTokenSeconds, labelsOf(*call), call->firstEvent, now);
                 learnPromptSpeed(*call, now);
             }
         } else {
@@ -918,7 +1154,8 @@
                 call->streamVersion = call->softwareAtSend;
                 m_context.streams.onBegun(originOf(*call), now);
             }
-            call->exchange->begin(call->reply.status, call->reply.headers, std::nullopt);
+            call->exchange->begin(call->reply.status, answerHeaders(*call, Verdict::MayHaveRun, call->reply.headers),
+                                  std::nullopt);
             if (call->done)
                 return; // The head could not be sent, as the caller is gone.
         }
@@ -936,14 +1173,14 @@
     /// Records that the causes of the current send have not crashed its upstream.
     void acquit(Call &call, Instant now)
     {
-        if (!std::exchange(call.isAcquitted, true))
+        if (call.peer.empty() && !std::exchange(call.isAcquitted, true))
             m_context.recordSuccess(call.causes, call.sentAt, now);
     }
 
     void notePause(Call &call, Duration pause, Instant now)
     {
         call.longestPause = std::max(call.longestPause, pause);
-        if (call.route.longestPause > Duration{} && call.slownessAtSend < slowEngineThreshold)
+        if (call.route.longestPause > Duration{} && call.peer.empty() && call.slownessAtSend < slowEngineThreshold)
             m_context.paceMargins[call.service].onPause(pause, call.route.longestPause, now);
     }
 
@@ -1015,6 +1252,8 @@
     void onEnd(const CallPtr &call)
     {
         release(call);
+        if (!call->peer.empty() && !onPeerEnd(call))
+            return;
         if (call->reply.notRun)
             return onNotRun(call);
         if (call->reply.status / 100 != 2)
@@ -1026,30 +1265,123 @@
             acquit(*call, BootClock{}.now());
             m_context.streams.forget(call->streamId);
             call->verdict = Verdict::Ran;
-            noteStreamTime(*call, BootClock{}.now());
+            if (call->peer.empty())
+                noteStreamTime(*call, BootClock{}.now());
             logAnswered(*call);
             call->exchange->end();
             return finish(call);
         }
         noteResult(call, false);
         acquit(*call, BootClock{}.now());
-        if (call->request.target.empty())
+        if (call->request.target.empty() && call->peer.empty())
             noteAnswerTime(*call, BootClock{}.now());
         forwardAnswer(call);
     }
 
+    /// Handles the end of a peer's answer. Returns true if it is that of an upstream, which the caller gets.
+    bool onPeerEnd(const CallPtr &call)
+    {
+        const auto &answer = call->peerAnswer;
+        call->sends += answer.sends;
+        if (answer.sends == 0)
+            giveBackRepeat(*call);
+        const auto verdict = isStream(*call) ? Verdict::Ran : answer.verdict;
+        countRelayed("out", verdict);
+        if (verdict == Verdict::Ran) {
+            if (!isStream(*call))
+                forwardAnswer(call);
+            return isStream(*call);
+        }
+        call->runs += answer.runs;
+        call->failedPeers.push_back(call->peer);
+        if (verdict == Verdict::NotRun) {
+            onPeerRefusal(call);
+        } else {
+            noteMayHaveRun(call, "the upstream of the peer failed", 0);
+            onBrokenByPeer(call);
+        }
+        return false;
+    }
+
+    /// Handles a peer's statement that it has not run the call.
+    void onPeerRefusal(const CallPtr &call)
+    {
+        m_log.decision(GatewayEvent::NotRunByUpstream, call->request.id,
+                       {{"peer", call->peer}, {"status", std::to_string(call->reply.status)}});
+        call->peerRetryAfter = retryAfterOf(call->reply.headers);
+        if (call->peerAnswer.mayTryAnother)
+            return retry(call);
+        const auto status = call->reply.status;
+        auto reason = takeBody(*call);
+        while (reason.ends_with('\n'))
+            reason.pop_back();
+        if (call->answering)
+            return abortAnswer(call, reason);
+        if (call->verdict != Verdict::NotRun)
+            return refuse(call, 502, ErrorCode::UpstreamFailed, reason, {});
+        refuse(call, status, status == 429 ? ErrorCode::Overloaded : ErrorCode::NoUpstream, reason,
+               call->peerRetryAfter);
+    }
+
+    void onBrokenByPeer(const CallPtr &call)
+    {
+        const auto status = call->reply.status;
+        if (mayRunAgain(*call))
+            return retry(call);
+        if (call->answering)
+            return abortAnswer(call, "the upstream of the peer failed");
+        refuse(call, status == 504 ? 504 : 502, status == 504 ? ErrorCode::DeadlineExceeded : ErrorCode::UpstreamLost,
+               "the upstream of the peer failed", {});
+    }
+
+    static std::optional<Duration> retryAfterOf(const Http::Headers &headers)
+    {
+        const std::string text(headers.get("Retry-After"));
+        char *end = nullptr;
+        const double seconds = std::strtod(text.c_str(), &end);
+        if (text.empty() || *end != '\0' || !(seconds >= 0 && seconds < maxRetryAfterSeconds))
+            return std::nullopt;
+        return Duration{static_cast<std::int64_t>(seconds * 1e6)};
+    }
+
+    void countRelayed(const char *direction, Verdict verdict)
+    {
+        m_metrics.add(Metric::RelayedCalls, {{"direction", direction}, {"verdict", std::string(nameOf(verdict))}});
+    }
+
+    /// Handles the end of the connection to a peer, or its failure.
+    void onPeerFailure(const CallPtr &call, const Relay::FailedExchange &failure)
+    {
+        call->failedPeers.push_back(call->peer);
+        const bool isNotRun = failure.kind == Relay::ExchangeFailure::NotConnected || !failure.sent;
+        countRelayed("out", isNotRun ? Verdict::NotRun : Verdict::MayHaveRun);
+        if (isNotRun) {
+            giveBackRepeat(*call);
+            m_log.decision(GatewayEvent::SendFailed, call->request.id,
+                           {{"peer", call->peer}, {"reason", failure.reason}, {"verdict", "not-run"}});
+            return retry(call);
+        }
+        call->sends += std::max(1U, call->peerAnswer.sends);
+        call->runs += call->peerAnswer.runs;
+        onBroken(call, failure.reason);
+    }
+
     void onFailure(const CallPtr &call, const Relay::FailedExchange &failure)
     {
         release(call);
+        if (!call->peer.empty())
+            return onPeerFailure(call, failure);
         const auto now = BootClock{}.now();
-        if (failure.kind != Relay::ExchangeFailure::Malformed)
+        if (failure.kind != Relay::ExchangeFailure::Malformed) {
+            call->brokenAt = now;
             m_context.recordFailure(processOf(*call),
                                     failure.kind == Relay::ExchangeFailure::NotConnected ? ReachFailure::NotConnected
                                                                                          : ReachFailure::Broken,
                                     now);
+        }
         if (failure.kind == Relay::ExchangeFailure::NotConnected || !failure.sent) {
-            if (--call->sends > 0)
-                m_context.allowance.giveBack(call->service);
+            --call->sends;
+            giveBackRepeat(*call);
             m_monitor.avoid(call->instance, now);
             if (failure.isRefused)
                 m_monitor.onCrashed(call->instance, now);
@@ -1146,13 +1478,14 @@
     }
 
     /// Records that the current send has failed after its upstream may have run the request.
-    void noteMayHaveRun(const CallPtr &call, const std::string &reason)
+    void noteMayHaveRun(const CallPtr &call, const std::string &reason, unsigned runs = 1)
     {
         noteResult(call, true);
-        ++call->runs;
+        call->runs += runs;
         call->verdict = Verdict::MayHaveRun;
-        m_log.decision(GatewayEvent::SendFailed, call->request.id,
-                       {{"upstream", call->instance}, {"reason", reason}, {"verdict", "may-have-run"}});
+        m_log.decision(
+            GatewayEvent::SendFailed, call->request.id,
+            {{"upstream", call->instance}, {"peer", call->peer}, {"reason", reason}, {"verdict", "may-have-run"}});
     }
 
     void onBroken(const CallPtr &call, const std::string &reason)
@@ -1177,7 +1510,7 @@
     {
         if (BootClock{}.now() >= call->deadline)
             return giveUp(call, ErrorCode::DeadlineExceeded, "the time is over");
-        if (call->runs > 0)
+        if (call->runs > 0 && call->peer.empty())
             call->excluded.push_back(call->instance);
         proceed(call);
     }
@@ -1191,9 +1524,11 @@
             return;
         const auto ms = [](Duration duration) { return std::to_string(duration.count() / 1000); };
         std::vector<LogField> fields{{"route", call.route.name},
+                                     {"relayed_from", originNodeOf(call)},
                                      {"late", isLate ? "yes" : "no"},
                                      {"target", call.request.target},
                                      {"upstream", call.instance},
+                                     {"peer", call.peer},
                                      {"software", call.softwareAtSend},
                                      {"sent_after_ms", ms(call.sentAt - call.arrival)},
                                      {"first_event_ms", ms(call.firstEvent)},
@@ -1212,6 +1547,12 @@
             m_log.decision(GatewayEvent::Answered, call.request.id, std::move(fields));
     }
 
+    /// Returns the node that has passed the call to this one, or an empty string.
+    static std::string originNodeOf(const Call &call)
+    {
+        return call.relayed ? call.relayed->origin : std::string{};
+    }
+
     static void addWaits(const Call &call, std::vector<LogField> &fields)
     {
         for (const auto &[cause, name] : enumNames<WaitCause>) {
@@ -1224,15 +1565,33 @@
     void forwardAnswer(const CallPtr &call)
     {
         call->verdict = Verdict::Ran;
-        call->exchange->respond({call->reply.status, call->reply.headers, takeBody(*call)});
+        call->exchange->respond(
+            {call->reply.status, answerHeaders(*call, Verdict::Ran, call->reply.headers), takeBody(*call)});
         finish(call);
     }
 
+    /// Returns the headers of an answer to the call: @p headers, and its state if another node has passed it on.
+    static Http::Headers answerHeaders(const Call &call, Verdict verdict, const Http::Headers &headers)
+    {
+        if (!call.relayed)
+            return headers;
+        return writeRelayedAnswer(headers, {verdict, call.sends - call.relayed->sends, call.runs - call.relayed->runs,
+                                            call.softwareAtSend, call.mayTryAnother});
+    }
+
+    /// Refuses a call that another node has passed on, before it is decoded.
+    void refuseRelayed(const CallPtr &call, ErrorCode code, const std::string &reason)
+    {
+        call->mayTryAnother = true;
+        refuse(call, 503, code, reason, {});
+    }
+
     void abortAnswer(const CallPtr &call, const std::string &reason)
     {
         call->code = nameOf(ErrorCode::UpstreamLost);
         m_log.decision(GatewayEvent::BrokenOff, call->request.id,
                        {{"upstream", call->instance},
+                        {"relayed_from", originNodeOf(*call)},
                         {"software", call->softwareAtSend},
                         {"reason", reason},
                         {"events", std::to_string(call->lastEvent.value_or(0))}});
@@ -1279,6 +1638,7 @@
                                      {"code", std::string(nameOf(code))},
                                      {"reason", reason},
                                      {"route", call->route.name},
+                                     {"relayed_from", originNodeOf(*call)},
                                      {"target", call->request.target},
                                      {"upstream", call->instance},
                                      {"sends", std::to_string(call->sends)},
@@ -1292,7 +1652,7 @@
             std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(*retryAfter).count());
             headers.add("Retry-After", text.data());
         }
-        call->exchange->respond({status, headers, reason + '\n'});
+        call->exchange->respond({status, answerHeaders(*call, call->verdict, headers), reason + '\n'});
         finish(call);
     }
 
@@ -1302,11 +1662,7 @@
             return;
         call->code = "caller_gone";
         noteStreamBroken(*call);
-        if (call->token != 0) {
-            m_client.cancel(call->token);
-            release(call);
-            call->verdict = Verdict::MayHaveRun;
-        }
+        cancelSend(call);
         finish(call);
     }
 
@@ -1319,12 +1675,11 @@
         takeBody(*call);
         const auto now = BootClock{}.now();
         withdrawReservation(*call, now);
-        auto labels = labelsOf(*call);
-        m_metrics.observe(Metric::RequestSeconds, labels, now - call->arrival, now);
-        labels["verdict"] = std::string(nameOf(call->verdict));
-        labels["code"] = std::string(call->code);
-        m_metrics.add(Metric::Requests, labels);
-        if (m_calls.erase(call) > 0 && !call->request.target.empty()) {
+        countEnded(*call, now);
+        const bool wasRouted = m_calls.erase(call) > 0;
+        if (wasRouted && call->relayed)
+            --m_relayedCalls;
+        if (wasRouted && !call->request.target.empty()) {
             auto &use = m_context.uses[call->request.target];
             if (use.inFlight > 0)
                 --use.inFlight;
@@ -1332,23 +1687,33 @@
         call->exchange.reset();
     }
 
+    /// Counts the end of the call. The node that the caller chose counts it as a request.
+    void countEnded(const Call &call, Instant now)
+    {
+        if (call.relayed)
+            return countRelayed("in", call.verdict);
+        auto labels = labelsOf(call);
+        m_metrics.observe(Metric::RequestSeconds, labels, now - call.arrival, now);
+        labels["verdict"] = std::string(nameOf(call.verdict));
+        labels["code"] = std::string(call.code);
+        m_metrics.add(Metric::Requests, labels);
+    }
+
     void sweepCall(const CallPtr &call, Instant now)
     {
         if (call->done)
             return;
         if (now > call->deadline + deadlineMargin) {
-            if (call->token != 0) {
-                m_client.cancel(call->token);
-                release(call);
-                call->verdict = Verdict::MayHaveRun;
-            }
+            cancelSend(call);
             return giveUp(call, ErrorCode::DeadlineExceeded, "the time is over");
         }
         if (call->waiting)
             return proceed(call);
         if (call->token == 0)
             return;
-        if (isQuiet(*call, longestSilence(*call) / 2, now))
+        if (!call->peer.empty() && m_context.isPeerLive && !m_context.isPeerLive(call->peer))
+            return dropSend(call, "the peer is not live");
+        if (call->peer.empty() && isQuiet(*call, longestSilence(*call) / 2, now))
             m_context.recordFailure(processOf(*call), ReachFailure::Silent, now);
         if (isSilent(*call, now))
             moveFromSilentUpstream(call, now);
@@ -1366,6 +1731,8 @@
     {
         if (!mayRunAgain(call) || call.runs + 1 >= call.route.attempts)
             return false;
+        if (!call.peer.empty())
+            return call.eventReceived && now - call.lastProgress > peerSilenceFactor * longestSilence(call);
         const auto it = m_context.upstreams.all().find(call.instance);
         if (it == m_context.upstreams.all().end())
             return now - call.lastProgress > defaultSilence;
@@ -1390,15 +1757,51 @@
         if (!m_context.allowance.hasRoom(call->service, now))
             return;
         const auto other = choose(*call, now, call->instance);
-        if (!other || other->isFull || other->isSuspect || other->sendAt > now
-            || !isVerified(call, other->instance, now))
+        if (!other || other->isFull || other->isSuspect || other->sendAt > now)
+            return moveToPeer(call, now);
+        if (!isVerified(call, other->instance, now))
             return;
+        leaveSilent(call, now);
+        send(call, *other, now);
+    }
+
+    bool isCutOff(const std::string &instance) const
+    {
+        const auto it = m_context.upstreams.all().find(instance);
+        return it != m_context.upstreams.all().end() && it->second.isCutOff;
+    }
+
+    /// Passes the call on to a peer if this node is cut off from the upstream that has gone silent, or if the call is
+    /// at another peer, and one takes it.
+    void moveToPeer(const CallPtr &call, Instant now)
+    {
+        if (call->relayed || (call->peer.empty() && !isCutOff(call->instance)))
+            return;
+        auto tried = call->failedPeers;
+        tried.push_back(call->peer);
+        const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
+        const auto upstreams = m_relay.upstreamsBehindCut(call->service, call->request.target, version, now);
+        if (!m_relay.choose(call->request.id, upstreams, tried, now))
+            return;
+        leaveSilent(call, now);
+        relay(call, false, now);
+    }
+
+    /// Ends the current send, which has gone silent.
+    void leaveSilent(const CallPtr &call, Instant now)
+    {
         m_client.cancel(call->token);
         release(call);
+        if (!call->peer.empty()) {
+            call->failedPeers.push_back(call->peer);
+            call->sends += std::max(1U, call->peerAnswer.sends);
+            call->runs += call->peerAnswer.runs;
+            countRelayed("out", Verdict::MayHaveRun);
+            return noteMayHaveRun(call, "the peer has gone silent");
+        }
         m_monitor.avoid(call->instance, now);
         noteMayHaveRun(call, "the upstream has gone silent");
         call->excluded.push_back(call->instance);
-        send(call, *other, now);
     }
 
     void noteBroken(const Call &call, Instant now)
@@ -1419,6 +1822,8 @@
     std::unordered_set<CallPtr> m_waiting;
     std::vector<CallPtr> m_unrouted; ///< Calls that wait for the node's first configuration.
     UpstreamMonitor<Dialect> m_monitor;
+    CallRelay m_relay;
+    std::size_t m_relayedCalls = 0; ///< Routed calls of other nodes.
     std::size_t m_bufferedBytes = 0; ///< Size of the buffered parts of answers that are not complete yet.
 };
 
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -118,7 +118,9 @@
 {
     std::optional<UpstreamChoice> best;
     for (const auto &[instance, upstream] : table.all()) {
-        if (!upstream.takesRequests(now) || upstream.record.service != demand.service
+        const bool isOpen
+            = demand.isBehindCut ? upstream.isCutOff && upstream.staysInService() : upstream.takesRequests(now);
+        if (!isOpen || upstream.record.service != demand.service
             || std::ranges::find(demand.excluded, instance) != demand.excluded.end()
             || !hasUsableSoftware(upstream.record, demand))
             continue;
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -50,6 +50,7 @@
     const std::string *softwareVersion = nullptr; ///< The upstream's must be this one; null if any may serve.
     std::set<std::string> heldVersions{}; ///< Software versions that may not serve.
     Instant latestSend = Instant::max(); ///< Upstreams that limit their requests are skipped if they are free later.
+    bool isBehindCut = false; ///< Only upstreams that this node is cut off from, which serve the request of a peer.
 };
 
 /// The upstream selected for a request.
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -47,6 +47,8 @@
     NotRunByUpstream,
     BrokenOff,
     StreamResumed,
+    CallRelayed,
+    RelayedCallReceived,
     Answered,
     LoopLate,
     SpeedLearnt,
@@ -58,7 +60,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 36> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 38> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -92,6 +94,8 @@
     {Gateway::GatewayEvent::NotRunByUpstream, "not_run_by_upstream"},
     {Gateway::GatewayEvent::BrokenOff, "answer_broken_off"},
     {Gateway::GatewayEvent::StreamResumed, "stream_resumed"},
+    {Gateway::GatewayEvent::CallRelayed, "call_relayed"},
+    {Gateway::GatewayEvent::RelayedCallReceived, "relayed_call_received"},
     {Gateway::GatewayEvent::Answered, "answered"},
     {Gateway::GatewayEvent::LoopLate, "loop_late"},
     {Gateway::GatewayEvent::SpeedLearnt, "speed_learnt"},
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -91,6 +91,8 @@
                     [this](const std::vector<StreamOrigin> &streams) { return sendToRecorder(streams); })
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
         , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(exchange); })
+        , m_relayed(m_loop, relayedCallSettings({}),
+                    [this](auto exchange) { m_forwarder.acceptRelayed(exchange, isReady()); })
         , m_readiness(m_loop, {}, [this](auto exchange) { answerReadiness(*exchange); })
         , m_entries(m_loop, {}, [this](auto exchange) { answerEntries(*exchange); })
         , m_metricsServer(m_loop, {}, [this](auto exchange) { answerMetrics(*exchange); })
@@ -106,6 +108,9 @@
         m_context.maxBufferedAnswerBytes = settings.answerBufferBytes;
         m_context.allowance = RetryAllowance(retryBound(settings));
         m_context.crashes = CrashLedger(settings.node);
+        m_context.maxRelayedCalls = static_cast<std::size_t>(relayedCallsPerCapacity * settings.capacity);
+        m_context.relayPeers = [this] { return m_members.relayPeers(BootClock{}.now()); };
+        m_context.isPeerLive = [this](const std::string &node) { return m_members.isLive(node, BootClock{}.now()); };
         m_context.onStreamBroken = [this](const StreamOrigin &stream) {
             auto notice = report();
             notice.brokenStreams.push_back(stream);
@@ -167,6 +172,7 @@
     void run()
     {
         m_callers.listen(m_settings.callers);
+        m_relayed.listen(m_settings.peers);
         m_readiness.listen(m_settings.readiness);
         m_entries.listen(m_settings.entries);
         if (m_settings.metrics)
@@ -179,7 +185,7 @@
         m_log.note(GatewayEvent::Started,
                    {{"callers", Http::toString(m_settings.callers)}, {"store", Http::toString(m_settings.store)}});
         m_loop.run();
-        m_log.note(GatewayEvent::Stopped, {{"active", std::to_string(m_callers.activeRequests())}});
+        m_log.note(GatewayEvent::Stopped, {{"active", std::to_string(activeRequests())}});
     }
 
 private:
@@ -237,6 +243,8 @@
     /// restarted have used a share too, and into at least this many, as a new node has not discovered all others yet.
     static constexpr unsigned minAllowanceShares = 12;
     static constexpr double allowanceSharesPerNode = 1.3;
+    /// Limit on the calls of other nodes in progress, on a machine of capacity 1: what a quarter of a core passes on.
+    static constexpr double relayedCallsPerCapacity = 200;
     /// Time after SIGTERM in which new requests are still accepted.
     static constexpr Duration acceptTimeAfterStop = std::chrono::milliseconds{3000};
     /// Time before SIGKILL at which the process exits with requests still in flight.
@@ -288,6 +296,14 @@
         return lease;
     }
 
+    /// Returns the settings for relayed calls under those for callers: calls have more headers on the way between
+    /// nodes.
+    static Relay::CallerServerSettings relayedCallSettings(Relay::CallerServerSettings settings)
+    {
+        settings.limits.headerBytes += relayHeaderBytes;
+        return settings;
+    }
+
     static RetryBound retryBound(const GatewaySettings &settings)
     {
         return {settings.retryRatio, settings.retrySlack, settings.retryWindow, minAllowanceShares};
@@ -467,6 +483,8 @@
             server.headerTimeout = limits.headerTimeout;
             server.idleTimeout = limits.idleTimeout;
             m_callers.setSettings(server);
+            server.idleTimeout = Relay::CallerServerSettings{}.idleTimeout;
+            m_relayed.setSettings(relayedCallSettings(server));
             m_loop.post([this] { m_forwarder.onConfiguration(); });
         } else if (const auto *declared = std::get_if<VersionDeclaration>(&document)) {
             auto &known = m_context.declared[declared->target];
@@ -733,6 +751,7 @@
         m_forwarder.onVerdicts();
         m_forwarder.sweep(now);
         m_callers.sweep(now);
+        m_relayed.sweep(now);
         if (++m_ticks % 10 == 0) {
             logMemberChanges(now);
             m_context.reach.retain(
@@ -1196,22 +1215,29 @@
             return;
         m_stopping = true;
         m_stopAt = BootClock{}.now();
-        m_log.note(GatewayEvent::Stopping, {{"active", std::to_string(m_callers.activeRequests())}});
+        m_log.note(GatewayEvent::Stopping, {{"active", std::to_string(activeRequests())}});
         for (const auto &orders : m_orders)
             orders->stop();
         m_callers.announceClose();
+        m_relayed.announceClose();
         broadcast(report());
         if (m_lease != 0)
             m_store.endLease(m_lease);
     }
 
+    std::size_t activeRequests() const
+    {
+        return m_callers.activeRequests() + m_relayed.activeRequests();
+    }
+
     void continueStop(Instant now)
     {
         const auto passed = now - m_stopAt;
         if (passed < acceptTimeAfterStop)
             return;
         m_callers.stopAccepting();
-        if (m_callers.activeRequests() == 0 || passed > m_settings.stopGrace - exitMargin)
+        m_relayed.stopAccepting();
+        if (activeRequests() == 0 || passed > m_settings.stopGrace - exitMargin)
             m_loop.stop();
     }
 
@@ -1228,6 +1254,7 @@
     CallForwarder<typename Platform::Calls> m_forwarder;
     std::vector<std::unique_ptr<Orders>> m_orders; ///< Indexed by shard.
     Relay::CallerServer m_callers;
+    Relay::CallerServer m_relayed; ///< Calls that other nodes pass on.
     Relay::CallerServer m_readiness;
     Relay::CallerServer m_entries;
     Relay::CallerServer m_metricsServer;
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -254,6 +254,17 @@
     return it == m_members.end() ? nullptr : &it->second.address;
 }
 
+std::vector<RelayPeer> MemberTable::relayPeers(Instant now) const
+{
+    std::vector<RelayPeer> peers;
+    for (const auto &[node, member] : m_members) {
+        const auto &address = member.address;
+        if (member.takesCallers && isLive(member, now))
+            peers.push_back({node, address.region, address.peers, address.startedAt, address.capacity});
+    }
+    return peers;
+}
+
 std::vector<Http::Endpoint> MemberTable::entryPoints(const std::string &region, const std::string &failureDomain,
                                                      bool selfTakesCallers, Instant now) const
 {
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "gateway/gatewaymessage.h"
+#include "gateway/relaychoice.h"
 
 #include <cstdint>
 #include <map>
@@ -80,6 +81,9 @@
         m_ownReach = reach;
     }
 
+    /// Returns the other nodes that are live and accept calls.
+    std::vector<RelayPeer> relayPeers(Instant now) const;
+
     /// Returns the endpoints for callers of @p region and @p failureDomain: those of live nodes that accept callers,
     /// and of this one if @p selfTakesCallers. Leaves out nodes that do not reach all services, unless none does.
     /// Returns only those in the failure domain, or else only those in the region, if there are at least three.
--- a/src/gateway/relaycodec.cpp
+++ b/src/gateway/relaycodec.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view timeSpentHeader = "Gypsumtally-Time-Spent-Us";
 constexpr std::string_view sendsHeader = "Gypsumtally-Sends";
 constexpr std::string_view runsHeader = "Gypsumtally-Runs";
+constexpr std::string_view paidHeader = "Gypsumtally-Paid";
 constexpr std::string_view answeringHeader = "Gypsumtally-Answering";
 constexpr std::string_view lastEventHeader = "Gypsumtally-Last-Event";
 constexpr std::string_view streamVersionHeader = "Gypsumtally-Software"; ///< In hexadecimal, as it may be any text.
@@ -119,6 +120,8 @@
     relayed.headers.add(std::string(timeSpentHeader),
                         std::to_string(std::max<std::int64_t>(0, call.timeSpent.count())));
     addCounts(relayed.headers, call.sends, call.runs);
+    if (call.isPaid)
+        relayed.headers.add(std::string(paidHeader), "1");
     if (call.isAnswering)
         relayed.headers.add(std::string(answeringHeader), "1");
     if (call.lastEvent)
@@ -142,6 +145,7 @@
     call.timeSpent = Duration{*spent};
     call.sends = *sends;
     call.runs = *runs;
+    call.isPaid = headers.contains(paidHeader);
     call.isAnswering = headers.contains(answeringHeader);
     if (headers.contains(lastEventHeader)) {
         call.lastEvent
--- a/src/gateway/waittimes.h
+++ b/src/gateway/waittimes.h
@@ -21,6 +21,7 @@
     StreamVersion, ///< It is being found out at which software version the stream may go on.
     Connection, ///< The upstreams have accepted no connections.
     Verdict, ///< It is about to be decided whether a part of its prompt crashes upstreams.
+    Reach, ///< It is being found out whether this node is cut off from upstreams that have failed.
 };
 
 } // namespace Gypsumtally::Gateway
@@ -29,7 +30,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::WaitCause, 9> enumNames<Gateway::WaitCause>{{
+inline constexpr EnumTable<Gateway::WaitCause, 10> enumNames<Gateway::WaitCause>{{
     {Gateway::WaitCause::Load, "load"},
     {Gateway::WaitCause::LoadInProgress, "coming_load"},
     {Gateway::WaitCause::Room, "room"},
@@ -39,6 +40,7 @@
     {Gateway::WaitCause::StreamVersion, "stream_version"},
     {Gateway::WaitCause::Connection, "connection"},
     {Gateway::WaitCause::Verdict, "verdict"},
+    {Gateway::WaitCause::Reach, "reach"},
 }};
 
 } // namespace Gypsumtally
--- a/src/report/metrics.cpp
+++ b/src/report/metrics.cpp
@@ -32,7 +32,7 @@
     const char *help;
 };
 
-constexpr std::array<Description, 23> descriptions{{
+constexpr std::array<Description, 24> descriptions{{
     {Metric::Requests, Kind::Counter, "gypsumtally_requests_total", "Requests that have ended."},
     {Metric::RequestSeconds, Kind::Histogram, "gypsumtally_request_seconds", "Time from arrival to the whole answer."},
     {Metric::FirstTokenSeconds, Kind::Histogram, "gypsumtally_first_token_seconds",
@@ -62,6 +62,7 @@
      "Upstreams that this node does not reach while others do."},
     {Metric::LimitedSends, Kind::Counter, "gypsumtally_limited_sends_total",
      "Requests sent to upstreams that state a request limit."},
+    {Metric::RelayedCalls, Kind::Counter, "gypsumtally_relayed_calls_total", "Calls passed between nodes."},
 }};
 
 const prometheus::Histogram::BucketBoundaries secondsBuckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -36,6 +36,7 @@
     UpstreamStatements, ///< States that upstreams reported in answers. Label: statement.
     UnreachedUpstreams, ///< That the node is cut off from.
     LimitedSends, ///< Requests to upstreams that limit their requests. Label: kind.
+    RelayedCalls, ///< Calls passed between nodes. Labels: direction, verdict.
 };
 
 /// The names and values of the labels of one time series.
--- a/tests/cli/lossreporttest.cpp
+++ b/tests/cli/lossreporttest.cpp
@@ -28,6 +28,7 @@
     {R"({"time_ms":8000,"event":"answer_broken_off","request":"a","reason":"reset"})",
      {{8000, "", LossKind::Failed, "reset", 1}}},
     {R"({"time_ms":8000,"event":"upstream_gone","upstream":"e"})", {}},
+    {R"({"time_ms":8000,"event":"request_refused","request":"a","route":"r","relayed_from":"n1","reason":"full"})", {}},
     {"no log line", {}},
 };
 
--- a/tests/cli/requesttimelinetest.cpp
+++ b/tests/cli/requesttimelinetest.cpp
@@ -23,6 +23,10 @@
 {"time_ms":3210,"level":"info","node":"n2","event":"request_refused","request":"r3","status":"504","reason":"the time is over","target":"m/b","upstream":"e3"}
 {"time_ms":3300,"level":"info","node":"n1","event":"order_failed","request":"m/c","upstream":"e3","status":"409"}
 {"time_ms":3400,"level":"info","node":"n1","event":"request_refused","request":"r4","status":"503","reason":"the adapter was not loaded in time","target":"m/c","upstream":""}
+{"time_ms":3450,"level":"info","node":"n1","event":"reach_lost","upstream":"e4","evidence":"peer_contact"}
+{"time_ms":3460,"level":"info","node":"n1","event":"reach_lost","upstream":"e5","evidence":"peer_contact"}
+{"time_ms":3500,"level":"info","node":"n1","event":"call_relayed","request":"r5","peer":"n2","cut_off":"e3,e4"}
+{"time_ms":3510,"level":"info","node":"n2","event":"relayed_call_received","request":"r5","from":"n1"}
 {"time_ms":99000,"level":"info","node":"n1","event":"upstream_gone","upstream":"e1"}
 )";
 
@@ -37,6 +41,8 @@
     {"r2", "upstream_gone", "loop_late"},
     {"r3", "loop_late", "upstream_gone"},
     {"r4", "order_failed", "loop_late"},
+    {"r5", "relayed_call_received", "order_failed"},
+    {"r5", "reach_lost", "order_failed"},
 };
 
 bool containsEvent(const std::vector<LoggedEvent> &events, const std::string &name)
--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -43,25 +44,34 @@
         , m_log(m_logging)
         , m_forwarder(loop, context, m_log, m_metrics)
         , m_entry(loop, {}, [this](const Exchange &exchange) { m_forwarder.accept(exchange); })
+        , m_relayed(loop, {}, [this](const Exchange &exchange) {
+            ++received;
+            m_forwarder.acceptRelayed(exchange, takesCalls);
+        })
     {
         context.node = name;
         context.routes = routes;
+        context.hasPeers = true;
         context.allowance = RetryAllowance({1, 100, std::chrono::seconds{10}, 1});
         for (auto record : upstreams) {
             links.push_back(std::make_unique<CuttableLink>(loop.context(), record.endpoint));
             record.endpoint = links.back()->endpoint();
             context.upstreams.onRecord(record, BootClock{}.now());
+            context.recordProcess(record, BootClock{}.now());
         }
         context.onLoadRequested
             = [](const std::string &, const ModelTarget &, const std::vector<std::string> &, unsigned) {};
         context.onSend = [](const SendNotice &) {};
         entry = {"127.0.0.1", m_entry.listen({"127.0.0.1", 0}), false};
+        const Http::Endpoint relayed{"127.0.0.1", m_relayed.listen({"127.0.0.1", 0}), false};
+        link = std::make_unique<CuttableLink>(loop.context(), relayed);
     }
 
     void sweep(Instant now)
     {
         m_forwarder.sweep(now);
         m_entry.sweep(now);
+        m_relayed.sweep(now);
     }
 
     /// Cuts the node off from all upstreams, or ends the cut.
@@ -74,6 +84,11 @@
     CallContext context;
     std::vector<std::unique_ptr<CuttableLink>> links; ///< To the upstreams, in their order.
     Http::Endpoint entry;
+    std::unique_ptr<CuttableLink> link; ///< From all other nodes, for their calls.
+    unsigned received = 0; ///< Calls of other nodes.
+    bool takesCalls = true; ///< Not about to stop.
+    bool isListed = true; ///< The others know that it takes calls.
+    bool isLive = true;
 
 private:
     Logging m_logging;
@@ -81,6 +96,7 @@
     Metrics m_metrics;
     CallForwarder<PlainDialect> m_forwarder;
     Relay::CallerServer m_entry;
+    Relay::CallerServer m_relayed;
 };
 
 /// Several nodes and scripted upstreams on one event loop over the loopback interface.
@@ -92,7 +108,8 @@
     {
         TrafficPolicy policy;
         policy.routes = {route("/safe/", RequestKind::Idempotent), route("/once/", RequestKind::NonIdempotent),
-                         route("/stream/", RequestKind::Streaming)};
+                         route("/stream/", RequestKind::Streaming), route("/paced/", RequestKind::Streaming)};
+        policy.routes.back().longestPause = std::chrono::milliseconds{300};
         policy.services = {{"s", EngineProfile{}}};
         const auto routes = std::make_shared<RouteTable>(policy);
         std::vector<UpstreamRecord> records;
@@ -109,13 +126,17 @@
         }
         for (std::size_t i = 0; i < nodeCount; ++i)
             nodes.push_back(std::make_unique<RelayNode>(m_loop, "n" + std::to_string(i), records, routes));
+        for (const auto &node : nodes) {
+            node->context.relayPeers = [this, self = node.get()] { return peersOf(*self); };
+            node->context.isPeerLive = [this](const std::string &name) { return find(name).isLive; };
+        }
         tick();
     }
 
     /// Sends a request to node @p node.
     std::shared_ptr<CallerAnswer> ask(std::size_t node, const std::string &path, const ModelTarget &target = {})
     {
-        const auto answer = std::make_shared<CallerAnswer>();
+        auto answer = std::make_shared<CallerAnswer>();
         const auto asked = BootClock{}.now();
         const auto finish = [answer, asked] {
             answer->elapsed = BootClock{}.now() - asked;
@@ -154,19 +175,69 @@
             run(std::chrono::milliseconds{10});
     }
 
-    /// Tells all nodes that both upstreams hold @p target.
-    void hold(const ModelTarget &target)
+    /// Tells all nodes that @p holder, or both upstreams if it is null, hold @p target.
+    void hold(const ModelTarget &target, const char *holder = nullptr)
     {
         const auto now = BootClock{}.now();
         for (const auto &node : nodes) {
-            for (std::size_t i = 0; i < upstreamCount; ++i)
-                node->context.upstreams.find("u" + std::to_string(i))
-                    ->residency.onLoading(target, 0, now - std::chrono::seconds{1}, now);
+            for (const auto *instance : {"u0", "u1"}) {
+                if (!holder || std::string(holder) == instance)
+                    node->context.upstreams.find(instance)->residency.onLoading(target, 0,
+                                                                                now - std::chrono::seconds{1}, now);
+            }
         }
     }
 
+    /// Disconnects the caller of the last request.
+    void disconnect()
+    {
+        m_client.cancel(lastToken);
+    }
+
+    /// Sends @p request to @p endpoint and returns the head of the answer.
+    Relay::ResponseHead fetch(const Http::Endpoint &endpoint, const Http::Request &request)
+    {
+        Relay::ResponseHead head;
+        m_client.fetch({endpoint, {}}, request, [&](const Relay::WholeResponse &response) { head = response.head; },
+                       {});
+        for (int i = 0; i < 100 && head.status == 0; ++i)
+            run(std::chrono::milliseconds{10});
+        return head;
+    }
+
+    /// Returns the number of calls that nodes have received from others.
+    unsigned relayed() const
+    {
+        unsigned sum = 0;
+        for (const auto &node : nodes)
+            sum += node->received;
+        return sum;
+    }
+
+    /// Returns the node, other than the first one, that has received a call from another one.
+    RelayNode &receiver()
+    {
+        return **std::ranges::find_if(nodes, [](const auto &node) { return node->received > 0; });
+    }
+
+    /// Cuts node @p node off from all upstreams and lets it find out.
+    void cutOff(std::size_t node, LinkState state = LinkState::Reset)
+    {
+        nodes[node]->setLinks(state);
+        await(ask(node, "/safe/1"));
+        run(std::chrono::milliseconds{300});
+        for (const auto &each : nodes)
+            each->received = 0;
+        served = 0;
+    }
+
+private:
+    Http::EventLoop m_loop;
+
+public:
     std::vector<std::unique_ptr<RelayNode>> nodes;
     unsigned served = 0; ///< Requests that upstreams have received.
+    unsigned abandoned = 0; ///< Requests whose sender has left the upstream.
     Relay::UpstreamClient::Token lastToken = 0;
 
 private:
@@ -185,9 +256,15 @@
     /// Answers whole requests at once, and streams with four events.
     void serve(const Exchange &exchange)
     {
+        if (exchange->request().target == "/alive")
+            return exchange->respond({200, {}, "1"});
         ++served;
         const Http::Headers headers{{"Id", std::string(exchange->request().headers.get("Id"))}, {"Proof", "p"}};
-        if (!exchange->request().target.starts_with("/stream/"))
+        exchange->onGone([this] { ++abandoned; });
+        const auto &path = exchange->request().target;
+        if (path.ends_with("/slow"))
+            return m_loop.runAfter(slowAnswerTime, [exchange, headers] { exchange->respond({200, headers, "whole"}); });
+        if (!path.starts_with("/stream/") && !path.starts_with("/paced/"))
             return exchange->respond({200, headers, "whole"});
         exchange->begin(200, headers, std::nullopt);
         const auto resume = std::string(exchange->request().headers.get("Resume"));
@@ -202,19 +279,53 @@
         m_loop.runAfter(eventInterval, [this, exchange, next] { writeEvents(exchange, next + 1); });
     }
 
+    RelayNode &find(const std::string &name)
+    {
+        return **std::ranges::find_if(nodes, [&](const auto &node) { return node->context.node == name; });
+    }
+
+    std::vector<RelayPeer> peersOf(const RelayNode &self) const
+    {
+        std::vector<RelayPeer> peers;
+        for (const auto &node : nodes) {
+            if (node.get() != &self && node->isLive && node->isListed)
+                peers.push_back({node->context.node, {}, node->link->endpoint(), 1, 1});
+        }
+        return peers;
+    }
+
+    /// Tells each node what the others reach.
+    void exchangeReach(Instant now)
+    {
+        for (const auto &node : nodes) {
+            for (const auto &peer : nodes) {
+                if (peer == node)
+                    continue;
+                node->context.reach.onPeerCuts(peer->context.node, peer->context.reach.cuts(), now);
+                for (std::size_t i = 0; i < upstreamCount; ++i) {
+                    if (peer->links[i]->state() == LinkState::Open)
+                        node->context.reach.onPeerContact(peer->context.node, {"u" + std::to_string(i), 1}, now);
+                }
+            }
+        }
+    }
+
     void tick()
     {
         const auto now = BootClock{}.now();
-        for (const auto &node : nodes)
+        exchangeReach(now);
+        for (const auto &node : nodes) {
+            node->context.applyReach(now);
             node->sweep(now);
+        }
         m_client.sweep(now);
         m_loop.runAfter(std::chrono::milliseconds{20}, [this] { tick(); });
     }
 
     static constexpr int eventCount = 4;
     static constexpr Duration eventInterval = std::chrono::milliseconds{50};
+    static constexpr Duration slowAnswerTime = std::chrono::milliseconds{300};
 
-    Http::EventLoop m_loop;
     std::vector<std::unique_ptr<Relay::CallerServer>> m_upstreams;
     Relay::UpstreamClient m_client;
     unsigned m_asked = 0;
@@ -256,3 +367,327 @@
     cr_assert(answer->elapsed < servedInTime, "%ld ms", static_cast<long>(answer->elapsed.count() / 1000));
     cr_assert_eq(fixture.served, 1U);
 }
+
+namespace
+{
+
+/// What happens to a call after its node was cut off, or to one that is in progress.
+enum class Event {
+    Cut, ///< The node is cut off from all upstreams.
+    PeerDies, ///< The connection to the peer that has the call is reset.
+    PeerStops, ///< The peer takes no further calls.
+    PeerIsCut, ///< The peer's connections to all upstreams are reset.
+    Heal, ///< The node reaches the upstreams again.
+};
+
+struct MidCallCase {
+    const char *name;
+    Event event;
+    LinkState state; ///< In a cut.
+    const char *path;
+    unsigned status;
+    unsigned served; ///< Requests that upstreams receive.
+    unsigned relayed; ///< Calls that peers receive.
+};
+
+const MidCallCase midCalls[] = {
+    {"stream reset", Event::Cut, LinkState::Reset, "/stream/1", 200, 2, 1},
+    {"stream hangs", Event::Cut, LinkState::Hangs, "/stream/1", 200, 2, 1},
+    {"stream lives on", Event::Cut, LinkState::RefusesNew, "/stream/1", 200, 1, 0},
+    {"idempotent reset", Event::Cut, LinkState::Reset, "/safe/slow", 200, 2, 1},
+    {"once reset", Event::Cut, LinkState::Reset, "/once/slow", 502, 1, 0},
+    {"once lives on", Event::Cut, LinkState::RefusesNew, "/once/slow", 200, 1, 0},
+    {"stream at a peer that dies", Event::PeerDies, LinkState::Reset, "/stream/1", 200, 2, 2},
+    {"idempotent at a peer that dies", Event::PeerDies, LinkState::Reset, "/safe/slow", 200, 2, 2},
+    {"once at a peer that dies", Event::PeerDies, LinkState::Reset, "/once/slow", 502, 1, 1},
+    {"stream at a peer that stops", Event::PeerStops, LinkState::Reset, "/stream/1", 200, 1, 1},
+    {"once at a peer that stops", Event::PeerStops, LinkState::Reset, "/once/slow", 200, 1, 1},
+    {"stream at a peer that is cut off", Event::PeerIsCut, LinkState::Reset, "/stream/1", 200, 2, 2},
+    {"idempotent at a peer that is cut off", Event::PeerIsCut, LinkState::Reset, "/safe/slow", 200, 2, 2},
+    {"once at a peer that is cut off", Event::PeerIsCut, LinkState::Reset, "/once/slow", 502, 1, 1},
+    {"stream when the cut ends", Event::Heal, LinkState::Reset, "/stream/1", 200, 1, 1},
+    {"once when the cut ends", Event::Heal, LinkState::Reset, "/once/slow", 200, 1, 1},
+};
+
+void happen(RelayFixture &fixture, Event event, LinkState state)
+{
+    switch (event) {
+    case Event::Cut:
+        return fixture.nodes[0]->setLinks(state);
+    case Event::PeerDies:
+        fixture.receiver().isListed = false;
+        return fixture.receiver().link->set(LinkState::Reset);
+    case Event::PeerStops:
+        fixture.receiver().isListed = false;
+        fixture.receiver().takesCalls = false;
+        return;
+    case Event::PeerIsCut:
+        return fixture.receiver().setLinks(LinkState::Reset);
+    case Event::Heal:
+        return fixture.nodes[0]->setLinks(LinkState::Open);
+    }
+}
+
+} // namespace
+
+TABLE_TEST(CallRelay, callsGoOnAfterEventsInMidCall, midCalls)
+{
+    RelayFixture fixture(3);
+    if (row.event != Event::Cut)
+        fixture.cutOff(0);
+    const auto answer = fixture.ask(0, row.path);
+    fixture.run(std::chrono::milliseconds{120});
+    happen(fixture, row.event, row.state);
+    fixture.await(answer);
+    cr_assert_eq(answer->status, row.status, "%s: %u %s", row.name, answer->status, answer->body.c_str());
+    if (row.status == 200) {
+        const std::string expected = std::string(row.path).starts_with("/stream/") ? wholeStream : "whole";
+        cr_assert_eq(answer->body, expected, "%s: %s", row.name, answer->body.c_str());
+    }
+    cr_assert(answer->retryAfter.empty());
+    cr_assert_eq(fixture.served, row.served, "%s: served %u", row.name, fixture.served);
+    cr_assert_eq(fixture.relayed(), row.relayed, "%s: relayed %u", row.name, fixture.relayed());
+}
+
+Test(CallRelay, newCallsGoDirectAfterCutEnds)
+{
+    RelayFixture fixture(2);
+    fixture.cutOff(0);
+    fixture.await(fixture.ask(0, "/once/1"));
+    cr_assert_eq(fixture.relayed(), 1U);
+    fixture.nodes[0]->setLinks(LinkState::Open);
+    for (const auto *instance : {"u0", "u1"})
+        fixture.nodes[0]->context.recordContact({instance, 1}, BootClock{}.now(), BootClock{}.now());
+    const auto answer = fixture.ask(0, "/once/1");
+    fixture.await(answer);
+    cr_assert_eq(answer->status, 200U);
+    cr_assert_eq(fixture.relayed(), 1U);
+}
+
+Test(CallRelay, callerLeavesWhileCallIsAtPeer)
+{
+    RelayFixture fixture(2);
+    fixture.cutOff(0);
+    fixture.ask(0, "/stream/1");
+    fixture.run(std::chrono::milliseconds{80});
+    cr_assert_eq(fixture.served, 1U);
+    fixture.disconnect();
+    fixture.run(std::chrono::milliseconds{40});
+    cr_assert_eq(fixture.abandoned, 1U);
+}
+
+Test(CallRelay, peersThatRefuseAreFollowedByOthers)
+{
+    RelayFixture fixture(4);
+    fixture.nodes[1]->takesCalls = false; // Stops, which the others do not know yet.
+    fixture.nodes[2]->setLinks(LinkState::Reset); // Cut off, which it does not know yet.
+    fixture.cutOff(0);
+    for (int i = 0; i < 12; ++i) {
+        const auto answer = fixture.ask(0, "/once/1");
+        fixture.await(answer);
+        cr_assert_eq(answer->status, 200U, "%u %s", answer->status, answer->body.c_str());
+        cr_assert(answer->elapsed < servedInTime);
+    }
+    cr_assert_eq(fixture.served, 12U);
+}
+
+Test(CallRelay, refusesAtOnceIfAllPeersAreCutOff)
+{
+    RelayFixture fixture(4);
+    fixture.nodes[3]->isListed = false; // Reaches the upstreams, but stops.
+    for (std::size_t node = 0; node < 3; ++node)
+        fixture.cutOff(node);
+    for (const auto *path : {"/safe/1", "/once/1", "/stream/1"}) {
+        const auto answer = fixture.ask(0, path);
+        fixture.await(answer);
+        cr_assert_eq(answer->status, 503U);
+        cr_assert(!answer->retryAfter.empty());
+        cr_assert(answer->elapsed < std::chrono::milliseconds{200}, "%ld", static_cast<long>(answer->elapsed.count()));
+    }
+    cr_assert_eq(fixture.served, 0U);
+}
+
+Test(CallRelay, passesOnPeersRefusal)
+{
+    RelayFixture fixture(2);
+    fixture.cutOff(0);
+    for (const auto *instance : {"u0", "u1"})
+        fixture.nodes[1]->context.upstreams.find(instance)->backpressureUntil
+            = BootClock{}.now() + std::chrono::seconds{20};
+    const auto answer = fixture.ask(0, "/once/1");
+    fixture.await(answer);
+    cr_assert_eq(answer->status, 429U);
+    const double seconds = std::stod(answer->retryAfter);
+    cr_assert(seconds > 18 && seconds <= 20, "%s", answer->retryAfter.c_str());
+    cr_assert_eq(fixture.served, 0U);
+}
+
+Test(CallRelay, limitsCallsOfOtherNodes)
+{
+    RelayFixture fixture(3);
+    fixture.cutOff(0);
+    for (std::size_t node : {1U, 2U})
+        fixture.nodes[node]->context.maxRelayedCalls = 1;
+    std::array<std::shared_ptr<CallerAnswer>, 3> answers;
+    for (auto &answer : answers)
+        answer = fixture.ask(0, "/once/slow");
+    for (const auto &answer : answers)
+        fixture.await(answer);
+    const auto withStatus = [&](unsigned status) {
+        return std::ranges::count_if(answers, [&](const auto &answer) { return answer->status == status; });
+    };
+    cr_assert_eq(withStatus(200), 2);
+    cr_assert_eq(withStatus(503), 1);
+    const auto later = fixture.ask(0, "/once/1");
+    fixture.await(later);
+    cr_assert_eq(later->status, 200U);
+}
+
+namespace
+{
+
+Http::Request relayedRequest()
+{
+    const Http::Request request{"POST", "/once/1", {{"Host", "h"}, {"Id", "r0"}}, "question"};
+    return writeRelayedRequest(request, {"n9", std::chrono::seconds{2}, {}, 0, 0, false, false, {}, {}});
+}
+
+} // namespace
+
+Test(CallRelay, relaysNoCallTwice)
+{
+    RelayFixture fixture(3);
+    fixture.cutOff(0);
+    const auto head = fixture.fetch(fixture.nodes[0]->link->endpoint(), relayedRequest());
+    cr_assert_eq(head.status, 503U);
+    const auto answer = readRelayedAnswer(head.headers);
+    cr_assert(answer && answer->verdict == Verdict::NotRun && answer->mayTryAnother);
+    cr_assert_eq(fixture.nodes[1]->received + fixture.nodes[2]->received, 0U);
+    cr_assert_eq(fixture.served, 0U);
+}
+
+Test(CallRelay, takesOnlyRelayedCalls)
+{
+    RelayFixture fixture(2);
+    const Http::Request bare{"POST", "/once/1", {{"Host", "h"}, {"Id", "r0"}}, "question"};
+    cr_assert_eq(fixture.fetch(fixture.nodes[1]->link->endpoint(), bare).status, 400U);
+    cr_assert_eq(fixture.served, 0U);
+    cr_assert_eq(fixture.fetch(fixture.nodes[1]->link->endpoint(), relayedRequest()).status, 200U);
+    cr_assert_eq(fixture.served, 1U);
+}
+
+Test(CallRelay, ignoresRelayHeadersOfCallers)
+{
+    RelayFixture fixture(2);
+    fixture.cutOff(0);
+    cr_assert_eq(fixture.fetch(fixture.nodes[0]->entry, relayedRequest()).status, 200U);
+    cr_assert_eq(fixture.relayed(), 1U);
+}
+
+namespace
+{
+
+struct BudgetCase {
+    bool isCutBefore; ///< Otherwise the node is cut off while it streams.
+    double slack; ///< Of the node's allowance.
+    double taken; ///< Repeats that the node's allowance counts.
+    double takenByPeer; ///< Repeats that the peer's allowance counts.
+};
+
+const BudgetCase budgets[] = {{true, 100, 0, 0}, {false, 100, 1, 0}, {false, 0, 0, 1}};
+
+} // namespace
+
+TABLE_TEST(CallRelay, countsRequestAndRepeatOnce, budgets)
+{
+    RelayFixture fixture(2);
+    if (row.isCutBefore)
+        fixture.cutOff(0);
+    constexpr double perRequest = 0.01;
+    constexpr double usable = 0.9; ///< Fraction of an allowance.
+    fixture.nodes[0]->context.allowance = RetryAllowance({perRequest, row.slack, std::chrono::seconds{10}, 1});
+    fixture.nodes[1]->context.allowance = RetryAllowance({perRequest, 100, std::chrono::seconds{10}, 1});
+    const auto answer = fixture.ask(0, "/stream/1");
+    fixture.run(std::chrono::milliseconds{120});
+    fixture.nodes[0]->setLinks(LinkState::Reset);
+    for (const auto *instance : {"u0", "u1"}) // As seen by other calls.
+        fixture.nodes[0]->context.recordFailure({instance, 1}, ReachFailure::NotConnected, BootClock{}.now());
+    fixture.await(answer);
+    cr_assert_eq(answer->body, wholeStream);
+    const auto left
+        = [&](std::size_t node) { return fixture.nodes[node]->context.allowance.left("s", BootClock{}.now()); };
+    cr_assert_float_eq(left(0), usable * (row.slack + perRequest) - row.taken, 1e-9, "%f", left(0));
+    cr_assert_float_eq(left(1), usable * 100 - row.takenByPeer, 1e-9, "%f", left(1));
+}
+
+/// A call waits for its turn at an engine when the node is cut off.
+Test(CallRelay, movesWaitingCalls)
+{
+    RelayFixture fixture(2);
+    fixture.hold("m/a");
+    const auto now = BootClock{}.now();
+    for (const auto *instance : {"u0", "u1"}) {
+        for (Duration at{}; at < std::chrono::milliseconds{900}; at += std::chrono::milliseconds{100})
+            fixture.nodes[0]->context.upstreams.find(instance)->prompts.add(2000, now + at, now);
+    }
+    const auto answer = fixture.ask(0, "/paced/1", "m/a");
+    fixture.run(std::chrono::milliseconds{60});
+    cr_assert_eq(fixture.served, 0U);
+    fixture.nodes[0]->setLinks(LinkState::Reset);
+    for (const auto *instance : {"u0", "u1"})
+        fixture.nodes[0]->context.recordFailure({instance, 1}, ReachFailure::NotConnected, BootClock{}.now());
+    fixture.await(answer);
+    cr_assert_eq(answer->status, 200U);
+    cr_assert_eq(fixture.relayed(), 1U);
+    cr_assert(answer->elapsed < std::chrono::milliseconds{600}, "%ld", static_cast<long>(answer->elapsed.count()));
+}
+
+namespace
+{
+
+struct PartialCase {
+    const char *name;
+    const char *holder; ///< The engine that holds the target; null: both.
+    unsigned relayed;
+};
+
+/// The node is cut off from u0 only.
+const PartialCase partials[] = {
+    {"both", nullptr, 0},
+    {"reached", "u1", 0},
+    {"behind the cut", "u0", 1},
+};
+
+} // namespace
+
+TABLE_TEST(CallRelay, prefersUpstreamsThatNodeReaches, partials)
+{
+    RelayFixture fixture(2);
+    fixture.hold("m/a", row.holder);
+    fixture.nodes[0]->links[0]->set(LinkState::Reset);
+    fixture.nodes[0]->context.recordFailure({"u0", 1}, ReachFailure::NotConnected, BootClock{}.now());
+    fixture.run(std::chrono::milliseconds{150});
+    const auto answer = fixture.ask(0, "/stream/1", "m/a");
+    fixture.await(answer);
+    cr_assert_eq(answer->status, 200U, "%s", row.name);
+    cr_assert_eq(fixture.relayed(), row.relayed, "%s: %u", row.name, fixture.relayed());
+    cr_assert(answer->elapsed < std::chrono::milliseconds{400});
+}
+
+/// Half of the nodes pass many calls at once to the other half.
+Test(CallRelay, spreadsLoadOfCutNodes)
+{
+    RelayFixture fixture(4);
+    fixture.cutOff(0);
+    fixture.cutOff(1);
+    std::array<std::shared_ptr<CallerAnswer>, 40> answers;
+    for (std::size_t i = 0; i < answers.size(); ++i)
+        answers.at(i) = fixture.ask(i % 2, "/once/slow");
+    for (const auto &answer : answers) {
+        fixture.await(answer);
+        cr_assert_eq(answer->status, 200U);
+    }
+    cr_assert_eq(fixture.nodes[0]->received + fixture.nodes[1]->received, 0U);
+    for (std::size_t node : {2U, 3U})
+        cr_assert(fixture.nodes[node]->received >= 16, "%u", fixture.nodes[node]->received);
+}
--- a/tests/support/cuttablelink.h
+++ b/tests/support/cuttablelink.h
@@ -45,6 +45,11 @@
         return {"127.0.0.1", m_port, false};
     }
 
+    LinkState state() const
+    {
+        return m_state;
+    }
+
     void set(LinkState state)
     {
         m_state = state;
