One probe per failure, and none for slow answers of plain services

An engine at which an exchange broke was asked for its state twice, by the crash check and by the probe of an unconfirmed failure. A plain service was probed at half of the silence at which a request leaves it, which slow answers reach. reachabilitytest 41, callreachtest 17, callforwardertest 82, placementcontrollertest 3 green.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1713,7 +1713,7 @@
             return;
         if (!call->peer.empty() && m_context.isPeerLive && !m_context.isPeerLive(call->peer))
             return dropSend(call, "the peer is not live");
-        if (call->peer.empty() && isQuiet(*call, longestSilence(*call) / 2, now))
+        if (call->peer.empty() && isQuiet(*call, suspectSilence(*call), now))
             m_context.recordFailure(processOf(*call), ReachFailure::Silent, now);
         if (isSilent(*call, now))
             moveFromSilentUpstream(call, now);
@@ -1740,6 +1740,13 @@
         return isQuiet(call, it->second.isCutOff ? std::min<Duration>(longest, minSilence) : longest, now);
     }
 
+    /// Returns the silence after which the node checks whether it still reaches the call's upstream.
+    Duration suspectSilence(const Call &call) const
+    {
+        const auto longest = longestSilence(call);
+        return call.route.kind == RequestKind::Streaming ? longest / 2 : longest;
+    }
+
     Duration longestSilence(const Call &call) const
     {
         if (call.route.kind == RequestKind::Streaming)
--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -396,6 +396,12 @@
     }
 }
 
+void Reachability::onProbed(const UpstreamProcess &process, Instant now)
+{
+    if (auto *link = current(process))
+        link->probedAt = now;
+}
+
 std::vector<ReachChange> Reachability::takeChanges()
 {
     return std::exchange(m_changes, {});
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -143,6 +143,9 @@
     /// several times per second.
     std::vector<UpstreamProcess> takeProbes(Instant now);
 
+    /// Records that @p process is probed now for another reason than takeProbes().
+    void onProbed(const UpstreamProcess &process, Instant now);
+
     /// Returns the upstreams that were lost or found since the last call.
     std::vector<ReachChange> takeChanges();
 
--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -143,6 +143,7 @@
         };
         auto options = checkOptions();
         options.maxIdleAge = {};
+        m_context.reach.onProbed(process, BootClock{}.now());
         m_client.send({endpoint, instance}, Dialect::writeLivenessCheck(instance), std::move(observer), options);
     }
 
--- a/tests/gateway/placementcontrollertest.cpp
+++ b/tests/gateway/placementcontrollertest.cpp
@@ -64,7 +64,7 @@
     {
     }
 
-    void transact(const KeyTransaction &transaction, StoreLease lease, std::function<void(KeyReply)> onReply)
+    void transact(const KeyTransaction &transaction, StoreLease lease, const std::function<void(KeyReply)> &onReply)
     {
         m_loop.post([this, transaction, lease, onReply] {
             KeyReply reply;
@@ -88,20 +88,20 @@
         });
     }
 
-    void readPrefix(const std::string &, std::function<void(KeyReply)>)
+    void readPrefix(const std::string &, const std::function<void(KeyReply)> &)
     {
     }
 
-    void watch(const std::string &, Revision, Duration, std::function<void(WatchResult)>)
+    void watch(const std::string &, Revision, Duration, const std::function<void(WatchResult)> &)
     {
     }
 
-    void grantLease(Duration, std::function<void(std::optional<StoreLease>)> onLease)
+    void grantLease(Duration, const std::function<void(std::optional<StoreLease>)> &onLease)
     {
         m_loop.post([lease = ++m_shared.lastLease, onLease] { onLease(lease); });
     }
 
-    void renewLease(StoreLease lease, std::function<void(std::optional<bool>)> onRenewed)
+    void renewLease(StoreLease lease, const std::function<void(std::optional<bool>)> &onRenewed)
     {
         m_loop.post([this, lease, onRenewed] {
             bool isLive = false;
--- a/tests/gateway/reachabilitytest.cpp
+++ b/tests/gateway/reachabilitytest.cpp
@@ -504,6 +504,18 @@
     cr_assert_eq(reach.hasAnsweredPeerSince(process, at(100)), row.isCrashRefuted, "%s", row.name);
 }
 
+Test(Reachability, probesAnUnconfirmedFailureOnce)
+{
+    Reachability reach;
+    reach.onFailure(process, at(100), ReachFailure::Broken);
+    cr_assert(reach.takeProbes(at(110)) == std::vector{process});
+    cr_assert(reach.takeProbes(at(700)).empty());
+    reach.onContact(process, at(710));
+    reach.onFailure(process, at(2000), ReachFailure::Silent);
+    reach.onProbed(process, at(2000));
+    cr_assert(reach.takeProbes(at(2010)).empty(), "already probed");
+}
+
 Test(Reachability, presumesCutsOfUpstreamsThatShowNothing)
 {
     Reachability reach;
