Copies at engines that a node is cut off from count as unfit in its load requests

A node that is cut off from the only engine with an adapter asks the holder of orders for a copy. The request did not say that the copy is of no use to it, so that the holder, which reaches the engine, answers with that copy (by reading; no run showed a caller). enginechoicetest countsCopiesThatTheNodeIsCutOffFromAsUnfit failed before, 53 green.

--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -229,8 +229,8 @@
 {
     std::vector<std::string> holders;
     for (const auto &[instance, upstream] : table.all()) {
-        const bool hasRoom = upstream.backpressureUntil <= now && upstream.inFlight() < upstream.record.slots
-                             && !upstream.limitsRequests();
+        const bool hasRoom = !upstream.isCutOff && upstream.backpressureUntil <= now
+                             && upstream.inFlight() < upstream.record.slots && !upstream.limitsRequests();
         if (!hasRoom && upstream.residency.find(target))
             holders.push_back(instance);
     }
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -106,7 +106,7 @@
 double utilisationOf(const UpstreamTable &table, const std::string &service, Instant now);
 
 /// Returns the upstreams that hold a copy of @p target but cannot serve it now, because all their slots are taken, they
-/// apply backpressure to this node or they limit their requests. Thread-safe.
+/// apply backpressure to this node, they limit their requests, or this node is cut off from them. Thread-safe.
 std::vector<std::string> saturatedEngines(const UpstreamTable &table, const ModelTarget &target, Instant now);
 
 /// Updates the failure ratio of @p upstream with the outcome of a request.
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -46,6 +46,7 @@
      "far"},
     {[](UpstreamTable &table) { table.find("near")->prompts.add(3000, now, now); }, "far"},
     {[](UpstreamTable &table) { table.find("near")->record.draining = true; }, "far"},
+    {[](UpstreamTable &table) { table.find("near")->isCutOff = true; }, "far"},
     {[](UpstreamTable &table) { table.find("near")->residency.onDropped("m/a", now); }, "far"},
     {[](UpstreamTable &table) { table.find("near")->avoidUntil = now + std::chrono::seconds{1}; }, "far"},
     {[](UpstreamTable &table) {
@@ -123,6 +124,16 @@
     cr_assert_eq(chooseUpstream(table, newer, now)->instance, std::string("far"));
 }
 
+/// A request for a load named no copy that its node is cut off from, so that the holder of orders saw no need.
+/// over.
+Test(EngineChoice, countsCopiesThatTheNodeIsCutOffFromAsUnfit)
+{
+    auto table = twoEngines();
+    cr_assert(saturatedEngines(table, "m/a", now).empty());
+    table.find("near")->isCutOff = true;
+    cr_assert(saturatedEngines(table, "m/a", now) == std::vector<std::string>{"near"});
+}
+
 Test(EngineChoice, respectsExclusions)
 {
     const auto table = twoEngines();
