--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -817,9 +817,6 @@
         call.loadRequestedAt = now;
         auto unfit = saturatedEngines(m_context.upstreams, call.request.target, now);
         unfit.insert(unfit.end(), call.excluded.begin(), call.excluded.end());
-        // A copy behind a cut would have been used through a peer.
-        const auto &cutOff = m_context.reach.cutOff();
-        unfit.insert(unfit.end(), cutOff.begin(), cutOff.end());
         if (call.streamVersion) {
             const auto others = upstreamsOfOtherSoftware(m_context.upstreams, call.service, *call.streamVersion);
             unfit.insert(unfit.end(), others.begin(), others.end());
