--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -118,7 +118,9 @@
 {
     std::optional<UpstreamChoice> best;
     for (const auto &[instance, upstream] : table.all()) {
-        if (!upstream.takesRequests(now) || upstream.record.service != demand.service
+        const bool isOpen
+            = demand.isBehindCut ? upstream.isCutOff && upstream.staysInService() : upstream.takesRequests(now);
+        if (!isOpen || upstream.record.service != demand.service
             || std::ranges::find(demand.excluded, instance) != demand.excluded.end()
             || !hasUsableSoftware(upstream.record, demand))
             continue;
@@ -227,8 +229,8 @@
 {
     std::vector<std::string> holders;
     for (const auto &[instance, upstream] : table.all()) {
-        const bool hasRoom = upstream.backpressureUntil <= now && upstream.inFlight() < upstream.record.slots
-                             && !upstream.limitsRequests();
+        const bool hasRoom = !upstream.isCutOff && upstream.backpressureUntil <= now
+                             && upstream.inFlight() < upstream.record.slots && !upstream.limitsRequests();
         if (!hasRoom && upstream.residency.find(target))
             holders.push_back(instance);
     }
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -37,6 +37,7 @@
     UnreachedUpstreams, ///< That the node is cut off from.
     LimitedSends, ///< Requests to upstreams that limit their requests. Label: kind.
     CallerLosses, ///< Requests and connections of callers that were left unanswered. Label: kind.
+    RelayedCalls, ///< Calls passed between nodes. Labels: direction, verdict.
 };
 
 /// The names and values of the labels of one time series.
