A drained server of the daemon leaves no request read and unanswered

The HTTP server of gypsumtally's own daemon shut down both directions of idle connections when it drained. Requests that the kernel held, or whose head was half read, were read and run all the same, and their answers could not be sent; pipelined requests behind the last answer were dropped. Connections on which something has arrived are now served to the last request, with 'Connection: close' on its answer; the others are closed at once.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http.hpp>
 
 #include <deque>
+#include <map>
 #include <set>
 
 namespace Gypsumtally::Http
@@ -229,6 +230,7 @@
     asio::awaitable<bool> sendWhole(beast::tcp_stream &stream, Response response, bool keepAlive);
     asio::awaitable<bool> sendStream(beast::tcp_stream &stream, std::shared_ptr<ConnectionResponder> responder,
                                      bool keepAlive);
+    bool closesAfterResponse(beast::tcp_stream &stream, const beast::flat_buffer &buffer) const;
     void watchForClose(const std::shared_ptr<beast::tcp_stream> &stream,
                        const std::shared_ptr<ConnectionResponder> &responder);
 
@@ -239,7 +241,8 @@
     tcp::acceptor acceptor;
     bool draining = false;
     std::size_t requests = 0;
-    std::set<std::shared_ptr<beast::tcp_stream>> idle;
+    /// Connections that wait for the head of a request, and what they have read of it.
+    std::map<std::shared_ptr<beast::tcp_stream>, std::shared_ptr<beast::flat_buffer>> idle;
     std::set<std::shared_ptr<beast::tcp_stream>> open;
 };
 
@@ -269,14 +272,15 @@
 asio::awaitable<void> Server::Private::serve(std::shared_ptr<beast::tcp_stream> stream)
 {
     const auto self = shared_from_this();
-    beast::flat_buffer buffer;
+    const auto input = std::make_shared<beast::flat_buffer>();
+    auto &buffer = *input;
     bool keepAlive = true;
-    while (keepAlive && !draining) {
+    while (keepAlive && !closesAfterResponse(*stream, buffer)) {
         bhttp::request_parser<bhttp::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         parser.body_limit(limits.maxBodyBytes);
         stream->expires_after(limits.idleTimeout);
-        idle.insert(stream);
+        idle.emplace(stream, input);
         ErrorCode error;
         co_await bhttp::async_read_header(*stream, buffer, parser, into(error));
         idle.erase(stream);
@@ -308,10 +312,11 @@
         watchForClose(stream, responder);
         handler(toRequest(parser.release()), std::make_shared<ResponderHandle>(responder));
         co_await responder->waitForWork(responder);
+        keepAlive = keepAlive && !closesAfterResponse(*stream, buffer);
         if (responder->whole)
-            keepAlive = co_await sendWhole(*stream, std::move(*responder->whole), keepAlive && !draining);
+            keepAlive = co_await sendWhole(*stream, std::move(*responder->whole), keepAlive);
         else
-            keepAlive = co_await sendStream(*stream, responder, keepAlive && !draining);
+            keepAlive = co_await sendStream(*stream, responder, keepAlive);
         --requests;
         ErrorCode ignored;
         stream->socket().cancel(ignored);
@@ -322,6 +327,13 @@
     open.erase(stream);
 }
 
+/// Returns true if the server drains and no further request, or a part of one, has arrived on the connection.
+bool Server::Private::closesAfterResponse(beast::tcp_stream &stream, const beast::flat_buffer &buffer) const
+{
+    ErrorCode ignored;
+    return draining && buffer.size() == 0 && stream.socket().available(ignored) == 0;
+}
+
 void Server::Private::watchForClose(const std::shared_ptr<beast::tcp_stream> &stream,
                                     const std::shared_ptr<ConnectionResponder> &responder)
 {
@@ -420,8 +432,10 @@
     m_d->draining = true;
     ErrorCode ignored;
     m_d->acceptor.close(ignored);
-    for (const auto &stream : m_d->idle)
-        stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+    for (const auto &[stream, input] : m_d->idle) {
+        if (m_d->closesAfterResponse(*stream, *input))
+            stream->cancel();
+    }
 }
 
 std::size_t Server::connections() const
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -67,7 +67,8 @@
     /// Listens on @p endpoint and returns the port; port 0 selects a free one. Throws std::system_error on failure.
     std::uint16_t listen(const Endpoint &endpoint);
 
-    /// Stops accepting connections and closes each open one when its current response has ended.
+    /// Stops accepting connections. Closes idle ones at once, and each other one after the response to the last request
+    /// that has arrived on it.
     void drain();
 
     /// Returns the number of open connections.
