--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -89,10 +89,11 @@
     /// Closes connections that have exceeded a timeout. Call it several times per second.
     void sweep(Instant now);
 
-    /// Adds `Connection: close` to every response from now on and closes its connection after it.
+    /// Adds `Connection: close` to responses from now on and closes their connections after them. Requests that have
+    /// arrived behind one are answered first.
     void announceClose();
 
-    /// Stops accepting connections and closes those that wait for a request.
+    /// Stops accepting connections and closes those that wait for a request, unless one has arrived in the meantime.
     void stopAccepting();
 
     std::size_t connections() const;
