A request is not refused as late while the kernel holds the rest of it

After a stall of the process, callers' requests were refused with 408 although they had arrived in time: the time-outs ran before the sockets were read. What the kernel holds is now read first, as at an idle close.

Test: relaytest readsTheRestOfARequestBeforeItIsLate (408 before); refusesHalfARequestThatIsLate passed before and after.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -205,7 +205,7 @@
         if (now - m_stateSince <= m_limit)
             return;
         if (isReading())
-            refuse(408, "the request did not come in time");
+            refuseUnlessComplete();
         else
             closeUnlessUsed();
     }
@@ -271,6 +271,18 @@
             closeNow();
     }
 
+    /// Refuses a request that is late, unless the kernel holds the rest of it, as after a stall of the process.
+    void refuseUnlessComplete()
+    {
+        const auto begunAt = m_stateSince;
+        const auto isSame = [&] { return !m_closed && isReading() && m_stateSince == begunAt; };
+        ErrorCode ignored;
+        while (isSame() && m_socket.available(ignored) > 0)
+            read();
+        if (isSame())
+            refuse(408, "the request did not come in time");
+    }
+
     void resetReader()
     {
         m_reader = std::make_unique<RequestReader>(m_shared->settings.limits);
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -660,3 +660,33 @@
     }
     cr_assert_eq(server.connections(), 2U);
 }
+
+/// A request was refused with 408 after a stall of the process, although the rest of it had arrived in time.
+Test(Relay, readsTheRestOfARequestBeforeItIsLate)
+{
+    const std::string large(200 * 1024, 'q');
+    const auto text
+        = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(large.size()) + "\r\n\r\n" + large;
+    AnsweringServer server;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(text.substr(0, 100));
+    caller.wait();
+    caller.send(text.substr(100));
+    server.server.sweep(BootClock{}.now() + std::chrono::seconds{4});
+    caller.wait();
+    cr_assert_eq(answersIn(caller.received()), 1U, "%s", caller.received().c_str());
+}
+
+/// A request that does not come as a whole is refused.
+Test(Relay, refusesHalfARequestThatIsLate)
+{
+    AnsweringServer server;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(std::string_view(question).substr(0, 30));
+    caller.wait();
+    caller.send(std::string_view(question).substr(30, 10));
+    server.server.sweep(BootClock{}.now() + std::chrono::seconds{4});
+    caller.wait();
+    cr_assert(caller.received().starts_with("HTTP/1.1 408"), "%s", caller.received().c_str());
+    cr_assert_eq(server.requests, 0U);
+}
