A call that left a silent upstream does not wait at a second dead connection

When a cut lets connections hang, an idle pooled connection looks sound: bytes are written and nothing comes. A call left its first upstream after the silence and was sent on a pooled connection to the next one, which was its last attempt, so that it waited there to its deadline (504 after 5 s). It now opens a new connection then: a failed one has not run the call, and the call goes to a peer or another upstream.

Calls that must not run twice still wait for the answer on a connection that hangs; only those that are sent before the cut is known are concerned.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -254,6 +254,7 @@
         Instant brokenAt{}; ///< Last time that a connection to an upstream failed or broke.
         std::optional<RelayedCall> relayed; ///< Set if another node has passed the call to this one.
         bool mayTryAnother = false; ///< A refusal of the relayed call is due to this node's state.
+        bool leftSilent = false; ///< The call has left an upstream that went silent.
         bool tookRepeat = false; ///< The current send is a repeat that this node's allowance has paid for.
         std::vector<std::string> failedPeers; ///< Peers that have failed the call.
         std::optional<Duration> peerRetryAfter; ///< That a peer's refusal stated.
@@ -472,8 +473,8 @@
     /// this node is cut off from them.
     bool awaitsEvidence(const Call &call, Instant now) const
     {
-        return !call.relayed && call.brokenAt != Instant{} && now - call.brokenAt < Reachability::evidenceTime && m_context.relayPeers
-               && !m_context.relayPeers().empty();
+        return !call.relayed && call.brokenAt != Instant{} && now - call.brokenAt < Reachability::evidenceTime
+               && m_context.relayPeers && !m_context.relayPeers().empty();
     }
 
     /// Passes the call to a peer if an upstream that this node is cut off from can serve it, and earlier than @p direct
@@ -968,6 +969,8 @@
         options.connectTimeout = std::chrono::milliseconds{call->request.target.empty() ? 150 : 300};
         if (!call->route.mayRepeat())
             options.maxIdleAge = std::chrono::seconds{2};
+        if (call->leftSilent)
+            options.maxIdleAge = {}; // A cut may have silenced pooled connections, which do not show it.
         auto request = Dialect::writeRequest(call->exchange->request(), instructions);
         if (call->relayed)
             request.headers = withoutRelayHeaders(std::move(request.headers));
@@ -1803,6 +1806,7 @@
             countRelayed("out", Verdict::MayHaveRun);
             return noteMayHaveRun(call, "the peer has gone silent");
         }
+        call->leftSilent = true;
         m_monitor.avoid(call->instance, now);
         noteMayHaveRun(call, "the upstream has gone silent");
         call->excluded.push_back(call->instance);
--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -371,6 +371,39 @@
 namespace
 {
 
+struct PooledCase {
+    const char *path;
+    const char *target;
+};
+
+const PooledCase pooled[] = {{"/safe/1", ""}, {"/stream/1", ""}, {"/stream/1", "m/a"}};
+
+/// Limit for a whole answer after a silence, a failed connection and a stream; callers wait for 3.2 s at least.
+constexpr Duration servedAfterSilence = std::chrono::milliseconds{2500};
+
+} // namespace
+
+TABLE_TEST(CallRelay, callsOnPooledConnectionsThatHangAreServed, pooled)
+{
+    RelayFixture fixture(3);
+    fixture.hold("m/a");
+    std::array<std::shared_ptr<CallerAnswer>, 8> before;
+    for (auto &answer : before)
+        answer = fixture.ask(0, "/stream/1");
+    for (const auto &answer : before)
+        fixture.await(answer);
+    fixture.served = 0;
+    fixture.nodes[0]->setLinks(LinkState::Hangs);
+    const auto answer = fixture.ask(0, row.path, row.target);
+    fixture.await(answer);
+    cr_assert_eq(answer->status, 200U, "%u %s", answer->status, answer->body.c_str());
+    cr_assert(answer->elapsed < servedAfterSilence, "%ld ms", static_cast<long>(answer->elapsed.count() / 1000));
+    cr_assert_eq(fixture.served, 1U);
+}
+
+namespace
+{
+
 /// What happens to a call after its node was cut off, or to one that is in progress.
 enum class Event {
     Cut, ///< The node is cut off from all upstreams.
