Each node's question about an upstream is answered with contact after its own failure

In a fleet of which four of five nodes were cut off, one knew it 0.1 s after its first failure and another after 0.55 s: the question of the second node was merged into the pending one of the first, answered with contact from before the second failure, and the next probe of the one node that had contact was 0.5 s away. The latest question is now kept beside the earliest, a process is probed for others each 0.15 s at most, a node's repeated question counts once while it waits, and processes that count as cut off already are not asked about.

--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -29,6 +29,7 @@
 constexpr Duration maxAnswerDelay = std::chrono::milliseconds{100};
 constexpr Duration probeDelay = std::chrono::milliseconds{50}; ///< From a question, for nodes that have contact.
 constexpr unsigned maxProbers = 2; ///< Nodes that probe a process for another one.
+constexpr Duration peerProbeInterval = std::chrono::milliseconds{150}; ///< For one process and another node.
 constexpr Duration probeInterval = std::chrono::milliseconds{500}; ///< For one process, and for all that are cut off.
 /// Time after an upstream was found in which all others that are cut off are probed once.
 constexpr Duration promptProbeTime = std::chrono::seconds{1};
@@ -152,10 +153,16 @@
     auto &link = it->second;
     link.peerContactAt = at;
     link.peer = node;
-    if (link.askedAt != Instant{} && at >= link.askedAt + answerMargin)
-        link.askedAt = {};
+    onAnswered(link, at);
     if (link.isFailing)
-        update(at);
+        update(std::max(at, link.failedAt));
+}
+
+/// Leaves only the questions that a contact at @p contactAt does not answer.
+void Reachability::onAnswered(Link &link, Instant contactAt)
+{
+    if (link.askedAt != Instant{} && contactAt >= link.askedAt + answerMargin)
+        link.askedAt = contactAt >= link.lastAskedAt + answerMargin ? Instant{} : link.lastAskedAt;
 }
 
 void Reachability::onPeerFailure(const std::string &node, const FailedReach &failed, const std::string &self,
@@ -167,10 +174,12 @@
     auto &peer = m_peers[node];
     peer.statedAt = now;
     std::erase_if(peer.failedAt, [&](const auto &item) { return now - item.second > failureWindow; });
-    peer.failedAt[failed.process] = now;
+    const bool isRepeated = !peer.failedAt.insert_or_assign(failed.process, now).second && link->askedAt != Instant{};
     if (!failed.isQuestion)
         return;
     link->rank = rankFor(failed.process, self, peers, now);
+    if (!isRepeated)
+        link->lastAskedAt = now;
     if (link->askedAt == Instant{} || now - link->askedAt > questionLifetime)
         link->askedAt = now;
 }
@@ -298,7 +307,7 @@
         change.lasted = now - link.lostAt;
     } else {
         link.lostAt = now;
-        change.lasted = link.failingSince == Instant{} ? Duration{} : now - link.failingSince;
+        change.lasted = link.failingSince == Instant{} ? Duration{} : std::max(Duration{}, now - link.failingSince);
     }
     if (link.isShownCut) {
         change.peer = link.peer;
@@ -312,7 +321,7 @@
     std::vector<FailedReach> failures;
     m_hasNewFailures = false;
     for (auto &[process, link] : m_links) {
-        if (link.failingSince == Instant{} || link.replacedAt != Instant{} || link.isShownCut
+        if (link.failingSince == Instant{} || link.replacedAt != Instant{} || m_cutOff.contains(process.instance)
             || now - link.failedAt > failureWindow)
             continue;
         const auto interval = link.reports < maxReports ? reportInterval : laterReportInterval;
@@ -344,7 +353,7 @@
             continue;
         answers.push_back({process, now - link.contactAt});
         link.answeredAt = now;
-        link.askedAt = {};
+        onAnswered(link, link.contactAt);
     }
     return answers;
 }
@@ -356,9 +365,10 @@
         if (probes.size() == maxProbes)
             break;
         if (link.replacedAt != Instant{} || m_cutOff.contains(process.instance)
-            || (link.probedAt != Instant{} && now - link.probedAt < probeInterval))
+            || (link.probedAt != Instant{} && now - link.probedAt < peerProbeInterval))
             continue;
         const bool isUnconfirmed = link.failingSince != Instant{} && !link.isFailing
+                                   && (link.probedAt == Instant{} || now - link.probedAt >= probeInterval)
                                    && now - link.failedAt <= failureWindow && link.probedAt < link.failingSince;
         const bool isAsked = link.askedAt != Instant{} && now - link.askedAt <= questionLifetime
                              && now - link.askedAt >= probeDelay && link.rank < maxProbers
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -167,7 +167,8 @@
         Instant peerContactAt{};
         std::string peer; ///< Had contact at peerContactAt.
         Instant answeredAt{};
-        Instant askedAt{}; ///< Last question of another node, until it is answered or lapses.
+        Instant askedAt{}; ///< Earliest question of another node that is not answered yet.
+        Instant lastAskedAt{}; ///< Latest question of another node.
         unsigned rank = 0; ///< Of this node among those that may probe for another.
         Instant lostAt{};
         Instant replacedAt{}; ///< Set if it is not the current process of its instance any more.
@@ -192,6 +193,7 @@
     bool isOutdated(const UpstreamProcess &process) const;
     Link &currentOrNew(const UpstreamProcess &process, Instant now);
     void clearFailures(Link &link);
+    static void onAnswered(Link &link, Instant contactAt);
     void update(Instant now);
     void addChange(const std::string &instance, bool isLost, Instant now);
     bool isPresumedCut(const Link &link, const Scope &service, const Scope &all) const;
--- a/tests/gateway/reachabilitytest.cpp
+++ b/tests/gateway/reachabilitytest.cpp
@@ -504,6 +504,22 @@
     cr_assert_eq(reach.hasAnsweredPeerSince(process, at(100)), row.isCrashRefuted, "%s", row.name);
 }
 
+/// The question of a second node was taken as answered with contact from before its failure.
+Test(Reachability, answersEachQuestionWithLaterContact)
+{
+    Reachability reach;
+    reach.onContact(process, at(0));
+    const std::set<std::string> peers{"n1", "n2"};
+    reach.onPeerFailure("n1", {process, true}, "n0", peers, at(100));
+    reach.onPeerFailure("n2", {process, true}, "n0", peers, at(180));
+    reach.onContact(process, at(170));
+    cr_assert(reach.takeAnswers(at(200)) == (std::vector<ReachContact>{{process, milliseconds{30}}}));
+    cr_assert(reach.takeProbes(at(300)) == std::vector{process});
+    reach.onContact(process, at(305));
+    cr_assert(reach.takeAnswers(at(350)) == (std::vector<ReachContact>{{process, milliseconds{45}}}));
+    cr_assert(reach.takeAnswers(at(450)).empty());
+}
+
 Test(Reachability, probesAnUnconfirmedFailureOnce)
 {
     Reachability reach;
