--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -263,6 +263,7 @@
         Instant brokenAt{}; ///< Last time that a connection to an upstream failed or broke.
         std::optional<RelayedCall> relayed; ///< Set if another node has passed the call to this one.
         bool mayTryAnother = false; ///< A refusal of the relayed call is due to this node's state.
+        bool leftSilent = false; ///< The call has left an upstream that went silent.
         bool tookRepeat = false; ///< The current send is a repeat that this node's allowance has paid for.
         std::vector<std::string> failedPeers; ///< Peers that have failed the call.
         std::optional<Duration> peerRetryAfter; ///< That a peer's refusal stated.
@@ -1006,6 +1007,8 @@
         if (!call->route.mayRepeat())
             options.maxIdleAge = std::chrono::seconds{2};
         options.requestId = call->request.id;
+        if (call->leftSilent)
+            options.maxIdleAge = {}; // A cut may have silenced pooled connections, which do not show it.
         auto request = Dialect::writeRequest(call->exchange->request(), instructions);
         if (call->relayed)
             request.headers = withoutRelayHeaders(std::move(request.headers));
@@ -1862,6 +1865,7 @@
             countRelayed("out", Verdict::MayHaveRun);
             return noteMayHaveRun(call, "the peer has gone silent");
         }
+        call->leftSilent = true;
         m_monitor.avoid(call->instance, now);
         noteMayHaveRun(call, "the upstream has gone silent");
         call->excluded.push_back(call->instance);
