--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -324,7 +324,7 @@
         for (auto i = connections.size(); i-- > 0;) {
             if (connections[i]->mayRepeatRefusal(options))
                 continue;
-            const auto connection = connections[i];
+            auto connection = connections[i];
             connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
             if (connection->isUsable(now, options.maxIdleAge))
                 return connection;
