--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -112,6 +112,8 @@
     double storeShare = 1; ///< Fraction of the weight store's throughput that this placer may use.
     /// Returns true if this placer is responsible for loading copy number @p copies + 1 of a target.
     std::function<bool(const ModelTarget &target, unsigned copies)> isNext;
+    /// Returns the oldest version of a target that may still serve; 0 if any may. Null if any version of all may.
+    std::function<std::uint64_t(const ModelTarget &target)> oldestUsable;
 };
 
 /// A change in the models or adapters of one engine, to be broadcast to all nodes.
--- a/tests/gateway/adapterplacertest.cpp
+++ b/tests/gateway/adapterplacertest.cpp
@@ -85,6 +85,48 @@
 namespace
 {
 
+struct SupersededCase {
+    const char *name;
+    std::vector<ListedTarget> held;
+    std::vector<ListedTarget> coming;
+    std::uint64_t oldestUsable; ///< Of m/a, of which version 4 is declared.
+    std::vector<std::string> unloaded;
+};
+
+const SupersededCase supersededCases[] = {
+    {"newest", {{"m", 1}, {"m/a", 4}}, {}, 4, {}},
+    {"older, may serve", {{"m", 1}, {"m/a", 3}}, {}, 3, {}},
+    {"superseded", {{"m", 1}, {"m/a", 3}}, {}, 4, {"m/a"}},
+    {"three versions behind", {{"m", 1}, {"m/a", 1}}, {}, 3, {"m/a"}},
+    {"loading", {{"m", 1}}, {{"m/a", 3}}, 4, {}},
+    {"of another adapter", {{"m", 1}, {"m/b", 1}}, {}, 4, {}},
+};
+
+} // namespace
+
+/// Guards against a superseded copy that an engine with spare slots keeps, and on which a node could start requests.
+TABLE_TEST(AdapterPlacer, unloadsSupersededCopies, supersededCases)
+{
+    AdapterPlacer placer;
+    const Instant now{std::chrono::seconds{100}};
+    placer.setEngines({{"e1", "s", "r", 1, true, 8, 64, 0, {}}}, {});
+    FleetView fleet;
+    fleet.oldestUsable = [&](const ModelTarget &target) { return target == "m/a" ? row.oldestUsable : 0; };
+    placer.setFleetView(fleet);
+    placer.onVersionDeclared("m/a", 4);
+    placer.plan(now);
+    placer.onReport("e1", EngineReport{1, false, row.held, row.coming}, now);
+    std::vector<std::string> unloaded;
+    for (const auto &order : placer.plan(now + std::chrono::milliseconds{1}).orders) {
+        if (order.kind == OrderKind::Unload)
+            unloaded.push_back(order.target);
+    }
+    cr_assert(unloaded == row.unloaded, "%s", row.name);
+}
+
+namespace
+{
+
 struct ReloadCase {
     double load; ///< In-flight requests of the engine that caches the adapter.
     std::vector<std::string> unfit; ///< Engines that have failed the request.
