Copies of superseded adapter versions are unloaded once they may not serve any more

Cause: the placer gave up such a copy only where an engine ran short of adapter slots, so an engine with spare slots kept it until it ended, and only the nodes' own view stood between it and a request. Now the copy is unloaded when the grace period of the version that supersedes it is over; the engine then answers that it has not run what a node still sends there. One order per copy, after the loads that requests wait for.

--- a/src/gateway/adapterplacer.cpp
+++ b/src/gateway/adapterplacer.cpp
@@ -525,6 +525,24 @@
     }
 }
 
+/// Unloads copies that may not serve any more, so that an engine refuses requests of nodes that do not know so yet.
+void AdapterPlacer::unloadSuperseded(Instant now, PlacerActions &actions)
+{
+    if (!m_fleet.oldestUsable)
+        return;
+    for (const auto &[target, newest] : m_declared) {
+        const auto oldest = m_fleet.oldestUsable(target);
+        for (auto &[instance, engine] : m_engines) {
+            const auto copy = engine.copies.find(target);
+            if (copy == engine.copies.end() || !canOrder(engine))
+                continue;
+            const auto &held = copy->second;
+            if (held.version < oldest && held.usableAt <= now && !held.unloading)
+                order(engine, OrderKind::Unload, target, actions);
+        }
+    }
+}
+
 void AdapterPlacer::freeSlots(Instant now, PlacerActions &actions)
 {
     for (auto &[instance, engine] : m_engines) {
@@ -586,6 +604,7 @@
     placeModels(now, actions);
     placeFurtherCopies(now, actions);
     placeWanted(now, actions);
+    unloadSuperseded(now, actions);
     freeSlots(now, actions);
     if (m_demand.size() > maxDemand)
         std::erase_if(m_demand, [&](const auto &item) { return rateOf(item.first, now) < minTrackedRate; });
--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -184,7 +184,8 @@
     /// Records that @p requests requests for @p target were sent or are still in flight.
     void onUsed(const std::string &service, const ModelTarget &target, double requests, Instant now);
 
-    /// Records that @p version of an adapter was declared; copies of older versions are to be unloaded.
+    /// Records that @p version of an adapter was declared; copies of older versions are unloaded once they may not serve
+    /// any more.
     void onVersionDeclared(const ModelTarget &target, std::uint64_t version);
 
     /// Records the outcome of an order from plan().
@@ -299,6 +300,7 @@
     /// copies to the plan's answers.
     bool answerFromCopies(const ModelTarget &target, const Demand &demand);
     void placeWanted(Instant now, PlacerActions &actions);
+    void unloadSuperseded(Instant now, PlacerActions &actions);
     double meanLoad(const std::string &service) const;
     double furtherCopyNeed(const ModelTarget &target, const Demand &demand, Instant now) const;
     void placeFurtherCopies(Instant now, PlacerActions &actions);
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -405,6 +405,7 @@
         const auto all = std::accumulate(m_shardSizes.begin(), m_shardSizes.end(), 0U);
         fleet.storeShare = all == 0 ? 1 : static_cast<double>(m_shardSizes[m_shard]) / all;
         fleet.isNext = [this](const ModelTarget &target, unsigned copies) { return isNext(target, copies); };
+        fleet.oldestUsable = [this, now](const ModelTarget &target) { return m_context.minVersion(target, now); };
         std::map<std::string, unsigned> count;
         const auto unlimited = servicesWithUnlimitedEngines(now);
         for (const auto &[instance, upstream] : m_context.upstreams.all()) {
