--- a/tests/gatewayfleet/storestandin.cpp
+++ b/tests/gatewayfleet/storestandin.cpp
@@ -66,6 +66,7 @@
 {
     const auto &request = exchange->request();
     const std::string path(request.path());
+    ++m_calls;
     if (m_isDown)
         return answer(exchange, 503);
     if (path == "/kv-range")
--- a/tests/gatewayfleet/storestandin.h
+++ b/tests/gatewayfleet/storestandin.h
@@ -36,6 +36,12 @@
     /// Makes all calls fail with status 503, or ends that.
     void setDown(bool isDown);
 
+    /// Returns the number of calls so far.
+    unsigned calls() const
+    {
+        return m_calls;
+    }
+
 private:
     using Exchange = std::shared_ptr<Relay::CallerExchange>;
 
@@ -87,6 +93,7 @@
     std::int64_t m_revision = 1;
     std::int64_t m_lastLease = 0;
     bool m_isDown = false;
+    unsigned m_calls = 0;
 };
 
 } // namespace Gypsumtally::GatewayFleet
