A key without the expected prefix does not end the nodes

Cause: the observers cut the prefix off each key without a check, which throws for a shorter key. The follower now passes on only keys with its prefix, and the removal of an entry that is not a node's is left alone.

ignoresKeysWithoutPrefix failed before.

--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -388,6 +388,8 @@
                         return;
                     if (change.key == estimatesKey())
                         return onStoredEstimates(change.value.value_or(""));
+                    if (!change.key.starts_with(nodesPrefix()))
+                        return;
                     if (!change.value)
                         return m_members.onUnlisted(change.key.substr(nodesPrefix().size()));
                     if (const auto address = decodeNodeAddress(*change.value))
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -179,7 +179,7 @@
             m_known.clear();
             for (const auto &value : reply.values)
                 m_known[value.key] = value.modRevision;
-            m_observer.onSnapshot(reply.values);
+            m_observer.onSnapshot(followed(reply.values));
             if (m_observer.onBatchEnd)
                 m_observer.onBatchEnd();
             m_revision = reply.revision;
@@ -273,7 +273,7 @@
         const auto known = m_revision;
         m_revision = std::max(m_revision, revision);
         for (const auto &change : changes) {
-            if (change.revision <= known)
+            if (change.revision <= known || !change.key.starts_with(m_prefix))
                 continue;
             if (change.value)
                 m_known[change.key] = change.revision;
@@ -285,6 +285,13 @@
             m_observer.onBatchEnd();
     }
 
+    /// Returns the @p values whose keys start with the prefix, as observers expect of all.
+    std::vector<KeyValue> followed(std::vector<KeyValue> values) const
+    {
+        std::erase_if(values, [&](const KeyValue &value) { return !value.key.starts_with(m_prefix); });
+        return values;
+    }
+
     void setReachable(bool reachable)
     {
         if (m_reachable == reachable && m_reported)
--- a/tests/gateway/registryfollowertest.cpp
+++ b/tests/gateway/registryfollowertest.cpp
@@ -324,3 +324,15 @@
     cr_assert_eq(followed.changes.size(), 2U);
     cr_assert_eq(followed.store.lastAfter, 9);
 }
+
+/// Guards against a node that ends at a key that is shorter than the prefix.
+Test(RegistryFollower, ignoresKeysWithoutPrefix)
+{
+    Followed followed;
+    followed.answerRead(5, {{"p/a", "1", 3}, {"p", "1", 4}, {"", "1", 5}, {"q/a", "1", 5}});
+    cr_assert_eq(followed.snapshots.back(), 1U);
+    followed.answerWatch({true, false, {{"", "1", 6}, {"p", {}, 7}, {"p/b", "2", 8}}, 8});
+    followed.follower.onDelta({8, {{"", {}, 9}, {"p/c", "3", 9}}, 9});
+    cr_assert_eq(followed.changes.size(), 2U);
+    cr_assert_eq(followed.changes.front(), std::string("p/b"));
+}
