An address that is not numeric, or whose port is out of range, names no node

A report in a datagram could do the same.

Cause: parseEndpoint() checked the port, but not that the address is an IP address, as its type demands, and a report's address was taken without a check. Now both are refused where they are read, for upstreams too; the other entries and reports hold.

--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -350,7 +350,8 @@
         return std::nullopt;
     NodeReport report;
     report.from = addressFrom(*from);
-    if (report.from.node.empty())
+    const bool hasAddress = from->contains("callers") || from->contains("peers");
+    if (report.from.node.empty() || (hasAddress && !isWhole(report.from)))
         return std::nullopt;
     report.sequence = numberAt<std::uint64_t>(object, "sequence");
     report.takesCallers = flagAt(object, "open");
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,5 +1,7 @@
 #include "http/message.h"
 
+#include <boost/asio/ip/address.hpp>
+
 #include <algorithm>
 #include <charconv>
 
@@ -81,7 +83,9 @@
         address = address.substr(1, address.size() - 2);
     Endpoint endpoint{std::string(address), 0, false};
     const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    if (error != std::errc{} || end != port.data() + port.size())
+    boost::system::error_code badAddress;
+    boost::asio::ip::make_address(endpoint.address, badAddress);
+    if (error != std::errc{} || end != port.data() + port.size() || badAddress)
         endpoint.port = 0;
     return endpoint;
 }
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -213,3 +213,41 @@
     cr_assert_eq(read.contacts.size(), Reachability::maxReported);
     cr_assert_eq(read.cutOff.size(), Reachability::maxReported);
 }
+
+namespace
+{
+
+struct AddressCase {
+    const char *callers;
+    const char *peers;
+    bool isWhole;
+};
+
+const AddressCase addresses[] = {
+    {"127.0.0.1:80", "127.0.0.1:90", true},
+    {"[::1]:80", "[::1]:90", true},
+    {"somewhere:80", "127.0.0.1:90", false},
+    {"127.0.0.1:80", "elsewhere:90", false},
+    {"127.0.0.1:0", "127.0.0.1:90", false},
+    {"127.0.0.1:65536", "127.0.0.1:90", false},
+    {"127.0.0.1:80", "127.0.0.1:-1", false},
+    {"127.0.0.1:80", "127.0.0.1:1000000000", false},
+    {"127.0.0.1:80", "127.0.0.1:90x", false},
+    {"127.0.0.1", "127.0.0.1:90", false},
+    {"127.0.0.1:80", "127.0.0.1.1:90", false},
+    {"127.0.0.1:80", ":90", false},
+    {"127.0.0.1:80", "", false},
+};
+
+} // namespace
+
+/// Guards against a node that ends when it sends to the address in an odd entry or report.
+TABLE_TEST(GatewayMessage, takesConnectableAddressesOnly, addresses)
+{
+    const auto address = std::string(R"({"node":"n","domain":"d","region":"r","started":1,"callers":")") + row.callers
+                         + R"(","peers":")" + row.peers + R"("})";
+    cr_assert_eq(decodeNodeAddress(address).has_value(), row.isWhole);
+    const auto read = decodeGatewayMessage(R"({"sender":"n","reports":[{"from":)" + address + "}]}");
+    cr_assert(read.has_value());
+    cr_assert_eq(read->reports.size(), row.isWhole ? 1U : 0U);
+}
