A value that no node can use does not make all nodes read the list

Cause: the node that reads for its failure domain passed on values as they were. One that does not fit a datagram left a gap, from which the receivers conclude that they must read themselves; one that is not UTF-8 made the whole datagram invalid. Now a value that is large or not printable is emptied if no node could use it; receivers ignore an empty value like the odd one. Values that nodes can use are passed on as before.

--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/jsonfields.h"
 #include "gateway/callforwarder.h"
 #include "gateway/crashquarantine.h"
 #include "gateway/dissemination.h"
@@ -429,13 +430,34 @@
         const auto targets = m_members.peersIn(m_address.failureDomain, now);
         if (targets.empty())
             return;
-        for (auto &part : split(update.delta, maxUpdateBytes, maxRevisionBytes)) {
+        auto delta = update.delta;
+        dropUnusableValues(delta, maxUpdateBytes,
+                           [&](const KeyChange &change) { return isUsable(update.view, change); });
+        for (auto &part : split(std::move(delta), maxUpdateBytes, maxRevisionBytes)) {
             auto notice = message();
             notice.registry.push_back({update.view, std::move(part)});
             m_peers.send(notice, targets);
         }
     }
 
+    /// Returns true if the value of @p change, which it must have, means anything to a node.
+    static bool isUsable(RegistryView view, const KeyChange &change)
+    {
+        switch (view) {
+        case RegistryView::OperatorDocuments: {
+            const auto document = Platform::readOperatorDocument(change.key, *change.value);
+            return std::holds_alternative<TrafficPolicy>(document)
+                   || std::holds_alternative<VersionDeclaration>(document);
+        }
+        case RegistryView::UpstreamRecords:
+            return std::holds_alternative<UpstreamRecord>(
+                Platform::readUpstream(instanceOf(change.key), *change.value));
+        case RegistryView::OwnRecords:
+            break;
+        }
+        return change.value->size() <= maxUpdateBytes && parseObject(*change.value).has_value();
+    }
+
     /// Passes the lease records of @p shard in a snapshot of the store, or their absence, to its PlacementController.
     void onOrderRecords(unsigned shard, const std::map<std::string, KeyValue> &records)
     {
--- a/src/gateway/registrydelta.cpp
+++ b/src/gateway/registrydelta.cpp
@@ -1,5 +1,7 @@
 #include "gateway/registrydelta.h"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace Gypsumtally::Gateway
@@ -21,6 +23,12 @@
     return sum;
 }
 
+/// Returns true if @p text is written in a datagram as it is, but for quotes and backslashes.
+bool isPrintable(std::string_view text)
+{
+    return std::ranges::all_of(text, [](char c) { return c >= ' ' && c <= '~'; });
+}
+
 } // namespace
 
 std::vector<RegistryDelta> split(RegistryDelta delta, std::size_t bytes, std::size_t largest)
@@ -49,4 +57,12 @@
     return parts;
 }
 
+void dropUnusableValues(RegistryDelta &delta, std::size_t bytes, const std::function<bool(const KeyChange &)> &isUsable)
+{
+    for (auto &change : delta.changes) {
+        if (change.value && (change.value->size() > bytes || !isPrintable(*change.value)) && !isUsable(change))
+            change.value = std::string{};
+    }
+}
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/registrydelta.h
+++ b/src/gateway/registrydelta.h
@@ -5,6 +5,7 @@
 #include "common/keyvalue.h"
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -47,6 +48,12 @@
 /// receivers detect that they must call the store themselves. Only the last part has an age. Thread-safe.
 std::vector<RegistryDelta> split(RegistryDelta delta, std::size_t bytes, std::size_t largest);
 
+/// Empties the values in @p delta that are larger than @p bytes or hold bytes that a datagram cannot carry as they are,
+/// if @p isUsable returns false for their change: receivers ignore an empty value like the odd one, but would miss all
+/// changes of a datagram that is too large or not valid. Thread-safe.
+void dropUnusableValues(RegistryDelta &delta, std::size_t bytes,
+                        const std::function<bool(const KeyChange &)> &isUsable);
+
 } // namespace Gypsumtally::Gateway
 
 namespace Gypsumtally
--- a/tests/gateway/registrydeltatest.cpp
+++ b/tests/gateway/registrydeltatest.cpp
@@ -63,3 +63,36 @@
     cr_assert_eq(parts[2].after, 12);
     cr_assert_eq(parts[2].changes.size(), 1U);
 }
+
+namespace
+{
+
+struct RelayCase {
+    const char *name;
+    std::string value;
+    bool isUsable;
+    bool isKept;
+};
+
+const RelayCase relays[] = {
+    {"small", "{}", true, true},
+    {"small, not usable", "[", false, true}, // Receivers ignore it by themselves.
+    {"large", std::string(1000, 'v'), true, true}, // Leaves a gap, as receivers need it.
+    {"large, not usable", std::string(1000, 'v'), false, false},
+    {"control characters, not usable", std::string(10, '\1'), false, false}, // Six times as long in a datagram.
+    {"not UTF-8, not usable", "\xff\xfe", false, false}, // Spoils the whole datagram.
+    {"beyond ASCII", "\xc3\xa9", true, true},
+};
+
+} // namespace
+
+/// Guards against nodes that call the store for each rewrite of an entry that is of no use to them.
+TABLE_TEST(RegistryDelta, dropsUnusableValuesThatSpoilDatagrams, relays)
+{
+    RegistryDelta delta{10, {{"a", "1", 11}, {"k", row.value, 12}, {"b", {}, 13}}, 13};
+    dropUnusableValues(delta, 500, [&](const KeyChange &change) { return change.key != "k" || row.isUsable; });
+    cr_assert_eq(delta.changes.size(), 3U);
+    cr_assert_eq(*delta.changes[0].value, std::string("1"));
+    cr_assert_eq(*delta.changes[1].value, row.isKept ? row.value : std::string{}, "%s", row.name);
+    cr_assert_not(delta.changes[2].value.has_value());
+}
