--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/table.h"
 
+#include <cmath>
+
 using namespace Gypsumtally;
 using namespace Gypsumtally::Gateway;
 
@@ -251,3 +253,89 @@
     cr_assert(read.has_value());
     cr_assert_eq(read->reports.size(), row.isWhole ? 1U : 0U);
 }
+
+namespace
+{
+
+const char *const oddFigures[] = {
+    "1e999",
+    "-1e999",
+    "1e300",
+    "-1e300",
+    "100000000000000000000000000000",
+    "9223372036854775807",
+    "-9223372036854775808",
+    "18446744073709551615",
+    "18446744073709551616.0",
+    "4294967295",
+    "-1",
+    "0.5",
+    R"("7")",
+    "null",
+    "true",
+    "[[[[[[[[[]]]]]]]]]",
+    "{}",
+};
+
+bool isTime(Duration time)
+{
+    return std::chrono::abs(time) <= std::chrono::hours{24};
+}
+
+bool isFigure(double figure)
+{
+    return std::abs(figure) <= 1e9;
+}
+
+/// Returns a message in which each number is @p figure.
+std::string messageOf(const std::string &figure)
+{
+    auto text = std::string(R"({"sender":"n","reports":[{"from":{"node":"m","started":#},"sequence":#,)")
+                + R"("in_flight":[["u",#]],"changed_in_flight":[["u",#]],"steps":[["u",#]],"speeds":[["s",#,#,#,#]],)"
+                + R"("prompts":[["u",#,#,#]],"limits":[["u",#,#,#,#]],"released":[[#,#,#]],"ordering":[#],)"
+                + R"("acquittals":[["part/1",#]],"turned_away":[["u",#,#]],"placements":[["u","m/a",#,false,#]]}],)"
+                + R"("used":[["s","m/a",#]],"wanted":[["s","m/a",#]],"shard":#,"found":[["u","m/a",#,false,#]],)"
+                + R"("registry":[{"view":"upstreams","after":#,"revision":#,"age":#,"changes":[[#,"k","v"]]}]})";
+    for (auto at = text.find('#'); at != std::string::npos; at = text.find('#', at + figure.size()))
+        text.replace(at, 1, figure);
+    return text;
+}
+
+} // namespace
+
+/// Guards against figures of a datagram that overflow, or that no conversion defines.
+TABLE_TEST(GatewayMessage, boundsFigures, oddFigures)
+{
+    const auto read = decodeGatewayMessage(messageOf(row));
+    if (!read)
+        return; // Not JSON.
+    for (const auto &report : read->reports) {
+        for (const auto &[instance, requests] : report.inFlight)
+            cr_expect(isFigure(requests), "in flight");
+        for (const auto &[instance, requests] : report.changedInFlight)
+            cr_expect(isFigure(requests), "changed in flight");
+        for (const auto &step : report.steps)
+            cr_expect(isFigure(step.stepMs), "step");
+        for (const auto &speed : report.speeds)
+            cr_expect(isFigure(speed.speed.stepMs) && isFigure(speed.speed.answerMs), "speed");
+        for (const auto &send : report.sends)
+            cr_expect(isFigure(send.tokens) && isTime(send.in) && isFigure(send.requests), "send");
+        for (const auto &limit : report.limits)
+            cr_expect(isTime(limit.age) && isFigure(limit.perSecond.value_or(0)) && isFigure(limit.earlierSends),
+                      "limit");
+        for (const auto &released : report.released)
+            cr_expect(isTime(released.sinceLastOrder), "released");
+        for (const auto &acquittal : report.acquittals)
+            cr_expect(isTime(acquittal.age), "acquittal");
+        for (const auto &turnedAway : report.turnedAway)
+            cr_expect(isTime(turnedAway.time), "turned away");
+        for (const auto &placement : report.placements)
+            cr_expect(isTime(placement.usableIn), "placement");
+    }
+    for (const auto &wanted : read->wanted)
+        cr_expect(isFigure(wanted.requests) && wanted.requests >= 0, "wanted");
+    for (const auto &found : read->found)
+        cr_expect(isTime(found.usableIn), "found");
+    for (const auto &update : read->registry)
+        cr_expect(isTime(update.delta.age.value_or(Duration{})), "registry");
+}
--- a/tests/platformadapter/documentstest.cpp
+++ b/tests/platformadapter/documentstest.cpp
@@ -97,3 +97,85 @@
     const auto read = Platform::readUpstream("i-1", replaced(record, row.from, row.to));
     cr_assert(std::holds_alternative<BadDocument>(read));
 }
+
+namespace
+{
+
+struct OddNumber {
+    const char *name;
+    const char *number;
+    bool isSlots; ///< It may be a number of slots.
+    bool isTime; ///< It may be the start of a process.
+};
+
+const OddNumber oddNumbers[] = {
+    {"whole", "64", true, true},
+    {"whole double", "64.0", true, true},
+    {"zero", "0", true, true},
+    {"milliseconds", "1700000000000", false, true},
+    {"milliseconds, as a double", "1700000000000.0", false, true},
+    {"infinite", "1e999", false, false},
+    {"infinite, negative", "-1e999", false, false},
+    {"large double", "1e300", false, false},
+    {"30 digits", "100000000000000000000000000000", false, false},
+    {"more than 32 bits", "5000000000.0", false, true},
+    {"all of 32 bits", "4294967295", false, true}, // More than any upstream can process.
+    {"2^32 as a double", "4294967296.0", false, true},
+    {"2^63", "9223372036854775808", false, false},
+    {"2^63 as a double", "9223372036854775808.0", false, false},
+    {"2^64 as a double", "18446744073709551616.0", false, false},
+    {"negative", "-1", false, false},
+    {"negative double", "-1.0", false, false},
+    {"fraction", "64.5", false, false},
+    {"small fraction", "1e-300", false, false},
+    {"text", R"("64")", false, false},
+    {"flag", "true", false, false},
+    {"null", "null", false, false},
+    {"list", "[64]", false, false},
+    {"object", R"({"n":64})", false, false},
+    {"30 deep", "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]", false, false},
+};
+
+bool isRecord(const std::string &text)
+{
+    return std::holds_alternative<UpstreamRecord>(Platform::readUpstream("i-1", text));
+}
+
+} // namespace
+
+/// Guards against an odd entry that draws the traffic with billions of slots, or differs between machines.
+TABLE_TEST(Documents, takesNumbersWithinRange, oddNumbers)
+{
+    const std::string number = row.number;
+    cr_expect_eq(isRecord(replaced(record, R"("slots":64)", R"("slots":)" + number)), row.isSlots, "slots %s",
+                 row.name);
+    cr_expect_eq(isRecord(replaced(record, "1700000000000", number)), row.isTime, "born %s", row.name);
+    const auto declared
+        = Platform::readOperatorDocument("op/version/m.a1", R"({"model":"m","adapter":"a1","version":)" + number + "}");
+    cr_expect_eq(std::holds_alternative<VersionDeclaration>(declared),
+                 row.isTime || number == "9223372036854775808" || number == "9223372036854775808.0", "version %s",
+                 row.name);
+}
+
+namespace
+{
+
+const char *const oddTimes[] = {"1e999", "1e300", "9223372036854775807", "1e17"};
+
+} // namespace
+
+/// Guards against times that overflow when they are added to another.
+TABLE_TEST(Documents, boundsTimes, oddTimes)
+{
+    auto text = replaced(configuration, R"("timeout_ms":30000)", R"("timeout_ms":)" + std::string(row));
+    text = replaced(text, R"("load_s":5.3)", R"("load_s":)" + std::string(row));
+    text = replaced(text, R"("idle_timeout_ms":15000)", R"("idle_timeout_ms":)" + std::string(row));
+    const auto document = Platform::readOperatorDocument("op/config", text);
+    cr_assert(std::holds_alternative<TrafficPolicy>(document));
+    const auto &policy = std::get<TrafficPolicy>(document);
+    constexpr Duration longest = std::chrono::hours{24};
+    cr_expect(policy.routes[0].timeout > Duration{} && policy.routes[0].timeout <= longest);
+    cr_expect(policy.services[0].engine->models[0].loadTime >= Duration{}
+              && policy.services[0].engine->models[0].loadTime <= longest);
+    cr_expect(policy.limits.idleTimeout > Duration{} && policy.limits.idleTimeout <= longest);
+}
--- a/tests/platformadapter/orderdialecttest.cpp
+++ b/tests/platformadapter/orderdialecttest.cpp
@@ -60,3 +60,37 @@
     cr_assert_eq(report->coming.front().target, std::string("m/a7"));
     cr_assert_not(OrderDialect::readReport("{}").has_value());
 }
+
+namespace
+{
+
+struct CounterCase {
+    const char *counter;
+    bool isReport;
+};
+
+const CounterCase counters[] = {
+    {"0", true},
+    {"9", true},
+    {"9.0", true},
+    {"-1", false},
+    {"-1.0", false},
+    {"1.5", false},
+    {"1e300", false},
+    {"1e999", false},
+    {"100000000000000000000000000000", false},
+    {R"("9")", false},
+    {"null", false},
+    {"[9]", false},
+    {"18446744073709551616.0", false},
+};
+
+} // namespace
+
+/// Guards against a report whose counter is taken as 0, so that no order fits the engine any more.
+TABLE_TEST(OrderDialect, takesReportsWithCounterOnly, counters)
+{
+    const auto report
+        = OrderDialect::readReport(R"({"models":[],"busy":false,"seq":)" + std::string(row.counter) + "}");
+    cr_assert_eq(report.has_value(), row.isReport, "%s", row.counter);
+}
