--- a/src/common/describedjson.h
+++ b/src/common/describedjson.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "common/enumtable.h"
 #include "common/identifiers.h"
+#include "common/jsonnumber.h"
 #include "common/modelname.h"
 
 #include <boost/describe.hpp>
@@ -124,10 +125,10 @@
     requires std::is_arithmetic_v<T>
 void readJson(const boost::json::value &json, T &value, const std::string &key)
 {
-    boost::system::error_code error;
-    value = json.to_number<T>(error);
-    if (error)
+    const auto number = numberFrom<T>(json);
+    if (!number)
         throw JsonShapeError(key + " must be a number that fits");
+    value = *number;
 }
 
 template<typename T>
--- a/src/common/jsonfields.h
+++ b/src/common/jsonfields.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "common/jsonnumber.h"
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -69,11 +71,7 @@
 Number numberAt(const boost::json::object &object, std::string_view name)
 {
     const auto *value = object.if_contains(name);
-    if (!value)
-        return {};
-    boost::system::error_code error;
-    const auto number = value->to_number<Number>(error);
-    return error ? Number{} : number;
+    return value ? numberFrom<Number>(*value).value_or(Number{}) : Number{};
 }
 
 /// Returns the strings in the list @p name; other elements are skipped.
