--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -65,11 +65,32 @@
 template<typename Number>
 Number numberIn(const json::array &row, std::size_t index)
 {
-    if (index >= row.size())
-        return {};
-    boost::system::error_code error;
-    const auto number = row[index].to_number<Number>(error);
-    return error ? Number{} : number;
+    return index < row.size() ? numberFrom<Number>(row[index]).value_or(Number{}) : Number{};
+}
+
+// Figures beyond these bounds are cut, so that sums of them do not overflow.
+constexpr double maxFigure = 1e9;
+constexpr unsigned maxCount = 1'000'000;
+constexpr Duration maxTime = std::chrono::hours{24};
+
+double figureIn(const json::array &row, std::size_t index)
+{
+    return std::clamp(numberIn<double>(row, index), -maxFigure, maxFigure);
+}
+
+unsigned countIn(const json::array &row, std::size_t index)
+{
+    return std::min(numberIn<unsigned>(row, index), maxCount);
+}
+
+Duration bounded(Duration time)
+{
+    return std::clamp<Duration>(time, -maxTime, maxTime);
+}
+
+Duration durationIn(const json::array &row, std::size_t index)
+{
+    return bounded(Duration{numberIn<Duration::rep>(row, index)});
 }
 
 /// Calls @p visit with each element of array @p name that is itself an array; ignores others and a missing array.
@@ -98,8 +119,7 @@
     std::vector<PlacementNotice> notices;
     eachRow(object, name, [&](const json::array &row) {
         notices.push_back({textIn(row, 0), textIn(row, 1), numberIn<std::uint64_t>(row, 2),
-                           row.size() > 3 && row[3].is_bool() && row[3].get_bool(),
-                           Duration{numberIn<std::int64_t>(row, 4)}});
+                           row.size() > 3 && row[3].is_bool() && row[3].get_bool(), durationIn(row, 4)});
     });
     return notices;
 }
@@ -108,7 +128,7 @@
 {
     std::vector<TargetDemand> demands;
     eachRow(object, name, [&](const json::array &row) {
-        TargetDemand demand{textIn(row, 0), textIn(row, 1), numberIn<double>(row, 2), {}};
+        TargetDemand demand{textIn(row, 0), textIn(row, 1), std::max(0.0, figureIn(row, 2)), {}};
         for (std::size_t i = 3; i < row.size(); ++i)
             demand.unfit.push_back(textIn(row, i));
         demands.push_back(std::move(demand));
@@ -363,38 +383,38 @@
         }
     }
     eachRow(object, "released", [&](const json::array &row) {
-        report.released.push_back(
-            {numberIn<unsigned>(row, 0), numberIn<std::uint64_t>(row, 1), Duration{numberIn<std::int64_t>(row, 2)}});
+        report.released.push_back({numberIn<unsigned>(row, 0), numberIn<std::uint64_t>(row, 1), durationIn(row, 2)});
     });
     report.hasInFlight = arrayAt(object, "in_flight") != nullptr;
-    eachRow(object, "in_flight",
-            [&](const json::array &row) { report.inFlight[textIn(row, 0)] = numberIn<unsigned>(row, 1); });
+    eachRow(object, "in_flight", [&](const json::array &row) { report.inFlight[textIn(row, 0)] = countIn(row, 1); });
     eachRow(object, "changed_in_flight",
-            [&](const json::array &row) { report.changedInFlight[textIn(row, 0)] = numberIn<unsigned>(row, 1); });
+            [&](const json::array &row) { report.changedInFlight[textIn(row, 0)] = countIn(row, 1); });
     eachRow(object, "steps", [&](const json::array &row) {
-        report.steps.push_back({textIn(row, 0), numberIn<double>(row, 1)});
+        report.steps.push_back({textIn(row, 0), figureIn(row, 1)});
     });
     eachRow(object, "speeds", [&](const json::array &row) {
         report.speeds.push_back(
-            {textIn(row, 0),
-             {numberIn<double>(row, 1), numberIn<double>(row, 2), numberIn<double>(row, 3), numberIn<double>(row, 4)}});
+            {textIn(row, 0), {figureIn(row, 1), figureIn(row, 2), figureIn(row, 3), figureIn(row, 4)}});
     });
     eachRow(object, "prompts", [&](const json::array &row) {
-        report.sends.push_back({textIn(row, 0), numberIn<double>(row, 1), Duration{numberIn<std::int64_t>(row, 2)},
-                                numberIn<int>(row, 3)});
+        report.sends.push_back(
+            {textIn(row, 0), figureIn(row, 1), durationIn(row, 2), std::clamp(numberIn<int>(row, 3), -1, 1)});
     });
     eachRow(object, "limits", [&](const json::array &row) {
-        LimitNotice notice{
-            {textIn(row, 0), numberIn<std::int64_t>(row, 1)}, {}, Duration{numberIn<std::int64_t>(row, 2)}};
-        if (row.size() > 3 && row[3].is_number())
-            notice.perSecond = numberIn<double>(row, 3);
-        notice.earlierSends = numberIn<unsigned>(row, 4);
+        LimitNotice notice{{textIn(row, 0), numberIn<std::int64_t>(row, 1)}, {}, durationIn(row, 2)};
+        if (row.size() > 3 && row[3].is_number()) {
+            const auto limit = numberFrom<double>(row[3]);
+            if (!limit || *limit < 0)
+                return;
+            notice.perSecond = std::min(*limit, maxFigure);
+        }
+        notice.earlierSends = countIn(row, 4);
         report.limits.push_back(std::move(notice));
     });
     eachRow(object, "crashes", [&](const json::array &row) { report.crashes.push_back(crashFrom(row)); });
     eachRow(object, "acquittals", [&](const json::array &row) {
         if (const auto cause = parseCrashCause(textIn(row, 0)))
-            report.acquittals.push_back({*cause, Duration{numberIn<std::int64_t>(row, 1)}});
+            report.acquittals.push_back({*cause, durationIn(row, 1)});
     });
     report.proposals = causesFrom(object, "proposals");
     report.lifted = causesFrom(object, "lifted");
@@ -407,8 +427,7 @@
         report.departures.push_back({textIn(row, 0), numberIn<std::int64_t>(row, 1)});
     });
     eachRow(object, "turned_away", [&](const json::array &row) {
-        report.turnedAway.push_back(
-            {{textIn(row, 0), numberIn<std::int64_t>(row, 1)}, Duration{numberIn<std::int64_t>(row, 2)}});
+        report.turnedAway.push_back({{textIn(row, 0), numberIn<std::int64_t>(row, 1)}, durationIn(row, 2)});
     });
     report.brokenStreams = streamsFrom(object, "broken_streams");
     readReach(object, report);
@@ -442,7 +461,7 @@
         return std::nullopt;
     RegistryDelta delta{numberAt<Revision>(object, "after"), {}, numberAt<Revision>(object, "revision"), {}};
     if (object.contains("age"))
-        delta.age = std::max(Duration{}, Duration{numberAt<std::int64_t>(object, "age")});
+        delta.age = std::max(Duration{}, bounded(Duration{numberAt<Duration::rep>(object, "age")}));
     eachRow(object, "changes", [&](const json::array &row) {
         KeyChange change{textIn(row, 1), {}, numberIn<Revision>(row, 0)};
         if (row.size() > 2)
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -321,7 +321,8 @@
         for (const auto &send : report.sends)
             cr_expect(isFigure(send.tokens) && isTime(send.in) && isFigure(send.requests), "send");
         for (const auto &limit : report.limits)
-            cr_expect(isTime(limit.age) && isFigure(limit.perSecond.value_or(0)) && isFigure(limit.earlierSends),
+            cr_expect(isTime(limit.age) && isFigure(limit.perSecond.value_or(0)) && limit.perSecond.value_or(0) >= 0
+                          && isFigure(limit.earlierSends),
                       "limit");
         for (const auto &released : report.released)
             cr_expect(isTime(released.sinceLastOrder), "released");
