--- a/tests/platformadapter/documentstest.cpp
+++ b/tests/platformadapter/documentstest.cpp
@@ -179,3 +179,54 @@
               && policy.services[0].engine->models[0].loadTime <= longest);
     cr_expect(policy.limits.idleTimeout > Duration{} && policy.limits.idleTimeout <= longest);
 }
+
+namespace
+{
+
+struct InstanceCase {
+    const char *name;
+    std::string instance;
+    bool isInstance;
+};
+
+const InstanceCase instances[] = {
+    {"usual", "i-1cb93604", true},
+    {"punctuation", "i_1.a:b/c", true},
+    {"as long as keys may be", std::string(200, 'i'), true},
+    {"empty", "", false},
+    {"too long", std::string(201, 'i'), false},
+    {"line break", "i-1\r\nX-Hold: 1", false},
+    {"space", "i 1", false},
+    {"control character", "i\x01", false},
+    {"beyond ASCII", "i-\xc3\xa9", false},
+};
+
+} // namespace
+
+/// Guards against an odd key that adds headers to requests for upstreams, which are addressed by their instance.
+TABLE_TEST(Documents, takesInstancesThatFitHeaders, instances)
+{
+    const auto read = Platform::readUpstream(row.instance, record);
+    cr_assert_eq(std::holds_alternative<UpstreamRecord>(read), row.isInstance, "%s", row.name);
+}
+
+namespace
+{
+
+const int depths[] = {30, 1000, 100000};
+
+} // namespace
+
+TABLE_TEST(Documents, refusesDeepNesting, depths)
+{
+    const auto depth = static_cast<std::size_t>(row);
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const auto *from : {R"("s1")", R"("10.0.0.9:80")", "64", "1700000000000", R"("ready")"})
+        cr_expect_not(isRecord(replaced(record, from, nested)), "%s", from);
+    cr_expect_not(isRecord(nested));
+    for (const auto *key : {"op/config", "op/version/m.a1"}) {
+        const auto document
+            = Platform::readOperatorDocument(key, R"({"adapter":"a","model":"m","version":)" + nested + "}");
+        cr_expect(std::holds_alternative<BadDocument>(document), "%s", key);
+    }
+}
