--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -340,3 +340,35 @@
     for (const auto &update : read->registry)
         cr_expect(isTime(update.delta.age.value_or(Duration{})), "registry");
 }
+
+namespace
+{
+
+struct UpdateCase {
+    const char *name;
+    const char *update; ///< Without the view.
+    bool isUpdate;
+};
+
+const UpdateCase updateCases[] = {
+    {"usual", R"("after":7,"revision":9,"changes":[[8,"k","v"],[9,"l"]])", true},
+    {"confirmation", R"("after":7,"revision":7,"changes":[])", true},
+    {"without a revision", R"("after":7,"changes":[])", false},
+    {"revision before the start", R"("after":7,"revision":5,"changes":[])", false},
+    {"negative", R"("after":-7,"revision":5,"changes":[])", false},
+    {"beyond any store's revisions", R"("after":7,"revision":9223372036854775807,"changes":[])", false},
+    {"infinite", R"("after":7,"revision":1e999,"changes":[])", false},
+    {"change before the start", R"("after":7,"revision":9,"changes":[[7,"k","v"]])", true}, // Receivers have it.
+    {"value of another type", R"("after":7,"revision":9,"changes":[[8,"k",7]])", false},
+};
+
+} // namespace
+
+/// Guards against a node that stops following the store after an odd datagram has moved its revision ahead.
+TABLE_TEST(GatewayMessage, takesConsistentUpdatesOnly, updateCases)
+{
+    const auto read = decodeGatewayMessage(R"({"sender":"n","reports":[],"registry":[{"view":"upstreams",)"
+                                           + std::string(row.update) + "}]}");
+    cr_assert(read.has_value());
+    cr_assert_eq(read->registry.size(), row.isUpdate ? 1U : 0U, "%s", row.name);
+}
