Changes of the store in a datagram are taken only with consistent revisions

Cause: the revisions of a datagram's part were not checked, and the highest one became the node's own. A part whose revisions are negative, in the wrong order or above 2^53, or that has a value of another type, is now ignored; what it held counts as missing, so that the receiver reads the store itself.

--- a/src/common/keyvalue.h
+++ b/src/common/keyvalue.h
@@ -14,6 +14,9 @@
 /// A revision of the platform's key-value service; increases with every write to any key.
 using Revision = std::int64_t;
 
+/// Revisions above this are not valid: JSON carries whole numbers exactly up to 2^53.
+inline constexpr Revision maxRevision = Revision{1} << 53;
+
 /// A key with its stored value and the revision of its last write.
 struct KeyValue {
     std::string key;
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -460,14 +460,20 @@
     if (!view)
         return std::nullopt;
     RegistryDelta delta{numberAt<Revision>(object, "after"), {}, numberAt<Revision>(object, "revision"), {}};
+    if (delta.after < 0 || delta.revision < delta.after || delta.revision > maxRevision)
+        return std::nullopt;
     if (object.contains("age"))
         delta.age = std::max(Duration{}, bounded(Duration{numberAt<Duration::rep>(object, "age")}));
+    bool isWhole = true;
     eachRow(object, "changes", [&](const json::array &row) {
         KeyChange change{textIn(row, 1), {}, numberIn<Revision>(row, 0)};
         if (row.size() > 2)
             change.value = textIn(row, 2);
+        isWhole = isWhole && (row.size() <= 2 || row[2].is_string());
         delta.changes.push_back(std::move(change));
     });
+    if (!isWhole)
+        return std::nullopt;
     return RegistryUpdate{*view, std::move(delta)};
 }
 
