--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -464,6 +464,17 @@
 
 /// Starts processes again that have ended by themselves, as the platform does. That is a problem unless the process had
 /// just started: a signal ends it while it is still being loaded.
+unsigned Fleet::logLines(const std::string &event) const
+{
+    unsigned lines = 0;
+    for (const auto &node : m_nodes) {
+        std::ifstream log(m_files.file(node.name + ".log"));
+        for (std::string line; std::getline(log, line);)
+            lines += line.find(event) != std::string::npos ? 1 : 0;
+    }
+    return lines;
+}
+
 void Fleet::superviseNodes(Instant now)
 {
     for (std::size_t number = 0; number < m_nodes.size(); ++number) {
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -168,6 +168,9 @@
         return m_random;
     }
 
+    /// Returns the number of lines about @p event that all nodes have logged.
+    unsigned logLines(const std::string &event) const;
+
     /// Keeps logs and settings, and prints where they are.
     void keepFiles()
     {
--- a/tests/gatewayfleet/oddentriestest.cpp
+++ b/tests/gatewayfleet/oddentriestest.cpp
@@ -66,6 +66,7 @@
         {"gypsumtally/quarantine/odd", R"({"crashes":-1,"decided_ms":1e300})"},
         {"gypsumtally/quarantine/part-zz", nested(100000)},
         {"gypsumtally/software/s", R"({"serving":[1e300,"v1"],"left_ms":{"v0":1e300}})"},
+        {"gypsumtally/software/t", "[]"},
         {"gypsumtally/estimates", R"({"store_factor":1e999,"speeds":[{"service":"s","step_ms":1e999}]})"},
         {"gypsumtally/order-term/9", R"({"term":-1})"},
         {"gypsumtally/order-holder/x", nested(30)},
@@ -150,3 +151,41 @@
     cr_expect(problems.empty(), "%s: %zu problems, the first: %s", row.name, problems.size(),
               problems.empty() ? "" : problems.front().c_str());
 }
+
+namespace
+{
+
+constexpr unsigned nodes = 3;
+constexpr unsigned maxLinesPerSecond = 20; ///< Of one node, about one kind of event.
+
+const EntriesCase loggedCases[] = {
+    {"records of upstreams", oddRecords, false},
+    {"entries under the nodes' own prefix", oddOwnEntries, true},
+    {"documents of operators", oddOperatorEntries, true},
+};
+
+} // namespace
+
+/// Guards against logs that grow without a bound while another writer rewrites odd entries.
+TABLE_TEST(OddEntries, logsWithinBound, loggedCases)
+{
+    Fleet fleet({nodes, 1, 1}, 1);
+    fleet.waitUntilReady();
+    const auto entries = row.entries();
+    constexpr int frequentRewrites = 200;
+    for (int i = 0; i < frequentRewrites; ++i) {
+        fleet.after(milliseconds{10} * i, [&] {
+            for (const auto &[key, value] : entries) {
+                if (value.size() < 1000)
+                    fleet.store().put(key, value);
+            }
+        });
+    }
+    fleet.run(seconds{4});
+    const auto lines = fleet.logLines("bad_document");
+    cr_expect(lines > 0, "%s: no line", row.name);
+    cr_expect_leq(lines, nodes * maxLinesPerSecond * 5, "%s: %u lines", row.name, lines);
+    const auto problems = fleet.finish();
+    cr_expect(problems.empty(), "%s: %zu problems, the first: %s", row.name, problems.size(),
+              problems.empty() ? "" : problems.front().c_str());
+}
