Log lines about odd documents and entries are bounded

Cause: lines about operators' documents and about the nodes' own records were written as notes, which have no limit. They now are decisions like those about upstreams' records, of which a node writes 20 a second at most; the field "key" stays.

--- a/src/gateway/crashquarantine.h
+++ b/src/gateway/crashquarantine.h
@@ -217,7 +217,8 @@
     {
         const auto verdict = decodeCrashVerdict(cause, text);
         if (!verdict)
-            return m_log.note(GatewayEvent::BadDocument, {{"key", keyOf(cause)}, {"reason", "not a verdict"}});
+            return m_log.decision(GatewayEvent::BadDocument, keyOf(cause),
+                                  {{"key", keyOf(cause)}, {"reason", "not a verdict"}});
         m_saved.insert(cause);
         m_unsaved.erase(cause);
         if (m_context.crashes.addVerdict(*verdict, now))
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -495,7 +495,7 @@
     {
         auto document = Platform::readOperatorDocument(key, value);
         if (const auto *bad = std::get_if<BadDocument>(&document)) {
-            m_log.note(GatewayEvent::BadDocument, {{"key", key}, {"reason", bad->reason}});
+            m_log.decision(GatewayEvent::BadDocument, key, {{"key", key}, {"reason", bad->reason}});
         } else if (auto *policy = std::get_if<TrafficPolicy>(&document)) {
             if (m_context.routes && policy->version <= m_context.routes->policy().version)
                 return;
--- a/src/gateway/streamrecords.h
+++ b/src/gateway/streamrecords.h
@@ -145,7 +145,8 @@
     {
         const auto history = decodeSoftwareHistory(text);
         if (!history)
-            return m_log.note(GatewayEvent::BadDocument, {{"key", key}, {"reason", "not a history of versions"}});
+            return m_log.decision(GatewayEvent::BadDocument, key,
+                                  {{"key", key}, {"reason", "not a history of versions"}});
         const auto service = key.substr(m_keys.history.size());
         m_stored[service] = *history;
         m_context.streams.onHistory(service, *history, now, wallMs);
