--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -184,8 +184,8 @@
     /// Records that @p requests requests for @p target were sent or are still in flight.
     void onUsed(const std::string &service, const ModelTarget &target, double requests, Instant now);
 
-    /// Records that @p version of an adapter was declared; copies of older versions are unloaded once they may not serve
-    /// any more.
+    /// Records that @p version of an adapter was declared; copies of older versions are unloaded once they may not
+    /// serve any more.
     void onVersionDeclared(const ModelTarget &target, std::uint64_t version);
 
     /// Records the outcome of an order from plan().
