--- /dev/null
+++ b/tests/platformadapter/storeclienttest.cpp
@@ -0,0 +1,136 @@
+#include "platform/storeclient.h"
+
+#include "support/rawserver.h"
+#include "support/table.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <optional>
+#include <string>
+
+using namespace Gypsumtally;
+
+namespace
+{
+
+struct ReplyCase {
+    const char *name;
+    std::string body;
+    bool isAnswer;
+    std::size_t values; ///< Of a snapshot, or changes of a watch.
+};
+
+std::string item(const std::string &revision, const std::string &value = "djE=")
+{
+    return R"({"key":"p/a","value":")" + value + R"(","revision":)" + revision + "}";
+}
+
+std::string snapshot(const std::string &items, const std::string &revision)
+{
+    return R"({"items":[)" + items + R"(],"more_pages":false,"as_of":)" + revision + "}";
+}
+
+std::string events(const std::string &items, const std::string &revision)
+{
+    return R"({"events":[)" + items + R"(],"as_of":)" + revision + "}";
+}
+
+const ReplyCase snapshots[] = {
+    {"usual", snapshot(item("7"), "9"), true, 1},
+    {"base64 that is not valid", snapshot(item("7", "*"), "9"), true, 1},
+    {"item of another type", snapshot("7," + item("7"), "9"), true, 1},
+    {"revision of another type", snapshot(item("7"), R"("9")"), false, 0},
+    {"revision negative", snapshot(item("7"), "-9"), false, 0},
+    {"revision infinite", snapshot(item("7"), "1e999"), false, 0},
+    {"revision beyond 2^53", snapshot(item("7"), "9223372036854775807"), false, 0},
+    {"without a revision", R"({"items":[]})", false, 0},
+    {"not an object", "[7]", false, 0},
+    {"100,000 deep", std::string(100000, '['), false, 0},
+};
+
+const ReplyCase watches[] = {
+    {"usual", events(item("7"), "9"), true, 1},
+    {"nothing", events("", "9"), true, 0},
+    {"base64 that is not valid", events(item("7", "*"), "9"), true, 1},
+    {"revision beyond 2^53", events(item("7"), "9223372036854775807"), false, 0},
+    {"revision before the call's", events(item("7"), "3"), true, 1},
+    {"without a revision", R"({"events":[]})", false, 0},
+    {"event's revision infinite", events(item("1e999"), "9"), false, 0},
+    {"event's revision of another type", events(item(R"("7")"), "9"), false, 0},
+    {"event of another type", events("7", "9"), false, 0},
+    {"not an object", "7", false, 0},
+};
+
+const ReplyCase leases[] = {
+    {"usual", R"({"lease":7,"ttl_ms":5000})", true, 0},
+    {"negative", R"({"lease":-7})", false, 0},
+    {"infinite", R"({"lease":1e999})", false, 0},
+    {"of another type", R"({"lease":"7"})", false, 0},
+    {"beyond 64 bits", R"({"lease":18446744073709551616.0})", false, 0},
+};
+
+/// A client of a store that answers each call with @p body.
+struct Asker {
+    explicit Asker(const std::string &body)
+        : server(loop,
+                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
+                     + "\r\n\r\n" + body,
+                 Testing::ConnectionEnd::Close)
+        , client(loop, server.endpoint())
+    {
+    }
+
+    void run()
+    {
+        loop.runAfter(std::chrono::seconds{2}, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    Http::EventLoop loop;
+    Testing::RawServer server;
+    Platform::StoreClient client;
+};
+
+} // namespace
+
+/// Guards against a node that follows from an odd revision, and so misses what comes after.
+TABLE_TEST(StoreClient, takesValidSnapshotsOnly, snapshots)
+{
+    Asker asker(row.body);
+    std::optional<KeyReply> reply;
+    asker.client.readPrefix("p/", [&](const KeyReply &each) {
+        reply = each;
+        asker.loop.stop();
+    });
+    asker.run();
+    cr_assert(reply.has_value(), "%s", row.name);
+    cr_assert_eq(reply->outcome == KeyOutcome::Applied, row.isAnswer, "%s", row.name);
+    cr_assert_eq(reply->values.size(), row.values, "%s", row.name);
+}
+
+TABLE_TEST(StoreClient, takesValidWatchesOnly, watches)
+{
+    Asker asker(row.body);
+    std::optional<Gateway::WatchResult> result;
+    asker.client.watch("p/", 5, std::chrono::seconds{1}, [&](const Gateway::WatchResult &each) {
+        result = each;
+        asker.loop.stop();
+    });
+    asker.run();
+    cr_assert(result.has_value(), "%s", row.name);
+    cr_assert_eq(result->answered, row.isAnswer, "%s", row.name);
+    cr_assert_eq(result->changes.size(), row.values, "%s", row.name);
+}
+
+TABLE_TEST(StoreClient, takesValidLeasesOnly, leases)
+{
+    Asker asker(row.body);
+    std::optional<std::optional<Gateway::StoreLease>> lease;
+    asker.client.grantLease(std::chrono::seconds{5}, [&](std::optional<Gateway::StoreLease> each) {
+        lease = each;
+        asker.loop.stop();
+    });
+    asker.run();
+    cr_assert(lease.has_value(), "%s", row.name);
+    cr_assert_eq(lease->has_value(), row.isAnswer, "%s", row.name);
+}
