--- a/tests/gateway/callcontexttest.cpp
+++ b/tests/gateway/callcontexttest.cpp
@@ -32,6 +32,7 @@
 std::vector<Declaration> inSuccession(int count, int pauseMs)
 {
     std::vector<Declaration> declarations;
+    declarations.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         declarations.push_back({i * pauseMs, static_cast<std::uint64_t>(i) + 2});
     return declarations;
