Brittle upstreams get no more requests than they have room for

The upstreams of a service may state in their answers (Server-Brittle) that they fail when they refuse more than so many requests in a second for want of room. Nothing read that. Nodes sent to upstreams whose slots were taken, several nodes chose the same upstream at the same moment, and what a failed one left went to the next, which failed as well.

The statement is decoded in platform/ (a value that cannot be read counts as no refusal at all, and is logged), kept by service, as a process that has just started has stated nothing, and told to peers at once and with each digest. While it holds:

- the places of all upstreams are dealt out to the live nodes, so that a node's own send needs no report in time;
- another node's place is used only while most are free, announced 30 ms ahead by the same announcements as prompts;
- each send and each end is reported at once, for plain services too, and what all nodes report bounds each upstream;
- a refusal for want of room stops all nodes for 1.1 s, and the upstream counts as having fewer places;
- a request without a place waits at its node, or is refused at once if its turn would come too late.

CallForwarder/brittleUpstreamsGetRequestsOnlyWithRoom and brittleUpstreamThatIsFullGetsNoRequests check the same over sockets.

--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -7,7 +7,8 @@
                                   Instant sentAt)
 {
     const auto effect = applyStatement(upstreams, process, statement, now, sentAt);
-    const bool hasEffect = effect.leaves || effect.turnedAwayFor > Duration{} || effect.changesLimit;
+    const bool hasEffect
+        = effect.leaves || effect.turnedAwayFor > Duration{} || effect.changesLimit || effect.changesBrittleness;
     if (onStatement && (hasEffect || !statement.unreadable.empty()))
         onStatement(process, effect, statement.unreadable);
 }
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -48,6 +48,7 @@
     std::unordered_map<ModelTarget, TargetUse> uses;
     /// Fraction of upstreams' request limits that this node and those in contact with it may use.
     double limitShare = 1;
+    NodeRank rank; ///< This node's among the live ones.
     std::size_t maxBufferedAnswerBytes = 64 * 1024 * 1024; ///< Limit on the buffered bytes of all incomplete answers.
     std::size_t maxRelayedCalls = 200; ///< Limit on the calls of other nodes in progress here.
     /// True if some node orders loads, or if this node has started too recently to have received reports of one.
@@ -66,8 +67,8 @@
         onLoadRequested;
     /// Announces to the other nodes that a request is sent to an upstream, or withdraws an announcement.
     std::function<void(const SendNotice &notice)> onSend;
-    /// Notifies the other nodes that a request of this one has ended at an upstream with few free slots.
-    std::function<void(const std::string &instance)> onCapacityFreed;
+    /// Reports to the other nodes how many requests of this one are in flight at an upstream.
+    std::function<void(const std::string &instance)> onLoadChanged;
     /// Notifies the lease holder that an engine does not hold a target.
     std::function<void(const std::string &instance, const ModelTarget &target)> onMissing;
 
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -7,6 +7,7 @@
 #include "gateway/eventsplitter.h"
 #include "gateway/gatewaylog.h"
 #include "gateway/upstreammonitor.h"
+#include "gateway/upstreamroom.h"
 #include "gateway/waittimes.h"
 #include "http/eventloop.h"
 #include "relay/callerserver.h"
@@ -211,8 +212,6 @@
     /// Time after which an engine that has not stated its start time is asked again for the same call.
     static constexpr Duration verificationInterval = std::chrono::milliseconds{150};
     static constexpr Duration verdictPollInterval = std::chrono::milliseconds{50}; ///< While a verdict is undecided.
-    /// Time until all nodes have received the announcement of a prompt.
-    static constexpr Duration announcementDelay = std::chrono::milliseconds{30};
     static constexpr double latePaceShare = 0.6; ///< Share of the prompt pace for calls past their latency objective.
     /// Share of the prompt pace for new calls while callers take up streams that only a part of the upstreams can
     /// serve.
@@ -445,9 +444,13 @@
         if (!choice)
             return waitForLoad(call, now);
         if (choice->sendAt > now) {
-            if (choice->sendAt > latestSend(*call))
-                return giveUp(call, ErrorCode::Overloaded, "the engines that have the adapter are full",
-                              acceptableRetryAfter(*call, choice->sendAt - now, now));
+            const auto sendAt
+                = choice->isFull && isBrittle(call->service) ? endOfBacklog(*call, *choice, now) : choice->sendAt;
+            if (sendAt > latestSend(*call))
+                return giveUp(call, ErrorCode::Overloaded,
+                              isBrittle(call->service) ? "the upstreams are full"
+                                                       : "the engines that have the adapter are full",
+                              acceptableRetryAfter(*call, sendAt - now, now));
             if (const auto later = loadJitter(*call, *choice, now); later > Duration{}) {
                 call->notBefore = now + later;
                 startWaiting(call, WaitCause::LoadInProgress, now);
@@ -669,6 +672,28 @@
                    std::min(maxQueueTimeFraction * time, maxPatienceFraction * patience));
     }
 
+    /// Returns true if the upstreams of @p service state to be brittle.
+    bool isBrittle(const std::string &service) const
+    {
+        return m_context.upstreams.brittleness(service).refusalsPerSecond.has_value();
+    }
+
+    /// Returns when the call is expected to have room at the brittle upstreams of its service, behind the calls that
+    /// wait for room at this node already. Each of the node's requests there makes room for one when it ends.
+    Instant endOfBacklog(const Call &call, const UpstreamChoice &choice, Instant now)
+    {
+        const auto waiting = std::ranges::count_if(m_waiting, [&](const CallPtr &other) {
+            return other->service == call.service && other->arrival < call.arrival;
+        });
+        unsigned ownInFlight = 0;
+        for (const auto &[instance, upstream] : m_context.upstreams.all())
+            ownInFlight += upstream.record.service == call.service ? upstream.ownInFlight : 0;
+        const auto speed = m_context.speeds[call.service].speed();
+        const double timeMs = call.request.target.empty() ? speed.answerMs : speed.streamMs;
+        const double waitMs = static_cast<double>(waiting) * timeMs / std::max(1U, ownInFlight);
+        return std::max(choice.sendAt, now + Duration{static_cast<std::int64_t>(waitMs * 1000)});
+    }
+
     /// Returns the Retry-After for a call that can be served in @p servedIn. It is capped because callers retry at most
     /// once, and not at all if the Retry-After is longer than they accept.
     static Duration acceptableRetryAfter(const Call &call, Duration servedIn, Instant now)
@@ -684,9 +709,10 @@
         if (!reservation)
             return;
         const bool isPromptCounted = now - reservation->sendAt < call.route.longestPause;
-        if (isPromptCounted || reservation->isLimited)
+        const bool isCounted = reservation->isLimited || reservation->isLent;
+        if (isPromptCounted || isCounted)
             m_context.announceSend({reservation->instance, isPromptCounted ? -call.request.promptTokens : 0,
-                                    reservation->sendAt - now, reservation->isLimited ? -1 : 0},
+                                    reservation->sendAt - now, isCounted ? -1 : 0},
                                    now);
     }
 
@@ -761,6 +787,9 @@
                               isBehindCut};
         if (call.route.kind == RequestKind::Streaming && !call.streamVersion)
             demand.heldVersions = m_context.streams.heldVersions(call.service, now);
+        demand.refusalsPerSecond = m_context.upstreams.brittleness(call.service).refusalsPerSecond;
+        demand.rank = m_context.rank;
+        demand.spreadSeed = XXH3_64bits(call.request.id.data(), call.request.id.size());
         if (call.request.target.empty())
             return chooseUpstream(m_context.upstreams, demand, now);
         // Prefers the newest version as soon as it is declared; an older one serves until the new one is loaded.
@@ -907,13 +936,16 @@
         m_metrics.observe(Metric::LoadStallSeconds, labelsOf(*call), now - call->waitingSince, now);
     }
 
-    /// Announces to all nodes that the call is sent as in @p choice.
-    void announceSend(const Call &call, const UpstreamChoice &choice, Instant now)
+    /// Announces to all nodes that the call is sent as in @p choice. Returns false if there is nothing to announce.
+    bool announceSend(const Call &call, const UpstreamChoice &choice, Instant now)
     {
-        if (call.request.promptTokens > 0 || choice.isLimited)
-            m_context.announceSend({choice.instance, call.request.promptTokens,
-                                    std::max(Duration{}, choice.sendAt - now), choice.isLimited ? 1 : 0},
-                                   now);
+        const bool isCounted = choice.isLimited || choice.isLent;
+        if (call.request.promptTokens <= 0 && !isCounted)
+            return false;
+        m_context.announceSend(
+            {choice.instance, call.request.promptTokens, std::max(Duration{}, choice.sendAt - now), isCounted ? 1 : 0},
+            now);
+        return true;
     }
 
     /// Returns the call's reservation if the call can be sent there now.
@@ -924,7 +956,8 @@
         const auto it = m_context.upstreams.all().find(call.reservation->instance);
         if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || now < it->second.avoidUntil
             || it->second.inFlight() >= it->second.record.slots
-            || !keepsRequestLimit(it->second, *call.reservation, now))
+            || !keepsRequestLimit(it->second, *call.reservation, now)
+            || (call.reservation->isLent && !isStillLent(it->second, m_context.node, now)))
             return std::nullopt;
         if (call.request.target.empty())
             return call.reservation;
@@ -997,8 +1030,10 @@
         if (upstream->ownInFlight == 0)
             upstream->waitingSince = now;
         ++upstream->ownInFlight;
-        if (!std::exchange(call->reservation, std::nullopt))
-            announceSend(*call, choice, now);
+        const bool wasReserved = std::exchange(call->reservation, std::nullopt).has_value();
+        const bool isReported = !wasReserved && announceSend(*call, choice, now);
+        if (!isReported && isBrittle(call->service) && m_context.onLoadChanged)
+            m_context.onLoadChanged(choice.instance);
         call->prefillBacklogAtSend
             = std::max(call->request.promptTokens,
                        upstream->prompts.prefillBacklog(speed.promptTokensPerMs / call->slownessAtSend, now));
@@ -1077,8 +1112,9 @@
             return;
         const bool wasCrowded = upstream->inFlight() >= crowdedUtilisation * upstream->record.slots;
         --upstream->ownInFlight;
-        if (wasCrowded && !call->request.target.empty() && m_context.onCapacityFreed)
-            m_context.onCapacityFreed(call->instance);
+        if ((isBrittle(upstream->record.service) || (wasCrowded && !call->request.target.empty()))
+            && m_context.onLoadChanged)
+            m_context.onLoadChanged(call->instance);
     }
 
     /// Ends the current send, if there is one, as the call has ended for another reason.
@@ -1132,6 +1168,10 @@
             return dropSend(call, "the answer is not one to this request");
         if (call->reply.notRun)
             m_client.noteRefusal(call->token, call->reply.requestId);
+        // An engine also refuses requests whose target it is still loading.
+        if (const auto *upstream = m_context.upstreams.find(call->instance);
+            upstream && isStillLoading(*upstream, call->request.target, BootClock{}.now()))
+            call->reply.statement.isFull = false;
         // A refusal may be made without the upstream's state, so that it does not end a request limit.
         m_context.recordStatement({call->instance, call->processStartedAt}, call->reply.statement, BootClock{}.now(),
                                   call->reply.notRun ? Instant{} : call->sentAt);
--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -32,6 +32,7 @@
     append(into.departures, std::move(from.departures));
     append(into.turnedAway, std::move(from.turnedAway));
     append(into.limits, std::move(from.limits));
+    append(into.brittleness, std::move(from.brittleness));
     append(into.released, std::move(from.released));
     append(into.failedReach, std::move(from.failedReach));
     append(into.contacts, std::move(from.contacts));
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -1,5 +1,7 @@
 #include "gateway/enginechoice.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -21,6 +23,7 @@
 constexpr double minSlowness = 0.2; ///< Estimates below this are presumed wrong.
 constexpr double maxSlowness = 8; ///< Estimates above this are presumed wrong.
 
+constexpr double brittleSpreadMs = 20; ///< Longest random cost, to spread requests over a brittle service's upstreams.
 constexpr Duration fullEngineDelay = std::chrono::milliseconds{60}; ///< Delay before a full engine is considered again.
 constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Time for which a sent prompt may still be queued.
 constexpr double stepsPerRunningRequest = 0.15; ///< Delay of a new request by each running one, in steps.
@@ -57,6 +60,20 @@
     return penalty;
 }
 
+/// Makes @p choice wait for room at @p upstream, whose service is brittle and where @p ownPlaces belong to this node.
+void awaitRoom(UpstreamChoice &choice, const Upstream &upstream, const UpstreamDemand &demand, unsigned ownPlaces,
+               Instant now)
+{
+    const auto room = roomFor(upstream, demand.node, ownPlaces, *demand.refusalsPerSecond, now);
+    choice.isFull = choice.isFull || room == RoomState::Full;
+    choice.isLent = room == RoomState::Lent;
+    if (choice.isLent)
+        choice.sendAt = std::max(choice.sendAt, now + announcementDelay);
+    // Nodes would lend each other the places of the same upstream at the same moment.
+    const auto hash = XXH3_64bits_withSeed(choice.instance.data(), choice.instance.size(), demand.spreadSeed);
+    choice.score += brittleSpreadMs * static_cast<double>(hash >> 32U) / 4294967296.0;
+}
+
 bool hasUsableSoftware(const UpstreamRecord &record, const UpstreamDemand &demand)
 {
     if (demand.softwareVersion)
@@ -117,15 +134,19 @@
                                              const DistanceCost &cost)
 {
     std::optional<UpstreamChoice> best;
+    PlaceDealer dealer(demand.rank);
     for (const auto &[instance, upstream] : table.all()) {
+        if (upstream.record.service != demand.service)
+            continue;
+        const auto ownPlaces = demand.refusalsPerSecond ? dealer.deal(upstream, now) : 0;
         const bool isOpen
             = demand.isBehindCut ? upstream.isCutOff && upstream.staysInService() : upstream.takesRequests(now);
-        if (!isOpen || upstream.record.service != demand.service
-            || std::ranges::find(demand.excluded, instance) != demand.excluded.end()
+        if (!isOpen || std::ranges::find(demand.excluded, instance) != demand.excluded.end()
             || !hasUsableSoftware(upstream.record, demand))
             continue;
-        UpstreamChoice choice{instance, 0, now, now, false, upstream.limitsRequests(), isSuspect(upstream, demand, now),
-                              0};
+        UpstreamChoice choice{instance, 0, now, now};
+        choice.isLimited = upstream.limitsRequests();
+        choice.isSuspect = isSuspect(upstream, demand, now);
         if (!demand.target.empty()) {
             const auto *copy = upstream.residency.find(demand.target);
             if (!copy || (copy->version < demand.minVersion))
@@ -146,9 +167,11 @@
                 demand.promptTokens, tokensWithinPause(demand.pace, demand.speed, slownessOf(upstream, demand.speed)),
                 demand.pace.longestPause, std::max(choice.sendAt, now));
         choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.record.slots;
+        if (demand.refusalsPerSecond)
+            awaitRoom(choice, upstream, demand, ownPlaces, now);
         if (choice.isFull)
             choice.sendAt = std::max(choice.sendAt, now + fullEngineDelay);
-        choice.score = scoreOf(upstream, demand, now, cost) + std::max(0.0, msOf(choice.sendAt - now));
+        choice.score += scoreOf(upstream, demand, now, cost) + std::max(0.0, msOf(choice.sendAt - now));
         if (!best || choice.score < best->score)
             best = choice;
     }
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "estimates/servicespeed.h"
+#include "gateway/upstreamroom.h"
 #include "gateway/upstreamtable.h"
 
 #include <functional>
@@ -51,6 +52,10 @@
     std::set<std::string> heldVersions{}; ///< Software versions that may not serve.
     Instant latestSend = Instant::max(); ///< Upstreams that limit their requests are skipped if they are free later.
     bool isBehindCut = false; ///< Only upstreams that this node is cut off from, which serve the request of a peer.
+    /// What the service states of being brittle: requests are sent only where there is room, see roomFor().
+    std::optional<unsigned> refusalsPerSecond{};
+    NodeRank rank{}; ///< This node's.
+    std::uint64_t spreadSeed = 0; ///< Spreads requests over the upstreams of a brittle service.
 };
 
 /// The upstream selected for a request.
@@ -61,6 +66,7 @@
     Instant sendAt{}; ///< Time to send: the engine has room for the prompt beside its streams; not before @c usableAt.
     bool isFull = false; ///< The upstream has no free slot, and it is not known when it will have one.
     bool isLimited = false; ///< The upstream limits its requests, so that the send has to be scheduled.
+    bool isLent = false; ///< Uses a place of another node at a brittle upstream, so that the send has to be announced.
     bool isSuspect = false; ///< The upstream does not respond, or is avoided after a failure.
     double score = 0; ///< Expected time to first event by load and distance, plus penalties, in ms; lower is better.
 };
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -31,6 +31,7 @@
     UpstreamGone,
     UpstreamTurnsAway,
     UpstreamLimitsRequests,
+    ServiceBrittle,
     UpstreamCrashed,
     CrashRefuted,
     CauseBlocked,
@@ -61,7 +62,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 39> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 40> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -79,6 +80,7 @@
     {Gateway::GatewayEvent::UpstreamGone, "upstream_gone"},
     {Gateway::GatewayEvent::UpstreamTurnsAway, "upstream_turns_away"},
     {Gateway::GatewayEvent::UpstreamLimitsRequests, "upstream_limits_requests"},
+    {Gateway::GatewayEvent::ServiceBrittle, "service_brittle"},
     {Gateway::GatewayEvent::UpstreamCrashed, "upstream_crashed"},
     {Gateway::GatewayEvent::CrashRefuted, "crash_refuted"},
     {Gateway::GatewayEvent::CauseBlocked, "cause_blocked"},
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -355,6 +355,12 @@
                             perSecond ? json::value(*perSecond) : json::value(), earlierSends});
         object["limits"] = std::move(rows);
     }
+    if (!report.brittleness.empty()) {
+        json::array rows;
+        for (const auto &[service, refusals, age] : report.brittleness)
+            rows.push_back({service, age.count(), refusals ? json::value(*refusals) : json::value()});
+        object["brittle"] = std::move(rows);
+    }
     if (!report.brokenStreams.empty())
         object["broken_streams"] = streamsToJson(report.brokenStreams);
     addReach(object, report);
@@ -411,6 +417,12 @@
         notice.earlierSends = countIn(row, 4);
         report.limits.push_back(std::move(notice));
     });
+    eachRow(object, "brittle", [&](const json::array &row) {
+        BrittlenessNotice notice{textIn(row, 0), {}, Duration{numberIn<std::int64_t>(row, 1)}};
+        if (row.size() > 2 && row[2].is_number())
+            notice.refusalsPerSecond = numberIn<unsigned>(row, 2);
+        report.brittleness.push_back(std::move(notice));
+    });
     eachRow(object, "crashes", [&](const json::array &row) { report.crashes.push_back(crashFrom(row)); });
     eachRow(object, "acquittals", [&](const json::array &row) {
         if (const auto cause = parseCrashCause(textIn(row, 0)))
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -56,7 +56,8 @@
     std::string instance;
     double tokens = 0; ///< Prompt tokens; negative in a withdrawal.
     Duration in{}; ///< Time from the notice until the request is sent.
-    /// 1 if the upstream limits its requests, -1 in a withdrawal; 0 if it does not, as other requests are not counted.
+    /// 1 if the upstream limits its requests or is brittle, -1 in a withdrawal; 0 if not, as other requests are not
+    /// counted.
     int requests = 0;
 };
 
@@ -69,6 +70,13 @@
         = 0; ///< The node's own in the second before it learnt of the limit; only in its first notice.
 };
 
+/// The brittleness of a service, or its end, as known to the reporting node.
+struct BrittlenessNotice {
+    std::string service;
+    std::optional<unsigned> refusalsPerSecond; ///< Nothing if the service is not brittle any more.
+    Duration age{}; ///< Time from Brittleness::asOf to the notice.
+};
+
 /// A node's estimate of an engine's speed.
 struct StepNotice {
     std::string instance;
@@ -131,6 +139,7 @@
     std::vector<ReachContact> contacts; ///< With processes that nodes have asked about.
     std::vector<UpstreamProcess> cutOff; ///< That the node is cut off from, while others reach them.
     bool hasCutOff = false; ///< True if @c cutOff replaces what the node reported before.
+    std::vector<BrittlenessNotice> brittleness;
     std::vector<StreamOrigin> brokenStreams; ///< Streams of the node that callers may take up.
     std::vector<PlacementNotice> placements; ///< Sent by the holder of an order lease only.
 };
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <iterator>
 #include <memory>
 #include <set>
 #include <string>
@@ -136,7 +137,7 @@
             addLoad(notice, send.instance);
             broadcast(std::move(notice));
         };
-        m_context.onCapacityFreed = [this](const std::string &instance) {
+        m_context.onLoadChanged = [this](const std::string &instance) {
             auto notice = report();
             addLoad(notice, instance);
             broadcast(std::move(notice));
@@ -237,7 +238,7 @@
     static constexpr Duration estimatesInterval = std::chrono::seconds{3};
     static constexpr std::size_t maxDepartures = 64; ///< Maximum number in one digest.
     static constexpr std::size_t maxLimits = 64; ///< Maximum number in one digest.
-    /// Time during which digests repeat the end of an upstream's request limit.
+    /// Time during which digests repeat the end of an upstream's request limit or a service's brittleness.
     static constexpr Duration limitNewsTime = std::chrono::seconds{10};
     /// Fraction of the known nodes that must be live for this node to use all of an upstream's request limit. Otherwise
     /// the others may be alive but cut off from this one, and have a part of the limit.
@@ -575,7 +576,13 @@
             logRequestLimit(*upstream, "answer");
             addLimit(notice, *upstream, BootClock{}.now());
         }
-        if (!notice.departures.empty() || !notice.turnedAway.empty() || !notice.limits.empty())
+        if (auto *upstream = m_context.upstreams.find(process.instance); upstream && effect.changesBrittleness) {
+            m_metrics.add(Metric::UpstreamStatements, {{"statement", "brittle"}});
+            logBrittleness(upstream->record.service, process.instance);
+            addBrittleness(notice, upstream->record.service, BootClock{}.now());
+        }
+        if (!notice.departures.empty() || !notice.turnedAway.empty() || !notice.limits.empty()
+            || !notice.brittleness.empty())
             broadcast(std::move(notice));
         if (effect.leaves || effect.changesLimit)
             m_loop.post([this] { m_forwarder.onPlacement(); });
@@ -663,6 +670,16 @@
         return services;
     }
 
+    /// Logs the brittleness of @p service, or its end, as learnt from @p source.
+    void logBrittleness(const std::string &service, const std::string &source)
+    {
+        const auto refusals = m_context.upstreams.brittleness(service).refusalsPerSecond;
+        m_log.note(GatewayEvent::ServiceBrittle,
+                   {{"service", service},
+                    {"refusals_per_second", refusals ? std::to_string(*refusals) : "none"},
+                    {"source", source}});
+    }
+
     /// Applies the settings that a running process can change. Logs problems, and whether other changes need a restart.
     void reloadSettings(const Parsed<GatewaySettings> &read)
     {
@@ -771,6 +788,9 @@
         m_context.allowance.setNodes(std::max(minAllowanceShares, static_cast<unsigned>(shares)));
         const double live = m_members.liveShare(now);
         m_context.limitShare = live > liveMajority ? 1 : live;
+        const auto nodes = m_members.liveNodes(now);
+        m_context.rank.index = static_cast<unsigned>(std::distance(nodes.begin(), nodes.lower_bound(m_address.node)));
+        m_context.rank.count = static_cast<unsigned>(nodes.size()) + 1;
         m_streams.tick(now, wallMilliseconds(), m_members.rankOfSelf(streamKeys().history, now));
         m_quarantine.tick(now, wallMilliseconds(), m_members.rankOfSelf(quarantinePrefix(), now));
         m_forwarder.onVerdicts();
@@ -910,6 +930,19 @@
                                  upstream.limitsRequests() ? upstream.sends.takeEarlier(now) : 0});
     }
 
+    void addBrittleness(NodeReport &notice, const std::string &service, Instant now) const
+    {
+        const auto known = m_context.upstreams.brittleness(service);
+        notice.brittleness.push_back({service, known.refusalsPerSecond, now - known.asOf});
+    }
+
+    /// Records the brittleness of a service that another node reports.
+    void onPeerBrittleness(const std::string &node, const BrittlenessNotice &notice, Instant now)
+    {
+        if (applyBrittleness(m_context.upstreams, notice.service, {notice.refusalsPerSecond, now - notice.age}))
+            logBrittleness(notice.service, node);
+    }
+
     /// Records the request limit that another node reports. Tells all nodes of this one's earlier requests if it is
     /// new.
     void onPeerLimit(const std::string &node, const LimitNotice &limit, Instant now)
@@ -1004,6 +1037,10 @@
             if (std::exchange(upstream.ownStepSamples, 0) > 0)
                 digest.steps.push_back({instance, upstream.step.learnt()});
         }
+        for (const auto &[service, brittleness] : m_context.upstreams.allBrittleness()) {
+            if (brittleness.refusalsPerSecond || now - brittleness.asOf < limitNewsTime)
+                addBrittleness(digest, service, now);
+        }
         logSpeeds(now);
         storeEstimates(now);
         for (const auto &[service, speed] : m_context.speeds) {
@@ -1237,6 +1274,8 @@
             applySendNotice(m_context.upstreams, report.from.node, send, now);
         for (const auto &limit : report.limits)
             onPeerLimit(report.from.node, limit, now);
+        for (const auto &notice : report.brittleness)
+            onPeerBrittleness(report.from.node, notice, now);
         for (const auto &process : report.departures) {
             if (applyDeparture(m_context.upstreams, process))
                 m_log.note(GatewayEvent::UpstreamLeaving,
--- a/src/gateway/sendschedule.cpp
+++ b/src/gateway/sendschedule.cpp
@@ -1,5 +1,7 @@
 #include "gateway/sendschedule.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
@@ -146,4 +148,25 @@
     return std::max(at, free - earliness);
 }
 
+unsigned SendSchedule::announcedAfter(Instant now) const
+{
+    return static_cast<unsigned>(m_entries.end() - std::ranges::upper_bound(m_entries, now, {}, &Entry::at));
+}
+
+unsigned SendSchedule::announcedByOthers(const std::string &node, Instant from, Instant to) const
+{
+    const auto first = std::ranges::upper_bound(m_entries, from, {}, &Entry::at);
+    const auto last = std::ranges::upper_bound(m_entries, to, {}, &Entry::at);
+    return static_cast<unsigned>(std::count_if(first, last, [&](const Entry &entry) { return entry.node != node; }));
+}
+
+unsigned SendSchedule::announcedBefore(const std::string &node, std::uint64_t seed, Instant from) const
+{
+    const auto rankOf
+        = [seed](const std::string &each) { return XXH3_64bits_withSeed(each.data(), each.size(), seed); };
+    const auto first = std::ranges::upper_bound(m_entries, from, {}, &Entry::at);
+    return static_cast<unsigned>(std::count_if(
+        first, m_entries.end(), [&, own = rankOf(node)](const Entry &entry) { return rankOf(entry.node) < own; }));
+}
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/sendschedule.h
+++ b/src/gateway/sendschedule.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <string>
@@ -10,8 +11,8 @@
 {
 
 /// The requests that all nodes have lately sent to one upstream with a request limit, and those for which they have
-/// reserved a time. Nodes announce both to each other, so that each finds the next free time without asking. Not
-/// thread-safe.
+/// reserved a time; at a brittle upstream, those that use places of other nodes. Nodes announce both to each other, so
+/// that each finds the next free time without asking. Not thread-safe.
 class SendSchedule
 {
 public:
@@ -47,6 +48,17 @@
     /// reserved the same time, or if the limit was lowered since.
     Instant dueAt(const std::string &node, double perSecond, Instant at) const;
 
+    /// Returns the number of requests that any node has announced for a time after @p now.
+    unsigned announcedAfter(Instant now) const;
+
+    /// Returns the number of requests that nodes other than @p node have announced for a time after @p from and up to
+    /// @p to. Precondition: @p from is not after @p to.
+    unsigned announcedByOthers(const std::string &node, Instant from, Instant to) const;
+
+    /// Returns the number of requests that nodes before @p node have announced for a time after @p from. The order of
+    /// the nodes depends on @p seed, as views of one upstream differ in the times of what others announce.
+    unsigned announcedBefore(const std::string &node, std::uint64_t seed, Instant from) const;
+
 private:
     struct Entry {
         Instant at{};
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -49,6 +49,14 @@
     Instant asOf{}; ///< Latest time at which the upstream is known to have stated this.
 };
 
+/// The statement of a service's upstreams that they are brittle, or its absence.
+struct Brittleness {
+    /// An upstream fails if it refuses more requests of all nodes for want of room in a second; nothing if the service
+    /// is not brittle.
+    std::optional<unsigned> refusalsPerSecond;
+    Instant asOf{}; ///< Latest time at which an upstream is known to have stated this.
+};
+
 /// State of one upstream as seen by this node.
 struct Upstream {
     /// Short, so that a restarted or repaired upstream is retried soon.
@@ -70,7 +78,9 @@
     bool announcedLeaving = false; ///< It announced its departure to this node, which notifies the others.
     Instant backpressureUntil{}; ///< Must get no requests from this node until then.
     RequestLimit requestLimit;
-    SendSchedule sends; ///< Requests from all nodes while it limits them.
+    SendSchedule sends; ///< Requests from all nodes while it limits them or is brittle.
+    Instant refusedAt{}; ///< When it last refused a request for want of room while its service was brittle.
+    unsigned roomAtRefusal = 0; ///< Number of requests that it was presumed to have room for then.
     /// Until then, gets new requests only if no other upstream can take them, for example after a refused connection.
     Instant avoidUntil{};
 
@@ -126,6 +136,23 @@
     /// Records that the registry answers again.
     void onRegistryBack(Instant now);
 
+    /// Returns what the upstreams of @p service last stated of being brittle.
+    Brittleness brittleness(const std::string &service) const
+    {
+        const auto it = m_brittleness.find(service);
+        return it == m_brittleness.end() ? Brittleness{} : it->second;
+    }
+
+    void setBrittleness(const std::string &service, const Brittleness &brittleness)
+    {
+        m_brittleness[service] = brittleness;
+    }
+
+    const std::map<std::string, Brittleness> &allBrittleness() const
+    {
+        return m_brittleness;
+    }
+
     /// Returns when the last upstream record was received.
     Instant lastRecordAt() const
     {
@@ -198,6 +225,7 @@
     void remove(const std::string &instance);
     void restoreLimit(Upstream &upstream);
 
+    std::map<std::string, Brittleness> m_brittleness; ///< By service, as it outlasts its upstreams' processes.
     std::map<std::string, ProcessKey> m_leftProcesses; ///< Processes that have announced their departure, by instance.
     std::map<std::string, KeptLimit> m_keptLimits; ///< By instance.
     std::set<std::string> m_lapsed; ///< Upstreams whose record may only be missing due to a registry outage.
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -253,6 +253,13 @@
         return *m_context.upstreams.find(instance);
     }
 
+    /// Makes the service brittle, and the node one of several.
+    void makeBrittle(unsigned refusalsPerSecond, NodeRank rank)
+    {
+        m_context.upstreams.setBrittleness("s", {refusalsPerSecond, BootClock{}.now()});
+        m_context.rank = rank;
+    }
+
     /// Leaves no further sends of one request to the node.
     void spendRetries()
     {
@@ -1481,3 +1488,68 @@
     cr_assert(fixture.elapsed < std::chrono::milliseconds{row.longestMs}, "%s: %ld", row.name,
               static_cast<long>(fixture.elapsed.count()));
 }
+
+namespace
+{
+
+void refuseForWantOfRoom(const Exchange &exchange)
+{
+    auto headers = signedFor(exchange);
+    headers.add("Not-Run", "1");
+    headers.add("Brittle", "3");
+    exchange->respond({503, headers, ""});
+}
+
+} // namespace
+
+/// A brittle upstream that was full got the next requests all the same.
+Test(CallForwarder, brittleUpstreamThatIsFullGetsNoRequests)
+{
+    ForwarderFixture fixture({refuseForWantOfRoom, answer, answer, answer});
+    for (int i = 0; i < 3; ++i)
+        cr_assert_eq(fixture.ask("/once/1"), 200U);
+    cr_assert_eq(std::ranges::count(fixture.sentTo, fixture.sentTo.front()), 1);
+}
+
+namespace
+{
+
+struct RoomCase {
+    const char *name;
+    unsigned peersInFlight; ///< At each upstream, of four slots.
+    int freeAfterMs; ///< Time after which peers have no requests there; 0: never.
+    NodeRank rank;
+    unsigned status;
+    unsigned sends;
+    int least; ///< Bounds of the time that the request takes, in ms.
+    int most;
+};
+
+const RoomCase rooms[] = {
+    {"a place of its own", 3, 0, {0, 1}, 200, 1, 0, 200},
+    {"peers take all places", 4, 200, {0, 1}, 200, 1, 200, 500},
+    {"peers keep all places", 4, 0, {0, 1}, 429, 0, 2000, 2700},
+    {"a place of another node", 0, 0, {8, 9}, 200, 1, 25, 300},
+    {"no place is spare", 2, 0, {8, 9}, 429, 0, 2000, 2700},
+};
+
+} // namespace
+
+/// Nodes sent requests to brittle upstreams that had no room by the sum of all nodes' requests.
+TABLE_TEST(CallForwarder, brittleUpstreamsGetRequestsOnlyWithRoom, rooms)
+{
+    ForwarderFixture fixture({answer});
+    fixture.makeBrittle(3, row.rank);
+    for (const auto *instance : {"u0", "u1"}) {
+        fixture.upstream(instance).peersInFlight = row.peersInFlight;
+        if (row.freeAfterMs > 0)
+            fixture.loop().runAfter(std::chrono::milliseconds{row.freeAfterMs},
+                                    [&fixture, instance] { fixture.upstream(instance).peersInFlight = 0; });
+    }
+    const auto status = fixture.ask("/once/1");
+    cr_assert_eq(status, row.status, "%s: %u", row.name, status);
+    cr_assert_eq(fixture.sends, row.sends, "%s: %u sends", row.name, fixture.sends);
+    const auto ms = static_cast<int>(fixture.elapsed.count() / 1000);
+    cr_assert(ms >= row.least && ms <= row.most, "%s: %d ms", row.name, ms);
+    cr_assert_eq(fixture.retryAfter.empty(), row.status == 200, "%s", row.name);
+}
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -32,6 +32,7 @@
     report.verdicts = {{{CauseKind::PromptPart, 0xbad}, 3, 2, 1234567890127, "n4"}};
     report.brokenStreams = {{0xfedcba9876543211, "s", "v1"}};
     report.departures = {{"e4", 1234567890124}};
+    report.brittleness = {{"s", 3, std::chrono::milliseconds{20}}, {"t", {}, std::chrono::seconds{1}}};
     report.turnedAway = {{{"e5", 1234567890125}, std::chrono::milliseconds{1500}}};
     report.limits = {{{"e7", 5}, 2.2, std::chrono::milliseconds{30}, 4}, {{"e8", 6}, {}, std::chrono::seconds{2}}};
     report.reach = {false, false};
@@ -99,6 +100,11 @@
     cr_assert(report.limits.front().age == std::chrono::milliseconds{30});
     cr_assert_eq(report.limits.front().earlierSends, 4U);
     cr_assert_not(report.limits.back().perSecond.has_value());
+    cr_assert_eq(report.brittleness.size(), 2U);
+    cr_assert_eq(report.brittleness.front().service, std::string("s"));
+    cr_assert(report.brittleness.front().refusalsPerSecond == 3U);
+    cr_assert(report.brittleness.front().age == std::chrono::milliseconds{20});
+    cr_assert_not(report.brittleness.back().refusalsPerSecond.has_value());
     cr_assert(report.crashes == sent.crashes);
     cr_assert(report.brokenStreams == sent.brokenStreams);
     cr_assert(read->begunStreams == example().begunStreams);
--- a/tests/gateway/upstreamstatementtest.cpp
+++ b/tests/gateway/upstreamstatementtest.cpp
@@ -296,3 +296,60 @@
                      > now + std::chrono::milliseconds{500},
                  row.isLimited, "%s: the schedule", row.name);
 }
+
+namespace
+{
+
+struct BrittleAnswer {
+    int atMs; ///< After the service was stated to be brittle.
+    std::optional<unsigned> stated;
+    int sentAtMs; ///< When its request was sent; a refusal states nothing of the time.
+    bool isFull;
+};
+
+struct BrittlenessCase {
+    const char *name;
+    std::vector<BrittleAnswer> answers;
+    std::optional<unsigned> known;
+    bool takesRequests; ///< At the time of the last answer.
+};
+
+const BrittlenessCase brittleAnswers[] = {
+    {"stated again", {{100, 3, 90, false}}, 3, true},
+    {"more brittle", {{100, 1, -500, false}}, 1, true},
+    {"an old answer without it", {{100, {}, -20, false}}, 3, true},
+    {"another answer without it at once", {{300, {}, 200, false}}, 3, true},
+    {"an answer without it later", {{1500, {}, 1400, false}}, {}, true},
+    {"stated meanwhile", {{1200, 3, 1100, false}, {1500, {}, 1400, false}}, 3, true},
+    {"full", {{100, 3, 90, true}}, 3, false},
+};
+
+} // namespace
+
+TABLE_TEST(UpstreamStatement, brittlenessFromAnswers, brittleAnswers)
+{
+    auto table = tableOf(recordOf(7));
+    UpstreamStatement brittle;
+    brittle.refusalsPerSecond = 3;
+    cr_assert(applyStatement(table, {"u", 7}, brittle, now, now).changesBrittleness);
+    Instant at = now;
+    for (const auto &each : row.answers) {
+        UpstreamStatement statement;
+        statement.refusalsPerSecond = each.stated;
+        statement.isFull = each.isFull;
+        at = now + std::chrono::milliseconds{each.atMs};
+        applyStatement(table, {"u", 7}, statement, at, now + std::chrono::milliseconds{each.sentAtMs});
+    }
+    cr_assert(table.brittleness("s").refusalsPerSecond == row.known, "%s", row.name);
+    cr_assert_eq(table.find("u")->takesRequests(at), row.takesRequests, "%s", row.name);
+}
+
+/// A brittle upstream got requests of other nodes while it had no room.
+Test(UpstreamStatement, fullBrittleUpstreamGetsNothingFromOtherNodes)
+{
+    auto table = tableOf(recordOf(7));
+    cr_assert(applyBrittleness(table, "s", {3, now}));
+    applyTurnedAwayHint(table, {"u", 7}, std::chrono::milliseconds{1100}, now);
+    cr_assert_not(isChosen(table, now + std::chrono::milliseconds{1000}));
+    cr_assert(isChosen(table, now + std::chrono::milliseconds{1200}));
+}
--- a/tests/platformadapter/statementheaderstest.cpp
+++ b/tests/platformadapter/statementheaderstest.cpp
@@ -15,6 +15,7 @@
     std::optional<int> turnsAwayForMs;
     std::size_t unreadable;
     std::optional<double> requestLimit{};
+    std::optional<unsigned> refusalsPerSecond{};
 };
 
 const StatementCase statements[] = {
@@ -50,6 +51,13 @@
     {200, {{"Server-Limit", "nan"}}, false, {}, 1, 1},
     {200, {{"Server-Limit", ""}}, false, {}, 1, 1},
     {200, {{"Server-Limit", "2 a second"}}, false, {}, 1, 1},
+    {200, {{"Server-Brittle", "4"}}, false, {}, 0, {}, 4},
+    {503, {{"server-brittle", "0"}}, false, {}, 0, {}, 0},
+    {200, {{"Server-Brittle", "2.7"}}, false, {}, 0, {}, 2},
+    {200, {{"Server-Brittle", "1e999"}}, false, {}, 0, {}, 1'000'000},
+    {200, {{"Server-Brittle", "-1"}}, false, {}, 1, {}, 0},
+    {200, {{"Server-Brittle", "yes"}}, false, {}, 1, {}, 0},
+    {200, {{"Server-Brittle", ""}}, false, {}, 1, {}, 0},
 };
 
 } // namespace
@@ -63,5 +71,6 @@
         cr_assert(*statement.turnsAwayFor == std::chrono::milliseconds{*row.turnsAwayForMs});
     cr_assert_eq(statement.unreadable.size(), row.unreadable);
     cr_assert(statement.requestLimit == row.requestLimit);
+    cr_assert(statement.refusalsPerSecond == row.refusalsPerSecond);
     cr_assert_eq(statement.instance, std::string(row.headers.get("X-Instance-Id")));
 }
--- a/tests/support/plaindialect.h
+++ b/tests/support/plaindialect.h
@@ -58,6 +58,9 @@
             reply.statement.turnsAwayFor = std::chrono::milliseconds{std::stoi(std::string(away))};
         if (const auto limit = head.headers.get("Limit"); !limit.empty())
             reply.statement.requestLimit = std::stod(std::string(limit));
+        if (const auto refusals = head.headers.get("Brittle"); !refusals.empty())
+            reply.statement.refusalsPerSecond = static_cast<unsigned>(std::stoul(std::string(refusals)));
+        reply.statement.isFull = reply.notRun && (head.status == 503 || head.status == 429);
         reply.headers = head.headers.contains("Proof") ? Http::Headers{{"Proof", "p"}} : Http::Headers{};
         return reply;
     }
