A call whose peer is lost keeps to its route's attempts, and one that must not run twice stays

A peer's own sends were not known to the node when the peer was lost, so that an idempotent call could run three times where its route permits two (the new row "idempotent at a peer that freezes": three before, two now). The node tells the peer how many sends may run, keeps one back, and counts all of them if the peer is lost.

A call also left a peer as soon as its reports were missing for 1.2 s, though datagrams may be lost on a sound path: calls that must not run twice got 502. Now it leaves only if it may be sent again and nothing has arrived from the peer for 0.9 s. A call is passed to eight peers at most in turn, instead of four, as peers that are cut off at the same moment may not know it yet.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -226,7 +226,7 @@
     static constexpr Duration minGainForChange = std::chrono::milliseconds{50};
     static constexpr Duration minRetryAfter = std::chrono::seconds{1}; ///< Shortest Retry-After, if callers accept it.
     /// Limit on the peers that one call is passed to in turn because each refuses it unstarted or is not connected.
-    static constexpr std::size_t maxFailedPeers = 4;
+    static constexpr std::size_t maxFailedPeers = 8;
     /// Silence after which a relayed stream is moved off its peer, in those after which the peer moves it.
     static constexpr int peerSilenceFactor = 2;
     static constexpr Duration evidencePollInterval = std::chrono::milliseconds{20}; ///< Of the other nodes.
@@ -268,6 +268,7 @@
         std::optional<Duration> peerRetryAfter; ///< That a peer's refusal stated.
         // State of the current send.
         std::string instance; ///< Empty if the call was passed to a peer.
+        unsigned peerAttempts = 0; ///< Sends that an upstream may run, of the peer that has the call.
         std::string peer; ///< The peer that the call was passed to; empty if it was sent to an upstream.
         RelayedAnswer peerAnswer; ///< From the head of the peer's answer.
         Relay::UpstreamClient::Token token = 0; ///< 0 if nothing is being sent.
@@ -569,9 +570,17 @@
         call->softwareAtSend.clear();
         // If this node has none left, the peer's allowance pays.
         const bool isPaid = call->sends > 0 && takeRepeat(*call, now);
-        const RelayedCall state{m_context.node,  call->deadline - now, now - call->arrival,
-                                call->sends,     call->runs,           isPaid,
-                                call->answering, call->lastEvent,      call->streamVersion};
+        call->peerAttempts = std::max(call->runs + 2, call->route.attempts) - call->runs - 1;
+        const RelayedCall state{m_context.node,
+                                call->deadline - now,
+                                now - call->arrival,
+                                call->sends,
+                                call->runs,
+                                call->peerAttempts,
+                                isPaid,
+                                call->answering,
+                                call->lastEvent,
+                                call->streamVersion};
         call->token = m_relay.send(peer, call->exchange->request(), state, observerOf(call), call->route.mayRepeat());
     }
 
@@ -1442,7 +1451,7 @@
             return retry(call);
         }
         call->sends += std::max(1U, call->peerAnswer.sends);
-        call->runs += call->peerAnswer.runs;
+        call->runs += call->peerAttempts - 1;
         onBroken(call, failure.reason);
     }
 
@@ -1578,9 +1587,15 @@
         giveUp(call, ErrorCode::UpstreamLost, reason);
     }
 
+    /// Returns the number of sends that an upstream may run, those of other nodes included.
+    static unsigned attemptsOf(const Call &call)
+    {
+        return call.relayed ? call.relayed->runs + call.relayed->attempts : call.route.attempts;
+    }
+
     bool mayRunAgain(const Call &call) const
     {
-        if (!call.route.mayRepeat() || call.runs >= call.route.attempts || BootClock{}.now() >= call.deadline)
+        if (!call.route.mayRepeat() || call.runs >= attemptsOf(call) || BootClock{}.now() >= call.deadline)
             return false;
         // A stream whose events carry no ids cannot be resumed at another upstream.
         return !call.answering || call.lastEvent.has_value();
@@ -1793,7 +1808,7 @@
             return;
         if (call->peer.empty() && mustNotBegin(*call, now))
             return leaveSupersededCopy(call);
-        if (!call->peer.empty() && m_context.isPeerLive && !m_context.isPeerLive(call->peer))
+        if (isPeerLost(*call, now))
             return dropSend(call, "the peer is not live");
         if (call->peer.empty() && isQuiet(*call, suspectSilence(*call), now))
             m_context.recordFailure(processOf(*call), ReachFailure::Silent, now);
@@ -1826,9 +1841,16 @@
                && now - it->second.waitingSince > time;
     }
 
+    /// Returns true if the call may be sent again and its peer shows no sign of life: neither reports nor progress.
+    bool isPeerLost(const Call &call, Instant now) const
+    {
+        return !call.peer.empty() && m_context.isPeerLive && !m_context.isPeerLive(call.peer)
+               && now - call.lastProgress > defaultSilence && mayRunAgain(call);
+    }
+
     bool isSilent(const Call &call, Instant now) const
     {
-        if (!mayRunAgain(call) || call.runs + 1 >= call.route.attempts)
+        if (!mayRunAgain(call) || call.runs + 1 >= attemptsOf(call))
             return false;
         if (!call.peer.empty())
             return call.eventReceived && now - call.lastProgress > peerSilenceFactor * longestSilence(call);
@@ -1901,7 +1923,7 @@
         if (!call->peer.empty()) {
             call->failedPeers.push_back(call->peer);
             call->sends += std::max(1U, call->peerAnswer.sends);
-            call->runs += call->peerAnswer.runs;
+            call->runs += call->peerAttempts - 1;
             countRelayed("out", Verdict::MayHaveRun);
             return noteMayHaveRun(call, "the peer has gone silent");
         }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -23,7 +23,7 @@
     Http::Endpoint callers;
     Http::Endpoint readiness;
     Http::Endpoint entries; ///< Answers callers' queries for the nodes to connect to.
-    Http::Endpoint peers; ///< UDP.
+    Http::Endpoint peers; ///< UDP for reports, TCP for relayed calls.
     std::optional<Http::Endpoint> metrics;
     Http::Endpoint store;
     /// Local address of connections to upstreams; the kernel chooses it if the address is empty, and the port if it
--- a/src/gateway/relaycodec.cpp
+++ b/src/gateway/relaycodec.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view timeSpentHeader = "Gypsumtally-Time-Spent-Us";
 constexpr std::string_view sendsHeader = "Gypsumtally-Sends";
 constexpr std::string_view runsHeader = "Gypsumtally-Runs";
+constexpr std::string_view attemptsHeader = "Gypsumtally-Attempts";
 constexpr std::string_view paidHeader = "Gypsumtally-Paid";
 constexpr std::string_view answeringHeader = "Gypsumtally-Answering";
 constexpr std::string_view lastEventHeader = "Gypsumtally-Last-Event";
@@ -120,6 +121,7 @@
     relayed.headers.add(std::string(timeSpentHeader),
                         std::to_string(std::max<std::int64_t>(0, call.timeSpent.count())));
     addCounts(relayed.headers, call.sends, call.runs);
+    relayed.headers.add(std::string(attemptsHeader), std::to_string(call.attempts));
     if (call.isPaid)
         relayed.headers.add(std::string(paidHeader), "1");
     if (call.isAnswering)
@@ -137,14 +139,16 @@
     const auto spent = numberOf<std::int64_t>(headers.get(timeSpentHeader), 0, maxTimeUs);
     const auto sends = numberOf<unsigned>(headers.get(sendsHeader), 0, maxSends);
     const auto runs = numberOf<unsigned>(headers.get(runsHeader), 0, maxSends);
+    const auto attempts = numberOf<unsigned>(headers.get(attemptsHeader), 1, maxSends);
     RelayedCall call;
     call.origin = std::string(headers.get(originHeader));
-    if (call.origin.empty() || !left || !spent || !sends || !runs || *runs > *sends)
+    if (call.origin.empty() || !left || !spent || !sends || !runs || !attempts || *runs > *sends)
         return std::nullopt;
     call.timeLeft = Duration{*left};
     call.timeSpent = Duration{*spent};
     call.sends = *sends;
     call.runs = *runs;
+    call.attempts = *attempts;
     call.isPaid = headers.contains(paidHeader);
     call.isAnswering = headers.contains(answeringHeader);
     if (headers.contains(lastEventHeader)) {
--- a/src/gateway/relaycodec.h
+++ b/src/gateway/relaycodec.h
@@ -20,6 +20,7 @@
     Duration timeSpent{}; ///< Since the caller's request arrived.
     unsigned sends = 0; ///< Sends that reached an upstream, or may have.
     unsigned runs = 0; ///< Sends that an upstream may have run.
+    unsigned attempts = 1; ///< Sends of the peer that an upstream may run.
     bool isPaid = false; ///< The next send is a repeat that the origin's retry allowance has paid for.
     bool isAnswering = false; ///< The caller has received the head of the answer.
     std::optional<std::uint64_t> lastEvent; ///< Id of the last event that the caller has.
--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -408,6 +408,8 @@
 enum class Event {
     Cut, ///< The node is cut off from all upstreams.
     PeerDies, ///< The connection to the peer that has the call is reset.
+    PeerFreezes, ///< The peer sends nothing any more, neither reports nor answers.
+    PeerIsUnheard, ///< The peer's reports are lost.
     PeerStops, ///< The peer takes no further calls.
     PeerIsCut, ///< The peer's connections to all upstreams are reset.
     Heal, ///< The node reaches the upstreams again.
@@ -433,6 +435,10 @@
     {"stream at a peer that dies", Event::PeerDies, LinkState::Reset, "/stream/1", 200, 2, 2},
     {"idempotent at a peer that dies", Event::PeerDies, LinkState::Reset, "/safe/slow", 200, 2, 2},
     {"once at a peer that dies", Event::PeerDies, LinkState::Reset, "/once/slow", 502, 1, 1},
+    {"stream at a peer that freezes", Event::PeerFreezes, LinkState::Reset, "/stream/1", 200, 2, 2},
+    {"idempotent at a peer that freezes", Event::PeerFreezes, LinkState::Reset, "/safe/slow", 200, 2, 2},
+    {"stream at a peer that is not heard", Event::PeerIsUnheard, LinkState::Reset, "/stream/1", 200, 1, 1},
+    {"once at a peer that is not heard", Event::PeerIsUnheard, LinkState::Reset, "/once/slow", 200, 1, 1},
     {"stream at a peer that stops", Event::PeerStops, LinkState::Reset, "/stream/1", 200, 1, 1},
     {"once at a peer that stops", Event::PeerStops, LinkState::Reset, "/once/slow", 200, 1, 1},
     {"stream at a peer that is cut off", Event::PeerIsCut, LinkState::Reset, "/stream/1", 200, 2, 2},
@@ -450,6 +456,12 @@
     case Event::PeerDies:
         fixture.receiver().isListed = false;
         return fixture.receiver().link->set(LinkState::Reset);
+    case Event::PeerFreezes:
+        fixture.receiver().isLive = false;
+        return fixture.receiver().link->set(LinkState::Hangs);
+    case Event::PeerIsUnheard:
+        fixture.receiver().isLive = false;
+        return;
     case Event::PeerStops:
         fixture.receiver().isListed = false;
         fixture.receiver().takesCalls = false;
@@ -582,7 +594,7 @@
 Http::Request relayedRequest()
 {
     const Http::Request request{"POST", "/once/1", {{"Host", "h"}, {"Id", "r0"}}, "question"};
-    return writeRelayedRequest(request, {"n9", std::chrono::seconds{2}, {}, 0, 0, false, false, {}, {}});
+    return writeRelayedRequest(request, {"n9", std::chrono::seconds{2}, {}, 0, 0, 1, false, false, {}, {}});
 }
 
 } // namespace
