--- a/tests/gatewayfleet/soakmain.cpp
+++ b/tests/gatewayfleet/soakmain.cpp
@@ -76,7 +76,7 @@
 
     void disturb()
     {
-        switch (below(20)) {
+        switch (below(21)) {
         case 0:
             return m_fleet.freeze(anyNode(), milliseconds{100} + below(seconds{4}));
         case 1:
@@ -107,6 +107,8 @@
             return declareSeries();
         case 16:
             return m_fleet.writeOddRecord();
+        case 17:
+            return makeBrittle();
         default:
             return changeLimit(anyUpstream());
         }
@@ -178,6 +180,15 @@
         m_fleet.setLoad(crashingLoad);
     }
 
+    /// Makes the upstreams of one service brittle.
+    void makeBrittle()
+    {
+        const bool isEngine = below(2) == 0;
+        const auto refusals = 1 + static_cast<unsigned>(below(4));
+        for (std::size_t number = 0; number < (isEngine ? m_fleet.engines() : m_fleet.workers()); ++number)
+            (isEngine ? m_fleet.engine(number) : m_fleet.worker(number)).behaviour.refusalsBorne = refusals;
+    }
+
     void changeLimit(UpstreamStandIn &upstream)
     {
         if (below(4) == 0)
@@ -199,6 +210,7 @@
     {
         upstream.behaviour.failureRatio = 0;
         upstream.behaviour.breakRatio = 0;
+        upstream.behaviour.refusalsBorne.reset();
         upstream.setLimit(std::nullopt);
     }
 
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -18,7 +18,6 @@
 
 constexpr unsigned eventsOfStream = 6;
 constexpr unsigned eventsBeforeBreak = 2;
-constexpr unsigned slots = 16;
 constexpr Duration heartbeatInterval = std::chrono::milliseconds{1000};
 constexpr Duration recordLifetime = std::chrono::milliseconds{1500}; ///< Of the record of a process that has crashed.
 constexpr Duration pathSweepInterval = std::chrono::milliseconds{10};
@@ -178,6 +177,8 @@
     Http::Headers headers{{"X-Instance-Id", m_instance}};
     if (const auto id = request.headers.get("X-Request-Id"); !id.empty())
         headers.add("X-Request-Id", std::string(id));
+    if (behaviour.refusalsBorne)
+        headers.add("Server-Brittle", std::to_string(*behaviour.refusalsBorne));
     if (behaviour.limit) {
         char text[32];
         std::snprintf(text, sizeof text, "%.3g", *behaviour.limit);
@@ -204,10 +205,8 @@
     auto headers = headersFor(request);
     if (!serves(request))
         return exchange->respond({421, headers, ""});
-    if (m_server->activeRequests() > 2 * slots) {
-        headers.add("X-Not-Executed", "1");
-        return exchange->respond({503, headers, ""});
-    }
+    if (m_server->activeRequests() > slots + behaviour.waitingRoom)
+        return refuseFull(exchange);
     ++m_runs[std::string(request.headers.get("X-Request-Id"))];
     m_exchanges.emplace_back(exchange);
     std::erase_if(m_exchanges, [](const auto &each) { return each.expired(); });
@@ -217,6 +216,23 @@
         answerStream(exchange);
 }
 
+/// Refuses a request for want of room. A brittle upstream that refuses too many falls over.
+void UpstreamStandIn::refuseFull(const Exchange &exchange)
+{
+    auto headers = headersFor(exchange->request());
+    headers.add("X-Not-Executed", "1");
+    exchange->respond({503, headers, ""});
+    const auto now = BootClock{}.now();
+    m_refusals.push_back(now);
+    while (now - m_refusals.front() > std::chrono::seconds{1})
+        m_refusals.pop_front();
+    if (!behaviour.refusalsBorne || m_refusals.size() <= *behaviour.refusalsBorne)
+        return;
+    ++m_falls;
+    m_refusals.clear();
+    crash(crashDownTime);
+}
+
 void UpstreamStandIn::answerPlain(const Exchange &exchange)
 {
     const unsigned status = chance(behaviour.failureRatio) ? 500 : 200;
--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -10,6 +10,7 @@
 
 #include <boost/json.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +21,8 @@
 namespace Gypsumtally::GatewayFleet
 {
 
+constexpr unsigned slots = 16; ///< Of each upstream.
+
 /// The behaviour of an UpstreamStandIn. It can change at any time.
 struct UpstreamBehaviour {
     Duration answerTime = std::chrono::milliseconds{15}; ///< Of a plain request, and of each event of a stream.
@@ -27,6 +30,9 @@
     double breakRatio = 0; ///< Of streams that are cut off after their second event.
     std::string software = "v1"; ///< Version of its software, from its next start on.
     bool keepsInstance = false; ///< Starts again under the same instance after a crash.
+    /// The brittleness that it states: it falls over if it refuses more requests in a second for want of room.
+    std::optional<unsigned> refusalsBorne;
+    unsigned waitingRoom = slots; ///< Requests that may wait for a slot.
     std::optional<double> limit; ///< The request limit that it states in its answers, in requests per second.
 };
 
@@ -61,6 +67,12 @@
     /// Returns the violations of the request limits that its processes have stated.
     std::vector<std::string> limitViolations() const;
 
+    /// Returns how often it has fallen over because it had to refuse too many requests.
+    unsigned falls() const
+    {
+        return m_falls;
+    }
+
     /// Returns when it has last crashed or broken off a stream.
     Instant lastBreak() const
     {
@@ -78,6 +90,7 @@
     void sendHeartbeats();
     void sweepPaths();
     bool crashAt(const Exchange &exchange);
+    void refuseFull(const Exchange &exchange);
     void serve(const Exchange &exchange);
     void answerPlain(const Exchange &exchange);
     void answerStream(const Exchange &exchange);
@@ -112,6 +125,8 @@
     std::map<std::string, unsigned> m_adapters; ///< Version of each adapter that it holds.
     std::int64_t m_orders = 1;
     Instant m_lastBreak{};
+    std::deque<Instant> m_refusals; ///< For want of room, in the last second.
+    unsigned m_falls = 0;
 };
 
 } // namespace Gypsumtally::GatewayFleet
