Add a failing test of requests that are refused where they move

A request leaves an upstream that is silent or broke it off, and the next one has no room at that moment. Callers see a begun answer broken off, or 502. All three rows fail on this code.

--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -176,6 +176,14 @@
     exchange->end();
 }
 
+/// Refuses a request, but answers a liveness check.
+void aliveOrRefuse(const Exchange &exchange)
+{
+    if (exchange->request().target == "/alive")
+        return exchange->respond({200, {}, std::to_string(startTime)});
+    refuseById(exchange);
+}
+
 /// A forwarder with two scripted upstreams, on one event loop over the loopback interface.
 class ForwarderFixture
 {
@@ -849,6 +857,38 @@
     cr_assert_eq(fixture.elapsed < std::chrono::milliseconds{400}, row.isLeft, "%s", row.name);
 }
 
+namespace
+{
+
+struct RefusedMoveCase {
+    const char *name;
+    const char *path;
+    const char *target;
+    std::vector<ForwarderFixture::Responder> responders; ///< The last one may be that of either upstream.
+    const char *body;
+    unsigned sends; ///< With the liveness check of an upstream that broke off.
+};
+
+const RefusedMoveCase refusedMoves[] = {
+    {"silent stream", "/paced/1", "m/a", {streamWithSilence, refuseById, streamRest}, wholeStream, 3},
+    {"broken stream", "/paced/1", "m/a", {streamAndCut, aliveOrRefuse, aliveOrRefuse, streamRest}, wholeStream, 4},
+    {"silent plain request", "/safe/1", "", {answerAfterSilence, refuseById, answer}, "whole", 3},
+};
+
+} // namespace
+
+/// Guards against a request that is given up because the upstream to which it moved had no room at that moment.
+TABLE_TEST(CallForwarder, keepsUpstreamThatRefusedAMovedRequest, refusedMoves)
+{
+    ForwarderFixture fixture(row.responders);
+    for (const auto *instance : {"u0", "u1"})
+        fixture.load(instance, "m/a", std::chrono::milliseconds{-1000});
+    const auto status = fixture.ask(row.path, row.target);
+    cr_assert_eq(status, 200U, "%s: status %u, %s", row.name, status, fixture.received.c_str());
+    cr_assert_eq(fixture.body, std::string(row.body), "%s: %s", row.name, fixture.body.c_str());
+    cr_assert_eq(fixture.sends, row.sends, "%s: %s", row.name, fixture.received.c_str());
+}
+
 /// A slow stream that keeps sending events is not abandoned.
 Test(CallForwarder, keepsSlowStream)
 {
