An upstream that refuses a request unstarted stays a choice for it

Callers saw a begun answer broken off, or 502, when their request had left a silent or broken upstream and the next one had no room at that moment. Cause: a call that may have run excluded every upstream that it was sent to, also one that stated that it had not run it; with two upstreams none was left.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1475,14 +1475,28 @@
         }
         if (call->refused > maxRefusedSends)
             return giveUp(call, ErrorCode::UpstreamRefused, "the upstreams have no room");
-        if (call->notBefore > now) {
-            startWaiting(call, WaitCause::LoadInProgress, now);
-            call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
-            return wakeAt(call, call->notBefore, now);
+        if (call->notBefore > now)
+            return waitUntilNotBefore(call, WaitCause::LoadInProgress, now);
+        if (call->runs > 0 && !choose(*call, now, call->instance)) {
+            call->notBefore = now + refusalDelay(*call);
+            return waitUntilNotBefore(call, WaitCause::Room, now);
         }
         retry(call);
     }
 
+    void waitUntilNotBefore(const CallPtr &call, WaitCause cause, Instant now)
+    {
+        startWaiting(call, cause, now);
+        call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
+        wakeAt(call, call->notBefore, now);
+    }
+
+    /// Returns the delay before a call is sent again to the upstream that has refused it.
+    static Duration refusalDelay(const Call &call)
+    {
+        return refusalRetryDelay * (1U << std::min(call.refused, maxRetryDelayDoublings));
+    }
+
     /// Returns true if a refusal probably means that the load of @p target has not ended yet.
     static bool isStillLoading(const Upstream &upstream, const ModelTarget &target, Instant now)
     {
@@ -1494,7 +1508,7 @@
     void waitForLateLoad(Call &call, Upstream &upstream, Instant now)
     {
         const auto &target = call.request.target;
-        const auto pause = refusalRetryDelay * (1U << std::min(call.refused, maxRetryDelayDoublings));
+        const auto pause = refusalDelay(call);
         upstream.residency.onLoading(target, upstream.residency.find(target)->version, now + pause, now);
         call.notBefore = now + pause;
         m_context.onMissing(call.instance, target);
@@ -1506,7 +1520,7 @@
         ++call->runs;
         call->verdict = Verdict::MayHaveRun;
         if (call->reply.status >= 500 && mayRunAgain(*call))
-            return retry(call);
+            return retryElsewhere(call);
         if (call->answering)
             return abortAnswer(call, "the upstream failed");
         // Callers may conclude from these statuses that the request was not run.
@@ -1532,7 +1546,7 @@
     {
         noteMayHaveRun(call, reason);
         if (mayRunAgain(*call))
-            return retry(call);
+            return retryElsewhere(call);
         if (call->answering)
             return abortAnswer(call, reason);
         giveUp(call, ErrorCode::UpstreamLost, reason);
@@ -1550,11 +1564,17 @@
     {
         if (BootClock{}.now() >= call->deadline)
             return giveUp(call, ErrorCode::DeadlineExceeded, "the time is over");
-        if (call->runs > 0 && call->peer.empty())
-            call->excluded.push_back(call->instance);
         proceed(call);
     }
 
+    /// Sends the call again, but not to the upstream that may have run it.
+    void retryElsewhere(const CallPtr &call)
+    {
+        if (call->peer.empty())
+            call->excluded.push_back(call->instance);
+        retry(call);
+    }
+
     /// Logs a stream that missed its latency objective or paused for too long; logs every stream at the detailed level.
     void logAnswered(const Call &call)
     {
