Add a failing test of many pipelined requests

A caller that pipelines 12,000 small requests (216 kB) behind one in progress ends the process by a signal as soon as that one is answered. Fails on this code.

--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -677,6 +677,30 @@
     cr_assert_eq(answersIn(caller.received()), 1U, "%s", caller.received().c_str());
 }
 
+/// Guards against a process that ends because a caller has pipelined many requests.
+Test(Relay, answersManyPipelinedRequests)
+{
+    constexpr unsigned requests = 12000;
+    std::string text;
+    for (unsigned i = 0; i < requests; ++i)
+        text += "GET / HTTP/1.1\r\n\r\n";
+    AnsweringServer server(settingsForLargeAnswers());
+    server.holdsAnswers = true;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(question);
+    caller.wait();
+    caller.send(text);
+    caller.wait();
+    server.holdsAnswers = false;
+    server.answerHeld();
+    std::size_t before = 0;
+    do {
+        before = caller.received().size();
+        caller.wait(std::chrono::milliseconds{100});
+    } while (caller.received().size() > before);
+    cr_assert_eq(answersIn(caller.received()), requests + 1);
+}
+
 /// A request that does not come as a whole is refused.
 Test(Relay, refusesHalfARequestThatIsLate)
 {
