Pipelined requests that are answered at once do not nest

A caller that pipelined many small requests behind one in progress ended the process, and with it the requests of all others: up to 288 kB of input is buffered, and each answer that a handler gave at once (a refusal, readiness, entries, metrics) parsed the next request in a deeper call. The input is parsed in a loop now. answersManyPipelinedRequests (12,000 requests of 18 bytes) ended by a signal before; relaytest (48, three runs), callforwardertest (128) and callrelaytest (48) pass.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -381,10 +381,20 @@
                && info.tcpi_state != TCP_ESTABLISHED;
     }
 
+    /// Dispatches the requests that have arrived, until one is not answered at once.
     void parse()
+    {
+        if (std::exchange(m_isParsing, true))
+            return; // A handler has answered at once; its caller goes on with the next request.
+        while (parseRequest()) { }
+        m_isParsing = false;
+    }
+
+    /// Parses what has arrived of one request, and dispatches it if it is whole. Returns true if it did.
+    bool parseRequest()
     {
         if (m_closed || m_lingering || !m_exchange.expired() || m_input.empty())
-            return;
+            return false;
         const bool wasIdle = m_reader->state() == RequestReader::State::Idle;
         const auto used = m_reader->feed(m_input);
         m_input.erase(0, used);
@@ -394,8 +404,10 @@
             send("HTTP/1.1 100 Continue\r\n\r\n");
         if (m_reader->state() == RequestReader::State::Failed)
             refuse(m_reader->refusalStatus(), m_reader->refusalReason());
-        else if (m_reader->state() == RequestReader::State::Complete)
-            dispatchRequest();
+        if (m_reader->state() != RequestReader::State::Complete)
+            return false;
+        dispatchRequest();
+        return true;
     }
 
     void dispatchRequest()
@@ -469,6 +481,7 @@
     Duration m_limit{}; ///< Timeout of the current state, while no request is in progress.
     bool m_keepsConnection = true;
     bool m_waitingForBytes = false;
+    bool m_isParsing = false;
     bool m_waitingForWritable = false;
     bool m_lingering = false; ///< Sends only buffered bytes and gives the caller time to read them.
     bool m_isRefused = false; ///< What still arrives belongs to a request that was refused.
