Add a failing test of a last answer with an unread request behind it

A caller that has sent another request behind its last answer gets that answer cut, if it has not read it within a second or before a stop ends; if it leaves instead, the connection stays for that second.

--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -701,6 +701,68 @@
     cr_assert_eq(answersIn(caller.received()), requests + 1);
 }
 
+namespace
+{
+
+/// A caller that has sent another request behind its last answer, and has not read that answer.
+struct UnreadRequest {
+    UnreadRequest()
+        : server(settingsForLargeAnswers())
+        , caller(std::make_unique<RawCaller>(server.loop, server.endpoint))
+    {
+        server.holdsAnswers = true;
+        caller->send(lastQuestion);
+        caller->wait();
+        server.held.at(0)->respond({200, {}, std::string(answerBytes, 'x')});
+        server.held.clear();
+        caller->send(question);
+        caller->wait();
+    }
+
+    static constexpr std::size_t answerBytes = 1024 * 1024; ///< Fit the kernel's buffers, but not the caller's alone.
+
+    AnsweringServer server;
+    std::unique_ptr<RawCaller> caller;
+};
+
+} // namespace
+
+/// Guards against an answer that is cut off by the reset of a connection whose caller has sent another request.
+Test(Relay, deliversLastAnswerBeforeUnreadRequestIsReset)
+{
+    UnreadRequest unread;
+    auto &server = unread.server.server;
+    auto &caller = *unread.caller;
+    cr_assert_eq(server.losses().requests, 1U);
+    cr_assert_not(server.isDrained());
+    server.sweep(BootClock{}.now() + std::chrono::milliseconds{1500});
+    std::size_t before = 0;
+    do {
+        before = caller.received().size();
+        caller.wait();
+    } while (caller.received().size() > before);
+    cr_assert_geq(caller.received().size(), UnreadRequest::answerBytes, "%zu", caller.received().size());
+    cr_assert(server.isDrained());
+    server.sweep(BootClock{}.now());
+    cr_assert_eq(server.connections(), 0U);
+    caller.wait();
+    cr_assert(caller.wasReset());
+}
+
+/// A caller that leaves or does not read its answer does not hold its connection for good.
+Test(Relay, closesConnectionOfUnreadRequest)
+{
+    UnreadRequest slow;
+    slow.server.server.sweep(BootClock{}.now() + std::chrono::seconds{16});
+    cr_assert_eq(slow.server.server.connections(), 0U);
+    UnreadRequest left;
+    left.caller.reset();
+    RawCaller::runLoop(left.server.loop, std::chrono::milliseconds{30});
+    cr_assert(left.server.server.isDrained());
+    left.server.server.sweep(BootClock{}.now());
+    cr_assert_eq(left.server.server.connections(), 0U);
+}
+
 /// A request that does not come as a whole is refused.
 Test(Relay, refusesHalfARequestThatIsLate)
 {
