An unread request does not cut off the last answer of its connection

Callers that sent another request behind the last answer of a connection got that answer cut, if they had not read it within a second, or when a stop ended. Cause: a close with unread bytes resets the connection, which discards what the kernel has not delivered; only the server's own buffer was waited for. Such a connection counts as busy, and lingers for its time-out, until the caller's kernel has received the answer or the connection has ended. A kernel that states no connection state no longer counts as a departure. deliversLastAnswerBeforeUnreadRequestIsReset and closesConnectionOfUnreadRequest failed before; relaytest (50, three runs), callforwardertest (128) and callrelaytest (48) pass.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <optional>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -192,8 +193,8 @@
     void sweep(Instant now)
     {
         if (m_lingering) {
-            const auto limit = m_output.empty() ? lingerTime : m_limit;
-            if (now - m_stateSince > limit || (m_hasUnread && isDelivered()))
+            const auto limit = m_output.empty() && !isEndangered() ? lingerTime : m_limit;
+            if (now - m_stateSince > limit || (m_hasUnread && m_output.empty() && undelivered() == 0))
                 closeNow();
             return;
         }
@@ -210,10 +211,10 @@
             closeUnlessUsed();
     }
 
-    /// Returns true if a request is being read or answered, or a part of an answer has not been written.
-    bool isBusy() const
+    /// Returns true if a request is being read or answered, or a close would cut a part of an answer.
+    bool isBusy()
     {
-        return !m_exchange.expired() || !m_output.empty() || (!m_lingering && isReading());
+        return !m_exchange.expired() || !m_output.empty() || (!m_lingering && isReading()) || isEndangered();
     }
 
     void closeIfIdle()
@@ -364,21 +365,39 @@
         m_lingering = true;
     }
 
-    /// Returns true if the caller's kernel has received all that was written.
-    bool isDelivered()
+    /// Returns the number of written bytes that the caller's kernel has not received but may still receive; nothing if
+    /// this node's kernel does not tell.
+    std::optional<int> undelivered()
     {
+        if (tcpState() == TCP_CLOSE)
+            return 0;
         int unacknowledged = 0;
-        return m_output.empty() && ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0
-               && unacknowledged == 0;
+        if (::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) != 0)
+            return std::nullopt;
+        return unacknowledged;
+    }
+
+    /// Returns true if a close would reset the connection, as it holds unread bytes, before an answer is delivered.
+    bool isEndangered()
+    {
+        return m_hasUnread && undelivered() > 0;
     }
 
     /// Returns true if the caller has closed or reset the connection, also behind bytes that have not been read.
     bool hasCallerClosed()
+    {
+        const auto state = tcpState();
+        return state && state != TCP_ESTABLISHED;
+    }
+
+    /// Returns the state of the connection, such as TCP_CLOSE; nothing if the kernel does not tell.
+    std::optional<int> tcpState()
     {
         tcp_info info{};
         socklen_t size = sizeof info;
-        return ::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
-               && info.tcpi_state != TCP_ESTABLISHED;
+        if (::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_state == 0)
+            return std::nullopt;
+        return info.tcpi_state;
     }
 
     /// Dispatches the requests that have arrived, until one is not answered at once.
