--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -482,6 +482,28 @@
     cr_assert_eq(fixture.relayed(), row.relayed, "%s: relayed %u", row.name, fixture.relayed());
 }
 
+namespace
+{
+
+const char *const unheardPaths[] = {"/once/slow", "/safe/slow", "/stream/1"};
+
+} // namespace
+
+/// Guards against a call that is given up at a sound peer whose reports are late, although no other peer takes it.
+TABLE_TEST(CallRelay, callsStayAtPeerThatIsNotHeardOf, unheardPaths)
+{
+    RelayFixture fixture(2);
+    fixture.cutOff(0);
+    const auto answer = fixture.ask(0, row);
+    fixture.run(std::chrono::milliseconds{120});
+    fixture.nodes[1]->isLive = false;
+    fixture.run(std::chrono::milliseconds{60});
+    fixture.nodes[1]->isLive = true;
+    fixture.await(answer);
+    cr_assert_eq(answer->status, 200U, "%s: %u %s", row, answer->status, answer->body.c_str());
+    cr_assert_eq(fixture.relayed(), 1U, "%s: relayed %u", row, fixture.relayed());
+}
+
 Test(CallRelay, newCallsGoDirectAfterCutEnds)
 {
     RelayFixture fixture(2);
