A call stays at a peer that is not heard of unless another takes it

Callers saw 502, or a begun answer broken off, when the node that had their call at a peer missed that peer's reports for 1.2 s, or was itself stalled for as long, while the peer went on with the call. A peer that is not live counts as silent now: the call is moved if it may run again and another one takes it, and stays otherwise. A reset of the connection still ends it at once. callsStayAtPeerThatIsNotHeardOf failed in all three rows before; callrelaytest (51, three runs) and callforwardertest (128) pass.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1773,8 +1773,6 @@
             return;
         if (call->peer.empty() && mustNotBegin(*call, now))
             return leaveSupersededCopy(call);
-        if (!call->peer.empty() && m_context.isPeerLive && !m_context.isPeerLive(call->peer))
-            return dropSend(call, "the peer is not live");
         if (call->peer.empty() && isQuiet(*call, suspectSilence(*call), now))
             m_context.recordFailure(processOf(*call), ReachFailure::Silent, now);
         if (isSilent(*call, now))
@@ -1811,7 +1809,8 @@
         if (!mayRunAgain(call) || call.runs + 1 >= call.route.attempts)
             return false;
         if (!call.peer.empty())
-            return call.eventReceived && now - call.lastProgress > peerSilenceFactor * longestSilence(call);
+            return (m_context.isPeerLive && !m_context.isPeerLive(call.peer))
+                   || (call.eventReceived && now - call.lastProgress > peerSilenceFactor * longestSilence(call));
         const auto it = m_context.upstreams.all().find(call.instance);
         if (it == m_context.upstreams.all().end())
             return now - call.lastProgress > defaultSilence;
