Add a failing test of streams at a silent peer after refusals of others

A stream that leaves a silent peer is broken off when three other peers refuse the call, although a further one takes calls. Fails on this code.

--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -504,6 +504,25 @@
     cr_assert_eq(fixture.relayed(), 1U, "%s: relayed %u", row, fixture.relayed());
 }
 
+/// Guards against a begun answer that is broken off at a silent peer because several others have refused the call.
+Test(CallRelay, streamsLeaveSilentPeerAfterRefusalsOfOthers)
+{
+    RelayFixture fixture(6);
+    fixture.cutOff(0);
+    for (std::size_t node : {1U, 2U, 3U})
+        fixture.nodes[node]->takesCalls = false; // Which the others do not know yet.
+    std::array<std::shared_ptr<CallerAnswer>, 40> answers;
+    for (auto &answer : answers)
+        answer = fixture.ask(0, "/stream/1");
+    fixture.run(std::chrono::milliseconds{120});
+    fixture.nodes[4]->link->set(LinkState::Hangs);
+    for (const auto &answer : answers) {
+        fixture.await(answer);
+        cr_assert_eq(answer->status, 200U, "%u %s", answer->status, answer->body.c_str());
+        cr_assert_eq(answer->body, wholeStream, "%s", answer->body.c_str());
+    }
+}
+
 Test(CallRelay, newCallsGoDirectAfterCutEnds)
 {
     RelayFixture fixture(2);
