A begun answer may try all peers once its peer has gone silent

Callers saw a begun answer broken off at a cut-off node, although a further peer took calls. Cause: refusals count towards the limit of four peers a call, also those from before the answer began; the silent peer was left before it was known whether another may be tried. With three refusals before, the call was left at no peer and waited for its deadline. The limit now concerns calls without a begun answer, and a silent peer is left only if another may be tried. streamsLeaveSilentPeerAfterRefusalsOfOthers failed before (40 streams, six nodes, three of which refuse); callrelaytest (52, three runs) and callforwardertest (128) pass. The case of three refusals before was read in the code; the test does not tell it from the other.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -226,7 +226,7 @@
     /// Time by which another upstream must serve a call earlier for the call to give up its reserved time.
     static constexpr Duration minGainForChange = std::chrono::milliseconds{50};
     static constexpr Duration minRetryAfter = std::chrono::seconds{1}; ///< Shortest Retry-After, if callers accept it.
-    /// Limit on the peers that one call is passed to in turn because each refuses it unstarted or is not connected.
+    /// Limit on the peers that a call without a begun answer is passed to in turn, because each fails it.
     static constexpr std::size_t maxFailedPeers = 4;
     /// Silence after which a relayed stream is moved off its peer, in those after which the peer moves it.
     static constexpr int peerSilenceFactor = 2;
@@ -526,7 +526,7 @@
     /// only upstreams that do not hold its target yet. Returns false if there is no such peer.
     bool relay(const CallPtr &call, bool mayLoad, Instant now)
     {
-        if (call->failedPeers.size() >= maxFailedPeers)
+        if (!mayTryPeer(*call, call->failedPeers))
             return false;
         const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
         auto upstreams = m_relay.upstreamsBehindCut(call->service, call->request.target, version, now);
@@ -548,6 +548,12 @@
         return true;
     }
 
+    /// Returns true if @p call may be passed to a peer other than @p failedPeers; a begun answer may try all.
+    static bool mayTryPeer(const Call &call, const std::vector<std::string> &failedPeers)
+    {
+        return call.answering || failedPeers.size() < maxFailedPeers;
+    }
+
     static std::string joined(const std::vector<std::string> &names)
     {
         std::string text;
@@ -1863,10 +1869,11 @@
         if (call->relayed || (call->peer.empty() && !isCutOff(call->instance)))
             return;
         auto tried = call->failedPeers;
-        tried.push_back(call->peer);
+        if (!call->peer.empty())
+            tried.push_back(call->peer);
         const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
         const auto upstreams = m_relay.upstreamsBehindCut(call->service, call->request.target, version, now);
-        if (!m_relay.choose(call->request.id, upstreams, tried, now))
+        if (!mayTryPeer(*call, tried) || !m_relay.choose(call->request.id, upstreams, tried, now))
             return;
         leaveSilent(call, now);
         relay(call, false, now);
