--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -889,6 +889,19 @@
     cr_assert_eq(fixture.sends, row.sends, "%s: %s", row.name, fixture.received.c_str());
 }
 
+/// Guards against a stream that is broken off, although its silent upstream goes on, as the next one is unreachable.
+Test(CallForwarder, returnsToUpstreamThatWasSilent)
+{
+    ForwarderFixture fixture({streamWithSilence, streamRest});
+    for (const auto *instance : {"u0", "u1"})
+        fixture.load(instance, "m/a", std::chrono::milliseconds{-1000});
+    fixture.loop().runAfter(std::chrono::milliseconds{100}, [&] { fixture.upstream("u1").record.endpoint.port = 1; });
+    const auto status = fixture.ask("/paced/1", "m/a");
+    cr_assert_eq(status, 200U, "%u %s", status, fixture.received.c_str());
+    cr_assert_eq(fixture.body, std::string(wholeStream), "%s", fixture.body.c_str());
+    cr_assert_eq(fixture.sends, 2U, "%s", fixture.received.c_str());
+}
+
 /// A slow stream that keeps sending events is not abandoned.
 Test(CallForwarder, keepsSlowStream)
 {
