A request may go back to an upstream that it has left as silent

Callers saw a begun answer broken off, although the upstream that had been silent for a second went on. Cause: an upstream that a call leaves as silent was excluded from it for good; when the next one accepted no connection, no upstream was left.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -243,6 +243,7 @@
         Instant deadline{};
         std::vector<CrashCause> causes; ///< What may crash upstreams: the request itself, then its prompt's parts.
         std::vector<std::string> excluded; ///< Instances that have failed the request.
+        std::vector<std::string> silent; ///< Those of them that went silent, and may have gone on since.
         unsigned sends = 0; ///< Sends that reached an upstream, or may have.
         unsigned runs = 0; ///< Sends that an upstream may have run.
         unsigned unconnected = 0; ///< Sends for which no connection was made.
@@ -438,6 +439,8 @@
             call->excluded.clear();
             choice = choose(*call, now);
         }
+        if (!choice && readmitSilent(*call))
+            choice = choose(*call, now);
         if (relayAroundCut(call, choice, now))
             return;
         if (!choice && awaitsEvidence(*call, now))
@@ -475,6 +478,15 @@
         send(call, *choice, now);
     }
 
+    /// Lets the call go back to upstreams that it has left as silent. Returns false if there are none.
+    static bool readmitSilent(Call &call)
+    {
+        const auto silent = std::exchange(call.silent, {});
+        std::erase_if(call.excluded,
+                      [&](const std::string &instance) { return std::ranges::find(silent, instance) != silent.end(); });
+        return !silent.empty();
+    }
+
     /// Returns true if the call waits for its turn at an upstream that this node is cut off from.
     bool awaitsCutOffUpstream(const Call &call) const
     {
@@ -1895,6 +1907,7 @@
         m_monitor.avoid(call->instance, now);
         noteMayHaveRun(call, "the upstream has gone silent");
         call->excluded.push_back(call->instance);
+        call->silent.push_back(call->instance);
     }
 
     void noteBroken(const Call &call, Instant now)
