--- a/src/gateway/adapterplacer.h
+++ b/src/gateway/adapterplacer.h
@@ -112,6 +112,8 @@
     double storeShare = 1; ///< Fraction of the weight store's throughput that this placer may use.
     /// Returns true if this placer is responsible for loading copy number @p copies + 1 of a target.
     std::function<bool(const ModelTarget &target, unsigned copies)> isNext;
+    /// Returns the oldest version of a target that may still serve; 0 if any may. Null if any version of all may.
+    std::function<std::uint64_t(const ModelTarget &target)> oldestUsable;
 };
 
 /// A change in the models or adapters of one engine, to be broadcast to all nodes.
@@ -182,7 +184,8 @@
     /// Records that @p requests requests for @p target were sent or are still in flight.
     void onUsed(const std::string &service, const ModelTarget &target, double requests, Instant now);
 
-    /// Records that @p version of an adapter was declared; copies of older versions are to be unloaded.
+    /// Records that @p version of an adapter was declared; copies of older versions are unloaded once they may not
+    /// serve any more.
     void onVersionDeclared(const ModelTarget &target, std::uint64_t version);
 
     /// Records the outcome of an order from plan().
@@ -297,6 +300,7 @@
     /// copies to the plan's answers.
     bool answerFromCopies(const ModelTarget &target, const Demand &demand);
     void placeWanted(Instant now, PlacerActions &actions);
+    void unloadSuperseded(Instant now, PlacerActions &actions);
     double meanLoad(const std::string &service) const;
     double furtherCopyNeed(const ModelTarget &target, const Demand &demand, Instant now) const;
     void placeFurtherCopies(Instant now, PlacerActions &actions);
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/table.h"
 
+#include <cmath>
+
 using namespace Gypsumtally;
 using namespace Gypsumtally::Gateway;
 
@@ -30,6 +32,7 @@
     report.verdicts = {{{CauseKind::PromptPart, 0xbad}, 3, 2, 1234567890127, "n4"}};
     report.brokenStreams = {{0xfedcba9876543211, "s", "v1"}};
     report.departures = {{"e4", 1234567890124}};
+    report.brittleness = {{"s", 3, std::chrono::milliseconds{20}}, {"t", {}, std::chrono::seconds{1}}};
     report.turnedAway = {{{"e5", 1234567890125}, std::chrono::milliseconds{1500}}};
     report.limits = {{{"e7", 5}, 2.2, std::chrono::milliseconds{30}, 4}, {{"e8", 6}, {}, std::chrono::seconds{2}}};
     report.reach = {false, false};
@@ -97,6 +100,11 @@
     cr_assert(report.limits.front().age == std::chrono::milliseconds{30});
     cr_assert_eq(report.limits.front().earlierSends, 4U);
     cr_assert_not(report.limits.back().perSecond.has_value());
+    cr_assert_eq(report.brittleness.size(), 2U);
+    cr_assert_eq(report.brittleness.front().service, std::string("s"));
+    cr_assert(report.brittleness.front().refusalsPerSecond == 3U);
+    cr_assert(report.brittleness.front().age == std::chrono::milliseconds{20});
+    cr_assert_not(report.brittleness.back().refusalsPerSecond.has_value());
     cr_assert(report.crashes == sent.crashes);
     cr_assert(report.brokenStreams == sent.brokenStreams);
     cr_assert(read->begunStreams == example().begunStreams);
@@ -213,3 +221,160 @@
     cr_assert_eq(read.contacts.size(), Reachability::maxReported);
     cr_assert_eq(read.cutOff.size(), Reachability::maxReported);
 }
+
+namespace
+{
+
+struct AddressCase {
+    const char *callers;
+    const char *peers;
+    bool isWhole;
+};
+
+const AddressCase addresses[] = {
+    {"127.0.0.1:80", "127.0.0.1:90", true},
+    {"[::1]:80", "[::1]:90", true},
+    {"somewhere:80", "127.0.0.1:90", false},
+    {"127.0.0.1:80", "elsewhere:90", false},
+    {"127.0.0.1:0", "127.0.0.1:90", false},
+    {"127.0.0.1:65536", "127.0.0.1:90", false},
+    {"127.0.0.1:80", "127.0.0.1:-1", false},
+    {"127.0.0.1:80", "127.0.0.1:1000000000", false},
+    {"127.0.0.1:80", "127.0.0.1:90x", false},
+    {"127.0.0.1", "127.0.0.1:90", false},
+    {"127.0.0.1:80", "127.0.0.1.1:90", false},
+    {"127.0.0.1:80", ":90", false},
+    {"127.0.0.1:80", "", false},
+};
+
+} // namespace
+
+/// Guards against a node that ends when it sends to the address in an odd entry or report.
+TABLE_TEST(GatewayMessage, takesConnectableAddressesOnly, addresses)
+{
+    const auto address = std::string(R"({"node":"n","domain":"d","region":"r","started":1,"callers":")") + row.callers
+                         + R"(","peers":")" + row.peers + R"("})";
+    cr_assert_eq(decodeNodeAddress(address).has_value(), row.isWhole);
+    const auto read = decodeGatewayMessage(R"({"sender":"n","reports":[{"from":)" + address + "}]}");
+    cr_assert(read.has_value());
+    cr_assert_eq(read->reports.size(), row.isWhole ? 1U : 0U);
+}
+
+namespace
+{
+
+const char *const oddFigures[] = {
+    "1e999",
+    "-1e999",
+    "1e300",
+    "-1e300",
+    "100000000000000000000000000000",
+    "9223372036854775807",
+    "-9223372036854775808",
+    "18446744073709551615",
+    "18446744073709551616.0",
+    "4294967295",
+    "-1",
+    "0.5",
+    R"("7")",
+    "null",
+    "true",
+    "[[[[[[[[[]]]]]]]]]",
+    "{}",
+};
+
+bool isTime(Duration time)
+{
+    return std::chrono::abs(time) <= std::chrono::hours{24};
+}
+
+bool isFigure(double figure)
+{
+    return std::abs(figure) <= 1e9;
+}
+
+/// Returns a message in which each number is @p figure.
+std::string messageOf(const std::string &figure)
+{
+    auto text = std::string(R"({"sender":"n","reports":[{"from":{"node":"m","started":#},"sequence":#,)")
+                + R"("in_flight":[["u",#]],"changed_in_flight":[["u",#]],"steps":[["u",#]],"speeds":[["s",#,#,#,#]],)"
+                + R"("prompts":[["u",#,#,#]],"limits":[["u",#,#,#,#]],"released":[[#,#,#]],"ordering":[#],)"
+                + R"("acquittals":[["part/1",#]],"turned_away":[["u",#,#]],"placements":[["u","m/a",#,false,#]]}],)"
+                + R"("used":[["s","m/a",#]],"wanted":[["s","m/a",#]],"shard":#,"found":[["u","m/a",#,false,#]],)"
+                + R"("registry":[{"view":"upstreams","after":#,"revision":#,"age":#,"changes":[[#,"k","v"]]}]})";
+    for (auto at = text.find('#'); at != std::string::npos; at = text.find('#', at + figure.size()))
+        text.replace(at, 1, figure);
+    return text;
+}
+
+} // namespace
+
+/// Guards against figures of a datagram that overflow, or that no conversion defines.
+TABLE_TEST(GatewayMessage, boundsFigures, oddFigures)
+{
+    const auto read = decodeGatewayMessage(messageOf(row));
+    if (!read)
+        return; // Not JSON.
+    for (const auto &report : read->reports) {
+        for (const auto &[instance, requests] : report.inFlight)
+            cr_expect(isFigure(requests), "in flight");
+        for (const auto &[instance, requests] : report.changedInFlight)
+            cr_expect(isFigure(requests), "changed in flight");
+        for (const auto &step : report.steps)
+            cr_expect(isFigure(step.stepMs), "step");
+        for (const auto &speed : report.speeds)
+            cr_expect(isFigure(speed.speed.stepMs) && isFigure(speed.speed.answerMs), "speed");
+        for (const auto &send : report.sends)
+            cr_expect(isFigure(send.tokens) && isTime(send.in) && isFigure(send.requests), "send");
+        for (const auto &limit : report.limits)
+            cr_expect(isTime(limit.age) && isFigure(limit.perSecond.value_or(0)) && limit.perSecond.value_or(0) >= 0
+                          && isFigure(limit.earlierSends),
+                      "limit");
+        for (const auto &released : report.released)
+            cr_expect(isTime(released.sinceLastOrder), "released");
+        for (const auto &acquittal : report.acquittals)
+            cr_expect(isTime(acquittal.age), "acquittal");
+        for (const auto &turnedAway : report.turnedAway)
+            cr_expect(isTime(turnedAway.time), "turned away");
+        for (const auto &placement : report.placements)
+            cr_expect(isTime(placement.usableIn), "placement");
+    }
+    for (const auto &wanted : read->wanted)
+        cr_expect(isFigure(wanted.requests) && wanted.requests >= 0, "wanted");
+    for (const auto &found : read->found)
+        cr_expect(isTime(found.usableIn), "found");
+    for (const auto &update : read->registry)
+        cr_expect(isTime(update.delta.age.value_or(Duration{})), "registry");
+}
+
+namespace
+{
+
+struct UpdateCase {
+    const char *name;
+    const char *update; ///< Without the view.
+    bool isUpdate;
+};
+
+const UpdateCase updateCases[] = {
+    {"usual", R"("after":7,"revision":9,"changes":[[8,"k","v"],[9,"l"]])", true},
+    {"confirmation", R"("after":7,"revision":7,"changes":[])", true},
+    {"without a revision", R"("after":7,"changes":[])", false},
+    {"revision before the start", R"("after":7,"revision":5,"changes":[])", false},
+    {"negative", R"("after":-7,"revision":5,"changes":[])", false},
+    {"beyond any store's revisions", R"("after":7,"revision":9223372036854775807,"changes":[])", false},
+    {"infinite", R"("after":7,"revision":1e999,"changes":[])", false},
+    {"change before the start", R"("after":7,"revision":9,"changes":[[7,"k","v"]])", true}, // Receivers have it.
+    {"value of another type", R"("after":7,"revision":9,"changes":[[8,"k",7]])", false},
+};
+
+} // namespace
+
+/// Guards against a node that stops following the store after an odd datagram has moved its revision ahead.
+TABLE_TEST(GatewayMessage, takesConsistentUpdatesOnly, updateCases)
+{
+    const auto read = decodeGatewayMessage(R"({"sender":"n","reports":[],"registry":[{"view":"upstreams",)"
+                                           + std::string(row.update) + "}]}");
+    cr_assert(read.has_value());
+    cr_assert_eq(read->registry.size(), row.isUpdate ? 1U : 0U, "%s", row.name);
+}
