--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -225,7 +225,7 @@
     /// Time by which another upstream must serve a call earlier for the call to give up its reserved time.
     static constexpr Duration minGainForChange = std::chrono::milliseconds{50};
     static constexpr Duration minRetryAfter = std::chrono::seconds{1}; ///< Shortest Retry-After, if callers accept it.
-    /// Limit on the peers that one call is passed to in turn because each refuses it unstarted or is not connected.
+    /// Limit on the peers that a call without a begun answer is passed to in turn, because each fails it.
     static constexpr std::size_t maxFailedPeers = 8;
     /// Silence after which a relayed stream is moved off its peer, in those after which the peer moves it.
     static constexpr int peerSilenceFactor = 2;
@@ -242,6 +242,7 @@
         Instant deadline{};
         std::vector<CrashCause> causes; ///< What may crash upstreams: the request itself, then its prompt's parts.
         std::vector<std::string> excluded; ///< Instances that have failed the request.
+        std::vector<std::string> silent; ///< Those of them that went silent, and may have gone on since.
         unsigned sends = 0; ///< Sends that reached an upstream, or may have.
         unsigned runs = 0; ///< Sends that an upstream may have run.
         unsigned unconnected = 0; ///< Sends for which no connection was made.
@@ -438,6 +439,8 @@
             call->excluded.clear();
             choice = choose(*call, now);
         }
+        if (!choice && readmitSilent(*call))
+            choice = choose(*call, now);
         if (relayAroundCut(call, choice, now))
             return;
         if (!choice && awaitsEvidence(*call, now))
@@ -479,6 +482,15 @@
         send(call, *choice, now);
     }
 
+    /// Lets the call go back to upstreams that it has left as silent. Returns false if there are none.
+    static bool readmitSilent(Call &call)
+    {
+        const auto silent = std::exchange(call.silent, {});
+        std::erase_if(call.excluded,
+                      [&](const std::string &instance) { return std::ranges::find(silent, instance) != silent.end(); });
+        return !silent.empty();
+    }
+
     /// Returns true if the call waits for its turn at an upstream that this node is cut off from.
     bool awaitsCutOffUpstream(const Call &call) const
     {
@@ -530,7 +542,7 @@
     /// only upstreams that do not hold its target yet. Returns false if there is no such peer.
     bool relay(const CallPtr &call, bool mayLoad, Instant now)
     {
-        if (call->failedPeers.size() >= maxFailedPeers)
+        if (!mayTryPeer(*call, call->failedPeers))
             return false;
         const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
         auto upstreams = m_relay.upstreamsBehindCut(call->service, call->request.target, version, now);
@@ -552,6 +564,12 @@
         return true;
     }
 
+    /// Returns true if @p call may be passed to a peer other than @p failedPeers; a begun answer may try all.
+    static bool mayTryPeer(const Call &call, const std::vector<std::string> &failedPeers)
+    {
+        return call.answering || failedPeers.size() < maxFailedPeers;
+    }
+
     static std::string joined(const std::vector<std::string> &names)
     {
         std::string text;
@@ -1524,14 +1542,28 @@
         }
         if (call->refused > maxRefusedSends)
             return giveUp(call, ErrorCode::UpstreamRefused, "the upstreams have no room");
-        if (call->notBefore > now) {
-            startWaiting(call, WaitCause::LoadInProgress, now);
-            call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
-            return wakeAt(call, call->notBefore, now);
+        if (call->notBefore > now)
+            return waitUntilNotBefore(call, WaitCause::LoadInProgress, now);
+        if (call->runs > 0 && !choose(*call, now, call->instance)) {
+            call->notBefore = now + refusalDelay(*call);
+            return waitUntilNotBefore(call, WaitCause::Room, now);
         }
         retry(call);
     }
 
+    void waitUntilNotBefore(const CallPtr &call, WaitCause cause, Instant now)
+    {
+        startWaiting(call, cause, now);
+        call->waitUntil = std::max(call->waitUntil, now + maxLoadWait);
+        wakeAt(call, call->notBefore, now);
+    }
+
+    /// Returns the delay before a call is sent again to the upstream that has refused it.
+    static Duration refusalDelay(const Call &call)
+    {
+        return refusalRetryDelay * (1U << std::min(call.refused, maxRetryDelayDoublings));
+    }
+
     /// Returns true if a refusal probably means that the load of @p target has not ended yet.
     static bool isStillLoading(const Upstream &upstream, const ModelTarget &target, Instant now)
     {
@@ -1543,7 +1575,7 @@
     void waitForLateLoad(Call &call, Upstream &upstream, Instant now)
     {
         const auto &target = call.request.target;
-        const auto pause = refusalRetryDelay * (1U << std::min(call.refused, maxRetryDelayDoublings));
+        const auto pause = refusalDelay(call);
         upstream.residency.onLoading(target, upstream.residency.find(target)->version, now + pause, now);
         call.notBefore = now + pause;
         m_context.onMissing(call.instance, target);
@@ -1555,7 +1587,7 @@
         ++call->runs;
         call->verdict = Verdict::MayHaveRun;
         if (call->reply.status >= 500 && mayRunAgain(*call))
-            return retry(call);
+            return retryElsewhere(call);
         if (call->answering)
             return abortAnswer(call, "the upstream failed");
         // Callers may conclude from these statuses that the request was not run.
@@ -1581,7 +1613,7 @@
     {
         noteMayHaveRun(call, reason);
         if (mayRunAgain(*call))
-            return retry(call);
+            return retryElsewhere(call);
         if (call->answering)
             return abortAnswer(call, reason);
         giveUp(call, ErrorCode::UpstreamLost, reason);
@@ -1605,11 +1637,17 @@
     {
         if (BootClock{}.now() >= call->deadline)
             return giveUp(call, ErrorCode::DeadlineExceeded, "the time is over");
-        if (call->runs > 0 && call->peer.empty())
-            call->excluded.push_back(call->instance);
         proceed(call);
     }
 
+    /// Sends the call again, but not to the upstream that may have run it.
+    void retryElsewhere(const CallPtr &call)
+    {
+        if (call->peer.empty())
+            call->excluded.push_back(call->instance);
+        retry(call);
+    }
+
     /// Logs a stream that missed its latency objective or paused for too long; logs every stream at the detailed level.
     void logAnswered(const Call &call)
     {
@@ -1808,8 +1846,6 @@
             return;
         if (call->peer.empty() && mustNotBegin(*call, now))
             return leaveSupersededCopy(call);
-        if (isPeerLost(*call, now))
-            return dropSend(call, "the peer is not live");
         if (call->peer.empty() && isQuiet(*call, suspectSilence(*call), now))
             m_context.recordFailure(processOf(*call), ReachFailure::Silent, now);
         if (isSilent(*call, now))
@@ -1841,11 +1877,11 @@
                && now - it->second.waitingSince > time;
     }
 
-    /// Returns true if the call may be sent again and its peer shows no sign of life: neither reports nor progress.
+    /// Returns true if the call's peer shows no sign of life: neither reports nor progress.
     bool isPeerLost(const Call &call, Instant now) const
     {
         return !call.peer.empty() && m_context.isPeerLive && !m_context.isPeerLive(call.peer)
-               && now - call.lastProgress > defaultSilence && mayRunAgain(call);
+               && now - call.lastProgress > defaultSilence;
     }
 
     bool isSilent(const Call &call, Instant now) const
@@ -1853,7 +1889,8 @@
         if (!mayRunAgain(call) || call.runs + 1 >= attemptsOf(call))
             return false;
         if (!call.peer.empty())
-            return call.eventReceived && now - call.lastProgress > peerSilenceFactor * longestSilence(call);
+            return isPeerLost(call, now)
+                   || (call.eventReceived && now - call.lastProgress > peerSilenceFactor * longestSilence(call));
         const auto it = m_context.upstreams.all().find(call.instance);
         if (it == m_context.upstreams.all().end())
             return now - call.lastProgress > defaultSilence;
@@ -1906,10 +1943,11 @@
         if (call->relayed || (call->peer.empty() && !isCutOff(call->instance)))
             return;
         auto tried = call->failedPeers;
-        tried.push_back(call->peer);
+        if (!call->peer.empty())
+            tried.push_back(call->peer);
         const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
         const auto upstreams = m_relay.upstreamsBehindCut(call->service, call->request.target, version, now);
-        if (!m_relay.choose(call->request.id, upstreams, tried, now))
+        if (!mayTryPeer(*call, tried) || !m_relay.choose(call->request.id, upstreams, tried, now))
             return;
         leaveSilent(call, now);
         relay(call, false, now);
@@ -1931,6 +1969,7 @@
         m_monitor.avoid(call->instance, now);
         noteMayHaveRun(call, "the upstream has gone silent");
         call->excluded.push_back(call->instance);
+        call->silent.push_back(call->instance);
     }
 
     void noteBroken(const Call &call, Instant now)
