Slow answers of plain services are no evidence of a cut, and a call that no peer takes is sent directly

Cause: an answer of a plain service that was late by more than the usual made the node probe the upstream with a new connection, which a busy upstream resets; peers with open connections had contact, so that the upstream counted as cut off from one node after the other. Slow plain answers are no evidence any more: failed connections are. What no peer takes is sent directly instead of being refused, as the path may be open.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -524,11 +524,18 @@
             return false;
         if (relay(call, isIsolated, now))
             return true;
-        if (isIsolated)
+        if (!isIsolated)
+            return false;
+        const auto cutOff = choose(*call, now, call->excluded, true);
+        if (!cutOff || cutOff->sendAt > now || cutOff->isFull) {
             giveUp(call, ErrorCode::NoUpstream,
                    "this node is cut off from the upstreams of the service, and no peer takes the call",
                    call->peerRetryAfter);
-        return isIsolated;
+        } else if (isVerified(call, cutOff->instance, now)) {
+            stopWaiting(call);
+            send(call, *cutOff, now); // The path may be open again, or never have been closed.
+        }
+        return true;
     }
 
     /// Returns true if an upstream that this node is cut off from could serve the call earlier than @p direct.
@@ -1846,7 +1853,8 @@
             return;
         if (call->peer.empty() && mustNotBegin(*call, now))
             return leaveSupersededCopy(call);
-        if (call->peer.empty() && isQuiet(*call, suspectSilence(*call), now))
+        if (call->peer.empty() && call->route.kind == RequestKind::Streaming
+            && isQuiet(*call, longestSilence(*call) / 2, now))
             m_context.recordFailure(processOf(*call), ReachFailure::Silent, now);
         if (isSilent(*call, now))
             moveFromSilentUpstream(call, now);
@@ -1898,13 +1906,6 @@
         return isQuiet(call, it->second.isCutOff ? std::min<Duration>(longest, minSilence) : longest, now);
     }
 
-    /// Returns the silence after which the node checks whether it still reaches the call's upstream.
-    Duration suspectSilence(const Call &call) const
-    {
-        const auto longest = longestSilence(call);
-        return call.route.kind == RequestKind::Streaming ? longest / 2 : longest;
-    }
-
     Duration longestSilence(const Call &call) const
     {
         if (call.route.kind == RequestKind::Streaming)
