Peers with an older configuration take no relayed calls

The node was cut off and passed the call to a peer that had just woken after 7.3 s and answered by its configuration of before.

A relayed call states the version of the origin's configuration; a peer that has an older one refuses it unstarted, and the next peer gets it. peersWithAnOlderConfigurationTakeNoCalls failed before (404).

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -77,6 +77,8 @@
         call->relayed = std::move(relayed);
         if (!takesCalls || !canRoute())
             return refuseRelayed(call, ErrorCode::Stopping, "this node takes no calls");
+        if (m_context.routes->policy().version < call->relayed->configuration)
+            return refuseRelayed(call, ErrorCode::PlatformUnavailable, "this node has an older configuration");
         if (m_relayedCalls >= m_context.maxRelayedCalls)
             return refuseRelayed(call, ErrorCode::Overloaded, "this node has too many calls of other nodes");
         start(call);
@@ -605,7 +607,8 @@
                                 isPaid,
                                 call->answering,
                                 call->lastEvent,
-                                call->streamVersion};
+                                call->streamVersion,
+                                m_context.routes->policy().version};
         call->token = m_relay.send(peer, call->exchange->request(), state, observerOf(call), call->route.mayRepeat());
     }
 
--- a/src/gateway/relaycodec.cpp
+++ b/src/gateway/relaycodec.cpp
@@ -27,6 +27,7 @@
 constexpr std::string_view answeringHeader = "Gypsumtally-Answering";
 constexpr std::string_view lastEventHeader = "Gypsumtally-Last-Event";
 constexpr std::string_view streamVersionHeader = "Gypsumtally-Software"; ///< In hexadecimal, as it may be any text.
+constexpr std::string_view configurationHeader = "Gypsumtally-Configuration";
 constexpr std::string_view verdictHeader = "Gypsumtally-Verdict";
 constexpr std::string_view mayTryAnotherHeader = "Gypsumtally-Try-Another";
 
@@ -122,6 +123,7 @@
                         std::to_string(std::max<std::int64_t>(0, call.timeSpent.count())));
     addCounts(relayed.headers, call.sends, call.runs);
     relayed.headers.add(std::string(attemptsHeader), std::to_string(call.attempts));
+    relayed.headers.add(std::string(configurationHeader), std::to_string(call.configuration));
     if (call.isPaid)
         relayed.headers.add(std::string(paidHeader), "1");
     if (call.isAnswering)
@@ -140,15 +142,18 @@
     const auto sends = numberOf<unsigned>(headers.get(sendsHeader), 0, maxSends);
     const auto runs = numberOf<unsigned>(headers.get(runsHeader), 0, maxSends);
     const auto attempts = numberOf<unsigned>(headers.get(attemptsHeader), 1, maxSends);
+    const auto configuration
+        = numberOf<std::uint64_t>(headers.get(configurationHeader), 0, std::numeric_limits<std::uint64_t>::max());
     RelayedCall call;
     call.origin = std::string(headers.get(originHeader));
-    if (call.origin.empty() || !left || !spent || !sends || !runs || !attempts || *runs > *sends)
+    if (call.origin.empty() || !left || !spent || !sends || !runs || !attempts || !configuration || *runs > *sends)
         return std::nullopt;
     call.timeLeft = Duration{*left};
     call.timeSpent = Duration{*spent};
     call.sends = *sends;
     call.runs = *runs;
     call.attempts = *attempts;
+    call.configuration = *configuration;
     call.isPaid = headers.contains(paidHeader);
     call.isAnswering = headers.contains(answeringHeader);
     if (headers.contains(lastEventHeader)) {
--- a/src/gateway/relaycodec.h
+++ b/src/gateway/relaycodec.h
@@ -25,6 +25,7 @@
     bool isAnswering = false; ///< The caller has received the head of the answer.
     std::optional<std::uint64_t> lastEvent; ///< Id of the last event that the caller has.
     std::optional<std::string> streamVersion; ///< Software version that began the stream.
+    std::uint64_t configuration = 0; ///< Version of the origin's, which the peer's must not precede.
 
     friend bool operator==(const RelayedCall &, const RelayedCall &) = default;
 };
--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -577,6 +577,25 @@
     cr_assert_eq(fixture.served, 12U);
 }
 
+/// A peer that was suspended answered relayed calls by the configuration of before.
+Test(CallRelay, peersWithAnOlderConfigurationTakeNoCalls)
+{
+    RelayFixture fixture(3);
+    fixture.cutOff(0);
+    auto policy = fixture.nodes[0]->context.routes->policy();
+    ++policy.version;
+    policy.routes.front().prefix = "/new/";
+    const auto newer = std::make_shared<RouteTable>(policy);
+    for (const std::size_t node : {0, 2})
+        fixture.nodes[node]->context.routes = newer;
+    for (int i = 0; i < 8; ++i) {
+        const auto answer = fixture.ask(0, "/new/1");
+        fixture.await(answer);
+        cr_assert_eq(answer->status, 200U, "%u", answer->status);
+    }
+    cr_assert_gt(fixture.nodes[1]->received, 0U);
+}
+
 Test(CallRelay, refusesAtOnceIfAllPeersAreCutOff)
 {
     RelayFixture fixture(4);
--- a/tests/gateway/relaycodectest.cpp
+++ b/tests/gateway/relaycodectest.cpp
@@ -21,9 +21,10 @@
                             "body"};
 
 const RelayedCall calls[] = {
-    {"n1", std::chrono::milliseconds{1500}, {}, 0, 0, 1, false, false, {}, {}},
-    {"n1", std::chrono::milliseconds{1500}, Duration{1}, 3, 2, 4, false, true, 18446744073709551615U, "v\r\n1"},
-    {"n1", Duration{1}, std::chrono::milliseconds{700}, 1, 0, 1, true, false, 0, ""},
+    {"n1", std::chrono::milliseconds{1500}, {}, 0, 0, 1, false, false, {}, {}, 0},
+    {"n1", std::chrono::milliseconds{1500}, Duration{1}, 3, 2, 4, false, true, 18446744073709551615U, "v\r\n1",
+     18446744073709551615U},
+    {"n1", Duration{1}, std::chrono::milliseconds{700}, 1, 0, 1, true, false, 0, "", 12},
 };
 
 const RelayedAnswer answers[] = {
@@ -52,6 +53,8 @@
     {"Gypsumtally-Runs", ""},
     {"Gypsumtally-Attempts", nullptr},
     {"Gypsumtally-Attempts", "0"},
+    {"Gypsumtally-Configuration", nullptr},
+    {"Gypsumtally-Configuration", "-1"},
     {"Gypsumtally-Last-Event", "x"},
     {"Gypsumtally-Last-Event", "-1"},
     {"Gypsumtally-Software", "7"},
@@ -98,7 +101,7 @@
 
 TABLE_TEST(RelayCodec, rejectsMalformedCalls, malformed)
 {
-    const RelayedCall call{"n1", std::chrono::seconds{1}, std::chrono::seconds{1}, 3, 2, 1, false, false, 5, "v1"};
+    const RelayedCall call{"n1", std::chrono::seconds{1}, std::chrono::seconds{1}, 3, 2, 1, false, false, 5, "v1", 12};
     cr_assert(!readRelayedCall(replaced(writeRelayedRequest(request, call).headers, row)));
 }
 
