--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -528,14 +528,16 @@
             return true;
         if (!isIsolated)
             return false;
-        const auto cutOff = choose(*call, now, call->excluded, true);
+        // Where other nodes take no calls either, the path may be open again, or never have been closed.
+        const bool isDoubtful = m_context.relayPeers && !m_context.relayPeers().empty();
+        const auto cutOff = isDoubtful ? choose(*call, now, call->excluded, true) : std::nullopt;
         if (!cutOff || cutOff->sendAt > now || cutOff->isFull) {
             giveUp(call, ErrorCode::NoUpstream,
                    "this node is cut off from the upstreams of the service, and no peer takes the call",
                    call->peerRetryAfter);
         } else if (isVerified(call, cutOff->instance, now)) {
             stopWaiting(call);
-            send(call, *cutOff, now); // The path may be open again, or never have been closed.
+            send(call, *cutOff, now);
         }
         return true;
     }
