CallerServer: keep an exchange alive while one of its methods runs

What callers saw: a caller that reset its connection just before its answer was written could end the process, with all requests in it.

Cause: a write that fails closes the connection, which reports the caller as gone; the owner then releases the last reference to the exchange, and respond() or end() went on with the freed object. The same if a caller does not read and its answer exceeds the buffer.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -55,7 +55,8 @@
 
 class Connection;
 
-class Exchange : public CallerExchange
+/// Its methods hold a reference to it, as a write that shows that the caller has gone lets the owner release it.
+class Exchange : public CallerExchange, public std::enable_shared_from_this<Exchange>
 {
 public:
     Exchange(std::shared_ptr<Connection> connection, Http::Request request, Instant arrival)
@@ -88,7 +89,8 @@
         m_onGone = std::move(task);
     }
 
-    /// Reports the disconnect of the caller. Called by the connection when it closes.
+    /// Reports the disconnect of the caller, whose task may release the exchange. Called by the connection when it
+    /// closes.
     void detach()
     {
         m_connection.reset();
@@ -97,6 +99,9 @@
     }
 
 private:
+    /// Closes the connection without reporting it, unless the response has ended.
+    void close();
+
     std::shared_ptr<Connection> m_connection; ///< Null once the response has ended or the caller has disconnected.
     Http::Request m_request;
     Instant m_arrival;
@@ -510,11 +515,12 @@
 
 Exchange::~Exchange()
 {
-    abort();
+    close();
 }
 
 void Exchange::respond(const Http::Response &response)
 {
+    const auto self = shared_from_this();
     if (!m_connection)
         return;
     auto text = headText(response.status, response.headers);
@@ -529,6 +535,7 @@
 
 void Exchange::begin(unsigned status, const Http::Headers &headers, std::optional<std::uint64_t> length)
 {
+    const auto self = shared_from_this();
     if (!m_connection)
         return;
     m_chunked = !length;
@@ -542,6 +549,7 @@
 
 void Exchange::write(std::string_view piece)
 {
+    const auto self = shared_from_this();
     if (!m_connection || piece.empty())
         return;
     if (!m_chunked)
@@ -553,6 +561,7 @@
 
 void Exchange::end()
 {
+    const auto self = shared_from_this();
     if (!m_connection)
         return;
     if (m_chunked)
@@ -563,6 +572,12 @@
 }
 
 void Exchange::abort()
+{
+    const auto self = shared_from_this();
+    close();
+}
+
+void Exchange::close()
 {
     m_onGone = nullptr;
     if (const auto connection = std::exchange(m_connection, nullptr))
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -21,7 +21,8 @@
 
 /// One request from a caller and the means to respond to it. Use only on the event loop's thread. Destroying the
 /// exchange before the response has ended closes the connection. All calls are ignored once the caller has
-/// disconnected.
+/// disconnected. Before respond() or end() returns, the server's handler may be called with the next request of the
+/// connection; before any method that sends returns, the task of onGone(), which may release the exchange.
 class CallerExchange
 {
 public:
--- a/tests/support/rawcaller.h
+++ b/tests/support/rawcaller.h
@@ -44,6 +44,13 @@
         m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
     }
 
+    /// Resets the connection. What the caller has sent before can still be read.
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
+
     static void runLoop(Http::EventLoop &loop, Duration time)
     {
         loop.context().restart();
