CallForwarder: refuse calls without a configuration outside the list's iteration

What callers saw: a gateway that had started while the store was down ended by itself when it refused a request behind which the caller had sent the next one.

Cause: calls were refused from within std::erase_if over the list of calls that wait for the first configuration; the answer lets the next request of the connection in, which is appended to that list.

Evidence: refusesPipelinedRequestsWithoutConfiguration crashed before (1 of 1 run); after the change callforwardertest passes, 136 of 136.

The list is taken before it is walked, so that calls that come in meanwhile go to a new one.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -390,17 +390,18 @@
         return "upstreams crash when they run requests with " + toText(verdict.cause);
     }
 
-    /// Refuses the calls that have waited too long for a configuration.
+    /// Refuses the calls that have waited too long for a configuration. An answer may let the next request of its
+    /// connection come in, which is added to the list.
     void refuseUnrouted(Instant now)
     {
-        std::erase_if(m_unrouted, [&](const CallPtr &call) {
+        for (const auto &call : std::exchange(m_unrouted, {})) {
             if (call->done)
-                return true;
+                continue;
             if (now - call->arrival < maxConfigurationWait)
-                return false;
-            refuse(call, 503, ErrorCode::PlatformUnavailable, "no configuration is known yet", unroutedRetryAfter);
-            return true;
-        });
+                m_unrouted.push_back(call);
+            else
+                refuse(call, 503, ErrorCode::PlatformUnavailable, "no configuration is known yet", unroutedRetryAfter);
+        }
     }
 
     /// Sends the call if an upstream can accept it now; otherwise makes it wait or fails it.
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -2,6 +2,7 @@
 
 #include "support/endlessserver.h"
 #include "support/plaindialect.h"
+#include "support/rawcaller.h"
 #include "support/rawserver.h"
 #include "support/scriptedserver.h"
 #include "support/table.h"
@@ -375,6 +376,30 @@
         return m_status;
     }
 
+    /// Lets @p callers send @p requests requests each at once, and returns how many are refused within @p time.
+    std::size_t askPipelined(std::size_t callers, std::size_t requests, Duration time)
+    {
+        const Http::Endpoint entry{"127.0.0.1", m_entry.listen({"127.0.0.1", 0}), false};
+        std::vector<std::unique_ptr<Testing::RawCaller>> all;
+        std::string text;
+        for (std::size_t request = 0; request < requests; ++request)
+            text += "POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: r" + std::to_string(request)
+                    + "\r\nContent-Length: 1\r\n\r\nq";
+        for (std::size_t caller = 0; caller < callers; ++caller) {
+            all.push_back(std::make_unique<Testing::RawCaller>(m_loop, entry));
+            all.back()->send(text);
+        }
+        Testing::RawCaller::runLoop(m_loop, time);
+        std::size_t refusals = 0;
+        for (const auto &caller : all) {
+            const auto &answers = caller->received();
+            for (auto at = answers.find("HTTP/1.1 503"); at != std::string::npos;
+                 at = answers.find("HTTP/1.1 503", at + 1))
+                ++refusals;
+        }
+        return refusals;
+    }
+
     /// Passes @p exchange to the forwarder and runs the loop for @p time.
     void accept(const std::shared_ptr<Relay::CallerExchange> &exchange, Duration time)
     {
@@ -994,6 +1019,17 @@
     cr_assert_eq(fixture.retryAfter.empty(), row.status != 503);
 }
 
+/// A node without a configuration ended when it refused a request behind which the next ones had come in.
+Test(CallForwarder, refusesPipelinedRequestsWithoutConfiguration)
+{
+    constexpr std::size_t callers = 16;
+    constexpr std::size_t requests = 4; // Of each caller.
+    ForwarderFixture fixture({answer});
+    fixture.configureAfter({});
+    const auto refusals = fixture.askPipelined(callers, requests, std::chrono::seconds{4});
+    cr_assert_eq(refusals, callers * requests, "%zu requests refused", refusals);
+}
+
 namespace
 {
 
