Test of configuration changes: the order of events is certain

servesAcceptedRequestsAcrossConfigurations changed the configuration 100 ms after the request by a timer. When the process stalled, the change came before the request was accepted (404, 503, 504), or an answer before the change.

The change now starts in the turn of the loop in which the request reaches the stage of its row: accepted and waiting, received by an upstream, refused by all, or streaming to the caller. What upstreams send late follows the change by 150 ms.

--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -23,6 +23,8 @@
 using Exchange = std::shared_ptr<Relay::CallerExchange>;
 
 Http::EventLoop *fixtureLoop = nullptr; ///< Event loop of the current test's fixture.
+class ForwarderFixture;
+ForwarderFixture *currentFixture = nullptr;
 
 constexpr std::int64_t startTime = 7; ///< That upstreams state when they are asked.
 
@@ -185,6 +187,14 @@
     refuseById(exchange);
 }
 
+/// How far a request is when the configuration changes.
+enum class ChangeStage {
+    Accepted, ///< Waits before its first send.
+    Received, ///< By an upstream, which has not answered.
+    Refused, ///< By all upstreams, which apply backpressure.
+    Streaming, ///< The caller has received a part of the answer.
+};
+
 /// A forwarder with two scripted upstreams, on one event loop over the loopback interface.
 class ForwarderFixture
 {
@@ -197,10 +207,11 @@
         , m_log(m_logging)
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
         , m_upstreams{makeUpstream(0), makeUpstream(1)}
-        , m_entry(m_loop, {}, [this](const Exchange &exchange) { m_forwarder.accept(exchange); })
+        , m_entry(m_loop, {}, [this](const Exchange &exchange) { acceptFromCaller(exchange); })
         , m_client(m_loop)
     {
         fixtureLoop = &m_loop;
+        currentFixture = this;
         TrafficPolicy policy;
         policy.routes
             = {route("/safe/", RequestKind::Idempotent, false), route("/once/", RequestKind::NonIdempotent, false),
@@ -359,7 +370,10 @@
             m_status = head.status;
             retryAfter = std::string(head.headers.get("Retry-After"));
         };
-        observer.onBody = [this](std::string_view piece) { body += piece; };
+        observer.onBody = [this](std::string_view piece) {
+            body += piece;
+            changeAt(ChangeStage::Streaming);
+        };
         observer.onEnd = [this] { m_loop.stop(); };
         const auto asked = BootClock{}.now();
         observer.onFailure = [this](const Relay::FailedExchange &) {
@@ -409,6 +423,31 @@
         m_loop.run();
     }
 
+    /// Puts the configuration of @p change in force when the next request has reached @p stage, in the same turn of the
+    /// loop. @p prepare is called just before the request is accepted.
+    void configureAt(ChangeStage stage, void (*change)(TrafficPolicy &policy),
+                     void (*prepare)(ForwarderFixture &fixture))
+    {
+        m_stage = stage;
+        m_change = change;
+        m_prepare = prepare;
+    }
+
+    /// Runs @p action at @p delay after the change that configureAt() has scheduled.
+    void afterChange(Duration delay, const std::function<void()> &action)
+    {
+        if (m_change)
+            m_afterChange.push_back([this, delay, action] { m_loop.runAfter(delay, action); });
+        else
+            m_loop.runAfter(delay, action);
+    }
+
+    /// Returns true if the change that configureAt() has scheduled is in force.
+    bool isChanged() const
+    {
+        return !m_change;
+    }
+
     struct Announcement {
         std::string instance;
         Duration in{};
@@ -438,6 +477,29 @@
         return route;
     }
 
+    void acceptFromCaller(const Exchange &exchange)
+    {
+        if (const auto prepare = std::exchange(m_prepare, nullptr))
+            prepare(*this);
+        m_forwarder.accept(exchange);
+        changeAt(ChangeStage::Accepted);
+    }
+
+    void changeAt(ChangeStage stage)
+    {
+        if (!m_change || stage != m_stage)
+            return;
+        configure(std::exchange(m_change, nullptr));
+        for (const auto &start : std::exchange(m_afterChange, {}))
+            start();
+    }
+
+    bool isRefusedByAll()
+    {
+        return std::ranges::all_of(m_context.upstreams.all(),
+                                   [](const auto &item) { return item.second.backpressureUntil != Instant{}; });
+    }
+
     std::unique_ptr<Relay::CallerServer> makeUpstream(std::size_t number)
     {
         return std::make_unique<Relay::CallerServer>(
@@ -448,6 +510,7 @@
                 sentTo.push_back(number);
                 versions.emplace_back(exchange->request().headers.get("Version"));
                 const auto responder = m_responders[std::min<std::size_t>(sends++, m_responders.size() - 1)];
+                changeAt(ChangeStage::Received);
                 if (responder)
                     responder(exchange);
                 else
@@ -457,6 +520,8 @@
 
     void tick()
     {
+        if (isRefusedByAll())
+            changeAt(ChangeStage::Refused);
         m_forwarder.sweep(BootClock{}.now());
         m_client.sweep(BootClock{}.now());
         if (++m_ticks == ticksUntilLateAnswer && !m_held.empty())
@@ -481,6 +546,10 @@
     Relay::UpstreamClient m_client;
     Http::Endpoint m_entryEndpoint;
     unsigned m_status = 0;
+    ChangeStage m_stage = ChangeStage::Accepted;
+    void (*m_change)(TrafficPolicy &policy) = nullptr; ///< Not in force yet.
+    void (*m_prepare)(ForwarderFixture &fixture) = nullptr;
+    std::vector<std::function<void()>> m_afterChange;
 };
 
 struct ForwardCase {
@@ -1258,24 +1327,23 @@
 namespace
 {
 
-constexpr Duration changeDelay = std::chrono::milliseconds{100}; ///< From the request to the change.
-constexpr Duration answerDelay = std::chrono::milliseconds{250}; ///< The change comes earlier.
+constexpr Duration answerDelay = std::chrono::milliseconds{150}; ///< From the change to the rest of the answer.
 
 void streamLate(const Exchange &exchange)
 {
-    fixtureLoop->runAfter(answerDelay, [exchange] { streamRest(exchange); });
+    currentFixture->afterChange(answerDelay, [exchange] { streamRest(exchange); });
 }
 
 void answerLate(const Exchange &exchange)
 {
-    fixtureLoop->runAfter(answerDelay, [exchange] { answer(exchange); });
+    currentFixture->afterChange(answerDelay, [exchange] { answer(exchange); });
 }
 
 void streamWithPause(const Exchange &exchange)
 {
     exchange->begin(200, signedFor(exchange), std::nullopt);
     exchange->write("id: 1\ndata: a\n\n");
-    fixtureLoop->runAfter(answerDelay, [exchange] {
+    currentFixture->afterChange(answerDelay, [exchange] {
         exchange->write("id: 2\ndata: b\n\n");
         exchange->end();
     });
@@ -1285,12 +1353,12 @@
 {
     exchange->begin(200, signedFor(exchange), std::nullopt);
     exchange->write("id: 1\ndata: a\n\n");
-    fixtureLoop->runAfter(answerDelay, [exchange] { exchange->abort(); });
+    currentFixture->afterChange(answerDelay, [exchange] { exchange->abort(); });
 }
 
 void failLate(const Exchange &exchange)
 {
-    fixtureLoop->runAfter(answerDelay, [exchange] { fail(exchange); });
+    currentFixture->afterChange(answerDelay, [exchange] { fail(exchange); });
 }
 
 void moveRoutes(TrafficPolicy &policy)
@@ -1343,12 +1411,13 @@
 
 struct ChangeCase {
     const char *name;
+    ChangeStage stage;
     const char *path;
     const char *target;
     std::vector<ForwarderFixture::Responder> responders;
     const char *body;
     unsigned sends; ///< Received by the upstreams.
-    void (*prepare)(ForwarderFixture &fixture);
+    void (*prepare)(ForwarderFixture &fixture); ///< Called just before the request is accepted.
 };
 
 void holdAdapter(ForwarderFixture &fixture)
@@ -1379,22 +1448,30 @@
 }
 
 const ChangeCase changeCases[] = {
-    {"waits for a load", "/paced/1", "m/a", {streamRest}, wholeStream, 1, loadAdapter},
-    {"waits for the pace", "/paced/1", "m/a", {streamRest}, wholeStream, 1, fillWindows},
+    {"waits for a load", ChangeStage::Accepted, "/paced/1", "m/a", {streamRest}, wholeStream, 1, loadAdapter},
+    {"waits for the pace", ChangeStage::Accepted, "/paced/1", "m/a", {streamRest}, wholeStream, 1, fillWindows},
     {"waits out backpressure",
+     ChangeStage::Refused,
      "/once/1",
      "",
-     {applyBriefBackpressure, applyBriefBackpressure, answer},
+     {applyBriefBackpressure, applyBriefBackpressure, answerLate},
      "whole",
      3,
      prepareNothing},
-    {"is sent", "/once/1", "", {answerLate}, "whole", 1, prepareNothing},
-    {"is sent as a stream", "/paced/1", "m/a", {streamLate}, wholeStream, 1, holdAdapter},
-    {"streams", "/paced/1", "m/a", {streamWithPause}, wholeStream, 1, holdAdapter},
-    {"is sent again", "/safe/1", "", {failLate, answer}, "whole", 2, prepareNothing},
+    {"is sent", ChangeStage::Received, "/once/1", "", {answerLate}, "whole", 1, prepareNothing},
+    {"is sent as a stream", ChangeStage::Received, "/paced/1", "m/a", {streamLate}, wholeStream, 1, holdAdapter},
+    {"streams", ChangeStage::Streaming, "/paced/1", "m/a", {streamWithPause}, wholeStream, 1, holdAdapter},
+    {"is sent again", ChangeStage::Received, "/safe/1", "", {failLate, answer}, "whole", 2, prepareNothing},
     // The liveness check of the upstream that broke the stream off is received like a send.
-    {"resumes", "/paced/1", "m/a", {streamAndCutLate, streamRest}, wholeStream, 3, holdAdapter},
-    {"waits to resume", "/paced/1", "m/a", {streamAndCutLate, streamRest}, wholeStream, 3, loadAdapterAtOther},
+    {"resumes", ChangeStage::Received, "/paced/1", "m/a", {streamAndCutLate, streamRest}, wholeStream, 3, holdAdapter},
+    {"waits to resume",
+     ChangeStage::Received,
+     "/paced/1",
+     "m/a",
+     {streamAndCutLate, streamRest},
+     wholeStream,
+     3,
+     loadAdapterAtOther},
 };
 
 } // namespace
@@ -1404,13 +1481,12 @@
 {
     for (const auto &change : changes) {
         ForwarderFixture fixture(row.responders);
-        row.prepare(fixture);
-        fixture.loop().runAfter(changeDelay, [&] { fixture.configure(change.apply); });
+        fixture.configureAt(row.stage, change.apply, row.prepare);
         const auto status = fixture.ask(row.path, row.target);
         cr_assert_eq(status, 200U, "%s, %s: status %u, %s", row.name, change.name, status, fixture.body.c_str());
         cr_assert_eq(fixture.body, std::string(row.body), "%s, %s: %s", row.name, change.name, fixture.body.c_str());
         cr_assert_eq(fixture.sends, row.sends, "%s, %s: %s", row.name, change.name, fixture.received.c_str());
-        cr_assert(fixture.elapsed > changeDelay, "%s, %s", row.name, change.name);
+        cr_assert(fixture.isChanged(), "%s, %s", row.name, change.name);
     }
 }
 
