Test of the forwarder: requests of other processes are not received

With the order of events certain, one of the four stalled runs of the test that ended was still red by the number of sends: "is sent as a stream, service made plain" received POST /paced/1 once, and three GET /report and a POST /stream/1, which the test's dialect never writes. They are written by gateways and callers of other tests that ran on the machine: presumably they send to the ports of upstreams that have ended, and the kernel gives such a port to the next server. So what was counted was no second run of a stream.

The fixture's servers listen on a loopback address of their own process.

--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/callforwarder.h"
 
 #include "support/endlessserver.h"
+#include "support/ownaddress.h"
 #include "support/plaindialect.h"
 #include "support/rawcaller.h"
 #include "support/rawserver.h"
@@ -228,7 +229,7 @@
             record.instance = "u" + std::to_string(number++);
             record.service = "s";
             record.slots = 4;
-            record.endpoint = {"127.0.0.1", server->listen({"127.0.0.1", 0}), false};
+            record.endpoint = {m_address, server->listen({m_address, 0}), false};
             m_context.upstreams.onRecord(record, BootClock{}.now());
         }
         m_context.onLoadRequested
@@ -363,7 +364,7 @@
     unsigned ask(const std::string &path, const ModelTarget &target = {})
     {
         if (m_entryEndpoint.port == 0)
-            m_entryEndpoint = {"127.0.0.1", m_entry.listen({"127.0.0.1", 0}), false};
+            m_entryEndpoint = {m_address, m_entry.listen({m_address, 0}), false};
         body.clear();
         Relay::ExchangeObserver observer;
         observer.onHead = [this](const Relay::ResponseHead &head) {
@@ -532,6 +533,7 @@
     /// Far more than the silence after which an upstream counts as unresponsive.
     static constexpr int ticksUntilLateAnswer = 60;
 
+    const std::string m_address = Testing::ownLoopbackAddress();
     std::vector<Responder> m_responders;
     std::vector<Exchange> m_held;
     int m_ticks = 0;
