A change that a silent watch withholds is read when a peer tells of it

When the channel of the watch on the operator's documents went silent, a gateway learnt of a declared version or a desired state only when the watch timed out, up to 10.7 s later, and sent requests to the older version until then. Nothing else told it: registry deltas stay within a failure domain.

Digests now state the revision of the newest change of the operator's documents that a node knows.

Calm fleets make no further calls. The field is optional: the previous build reads fields by name and ignores it, and a digest without it states nothing.

Not covered: a fleet of one failure domain, and watches of all domains that go silent at once while the watch on the upstreams' records does not.

--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -40,6 +40,7 @@
         into.hasCutOff = true;
         into.cutOff = std::move(from.cutOff);
     }
+    into.operatorRevision = std::max(into.operatorRevision, from.operatorRevision);
     if (from.sequence < into.sequence) {
         if (!into.hasInFlight) {
             into.changedInFlight.merge(from.changedInFlight);
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -267,6 +267,8 @@
     json::object object{{"sequence", report.sequence}, {"open", report.takesCallers}};
     if (!report.reachesStore)
         object["cut_off"] = true;
+    if (report.operatorRevision > 0)
+        object["operator_revision"] = report.operatorRevision;
     if (report.from.callers.port != 0)
         object["from"] = addressToJson(report.from);
     else
@@ -382,6 +384,7 @@
     report.sequence = numberAt<std::uint64_t>(object, "sequence");
     report.takesCallers = flagAt(object, "open");
     report.reachesStore = !flagAt(object, "cut_off");
+    report.operatorRevision = numberAt<Revision>(object, "operator_revision");
     if (const auto *ordering = arrayAt(object, "ordering")) {
         for (const auto &shard : *ordering) {
             if (shard.is_int64())
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -119,6 +119,7 @@
     bool takesCallers = true; ///< False before the first configuration and during a graceful stop.
     bool reachesStore = true; ///< True if the store answered the node's last call for the upstreams' records.
     NodeReach reach;
+    Revision operatorRevision = 0; ///< Of the newest change of the operator's documents it knows; in digests only.
     std::vector<unsigned> ordering; ///< Shards whose engines the node may send orders to.
     std::vector<ReleaseNotice> released; ///< Shards whose lease it has released recently.
     std::map<std::string, unsigned> inFlight; ///< Number of its in-flight requests, by upstream instance.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1023,6 +1023,7 @@
         const auto now = BootClock{}.now();
         auto digest = report();
         digest.from = m_address;
+        digest.operatorRevision = m_registry.newestOperatorChange();
         digest.hasInFlight = true;
         for (auto &[instance, upstream] : m_context.upstreams.all()) {
             if (upstream.ownInFlight > 0)
@@ -1247,6 +1248,7 @@
                        report.failedReach.empty() ? std::set<std::string>{} : m_members.liveNodes(now), now);
         m_context.applyReach(now);
         if (isNewest) {
+            m_registry.onNewerOperatorChange(report.operatorRevision);
             for (const auto shard : report.ordering) {
                 if (shard < orderShards)
                     m_ordering[shard] = {report.from.node, now};
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Gypsumtally::Gateway
@@ -125,6 +126,30 @@
             followAfter(isGap ? Duration{} : m_pauses.afterChanges, !isGap);
     }
 
+    /// Makes a call soon if this node lacks the change at @p revision, which another node knows: the channel of a
+    /// pending watch may be silent. Does nothing for a revision that a call was made for.
+    void onNewerChange(Revision revision)
+    {
+        if (revision <= std::max(m_revision, m_sought) || m_searchScheduled)
+            return;
+        m_searchScheduled = true;
+        m_loop.runAfter(newsPause + m_pauses.afterNothing, [this, revision] {
+            m_searchScheduled = false;
+            if (revision <= m_revision)
+                return;
+            m_sought = revision;
+            if (m_state == State::Pausing)
+                return followAfter({}, false);
+            reconnect();
+        });
+    }
+
+    /// Returns the revision of the newest change that this node knows; 0 if it knows none.
+    Revision newestChange() const
+    {
+        return m_newestChange;
+    }
+
     /// Returns true if this node made its last watch because its pause had passed without a delta of another node,
     /// false if it did so to get missing changes.
     bool wasOverdue() const
@@ -153,6 +178,9 @@
     }
 
 private:
+    /// Time that a change takes at most to arrive by a watch after another node has told of it.
+    static constexpr Duration newsPause = std::chrono::milliseconds{700};
+
     enum class State {
         Reading, ///< Reads a snapshot, or waits for the retry of one.
         Waiting, ///< Waits for the answer to a watch.
@@ -176,9 +204,7 @@
             noteRevision(reply.revision, calledAt);
             if (m_revision > 0 && m_observer.onRead)
                 m_observer.onRead(deltaTo(reply, calledAt));
-            m_known.clear();
-            for (const auto &value : reply.values)
-                m_known[value.key] = value.modRevision;
+            noteSnapshot(reply);
             m_observer.onSnapshot(followed(reply.values));
             if (m_observer.onBatchEnd)
                 m_observer.onBatchEnd();
@@ -228,6 +254,21 @@
         });
     }
 
+    /// Records the keys of @p snapshot. The store may have come back with an earlier revision.
+    void noteSnapshot(const KeyReply &snapshot)
+    {
+        if (snapshot.revision < m_revision)
+            m_newestChange = m_sought = 0;
+        auto before = std::exchange(m_known, {});
+        for (const auto &value : snapshot.values) {
+            m_known[value.key] = value.modRevision;
+            m_newestChange = std::max(m_newestChange, value.modRevision);
+            before.erase(value.key);
+        }
+        if (!before.empty()) // Removed at an unknown revision up to the snapshot's.
+            m_newestChange = snapshot.revision;
+    }
+
     void noteRevision(Revision revision, Instant calledAt)
     {
         if (m_observer.onRevision)
@@ -275,6 +316,7 @@
         for (const auto &change : changes) {
             if (change.revision <= known || !change.key.starts_with(m_prefix))
                 continue;
+            m_newestChange = std::max(m_newestChange, change.revision);
             if (change.value)
                 m_known[change.key] = change.revision;
             else
@@ -309,6 +351,9 @@
     Pauses m_pauses;
     Observer m_observer;
     Revision m_revision = 0;
+    Revision m_newestChange = 0;
+    Revision m_sought = 0; ///< Known to another node; a call was made for it.
+    bool m_searchScheduled = false;
     std::map<std::string, Revision> m_known; ///< The present keys and the revisions of their last changes.
     std::uint64_t m_generation = 0; ///< Number of the current call or timer; results of earlier ones are ignored.
     State m_state = State::Reading;
--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -97,6 +97,19 @@
         return m_revisionTimes.earliestTimeOf(revision);
     }
 
+    /// Calls the store soon if this node lacks the change of the operator's documents at @p revision, which another
+    /// node knows.
+    void onNewerOperatorChange(Revision revision)
+    {
+        m_operatorDocuments.onNewerChange(revision);
+    }
+
+    /// Returns the revision of the newest change of the operator's documents that this node knows; 0 if it knows none.
+    Revision newestOperatorChange() const
+    {
+        return m_operatorDocuments.newestChange();
+    }
+
     /// Reads snapshots of the other views after the watch on the upstreams' records has failed: their connections may
     /// have failed too, undetected so far.
     void reconnectOthers()
--- a/tests/gateway/disseminationtest.cpp
+++ b/tests/gateway/disseminationtest.cpp
@@ -244,6 +244,7 @@
         report.sequence = part.sequence;
         report.speeds = {{"s", {}}};
         report.steps = {{"e", 10}};
+        report.operatorRevision = part.sequence == 1 ? 7 : 0;
         report.departures = {{"e", 1}};
         report.turnedAway = {{{"e", 1}, std::chrono::seconds{1}}};
         report.hasInFlight = part.whole;
@@ -258,6 +259,7 @@
     cr_assert_eq(report.steps.size(), 2U);
     cr_assert_eq(report.departures.size(), 2U);
     cr_assert_eq(report.turnedAway.size(), 2U);
+    cr_assert_eq(report.operatorRevision, 7);
 
     UpstreamTable table;
     UpstreamRecord record;
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -17,6 +17,7 @@
     report.sequence = 17;
     report.takesCallers = true;
     report.reachesStore = false;
+    report.operatorRevision = 1234567;
     report.ordering = {0, 3};
     report.hasInFlight = true;
     report.inFlight["e1"] = 3;
@@ -77,6 +78,7 @@
     cr_assert_eq(report.sequence, 17U);
     cr_assert(report.takesCallers);
     cr_assert_not(report.reachesStore);
+    cr_assert_eq(report.operatorRevision, 1234567);
     cr_assert(report.ordering == sent.ordering);
     cr_assert_eq(report.inFlight.at("e1"), 3U);
     cr_assert_eq(report.changedInFlight.at("e6"), 4U);
--- a/tests/gateway/registryfollowertest.cpp
+++ b/tests/gateway/registryfollowertest.cpp
@@ -66,10 +66,9 @@
         follower.start();
     }
 
-    /// Runs the loop for 10 ms.
-    void settle()
+    void settle(Duration time = std::chrono::milliseconds{10})
     {
-        loop.runAfter(std::chrono::milliseconds{10}, [this] { loop.stop(); });
+        loop.runAfter(time, [this] { loop.stop(); });
         loop.context().restart();
         loop.run();
     }
@@ -336,3 +335,72 @@
     cr_assert_eq(followed.changes.size(), 2U);
     cr_assert_eq(followed.changes.front(), std::string("p/b"));
 }
+
+namespace
+{
+
+struct NewsCase {
+    const char *name;
+    Revision news; ///< Known to another node.
+    bool arrives; ///< The watch reports the change soon after the news.
+    unsigned reads; ///< Snapshots within the time in which a change must be known.
+};
+
+const NewsCase news[] = {
+    {"silent channel", 8, false, 2},
+    {"watch in order", 8, true, 1},
+    {"known change", 5, false, 1},
+    {"nothing known", 0, false, 1},
+};
+
+} // namespace
+
+/// Nodes learnt of a change only when a watch whose channel had gone silent timed out, 10.7 s after its start.
+TABLE_TEST(RegistryFollower, readsChangeThatSilentWatchWithholds, news)
+{
+    Followed followed;
+    followed.answerRead(5, {{"p/a", "1", 5}});
+    followed.follower.setPauses({std::chrono::milliseconds{1}, {}, std::chrono::milliseconds{1}, {}});
+    for (int repeated = 0; repeated < 3; ++repeated)
+        followed.follower.onNewerChange(row.news);
+    if (row.arrives)
+        followed.answerWatch({true, false, {{"p/a", "2", 8}}, 8});
+    followed.settle(std::chrono::milliseconds{1200});
+    cr_assert_eq(followed.store.reads, row.reads, "%s: %u", row.name, followed.store.reads);
+    if (row.reads > 1)
+        followed.answerRead(9, {{"p/a", "2", 8}});
+    cr_assert_eq(followed.follower.newestChange(), row.reads > 1 || row.arrives ? 8 : 5, "%s", row.name);
+}
+
+/// Each report of a node that has a revision of another era of the store must not cost a call.
+Test(RegistryFollower, seeksNewsOnce)
+{
+    Followed followed;
+    followed.answerRead(5, {{"p/a", "1", 5}});
+    followed.follower.onNewerChange(100);
+    followed.settle(std::chrono::milliseconds{1000});
+    cr_assert_eq(followed.store.reads, 2U);
+    followed.answerRead(6, {{"p/a", "1", 5}});
+    followed.follower.onNewerChange(100);
+    followed.follower.onNewerChange(99);
+    followed.settle(std::chrono::milliseconds{1000});
+    cr_assert_eq(followed.store.reads, 2U);
+}
+
+/// A removal must reach nodes whose watch is silent, too.
+Test(RegistryFollower, knowsNewestChange)
+{
+    Followed followed;
+    followed.answerRead(5, {{"p/a", "1", 3}});
+    cr_assert_eq(followed.follower.newestChange(), 3);
+    followed.answerWatch({true, false, {{"p/a", {}, 8}}, 9});
+    cr_assert_eq(followed.follower.newestChange(), 8);
+    followed.follower.reconnect();
+    followed.answerRead(12, {{"p/b", "1", 11}});
+    followed.follower.reconnect();
+    followed.answerRead(14, {});
+    cr_assert_eq(followed.follower.newestChange(), 14);
+    followed.follower.reconnect();
+    followed.answerRead(7, {{"p/a", "1", 2}});
+    cr_assert_eq(followed.follower.newestChange(), 2);
+}
