Log what becomes of calls at a stop

The line about the end of a gateway said only how many requests were still active, so that neither the log nor a test showed which calls a planned stop had cut. No decision changes.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -30,6 +30,13 @@
 namespace Gypsumtally::Gateway
 {
 
+/// What has become of calls since their node was asked to stop.
+struct StopCounts {
+    unsigned accepted = 0; ///< Calls that were read.
+    unsigned sent = 0; ///< Sends to upstreams and peers.
+    unsigned cut = 0; ///< Calls that the exit ends.
+};
+
 /// Forwards callers' requests to upstreams and the answers back: selects an upstream, sends, retries where that is
 /// safe, resumes streams, and refuses requests that cannot be served. Not thread-safe: for the loop's thread only.
 template<CallDialect Dialect>
@@ -156,6 +163,24 @@
         return m_calls.size();
     }
 
+    /// Counts calls and sends from now on, as the node stops.
+    void beginStop()
+    {
+        m_stopCounts = {};
+    }
+
+    /// Logs each call that the exit of the process cuts, and returns what has become of calls since beginStop().
+    StopCounts finishStop()
+    {
+        for (const auto &call : m_calls)
+            logCut(*call);
+        for (const auto &call : m_unrouted) {
+            if (!call->done)
+                logCut(*call);
+        }
+        return m_stopCounts;
+    }
+
 private:
     /// Longest wait of a call for the first configuration of a node that has just started: ten times as long as reading
     /// it from the store takes.
@@ -307,6 +332,7 @@
 
     void start(const CallPtr &call)
     {
+        ++m_stopCounts.accepted;
         call->exchange->onGone([this, weak = std::weak_ptr<Call>(call)] {
             if (const auto gone = weak.lock())
                 onCallerGone(gone);
@@ -1112,6 +1138,7 @@
     /// Resets the state of the last send.
     void beginSend(const CallPtr &call, Instant now)
     {
+        ++m_stopCounts.sent;
         call->sentAt = now;
         call->lastProgress = now;
         call->reply = {};
@@ -1802,6 +1829,20 @@
         finish(call);
     }
 
+    void logCut(const Call &call)
+    {
+        ++m_stopCounts.cut;
+        const auto now = BootClock{}.now();
+        m_log.decision(GatewayEvent::CutByExit, call.request.id,
+                       {{"route", call.route.name},
+                        {"upstream", call.instance},
+                        {"peer", call.peer},
+                        {"waiting", call.token == 0 ? "yes" : "no"},
+                        {"answering", call.answering ? "yes" : "no"},
+                        {"sent_before_ms", call.sends > 0 ? std::to_string((now - call.sentAt).count() / 1000) : ""},
+                        {"after_ms", std::to_string((now - call.arrival).count() / 1000)}});
+    }
+
     void onCallerGone(const CallPtr &call)
     {
         if (call->done)
@@ -1999,6 +2040,7 @@
     UpstreamMonitor<Dialect> m_monitor;
     CallRelay m_relay;
     std::size_t m_relayedCalls = 0; ///< Routed calls of other nodes.
+    StopCounts m_stopCounts;
     std::size_t m_bufferedBytes = 0; ///< Size of the buffered parts of answers that are not complete yet.
 };
 
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -54,6 +54,7 @@
     LoopLate,
     SpeedLearnt,
     CallersUnanswered,
+    CutByExit,
 };
 
 } // namespace Gypsumtally::Gateway
@@ -62,7 +63,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 40> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 41> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -103,6 +104,7 @@
     {Gateway::GatewayEvent::LoopLate, "loop_late"},
     {Gateway::GatewayEvent::SpeedLearnt, "speed_learnt"},
     {Gateway::GatewayEvent::CallersUnanswered, "callers_unanswered"},
+    {Gateway::GatewayEvent::CutByExit, "cut_by_exit"},
 }};
 
 } // namespace Gypsumtally
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -189,7 +189,11 @@
         m_log.note(GatewayEvent::Started,
                    {{"callers", Http::toString(m_settings.callers)}, {"store", Http::toString(m_settings.store)}});
         m_loop.run();
-        m_log.note(GatewayEvent::Stopped, {{"active", std::to_string(activeRequests())}});
+        const auto counts = m_forwarder.finishStop();
+        m_log.note(GatewayEvent::Stopped, {{"active", std::to_string(activeRequests())},
+                                           {"accepted", std::to_string(counts.accepted)},
+                                           {"sent", std::to_string(counts.sent)},
+                                           {"cut", std::to_string(counts.cut)}});
     }
 
 private:
@@ -1297,6 +1301,7 @@
             return;
         m_stopping = true;
         m_stopAt = BootClock{}.now();
+        m_forwarder.beginStop();
         m_log.note(GatewayEvent::Stopping, {{"active", std::to_string(activeRequests())}});
         for (const auto &orders : m_orders)
             orders->stop();
