Leave requests unread behind an answer that began before a stop

A gateway that stops closes its listener and idle connections 3 s after SIGTERM. A connection whose answer had begun before SIGTERM could not announce the close, so that it took the next request at any time up to the exit, which then cut it. Once a server accepts no more, such a connection closes after its answer: what comes later stays in the kernel's buffer and the caller sees a reset, from which it knows that the request is unread. Callers may send that again at once, on another node and also if it must not run twice; a 503 would only add a round trip and a refusal. What has been read, whole or in part, is still answered. refuseRest() answers what is half read at the exit with 503.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -113,6 +113,7 @@
     CallerServerSettings settings;
     CallerServer::Handler handler;
     bool closing = false;
+    bool leavesNext = false; ///< Requests that have not begun to arrive remain unread.
     std::size_t active = 0;
     CallerLosses losses;
     std::unordered_set<std::shared_ptr<Connection>> connections;
@@ -161,7 +162,7 @@
         m_exchange.reset();
         --m_shared->active;
         m_stateSince = BootClock{}.now();
-        if (!m_keepsConnection)
+        if (!m_keepsConnection || (m_shared->leavesNext && !hasNextInput()))
             return closeGracefully();
         resetReader();
         if (!m_waitingForBytes)
@@ -228,6 +229,13 @@
             closeUnlessUsed();
     }
 
+    /// Refuses a request that has arrived in part.
+    void refuseIfReading()
+    {
+        if (!m_closed && !m_lingering && m_exchange.expired() && isReading())
+            refuse(503, "the node stops");
+    }
+
     /// Closes the connection at once. A caller that waits for a response observes that there is none.
     void closeNow()
     {
@@ -334,11 +342,16 @@
     /// Returns true if another request, or a part of one, has arrived.
     bool hasNextRequest()
     {
-        const auto isInInput = [this] { return m_input.find_first_not_of("\r\n") != std::string::npos; };
-        if (isInInput())
+        if (hasNextInput())
             return true;
         receive(); // An error is handled by read(), where it occurs again.
-        return isInInput();
+        return hasNextInput();
+    }
+
+    /// Returns true if another request, or a part of one, has been read.
+    bool hasNextInput() const
+    {
+        return m_input.find_first_not_of("\r\n") != std::string::npos;
     }
 
     /// Returns true if the connection closes after a response that is in progress or has ended.
@@ -589,7 +602,7 @@
 struct CallerServer::Private : std::enable_shared_from_this<CallerServer::Private> {
     Private(Http::EventLoop &eventLoop, CallerServerSettings settings, Handler handler)
         : context(eventLoop.context())
-        , shared(std::make_shared<Shared>(Shared{settings, std::move(handler), false, 0, {}, {}}))
+        , shared(std::make_shared<Shared>(Shared{settings, std::move(handler), false, false, 0, {}, {}}))
         , acceptor(context)
     {
     }
@@ -659,6 +672,7 @@
 
 void CallerServer::stopAccepting()
 {
+    m_d->shared->leavesNext = true;
     ErrorCode ignored;
     m_d->acceptor.close(ignored);
     const std::vector<std::shared_ptr<Connection>> all(m_d->shared->connections.begin(),
@@ -667,6 +681,14 @@
         connection->closeIfIdle();
 }
 
+void CallerServer::refuseRest()
+{
+    const std::vector<std::shared_ptr<Connection>> all(m_d->shared->connections.begin(),
+                                                       m_d->shared->connections.end());
+    for (const auto &connection : all)
+        connection->refuseIfReading();
+}
+
 std::size_t CallerServer::connections() const
 {
     return m_d->shared->connections.size();
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -94,9 +94,13 @@
     /// arrived behind one are answered first.
     void announceClose();
 
-    /// Stops accepting connections and closes those that wait for a request, unless one has arrived in the meantime.
+    /// Stops accepting connections and closes those that wait for a request, unless one has arrived in the meantime. On
+    /// the others, requests that arrive after a response that could not announce the close remain unread.
     void stopAccepting();
 
+    /// Refuses requests that have arrived in part, as the process exits. Precondition: stopAccepting() was called.
+    void refuseRest();
+
     std::size_t connections() const;
 
     /// Returns the number of requests whose response has not ended.
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -445,6 +445,77 @@
     cr_assert(row.answers == 1 || caller.hasEnd(), "%s", row.name);
 }
 
+namespace
+{
+
+/// When the next request comes on a connection whose answer began before the stop, and so announced no close.
+enum class NextComes {
+    DuringAnswer, ///< It is read before the stop.
+    HalfDuringAnswer, ///< Its rest comes after the answer.
+    AfterAnswer,
+};
+
+struct LastAnswerCase {
+    const char *name;
+    NextComes next;
+    unsigned answers; ///< A next request without an answer must remain unread.
+};
+
+const LastAnswerCase lastAnswers[] = {
+    {"read during the answer", NextComes::DuringAnswer, 2},
+    {"half read during the answer", NextComes::HalfDuringAnswer, 2},
+    {"after the answer", NextComes::AfterAnswer, 1},
+};
+
+} // namespace
+
+/// Guards against a request that a stopping server takes long after the stop, behind an answer that began before it.
+TABLE_TEST(Relay, leavesRequestsUnreadBehindAnswersThatBeganBeforeTheStop, lastAnswers)
+{
+    AnsweringServer server;
+    server.holdsAnswers = true;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(question);
+    caller.wait();
+    const std::string_view text = question;
+    const auto first = std::exchange(server.held, {}).at(0);
+    first->begin(200, {}, 1);
+    std::size_t early = 0;
+    if (row.next != NextComes::AfterAnswer)
+        early = row.next == NextComes::DuringAnswer ? text.size() : text.size() / 2;
+    caller.send(text.substr(0, early));
+    caller.wait();
+    stop(server);
+    first->write("a");
+    first->end();
+    caller.send(text.substr(early));
+    caller.wait();
+    server.answerHeld();
+    caller.wait();
+    server.server.sweep(BootClock{}.now());
+    caller.wait();
+    const auto answers = answersIn(caller.received());
+    cr_assert_eq(answers, row.answers, "%s: %u answers", row.name, answers);
+    cr_assert_eq(server.requests, answers, "%s: %u read", row.name, server.requests);
+    cr_assert(row.answers == 2 || caller.wasReset(), "%s", row.name);
+}
+
+/// Guards against a request that has come in part when the process exits, and then gets no answer.
+Test(Relay, refusesRequestsThatHaveComeInPart)
+{
+    AnsweringServer server;
+    RawCaller caller(server.loop, server.endpoint);
+    caller.send(std::string_view(question).substr(0, std::string_view(question).size() / 2));
+    caller.wait();
+    stop(server);
+    cr_assert(!server.server.isDrained());
+    server.server.refuseRest();
+    caller.wait();
+    cr_assert(caller.received().starts_with("HTTP/1.1 503"), "%s", caller.received().c_str());
+    cr_assert_eq(server.requests, 0U);
+    cr_assert(server.server.isDrained());
+}
+
 /// A caller that leaves must be noticed also behind a request that stays unread.
 Test(Relay, noticesDepartureBehindUnreadRequest)
 {
