New streams begin at a further software version only after its admission delay

The history of a service in the store names a version as soon as one node has seen it, and each node that read the history took all versions in it for admitted.

The history now states since when a version serves, and only one that has served for longer than the delay and the tolerance for clocks is taken for admitted.

--- a/src/gateway/streamrecords.cpp
+++ b/src/gateway/streamrecords.cpp
@@ -55,7 +55,11 @@
     json::object left;
     for (const auto &[version, at] : history.left)
         left[version] = at;
-    return json::serialize(json::object{{"serving", std::move(serving)}, {"left_ms", std::move(left)}});
+    json::object since;
+    for (const auto &[version, at] : history.since)
+        since[version] = at;
+    return json::serialize(
+        json::object{{"serving", std::move(serving)}, {"left_ms", std::move(left)}, {"since_ms", std::move(since)}});
 }
 
 std::optional<SoftwareHistory> decodeSoftwareHistory(std::string_view text)
@@ -70,6 +74,10 @@
         for (const auto &[version, at] : *left)
             history.left.emplace(std::string(version), numberAt<std::int64_t>(*left, version));
     }
+    if (const auto *since = objectAt(*object, "since_ms")) {
+        for (const auto &[version, at] : *since)
+            history.since.emplace(std::string(version), numberAt<std::int64_t>(*since, version));
+    }
     return history;
 }
 
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -16,6 +16,11 @@
 /// Allowance for clocks of machines that differ or jump.
 constexpr std::chrono::milliseconds clockTolerance = std::chrono::seconds{10};
 
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 StreamId streamIdOf(std::string_view requestId)
@@ -26,7 +31,8 @@
 void StreamVersions::onServing(const std::string &service, const std::map<std::string, unsigned> &versions, Instant now)
 {
     auto &known = m_versions[service];
-    const bool isFirst = known.empty();
+    const bool isFirst
+        = std::ranges::none_of(known, [](const auto &item) { return item.second.firstSeen != Instant{}; });
     for (const auto &[version, upstreams] : versions) {
         auto &seen = known[version];
         if (seen.firstSeen == Instant{})
@@ -52,17 +58,19 @@
                                std::int64_t wallMs)
 {
     auto &known = m_versions[service];
-    const auto add = [&](const std::string &version) {
+    for (const auto &version : history.serving) {
         auto &seen = known[version];
-        seen.isEstablished = true;
+        // One that has just joined is written too, and new streams may not begin there yet.
+        const auto since = history.since.find(version);
+        const bool isOld = since != history.since.end()
+                           && std::chrono::milliseconds{wallMs - since->second} >= admissionDelay + clockTolerance;
+        seen.isEstablished = seen.isEstablished || isOld || history.serving.size() == 1;
         seen.lastSeen = std::max(seen.lastSeen, now);
-    };
-    for (const auto &version : history.serving)
-        add(version);
+    }
     for (const auto &[version, leftMs] : history.left) {
         const std::chrono::milliseconds age{wallMs - leftMs};
         if (!known.contains(version) && age < streamLifetime + clockTolerance)
-            add(version);
+            known[version].lastSeen = now;
     }
 }
 
@@ -73,11 +81,12 @@
     if (it == m_versions.end())
         return history;
     for (const auto &[version, seen] : it->second) {
-        if (seen.isServing)
+        if (seen.isServing) {
             history.serving.insert(version);
-        else if (now - seen.lastSeen < streamLifetime)
-            history.left.emplace(
-                version, wallMs - std::chrono::duration_cast<std::chrono::milliseconds>(now - seen.lastSeen).count());
+            history.since.emplace(version, seen.isEstablished ? 0 : wallMs - milliseconds(now - seen.firstSeen));
+        } else if (now - seen.lastSeen < streamLifetime) {
+            history.left.emplace(version, wallMs - milliseconds(now - seen.lastSeen));
+        }
     }
     return history;
 }
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -34,6 +34,9 @@
 struct SoftwareHistory {
     std::set<std::string> serving;
     std::map<std::string, std::int64_t> left; ///< Versions that serve no more, with the time, in ms of the wall clock.
+    /// Time from which serving versions were seen, in ms of the wall clock; 0 for long ago. Empty if that is not
+    /// stated.
+    std::map<std::string, std::int64_t> since = {};
 
     friend bool operator==(const SoftwareHistory &, const SoftwareHistory &) = default;
 };
@@ -103,7 +106,7 @@
         Instant lastSeen{};
         bool isServing = false;
         unsigned upstreams = 0; ///< That stay in service.
-        bool isEstablished = false; ///< The first one that this node has seen, or one that the store knew of.
+        bool isEstablished = false; ///< The first one that this node has seen, or one that others had seen for long.
     };
 
     struct Stream {
--- a/tests/gateway/streamrecordstest.cpp
+++ b/tests/gateway/streamrecordstest.cpp
@@ -204,7 +204,7 @@
     const std::vector<StreamOrigin> streams{{0xfedcba9876543210, "s", "v1"}, {2, "s", "v2"}, {3, "t", ""}};
     auto read = decodeStreamOrigins(encode(streams));
     cr_assert(read == streams);
-    const SoftwareHistory history{{"v1", "v2"}, {{"v0", wallMs}}};
+    const SoftwareHistory history{{"v1", "v2"}, {{"v0", wallMs}}, {{"v1", 0}, {"v2", wallMs - 100}}};
     cr_assert(decodeSoftwareHistory(encode(history)) == history);
 }
 
