Streams of lost nodes go on when a newer software version joins

Callers whose gateway lost power within seconds of the first upstream of a newer version had all their streams refused (503, stream unknown) at the other gateways, though all upstreams of their version served. A node kept where its streams began to itself until it saw a second version, and the others answered for no unknown stream from the first record of a newer upstream on.

What the fleet knows already is now used: new streams are held back from a further version for 2.5 s, so a node that was last heard from before a version can have been admitted anywhere began only older ones. A node dates each further version by the time at which its view of the registry certainly lacked it. If all nodes that may have begun streams there have been heard from since the take-up, the records were read late enough to have theirs, and one version is left, the stream goes on there. Nodes state in their digests that they hold versions back; for builds that do not, the time of the delay is allowed for. Old builds ignore the field.

The age of the view now is the time since it was certainly up to date: the start of the call that read it, or the arrival of a delta less its age. Before, the last record that was read counted, so that a node that had been frozen took a record from before for a fresh view.

The log tells how the version of each stream that goes on is known, and of each refused one why it is not.

--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -86,6 +86,8 @@
 
     /// Broadcasts that a stream of this node broke off, so that its caller may take it up at any node.
     std::function<void(const StreamOrigin &stream)> onStreamBroken;
+    /// Returns the last time at which a node may have begun streams that has not been heard from since @p time.
+    std::function<Instant(Instant time)> lastUnheard;
     /// Reads from the store at which software version other nodes' streams began.
     std::function<void()> onStreamWanted;
 
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -317,6 +317,7 @@
         std::optional<std::uint64_t> lastEvent; ///< Id of the last event that the caller has.
         StreamId streamId = 0;
         std::optional<std::string> streamVersion; ///< Software version that began the stream; nothing before.
+        VersionSource versionSource = VersionSource::Begun; ///< How the node knows streamVersion.
         Instant streamWantedAt{}; ///< When the records of streams were last read for the call.
         UpstreamProcess verified; ///< Process that has stated its start time, so that its software version is known.
         Instant verifiedAt{};
@@ -394,6 +395,7 @@
         if (call.relayed->lastEvent)
             call.lastEvent = call.relayed->lastEvent;
         call.streamVersion = call.relayed->streamVersion;
+        call.versionSource = VersionSource::Relayed;
         m_log.decision(GatewayEvent::RelayedCallReceived, call.request.id,
                        {{"from", call.relayed->origin},
                         {"after_ms", std::to_string(call.relayed->timeSpent.count() / 1000)},
@@ -645,11 +647,18 @@
     /// if that is not known yet, or if the call has been refused because it cannot be known.
     bool findStreamVersion(const CallPtr &call, Instant now)
     {
-        call->streamVersion = m_context.streams.versionFor(call->streamId, call->service,
-                                                           now - m_context.upstreams.lastRecordAt(), now);
+        const auto &streams = m_context.streams;
+        call->streamVersion = streams.versionFor(call->streamId, call->service, streams.viewAge(now), now);
+        call->versionSource = streams.sourceOf(call->streamId).value_or(VersionSource::OnlyVersion);
+        if (!call->streamVersion && m_context.lastUnheard) {
+            call->versionSource = VersionSource::Derived;
+            call->streamVersion
+                = streams.derivedVersion(call->service, call->arrival, m_context.lastUnheard(call->arrival), now);
+        }
         if (call->streamVersion)
             return true;
         if (now - call->arrival > maxStreamWait) {
+            logUnknownStream(*call, now);
             giveUp(call, ErrorCode::StreamUnknown, "the software version that began the stream is not known");
             return false;
         }
@@ -661,6 +670,18 @@
         return false;
     }
 
+    void logUnknownStream(const Call &call, Instant now)
+    {
+        const auto ms = [](Duration time) { return std::to_string(time.count() / 1000); };
+        const auto unheard = m_context.lastUnheard ? m_context.lastUnheard(call.arrival) : Instant::min();
+        m_log.decision(GatewayEvent::StreamUnknown, call.request.id,
+                       {{"resumes", call.request.resumedId},
+                        {"mixed", m_context.streams.isMixed(call.service, now) ? "yes" : "no"},
+                        {"view_age_ms", ms(m_context.streams.viewAge(now))},
+                        {"records_read", m_context.streams.areRecordsRead(call.arrival) ? "yes" : "no"},
+                        {"unheard_ms", unheard == Instant::min() ? "none" : ms(now - unheard)}});
+    }
+
     /// Returns true if the call may be sent to @p instance. While several software versions serve, an engine with which
     /// a stream is to go on must state its start time first, as it may have started again under its id at another
     /// version since its record was read; returns false until it has.
@@ -1085,7 +1106,8 @@
                             {"after_event", std::to_string(*call->lastEvent)},
                             {"within_answer", call->answering ? "yes" : "no"},
                             {"upstream", call->instance},
-                            {"software", call->softwareAtSend}});
+                            {"software", call->softwareAtSend},
+                            {"version_from", std::string(nameOf(call->versionSource))}});
         call->inFlightAtSend = upstream->inFlight();
         const auto speed = m_context.speeds[call->service].speed();
         call->slownessAtSend = slownessOf(*upstream, speed);
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -48,6 +48,7 @@
     NotRunByUpstream,
     BrokenOff,
     StreamResumed,
+    StreamUnknown,
     CallRelayed,
     RelayedCallReceived,
     Answered,
@@ -63,7 +64,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 41> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 42> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -98,6 +99,7 @@
     {Gateway::GatewayEvent::NotRunByUpstream, "not_run_by_upstream"},
     {Gateway::GatewayEvent::BrokenOff, "answer_broken_off"},
     {Gateway::GatewayEvent::StreamResumed, "stream_resumed"},
+    {Gateway::GatewayEvent::StreamUnknown, "stream_unknown"},
     {Gateway::GatewayEvent::CallRelayed, "call_relayed"},
     {Gateway::GatewayEvent::RelayedCallReceived, "relayed_call_received"},
     {Gateway::GatewayEvent::Answered, "answered"},
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -265,6 +265,8 @@
 json::object reportToJson(const NodeReport &report)
 {
     json::object object{{"sequence", report.sequence}, {"open", report.takesCallers}};
+    if (report.holdsVersions)
+        object["holds_versions"] = true;
     if (!report.reachesStore)
         object["cut_off"] = true;
     if (report.operatorRevision > 0)
@@ -385,6 +387,7 @@
     report.takesCallers = flagAt(object, "open");
     report.reachesStore = !flagAt(object, "cut_off");
     report.operatorRevision = numberAt<Revision>(object, "operator_revision");
+    report.holdsVersions = flagAt(object, "holds_versions");
     if (const auto *ordering = arrayAt(object, "ordering")) {
         for (const auto &shard : *ordering) {
             if (shard.is_int64())
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -117,6 +117,7 @@
     NodeAddress from; ///< Full in digests; only node and startedAt otherwise.
     std::uint64_t sequence = 0; ///< Increases with each report of a process, as reports may arrive out of order.
     bool takesCallers = true; ///< False before the first configuration and during a graceful stop.
+    bool holdsVersions = false; ///< The node begins no streams at a software version that has just joined.
     bool reachesStore = true; ///< True if the store answered the node's last call for the upstreams' records.
     NodeReach reach;
     Revision operatorRevision = 0; ///< Of the newest change of the operator's documents it knows; in digests only.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -114,6 +114,8 @@
         m_context.maxRelayedCalls = static_cast<std::size_t>(relayedCallsPerCapacity * settings.capacity);
         m_context.relayPeers = [this] { return m_members.relayPeers(BootClock{}.now()); };
         m_context.isPeerLive = [this](const std::string &node) { return m_members.isLive(node, BootClock{}.now()); };
+        m_context.lastUnheard
+            = [this](Instant time) { return m_members.lastUnheard(time, StreamVersions::admissionDelay); };
         m_context.onStreamBroken = [this](const StreamOrigin &stream) {
             auto notice = report();
             notice.brokenStreams.push_back(stream);
@@ -364,7 +366,11 @@
                         m_context.upstreams.onRegistryLost(now);
                         m_registry.reconnectOthers();
                     }
-                }};
+                },
+                {},
+                {},
+                {},
+                [this](Instant time) { m_context.streams.onView(time); }};
     }
 
     typename Registry::Observer ownObserver()
@@ -1029,6 +1035,7 @@
         digest.from = m_address;
         digest.operatorRevision = m_registry.newestOperatorChange();
         digest.hasInFlight = true;
+        digest.holdsVersions = true;
         for (auto &[instance, upstream] : m_context.upstreams.all()) {
             if (upstream.ownInFlight > 0)
                 digest.inFlight.emplace(instance, upstream.ownInFlight);
@@ -1247,7 +1254,7 @@
         if (report.from.node == m_address.node)
             return;
         const ReportStamp stamp{report.from.node, report.from.startedAt, report.sequence};
-        const bool isNewest = m_members.onReport(report, now);
+        const bool isNewest = m_members.onReport(report, now, m_tickBefore);
         applyReachNews(m_context.reach, report, isNewest, m_address.node,
                        report.failedReach.empty() ? std::set<std::string>{} : m_members.liveNodes(now), now);
         m_context.applyReach(now);
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -35,7 +35,7 @@
         if (member.address != address && !member.address.node.empty())
             member.takesCallers = false;
         if (member.address.startedAt != address.startedAt)
-            member.sequence = 0;
+            onReplaced(member);
         member.address = address;
     }
     member.listed = true;
@@ -57,7 +57,30 @@
         onListed(address, now);
 }
 
-bool MemberTable::onReport(const NodeReport &report, Instant now)
+void MemberTable::onReplaced(Member &member)
+{
+    if (!member.address.node.empty()) {
+        auto &replaced = member.holdsVersions ? m_replacedHeardAt : m_replacedHeardWithoutHolding;
+        replaced = std::max(replaced, member.lastReportAt);
+    }
+    member.sequence = 0;
+    member.heardAt = {};
+    member.holdsVersions = false;
+}
+
+Instant MemberTable::lastUnheard(Instant time, Duration allowance) const
+{
+    const auto withAllowance
+        = [allowance](Instant heard) { return heard == Instant::min() ? heard : heard + allowance; };
+    auto last = std::max(m_replacedHeardAt, withAllowance(m_replacedHeardWithoutHolding));
+    for (const auto &[node, member] : m_members) {
+        if (member.heardAt < time)
+            last = std::max(last, member.holdsVersions ? member.lastReportAt : member.lastReportAt + allowance);
+    }
+    return last;
+}
+
+bool MemberTable::onReport(const NodeReport &report, Instant now, Instant arrivedAt)
 {
     if (report.from.node == m_self.node)
         return false;
@@ -68,12 +91,14 @@
         return false; // From an earlier process of the node.
     if (report.from.callers.port != 0) {
         if (member.address.startedAt != report.from.startedAt)
-            member.sequence = 0;
+            onReplaced(member);
         member.address = report.from;
+        member.holdsVersions = report.holdsVersions;
     } else if (member.address.startedAt != report.from.startedAt) {
         return false; // From a process whose address is not known yet.
     }
     member.lastReportAt = now;
+    member.heardAt = std::max(member.heardAt, arrivedAt);
     if (report.sequence <= member.sequence)
         return false;
     member.sequence = report.sequence;
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -34,7 +34,18 @@
 
     /// Records the state in another node's report. Returns true if it is the newest report of that node; an older one
     /// of the same process only proves that it is live.
-    bool onReport(const NodeReport &report, Instant now);
+    bool onReport(const NodeReport &report, Instant now)
+    {
+        return onReport(report, now, now);
+    }
+
+    /// Like the above, of a report that arrived between @p arrivedAt and @p now.
+    bool onReport(const NodeReport &report, Instant now, Instant arrivedAt);
+
+    /// Returns the last time at which another node, or an earlier process of one, was heard from that has sent no
+    /// report since @p time; Instant::min() if there is none. Adds @p allowance for nodes of builds that do not hold
+    /// further software versions back.
+    Instant lastUnheard(Instant time, Duration allowance) const;
 
     /// Returns all other nodes that are listed in the store or have sent a report within 20 s.
     std::vector<NodeAddress> peers(Instant now) const;
@@ -120,9 +131,14 @@
         bool reachesStore = true;
         NodeReach reach;
         std::uint64_t sequence = 0; ///< Sequence of the process's newest report; 0 if there is none.
-        Instant lastReportAt{};
+        Instant lastReportAt{}; ///< When the last report was read.
+        Instant heardAt{}; ///< When the last report had not arrived yet.
+        bool holdsVersions = false;
     };
 
+    /// Prepares @p member for another process of its node.
+    void onReplaced(Member &member);
+
     using Rank = std::pair<double, double>; ///< Capacity, rendezvous score.
     using RelayRank = std::tuple<bool, bool, Rank>; ///< Is live, accepts callers, rank.
     std::vector<std::pair<RelayRank, const NodeAddress *>> relayCandidates(const std::string &failureDomain,
@@ -135,6 +151,8 @@
     NodeAddress m_self;
     NodeReach m_ownReach;
     std::map<std::string, Member> m_members;
+    Instant m_replacedHeardAt = Instant::min(); ///< Last time that an earlier process of a node was heard from.
+    Instant m_replacedHeardWithoutHolding = Instant::min(); ///< The same for those that do not hold versions back.
 };
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -63,6 +63,8 @@
         std::function<void()> onAnswered = {}; ///< Called when the store has answered with a snapshot.
         /// Called with the revision in each answer of the store, which it had not passed yet when the call was made.
         std::function<void(Revision revision, Instant calledAt)> onRevision = {};
+        /// Called when all changes up to @p time have been applied.
+        std::function<void(Instant time)> onCurrent = {};
     };
 
     /// The initial pause and the timeout of watches.
@@ -107,8 +109,8 @@
 
     /// Applies changes that another node has read, if they continue this node's revision, and postpones this node's
     /// next call. Calls the store at once if changes before the delta are missing. A node that cannot reach the store
-    /// stays up to date by deltas alone.
-    void onDelta(const RegistryDelta &delta)
+    /// stays up to date by deltas alone. @p readAt is a time at which the store had no later changes, if one is known.
+    void onDelta(const RegistryDelta &delta, std::optional<Instant> readAt = {})
     {
         const bool isGap = delta.after > m_revision;
         if (m_state == State::Reading) {
@@ -122,6 +124,8 @@
         }
         if (!isGap && delta.revision > m_revision)
             apply(delta.changes, delta.revision);
+        if (!isGap && readAt)
+            noteCurrent(*readAt);
         if (m_state == State::Pausing)
             followAfter(isGap ? Duration{} : m_pauses.afterChanges, !isGap);
     }
@@ -209,6 +213,7 @@
             if (m_observer.onBatchEnd)
                 m_observer.onBatchEnd();
             m_revision = reply.revision;
+            noteCurrent(calledAt);
             if (m_pauses.afterSnapshot > Duration{})
                 followAfter(m_pauses.afterSnapshot);
             else
@@ -240,6 +245,7 @@
                           if (m_observer.onRead)
                               m_observer.onRead({after, result.changes, result.revision, BootClock{}.now() - calledAt});
                           apply(result.changes, result.revision);
+                          noteCurrent(calledAt);
                           followAfter(result.changes.empty() ? m_pauses.afterNothing : m_pauses.afterChanges);
                       });
     }
@@ -275,6 +281,12 @@
             m_observer.onRevision(revision, calledAt);
     }
 
+    void noteCurrent(Instant time)
+    {
+        if (m_observer.onCurrent)
+            m_observer.onCurrent(time);
+    }
+
     /// Returns the changes from this node's revision to @p snapshot, read by a call at @p calledAt, for nodes at the
     /// same revision.
     RegistryDelta deltaTo(const KeyReply &snapshot, Instant calledAt) const
--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -4,6 +4,7 @@
 #include "gateway/revisiontimes.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -85,9 +86,12 @@
     /// Applies changes that the reader of the failure domain has sent, which arrived at @p arrivedAt or later.
     void onDelta(const RegistryUpdate &update, Instant arrivedAt)
     {
+        std::optional<Instant> readAt;
         if (update.delta.age)
-            m_revisionTimes.record(update.delta.revision, arrivedAt - *update.delta.age);
-        followerOf(update.view).onDelta(update.delta);
+            readAt = arrivedAt - *update.delta.age;
+        if (readAt)
+            m_revisionTimes.record(update.delta.revision, *readAt);
+        followerOf(update.view).onDelta(update.delta, readAt);
     }
 
     /// Returns the earliest time at which the change with @p revision may have been made in the store; Instant::min()
--- a/src/gateway/streamrecords.h
+++ b/src/gateway/streamrecords.h
@@ -98,15 +98,17 @@
     {
         if (std::exchange(m_isReading, true))
             return;
-        m_store.readPrefix(m_keys.streams, [this, onRead = std::move(onRead)](const KeyReply &reply) {
+        const auto calledAt = BootClock{}.now();
+        m_store.readPrefix(m_keys.streams, [this, calledAt, onRead = std::move(onRead)](const KeyReply &reply) {
             m_isReading = false;
             if (reply.outcome != KeyOutcome::Applied)
                 return;
             const auto now = BootClock{}.now();
             for (const auto &value : reply.values) {
                 for (const auto &stream : decodeStreamOrigins(value.value))
-                    m_context.streams.learn(stream, now);
+                    m_context.streams.learn(stream, now, VersionSource::Record);
             }
+            m_context.streams.onRecordsRead(calledAt);
             onRead();
         });
     }
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Gypsumtally::Gateway
 {
@@ -28,13 +29,36 @@
     return XXH3_64bits(requestId.data(), requestId.size());
 }
 
+void StreamVersions::onView(Instant time)
+{
+    m_viewAt = std::max(m_viewAt, time);
+}
+
+Duration StreamVersions::viewAge(Instant now) const
+{
+    return now - m_viewAt;
+}
+
+void StreamVersions::onRecordsRead(Instant calledAt)
+{
+    m_recordsReadAt = std::max(m_recordsReadAt, calledAt);
+}
+
+bool StreamVersions::areRecordsRead(Instant arrival) const
+{
+    return m_recordsReadAt >= arrival + recordTime;
+}
+
 void StreamVersions::onServing(const std::string &service, const std::map<std::string, unsigned> &versions, Instant now)
 {
     auto &known = m_versions[service];
     const bool isFirst
         = std::ranges::none_of(known, [](const auto &item) { return item.second.firstSeen != Instant{}; });
     for (const auto &[version, upstreams] : versions) {
-        auto &seen = known[version];
+        const auto [it, isNew] = known.try_emplace(version);
+        auto &seen = it->second;
+        if (isNew && !isFirst)
+            seen.absentAt = m_viewAt;
         if (seen.firstSeen == Instant{})
             seen.firstSeen = now;
         seen.isServing = true;
@@ -49,6 +73,14 @@
         if (!versions.contains(version))
             seen.isServing = false;
     }
+    // Without another version that stays, new streams begin at a further one at once.
+    const bool hasStaying = std::ranges::any_of(known, [](const auto &item) {
+        return item.second.isEstablished && item.second.isServing && item.second.upstreams > 0;
+    });
+    for (auto &[version, seen] : known) {
+        if (seen.isServing && !hasStaying)
+            seen.absentAt = Instant::min();
+    }
     std::erase_if(known, [now](const auto &item) {
         return !item.second.isServing && now - item.second.lastSeen > streamLifetime;
     });
@@ -58,8 +90,13 @@
                                std::int64_t wallMs)
 {
     auto &known = m_versions[service];
+    const bool hasView
+        = std::ranges::any_of(known, [](const auto &item) { return item.second.firstSeen != Instant{}; });
     for (const auto &version : history.serving) {
-        auto &seen = known[version];
+        const auto [it, isNew] = known.try_emplace(version);
+        auto &seen = it->second;
+        if (isNew && hasView)
+            seen.absentAt = m_viewAt; // The history is ahead of the view.
         // One that has just joined is written too, and new streams may not begin there yet.
         const auto since = history.since.find(version);
         const bool isOld = since != history.since.end()
@@ -130,7 +167,7 @@
 {
     if (m_streams.size() >= maxStreams)
         return;
-    m_streams[stream.id] = {stream.service, stream.version, now + streamLifetime};
+    m_streams[stream.id] = {stream.service, stream.version, now + streamLifetime, VersionSource::Begun};
     m_unrecorded.push_back(stream.id);
 }
 
@@ -139,10 +176,10 @@
     m_streams.erase(id);
 }
 
-void StreamVersions::learn(const StreamOrigin &stream, Instant now)
+void StreamVersions::learn(const StreamOrigin &stream, Instant now, VersionSource source)
 {
     if (m_streams.size() < maxStreams)
-        m_streams.try_emplace(stream.id, Stream{stream.service, stream.version, now + streamLifetime});
+        m_streams.try_emplace(stream.id, Stream{stream.service, stream.version, now + streamLifetime, source});
 }
 
 std::optional<std::string> StreamVersions::versionFor(StreamId id, const std::string &service, Duration viewAge,
@@ -160,6 +197,34 @@
     return std::nullopt;
 }
 
+std::optional<std::string> StreamVersions::derivedVersion(const std::string &service, Instant arrival, Instant lastLost,
+                                                          Instant now) const
+{
+    const auto known = m_versions.find(service);
+    if (known == m_versions.end() || !areRecordsRead(arrival) || viewAge(now) > maxViewAge)
+        return std::nullopt;
+    const bool canBeTakenUp = lastLost > now - streamLifetime;
+    const Version *only = nullptr;
+    std::optional<std::string> result;
+    for (const auto &[version, seen] : known->second) {
+        if (!seen.isServing && now - seen.lastSeen >= streamLifetime)
+            continue;
+        const bool isKnownToJoin = seen.absentAt != Instant::min();
+        if (isKnownToJoin && (!canBeTakenUp || lastLost < seen.absentAt + admissionDelay))
+            continue;
+        if (std::exchange(only, &seen))
+            return std::nullopt;
+        result = version;
+    }
+    return result;
+}
+
+std::optional<VersionSource> StreamVersions::sourceOf(StreamId id) const
+{
+    const auto it = m_streams.find(id);
+    return it == m_streams.end() ? std::nullopt : std::optional(it->second.source);
+}
+
 void StreamVersions::onTakenUp(const std::string &service, Instant now)
 {
     m_takenUpAt[service] = now;
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/enumtable.h"
 
 #include <cstdint>
 #include <map>
@@ -30,6 +31,16 @@
     friend bool operator==(const StreamOrigin &, const StreamOrigin &) = default;
 };
 
+/// How a node knows at which software version a stream began.
+enum class VersionSource {
+    Begun, ///< The stream began at this node.
+    Peer, ///< Another node has told it.
+    Record, ///< It is recorded in the store.
+    OnlyVersion, ///< No other version has served within a stream's life.
+    Derived, ///< No stream of another version can be unknown.
+    Relayed, ///< The node that has passed the call on knew it.
+};
+
 /// The software versions that have served a service lately, as kept in the store.
 struct SoftwareHistory {
     std::set<std::string> serving;
@@ -51,9 +62,15 @@
     /// Time from the first sight of a further version until new streams begin there. All nodes that read the registry
     /// know of it by then; those that do not have a view that is older than maxViewAge.
     static constexpr Duration admissionDelay = std::chrono::milliseconds{2500};
-    /// Age of the view of the registry from which a node does not conclude that a version is the only one.
+    /// Age of the view of the registry from which a node does not conclude at which version a stream began.
     static constexpr Duration maxViewAge = std::chrono::seconds{2};
 
+    /// Records that all changes of the registry up to @p time have been observed. Call it after onServing().
+    void onView(Instant time);
+
+    /// Returns the age of the view of the registry: the time since it was certainly up to date.
+    Duration viewAge(Instant now) const;
+
     /// Records the versions of the upstreams of @p service in the registry, with the number of upstreams of each that
     /// stay in service.
     void onServing(const std::string &service, const std::map<std::string, unsigned> &versions, Instant now);
@@ -79,13 +96,29 @@
     /// Forgets a stream that has ended in order, so that it will not be taken up, or whose version is in doubt.
     void forget(StreamId id);
 
-    /// Records the version of a stream that another node or the store knows.
-    void learn(const StreamOrigin &stream, Instant now);
+    /// Records the version of a stream that another node or the store knows, as @p source says.
+    void learn(const StreamOrigin &stream, Instant now, VersionSource source = VersionSource::Peer);
+
+    /// Records that the records in the store were read by a call at @p calledAt.
+    void onRecordsRead(Instant calledAt);
+
+    /// Returns true if the records in the store were read when all streams from before @p arrival were recorded whose
+    /// nodes have lived since then.
+    bool areRecordsRead(Instant arrival) const;
 
     /// Returns the version at which stream @p id of @p service may go on; nothing if that is unknown. @p viewAge is the
     /// age of the view of the registry.
     std::optional<std::string> versionFor(StreamId id, const std::string &service, Duration viewAge, Instant now) const;
 
+    /// Returns the only version at which a stream of @p service can have begun that a caller took up at @p arrival and
+    /// that no node which has lived since then has recorded; nothing if it can be one of several. @p lastLost is the
+    /// last time at which a node may have begun streams that has not been heard from since @p arrival.
+    std::optional<std::string> derivedVersion(const std::string &service, Instant arrival, Instant lastLost,
+                                              Instant now) const;
+
+    /// Returns how the version of stream @p id of @p service is known; nothing if it is not known by name.
+    std::optional<VersionSource> sourceOf(StreamId id) const;
+
     /// Records that a caller takes up a stream of @p service.
     void onTakenUp(const std::string &service, Instant now);
 
@@ -101,7 +134,12 @@
     void prune(Instant now);
 
 private:
+    /// Time from the start of a stream at a live node until its record is in the store, with one call of the store.
+    static constexpr Duration recordTime = std::chrono::milliseconds{250};
+
     struct Version {
+        /// When it did not serve yet and had not for a stream's life; Instant::min() if nothing is known of that.
+        Instant absentAt = Instant::min();
         Instant firstSeen{};
         Instant lastSeen{};
         bool isServing = false;
@@ -113,12 +151,30 @@
         std::string service;
         std::string version;
         Instant until{};
+        VersionSource source = VersionSource::Begun;
     };
 
     std::map<std::string, std::map<std::string, Version>> m_versions; ///< By service and version.
+    Instant m_viewAt{}; ///< Time at which the view of the registry was up to date.
+    Instant m_recordsReadAt{};
     std::unordered_map<StreamId, Stream> m_streams;
     std::map<std::string, Instant> m_takenUpAt; ///< Last time that a caller took up a stream, by service.
     std::vector<StreamId> m_unrecorded; ///< Own streams that takeUnrecorded() has not returned.
 };
 
 } // namespace Gypsumtally::Gateway
+
+namespace Gypsumtally
+{
+
+template<>
+inline constexpr EnumTable<Gateway::VersionSource, 6> enumNames<Gateway::VersionSource>{{
+    {Gateway::VersionSource::Begun, "begun-here"},
+    {Gateway::VersionSource::Peer, "peer"},
+    {Gateway::VersionSource::Record, "record"},
+    {Gateway::VersionSource::OnlyVersion, "only-version"},
+    {Gateway::VersionSource::Derived, "derived"},
+    {Gateway::VersionSource::Relayed, "relayed"},
+}};
+
+} // namespace Gypsumtally
--- a/tests/gateway/membertabletest.cpp
+++ b/tests/gateway/membertabletest.cpp
@@ -197,3 +197,40 @@
                        "the others are not heard any more");
     cr_assert_float_eq(MemberTable(address("n1", "a")).liveShare(start), 1, 1e-9);
 }
+
+namespace
+{
+
+constexpr Duration allowance = std::chrono::seconds{2};
+
+struct UnheardCase {
+    const char *name;
+    bool holdsVersions; ///< Of n2's first process.
+    std::int64_t process; ///< Start of the process of n2 that reports again.
+    int arrivedAtMs; ///< Of that report.
+    int lastMs; ///< Negative: none.
+};
+
+const UnheardCase unheard[] = {
+    {"the node has reported since", true, 1, 6000, -1},
+    {"the report may have arrived before", true, 1, 4900, 6000},
+    {"another process of the node has reported since", true, 2, 6000, 1000},
+    {"another process of a node that does not hold versions back", false, 2, 6000, 3000},
+};
+
+} // namespace
+
+TABLE_TEST(MemberTable, tellsWhenANodeWasLastHeardThatMayBeLost, unheard)
+{
+    MemberTable table(address("n1", "a"));
+    const auto at = [](int ms) { return start + std::chrono::milliseconds{ms}; };
+    auto report = reportFrom(address("n2", "a"));
+    report.holdsVersions = row.holdsVersions;
+    table.onReport(report, at(1000));
+    cr_assert(table.lastUnheard(at(5000), allowance) == at(row.holdsVersions ? 1000 : 3000));
+    report = reportFrom(address("n2", "a", row.process), true, 2);
+    report.holdsVersions = true;
+    table.onReport(report, at(6000), at(row.arrivedAtMs));
+    const auto expected = row.lastMs < 0 ? Instant::min() : at(row.lastMs);
+    cr_assert(table.lastUnheard(at(5000), allowance) == expected, "%s", row.name);
+}
--- a/tests/gateway/streamversionstest.cpp
+++ b/tests/gateway/streamversionstest.cpp
@@ -335,3 +335,89 @@
     const auto now = start + milliseconds{std::max(0, row.takenUpBeforeMs)};
     cr_assert_eq(streams.yieldsToTakeUps("s", now), row.yields, "%s", row.name);
 }
+
+namespace
+{
+
+Step view(int atMs)
+{
+    return {atMs, [](StreamVersions &streams, Instant now) { streams.onView(now); }};
+}
+
+Step recordsRead(int atMs)
+{
+    return {atMs, [](StreamVersions &streams, Instant now) { streams.onRecordsRead(now); }};
+}
+
+/// A stream that is taken up at 8 s and of which no record tells.
+struct DerivationCase {
+    const char *name;
+    std::vector<Step> steps;
+    int lastLostMs; ///< Negative: no node was lost.
+    std::optional<std::string> version;
+};
+
+const Serving older{{"v1", 3}};
+const Serving both{{"v1", 3}, {"v2", 1}};
+
+const DerivationCase derivations[] = {
+    {"a node was lost before a second version joined",
+     {serving(0, older), view(4900), serving(5000, both), view(8200), recordsRead(8260)},
+     4000,
+     "v1"},
+    {"a node was lost before a second version was admitted",
+     {serving(0, older), view(4900), serving(5000, both), view(8200), recordsRead(8260)},
+     7390,
+     "v1"},
+    {"a node was lost after a second version was admitted",
+     {serving(0, older), view(4900), serving(5000, both), view(8200), recordsRead(8260)},
+     7400,
+     {}},
+    {"no node was lost", {serving(0, older), view(4900), serving(5000, both), view(8200), recordsRead(8260)}, -1, "v1"},
+    {"the records have not been read since",
+     {serving(0, older), view(4900), serving(5000, both), view(8200), recordsRead(8240)},
+     4000,
+     {}},
+    {"the view is old", {serving(0, older), view(4900), serving(5000, both), view(6200), recordsRead(8260)}, 4000, {}},
+    {"the view was old when the second version was seen",
+     {serving(0, older), view(2000), serving(5000, both), view(8200), recordsRead(8260)},
+     4600,
+     {}},
+    {"the node has started between two versions", {serving(0, both), view(8200), recordsRead(8260)}, -1, {}},
+    {"the history was read before the registry",
+     {serving(0, older), view(4900), history(4950, {{"v1", "v2"}, {}}), serving(5000, both), view(8200),
+      recordsRead(8260)},
+     4000,
+     "v1"},
+    {"the history has a version that has left",
+     {history(0, {{"v1"}, {{"v0", wallStart - 5000}}}), serving(1, older), view(4900), serving(5000, both), view(8200),
+      recordsRead(8260)},
+     4000,
+     {}},
+    {"the first version has left",
+     {serving(0, older), view(4900), serving(5000, both), serving(6000, {{"v2", 4}}), view(8200), recordsRead(8260)},
+     4000,
+     {}},
+    {"the first version was leaving when the second one joined",
+     {serving(0, older), view(4900), serving(5000, {{"v1", 0}, {"v2", 1}}), serving(5500, both), view(8200),
+      recordsRead(8260)},
+     4000,
+     {}},
+    {"a third version joins too",
+     {serving(0, older), view(4900), serving(5000, both), view(5900), serving(6000, {{"v1", 3}, {"v2", 1}, {"v3", 1}}),
+      view(8200), recordsRead(8260)},
+     4000,
+     "v1"},
+};
+
+} // namespace
+
+/// The streams of a node that lost power were refused from the first upstream of a newer version on.
+TABLE_TEST(StreamVersions, unknownStreamsGoOnAtTheOnlyVersionThatCanHaveBegunThem, derivations)
+{
+    StreamVersions streams;
+    play(streams, row.steps);
+    const auto lost = row.lastLostMs < 0 ? Instant::min() : start + milliseconds{row.lastLostMs};
+    const auto version = streams.derivedVersion("s", start + milliseconds{8000}, lost, start + milliseconds{8300});
+    cr_assert(version == row.version, "%s: %s", row.name, version ? version->c_str() : "unknown");
+}
--- a/tests/gatewayfleet/mixedsoftwaretest.cpp
+++ b/tests/gatewayfleet/mixedsoftwaretest.cpp
@@ -139,3 +139,64 @@
     if (row.takeUps == TakeUps::Refused)
         cr_expect_gt(tally.refusedTakeUps, 0U, "%s: no take-up was refused", row.name);
 }
+
+namespace
+{
+
+struct JoinCase {
+    const char *name;
+    TakeUps takeUps;
+    void (*disturb)(Fleet &); ///< Schedules the case's events, 600 ms before an engine of a newer version.
+};
+
+constexpr Duration joinDelay = milliseconds{600};
+constexpr Duration longEventPause = milliseconds{500}; ///< Makes a stream last 3 s.
+constexpr std::size_t lostNodes = 3;
+
+const JoinCase joins[] = {
+    {"nodes hang and are killed", TakeUps::GoOn,
+     [](Fleet &fleet) {
+         for (std::size_t number = 0; number < lostNodes; ++number) {
+             fleet.freeze(number, seconds{4});
+             fleet.after(milliseconds{3500}, [&fleet, number] { fleet.restart(number, milliseconds{500}); });
+         }
+     }},
+    {"nodes are out of step", TakeUps::Any,
+     [](Fleet &fleet) {
+         for (std::size_t number = 0; number < lostNodes; ++number)
+             fleet.freeze(number, seconds{6});
+         breakStreams(fleet, 0.4);
+     }},
+};
+
+} // namespace
+
+/// The streams of nodes that were lost within a second of the first engine of a newer version were refused.
+TABLE_TEST(MixedSoftware, streamsGoOnWhenAVersionJoins, joins)
+{
+    Fleet fleet({6, 4, 1}, 1);
+    for (std::size_t number = 0; number < fleet.engines(); ++number)
+        fleet.engine(number).behaviour.answerTime = longEventPause;
+    fleet.waitUntilReady();
+    fleet.setLoad(load);
+    fleet.run(warmUp);
+    fleet.streamCallers().takeTally();
+    row.disturb(fleet);
+    fleet.after(joinDelay, [&fleet] {
+        auto &engine = fleet.engine(fleet.engines() - 1);
+        engine.behaviour.software = "v2";
+        engine.crash(milliseconds{50});
+    });
+    fleet.run(disturbances);
+    fleet.setLoad({});
+    fleet.run(seconds{3});
+    fleet.finish();
+    cr_expect_leq(fleet.streamCallers().joinedStreams(), toleratedStreams,
+                  "%s: %u streams have events of two software versions", row.name,
+                  fleet.streamCallers().joinedStreams());
+    const auto tally = fleet.streamCallers().takeTally();
+    cr_expect_geq(tally.takenUp, judgedTakeUps, "%s: only %u streams taken up", row.name, tally.takenUp);
+    if (row.takeUps == TakeUps::GoOn)
+        cr_expect_geq(2 * tally.resumed, tally.takenUp, "%s: %u of %u streams taken up go on", row.name, tally.resumed,
+                      tally.takenUp);
+}
