Orders wait for holders that a restored store has lost

Callers of engines: after the store had come back from an older copy, a restarted gateway that the copy named as the last holder ordered engines at once, while another one had ordered until a moment ago, and with a lower fencing token; changes at revisions that were given out again were skipped.

Cause: nothing read Store-Era. A term record was believed although later terms were lost, revisions served as tokens although they are given out again, and leases, registrations and followers went on as before.

The store's client reports a later era before it passes an answer on, and takes answers of an earlier one for lost. Then the node loses its order leases, registers anew under a new lease, reads all views anew, and keeps upstreams that the copy lacks for as long as after an outage. A term says in which era it was acquired: one of another era is no own predecessor, its number lies above all terms of earlier eras, so that no release of those shortens the wait, and its token counts eras before revisions. Deltas between nodes state the era; one of a later era makes a node ask the store. Builds before this one ignore the new fields; without the header nothing changes.

--- a/src/common/keyvalue.h
+++ b/src/common/keyvalue.h
@@ -14,6 +14,10 @@
 /// A revision of the platform's key-value service; increases with every write to any key.
 using Revision = std::int64_t;
 
+/// Counts how often the platform's key-value service has come back from an older copy, which gives revisions out again;
+/// 0 if the service does not state it.
+using StoreEra = std::uint64_t;
+
 /// Revisions above this are not valid: JSON carries whole numbers exactly up to 2^53.
 inline constexpr Revision maxRevision = Revision{1} << 53;
 
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -19,6 +19,7 @@
     Stopped,
     StoreLost,
     StoreBack,
+    StoreRestored,
     PeersLost,
     PeersFound,
     ReachLost,
@@ -64,12 +65,13 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 42> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 43> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
     {Gateway::GatewayEvent::StoreLost, "store_lost"},
     {Gateway::GatewayEvent::StoreBack, "store_back"},
+    {Gateway::GatewayEvent::StoreRestored, "store_restored"},
     {Gateway::GatewayEvent::PeersLost, "peers_lost"},
     {Gateway::GatewayEvent::PeersFound, "peers_found"},
     {Gateway::GatewayEvent::ReachLost, "reach_lost"},
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -469,6 +469,8 @@
                         {"changes", std::move(changes)}};
     if (delta.age)
         object["age"] = delta.age->count();
+    if (update.era != 0)
+        object["era"] = update.era;
     return object;
 }
 
@@ -492,7 +494,7 @@
     });
     if (!isWhole)
         return std::nullopt;
-    return RegistryUpdate{*view, std::move(delta)};
+    return RegistryUpdate{*view, std::move(delta), numberAt<StoreEra>(object, "era")};
 }
 
 } // namespace
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -51,8 +51,12 @@
 concept GatewayPlatform
     = CallDialect<typename P::Calls> && OrderDialect<typename P::Orders> && GatewayStore<typename P::Store> && requires(
         const std::string &text, const Http::Request &request, const std::vector<Http::Endpoint> &endpoints,
-        Duration ttl)
+        Duration ttl, typename P::Store &store, const std::function<void(StoreEra)> &onEra,
+        const std::function<void(const std::string &)> &onUnreadableEra)
 {
+    /// Called with each later era that an answer states, and the first one, before the answer is passed on.
+    store.onEra(onEra);
+    store.onUnreadableEra(onUnreadableEra);
     {
         P::operatorPrefix()
         } -> std::convertible_to<std::string>;
@@ -104,6 +108,10 @@
                      jitterFactorOf(settings.node),
                      [this](const RegistryUpdate &update, bool isOverdue) { publishUpdate(update, isOverdue); })
     {
+        m_store.onEra([this](StoreEra era) { onStoreEra(era); });
+        m_store.onUnreadableEra([this](const std::string &text) {
+            m_log.decision(GatewayEvent::BadHeader, "store", {{"header", "Store-Era"}, {"value", text}});
+        });
         m_context.node = settings.node;
         m_forwarder.connectFrom(settings.connectFrom);
         m_context.failureDomain = settings.failureDomain;
@@ -231,6 +239,7 @@
     /// only lets new nodes discover the others.
     static constexpr Duration nodeLeaseTtl = std::chrono::seconds{30};
     static constexpr Duration renewInterval = std::chrono::seconds{10};
+    static constexpr Duration registrationRetryInterval = std::chrono::milliseconds{400};
     /// Time after the start in which a node does not act as reader: until it has received reports of the others, it
     /// would rank itself first in its failure domain.
     static constexpr Duration joiningTime = std::chrono::milliseconds{1200};
@@ -446,7 +455,7 @@
                            [&](const KeyChange &change) { return isUsable(update.view, change); });
         for (auto &part : split(std::move(delta), maxUpdateBytes, maxRevisionBytes)) {
             auto notice = message();
-            notice.registry.push_back({update.view, std::move(part)});
+            notice.registry.push_back({update.view, std::move(part), m_storeEra});
             m_peers.send(notice, targets);
         }
     }
@@ -756,30 +765,73 @@
         exchange.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text(now)});
     }
 
+    /// Records the era of the store. In a later one than before, the store has lost what was written last, this node's
+    /// leases among it, and gives revisions out again.
+    void onStoreEra(StoreEra era)
+    {
+        const auto before = std::exchange(m_storeEra, era);
+        for (const auto &orders : m_orders)
+            orders->setEra(era);
+        if (before == 0)
+            return;
+        m_log.note(GatewayEvent::StoreRestored, {{"era", std::to_string(era)}, {"before", std::to_string(before)}});
+        const auto now = BootClock{}.now();
+        m_context.upstreams.onRegistryLost(now);
+        m_context.upstreams.onRegistryBack(now); // Entries that the copy lacks are written again soon.
+        m_streams.onStoreRestored();
+        m_registry.restart();
+        m_lease = 0;
+        registerSelf();
+    }
+
+    /// Writes this node's record under a new lease, in place of an earlier registration.
     void registerSelf()
     {
-        m_store.grantLease(nodeLeaseTtl, [this](std::optional<StoreLease> lease) {
+        if (m_stopping)
+            return;
+        const auto retry = [this, registration = ++m_registrations] {
+            m_loop.runAfter(registrationRetryInterval, [this, registration] {
+                if (registration == m_registrations)
+                    registerSelf();
+            });
+        };
+        m_store.grantLease(nodeLeaseTtl, [this, retry,
+                                          registration = m_registrations](std::optional<StoreLease> lease) {
+            if (registration != m_registrations)
+                return;
             if (!lease)
-                return m_loop.runAfter(std::chrono::milliseconds{400}, [this] { registerSelf(); });
+                return retry();
             m_lease = *lease;
             KeyTransaction transaction;
             transaction.puts.push_back({nodesPrefix() + m_settings.node, encode(m_address), KeyLifetime::NodeLease});
-            m_store.transact(transaction, *lease, [this](const KeyReply &reply) {
+            m_store.transact(transaction, *lease, [this, retry, registration](const KeyReply &reply) {
+                if (registration != m_registrations)
+                    return;
                 if (reply.outcome == KeyOutcome::Applied)
-                    return m_loop.runAfter(renewInterval, [this] { renewSelf(); });
-                m_loop.runAfter(std::chrono::milliseconds{400}, [this] { registerSelf(); });
+                    return renewLater(registration);
+                retry();
             });
         });
     }
 
+    void renewLater(std::uint64_t registration)
+    {
+        m_loop.runAfter(renewInterval, [this, registration] {
+            if (registration == m_registrations)
+                renewSelf();
+        });
+    }
+
     void renewSelf()
     {
         if (m_stopping)
             return;
-        m_store.renewLease(m_lease, [this](std::optional<bool> renewed) {
+        m_store.renewLease(m_lease, [this, registration = m_registrations](std::optional<bool> renewed) {
+            if (registration != m_registrations)
+                return;
             if (renewed == false)
                 return registerSelf();
-            m_loop.runAfter(renewInterval, [this] { renewSelf(); });
+            renewLater(registration);
         });
     }
 
@@ -1246,6 +1298,16 @@
         applyPlacements(message.found);
         m_streams.record(message.begunStreams);
         for (const auto &update : message.registry)
+            onRegistryUpdate(update);
+    }
+
+    /// Applies changes that another node has read, unless it has read them in another era of the store. Those of nodes
+    /// that do not state the era count as ones of the known era.
+    void onRegistryUpdate(const RegistryUpdate &update)
+    {
+        if (update.era > m_storeEra)
+            m_registry.confirmEra();
+        else if (update.era == 0 || update.era == m_storeEra)
             m_registry.onDelta(update, m_tickBefore);
     }
 
@@ -1360,6 +1422,8 @@
     bool m_reachScheduled = false;
     Registry m_registry;
     StoreLease m_lease = 0;
+    std::uint64_t m_registrations = 0; ///< Number of registrations; replies to earlier ones than the last are ignored.
+    StoreEra m_storeEra = 0;
     struct Ordering {
         std::string node;
         Instant lastReportAt{};
--- a/src/gateway/orderterm.h
+++ b/src/gateway/orderterm.h
@@ -26,11 +26,22 @@
     OrderHolder holder;
     bool settled = false; ///< No earlier holder can still be ordering.
     Revision revision = 0; ///< Revision of the record; 0 if there is none.
+    StoreEra era = 0; ///< Of the store when the lease was acquired.
+    StoreEra firstEra = 0; ///< Of the store at the earliest acquisition that states one.
 };
 
-/// Returns the relation of @p last to a lease that @p self acquires now. Other if @p last was not settled, since its
-/// holder may have had predecessors that still order. Thread-safe.
-Predecessor predecessorOf(const OrderTerm &last, const OrderHolder &self);
+/// Returns the relation of @p last to a lease that @p self acquires in @p era. Other if @p last was not settled, since
+/// its holder may have had predecessors that still order, or if it is of another era, since the store may have lost
+/// later terms. Thread-safe.
+Predecessor predecessorOf(const OrderTerm &last, const OrderHolder &self, StoreEra era);
+
+/// Returns the term, without a revision, in which @p self holds the lease after @p last. Its number is higher than that
+/// of each term of earlier eras, also of those that the store has lost. Thread-safe.
+OrderTerm termAfter(const OrderTerm &last, const OrderHolder &self, StoreEra era);
+
+/// Returns the fencing token of @p term, which was acquired at @p revision. It grows with each term, although revisions
+/// are given out again in a later era. Thread-safe.
+std::uint64_t fenceOf(const OrderTerm &term, Revision revision);
 
 /// Returns the stored form of a term, which excludes its revision. Thread-safe.
 std::string encode(const OrderTerm &term);
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -153,6 +153,24 @@
         return m_lastTerm.holder.node;
     }
 
+    /// Records the era of the store. A later one than before ends the lease and forgets the records: the store may have
+    /// lost both, and the lease's ID may be given to another one.
+    void setEra(StoreEra era)
+    {
+        const bool wasRestored = m_era != 0 && era != m_era;
+        m_era = era;
+        if (!wasRestored)
+            return;
+        if (m_held)
+            loseLease("the store has come back from an older copy");
+        ++m_attempts;
+        m_acquiring = false;
+        m_leaseId = 0;
+        m_recordKnown = false;
+        m_holder.reset();
+        m_lastTerm = {};
+    }
+
     /// Records that the store has @p value, or nothing, at the term's key.
     void onTermRecord(const std::optional<std::string> &value, Revision revision)
     {
@@ -170,7 +188,7 @@
         m_recordKnown = true;
         m_recordRevision = value ? revision : 0;
         if (!value) {
-            if (m_held && revision > static_cast<Revision>(m_lease.fence()))
+            if (m_held && revision > m_heldRevision)
                 loseLease("the store has removed the holder record");
             return;
         }
@@ -183,8 +201,8 @@
         // The last attempt succeeded, but its answer was lost. Ignores records of earlier attempts, whose lease may
         // have ended, and terms that this node gave up, whose release has been sent.
         const bool isLastAttempt = isSelf && numberAt<StoreLease>(*object, "lease") == m_leaseId;
-        if (isLastAttempt && !m_lease.isHeld(now) && m_nextTerm > m_lostTerm && !m_acquiring)
-            startTerm(static_cast<std::uint64_t>(revision), m_acquireSent, now);
+        if (isLastAttempt && !m_lease.isHeld(now) && m_nextTerm.number > m_lostTerm && !m_acquiring)
+            startTerm(revision, m_acquireSent, now);
         else if (!isSelf && m_lease.isHeld(now))
             loseLease("another node holds the lease");
     }
@@ -296,11 +314,14 @@
             return;
         m_acquiring = true;
         m_acquireSent = now;
-        m_nextTerm = m_lastTerm.number + 1;
-        m_predecessor = predecessorOf(m_lastTerm, m_self);
+        m_nextTerm = termAfter(m_lastTerm, m_self, m_era);
+        m_predecessor = predecessorOf(m_lastTerm, m_self, m_era);
         const auto holderRevision = m_recordRevision; // Revision at which no other node held the lease.
         const auto termRevision = m_lastTerm.revision;
-        m_store.grantLease(m_lease.settings().ttl, [this, holderRevision, termRevision](auto lease) {
+        const auto attempt = ++m_attempts;
+        m_store.grantLease(m_lease.settings().ttl, [this, attempt, holderRevision, termRevision](auto lease) {
+            if (attempt != m_attempts)
+                return; // The store has come back from an older copy.
             if (!lease) {
                 m_acquiring = false;
                 return;
@@ -311,11 +332,13 @@
             KeyTransaction transaction;
             transaction.compares = {{m_keys.holder, holderRevision}, {m_keys.term, termRevision}};
             transaction.puts = {{m_keys.holder, boost::json::serialize(holder), KeyLifetime::NodeLease},
-                                {m_keys.term, encode(OrderTerm{m_nextTerm, m_self, false}), KeyLifetime::Durable}};
-            m_store.transact(transaction, *lease, [this](const KeyReply &reply) {
+                                {m_keys.term, encode(m_nextTerm), KeyLifetime::Durable}};
+            m_store.transact(transaction, *lease, [this, attempt](const KeyReply &reply) {
+                if (attempt != m_attempts)
+                    return;
                 m_acquiring = false;
                 if (reply.outcome == KeyOutcome::Applied)
-                    startTerm(static_cast<std::uint64_t>(reply.revision), m_acquireSent, BootClock{}.now());
+                    startTerm(reply.revision, m_acquireSent, BootClock{}.now());
             });
         });
     }
@@ -330,20 +353,24 @@
         m_settledSentAt = now;
         KeyTransaction transaction;
         transaction.compares = {{m_keys.term, m_lastTerm.revision}};
-        transaction.puts = {{m_keys.term, encode(OrderTerm{m_lease.term(), m_self, true}), KeyLifetime::Durable}};
+        auto settled = m_lastTerm;
+        settled.settled = true;
+        transaction.puts = {{m_keys.term, encode(settled), KeyLifetime::Durable}};
         // The watch of the store shows whether the write succeeded.
         m_store.transact(transaction, m_leaseId, [](const KeyReply &) {});
     }
 
-    void startTerm(std::uint64_t fence, Instant sent, Instant now)
+    void startTerm(Revision revision, Instant sent, Instant now)
     {
         if (m_stopping) {
             m_store.endLease(m_leaseId);
             return;
         }
         m_held = true;
+        m_heldRevision = revision;
         m_renewSent = sent;
-        m_lease.onAcquired(m_nextTerm, fence, sent, now, m_predecessor);
+        const auto fence = fenceOf(m_nextTerm, revision);
+        m_lease.onAcquired(m_nextTerm.number, fence, sent, now, m_predecessor);
         auto placer = AdapterPlacer{};
         placer.restoreStoreFactor(m_initialStoreFactor);
         for (const auto &[target, declared] : m_context.declared)
@@ -351,7 +378,8 @@
         m_placer = std::move(placer);
         m_log.note(GatewayEvent::OrderLeaseTaken,
                    {{"shard", std::to_string(m_shard)},
-                    {"term", std::to_string(m_nextTerm)},
+                    {"term", std::to_string(m_nextTerm.number)},
+                    {"era", std::to_string(m_era)},
                     {"fence", std::to_string(fence)},
                     {"own_predecessor", m_predecessor == Predecessor::Own ? "yes" : "no"}});
     }
@@ -359,8 +387,8 @@
     void renew(Instant now)
     {
         m_renewSent = now;
-        m_store.renewLease(m_leaseId, [this, now](std::optional<bool> renewed) {
-            if (!m_held)
+        m_store.renewLease(m_leaseId, [this, now, lease = m_leaseId](std::optional<bool> renewed) {
+            if (!m_held || lease != m_leaseId)
                 return;
             if (renewed == true)
                 m_lease.onRenewed(now);
@@ -654,7 +682,10 @@
     std::unordered_map<ModelTarget, std::map<std::string, Instant>> m_requesters;
     std::map<Relay::UpstreamClient::Token, EngineOrder> m_pendingOrders;
     OrderTerm m_lastTerm; ///< Latest term record received from the store.
-    std::uint64_t m_nextTerm = 0; ///< Term of the last attempt to acquire the lease.
+    StoreEra m_era = 0;
+    OrderTerm m_nextTerm; ///< Term of the last attempt to acquire the lease.
+    std::uint64_t m_attempts = 0; ///< Number of attempts; replies to earlier ones than the last are ignored.
+    Revision m_heldRevision = 0; ///< Revision at which the lease was acquired.
     Predecessor m_predecessor = Predecessor::Other; ///< Predecessor of m_nextTerm.
     Instant m_settledSentAt{};
     double m_initialStoreFactor = 0;
--- a/src/gateway/registrydelta.h
+++ b/src/gateway/registrydelta.h
@@ -41,6 +41,7 @@
 struct RegistryUpdate {
     RegistryView view = RegistryView::UpstreamRecords;
     RegistryDelta delta;
+    StoreEra era = 0; ///< Of the store whose revisions the delta holds.
 };
 
 /// Splits @p delta into consecutive parts, each with at most @p bytes of keys and values or with the changes of a
--- a/src/gateway/registryfollower.h
+++ b/src/gateway/registryfollower.h
@@ -99,6 +99,22 @@
             read();
     }
 
+    /// Forgets what was read, as the store has come back from an older copy, which gives revisions out again, and reads
+    /// a snapshot at once. Results of earlier calls are ignored.
+    void restart()
+    {
+        m_revision = m_newestChange = m_sought = 0;
+        m_known.clear();
+        read();
+    }
+
+    /// Reads a snapshot at once, unless one is being read.
+    void readAgain()
+    {
+        if (m_state != State::Reading)
+            read();
+    }
+
     /// Retries at once if a retry is scheduled after a failure. To be called when the store has answered another call
     /// of this node, or a call of another node.
     void retryNow()
--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -122,6 +122,21 @@
         m_ownRecords.reconnect();
     }
 
+    /// Reads all views anew, as the store has come back from an older copy.
+    void restart()
+    {
+        m_revisionTimes = {};
+        m_operatorDocuments.restart();
+        m_upstreamRecords.restart();
+        m_ownRecords.restart();
+    }
+
+    /// Calls the store, whose answer states its era, as another node has reported a later one.
+    void confirmEra()
+    {
+        m_ownRecords.readAgain();
+    }
+
 private:
     static constexpr Duration operatorPause = std::chrono::milliseconds{100};
     /// Pause of the reader between two watches of the upstreams' records, as a fraction of the drain bound. All
--- a/src/gateway/streamrecords.h
+++ b/src/gateway/streamrecords.h
@@ -113,6 +113,13 @@
         });
     }
 
+    /// Forgets the lease and the histories that were written, as the store has come back from an older copy.
+    void onStoreRestored()
+    {
+        m_lease = 0;
+        m_stored.clear();
+    }
+
     /// Takes over the histories in a snapshot of the store, by key.
     void onSnapshot(const std::map<std::string, KeyValue> &values, Instant now, std::int64_t wallMs)
     {
--- a/tests/gateway/ordertermtest.cpp
+++ b/tests/gateway/ordertermtest.cpp
@@ -3,9 +3,11 @@
 #include "support/table.h"
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
+#include <tuple>
 #include <utility>
 
 using namespace Gypsumtally;
@@ -16,6 +18,7 @@
 
 constexpr Duration minOrderGap = std::chrono::seconds{3}; ///< Minimum time between orders of two nodes.
 constexpr Duration step = std::chrono::milliseconds{10};
+constexpr Duration maxCopyAge = std::chrono::seconds{6}; ///< Of the copy that the store comes back from.
 constexpr Duration historyTime = std::chrono::minutes{3};
 constexpr unsigned nodes = 4;
 constexpr std::uint64_t seeds = 40;
@@ -27,6 +30,7 @@
     double restarts = 0;
     double freezes = 0; ///< A node's process is suspended for a while.
     double lostReleases = 0; ///< Fraction of lost release messages, 0 to 1; the others are delayed.
+    double restorations = 0; ///< The store comes back from a copy that is up to 6 s old.
 };
 
 const LeaseFaults faultCases[] = {
@@ -35,6 +39,8 @@
     {.partitions = 0.2},
     {.restarts = 0.2},
     {.freezes = 0.2},
+    {.partitions = 0.1, .restorations = 0.1},
+    {.partitions = 0.1, .restarts = 0.2, .freezes = 0.1, .lostReleases = 0.3, .restorations = 0.1},
     {.keyDeletions = 0.1, .partitions = 0.1, .restarts = 0.1, .freezes = 0.1, .lostReleases = 0.5},
 };
 
@@ -57,6 +63,11 @@
                 m_leased = 0;
             if (happens(m_faults.keyDeletions))
                 m_leased = 0;
+            if (happens(m_faults.restorations))
+                restore();
+            m_copies.emplace_back(m_now, std::pair{m_term, m_revision});
+            if (m_copies.front().first < m_now - maxCopyAge)
+                m_copies.pop_front();
             while (!m_messages.empty() && m_messages.begin()->first <= m_now)
                 m_messages.extract(m_messages.begin()).mapped()();
             for (unsigned i = 0; i < nodes; ++i)
@@ -65,6 +76,7 @@
     }
 
     unsigned prematureOrders = 0; ///< Orders that came too soon after those of another node.
+    unsigned fallingFences = 0; ///< Orders with a lower fencing token than an earlier one.
     unsigned orders = 0;
     unsigned holders = 0; ///< Number of changes of the ordering node.
 
@@ -73,7 +85,7 @@
         OrderHolder self;
         OrderLease lease{OrderLeaseSettings{}};
         std::uint64_t leaseId = 0; ///< Lease in the store; 0 if the node does not hold it.
-        std::uint64_t nextTerm = 0;
+        StoreEra era = 0; ///< The last that the store has stated.
         Instant renewed{};
         Instant partitionedUntil{};
         Instant unavailableUntil{}; ///< Frozen or down until then.
@@ -115,6 +127,8 @@
         const bool reachesStore = m_now >= node.partitionedUntil;
         if (node.leaseId != 0 && !node.lease.isHeld(m_now))
             lose(node);
+        if (reachesStore && std::exchange(node.era, m_era) != m_era && node.leaseId != 0)
+            lose(node);
         if (node.leaseId == 0 && reachesStore && m_leased == 0)
             acquire(node);
         else if (node.leaseId != 0 && reachesStore && m_now - node.renewed >= node.lease.settings().renewalValidity / 3)
@@ -127,13 +141,23 @@
 
     void acquire(Node &node)
     {
-        node.nextTerm = m_term.number + 1;
-        const auto predecessor = predecessorOf(m_term, node.self);
+        const auto predecessor = predecessorOf(m_term, node.self, m_era);
+        m_term = termAfter(m_term, node.self, m_era);
+        m_term.revision = ++m_revision;
         m_leased = node.leaseId = ++m_lastLease;
         m_leaseEnds = m_now + node.lease.settings().ttl;
-        m_term = {node.nextTerm, node.self, false, ++m_revision};
         node.renewed = m_now;
-        node.lease.onAcquired(node.nextTerm, static_cast<std::uint64_t>(m_revision), m_now, m_now, predecessor);
+        node.lease.onAcquired(m_term.number, fenceOf(m_term, m_revision), m_now, m_now, predecessor);
+    }
+
+    /// Replaces the store by a copy of it, without leases.
+    void restore()
+    {
+        if (m_copies.empty())
+            return;
+        std::tie(m_term, m_revision) = m_copies[m_random() % m_copies.size()].second;
+        m_leased = 0;
+        ++m_era;
     }
 
     void renew(Node &node)
@@ -164,6 +188,8 @@
     {
         node.lease.onOrder(m_now);
         ++orders;
+        fallingFences += node.lease.fence() < m_highestFence;
+        m_highestFence = std::max(m_highestFence, node.lease.fence());
         for (unsigned other = 0; other < nodes; ++other) {
             const auto last = m_lastOrders.find(other);
             if (other != number && last != m_lastOrders.end() && m_now - last->second < minOrderGap)
@@ -185,6 +211,9 @@
     std::uint64_t m_lastLease = 0;
     Instant m_leaseEnds{};
     Revision m_revision = 0;
+    StoreEra m_era = 1;
+    std::deque<std::pair<Instant, std::pair<OrderTerm, Revision>>> m_copies; ///< Of the last seconds.
+    std::uint64_t m_highestFence = 0;
     std::map<unsigned, Instant> m_lastOrders;
     unsigned m_orderer = nodes;
 };
@@ -198,10 +227,11 @@
         LeaseHistory history(row, seed);
         history.run();
         cr_assert_eq(history.prematureOrders, 0U, "seed %llu", static_cast<unsigned long long>(seed));
+        cr_assert_eq(history.fallingFences, 0U, "seed %llu", static_cast<unsigned long long>(seed));
         cr_assert_gt(history.orders, 1000U, "seed %llu", static_cast<unsigned long long>(seed));
         holders += history.holders;
     }
-    const bool isQuiet = row.keyDeletions + row.partitions + row.restarts + row.freezes == 0;
+    const bool isQuiet = row.keyDeletions + row.partitions + row.restarts + row.freezes + row.restorations == 0;
     cr_assert(isQuiet ? holders == seeds : holders > 2 * seeds, "%u", holders);
 }
 
@@ -218,6 +248,8 @@
     {{3, {"n1", 50}, true, 9}, Predecessor::Own}, // An earlier process of this machine.
     {{3, {"n1", 50}, false, 9}, Predecessor::Other}, // That process may still have been waiting for another machine.
     {{3, {"n2", 50}, true, 9}, Predecessor::Other},
+    {{3, {"n1", 50}, true, 9, 2, 1}, Predecessor::Other}, // The store may have lost the term of another machine.
+    {{3, {"n1", 50}, true, 9, 4, 1}, Predecessor::Own},
 };
 
 const char *const invalidRecords[] = {"", "[]", "not json"};
@@ -226,11 +258,13 @@
 
 TABLE_TEST(OrderTerm, relationToPredecessor, predecessors)
 {
-    cr_assert(predecessorOf(row.last, {"n1", 70}) == row.predecessor);
+    cr_assert(predecessorOf(row.last, {"n1", 70}, row.last.era == 0 ? 0 : 4) == row.predecessor);
     const auto read = decodeOrderTerm(encode(row.last), row.last.revision);
     cr_assert(read.holder == row.last.holder);
     cr_assert_eq(read.number, row.last.number);
     cr_assert_eq(read.settled, row.last.settled);
+    cr_assert_eq(read.era, row.last.era);
+    cr_assert_eq(read.firstEra, row.last.firstEra);
 }
 
 TABLE_TEST(OrderTerm, invalidTermRecord, invalidRecords)
--- a/tests/gateway/placementcontrollertest.cpp
+++ b/tests/gateway/placementcontrollertest.cpp
@@ -58,6 +58,16 @@
         std::vector<std::function<void(const std::string &, const std::optional<std::string> &, Revision)>> watchers;
     };
 
+    /// Replaces the contents by those of @p copy, in which no lease is left, and lets all watchers read them.
+    static void restore(Shared &shared, const Shared &copy)
+    {
+        shared.values = copy.values;
+        shared.revision = copy.revision;
+        for (const auto &[key, lease] : copy.leases)
+            shared.values.erase(key);
+        shared.leases.clear();
+    }
+
     LeaseStore(Http::EventLoop &loop, Shared &shared)
         : m_loop(loop)
         , m_shared(shared)
@@ -157,9 +167,24 @@
                 else
                     orders.onHolderRecord(value, revision);
             });
+        orders.setEra(1);
         orders.onHolderRecord(std::nullopt, 0);
     }
 
+    /// Reads a snapshot of the store's records.
+    void readRecords(const LeaseStore::Shared &shared)
+    {
+        const auto at = [&](const std::string &key) {
+            const auto it = shared.values.find(key);
+            return it == shared.values.end() ? std::pair{std::optional<std::string>{}, Revision{}}
+                                             : std::pair{std::optional(it->second.first), it->second.second};
+        };
+        const auto term = at("term");
+        orders.onTermRecord(term.first, term.second);
+        const auto holder = at("holder");
+        orders.onHolderRecord(holder.first, holder.second);
+    }
+
 private:
     static OrderLeaseSettings settings()
     {
@@ -199,7 +224,23 @@
         m_loop.run();
     }
 
+    LeaseStore::Shared copyStore() const
+    {
+        return m_shared;
+    }
+
+    /// Lets the store come back from @p copy in a new era.
+    void restoreStore(const LeaseStore::Shared &copy)
+    {
+        LeaseStore::restore(m_shared, copy);
+        for (auto *holder : {&a, &b}) {
+            holder->orders.setEra(2);
+            holder->readRecords(m_shared);
+        }
+    }
+
     unsigned doubleOrdering = 0; ///< Ticks at which both may order.
+    Duration shortestTurn = Duration::max(); ///< Shortest time between orders of different nodes.
 
 private:
     void tick()
@@ -208,11 +249,21 @@
         a.orders.tick(now);
         b.orders.tick(now);
         doubleOrdering += a.orders.isOrdering() && b.orders.isOrdering();
+        for (auto *holder : {&a, &b}) {
+            if (!holder->orders.isOrdering())
+                continue;
+            if (m_lastOrderer && m_lastOrderer != holder)
+                shortestTurn = std::min(shortestTurn, now - m_lastOrderAt);
+            m_lastOrderer = holder;
+            m_lastOrderAt = now;
+        }
         m_loop.runAfter(milliseconds{20}, [this] { tick(); });
     }
 
     Http::EventLoop m_loop;
     LeaseStore::Shared m_shared;
+    const Holder *m_lastOrderer = nullptr;
+    Instant m_lastOrderAt{};
 
 public:
     Holder a;
@@ -253,3 +304,23 @@
     cr_assert_neq(holders.a.orders.isOrdering(), row.isMoved, "%s: after the cut", row.name);
     cr_assert_eq(holders.doubleOrdering, 0U, "%s: two holders", row.name);
 }
+
+/// Two nodes ordered in turn after the store had come back from a copy that named the earlier one as the last holder.
+Test(PlacementController, waitsForHoldersThatARestoredStoreHasLost)
+{
+    Holders holders;
+    holders.run(milliseconds{4000});
+    cr_assert(holders.a.orders.isOrdering(), "the first holder");
+    const auto copy = holders.copyStore();
+    holders.a.orders.setReachesEngines(false);
+    holders.run(milliseconds{4500});
+    cr_assert(holders.b.orders.isOrdering(), "the second holder");
+    holders.a.orders.setReachesEngines(true);
+    holders.shortestTurn = Duration::max();
+    holders.restoreStore(copy);
+    holders.run(milliseconds{5000});
+    cr_assert(holders.a.orders.isOrdering() || holders.b.orders.isOrdering(), "a holder in the new era");
+    cr_assert_eq(holders.doubleOrdering, 0U);
+    cr_assert_geq(holders.shortestTurn, handover, "%lld us between orders of two nodes",
+                  static_cast<long long>(holders.shortestTurn.count()));
+}
--- a/tests/gateway/registryfollowertest.cpp
+++ b/tests/gateway/registryfollowertest.cpp
@@ -404,3 +404,20 @@
     followed.answerRead(7, {{"p/a", "1", 2}});
     cr_assert_eq(followed.follower.newestChange(), 2);
 }
+
+/// Changes at revisions that a store back from an older copy gave out again were skipped.
+Test(RegistryFollower, readsAnewAfterTheStoreWasRestored)
+{
+    Followed followed;
+    followed.answerRead(9, {{"p/a", "old", 9}});
+    const auto staleWatch = followed.store.watching;
+    followed.follower.restart();
+    staleWatch({true, false, {{"p/a", "old", 10}}, 10});
+    followed.settle();
+    cr_assert(followed.changes.empty());
+    followed.answerRead(5, {{"p/a", "older", 5}});
+    cr_assert(followed.read.empty()); // Other nodes cannot follow from a revision of the earlier era.
+    cr_assert_eq(followed.store.lastAfter, 5);
+    followed.answerWatch({true, false, {{"p/b", "new", 7}}, 7});
+    cr_assert_eq(followed.changes.size(), 1U);
+}
--- a/tests/platformadapter/storeclienttest.cpp
+++ b/tests/platformadapter/storeclienttest.cpp
@@ -1,12 +1,15 @@
 #include "platform/storeclient.h"
 
 #include "support/rawserver.h"
+#include "support/scriptedserver.h"
 #include "support/table.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace Gypsumtally;
 
@@ -134,3 +137,57 @@
     cr_assert(lease.has_value(), "%s", row.name);
     cr_assert_eq(lease->has_value(), row.isAnswer, "%s", row.name);
 }
+
+namespace
+{
+
+struct EraCase {
+    const char *name;
+    std::vector<std::string> eras; ///< In the answers to one call after the other; empty if none is stated.
+    std::vector<bool> areAnswered;
+    std::vector<StoreEra> reported;
+    unsigned unreadable = 0;
+};
+
+const EraCase eras[] = {
+    {"none", {"", ""}, {true, true}, {}},
+    {"the same", {"3", "3"}, {true, true}, {3}},
+    {"rises", {"3", "4"}, {true, true}, {3, 4}},
+    {"falls", {"4", "3", "4"}, {true, false, true}, {4}},
+    {"not a number", {"4", "x"}, {true, true}, {4}, 1},
+};
+
+} // namespace
+
+/// Answers from before the store came back from an older copy were taken for ones from after it.
+TABLE_TEST(StoreClient, tellsErasOfTheStoreApart, eras)
+{
+    Http::EventLoop loop;
+    std::size_t answers = 0;
+    const auto body = snapshot(item("7"), "9");
+    Testing::ScriptedServer server(loop, [&](const Testing::ScriptedRequest &) {
+        const auto &era = row.eras[answers];
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n"
+               + (era.empty() ? "" : "Store-Era: " + era + "\r\n") + "\r\n" + body;
+    });
+    Platform::StoreClient client(loop, server.endpoint());
+    std::vector<StoreEra> reported;
+    unsigned unreadable = 0;
+    client.onEra([&](StoreEra era) { reported.push_back(era); });
+    client.onUnreadableEra([&](const std::string &) { ++unreadable; });
+    std::vector<bool> areAnswered;
+    std::function<void()> ask = [&] {
+        client.readPrefix("p/", [&](const KeyReply &reply) {
+            areAnswered.push_back(reply.outcome == KeyOutcome::Applied);
+            if (++answers == row.eras.size())
+                return loop.stop();
+            loop.post(ask);
+        });
+    };
+    ask();
+    loop.runAfter(std::chrono::seconds{2}, [&] { loop.stop(); });
+    loop.run();
+    cr_assert(areAnswered == row.areAnswered, "%s", row.name);
+    cr_assert(reported == row.reported, "%s", row.name);
+    cr_assert_eq(unreadable, row.unreadable, "%s", row.name);
+}
