UpstreamClient: report a connection that was only to be made

What callers saw: nothing directly. A node that probed a plain worker, or an upstream that limits its requests, never learnt that it reached it: the connection stayed open until the worker closed it, and that counted as a failure to connect.

Cause: connect() initialised a neighbouring member in place of isConnectOnly.

Evidence: Relay/reportsWhetherAConnectionWasMade: 1 of 2 rows failed before (no result, connection open); 52 of 52 tests of relaytest pass after.

The member is set by name, and the outcome tells a refusal from other failures.

--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -183,14 +183,20 @@
             m_client.fetch(destination, Dialect::writeLivenessCheck(process.instance), onState, options);
             return;
         }
-        const auto onResult = [this, process, sentAt](bool isConnected) {
-            const auto now = BootClock{}.now();
-            if (isConnected)
-                m_context.recordContact(process, now, sentAt);
-            else
-                m_context.recordFailure(process, ReachFailure::NotConnected, now);
-        };
-        m_client.connect(destination, onResult, options);
+        m_client.connect(
+            destination,
+            [this, process, sentAt](Relay::ConnectResult result) { recordConnection(process, result, sentAt); },
+            options);
+    }
+
+    /// Records whether @p process has accepted a connection.
+    void recordConnection(const UpstreamProcess &process, Relay::ConnectResult result, Instant sentAt)
+    {
+        const auto now = BootClock{}.now();
+        if (result == Relay::ConnectResult::Connected)
+            m_context.recordContact(process, now, sentAt);
+        else
+            m_context.recordFailure(process, ReachFailure::NotConnected, now);
     }
 
     /// Records whether @p process has answered a question for its state.
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -371,16 +371,21 @@
     return token;
 }
 
-UpstreamClient::Token UpstreamClient::connect(const Destination &destination, const std::function<void(bool)> &onResult,
+UpstreamClient::Token UpstreamClient::connect(const Destination &destination,
+                                              const std::function<void(ConnectResult)> &onResult,
                                               const SendOptions &options)
 {
     const auto token = ++m_d->lastToken;
     ExchangeObserver observer;
-    observer.onEnd = [onResult] { onResult(true); };
-    observer.onFailure = [onResult](const FailedExchange &) { onResult(false); };
+    observer.onEnd = [onResult] { onResult(ConnectResult::Connected); };
+    observer.onFailure = [onResult](const FailedExchange &failure) {
+        onResult(failure.isRefused ? ConnectResult::Refused : ConnectResult::Failed);
+    };
     auto connection = std::make_shared<Connection>(m_d->shared, poolKey(destination));
     m_d->shared->busy.emplace(token, connection);
-    connection->begin({token, {}, std::move(observer), BootClock{}.now() + options.connectTimeout, {}, false, true});
+    PendingExchange exchange{token, {}, std::move(observer), BootClock{}.now() + options.connectTimeout};
+    exchange.isConnectOnly = true;
+    connection->begin(std::move(exchange));
     connection->connect(destination.endpoint, options.unsentBytesTimeoutMs);
     return token;
 }
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -30,6 +30,13 @@
     Malformed, ///< The received bytes are not an HTTP response.
 };
 
+/// Outcome of opening a connection.
+enum class ConnectResult {
+    Connected,
+    Refused, ///< No process listens at the endpoint.
+    Failed, ///< It was not established in time, or cannot be.
+};
+
 struct FailedExchange {
     ExchangeFailure kind = ExchangeFailure::Broken;
     bool sent = false; ///< True if a byte of the request may have left this process.
@@ -95,8 +102,8 @@
                 const std::function<void(const WholeResponse &)> &onResponse, const SendOptions &options);
 
     /// Opens a connection to @p destination and closes it without sending anything. @p onResult is called once with
-    /// whether the connection was established, unless this is cancelled.
-    Token connect(const Destination &destination, const std::function<void(bool)> &onResult,
+    /// the outcome, unless this is cancelled.
+    Token connect(const Destination &destination, const std::function<void(ConnectResult)> &onResult,
                   const SendOptions &options);
 
     /// Closes the connection of a request, whose observer is not called again. Does nothing for a finished request.
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -847,3 +847,33 @@
     cr_assert(caller.received().starts_with("HTTP/1.1 408"), "%s", caller.received().c_str());
     cr_assert_eq(server.requests, 0U);
 }
+
+namespace
+{
+
+struct ConnectCase {
+    const char *name;
+    bool isListening;
+    ConnectResult result;
+};
+
+const ConnectCase connects[] = {
+    {"a process listens", true, ConnectResult::Connected},
+    {"no process listens", false, ConnectResult::Refused},
+};
+
+} // namespace
+
+/// A connection that was to be closed at once stayed open, and its success was not reported.
+TABLE_TEST(Relay, reportsWhetherAConnectionWasMade, connects)
+{
+    AnsweringServer server;
+    UpstreamClient client(server.loop);
+    if (!row.isListening)
+        server.server.stopAccepting();
+    std::optional<ConnectResult> result;
+    client.connect({server.endpoint, "a"}, [&](ConnectResult outcome) { result = outcome; }, {});
+    RawCaller::runLoop(server.loop, std::chrono::milliseconds{100});
+    cr_assert(result == row.result, "%s", row.name);
+    cr_assert_eq(server.server.connections(), 0U, "%s", row.name);
+}
