UpstreamMonitor: find out whether a plain worker has crashed at a broken exchange

Cause: only engines were asked for their state when an exchange broke. A plain worker counted as crashed only if two exchanges broke at once or another request was refused a connection.

The node connects to the worker, without a request that could be counted, at once and again for 300 ms while its listener still answers; a refused connection is a crash, which goes to the other nodes after the usual time for their evidence. A worker that only resets one connection accepts the next and is not reported.

--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -50,6 +50,8 @@
                 checkLiveness(process, upstream->record.endpoint);
         } else if (m_detector.isSimultaneous(process, now)) {
             onCrashed(process.instance, now);
+        } else if (isCheckDue) {
+            checkConnection(process, now);
         }
     }
 
@@ -74,6 +76,7 @@
             for (const auto &process : m_context.reach.takeProbes(now))
                 probe(process);
         }
+        repeatConnectionChecks(now);
         std::erase_if(m_unconfirmed, [&](const UnconfirmedCrash &crash) {
             const auto &process = crash.report.process;
             const bool isRefuted = m_context.reach.hasAnsweredPeerSince(process, crash.at)
@@ -122,6 +125,10 @@
     /// Time for which an upstream is avoided after a failed connection, a silence, or a crash.
     static constexpr Duration avoidanceTime = std::chrono::milliseconds{600};
 
+    /// Time that a process that crashes may take from the end of its exchanges to that of its listener.
+    static constexpr Duration exitTime = std::chrono::milliseconds{300};
+    static constexpr Duration connectionCheckInterval = std::chrono::milliseconds{100};
+
     static ProcessCheck resultOf(const Relay::WholeResponse &response, const UpstreamProcess &process)
     {
         if (response.head.status == 200)
@@ -199,6 +206,38 @@
             m_context.recordFailure(process, ReachFailure::NotConnected, now);
     }
 
+    /// Connects to an upstream that must not be asked for its state, after an exchange broke there at @p brokenAt, and
+    /// reports its crash if no process listens any more.
+    void checkConnection(const UpstreamProcess &process, Instant brokenAt)
+    {
+        const auto *upstream = m_context.upstreams.find(process.instance);
+        if (!upstream || upstream->record.startedAt != process.startedAt)
+            return;
+        const auto sentAt = BootClock{}.now();
+        const auto onResult = [this, process, brokenAt, sentAt](Relay::ConnectResult result) {
+            const auto now = BootClock{}.now();
+            recordConnection(process, result, sentAt);
+            if (result == Relay::ConnectResult::Refused)
+                onCrashed(process.instance, now);
+            else if (result == Relay::ConnectResult::Connected && now - brokenAt < exitTime)
+                m_connectionChecks.push_back({process, brokenAt, now + connectionCheckInterval});
+        };
+        auto options = checkOptions();
+        options.maxIdleAge = {};
+        m_context.reach.onProbed(process, sentAt);
+        m_client.connect({upstream->record.endpoint, process.instance}, onResult, options);
+    }
+
+    void repeatConnectionChecks(Instant now)
+    {
+        for (const auto &check : std::exchange(m_connectionChecks, {})) {
+            if (now < check.dueAt)
+                m_connectionChecks.push_back(check);
+            else
+                checkConnection(check.process, check.brokenAt);
+        }
+    }
+
     /// Records whether @p process has answered a question for its state.
     void recordAnswer(const UpstreamProcess &process, const Relay::WholeResponse &response, Instant sentAt)
     {
@@ -223,9 +262,17 @@
         Instant at{};
     };
 
+    /// A further attempt to connect to an upstream at which an exchange broke.
+    struct ConnectionCheck {
+        UpstreamProcess process;
+        Instant brokenAt{};
+        Instant dueAt{};
+    };
+
     Relay::UpstreamClient &m_client;
     CallContext &m_context;
     CrashDetector m_detector;
+    std::vector<ConnectionCheck> m_connectionChecks;
     std::vector<UnconfirmedCrash> m_unconfirmed;
 };
 
--- a/tests/gateway/callreachtest.cpp
+++ b/tests/gateway/callreachtest.cpp
@@ -84,6 +84,13 @@
     Relay::CallerServer m_entry;
 };
 
+/// How the process of a plain worker, or only an exchange with it, ends.
+enum class WorkerEnd {
+    ExchangeOnly,
+    Process,
+    ProcessLater, ///< Its listener outlives its exchanges.
+};
+
 /// Several nodes that exchange their reports, and scripted upstreams, on one event loop over the loopback interface.
 class ReachFixture
 {
@@ -99,7 +106,7 @@
         std::vector<UpstreamRecord> records;
         for (std::size_t i = 0; i < upstreamCount; ++i) {
             m_upstreams.push_back(std::make_unique<Relay::CallerServer>(
-                m_loop, Relay::CallerServerSettings{}, [this](const Exchange &exchange) { serve(exchange); }));
+                m_loop, Relay::CallerServerSettings{}, [this, i](const Exchange &exchange) { serve(i, exchange); }));
             UpstreamRecord record;
             record.instance = "u" + std::to_string(i);
             record.service = "s";
@@ -155,6 +162,12 @@
             node->links[upstream]->set(LinkState::Reset);
     }
 
+    /// Lets the next request that any upstream gets break off, and its process end as in @p end.
+    void breakNext(WorkerEnd end)
+    {
+        m_nextEnd = end;
+    }
+
     bool isCutOff(std::size_t node, std::size_t upstream)
     {
         return nodes[node]->context.upstreams.find("u" + std::to_string(upstream))->isCutOff;
@@ -176,8 +189,10 @@
         return route;
     }
 
-    void serve(const Exchange &exchange)
+    void serve(std::size_t upstream, const Exchange &exchange)
     {
+        if (const auto end = std::exchange(m_nextEnd, std::nullopt))
+            return breakExchange(upstream, exchange, *end);
         const Http::Headers headers{{"Id", std::string(exchange->request().headers.get("Id"))}, {"Proof", "p"}};
         if (!exchange->request().target.starts_with("/stream/"))
             return exchange->respond({200, headers, "1"});
@@ -186,6 +201,15 @@
         writeEvents(exchange, resume.empty() ? 1 : std::stoi(resume) + 1);
     }
 
+    void breakExchange(std::size_t upstream, const Exchange &exchange, WorkerEnd end)
+    {
+        exchange->abort();
+        if (end == WorkerEnd::Process)
+            crash(upstream);
+        else if (end == WorkerEnd::ProcessLater)
+            m_loop.runAfter(listenerTime, [this, upstream] { crash(upstream); });
+    }
+
     void writeEvents(const Exchange &exchange, int next)
     {
         if (next > eventCount)
@@ -227,11 +251,13 @@
     static constexpr int eventCount = 4;
     static constexpr Duration eventInterval = milliseconds{50};
     static constexpr Duration datagramTime = milliseconds{5};
+    static constexpr Duration listenerTime = milliseconds{150}; ///< From the end of a process's exchanges.
 
     Http::EventLoop m_loop;
     std::vector<std::unique_ptr<Relay::CallerServer>> m_upstreams;
     Relay::UpstreamClient m_client;
     unsigned m_asked = 0;
+    std::optional<WorkerEnd> m_nextEnd;
 };
 
 struct CutCase {
@@ -325,6 +351,37 @@
 namespace
 {
 
+struct LoneBreakCase {
+    const char *name;
+    std::size_t nodes;
+    WorkerEnd end;
+};
+
+const LoneBreakCase loneBreaks[] = {
+    {"one node, crash", 1, WorkerEnd::Process},
+    {"one node, listener ends later", 1, WorkerEnd::ProcessLater},
+    {"one node, reset only", 1, WorkerEnd::ExchangeOnly},
+    {"three nodes, crash", 3, WorkerEnd::Process},
+    {"three nodes, listener ends later", 3, WorkerEnd::ProcessLater},
+    {"three nodes, reset only", 3, WorkerEnd::ExchangeOnly},
+};
+
+} // namespace
+
+/// A request that crashes each plain worker was passed on without end in a quiet hour, as no node knew of the crashes.
+TABLE_TEST(CallReach, reportsCrashOfAPlainWorkerAtASingleBrokenExchange, loneBreaks)
+{
+    ReachFixture fixture(row.nodes);
+    fixture.breakNext(row.end);
+    fixture.ask(*fixture.nodes[0], "/safe/1", {});
+    fixture.run(milliseconds{1200});
+    const auto expected = row.end == WorkerEnd::ExchangeOnly ? 0U : 1U;
+    cr_assert_eq(fixture.nodes[0]->crashes, expected, "%s: %u crashes reported", row.name, fixture.nodes[0]->crashes);
+}
+
+namespace
+{
+
 struct SummaryCase {
     const char *name;
     std::vector<std::string> cutOff;
