Test of configuration changes: waits for the liveness check it counts

The rows that resume count the liveness check of the upstream that broke the stream off. The check is awaited for a second before the sends are counted; the number stays exact.

--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -443,6 +443,17 @@
             m_loop.runAfter(delay, action);
     }
 
+    /// Runs the loop until the upstreams have received @p number requests, for @p time at most.
+    void awaitSends(unsigned number, Duration time)
+    {
+        const auto until = BootClock{}.now() + time;
+        while (sends < number && BootClock{}.now() < until) {
+            m_loop.runAfter(std::chrono::milliseconds{10}, [this] { m_loop.stop(); });
+            m_loop.context().restart();
+            m_loop.run();
+        }
+    }
+
     /// Returns true if the change that configureAt() has scheduled is in force.
     bool isChanged() const
     {
@@ -1329,6 +1340,7 @@
 namespace
 {
 
+constexpr Duration checkTime = std::chrono::seconds{1}; ///< For a liveness check that comes after the answer.
 constexpr Duration answerDelay = std::chrono::milliseconds{150}; ///< From the change to the rest of the answer.
 
 void streamLate(const Exchange &exchange)
@@ -1487,6 +1499,7 @@
         const auto status = fixture.ask(row.path, row.target);
         cr_assert_eq(status, 200U, "%s, %s: status %u, %s", row.name, change.name, status, fixture.body.c_str());
         cr_assert_eq(fixture.body, std::string(row.body), "%s, %s: %s", row.name, change.name, fixture.body.c_str());
+        fixture.awaitSends(row.sends, checkTime);
         cr_assert_eq(fixture.sends, row.sends, "%s, %s: %s", row.name, change.name, fixture.received.c_str());
         cr_assert(fixture.isChanged(), "%s, %s", row.name, change.name);
     }
