Calls that a peer's server refuses unread go to another peer

A request whose node is cut off from its upstreams and that it passed to a peer with a smaller limit on bodies (a newer desired state there, or a larger limit that the peer does not have yet) was answered 502 by its node though it had not run: the peer's server refuses it with 413 before the peer reads it as a call, and an answer without the relay headers counted as one that may have followed a run. The same goes for 400, 408 and 431.

A peer states what became of each call that it has read, so an error of the 4xx kind without that statement comes from its server, and the call has not run. It now goes to another peer, and is refused as not run if there is none.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1270,6 +1270,8 @@
     {
         noteProgress(call, BootClock{}.now());
         auto answer = readRelayedAnswer(head.headers);
+        if (!answer && head.status / 100 == 4)
+            return leaveUnreadByPeer(call, head.status);
         if (!answer)
             return dropSend(call, "the answer is not one to a relayed call");
         call->peerAnswer = std::move(*answer);
@@ -1281,6 +1283,15 @@
             dropSend(call, "the stream goes on at another software version");
     }
 
+    /// Tries another peer, as the server of this one has refused the call unread: the peer states what became of each
+    /// call that it has read.
+    void leaveUnreadByPeer(const CallPtr &call, unsigned status)
+    {
+        m_client.cancel(call->token);
+        onFailure(call, {Relay::ExchangeFailure::NotConnected, false,
+                         "the peer refused the call unread with " + std::to_string(status)});
+    }
+
     /// Cancels the current send and treats it as broken.
     void dropSend(const CallPtr &call, const std::string &reason)
     {
--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -74,6 +74,14 @@
         m_relayed.sweep(now);
     }
 
+    /// Lets the node take calls of other nodes with bodies of @p bytes at most.
+    void limitRelayedBodies(std::size_t bytes)
+    {
+        Relay::CallerServerSettings settings;
+        settings.limits.bodyBytes = bytes;
+        m_relayed.setSettings(settings);
+    }
+
     /// Cuts the node off from all upstreams, or ends the cut.
     void setLinks(LinkState state)
     {
@@ -596,6 +604,35 @@
     cr_assert_gt(fixture.nodes[1]->received, 0U);
 }
 
+/// Requests that had not run were answered 502 if the limit on bodies was smaller at the peer than at their node.
+Test(CallRelay, peersWithASmallerLimitOnBodiesAreFollowedByOthers)
+{
+    RelayFixture fixture(3);
+    fixture.cutOff(0);
+    fixture.nodes[1]->limitRelayedBodies(4);
+    for (const auto *path : {"/once/1", "/safe/1", "/stream/1"}) {
+        for (int i = 0; i < 8; ++i) {
+            const auto answer = fixture.ask(0, path);
+            fixture.await(answer);
+            cr_assert_eq(answer->status, 200U, "%s: %u %s", path, answer->status, answer->body.c_str());
+        }
+    }
+    cr_assert_eq(fixture.served, 24U);
+}
+
+/// A call that no peer takes is refused as not run.
+Test(CallRelay, refusesCallsTooLargeForAllPeers)
+{
+    RelayFixture fixture(3);
+    fixture.cutOff(0);
+    for (const std::size_t node : {1, 2})
+        fixture.nodes[node]->limitRelayedBodies(4);
+    const auto answer = fixture.ask(0, "/once/1");
+    fixture.await(answer);
+    cr_assert_eq(answer->status, 503U, "%u %s", answer->status, answer->body.c_str());
+    cr_assert_eq(fixture.served, 0U);
+}
+
 Test(CallRelay, refusesAtOnceIfAllPeersAreCutOff)
 {
     RelayFixture fixture(4);
