Send nothing at a stop that the exit would cut, and end each call before it

A stop was two moments in the loop, 3 s and 7.5 s after SIGTERM, that no step of a call knew. Callers whose request came or was sent late got a channel that closed in the middle of the answer, or with none at all if the call still waited.

StopSchedule now says, without I/O, whether requests are taken, until when a call may be sent so that it ends before the exit, and when calls are ended. A call that may be repeated and came within 3 s counts with its usual length, any other with its longest; a call whose deadline lies before the end may always be sent. What cannot be sent in time, also for a reserved time or an end of backpressure that is known to be too late, is refused as not run at once, with a short Retry-After while other nodes take callers. A node goes on taking requests after 3 s while no other takes them, as all may stop at once. At the end each call gets a refusal, a 502, or the end of its begun stream, whose origin is broadcast; the process exits 0.15 s later.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -6,6 +6,7 @@
 #include "gateway/dialect.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/gatewaylog.h"
+#include "gateway/stopschedule.h"
 #include "gateway/upstreammonitor.h"
 #include "gateway/upstreamroom.h"
 #include "gateway/waittimes.h"
@@ -34,7 +35,8 @@
 struct StopCounts {
     unsigned accepted = 0; ///< Calls that were read.
     unsigned sent = 0; ///< Sends to upstreams and peers.
-    unsigned cut = 0; ///< Calls that the exit ends.
+    unsigned refused = 0; ///< Calls that would not have ended before the exit.
+    unsigned cut = 0; ///< Calls that the exit ended.
 };
 
 /// Forwards callers' requests to upstreams and the answers back: selects an upstream, sends, retries where that is
@@ -163,21 +165,34 @@
         return m_calls.size();
     }
 
-    /// Counts calls and sends from now on, as the node stops.
-    void beginStop()
+    /// Sends from now on only what ends before the node does, as @p schedule says, and refuses the rest.
+    void beginStop(const StopSchedule &schedule)
     {
+        m_stop = schedule;
         m_stopCounts = {};
+        onPlacement();
     }
 
-    /// Logs each call that the exit of the process cuts, and returns what has become of calls since beginStop().
-    StopCounts finishStop()
+    /// Ends all calls, as the process exits: each gets a refusal, a failure if it may have run, or the end of its begun
+    /// answer, which its caller may take up elsewhere. Calls that are accepted later are refused. Precondition:
+    /// beginStop() was called.
+    void endCalls()
     {
-        for (const auto &call : m_calls)
-            logCut(*call);
-        for (const auto &call : m_unrouted) {
+        m_isOver = true;
+        for (const auto &call : std::exchange(m_unrouted, {})) {
             if (!call->done)
-                logCut(*call);
+                cut(call);
         }
+        const std::vector<CallPtr> calls(m_calls.begin(), m_calls.end());
+        for (const auto &call : calls) {
+            if (!call->done)
+                cut(call);
+        }
+    }
+
+    /// Returns what has become of calls since beginStop().
+    const StopCounts &stopCounts() const
+    {
         return m_stopCounts;
     }
 
@@ -258,6 +273,16 @@
     static constexpr int peerSilenceFactor = 2;
     static constexpr Duration evidencePollInterval = std::chrono::milliseconds{20}; ///< Of the other nodes.
     static constexpr std::size_t maxLoggedUpstreams = 16; ///< In one line.
+    /// Retry-After of calls that a node refuses because it stops, while other nodes take them.
+    static constexpr Duration elsewhereRetryAfter = std::chrono::milliseconds{50};
+    /// Expected and longest times of answers, in the usual ones of their service.
+    static constexpr double expectedInAnswerTimes = 4;
+    static constexpr double expectedInStreamTimes = 1.5;
+    static constexpr double longestInStreamTimes = 3; ///< For requests that state no bound on their tokens.
+    static constexpr Duration minLongestAnswer = std::chrono::seconds{1};
+    /// Factor and time by which a stream may exceed the estimate for the largest number of its tokens.
+    static constexpr double streamSafetyFactor = 1.25;
+    static constexpr Duration streamSafetyMargin = std::chrono::milliseconds{250};
     static constexpr double maxRetryAfterSeconds = 3600; ///< A peer states no longer time.
 
     struct Call {
@@ -343,6 +368,8 @@
             return refuse(call, 400, ErrorCode::BadRequest, bad->reason, {});
         call->request = std::move(std::get<CallerRequest>(decoded));
         if (!canRoute()) {
+            if (m_isOver)
+                return refuseStopping(call);
             m_unrouted.push_back(call);
             return;
         }
@@ -438,6 +465,8 @@
         if (call->done || call->token != 0)
             return;
         const auto now = BootClock{}.now();
+        if (refuseIfCut(call, now))
+            return;
         if (now < call->notBefore && !awaitsCutOffUpstream(*call)) {
             if (call->unconnected > 0 && !m_context.reach.cutOff().empty())
                 relayAroundCut(call, choose(*call, now), now);
@@ -479,6 +508,8 @@
         if (!choice)
             return waitForLoad(call, now);
         if (choice->sendAt > now) {
+            if (refuseIfCut(call, choice->sendAt))
+                return;
             const auto sendAt
                 = choice->isFull && isBrittle(call->service) ? endOfBacklog(*call, *choice, now) : choice->sendAt;
             if (sendAt > latestSend(*call))
@@ -978,6 +1009,8 @@
     /// it if that takes too long.
     void waitOutBackpressure(const CallPtr &call, Instant next, Instant now)
     {
+        if (refuseIfCut(call, next))
+            return;
         const auto wait = next - now;
         const bool isTooLate
             = call->answering ? next > latestSend(*call) : wait > (call->deadline - now) * maxBackpressureWaitFraction;
@@ -1862,18 +1895,58 @@
         finish(call);
     }
 
-    void logCut(const Call &call)
+    void cut(const CallPtr &call)
     {
         ++m_stopCounts.cut;
         const auto now = BootClock{}.now();
-        m_log.decision(GatewayEvent::CutByExit, call.request.id,
-                       {{"route", call.route.name},
-                        {"upstream", call.instance},
-                        {"peer", call.peer},
-                        {"waiting", call.token == 0 ? "yes" : "no"},
-                        {"answering", call.answering ? "yes" : "no"},
-                        {"sent_before_ms", call.sends > 0 ? std::to_string((now - call.sentAt).count() / 1000) : ""},
-                        {"after_ms", std::to_string((now - call.arrival).count() / 1000)}});
+        m_log.decision(GatewayEvent::CutByExit, call->request.id,
+                       {{"route", call->route.name},
+                        {"upstream", call->instance},
+                        {"peer", call->peer},
+                        {"waiting", call->token == 0 ? "yes" : "no"},
+                        {"answering", call->answering ? "yes" : "no"},
+                        {"sent_before_ms", call->sends > 0 ? std::to_string((now - call->sentAt).count() / 1000) : ""},
+                        {"after_ms", std::to_string((now - call->arrival).count() / 1000)}});
+        cancelSend(call);
+        refuseStopping(call);
+    }
+
+    /// Refuses the call so that it is tried elsewhere, or fails it if it may have run.
+    void refuseStopping(const CallPtr &call)
+    {
+        call->mayTryAnother = true;
+        const bool othersTakeCalls = m_context.relayPeers && !m_context.relayPeers().empty();
+        giveUp(call, ErrorCode::Stopping, "the node stops",
+               othersTakeCalls ? std::optional(elsewhereRetryAfter) : std::nullopt);
+    }
+
+    /// Refuses the call if this node stops and the call, sent at @p sendAt, would not end before. Returns true if so.
+    bool refuseIfCut(const CallPtr &call, Instant sendAt)
+    {
+        if (!m_stop || (!m_isOver && sendAt <= m_stop->latestSend(lengthOf(*call))))
+            return false;
+        ++m_stopCounts.refused;
+        refuseStopping(call);
+        return true;
+    }
+
+    /// Returns how long the call takes at an upstream that is no slower than others.
+    CallLength lengthOf(const Call &call)
+    {
+        CallLength length{call.arrival, call.deadline, {}, {}, call.route.mayRepeat()};
+        const auto speed = m_context.speeds[call.service].speed();
+        const auto milliseconds = [](double count) { return Duration{static_cast<std::int64_t>(count * 1000)}; };
+        if (call.route.kind != RequestKind::Streaming && call.request.target.empty()) {
+            length.expected = milliseconds(expectedInAnswerTimes * speed.answerMs);
+            length.longest = std::max(minLongestAnswer, milliseconds(silenceInAnswerTimes * speed.answerMs));
+            return length;
+        }
+        const double tokensMs
+            = call.request.promptTokens / speed.promptTokensPerMs + call.request.outputTokens * speed.stepMs;
+        const double boundMs = call.request.outputTokens > 0 ? tokensMs : longestInStreamTimes * speed.streamMs;
+        length.expected = milliseconds(std::min(boundMs, expectedInStreamTimes * speed.streamMs));
+        length.longest = milliseconds(streamSafetyFactor * boundMs) + streamSafetyMargin;
+        return length;
     }
 
     void onCallerGone(const CallPtr &call)
@@ -2000,6 +2073,8 @@
     /// go on later.
     void moveFromSilentUpstream(const CallPtr &call, Instant now)
     {
+        if (m_stop && now > m_stop->latestSend(lengthOf(*call)))
+            return;
         if (!m_context.allowance.hasRoom(call->service, now))
             return;
         const auto other = choose(*call, now, call->instance);
@@ -2073,6 +2148,8 @@
     UpstreamMonitor<Dialect> m_monitor;
     CallRelay m_relay;
     std::size_t m_relayedCalls = 0; ///< Routed calls of other nodes.
+    std::optional<StopSchedule> m_stop; ///< Set from SIGTERM on.
+    bool m_isOver = false; ///< The calls have been ended, as the process exits.
     StopCounts m_stopCounts;
     std::size_t m_bufferedBytes = 0; ///< Size of the buffered parts of answers that are not complete yet.
 };
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -11,6 +11,7 @@
 #include "gateway/placementcontroller.h"
 #include "gateway/reachreport.h"
 #include "gateway/registryviews.h"
+#include "gateway/stopschedule.h"
 #include "gateway/streamrecords.h"
 
 #include <algorithm>
@@ -18,6 +19,7 @@
 #include <chrono>
 #include <iterator>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -199,10 +201,11 @@
         m_log.note(GatewayEvent::Started,
                    {{"callers", Http::toString(m_settings.callers)}, {"store", Http::toString(m_settings.store)}});
         m_loop.run();
-        const auto counts = m_forwarder.finishStop();
+        const auto &counts = m_forwarder.stopCounts();
         m_log.note(GatewayEvent::Stopped, {{"active", std::to_string(activeRequests())},
                                            {"accepted", std::to_string(counts.accepted)},
                                            {"sent", std::to_string(counts.sent)},
+                                           {"refused", std::to_string(counts.refused)},
                                            {"cut", std::to_string(counts.cut)}});
     }
 
@@ -264,11 +267,6 @@
     static constexpr double allowanceSharesPerNode = 1.3;
     /// Limit on the calls of other nodes in progress, on a machine of capacity 1: what a quarter of a core passes on.
     static constexpr double relayedCallsPerCapacity = 200;
-    /// Time after SIGTERM in which new requests are still accepted.
-    static constexpr Duration acceptTimeAfterStop = std::chrono::milliseconds{3000};
-    /// Time before SIGKILL at which the process exits with requests still in flight.
-    static constexpr Duration exitMargin = std::chrono::milliseconds{500};
-
     static std::string ownPrefix()
     {
         return "gypsumtally/";
@@ -735,7 +733,7 @@
 
     bool isReady() const
     {
-        return m_context.routes && !m_context.awaitsVerdicts && !m_stopping;
+        return m_context.routes && !m_context.awaitsVerdicts && !m_stop;
     }
 
     void answerReadiness(Relay::CallerExchange &exchange)
@@ -787,7 +785,7 @@
     /// Writes this node's record under a new lease, in place of an earlier registration.
     void registerSelf()
     {
-        if (m_stopping)
+        if (m_stop)
             return;
         const auto retry = [this, registration = ++m_registrations] {
             m_loop.runAfter(registrationRetryInterval, [this, registration] {
@@ -824,7 +822,7 @@
 
     void renewSelf()
     {
-        if (m_stopping)
+        if (m_stop)
             return;
         m_store.renewLease(m_lease, [this, registration = m_registrations](std::optional<bool> renewed) {
             if (registration != m_registrations)
@@ -868,7 +866,7 @@
             m_metricsServer.sweep(now);
             m_entries.sweep(now);
         }
-        if (m_stopping)
+        if (m_stop)
             continueStop(now);
         m_loop.runAfter(tickInterval, [this] { tick(); });
     }
@@ -1366,11 +1364,9 @@
 
     void stop()
     {
-        if (m_stopping)
+        if (m_stop)
             return;
-        m_stopping = true;
-        m_stopAt = BootClock{}.now();
-        m_forwarder.beginStop();
+        m_stop = StopSchedule(BootClock{}.now(), m_settings.stopGrace);
         m_log.note(GatewayEvent::Stopping, {{"active", std::to_string(activeRequests())}});
         for (const auto &orders : m_orders)
             orders->stop();
@@ -1379,6 +1375,7 @@
         broadcast(report());
         if (m_lease != 0)
             m_store.endLease(m_lease);
+        m_forwarder.beginStop(*m_stop);
     }
 
     std::size_t activeRequests() const
@@ -1388,15 +1385,32 @@
 
     void continueStop(Instant now)
     {
-        const auto passed = now - m_stopAt;
-        if (passed < acceptTimeAfterStop)
+        if (now < m_stop->earliestExit())
             return;
-        m_callers.stopAccepting();
-        m_relayed.stopAccepting();
-        if ((m_callers.isDrained() && m_relayed.isDrained()) || passed > m_settings.stopGrace - exitMargin)
+        if (isDrained() || !m_stop->takesRequests(now, !m_members.relayPeers(now).empty())) {
+            m_callers.stopAccepting();
+            m_relayed.stopAccepting();
+        }
+        if (now >= m_stop->endOfCalls())
+            endCalls();
+        if (isDrained() || now >= m_stop->exitAt())
             m_loop.stop();
     }
 
+    bool isDrained() const
+    {
+        return m_callers.isDrained() && m_relayed.isDrained();
+    }
+
+    /// Ends all calls, and refuses requests that have come in part.
+    void endCalls()
+    {
+        m_forwarder.endCalls();
+        m_callers.refuseRest();
+        m_relayed.refuseRest();
+        flush();
+    }
+
     GatewaySettings m_settings;
     GatewayLog m_log;
     Metrics m_metrics;
@@ -1449,8 +1463,7 @@
     Instant m_estimatesSent{};
     std::map<std::string, LoggedSpeed> m_loggedSpeeds; ///< Last logged speed, by service.
     std::set<std::string> m_livePeers; ///< Last logged set of live peers.
-    bool m_stopping = false;
-    Instant m_stopAt{};
+    std::optional<StopSchedule> m_stop; ///< Set from SIGTERM on.
 };
 
 } // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/stopschedule.cpp
@@ -0,0 +1,27 @@
+#include "gateway/stopschedule.h"
+
+namespace Gypsumtally::Gateway
+{
+
+StopSchedule::StopSchedule(Instant stoppedAt, Duration grace)
+    : m_stoppedAt(stoppedAt)
+    , m_endOfCalls(stoppedAt + grace - endMargin)
+{
+}
+
+bool StopSchedule::takesRequests(Instant now, bool othersTakeCallers) const
+{
+    if (now < m_stoppedAt + takingTime)
+        return true;
+    return !othersTakeCallers && now < m_endOfCalls - closingTime;
+}
+
+Instant StopSchedule::latestSend(const CallLength &length) const
+{
+    if (length.deadline < m_endOfCalls)
+        return Instant::max();
+    const bool isEarly = length.arrival <= m_stoppedAt + takingTime;
+    return m_endOfCalls - (length.mayBeRepeated && isEarly ? length.expected : length.longest);
+}
+
+} // namespace Gypsumtally::Gateway
--- /dev/null
+++ b/src/gateway/stopschedule.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "common/clock.h"
+
+namespace Gypsumtally::Gateway
+{
+
+/// What is known about a call before it is sent.
+struct CallLength {
+    Instant arrival{};
+    Instant deadline{}; ///< Its upstream works no longer.
+    Duration expected{}; ///< Usual time from the send to the end of the answer.
+    Duration longest{}; ///< Time that the answer exceeds only if its upstream is in trouble.
+    bool mayBeRepeated = false; ///< Its caller gets the answer elsewhere if this node cuts it.
+};
+
+/// What a node may still do between SIGTERM and its exit. Not thread-safe; does no I/O.
+class StopSchedule
+{
+public:
+    /// Time after SIGTERM in which new requests are accepted, as callers learn of the stop only by then.
+    static constexpr Duration takingTime = std::chrono::milliseconds{3000};
+    /// Time before SIGKILL at which the calls in progress are ended.
+    static constexpr Duration endMargin = std::chrono::milliseconds{500};
+    /// Time between the end of the calls and the exit, in which callers get their answers.
+    static constexpr Duration flushTime = std::chrono::milliseconds{150};
+    /// Time before the end of the calls in which no requests are accepted, even if no other node takes them.
+    static constexpr Duration closingTime = std::chrono::milliseconds{1000};
+
+    /// Of a node that got SIGTERM at @p stoppedAt and SIGKILL @p grace later.
+    StopSchedule(Instant stoppedAt, Duration grace);
+
+    /// Returns true if requests on open and new connections are accepted at @p now. That goes on for longer if
+    /// @p othersTakeCallers is false, as callers have nowhere else to go.
+    bool takesRequests(Instant now, bool othersTakeCallers) const;
+
+    /// Returns the latest time to send a call so that it ends before the node does; Instant::max() for a call whose
+    /// deadline is earlier. A call that may be repeated counts with its usual length if it arrived in takingTime, any
+    /// other one with its longest.
+    Instant latestSend(const CallLength &length) const;
+
+    /// Returns the time at which the node may exit if nothing is in progress.
+    Instant earliestExit() const
+    {
+        return m_stoppedAt + takingTime;
+    }
+
+    /// Returns the time at which the calls in progress are ended.
+    Instant endOfCalls() const
+    {
+        return m_endOfCalls;
+    }
+
+    /// Returns the time of the exit.
+    Instant exitAt() const
+    {
+        return m_endOfCalls + flushTime;
+    }
+
+private:
+    Instant m_stoppedAt;
+    Instant m_endOfCalls;
+};
+
+} // namespace Gypsumtally::Gateway
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -415,6 +415,21 @@
         return refusals;
     }
 
+    /// Lets the node get SIGTERM @p time from now, and SIGKILL @p grace later.
+    void stopAfter(Duration time, Duration grace)
+    {
+        m_loop.runAfter(time, [this, grace] {
+            const StopSchedule schedule(BootClock{}.now(), grace);
+            m_forwarder.beginStop(schedule);
+            m_loop.runAfter(schedule.endOfCalls() - BootClock{}.now(), [this] { m_forwarder.endCalls(); });
+        });
+    }
+
+    const StopCounts &stopCounts()
+    {
+        return m_forwarder.stopCounts();
+    }
+
     /// Passes @p exchange to the forwarder and runs the loop for @p time.
     void accept(const std::shared_ptr<Relay::CallerExchange> &exchange, Duration time)
     {
@@ -1733,3 +1748,81 @@
     cr_assert(ms >= row.least && ms <= row.most, "%s: %d ms", row.name, ms);
     cr_assert_eq(fixture.retryAfter.empty(), row.status == 200, "%s", row.name);
 }
+
+namespace
+{
+
+constexpr Duration longGrace = std::chrono::seconds{8};
+constexpr Duration shortGrace = std::chrono::milliseconds{700}; ///< Less than the longest time of any answer.
+constexpr Duration stopTime = std::chrono::milliseconds{100}; ///< From the request to SIGTERM.
+
+struct StopCase {
+    const char *name;
+    const char *path;
+    const char *target;
+    void (*prepare)(ForwarderFixture &); ///< Makes the call wait.
+    ForwarderFixture::Responder responder;
+    Duration grace;
+    unsigned status;
+    unsigned sends;
+};
+
+const StopCase stops[] = {
+    {"waits for a load", "/stream/1", "m/a", [](ForwarderFixture &fixture) { fixture.startLoads(); }, answer,
+     shortGrace, 503, 0},
+    {"waits for a load in progress", "/stream/1", "m/a",
+     [](ForwarderFixture &fixture) { fixture.load("u0", "m/a", std::chrono::milliseconds{700}); }, answer, shortGrace,
+     503, 0},
+    {"waits for its pace", "/paced/1", "m/a",
+     [](ForwarderFixture &fixture) {
+         fixture.load("u0", "m/a", std::chrono::milliseconds{-100});
+         fixture.fillPromptWindows(std::chrono::seconds{1});
+     },
+     streamRest, shortGrace, 503, 0},
+    {"waits out backpressure", "/once/1", "", [](ForwarderFixture &) {}, applyBriefBackpressure, shortGrace, 503, 2},
+    {"waits for its configuration", "/once/1", "", [](ForwarderFixture &fixture) { fixture.configureAfter({}); },
+     answer, shortGrace, 503, 0},
+    {"runs once and is in progress", "/once/1", "", [](ForwarderFixture &) {}, nullptr, shortGrace, 502, 1},
+    {"may be repeated and is in progress", "/stream/1", "", [](ForwarderFixture &) {}, nullptr, shortGrace, 502, 1},
+    {"its stream has begun", "/stream/1", "", [](ForwarderFixture &) {}, streamBytesOnly, shortGrace, 0, 1},
+    {"ends in time", "/once/1", "", [](ForwarderFixture &) {}, answerAfterSilence, longGrace, 200, 1},
+};
+
+} // namespace
+
+/// Guards against calls that a stopping node keeps until its exit cuts them silently.
+TABLE_TEST(CallForwarder, endsEachCallBeforeTheExit, stops)
+{
+    ForwarderFixture fixture({row.responder});
+    row.prepare(fixture);
+    fixture.stopAfter(stopTime, row.grace);
+    const auto status = fixture.ask(row.path, row.target);
+    cr_expect_eq(status, row.status, "%s: %u", row.name, status);
+    cr_expect_eq(fixture.sends, row.sends, "%s: %u sends", row.name, fixture.sends);
+    cr_expect_lt(fixture.elapsed, stopTime + row.grace, "%s", row.name);
+}
+
+namespace
+{
+
+struct LateCase {
+    const char *path;
+    unsigned status;
+    unsigned sends;
+};
+
+const LateCase lateCalls[] = {{"/once/1", 503, 0}, {"/solo/1", 503, 0}, {"/safe/1", 200, 1}};
+
+} // namespace
+
+/// Guards against calls that a stopping node sends though its exit may cut them, and that may not run again.
+TABLE_TEST(CallForwarder, sendsNothingThatTheExitMayCut, lateCalls)
+{
+    ForwarderFixture fixture({answer});
+    fixture.stopAfter(Duration{}, std::chrono::milliseconds{1200});
+    fixture.ask("/none/1"); // Lets the stop begin.
+    const auto status = fixture.ask(row.path);
+    cr_expect_eq(status, row.status, "%s: %u", row.path, status);
+    cr_expect_eq(fixture.sends, row.sends, "%s", row.path);
+    cr_expect_eq(fixture.stopCounts().refused, row.sends == 0 ? 1U : 0U, "%s", row.path);
+}
--- /dev/null
+++ b/tests/gateway/stopscheduletest.cpp
@@ -0,0 +1,78 @@
+#include "gateway/stopschedule.h"
+
+#include "support/table.h"
+
+#include <optional>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::Gateway;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr Instant stoppedAt{std::chrono::seconds{100}};
+constexpr Duration grace = std::chrono::seconds{8};
+
+constexpr Instant at(int ms)
+{
+    return stoppedAt + milliseconds{ms};
+}
+
+struct TakingCase {
+    int at; ///< In ms from SIGTERM, as are all times here.
+    bool othersTakeCallers;
+    bool takes;
+};
+
+const TakingCase takings[] = {
+    {0, true, true},     {2999, true, true},  {3000, true, false},  {7000, true, false},
+    {3000, false, true}, {6499, false, true}, {6500, false, false}, {9000, false, false},
+};
+
+struct SendCase {
+    const char *name;
+    int arrival;
+    int deadline;
+    int expected;
+    int longest;
+    bool mayBeRepeated;
+    std::optional<int> latest; ///< Nothing if the call may be sent at any time.
+};
+
+const SendCase sends[] = {
+    {"long stream that came before the stop", -1000, 14000, 4500, 6000, true, 3000},
+    {"long stream that came in time", 3000, 14000, 4500, 6000, true, 3000},
+    {"long stream that came late", 3001, 14000, 4500, 6000, true, 1500},
+    {"short stream that came late", 3500, 14000, 600, 1000, true, 6500},
+    {"call that runs once and came in time", 1000, 9000, 60, 1000, false, 6500},
+    {"call that runs once and came late", 5000, 9000, 60, 1000, false, 6500},
+    {"call that is longer than the grace", 0, 30000, 9000, 12000, false, -4500},
+    {"deadline before the end", 3500, 7499, 9000, 12000, false, {}},
+    {"deadline at the end", 3500, 7500, 60, 1000, false, 6500},
+};
+
+} // namespace
+
+TABLE_TEST(StopSchedule, takesRequestsWhileCallersHaveNoOtherNode, takings)
+{
+    const StopSchedule schedule(stoppedAt, grace);
+    cr_assert_eq(schedule.takesRequests(at(row.at), row.othersTakeCallers), row.takes, "%d", row.at);
+}
+
+TABLE_TEST(StopSchedule, sendsOnlyWhatEndsBeforeTheExit, sends)
+{
+    const StopSchedule schedule(stoppedAt, grace);
+    const auto latest = schedule.latestSend(
+        {at(row.arrival), at(row.deadline), milliseconds{row.expected}, milliseconds{row.longest}, row.mayBeRepeated});
+    cr_assert_eq(latest, row.latest ? at(*row.latest) : Instant::max(), "%s: %ld ms", row.name,
+                 static_cast<long>((latest - stoppedAt).count() / 1000));
+}
+
+Test(StopSchedule, exitsBeforeItIsKilled)
+{
+    const StopSchedule schedule(stoppedAt, grace);
+    cr_assert_lt(schedule.earliestExit(), schedule.endOfCalls());
+    cr_assert_lt(schedule.endOfCalls(), schedule.exitAt());
+    cr_assert_lt(schedule.exitAt(), stoppedAt + grace);
+}
