Test planned stops of whole gateways with long streams on open connections

Real gateways are stopped alone, in turn, and in turn while callers keep to the open connections of a stopping node. No request that an upstream has run may end without a whole answer, no call may fail, and none that must not run twice may do so. Requests that such callers see reset count only if they have run. Streams take 1.8 s of a grace of 4 s.

--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -326,6 +326,10 @@
                                 });
     if (isStream(kind) && node.partitionedUntil >= sentAt)
         return; // Its connections may have been reset while no other node could go on.
+    if (!mayBeBrokenOff && node.disturbedAt < sentAt && node.keepsCallers) {
+        m_unanswered.insert(id);
+        return;
+    }
     if (!mayBeBrokenOff && node.disturbedAt < sentAt)
         m_problems.push_back(id + " got no whole answer from a node that was neither killed nor frozen");
 }
@@ -378,11 +382,13 @@
     after(pause, [this, number, since = BootClock{}.now()] { startAgain(number, since); });
 }
 
-void Fleet::stop(std::size_t number)
+void Fleet::stop(std::size_t number, bool keepsCallers)
 {
     m_nodes[number].process->signal(SIGTERM);
     m_nodes[number].isExpectedToRun = false;
-    after(addressCacheTime, [this, number] { m_nodes[number].isOpen = false; });
+    m_nodes[number].keepsCallers = m_nodes[number].keepsCallers || keepsCallers;
+    if (!keepsCallers)
+        after(addressCacheTime, [this, number] { m_nodes[number].isOpen = false; });
     startWhenEnded(number, BootClock{}.now());
 }
 
@@ -456,6 +462,8 @@
     for (const auto &[id, count] : runs) {
         if (const auto refused = m_notRun.find(id); refused != m_notRun.end())
             problems.push_back(id + " was answered " + refused->second + " and has run");
+        if (m_unanswered.contains(id))
+            problems.push_back(id + " has run and got no whole answer from a node that was neither killed nor frozen");
         if (count > 1 && m_booked.contains(id))
             problems.push_back(id + " has run " + std::to_string(count) + " times");
     }
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -80,8 +80,9 @@
     /// Kills a node's process and starts it again after @p pause.
     void restart(std::size_t node, Duration pause);
 
-    /// Stops a node's process by SIGTERM and starts it again once it has ended.
-    void stop(std::size_t node);
+    /// Stops a node's process by SIGTERM and starts it again once it has ended. With @p keepsCallers, callers use its
+    /// open connections until then, as if they learnt of no other node.
+    void stop(std::size_t node, bool keepsCallers = false);
 
     /// Declares the next version of adapter @p number.
     void declareNextVersion(unsigned number);
@@ -184,6 +185,7 @@
         std::vector<std::unique_ptr<Processes::ReservedPort>> ports; ///< Callers, readiness, entries, peers, metrics.
         std::unique_ptr<Processes::ChildProcess> process;
         bool isOpen = true; ///< Callers use it for new requests.
+        bool keepsCallers = false; ///< Callers used it to the end of a stop, so that requests may have remained unread.
         Instant disturbedAt{}; ///< When it was last killed, frozen or thawed.
         Instant partitionedUntil{}; ///< From all upstreams, which may break its requests that are in flight.
         Instant startedAt{};
@@ -232,6 +234,7 @@
     std::map<CallerRequest, Tally> m_tallies;
     std::map<std::size_t, Tally> m_nodeTallies;
     std::map<std::string, std::string> m_notRun; ///< Answers that promise that a request did not run, by its id.
+    std::set<std::string> m_unanswered; ///< Ids of requests without a whole answer that must not have run.
     std::set<std::string> m_booked; ///< Ids of requests that must not run twice.
     std::vector<std::string> m_problems;
     std::uint64_t m_sent = 0;
--- /dev/null
+++ b/tests/gatewayfleet/plannedstoptest.cpp
@@ -0,0 +1,60 @@
+#include "gatewayfleet/gatewayfleet.h"
+
+#include "support/table.h"
+
+#include <string>
+#include <vector>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::GatewayFleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+struct StopCase {
+    const char *name;
+    FleetSize size;
+    std::vector<std::size_t> nodes; ///< That stop, each a second after the one before.
+    bool useOpenConnections; ///< Callers keep to a node until it has ended.
+};
+
+const StopCase stops[] = {
+    {"one of several", {4, 2, 2}, {1}, false},
+    {"all in turn", {3, 2, 2}, {0, 1, 2}, false},
+    {"all in turn, and callers learn of no other nodes", {2, 2, 2}, {0, 1}, true},
+};
+
+constexpr Load load{10, 10, 12};
+constexpr Duration eventPause = milliseconds{300}; ///< Six events: a stream takes longer than a third of the grace.
+constexpr Duration warmUp = seconds{8}; ///< Covers the loads of all adapters, and the estimate of the streams' time.
+
+} // namespace
+
+/// Guards against requests that a stopping node takes and cuts at its exit.
+TABLE_TEST(PlannedStop, cutsNoRequests, stops)
+{
+    Fleet fleet(row.size, 1);
+    for (std::size_t number = 0; number < fleet.engines(); ++number)
+        fleet.engine(number).behaviour.answerTime = eventPause;
+    fleet.waitUntilReady();
+    fleet.setLoad(load);
+    fleet.run(warmUp);
+    fleet.clearTallies();
+    Duration at{};
+    for (const auto node : row.nodes) {
+        fleet.after(at, [&fleet, node, &row] { fleet.stop(node, row.useOpenConnections); });
+        at += seconds{1};
+    }
+    fleet.run(at + seconds{6});
+    fleet.setLoad({});
+    fleet.run(seconds{4});
+    for (const auto kind : {CallerRequest::Read, CallerRequest::Book, CallerRequest::Stream}) {
+        const auto &tally = fleet.tally(kind);
+        cr_expect_gt(tally.served, 0U, "%s, kind %d", row.name, static_cast<int>(kind));
+        cr_expect_eq(tally.failed, 0U, "%s, kind %d: %u failed", row.name, static_cast<int>(kind), tally.failed);
+    }
+    for (const auto &problem : fleet.finish())
+        cr_expect_fail("%s: %s", row.name, problem.c_str());
+}
