Relayed calls: tests of desired states that only one node has

A desired state that replaces the service of a call at a peer, known to the call's node only or to the peer only: the call ends with its answer, one send and one relayed call, as a stream and as a request that may run once.

--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -421,6 +421,8 @@
     PeerStops, ///< The peer takes no further calls.
     PeerIsCut, ///< The peer's connections to all upstreams are reset.
     Heal, ///< The node reaches the upstreams again.
+    ServiceReplacedAtNode, ///< A desired state replaces the upstreams' service, which only the call's node knows.
+    ServiceReplacedAtPeer, ///< Only the peer knows.
 };
 
 struct MidCallCase {
@@ -453,9 +455,23 @@
     {"idempotent at a peer that is cut off", Event::PeerIsCut, LinkState::Reset, "/safe/slow", 200, 2, 2},
     {"once at a peer that is cut off", Event::PeerIsCut, LinkState::Reset, "/once/slow", 502, 1, 1},
     {"stream when the cut ends", Event::Heal, LinkState::Reset, "/stream/1", 200, 1, 1},
+    {"stream, new state at node", Event::ServiceReplacedAtNode, LinkState::Reset, "/stream/1", 200, 1, 1},
+    {"once, new state at node", Event::ServiceReplacedAtNode, LinkState::Reset, "/once/slow", 200, 1, 1},
+    {"stream, new state at peer", Event::ServiceReplacedAtPeer, LinkState::Reset, "/stream/1", 200, 1, 1},
+    {"once, new state at peer", Event::ServiceReplacedAtPeer, LinkState::Reset, "/once/slow", 200, 1, 1},
     {"once when the cut ends", Event::Heal, LinkState::Reset, "/once/slow", 200, 1, 1},
 };
 
+void replaceService(CallContext &context)
+{
+    auto policy = context.routes->policy();
+    ++policy.version;
+    policy.services = {{"t", EngineProfile{}}};
+    for (auto &route : policy.routes)
+        route.services = {{"t", 1}};
+    context.routes = std::make_shared<RouteTable>(std::move(policy));
+}
+
 void happen(RelayFixture &fixture, Event event, LinkState state)
 {
     switch (event) {
@@ -476,6 +492,10 @@
         return;
     case Event::PeerIsCut:
         return fixture.receiver().setLinks(LinkState::Reset);
+    case Event::ServiceReplacedAtNode:
+        return replaceService(fixture.nodes[0]->context);
+    case Event::ServiceReplacedAtPeer:
+        return replaceService(fixture.receiver().context);
     case Event::Heal:
         return fixture.nodes[0]->setLinks(LinkState::Open);
     }
