--- a/tests/gatewayfleet/pipeliningcallers.cpp
+++ b/tests/gatewayfleet/pipeliningcallers.cpp
@@ -26,8 +26,10 @@
 std::string requestsFor(const std::string &path, const std::vector<std::string> &ids)
 {
     std::string text;
-    for (const auto &id : ids)
-        text += "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nX-Request-Id: " + id + "\r\n\r\nbody";
+    for (const auto &id : ids) {
+        text.append("POST ").append(path).append(" HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nX-Request-Id: ");
+        text.append(id).append("\r\n\r\nbody");
+    }
     return text;
 }
 
