--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -278,10 +278,10 @@
     /// Expected and longest times of answers, in the usual ones of their service.
     static constexpr double expectedInAnswerTimes = 4;
     static constexpr double expectedInStreamTimes = 1.5;
-    static constexpr double longestInStreamTimes = 3; ///< For requests that state no bound on their tokens.
+    static constexpr double longestInStreamTimes = 2;
     static constexpr Duration minLongestAnswer = std::chrono::seconds{1};
     /// Factor and time by which a stream may exceed the estimate for the largest number of its tokens.
-    static constexpr double streamSafetyFactor = 1.25;
+    static constexpr double streamSafetyFactor = 2.5;
     static constexpr Duration streamSafetyMargin = std::chrono::milliseconds{250};
     static constexpr double maxRetryAfterSeconds = 3600; ///< A peer states no longer time.
 
@@ -1943,9 +1943,11 @@
         }
         const double tokensMs
             = call.request.promptTokens / speed.promptTokensPerMs + call.request.outputTokens * speed.stepMs;
-        const double boundMs = call.request.outputTokens > 0 ? tokensMs : longestInStreamTimes * speed.streamMs;
-        length.expected = milliseconds(std::min(boundMs, expectedInStreamTimes * speed.streamMs));
-        length.longest = milliseconds(streamSafetyFactor * boundMs) + streamSafetyMargin;
+        // Steps are slower than in the estimate while engines are busy, which the usual time shows.
+        const double longestMs = std::max(streamSafetyFactor * tokensMs, longestInStreamTimes * speed.streamMs);
+        const double usualMs = expectedInStreamTimes * speed.streamMs;
+        length.expected = milliseconds(call.request.outputTokens > 0 ? std::min(tokensMs, usualMs) : usualMs);
+        length.longest = milliseconds(longestMs) + streamSafetyMargin;
         return length;
     }
 
