--- a/tests/gateway/streamversionstest.cpp
+++ b/tests/gateway/streamversionstest.cpp
@@ -566,7 +566,7 @@
     {
         NodeReport report;
         report.from = m_nodes[from]->members.self();
-        report.sequence = static_cast<std::uint64_t>(ms + 1);
+        report.sequence = static_cast<std::uint64_t>(ms) + 1;
         report.holdsVersions = true;
         for (std::size_t i = 0; i < count; ++i) {
             const auto trouble = troubleOf(i, ms);
