A connection disproves only failures to connect

Since probes of plain workers report their success, a connection that is accepted where nothing passes it on counted as contact and took the cut back.

--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -412,6 +412,12 @@
         link->probedAt = now;
 }
 
+bool Reachability::hasFailedToConnect(const UpstreamProcess &process) const
+{
+    const auto it = m_links.find(process);
+    return it != m_links.end() && it->second.connectFailedAt != Instant{};
+}
+
 std::vector<ReachChange> Reachability::takeChanges()
 {
     return std::exchange(m_changes, {});
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -143,6 +143,10 @@
     /// several times per second.
     std::vector<UpstreamProcess> takeProbes(Instant now);
 
+    /// Returns true if a failure of @p process was one to connect, which a connection disproves. Other failures are
+    /// disproved by an answer alone, as a connection may be accepted where nothing passes it on.
+    bool hasFailedToConnect(const UpstreamProcess &process) const;
+
     /// Records that @p process is probed now for another reason than takeProbes().
     void onProbed(const UpstreamProcess &process, Instant now);
 
--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -192,7 +192,10 @@
         }
         m_client.connect(
             destination,
-            [this, process, sentAt](Relay::ConnectResult result) { recordConnection(process, result, sentAt); },
+            [this, process, sentAt](Relay::ConnectResult result) {
+                if (result != Relay::ConnectResult::Connected || m_context.reach.hasFailedToConnect(process))
+                    recordConnection(process, result, sentAt);
+            },
             options);
     }
 
