No version is derived from records that a restored store may have lost

A node concludes at which version an unknown stream began from the records that others have written. After the store has come back from an older copy, records of streams at the newer version may be gone, so nothing is derived from when a version joined. The row "the store has come back without the last records" of streamversionstest plays it.

--- a/src/gateway/streamrecords.h
+++ b/src/gateway/streamrecords.h
@@ -118,6 +118,7 @@
     {
         m_lease = 0;
         m_stored.clear();
+        m_context.streams.onRecordsLost();
     }
 
     /// Takes over the histories in a snapshot of the store, by key.
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -31,16 +31,24 @@
 
 void StreamVersions::onView(Instant time)
 {
-    if (time - m_viewAt > maxViewAge) {
-        // The node was out of step, and may not have heard from others that were lost later.
-        for (auto &[service, versions] : m_versions) {
-            for (auto &[version, seen] : versions)
-                seen.absentAt = Instant::min();
-        }
-    }
+    if (time - m_viewAt > maxViewAge)
+        forgetAbsence(); // The node was out of step, and may not have heard from others that were lost later.
     m_viewAt = std::max(m_viewAt, time);
 }
 
+void StreamVersions::onRecordsLost()
+{
+    forgetAbsence();
+}
+
+void StreamVersions::forgetAbsence()
+{
+    for (auto &[service, versions] : m_versions) {
+        for (auto &[version, seen] : versions)
+            seen.absentAt = Instant::min();
+    }
+}
+
 Duration StreamVersions::viewAge(Instant now) const
 {
     return now - m_viewAt;
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -105,6 +105,9 @@
     /// Records that the records in the store were read by a call at @p calledAt.
     void onRecordsRead(Instant calledAt);
 
+    /// Records that the store may have lost records of streams, so that unknown ones may have begun at any version.
+    void onRecordsLost();
+
     /// Returns true if the records in the store were read when all streams from before @p arrival were recorded whose
     /// nodes have lived since then.
     bool areRecordsRead(Instant arrival) const;
@@ -137,6 +140,8 @@
     void prune(Instant now);
 
 private:
+    void forgetAbsence();
+
     /// Time from the start of a stream at a live node until its record is in the store, with one call of the store.
     static constexpr Duration recordTime = std::chrono::milliseconds{250};
 
--- a/tests/gateway/streamversionstest.cpp
+++ b/tests/gateway/streamversionstest.cpp
@@ -364,6 +364,11 @@
     return {atMs, [](StreamVersions &streams, Instant now) { streams.onRecordsRead(now); }};
 }
 
+Step recordsLost(int atMs)
+{
+    return {atMs, [](StreamVersions &streams, Instant) { streams.onRecordsLost(); }};
+}
+
 /// A stream that is taken up at 8 s and of which no record tells.
 struct DerivationCase {
     const char *name;
@@ -396,6 +401,10 @@
      {serving(0, older), view(4900), serving(5000, both), view(6600), view(8200), recordsRead(8240)},
      4000,
      {}},
+    {"the store has come back without the last records",
+     {serving(0, older), view(4900), serving(5000, both), view(6600), recordsLost(7000), view(8200), recordsRead(8260)},
+     4000,
+     {}},
     {"the view is old", {serving(0, older), view(4900), serving(5000, both), view(6200), recordsRead(8260)}, 4000, {}},
     {"the view was old when the second version was seen",
      {serving(0, older), view(2000), serving(5000, both), view(6600), view(8200), recordsRead(8260)},
