--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1930,7 +1930,7 @@
         return true;
     }
 
-    /// Returns how long the call takes at an upstream that is no slower than others.
+    /// Returns how long the call takes at its upstream, by what answers of its service have taken lately.
     CallLength lengthOf(const Call &call)
     {
         CallLength length{call.arrival, call.deadline, {}, {}, call.route.mayRepeat()};
