--- a/tests/gatewayfleet/streamcallers.h
+++ b/tests/gatewayfleet/streamcallers.h
@@ -43,6 +43,10 @@
     /// Sends a new stream of @p adapter.
     void start(const std::string &adapter);
 
+    /// Breaks off streams whose events have stopped, so that their callers take them up. Call it several times per
+    /// second.
+    void sweep(Instant now);
+
     /// Returns what callers got, and forgets it.
     Tally takeTally();
 
@@ -68,6 +72,9 @@
         unsigned eventsBefore = 0; ///< Before the current request.
         Instant sentAt{};
         unsigned status = 0;
+        Relay::UpstreamClient::Token token = 0;
+        Instant lastBytesAt{};
+        bool isWaiting = false; ///< For an answer, or for the rest of it.
     };
     using StreamPtr = std::shared_ptr<Stream>;
 
@@ -82,6 +89,7 @@
     std::function<std::optional<CallerTarget>()> m_draw;
     Tally m_tally;
     unsigned m_joined = 0;
+    std::vector<std::weak_ptr<Stream>> m_streams;
     std::vector<std::string> m_problems;
 };
 
