--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -1,6 +1,5 @@
 #include "gateway/callrelay.h"
 
-#include <utility>
 
 namespace Gypsumtally::Gateway
 {
@@ -20,9 +19,8 @@
 
 } // namespace
 
-CallRelay::CallRelay(Relay::UpstreamClient &client, CallContext &context)
-    : m_client(client)
-    , m_context(context)
+CallRelay::CallRelay(CallContext &context)
+    : m_context(context)
 {
 }
 
@@ -40,17 +38,14 @@
     return peer ? std::optional(*peer) : std::nullopt;
 }
 
-Relay::UpstreamClient::Token CallRelay::send(const RelayPeer &peer, const Http::Request &request,
-                                             const RelayedCall &call, Relay::ExchangeObserver observer, bool mayRepeat)
+Relay::SendOptions CallRelay::optionsFor(bool mayRepeat)
 {
-    m_choice.onSent(peer.node);
     Relay::SendOptions options;
     options.connectTimeout = connectTimeout;
     options.unsentBytesTimeoutMs = unsentBytesTimeoutMs;
     if (!mayRepeat)
         options.maxIdleAge = maxIdleAgeForOnce;
-    return m_client.send({peer.endpoint, peer.node + '@' + std::to_string(peer.startedAt)},
-                         writeRelayedRequest(request, call), std::move(observer), options);
+    return options;
 }
 
 void CallRelay::onEnded(const std::string &node)
--- a/src/gateway/callrelay.h
+++ b/src/gateway/callrelay.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Gypsumtally::Gateway
@@ -19,16 +20,22 @@
     /// A live peer's connections are lost if it does not acknowledge bytes for this long, in ms.
     static constexpr unsigned unsentBytesTimeoutMs = 1500;
 
-    CallRelay(Relay::UpstreamClient &client, CallContext &context);
+    explicit CallRelay(CallContext &context);
 
     /// Returns the peer that is to get the call with @p requestId; nothing if no peer that is not in @p failedPeers
     /// reaches one of @p upstreams.
     std::optional<RelayPeer> choose(const std::string &requestId, const std::vector<std::string> &upstreams,
                                     const std::vector<std::string> &failedPeers, Instant now) const;
 
-    /// Sends @p request to @p peer. It counts as in flight there until onEnded().
-    Relay::UpstreamClient::Token send(const RelayPeer &peer, const Http::Request &request, const RelayedCall &call,
-                                      Relay::ExchangeObserver observer, bool mayRepeat);
+    /// Sends @p request over @p client to @p peer. It counts as in flight there until onEnded().
+    template<Relay::ExchangeClient Client>
+    Relay::UpstreamClient::Token send(Client &client, const RelayPeer &peer, const Http::Request &request,
+                                      const RelayedCall &call, Relay::ExchangeObserver observer, bool mayRepeat)
+    {
+        m_choice.onSent(peer.node);
+        return client.send({peer.endpoint, peer.node + '@' + std::to_string(peer.startedAt)},
+                           writeRelayedRequest(request, call), std::move(observer), optionsFor(mayRepeat));
+    }
 
     /// Records that a call at @p node has ended.
     void onEnded(const std::string &node);
@@ -43,7 +50,8 @@
     bool isIsolated(const std::string &service, const std::string *softwareVersion) const;
 
 private:
-    Relay::UpstreamClient &m_client;
+    static Relay::SendOptions optionsFor(bool mayRepeat);
+
     CallContext &m_context;
     RelayChoice m_choice;
 };
--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -23,14 +23,14 @@
 
 /// Finds out what has become of upstream processes: whether they have crashed when exchanges break there, and whether
 /// they are still those of their records. Loop's thread only.
-template<CallDialect Dialect>
+template<CallDialect Dialect, Relay::ExchangeClient Client>
 class UpstreamMonitor
 {
 public:
     /// Time after which a process that was asked for its state counts as not answering.
     static constexpr Duration livenessTimeout = std::chrono::milliseconds{500};
 
-    UpstreamMonitor(Relay::UpstreamClient &client, CallContext &context)
+    UpstreamMonitor(Client &client, CallContext &context)
         : m_client(client)
         , m_context(context)
     {
@@ -272,7 +272,7 @@
         Instant dueAt{};
     };
 
-    Relay::UpstreamClient &m_client;
+    Client &m_client;
     CallContext &m_context;
     CrashDetector m_detector;
     std::vector<ConnectionCheck> m_connectionChecks;
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -4,6 +4,7 @@
 #include "http/message.h"
 #include "relay/responsereader.h"
 
+#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -128,4 +129,27 @@
     std::shared_ptr<Private> m_d;
 };
 
+/// What calls need of a client: an UpstreamClient, or one whose exchanges a test plays.
+template<typename C>
+concept ExchangeClient = std::constructible_from<C, Http::EventLoop &> && requires(
+    C &client, const Destination &destination, const Http::Request &request, ExchangeObserver observer,
+    const std::function<void(const WholeResponse &)> &onResponse, const std::function<void(ConnectResult)> &onResult,
+    const SendOptions &options, UpstreamClient::Token token, const std::string &requestId, Instant now)
+{
+    {
+        client.send(destination, request, observer, options)
+        } -> std::same_as<UpstreamClient::Token>;
+    {
+        client.fetch(destination, request, onResponse, options)
+        } -> std::same_as<UpstreamClient::Token>;
+    {
+        client.connect(destination, onResult, options)
+        } -> std::same_as<UpstreamClient::Token>;
+    client.connectFrom(destination.endpoint);
+    client.cancel(token);
+    client.noteRefusal(token, requestId);
+    client.dropIdle(destination);
+    client.sweep(now);
+};
+
 } // namespace Gypsumtally::Relay
