--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -46,6 +46,7 @@
     VersionDeclared,
     Refused,
     SendFailed,
+    SendHeld,
     NotRunByUpstream,
     BrokenOff,
     StreamResumed,
@@ -65,7 +66,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 43> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 44> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -98,6 +99,7 @@
     {Gateway::GatewayEvent::VersionDeclared, "version_declared"},
     {Gateway::GatewayEvent::Refused, "request_refused"},
     {Gateway::GatewayEvent::SendFailed, "send_failed"},
+    {Gateway::GatewayEvent::SendHeld, "send_held"},
     {Gateway::GatewayEvent::NotRunByUpstream, "not_run_by_upstream"},
     {Gateway::GatewayEvent::BrokenOff, "answer_broken_off"},
     {Gateway::GatewayEvent::StreamResumed, "stream_resumed"},
