Skip interim responses; show that a response cut at any byte is not whole

Report: an upstream stopped in the middle of its answer's head and closed; callers got a 200 framed as whole. Cut at each byte, by a close and by a reset, neither client takes a response with a length or chunks for whole (failsIfClosedBeforeTheLastByte, failsIfAnswerIsCutAtAnyByte): that fault is not here. A fault beside it is: an interim response (100, 103) was taken for the answer, so that a call was given up with 502 and the answer behind it counted as surplus. Both clients read on behind up to 16 of them.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -19,6 +19,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace Gypsumtally::Http
@@ -40,12 +41,19 @@
 constexpr std::size_t maxIdlePerEndpoint = 64;
 constexpr std::size_t readBufferBytes = 16 * 1024;
 constexpr unsigned minErrorStatus = 400;
+constexpr unsigned maxInterimResponses = 16; ///< Before one response.
+constexpr unsigned switchingProtocols = 101; ///< The only final status below 200.
 
 asio::redirect_error_t<asio::use_awaitable_t<>> into(ErrorCode &error)
 {
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
+bool isInterim(unsigned status)
+{
+    return status / 100 == 1 && status != switchingProtocols;
+}
+
 bool isStillOpen(beast::tcp_stream &stream)
 {
     char byte = 0;
@@ -148,12 +156,20 @@
                                                const RequestOptions &options, ErrorCode &error)
 {
     beast::flat_buffer buffer(maxUnparsedBytes);
-    bhttp::response_parser<bhttp::buffer_body> parser;
-    parser.body_limit(boost::none);
-    stream.expires_after(options.idleTimeout);
-    co_await bhttp::async_read_header(stream, buffer, parser, into(error));
+    std::optional<bhttp::response_parser<bhttp::buffer_body>> response;
+    for (unsigned interim = 0; !response || isInterim(response->get().result_int()); ++interim) {
+        if (interim > maxInterimResponses)
+            error = bhttp::error::bad_status;
+        if (error || exchange->cancelled)
+            co_return false;
+        response.emplace();
+        response->body_limit(boost::none);
+        stream.expires_after(options.idleTimeout);
+        co_await bhttp::async_read_header(stream, buffer, *response, into(error));
+    }
     if (error || exchange->cancelled)
         co_return false;
+    auto &parser = *response;
     Headers headers;
     for (const auto &field : parser.get())
         headers.add(std::string(field.name_string()), std::string(field.value()));
--- a/src/relay/responsereader.cpp
+++ b/src/relay/responsereader.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <charconv>
+#include <optional>
 
 namespace Gypsumtally::Relay
 {
@@ -18,6 +19,8 @@
 constexpr std::size_t bodyBufferBytes = 16 * 1024;
 /// Limit for a head, a chunk header or a trailer, which are buffered until they are complete.
 constexpr std::size_t maxUnparsedBytes = 32 * 1024;
+constexpr unsigned maxInterimResponses = 16; ///< Before one response.
+constexpr unsigned switchingProtocols = 101; ///< The only final status below 200.
 
 std::optional<unsigned> keepAliveTimeout(std::string_view value)
 {
@@ -34,8 +37,28 @@
 } // namespace
 
 struct ResponseReader::Private {
-    bhttp::response_parser<bhttp::buffer_body> parser;
+    Private()
+    {
+        restart();
+    }
+
+    /// Starts to parse a response from its first byte.
+    void restart()
+    {
+        parser.emplace();
+        parser->body_limit(boost::none);
+        parser->eager(false);
+    }
+
+    bool isInterim() const
+    {
+        const auto status = parser->get().result_int();
+        return status / 100 == 1 && status != switchingProtocols;
+    }
+
+    std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
     bool hasHead = false;
+    unsigned interimResponses = 0;
     std::array<char, bodyBufferBytes> bytes;
 };
 
@@ -43,8 +66,6 @@
     : m_d(std::make_unique<Private>())
     , m_observer(std::move(observer))
 {
-    m_d->parser.body_limit(boost::none);
-    m_d->parser.eager(false);
 }
 
 ResponseReader::~ResponseReader() = default;
@@ -71,15 +92,21 @@
 {
     std::size_t used = 0;
     while (m_state == State::Reading && used < bytes.size()) {
-        m_d->parser.get().body().data = m_d->bytes.data();
-        m_d->parser.get().body().size = m_d->bytes.size();
-        m_d->parser.get().body().more = true;
+        auto &parser = *m_d->parser;
+        parser.get().body().data = m_d->bytes.data();
+        parser.get().body().size = m_d->bytes.size();
+        parser.get().body().more = true;
         ErrorCode error;
-        const auto taken = m_d->parser.put(boost::asio::buffer(bytes.substr(used)), error);
+        const auto taken = parser.put(boost::asio::buffer(bytes.substr(used)), error);
         used += taken;
-        const auto received = m_d->hasHead ? m_d->bytes.size() - m_d->parser.get().body().size : 0;
-        if (m_d->parser.is_header_done() && !m_d->hasHead)
+        const auto received = m_d->hasHead ? m_d->bytes.size() - parser.get().body().size : 0;
+        if (parser.is_header_done() && !m_d->hasHead) {
+            if (m_d->isInterim()) {
+                skipInterim();
+                continue;
+            }
             readHead();
+        }
         if (received > 0)
             m_observer.onBody(std::string_view(m_d->bytes.data(), received));
         if (error == bhttp::error::need_more)
@@ -87,7 +114,7 @@
         if (error && error != bhttp::error::need_buffer) {
             m_state = State::Failed;
             m_problem = error.message();
-        } else if (m_d->parser.is_done()) {
+        } else if (parser.is_done()) {
             m_state = State::Complete;
         } else if (taken == 0 && received == 0) {
             return used;
@@ -96,16 +123,25 @@
     return used;
 }
 
+void ResponseReader::skipInterim()
+{
+    m_d->restart();
+    if (++m_d->interimResponses <= maxInterimResponses)
+        return;
+    m_state = State::Failed;
+    m_problem = "interim responses have no end";
+}
+
 void ResponseReader::readHead()
 {
     m_d->hasHead = true;
-    m_d->parser.eager(true);
-    const auto &message = m_d->parser.get();
+    m_d->parser->eager(true);
+    const auto &message = m_d->parser->get();
     ResponseHead head;
     head.status = message.result_int();
     for (const auto &field : message)
         head.headers.add(std::string(field.name_string()), std::string(field.value()));
-    if (const auto length = m_d->parser.content_length())
+    if (const auto length = m_d->parser->content_length())
         head.length = *length;
     m_keepAliveSeconds = keepAliveTimeout(head.headers.get("Keep-Alive"));
     m_observer.onHead(head);
@@ -116,8 +152,8 @@
     if (m_state != State::Reading)
         return;
     ErrorCode error;
-    if (m_d->hasHead && m_d->parser.need_eof())
-        m_d->parser.put_eof(error);
+    if (m_d->hasHead && m_d->parser->need_eof())
+        m_d->parser->put_eof(error);
     else
         error = bhttp::error::partial_message;
     m_state = error ? State::Failed : State::Complete;
@@ -127,7 +163,7 @@
 
 bool ResponseReader::keepsConnection() const
 {
-    return m_d->parser.keep_alive() && !m_d->parser.need_eof();
+    return m_d->parser->keep_alive() && !m_d->parser->need_eof();
 }
 
 } // namespace Gypsumtally::Relay
--- a/src/relay/responsereader.h
+++ b/src/relay/responsereader.h
@@ -19,7 +19,8 @@
     std::optional<std::uint64_t> length; ///< Length of the body in bytes, if the head states it.
 };
 
-/// Parses one HTTP/1.1 response from the bytes of a connection. Not thread-safe; does no I/O.
+/// Parses one HTTP/1.1 response from the bytes of a connection, without the interim responses before it. Not
+/// thread-safe; does no I/O.
 class ResponseReader
 {
 public:
@@ -76,6 +77,7 @@
     struct Private;
 
     std::size_t parse(std::string_view bytes);
+    void skipInterim();
     void readHead();
 
     std::unique_ptr<Private> m_d;
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -207,6 +207,32 @@
     }
 }
 
+/// Guards against an answer that counts as whole although its connection ended inside its head or body.
+TABLE_TEST(Client, failsIfAnswerIsCutAtAnyByte, Testing::delimitedAnswers)
+{
+    const std::string whole = row;
+    for (std::size_t length = 1; length <= whole.size(); ++length) {
+        for (const auto end : {Testing::ConnectionEnd::Close, Testing::ConnectionEnd::Reset}) {
+            EventLoop loop;
+            Testing::RawServer server(loop, whole.substr(0, length), end);
+            Client client(loop);
+            std::string body;
+            bool ended = false;
+            ResponseObserver observer;
+            observer.onBody = [&](std::string_view piece) { body += piece; };
+            observer.onEnd = [&] {
+                ended = true;
+                loop.stop();
+            };
+            observer.onFailure = [&](const TransportFailure &) { loop.stop(); };
+            client.send(server.endpoint(), {}, observer);
+            loop.run();
+            cr_assert_eq(ended, length == whole.size(), "%zu bytes", length);
+            cr_assert(!ended || body == "xyz", "%s", body.c_str());
+        }
+    }
+}
+
 namespace
 {
 
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -160,6 +160,28 @@
     }
 }
 
+/// Guards against an answer that counts as whole although its connection ended inside its head or body.
+TABLE_TEST(Relay, failsIfAnswerIsCutAtAnyByte, Testing::delimitedAnswers)
+{
+    const std::string whole = row;
+    for (std::size_t length = 1; length <= whole.size(); ++length) {
+        for (const auto end : {Testing::ConnectionEnd::Close, Testing::ConnectionEnd::Reset}) {
+            Http::EventLoop loop;
+            Testing::RawServer server(loop, whole.substr(0, length), end);
+            UpstreamClient client(loop);
+            WholeResponse answer;
+            const auto onResponse = [&](const WholeResponse &response) {
+                answer = response;
+                loop.stop();
+            };
+            client.fetch({server.endpoint(), "a"}, {"GET", "/x", {{"Host", "h"}}, {}}, onResponse, {});
+            loop.run();
+            cr_assert_eq(answer.head.status, length == whole.size() ? 200U : 0U, "%zu bytes", length);
+            cr_assert_eq(answer.body, std::string(length == whole.size() ? "xyz" : ""), "%zu bytes", length);
+        }
+    }
+}
+
 /// A body without a length is bounded like others.
 Test(Relay, endlessAnswerWithoutLengthIsAbandoned)
 {
--- a/tests/relay/responsereadertest.cpp
+++ b/tests/relay/responsereadertest.cpp
@@ -3,6 +3,7 @@
 #include "support/table.h"
 
 #include <string>
+#include <vector>
 
 using namespace Gypsumtally::Relay;
 
@@ -30,6 +31,12 @@
     {"HTTP/1.1 204 No Content\r\n\r\n", false, State::Complete, "", 0},
     {"HTTP/1.1 200 OK\r\nContent-L", true, State::Failed, "", 0},
     {"garbage\r\n\r\n", false, State::Failed, "", 0},
+    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz", false, State::Complete, "xyz", 0},
+    {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+     false, State::Complete, "", 0},
+    {"HTTP/1.1 100 Continue\r\n\r\n", false, State::Reading, "", 0},
+    {"HTTP/1.1 100 Continue\r\n\r\n", true, State::Failed, "", 0},
+    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-L", true, State::Failed, "", 0},
 };
 
 struct Read {
@@ -73,6 +80,49 @@
     cr_assert_eq(read.body, std::string(row.body));
 }
 
+namespace
+{
+
+const char *const wholeResponses[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=b\r\nx\r\n0\r\nX-A: b\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz",
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno",
+    "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n",
+};
+
+} // namespace
+
+/// Guards against a response that counts as whole although its connection was closed inside its head or body.
+TABLE_TEST(ResponseReader, failsIfClosedBeforeTheLastByte, wholeResponses)
+{
+    const std::string_view whole = row;
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        ResponseReader reader({[](const ResponseHead &) {}, [](std::string_view) {}});
+        if (length > 0)
+            reader.feed(whole.substr(0, length));
+        cr_assert(reader.state() == State::Reading, "complete after %zu bytes", length);
+        reader.finish();
+        cr_assert(reader.state() == State::Failed, "whole after %zu bytes", length);
+    }
+    ResponseReader reader({[](const ResponseHead &) {}, [](std::string_view) {}});
+    reader.feed(whole);
+    cr_assert(reader.state() == State::Complete);
+}
+
+/// Guards against an interim response that is taken for the answer.
+Test(ResponseReader, passesOnTheHeadAfterInterimResponses)
+{
+    std::vector<unsigned> heads;
+    ResponseReader reader({[&](const ResponseHead &head) { heads.push_back(head.status); }, [](std::string_view) {}});
+    reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 503 "
+                "Busy\r\nContent-Length: 0\r\n\r\n");
+    cr_assert_eq(heads.size(), 1U);
+    cr_assert_eq(heads.front(), 503U);
+}
+
 Test(ResponseReader, readsKeepAliveTimeout)
 {
     ResponseReader reader({[](const ResponseHead &) {}, {}});
@@ -92,6 +142,7 @@
 const EndlessCase endless[] = {
     {"HTTP/1.1 200 ", "OK"},
     {"", "x"},
+    {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
     {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
     {"HTTP/1.1 200 OK\r\nX-A: ", "b"},
     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -104,4 +104,11 @@
     {"silent without an end", "HTTP/1.1 200 OK\r\n\r\nonly a pa", ConnectionEnd::KeepOpen, false, ""},
 };
 
+/// Responses whose end shows, so that a connection that ends before it leaves them incomplete.
+inline const char *const delimitedAnswers[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz",
+};
+
 } // namespace Gypsumtally::Testing
