Pass on nothing in a begun stream but its rest

Report: a stream broke off, the next upstream answered with an error, and callers found its text in the middle of their stream, or the stream ended as if it were complete.

Cause: what a second run brings was judged by its status alone, and the end by whether the call, not the send, had brought events.

A second run must have the status and the Content-Type of the first; its events must go on after the last one that the caller has, at the next number if those before were consecutive; without an event it is whole only as a chunked event stream. All else counts as a broken send. Error statuses were right before.

Without the fix 6 of 7 rows of passesOnNothingButTheRestOfAStream and 3 rows of CallMoves (HeadThenEnd) fail. framesNoCutAnswerAsWhole shows that an answer cut at any byte is not passed on as whole; it passed before as well.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -326,6 +326,10 @@
         bool leftSilent = false; ///< The call has left an upstream that went silent.
         std::vector<std::string> failedPeers; ///< Peers that have failed the call.
         std::optional<Duration> peerRetryAfter; ///< That a peer's refusal stated.
+        unsigned answerStatus = 0; ///< Of the answer that has begun, with its Content-Type.
+        std::string answerType;
+        bool hasConsecutiveIds = false; ///< Events that the caller has got had successive ids.
+        bool hasSkippedIds = false; ///< An event had not.
         unsigned begunSends = 0; ///< Gives sends their numbers.
         unsigned failedMoves = 0; ///< Replacements of silent sends that have not gone on with the answer.
         Instant moveAt{}; ///< Earliest time of the next such replacement.
@@ -1192,6 +1196,8 @@
         call->reply = {};
         takeBody(*call);
         call->events = std::make_unique<EventSplitter>();
+        if (call->lastEvent)
+            call->events->resumeAfter(*call->lastEvent, call->hasConsecutiveIds && !call->hasSkippedIds);
         call->eventReceived = false;
         call->isAcquitted = false;
         call->pauses = {};
@@ -1291,6 +1297,13 @@
         return isStream(call, call);
     }
 
+    /// Returns true if @p send, whose answer is whole, has brought the end of the stream. Without an event it may be
+    /// what is left of a stream whose last event had come, if it is framed as one.
+    static bool endsWithStream(const CallSend &send)
+    {
+        return send.eventReceived || (send.isChunked && send.contentType == "text/event-stream");
+    }
+
     /// Returns true if @p send has brought the head of a stream.
     static bool isStream(const Call &call, const CallSend &send)
     {
@@ -1305,6 +1318,8 @@
         noteProgress(call, BootClock{}.now());
         if (!isAnswerTo(*call, call->reply))
             return dropSend(call, "the answer is not one to this request");
+        if (isStream(*call) && !noteStreamHead(call, head))
+            return;
         if (call->reply.notRun)
             m_client.noteRefusal(call->token, call->reply.requestId);
         // An engine also refuses requests whose target it is still loading.
@@ -1316,6 +1331,19 @@
                                   call->reply.notRun ? Instant{} : call->sentAt);
     }
 
+    /// Records the head of a stream. Drops the send and returns false if it cannot go on with the answer that has
+    /// begun.
+    bool noteStreamHead(const CallPtr &call, const Relay::ResponseHead &head)
+    {
+        const auto contentType = head.headers.get("Content-Type");
+        call->contentType = std::string(contentType.substr(0, contentType.find(';')));
+        call->isChunked = !head.headers.get("Transfer-Encoding").empty();
+        if (!call->answering || (head.status == call->answerStatus && call->contentType == call->answerType))
+            return true;
+        dropSend(call, "the answer is not the rest of the stream");
+        return false;
+    }
+
     static bool isAnswerTo(const Call &call, const UpstreamReply &reply)
     {
         // A connection that has brought a refusal without an id is not reused, so that one is not a repetition.
@@ -1337,7 +1365,9 @@
         call->reply.headers = callerHeadersOf(head.headers);
         const bool hasOtherVersion = call->streamVersion && *call->streamVersion != call->softwareAtSend;
         if (isStream(*call) && hasOtherVersion)
-            dropSend(call, "the stream goes on at another software version");
+            return dropSend(call, "the stream goes on at another software version");
+        if (isStream(*call))
+            noteStreamHead(call, head);
     }
 
     /// Tries another peer, as the server of this one has refused the call unread: the peer states what became of each
@@ -1366,8 +1396,11 @@
         const auto events = call->events->feed(piece);
         if (call->events->hasOverflowed())
             return dropSend(call, "an event of the stream has no end");
+        const bool isOutOfOrder = call->events->isOutOfOrder();
         if (!events.empty()) // Bytes that complete no event are no progress.
             onEvents(call, events, now);
+        if (isOutOfOrder && !call->done)
+            dropSend(call, "the events do not go on after the last one");
     }
 
     /// Passes on complete events of the current send.
@@ -1394,6 +1427,8 @@
         call->lastEventAt = now;
         if (!call->answering) {
             call->answering = true;
+            call->answerStatus = call->reply.status;
+            call->answerType = call->contentType;
             if (!call->streamVersion) {
                 call->streamVersion = call->softwareAtSend;
                 m_context.streams.onBegun(originOf(*call), now);
@@ -1405,6 +1440,8 @@
         }
         if (call->events->lastId())
             call->lastEvent = call->events->lastId();
+        call->hasConsecutiveIds = call->hasConsecutiveIds || call->events->hasFollowed();
+        call->hasSkippedIds = call->hasSkippedIds || call->events->hasSkipped();
         call->exchange->write(events);
     }
 
@@ -1505,6 +1542,8 @@
         if (isStream(*call)) {
             if (call->events->hasPartial() || !call->answering)
                 return onBroken(call, "the stream ended inside an event");
+            if (!endsWithStream(*call))
+                return onBroken(call, "the answer has no event");
             noteResult(*call, false);
             acquit(*call, BootClock{}.now());
             m_context.streams.forget(call->streamId);
@@ -2266,8 +2305,8 @@
             return onBody(call, piece);
         }
         const auto events = held.events->feed(piece);
-        if (held.events->hasOverflowed())
-            return dropHeld(call, "an event of the stream has no end");
+        if (held.events->hasOverflowed() || held.events->isOutOfOrder())
+            return dropHeld(call, "the stream does not go on");
         if (events.empty())
             return;
         returnToHeld(call);
@@ -2277,7 +2316,7 @@
     void onHeldEnd(const CallPtr &call)
     {
         const auto &held = *call->held;
-        if (isStream(*call, held) && (held.events->hasPartial() || !held.eventReceived))
+        if (isStream(*call, held) && (held.events->hasPartial() || !endsWithStream(held)))
             return dropHeld(call, "the stream ended inside an event");
         returnToHeld(call);
         onEnd(call);
--- a/src/gateway/callsend.h
+++ b/src/gateway/callsend.h
@@ -36,6 +36,8 @@
     std::array<Duration, 2> pauses{}; ///< The last two between events.
     bool isAcquitted = false; ///< Has shown that the call's causes do not crash upstreams.
     UpstreamReply reply;
+    std::string contentType; ///< Of a stream.
+    bool isChunked = false; ///< A stream whose end shows.
     std::string body;
     std::unique_ptr<EventSplitter> events;
     unsigned countedRuns = 0; ///< Runs that were counted in advance, while another send is to replace this one.
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -23,16 +23,25 @@
 
 } // namespace
 
+void EventSplitter::resumeAfter(std::uint64_t last, bool isConsecutive)
+{
+    m_lastId = last;
+    m_mustFollow = isConsecutive;
+}
+
 std::string EventSplitter::feed(std::string_view bytes)
 {
-    if (m_overflowed)
+    if (m_overflowed || m_isOutOfOrder)
         return {};
     m_partial += bytes;
     std::size_t whole = 0;
     const std::string_view all = m_partial;
     for (auto length = firstEventLength(all); length != std::string_view::npos;
          length = firstEventLength(all.substr(whole))) {
-        noteId(all.substr(whole, length));
+        if (!noteId(all.substr(whole, length))) {
+            m_isOutOfOrder = true;
+            break;
+        }
         ++m_events;
         whole += length;
     }
@@ -45,7 +54,8 @@
     return events;
 }
 
-void EventSplitter::noteId(std::string_view event)
+/// Records the id of @p event, if it has one. Returns false if that is out of order.
+bool EventSplitter::noteId(std::string_view event)
 {
     while (!event.empty()) {
         const auto end = event.find('\n');
@@ -58,9 +68,24 @@
             line.remove_prefix(1);
         std::uint64_t id = 0;
         const auto [last, error] = std::from_chars(line.data(), line.data() + line.size(), id);
-        if (error == std::errc{})
-            m_lastId = id;
+        if (error == std::errc{} && !noteNumber(id))
+            return false;
+    }
+    return true;
+}
+
+bool EventSplitter::noteNumber(std::uint64_t id)
+{
+    if (m_lastId) {
+        const bool follows = id == *m_lastId + 1;
+        if (id <= *m_lastId || (m_mustFollow && !follows))
+            return false;
+        m_hasFollowed = m_hasFollowed || follows;
+        m_hasSkipped = m_hasSkipped || !follows;
     }
+    m_mustFollow = false;
+    m_lastId = id;
+    return true;
 }
 
 } // namespace Gypsumtally::Gateway
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -793,6 +793,37 @@
         cr_assert_eq(fixture.body, std::string(row.body), "%s", row.name);
 }
 
+namespace
+{
+
+struct CutAnswerCase {
+    const char *path;
+    const char *bytes; ///< A whole answer, whose connection ends before its last byte.
+};
+
+const CutAnswerCase cutAnswers[] = {
+    {"/once/1", "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nContent-Length: 3\r\n\r\nxyz"},
+    {"/once/1", "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n"},
+    {"/solo/1",
+     "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"},
+};
+
+} // namespace
+
+/// Guards against an answer that is passed on as whole although its upstream has closed inside its head or body.
+TABLE_TEST(CallForwarder, framesNoCutAnswerAsWhole, cutAnswers)
+{
+    const std::string whole = row.bytes;
+    for (std::size_t length = 1; length < whole.size(); ++length) {
+        ForwarderFixture fixture({answer});
+        Testing::RawServer server(fixture.loop(), whole.substr(0, length),
+                                  length % 2 == 0 ? Testing::ConnectionEnd::Close : Testing::ConnectionEnd::Reset);
+        fixture.replaceUpstreams(server.endpoint());
+        const auto status = fixture.ask(row.path);
+        cr_assert(status == 502 || status == 0, "%s after %zu bytes: status %u", row.path, length, status);
+    }
+}
+
 /// A stream that sends single bytes but completes no event is abandoned like a silent one.
 Test(CallForwarder, abandonsStreamWithoutEvents)
 {
@@ -1031,6 +1062,87 @@
     cr_assert_eq(fixture.sends, 1U, "%s", fixture.received.c_str());
 }
 
+namespace
+{
+
+/// Ends as an answer to a resumed stream does if its upstream has nothing to say.
+void streamNothing(const Exchange &exchange)
+{
+    exchange->respond({200, signedFor(exchange), ""});
+}
+
+void streamErrorText(const Exchange &exchange)
+{
+    auto headers = signedFor(exchange);
+    headers.add("Content-Type", "text/plain");
+    exchange->respond({200, headers, "the engine failed\n\n"});
+}
+
+void streamWithOtherStatus(const Exchange &exchange)
+{
+    exchange->respond({206, signedFor(exchange), "id: 2\ndata: b\n\n"});
+}
+
+void streamFromTheStart(const Exchange &exchange)
+{
+    exchange->respond({200, signedFor(exchange), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"});
+}
+
+void streamAfterGap(const Exchange &exchange)
+{
+    exchange->respond({200, signedFor(exchange), "id: 4\ndata: d\n\n"});
+}
+
+void streamTwice(const Exchange &exchange)
+{
+    exchange->respond({200, signedFor(exchange), "id: 2\ndata: b\n\nid: 2\ndata: b\n\n"});
+}
+
+void streamHeadOfError(const Exchange &exchange)
+{
+    auto headers = signedFor(exchange);
+    headers.add("Content-Type", "text/plain");
+    exchange->respond({500, headers, "HTTP/1.1 500 Failed\r\n\r\nfailed\n\n"});
+}
+
+struct SecondRunCase {
+    const char *name;
+    ForwarderFixture::Responder second;
+    const char *body; ///< That the caller gets, of an answer that is not whole.
+};
+
+constexpr char firstOfTwo[] = "id: 1\ndata: a\n\n";
+
+const SecondRunCase secondRuns[] = {
+    {"without an event", streamNothing, firstOfTwo},
+    {"no event stream", streamErrorText, firstOfTwo},
+    {"another status", streamWithOtherStatus, firstOfTwo},
+    {"from the start", streamFromTheStart, firstOfTwo},
+    {"after a gap", streamAfterGap, firstOfTwo},
+    {"an event twice", streamTwice, wholeStream},
+    {"an error with a head in its text", streamHeadOfError, firstOfTwo},
+};
+
+void streamTwoAndCut(const Exchange &exchange)
+{
+    exchange->begin(200, signedFor(exchange), std::nullopt);
+    exchange->write("id: 0\ndata: z\n\nid: 1\ndata: a\n\nid: 2\nda");
+    exchange->abort();
+}
+
+} // namespace
+
+/// Guards against text that is no part of a stream in its middle, and against a stream that ends as if it were whole.
+TABLE_TEST(CallForwarder, passesOnNothingButTheRestOfAStream, secondRuns)
+{
+    ForwarderFixture fixture({streamTwoAndCut, row.second});
+    const auto status = fixture.ask("/stream/1");
+    cr_assert_eq(status, 0U, "%s: status %u, %s", row.name, status, fixture.body.c_str());
+    const std::string expected = std::string("id: 0\ndata: z\n\n") + row.body;
+    cr_assert_eq(fixture.body, expected, "%s: %s", row.name, fixture.body.c_str());
+    cr_assert_eq(fixture.sends, 2U, "%s: %u sends", row.name, fixture.sends);
+}
+
 /// A slow stream that keeps sending events is not abandoned.
 Test(CallForwarder, keepsSlowStream)
 {
--- a/tests/gateway/callmovestest.cpp
+++ b/tests/gateway/callmovestest.cpp
@@ -387,8 +387,7 @@
         for (const auto move : moves) {
             for (const auto setback : setbacks) {
                 const bool isWhole = setback == Setback::HeadThenEnd || setback == Setback::HeadThenPart;
-                const bool isSetback = !isWhole || (isStream(stage) && setback == Setback::HeadThenPart);
-                all.at(i++) = {stage, move, isSetback ? setback : Setback::HeadThenBroken,
+                all.at(i++) = {stage, move, isStream(stage) || !isWhole ? setback : Setback::HeadThenBroken,
                                "stage " + std::to_string(static_cast<int>(stage)) + ", move "
                                    + std::to_string(static_cast<int>(move)) + ", setback "
                                    + std::to_string(static_cast<int>(setback))};
--- a/tests/gateway/eventsplittertest.cpp
+++ b/tests/gateway/eventsplittertest.cpp
@@ -44,6 +44,39 @@
     cr_assert_eq(splitter.hasPartial(), std::string_view(row.bytes).size() > whole.size());
 }
 
+namespace
+{
+
+struct OrderCase {
+    std::uint64_t last;
+    bool isConsecutive;
+    const char *bytes;
+    const char *whole;
+    bool isOutOfOrder;
+};
+
+const OrderCase orders[] = {
+    {3, true, "id: 4\ndata: x\n\n", "id: 4\ndata: x\n\n", false},
+    {3, true, "id: 5\ndata: x\n\n", "", true},
+    {3, false, "id: 5\ndata: x\n\n", "id: 5\ndata: x\n\n", false},
+    {3, true, "id: 1\ndata: x\n\n", "", true},
+    {3, false, "id: 3\ndata: x\n\n", "", true},
+    {3, true, "id: 4\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: y\n\n", "id: 4\ndata: x\n\n", true},
+    {3, true, "data: x\n\nid: 4\ndata: x\n\n", "data: x\n\nid: 4\ndata: x\n\n", false},
+};
+
+} // namespace
+
+/// Guards against events of a second run that repeat or leave out a part of the stream.
+TABLE_TEST(EventSplitter, stopsAtEventsOutOfOrder, orders)
+{
+    EventSplitter splitter;
+    splitter.resumeAfter(row.last, row.isConsecutive);
+    cr_assert_eq(splitter.feed(row.bytes), std::string(row.whole));
+    cr_assert_eq(splitter.isOutOfOrder(), row.isOutOfOrder);
+    cr_assert(!row.isOutOfOrder || splitter.feed("id: 9\ndata: z\n\n").empty());
+}
+
 Test(EventSplitter, overflowsOnEndlessEvent)
 {
     EventSplitter splitter;
