Log which configuration refused a request, and how old a new one is

In the record of real processes request_refused with 404 did not tell a late desired state from callers that test which one is in force. No change of behaviour.

--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -35,6 +35,7 @@
     std::string failureDomain;
     Regions regions;
     std::shared_ptr<const RouteTable> routes; ///< Null until the first configuration is received.
+    Instant configuredAt{}; ///< When they were put in force.
     UpstreamTable upstreams;
     Reachability reach; ///< Of the upstreams, from this node and the others.
     bool hasPeers = false; ///< Other nodes are live, whose evidence tells a cut from a crash.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1878,6 +1878,17 @@
         return call.relayed ? call.relayed->origin : std::string{};
     }
 
+    /// Adds the version of the configuration that decides on requests, and for how long it has been in force.
+    void addConfiguration(std::vector<LogField> &fields, Instant now) const
+    {
+        if (!m_context.routes) {
+            fields.emplace_back("configuration", "none");
+            return;
+        }
+        fields.emplace_back("configuration", std::to_string(m_context.routes->policy().version));
+        fields.emplace_back("configuration_age_ms", std::to_string((now - m_context.configuredAt).count() / 1000));
+    }
+
     static void addWaits(const Call &call, std::vector<LogField> &fields)
     {
         for (const auto &[cause, name] : enumNames<WaitCause>) {
@@ -1969,6 +1980,7 @@
                                      {"sends", std::to_string(call->sends)},
                                      {"after_ms", std::to_string((now - call->arrival).count() / 1000)},
                                      {"verdict", std::string(nameOf(call->verdict))}};
+        addConfiguration(fields, now);
         addWaits(*call, fields);
         m_log.decision(GatewayEvent::Refused, call->request.id, std::move(fields));
         Http::Headers headers{{"Content-Type", "text/plain"}};
