A peer's refusal ends a call only if no other place is left

Callers' streams were broken off, and waiting calls refused with 429, on the word of the first peer that had no room: onPeerRefusal took a refusal that was not about the peer itself for final, also where this node reaches another upstream of the service or, for a begun answer, where other peers had not been asked and the caller still waits.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1594,7 +1594,7 @@
         call->peerRetryAfter = retryAfterOf(call->reply.headers);
         if (returnToHeld(call))
             return;
-        if (call->peerAnswer.mayTryAnother)
+        if (call->peerAnswer.mayTryAnother || hasOtherPlace(*call))
             return retry(call);
         const auto status = call->reply.status;
         auto reason = takeBody(*call);
@@ -1608,6 +1608,14 @@
                call->peerRetryAfter);
     }
 
+    /// Returns true if the call has a place to try next after a peer's refusal: an upstream that this node reaches, or,
+    /// with a begun answer whose caller still waits, another peer.
+    bool hasOtherPlace(const Call &call) const
+    {
+        const auto *version = call.streamVersion ? &*call.streamVersion : nullptr;
+        return !m_relay.isIsolated(call.service, version) || (call.answering && BootClock{}.now() <= latestSend(call));
+    }
+
     void onBrokenByPeer(const CallPtr &call)
     {
         const auto status = call->reply.status;
