After a peer's refusal only an upstream within reach is tried

A call now goes on after a peer's refusal only if an upstream that its own node reaches can serve it in time, and waits for that one; all others end as before, so that their callers go elsewhere at once. asksOtherPeersForBegunAnswers, added with what is reverted here, leaves; waitsForReachedUpstreamIfPeerHasNoRoom stays and fails without the rest.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -326,6 +326,7 @@
         bool leftSilent = false; ///< The call has left an upstream that went silent.
         std::vector<std::string> failedPeers; ///< Peers that have failed the call.
         std::optional<Duration> peerRetryAfter; ///< That a peer's refusal stated.
+        bool isServedHere = false; ///< Waits for an upstream that this node reaches, as a peer had no room.
         unsigned answerStatus = 0; ///< Of the answer that has begun, with its Content-Type.
         std::string answerType;
         bool hasConsecutiveIds = false; ///< Events that the caller has got had successive ids.
@@ -564,7 +565,8 @@
     /// can. Refuses it if only such upstreams are left and no peer takes it. Returns true if it has done either.
     bool relayAroundCut(const CallPtr &call, const std::optional<UpstreamChoice> &direct, Instant now)
     {
-        if (m_context.reach.cutOff().empty() || (direct && !direct->isSuspect && direct->sendAt <= now))
+        if (m_context.reach.cutOff().empty()
+            || (direct && !direct->isSuspect && (direct->sendAt <= now || call->isServedHere)))
             return false;
         const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
         const bool isIsolated = m_relay.isIsolated(call->service, version);
@@ -1594,7 +1596,8 @@
         call->peerRetryAfter = retryAfterOf(call->reply.headers);
         if (returnToHeld(call))
             return;
-        if (call->peerAnswer.mayTryAnother || hasOtherPlace(*call))
+        call->isServedHere = !call->peerAnswer.mayTryAnother && isServedHere(*call);
+        if (call->peerAnswer.mayTryAnother || call->isServedHere)
             return retry(call);
         const auto status = call->reply.status;
         auto reason = takeBody(*call);
@@ -1608,12 +1611,12 @@
                call->peerRetryAfter);
     }
 
-    /// Returns true if the call has a place to try next after a peer's refusal: an upstream that this node reaches, or,
-    /// with a begun answer whose caller still waits, another peer.
-    bool hasOtherPlace(const Call &call) const
+    /// Returns true if an upstream that this node reaches can serve the call in time.
+    bool isServedHere(const Call &call)
     {
-        const auto *version = call.streamVersion ? &*call.streamVersion : nullptr;
-        return !m_relay.isIsolated(call.service, version) || (call.answering && BootClock{}.now() <= latestSend(call));
+        const auto now = BootClock{}.now();
+        const auto direct = choose(call, now);
+        return direct && !direct->isSuspect && direct->sendAt <= latestSend(call);
     }
 
     void onBrokenByPeer(const CallPtr &call)
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -1,6 +1,5 @@
 #include "gateway/callrelay.h"
 
-
 namespace Gypsumtally::Gateway
 {
 
