--- a/src/gateway/registryviews.h
+++ b/src/gateway/registryviews.h
@@ -45,7 +45,7 @@
                   View upstreamRecords, View ownRecords, double jitterFactor, OnRead onRead)
         : m_jitterFactor(jitterFactor)
         , m_onRead(std::move(onRead))
-        , m_operatorDocuments(loop, store, operatorDocuments.prefix, {operatorPause, longWatchTimeout},
+        , m_operatorDocuments(loop, store, operatorDocuments.prefix, {operatorPause, operatorWatchTimeout},
                               withPublishing(RegistryView::OperatorDocuments, std::move(operatorDocuments.observer)))
         , m_upstreamRecords(loop, store, upstreamRecords.prefix, {upstreamPause(drainBound), shortWatchTimeout},
                             withPublishing(RegistryView::UpstreamRecords, std::move(upstreamRecords.observer)))
@@ -147,6 +147,10 @@
     /// detected there first. The other watches wait longer, as each call is billed, and are restarted when this one
     /// fails.
     static constexpr Duration shortWatchTimeout = std::chrono::seconds{1};
+    /// Timeout of the watch on the operator's documents. A channel that has gone silent withholds them for no longer
+    /// than this and the time for the store's answer, together the time after which the users' rules bind again (3 s),
+    /// also where no peer tells of newer ones.
+    static constexpr Duration operatorWatchTimeout = std::chrono::milliseconds{2300};
     static constexpr Duration longWatchTimeout = std::chrono::seconds{10};
     /// Factor of a standby's pause over the reader's; it allows for a call and a datagram. Both pauses and one call
     /// stay within the drain bound together.
--- a/tests/gateway/registryviewstest.cpp
+++ b/tests/gateway/registryviewstest.cpp
@@ -25,9 +25,11 @@
         onReply({isCutOff ? KeyOutcome::Unavailable : KeyOutcome::Applied, 10, {}});
     }
 
-    void watch(const std::string &prefix, Revision after, Duration, const std::function<void(WatchResult)> &onResult)
+    void watch(const std::string &prefix, Revision after, Duration wait,
+               const std::function<void(WatchResult)> &onResult)
     {
         ++watches;
+        waits[prefix] = wait;
         if (answersWatches)
             onResult({true, false, {{prefix + "k", "v", after + 1}}, after + 1});
     }
@@ -46,6 +48,7 @@
 
     unsigned reads = 0;
     unsigned watches = 0;
+    std::map<std::string, Duration> waits; ///< Of the last watch of each view.
     bool answersWatches = false;
     bool isCutOff = false;
 };
@@ -116,6 +119,16 @@
         cr_assert_geq(viewer.changes, 9U, "%u", viewer.changes);
 }
 
+/// Guards against a desired state or a version that a silent channel withholds for longer than the rules allow.
+Test(RegistryViews, watchesOperatorDocumentsForLessThanTheRulesAllow)
+{
+    Viewer viewer;
+    viewer.start(ReadRole::Reader, std::chrono::milliseconds{300}, {});
+    constexpr auto untilRulesBind = std::chrono::milliseconds{3000};
+    constexpr auto answerTime = std::chrono::milliseconds{700};
+    cr_assert_leq(viewer.store.waits.at("op/"), untilRulesBind - answerTime);
+}
+
 /// Nodes of a fleet that start together must discover each other before one of them acquires all order leases.
 Test(RegistryViews, joiningNodeWatchesMembership)
 {
