No failure of a peer's upstream goes into an answer that has begun

Report: clients found an error's text, and its whole head, in the middle of their stream. It happens here: a stream broke off, went on through a peer, and the peer's upstream answered 500 with no attempt left. A held send was dropped for it too.

A failure that a peer passes on now counts as a broken send if the answer has begun or a send is held; a caller without any answer still gets it unchanged.

passesNoErrorOnInABegunStream reads the caller's bytes and fails without the fix (HTTP/1.1 500 after the third event); so do 8 rows of CallMoves (FailedAtPeer).";

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1572,14 +1572,19 @@
             giveBackRepeat(*call);
         const auto verdict = isStream(*call) ? Verdict::Ran : answer.verdict;
         countRelayed("out", verdict);
-        if (verdict == Verdict::Ran) {
+        const bool isFailure = verdict == Verdict::Ran && call->reply.status / 100 != 2;
+        // An answer that has begun, or may still come from the held send, is not replaced by a failure.
+        if (verdict == Verdict::Ran && !(isFailure && (call->answering || call->held))) {
             if (!isStream(*call))
                 forwardAnswer(call);
             return isStream(*call);
         }
         call->runs += answer.runs;
         call->failedPeers.push_back(call->peer);
-        if (verdict == Verdict::NotRun) {
+        if (isFailure) {
+            noteMayHaveRun(call, "the upstream of the peer has failed the call");
+            onBrokenByPeer(call);
+        } else if (verdict == Verdict::NotRun) {
             onPeerRefusal(call);
         } else {
             noteMayHaveRun(call, "the upstream of the peer failed", 0);
--- a/tests/gateway/callmovestest.cpp
+++ b/tests/gateway/callmovestest.cpp
@@ -319,6 +319,7 @@
     NotRun,
     NotRunByPeerItself, ///< For a reason that other peers may not have.
     Failed, ///< An answer with status 500.
+    FailedAtPeer, ///< The same, which a peer passes on as its upstream's.
     Broken,
     NotConnected,
     PortRefused,
@@ -328,10 +329,10 @@
     HeadThenPart, ///< An incomplete event, then the end.
 };
 
-constexpr std::array setbacks{Setback::None,        Setback::NotRun,      Setback::NotRunByPeerItself,
-                              Setback::Failed,      Setback::Broken,      Setback::NotConnected,
-                              Setback::PortRefused, Setback::Malformed,   Setback::HeadThenBroken,
-                              Setback::HeadThenEnd, Setback::HeadThenPart};
+constexpr std::array setbacks{Setback::None,           Setback::NotRun,       Setback::NotRunByPeerItself,
+                              Setback::Failed,         Setback::FailedAtPeer, Setback::Broken,
+                              Setback::NotConnected,   Setback::PortRefused,  Setback::Malformed,
+                              Setback::HeadThenBroken, Setback::HeadThenEnd,  Setback::HeadThenPart};
 constexpr std::array stages{Stage::PlainSent, Stage::PlainPart, Stage::StreamSent, Stage::StreamBegun};
 constexpr std::array moves{Move::ToUpstream, Move::ToPeer, Move::BetweenPeers};
 
@@ -351,6 +352,10 @@
         replacement.begin(500, fixture.headersOf(true));
         replacement.write("failed");
         return replacement.end();
+    case Setback::FailedAtPeer:
+        replacement.begin(500, fixture.headersOf(true, Verdict::Ran));
+        replacement.write("failed");
+        return replacement.end();
     case Setback::Broken:
         return replacement.fail(ExchangeFailure::Broken, true);
     case Setback::NotConnected:
--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -2,6 +2,7 @@
 
 #include "support/cuttablelink.h"
 #include "support/plaindialect.h"
+#include "support/rawcaller.h"
 #include "support/table.h"
 
 #include <boost/asio/io_context.hpp>
@@ -168,6 +169,11 @@
         return answer;
     }
 
+    Http::EventLoop &loop()
+    {
+        return m_loop;
+    }
+
     /// Runs the loop for @p time.
     void run(Duration time)
     {
@@ -246,6 +252,7 @@
     std::vector<std::unique_ptr<RelayNode>> nodes;
     unsigned served = 0; ///< Requests that upstreams have received.
     unsigned abandoned = 0; ///< Requests whose sender has left the upstream.
+    bool failsResumed = false; ///< Upstreams fail requests that go on with a stream.
     Relay::UpstreamClient::Token lastToken = 0;
 
 private:
@@ -269,6 +276,8 @@
         ++served;
         const Http::Headers headers{{"Id", std::string(exchange->request().headers.get("Id"))}, {"Proof", "p"}};
         exchange->onGone([this] { ++abandoned; });
+        if (failsResumed && exchange->request().headers.contains("Resume"))
+            return exchange->respond({500, headers, "id: 9\ndata: failed\n\n"});
         const auto &path = exchange->request().target;
         if (path.ends_with("/slow"))
             return m_loop.runAfter(slowAnswerTime, [exchange, headers] { exchange->respond({200, headers, "whole"}); });
@@ -522,6 +531,23 @@
     cr_assert_eq(fixture.relayed(), row.relayed, "%s: relayed %u", row.name, fixture.relayed());
 }
 
+/// Guards against an upstream's error, with its head, in the middle of a stream that goes on through a peer.
+Test(CallRelay, passesNoErrorOnInABegunStream)
+{
+    RelayFixture fixture(2);
+    fixture.failsResumed = true;
+    Testing::RawCaller caller(fixture.loop(), fixture.nodes[0]->entry);
+    caller.send("POST /stream/1 HTTP/1.1\r\nHost: h\r\nId: r9\r\nContent-Length: 1\r\n\r\nq");
+    fixture.run(std::chrono::milliseconds{120});
+    fixture.nodes[0]->setLinks(LinkState::Reset);
+    fixture.run(std::chrono::milliseconds{800});
+    const auto received = std::string(caller.received());
+    cr_assert_eq(fixture.relayed(), 1U);
+    cr_assert_neq(received.find("id: 1\n"), std::string::npos, "%s", received.c_str());
+    cr_assert_eq(received.find("500"), std::string::npos, "%s", received.c_str());
+    cr_assert_eq(received.find("failed"), std::string::npos, "%s", received.c_str());
+}
+
 namespace
 {
 
