--- a/tests/gateway/callmovestest.cpp
+++ b/tests/gateway/callmovestest.cpp
@@ -180,7 +180,8 @@
         const auto until = BootClock{}.now() + longestSilence;
         while (sends().size() < number && BootClock{}.now() < until)
             run(sweepInterval / 2);
-        cr_assert_geq(sends().size(), number, "%zu sends", sends().size());
+        cr_assert_geq(sends().size(), number, "%zu sends, stage %d, move %d", sends().size(), static_cast<int>(m_stage),
+                      static_cast<int>(m_move));
     }
 
     /// Lets the first upstream be silent until a replacement is tried, and returns that send.
--- a/tests/gatewayfleet/silentupstreamtest.cpp
+++ b/tests/gatewayfleet/silentupstreamtest.cpp
@@ -61,6 +61,8 @@
     const auto configurationLines = fleet.logLines("written_within_ms");
     const auto tally = fleet.tally(CallerRequest::Stream);
     const auto problems = fleet.finish();
+    if (!problems.empty())
+        fleet.keepFiles();
     for (const auto &problem : problems)
         cr_log_warn("%s: %s", row.name, problem.c_str());
     cr_assert(problems.empty(), "%s: %zu problems", row.name, problems.size());
