Soak: a take-up counts only while two engines of its own version serve

The rule: "Of 12 or more streams that clients take up again at machines in touch, while two workers of their software version serve". The check asked for two engines of each version that serves, so that it bound for streams of a version that had left altogether. The stream's own version must serve twice now, beside all others; bound and ratio stay.

--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -103,7 +103,7 @@
     , m_random(seed)
     , m_store(m_loop)
     , m_client(m_loop)
-    , m_streamCallers(m_loop, m_client, [this] { return drawTarget(); })
+    , m_streamCallers(m_loop, m_client, [this](const std::set<std::string> &versions) { return drawTarget(versions); })
     , m_pipelines(m_loop, [this](const std::string &id, Instant sentAt) { onUnanswered(id, sentAt); })
 {
     for (unsigned number = 0; number < size.engines; ++number)
@@ -308,7 +308,7 @@
     return prompt;
 }
 
-std::optional<CallerTarget> Fleet::drawTarget()
+std::optional<CallerTarget> Fleet::drawTarget(const std::set<std::string> &versions)
 {
     const auto number = drawOpenNode();
     if (!number)
@@ -316,7 +316,8 @@
     const auto &node = m_nodes[*number];
     const auto now = BootClock{}.now();
     const auto disturbedAt = std::max({node.disturbedAt, node.startedAt, node.partitionedUntil});
-    const bool isInTouch = now - disturbedAt > touchTime && !node.stopAt && (!m_countsOnlyBinding || bindsTakeUps());
+    const bool isInTouch
+        = now - disturbedAt > touchTime && !node.stopAt && (!m_countsOnlyBinding || bindsTakeUps(versions));
     return CallerTarget{node.ports[Callers]->endpoint(), node.name + ":" + std::to_string(++m_sent), isInTouch};
 }
 
@@ -436,14 +437,17 @@
     return sentAt > *node.stopAt + addressCacheTime && now - sentAt <= lostTime && !hasRun(id);
 }
 
-/// Returns true if two engines or more of each software version serve, as the rule on streams that are taken up asks.
-bool Fleet::bindsTakeUps() const
+/// Returns true if two engines or more of each software version serve, as the rule on streams that are taken up asks,
+/// and of each of @p versions.
+bool Fleet::bindsTakeUps(const std::set<std::string> &versions) const
 {
     std::map<std::string, unsigned> serving;
     for (const auto &engine : m_engines) {
         if (engine->serves())
             ++serving[engine->software()];
     }
+    for (const auto &version : versions)
+        serving.try_emplace(version, 0);
     return std::ranges::all_of(serving, [](const auto &each) { return each.second >= 2; });
 }
 
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -188,7 +188,8 @@
         return m_workers.size();
     }
 
-    /// Counts streams that are taken up only while the users' rule on them binds: two engines of each version serve.
+    /// Counts streams that are taken up only while the users' rule on them binds: two engines of each version serve,
+    /// the stream's own among them.
     void countOnlyBindingTakeUps()
     {
         m_countsOnlyBinding = true;
@@ -249,7 +250,7 @@
     void sendPrompt(CallerRequest kind, const Prompt &prompt, unsigned retries);
     Prompt drawPrompt(CallerRequest kind);
     std::optional<std::size_t> drawOpenNode();
-    std::optional<CallerTarget> drawTarget();
+    std::optional<CallerTarget> drawTarget(const std::set<std::string> &versions);
     void onAnswer(CallerRequest kind, const std::string &id, std::size_t node, Instant sentAt,
                   const Relay::WholeResponse &response);
     void checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt);
@@ -257,7 +258,7 @@
     void onUnanswered(const std::string &id, Instant sentAt);
     bool hasRun(const std::string &id) const;
     bool isExcusedByStop(const std::string &id, const Node &node, Instant sentAt) const;
-    bool bindsTakeUps() const;
+    bool bindsTakeUps(const std::set<std::string> &versions) const;
     bool isInTouch(const Node &node, Instant now) const;
     void probeConfiguration(std::size_t number);
     void sweep();
--- a/tests/gatewayfleet/streamcallers.cpp
+++ b/tests/gatewayfleet/streamcallers.cpp
@@ -22,8 +22,7 @@
 
 } // namespace
 
-StreamCallers::StreamCallers(Http::EventLoop &loop, Relay::UpstreamClient &client,
-                             std::function<std::optional<CallerTarget>()> draw)
+StreamCallers::StreamCallers(Http::EventLoop &loop, Relay::UpstreamClient &client, Draw draw)
     : m_loop(loop)
     , m_client(client)
     , m_draw(std::move(draw))
@@ -42,7 +41,7 @@
 void StreamCallers::send(const StreamPtr &stream)
 {
     const auto now = BootClock{}.now();
-    const auto target = m_draw();
+    const auto target = m_draw(stream->versions);
     if (now >= stream->deadline || stream->tries >= maxTries)
         return;
     if (!target) {
--- a/tests/gatewayfleet/streamcallers.h
+++ b/tests/gatewayfleet/streamcallers.h
@@ -18,7 +18,7 @@
 struct CallerTarget {
     Http::Endpoint endpoint;
     std::string requestId;
-    bool isInTouch = true; ///< It was not killed, frozen or started lately.
+    bool isInTouch = true; ///< The users' rules bind it.
 };
 
 /// Callers of streams, who take a stream up again, at any node, when it breaks off. Use only on the event loop's
@@ -36,9 +36,11 @@
         unsigned lateRefusals = 0; ///< Of take-ups, after half of the caller's time.
     };
 
-    /// @p draw selects a node for each request; nothing if none is open.
-    StreamCallers(Http::EventLoop &loop, Relay::UpstreamClient &client,
-                  std::function<std::optional<CallerTarget>()> draw);
+    /// Selects a node for a request of a stream whose events came from the given software versions; nothing if none is
+    /// open.
+    using Draw = std::function<std::optional<CallerTarget>(const std::set<std::string> &versions)>;
+
+    StreamCallers(Http::EventLoop &loop, Relay::UpstreamClient &client, Draw draw);
 
     /// Sends a new stream of @p adapter.
     void start(const std::string &adapter);
@@ -86,7 +88,7 @@
 
     Http::EventLoop &m_loop;
     Relay::UpstreamClient &m_client;
-    std::function<std::optional<CallerTarget>()> m_draw;
+    Draw m_draw;
     Tally m_tally;
     unsigned m_joined = 0;
     std::vector<std::weak_ptr<Stream>> m_streams;
