--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1601,7 +1601,7 @@
         call->peerRetryAfter = retryAfterOf(call->reply.headers);
         if (returnToHeld(call))
             return;
-        call->isServedHere = !call->peerAnswer.mayTryAnother && isServedHere(*call);
+        call->isServedHere = !call->peerAnswer.mayTryAnother && canBeServedHere(*call);
         if (call->peerAnswer.mayTryAnother || call->isServedHere)
             return retry(call);
         const auto status = call->reply.status;
@@ -1617,7 +1617,7 @@
     }
 
     /// Returns true if an upstream that this node reaches can serve the call in time.
-    bool isServedHere(const Call &call)
+    bool canBeServedHere(const Call &call)
     {
         const auto now = BootClock{}.now();
         const auto direct = choose(call, now);
