--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1675,13 +1675,7 @@
         if (!call->peer.empty())
             return onPeerFailure(call, failure);
         const auto now = BootClock{}.now();
-        if (failure.kind != Relay::ExchangeFailure::Malformed) {
-            call->brokenAt = now;
-            m_context.recordFailure(processOf(*call),
-                                    failure.kind == Relay::ExchangeFailure::NotConnected ? ReachFailure::NotConnected
-                                                                                         : ReachFailure::Broken,
-                                    now);
-        }
+        noteReachFailure(*call, *call, failure, now);
         if (failure.kind == Relay::ExchangeFailure::NotConnected || !failure.sent) {
             --call->sends;
             giveBackRepeat(*call);
@@ -1697,6 +1691,18 @@
         onBroken(call, failure.reason);
     }
 
+    /// Records that the connection of @p send to an upstream was not made or has broken. Bytes that are no response
+    /// tell nothing about the path.
+    void noteReachFailure(Call &call, const CallSend &send, const Relay::FailedExchange &failure, Instant now)
+    {
+        if (failure.kind == Relay::ExchangeFailure::Malformed)
+            return;
+        call.brokenAt = now;
+        const bool isUnconnected = failure.kind == Relay::ExchangeFailure::NotConnected;
+        m_context.recordFailure(processOf(send), isUnconnected ? ReachFailure::NotConnected : ReachFailure::Broken,
+                                now);
+    }
+
     /// Sends the call to another upstream, as the current one has accepted no connection; after a delay if there is
     /// none or several have failed it.
     void retryUnconnected(const CallPtr &call, Instant now)
@@ -2255,10 +2261,8 @@
         call->verdict = Verdict::MayHaveRun;
         if (call->peer.empty()) {
             call->leftSilent = true;
-            m_monitor.avoid(call->instance, now);
             m_context.recordFailure(processOf(*call), ReachFailure::Silent, now); // Is probed over a new connection.
-            call->excluded.push_back(call->instance);
-            call->silent.push_back(call->instance);
+            avoidSilent(*call, call->instance, now);
         } else {
             call->failedPeers.push_back(call->peer);
         }
@@ -2354,13 +2358,8 @@
     {
         const auto now = BootClock{}.now();
         const auto &held = *call->held;
-        if (held.peer.empty() && failure.kind != Relay::ExchangeFailure::Malformed) {
-            call->brokenAt = now;
-            m_context.recordFailure(processOf(held),
-                                    failure.kind == Relay::ExchangeFailure::NotConnected ? ReachFailure::NotConnected
-                                                                                         : ReachFailure::Broken,
-                                    now);
-        }
+        if (held.peer.empty())
+            noteReachFailure(*call, held, failure, now);
         if (held.peer.empty() && failure.kind == Relay::ExchangeFailure::Broken && failure.sent)
             noteBroken(*call, held, now);
         dropHeld(call, failure.reason);
@@ -2376,9 +2375,15 @@
             call->failedPeers.push_back(peer);
             return;
         }
+        avoidSilent(*call, instance, now);
+    }
+
+    /// Excludes an upstream that has gone silent, until no other one is left.
+    void avoidSilent(Call &call, const std::string &instance, Instant now)
+    {
         m_monitor.avoid(instance, now);
-        call->excluded.push_back(instance);
-        call->silent.push_back(instance);
+        call.excluded.push_back(instance);
+        call.silent.push_back(instance);
     }
 
     void noteBroken(const Call &call, const CallSend &send, Instant now)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/eventloop.h"
+#include "http/interimresponse.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -41,19 +42,12 @@
 constexpr std::size_t maxIdlePerEndpoint = 64;
 constexpr std::size_t readBufferBytes = 16 * 1024;
 constexpr unsigned minErrorStatus = 400;
-constexpr unsigned maxInterimResponses = 16; ///< Before one response.
-constexpr unsigned switchingProtocols = 101; ///< The only final status below 200.
 
 asio::redirect_error_t<asio::use_awaitable_t<>> into(ErrorCode &error)
 {
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
-bool isInterim(unsigned status)
-{
-    return status / 100 == 1 && status != switchingProtocols;
-}
-
 bool isStillOpen(beast::tcp_stream &stream)
 {
     char byte = 0;
--- a/src/relay/responsereader.cpp
+++ b/src/relay/responsereader.cpp
@@ -1,5 +1,7 @@
 #include "relay/responsereader.h"
 
+#include "http/interimresponse.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -19,8 +21,6 @@
 constexpr std::size_t bodyBufferBytes = 16 * 1024;
 /// Limit for a head, a chunk header or a trailer, which are buffered until they are complete.
 constexpr std::size_t maxUnparsedBytes = 32 * 1024;
-constexpr unsigned maxInterimResponses = 16; ///< Before one response.
-constexpr unsigned switchingProtocols = 101; ///< The only final status below 200.
 
 std::optional<unsigned> keepAliveTimeout(std::string_view value)
 {
@@ -50,12 +50,6 @@
         parser->eager(false);
     }
 
-    bool isInterim() const
-    {
-        const auto status = parser->get().result_int();
-        return status / 100 == 1 && status != switchingProtocols;
-    }
-
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
     bool hasHead = false;
     unsigned interimResponses = 0;
@@ -101,7 +95,7 @@
         used += taken;
         const auto received = m_d->hasHead ? m_d->bytes.size() - parser.get().body().size : 0;
         if (parser.is_header_done() && !m_d->hasHead) {
-            if (m_d->isInterim()) {
+            if (Http::isInterim(parser.get().result_int())) {
                 skipInterim();
                 continue;
             }
@@ -126,7 +120,7 @@
 void ResponseReader::skipInterim()
 {
     m_d->restart();
-    if (++m_d->interimResponses <= maxInterimResponses)
+    if (++m_d->interimResponses <= Http::maxInterimResponses)
         return;
     m_state = State::Failed;
     m_problem = "interim responses have no end";
--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -164,9 +164,10 @@
     after(oddConfigurationTime, [this] { changeConfiguration(); });
 }
 
-bool Fleet::isInTouch(const Node &node, Instant now) const
+/// Returns true if the users' rules bind @p node, which something else has disturbed until @p otherwiseDisturbed.
+bool Fleet::isInTouch(const Node &node, Instant otherwiseDisturbed, Instant now)
 {
-    const auto disturbedAt = std::max({node.disturbedAt, node.startedAt, m_storeDisturbedUntil});
+    const auto disturbedAt = std::max({node.disturbedAt, node.startedAt, otherwiseDisturbed});
     return node.isOpen && !node.stopAt && now - disturbedAt > touchTime;
 }
 
@@ -193,15 +194,16 @@
         "/v" + std::to_string(version) + "/1",
         {{"Host", "h"}, {"X-Request-Id", node.name + ":" + std::to_string(++m_sent)}, {"X-Timeout-Ms", "500"}},
         {}};
-    const auto onResponse = [this, number, version, sentAt, process = NodeProcess{node.name, node.startedAt},
-                             wasInTouch = isInTouch(node, sentAt)](const Relay::WholeResponse &response) {
-        const auto now = BootClock{}.now();
-        const auto status = response.head.status;
-        if (status != 200 && status != 404)
-            return;
-        const bool staysInTouch = wasInTouch && isInTouch(m_nodes[number], now);
-        m_configurationProbes.onAnswer(process, version, sentAt, status == 200, staysInTouch, now);
-    };
+    const auto onResponse
+        = [this, number, version, sentAt, process = NodeProcess{node.name, node.startedAt},
+           wasInTouch = isInTouch(node, m_storeDisturbedUntil, sentAt)](const Relay::WholeResponse &response) {
+              const auto now = BootClock{}.now();
+              const auto status = response.head.status;
+              if (status != 200 && status != 404)
+                  return;
+              const bool staysInTouch = wasInTouch && isInTouch(m_nodes[number], m_storeDisturbedUntil, now);
+              m_configurationProbes.onAnswer(process, version, sentAt, status == 200, staysInTouch, now);
+          };
     m_client.fetch({node.ports[Callers]->endpoint(), {}}, request, onResponse, options);
 }
 
@@ -315,10 +317,9 @@
         return std::nullopt;
     const auto &node = m_nodes[*number];
     const auto now = BootClock{}.now();
-    const auto disturbedAt = std::max({node.disturbedAt, node.startedAt, node.partitionedUntil});
-    const bool isInTouch
-        = now - disturbedAt > touchTime && !node.stopAt && (!m_countsOnlyBinding || bindsTakeUps(versions));
-    return CallerTarget{node.ports[Callers]->endpoint(), node.name + ":" + std::to_string(++m_sent), isInTouch};
+    const bool isBound
+        = isInTouch(node, node.partitionedUntil, now) && (!m_countsOnlyBinding || bindsTakeUps(versions));
+    return CallerTarget{node.ports[Callers]->endpoint(), node.name + ":" + std::to_string(++m_sent), isBound};
 }
 
 void Fleet::send(CallerRequest kind)
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -259,7 +259,7 @@
     bool hasRun(const std::string &id) const;
     bool isExcusedByStop(const std::string &id, const Node &node, Instant sentAt) const;
     bool bindsTakeUps(const std::set<std::string> &versions) const;
-    bool isInTouch(const Node &node, Instant now) const;
+    static bool isInTouch(const Node &node, Instant otherwiseDisturbed, Instant now);
     void probeConfiguration(std::size_t number);
     void sweep();
 
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -7,6 +7,7 @@
 #include "support/scriptedserver.h"
 #include "support/table.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -179,6 +180,30 @@
     cr_assert_lt(server.bytesSent, 8U * 1024 * 1024, "%zu", server.bytesSent);
 }
 
+namespace
+{
+
+/// Sends a request and returns the body of the answer; nothing if that is not whole.
+std::optional<std::string> wholeBody(EventLoop &loop, Client &client, const Endpoint &endpoint,
+                                     const RequestOptions &options)
+{
+    std::string body;
+    bool ended = false;
+    ResponseObserver observer;
+    observer.onBody = [&](std::string_view piece) { body += piece; };
+    observer.onEnd = [&] {
+        ended = true;
+        loop.stop();
+    };
+    observer.onFailure = [&](const TransportFailure &) { loop.stop(); };
+    client.send(endpoint, {}, observer, options);
+    loop.context().restart();
+    loop.run();
+    return ended ? std::optional(body) : std::nullopt;
+}
+
+} // namespace
+
 /// An answer without a length or chunks is whole only if its connection ends in order, which is not used again.
 TABLE_TEST(Client, answersWithoutLengthEndWithTheirConnection, Testing::unframedAnswers)
 {
@@ -188,21 +213,10 @@
     RequestOptions options;
     options.idleTimeout = std::chrono::milliseconds{300};
     for (unsigned request = 1; request <= 2; ++request) {
-        std::string body;
-        bool ended = false;
-        ResponseObserver observer;
-        observer.onBody = [&](std::string_view piece) { body += piece; };
-        observer.onEnd = [&] {
-            ended = true;
-            loop.stop();
-        };
-        observer.onFailure = [&](const TransportFailure &) { loop.stop(); };
-        client.send(server.endpoint(), {}, observer, options);
-        loop.context().restart();
-        loop.run();
-        cr_assert_eq(ended, row.isWhole, "%s", row.name);
+        const auto body = wholeBody(loop, client, server.endpoint(), options);
+        cr_assert_eq(body.has_value(), row.isWhole, "%s", row.name);
         if (row.isWhole)
-            cr_assert_eq(body, std::string(row.body), "%s", row.name);
+            cr_assert_eq(*body, std::string(row.body), "%s", row.name);
         cr_assert_eq(server.connections, request, "%s", row.name);
     }
 }
@@ -216,19 +230,9 @@
             EventLoop loop;
             Testing::RawServer server(loop, whole.substr(0, length), end);
             Client client(loop);
-            std::string body;
-            bool ended = false;
-            ResponseObserver observer;
-            observer.onBody = [&](std::string_view piece) { body += piece; };
-            observer.onEnd = [&] {
-                ended = true;
-                loop.stop();
-            };
-            observer.onFailure = [&](const TransportFailure &) { loop.stop(); };
-            client.send(server.endpoint(), {}, observer);
-            loop.run();
-            cr_assert_eq(ended, length == whole.size(), "%zu bytes", length);
-            cr_assert(!ended || body == "xyz", "%s", body.c_str());
+            const auto body = wholeBody(loop, client, server.endpoint(), {});
+            cr_assert_eq(body.has_value(), length == whole.size(), "%zu bytes", length);
+            cr_assert(!body || *body == "xyz", "%s", body->c_str());
         }
     }
 }
