--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -29,6 +29,9 @@
 constexpr Duration loadingTime
     = std::chrono::milliseconds{500}; ///< From the start of a process to its first statement.
 constexpr Duration restartPause = std::chrono::milliseconds{300};
+constexpr Duration probeInterval = std::chrono::milliseconds{200}; ///< Of the configuration at one node.
+constexpr Duration probeTimeout = std::chrono::milliseconds{500};
+constexpr Duration oddConfigurationTime = std::chrono::milliseconds{200};
 constexpr unsigned adapters = 6;
 constexpr unsigned subjects = 8; ///< Second parts of prompts.
 
@@ -135,6 +138,8 @@
             + (isOther ? R"({"name": "other", "host": "h", "prefix": "/other/", "kind": "idempotent", "timeout_ms": 500,
          "goal_ms": 90, "service": "web", "attempts": 1},)"
                        : "")
+            + R"({"name": "v)" + std::to_string(version) + R"(", "host": "h", "prefix": "/v)" + std::to_string(version)
+            + R"(/", "kind": "idempotent", "timeout_ms": 500, "goal_ms": 90, "service": "web", "attempts": 1},)"
             + R"({"name": "work", "host": "h", "prefix": "/work/", "kind": "non_idempotent", "goal_ms": 6000,
          "service": "web", "attempts": 2, "timeout_ms": )"
             + (isOther ? "6500" : "7000") + R"(},
@@ -149,6 +154,55 @@
         "limits": {"header_bytes": 16384, "max_body_bytes": )"
             + (isOther ? "32768" : "65536") + R"(, "header_timeout_ms": 3000, "idle_timeout_ms": )"
             + (isOther ? "5000" : "15000") + "}}");
+    m_configurationProbes.onWritten(version, BootClock{}.now());
+}
+
+void Fleet::writeOddConfiguration()
+{
+    m_store.put("op/config",
+                R"({"version": )" + std::to_string(m_configurations + 1) + R"(, "routes": [{"host": 1}]})");
+    after(oddConfigurationTime, [this] { changeConfiguration(); });
+}
+
+bool Fleet::isInTouch(const Node &node, Instant now) const
+{
+    const auto disturbedAt = std::max({node.disturbedAt, node.startedAt, m_storeDisturbedUntil});
+    return node.isOpen && !node.stopAt && now - disturbedAt > touchTime;
+}
+
+void Fleet::probeConfigurations()
+{
+    for (std::size_t number = 0; number < m_nodes.size(); ++number)
+        probeConfiguration(number);
+    after(probeInterval, [this] { probeConfigurations(); });
+}
+
+/// Asks a node for a route that only the newest configuration has, or only the one before it.
+void Fleet::probeConfiguration(std::size_t number)
+{
+    const auto &node = m_nodes[number];
+    if (!node.isOpen || node.stopAt)
+        return;
+    const auto newest = m_configurationProbes.newest();
+    const auto version = newest > 1 && m_random() % 2 == 0 ? newest - 1 : newest;
+    const auto sentAt = BootClock{}.now();
+    Relay::SendOptions options;
+    options.timeout = probeTimeout;
+    const Http::Request request{
+        "GET",
+        "/v" + std::to_string(version) + "/1",
+        {{"Host", "h"}, {"X-Request-Id", node.name + ":" + std::to_string(++m_sent)}, {"X-Timeout-Ms", "500"}},
+        {}};
+    const auto onResponse = [this, number, version, sentAt, process = NodeProcess{node.name, node.startedAt},
+                             wasInTouch = isInTouch(node, sentAt)](const Relay::WholeResponse &response) {
+        const auto now = BootClock{}.now();
+        const auto status = response.head.status;
+        if (status != 200 && status != 404)
+            return;
+        const bool staysInTouch = wasInTouch && isInTouch(m_nodes[number], now);
+        m_configurationProbes.onAnswer(process, version, sentAt, status == 200, staysInTouch, now);
+    };
+    m_client.fetch({node.ports[Callers]->endpoint(), {}}, request, onResponse, options);
 }
 
 void Fleet::start(Node &node)
@@ -345,7 +399,7 @@
 }
 
 /// Records a problem if nothing explains that the request got no whole answer: its node was neither killed nor frozen
-/// meanwhile, and no upstream has broken off a stream.
+/// meanwhile, no upstream has broken off a stream, and its deadline was not reached.
 void Fleet::checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt)
 {
     const bool mayBeBrokenOff = isStream(kind) && std::ranges::any_of(m_engines, [&](const auto &engine) {
@@ -353,6 +407,8 @@
                                 });
     if (isStream(kind) && node.partitionedUntil >= sentAt)
         return; // Its connections may have been reset while no other node could go on.
+    if (isStream(kind) && BootClock{}.now() - sentAt >= formOf(kind).timeout)
+        return; // It was ended at its deadline.
     if (!mayBeBrokenOff && node.disturbedAt < sentAt && node.keepsCallers) {
         m_unanswered.insert(id);
         return;
@@ -436,6 +492,7 @@
 void Fleet::excuseAll(Duration time)
 {
     const auto now = BootClock{}.now();
+    m_storeDisturbedUntil = std::max(m_storeDisturbedUntil, now + time);
     for (const auto &node : m_nodes)
         m_crashing.excuse(node.name, now, now + time + touchTime);
     m_versions.excuse(now + time + touchTime);
@@ -556,6 +613,7 @@
     std::ranges::move(m_streamCallers.problems(), std::back_inserter(problems));
     std::ranges::copy(m_pipelines.problems(), std::back_inserter(problems));
     std::ranges::copy(m_versions.violations(), std::back_inserter(problems));
+    std::ranges::copy(m_configurationProbes.violations(), std::back_inserter(problems));
     std::map<std::string, unsigned> runs;
     for (const auto *group : {&m_engines, &m_workers}) {
         for (const auto &upstream : *group) {
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gatewayfleet/configurationprobes.h"
 #include "gatewayfleet/pathproxy.h"
 #include "gatewayfleet/pipeliningcallers.h"
 #include "gatewayfleet/storestandin.h"
@@ -103,6 +104,12 @@
     /// send.
     void changeConfiguration();
 
+    /// Writes what is no configuration in place of the one in force, and shortly after it the next configuration.
+    void writeOddConfiguration();
+
+    /// Sends requests to all nodes from now on that show which configuration is in force there.
+    void probeConfigurations();
+
     /// Declares the next version of adapter @p number.
     void declareNextVersion(unsigned number);
 
@@ -145,6 +152,11 @@
         return m_streamCallers;
     }
 
+    const ConfigurationProbes &configurationProbes() const
+    {
+        return m_configurationProbes;
+    }
+
     const CrashingParts &crashingParts() const
     {
         return m_crashing;
@@ -246,6 +258,8 @@
     bool hasRun(const std::string &id) const;
     bool isExcusedByStop(const std::string &id, const Node &node, Instant sentAt) const;
     bool bindsTakeUps() const;
+    bool isInTouch(const Node &node, Instant now) const;
+    void probeConfiguration(std::size_t number);
     void sweep();
 
     const FleetSize m_size;
@@ -275,6 +289,8 @@
     std::uint64_t m_sent = 0;
     std::uint64_t m_prompts = 0;
     std::uint64_t m_configurations = 0;
+    ConfigurationProbes m_configurationProbes;
+    Instant m_storeDisturbedUntil{};
 };
 
 } // namespace Gypsumtally::GatewayFleet
