Log and count roles, messages between nodes and connections

Nothing showed whether a node is a relay or the reader of its failure domain, how much of its link messages between nodes take, and how long connections take. New lines: roles_changed on each change; link_load, at most every 2 s, when messages take a quarter of the link or a connection was late. New metric gypsumtally_connections_total; gypsumtally_peer_bytes_total in the gateway, by direction and kind.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -62,6 +62,12 @@
         m_client.connectFrom(local);
     }
 
+    /// Returns what has become of the connections of the time since the last call.
+    Relay::ConnectionCounts takeConnectionCounts()
+    {
+        return m_client.takeConnectionCounts();
+    }
+
     /// Accepts a caller's request and begins to route it.
     void accept(const std::shared_ptr<Relay::CallerExchange> &exchange)
     {
--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -131,6 +131,15 @@
     }
 }
 
+bool Dissemination::isRelay(const MemberTable &members, Instant now) const
+{
+    if (isDirect(members, now))
+        return false;
+    const auto &self = members.self();
+    const auto relays = members.relaysOf(self.failureDomain, m_settings.relaysPerDomain, now);
+    return std::ranges::find(relays, self) != relays.end();
+}
+
 std::vector<Dissemination::Delivery> Dissemination::flush(const MemberTable &members, Instant now)
 {
     std::vector<Delivery> deliveries;
--- a/src/gateway/dissemination.h
+++ b/src/gateway/dissemination.h
@@ -46,6 +46,9 @@
     /// Adds the reports of @p message to those to be sent if its forwardScope requires this node to forward them.
     void onMessage(const GatewayMessage &message);
 
+    /// Returns true if the node passes on reports between its failure domain and the others.
+    bool isRelay(const MemberTable &members, Instant now) const;
+
     /// Returns true if no reports are pending.
     bool isEmpty() const;
 
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -58,6 +58,8 @@
     SpeedLearnt,
     CallersUnanswered,
     CutByExit,
+    RolesChanged,
+    LinkLoad,
 };
 
 } // namespace Gypsumtally::Gateway
@@ -66,7 +68,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 44> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 46> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -111,6 +113,8 @@
     {Gateway::GatewayEvent::SpeedLearnt, "speed_learnt"},
     {Gateway::GatewayEvent::CallersUnanswered, "callers_unanswered"},
     {Gateway::GatewayEvent::CutByExit, "cut_by_exit"},
+    {Gateway::GatewayEvent::RolesChanged, "roles_changed"},
+    {Gateway::GatewayEvent::LinkLoad, "link_load"},
 }};
 
 } // namespace Gypsumtally
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -252,6 +252,10 @@
     static constexpr double loggedSpeedRatio = 1.3;
     /// Minimum time between two log lines about the speed of one service.
     static constexpr Duration speedLogInterval = std::chrono::seconds{5};
+    static constexpr Duration linkLoadInterval = std::chrono::seconds{2}; ///< Between two reports.
+    /// Share of the link's rate from which messages between nodes are logged.
+    static constexpr double loggedLinkShare = 0.25;
+    static constexpr double bytesPerMbit = 125'000;
     /// Minimum time between two writes of the estimates to the store, each of which is a billed call.
     static constexpr Duration estimatesInterval = std::chrono::seconds{3};
     static constexpr std::size_t maxDepartures = 64; ///< Maximum number in one digest.
@@ -866,6 +870,8 @@
         m_relayed.sweep(now);
         if (++m_ticks % 10 == 0) {
             logMemberChanges(now);
+            logRoles(now);
+            reportLinkLoad(now);
             reportCallerLosses();
             m_context.reach.retain(
                 [this](const std::string &instance) { return m_context.upstreams.find(instance) != nullptr; }, now);
@@ -893,6 +899,51 @@
         m_metrics.add(Metric::CallerLosses, {{"kind", "connection"}}, static_cast<double>(connections));
     }
 
+    /// Logs whether this node works for its failure domain, if that has changed.
+    void logRoles(Instant now)
+    {
+        const Roles roles{m_dissemination.isRelay(m_members, now), readRole(now) == ReadRole::Reader};
+        if (std::exchange(m_roles, roles) != roles)
+            m_log.note(GatewayEvent::RolesChanged,
+                       {{"relay", roles.isRelay ? "yes" : "no"}, {"reader", roles.isReader ? "yes" : "no"}});
+    }
+
+    /// Counts the bytes exchanged with peers and the connections that were opened, and logs them if they take a good
+    /// part of the link or connections were not made in time.
+    void reportLinkLoad(Instant now)
+    {
+        if (now - m_linkLoadAt < linkLoadInterval)
+            return;
+        const double seconds = std::chrono::duration<double>(now - std::exchange(m_linkLoadAt, now)).count();
+        const auto counts = m_forwarder.takeConnectionCounts();
+        const auto before = std::exchange(m_peerTraffic, m_peers.traffic());
+        const auto sent = since(before.sent, m_peerTraffic.sent);
+        const auto received = since(before.received, m_peerTraffic.received);
+        std::vector<LogField> fields;
+        for (const auto &[kind, name] : enumNames<PeerMessageKind>) {
+            const auto index = static_cast<std::size_t>(kind);
+            m_metrics.add(Metric::PeerBytes, {{"direction", "out"}, {"kind", std::string(name)}},
+                          static_cast<double>(sent[index]));
+            m_metrics.add(Metric::PeerBytes, {{"direction", "in"}, {"kind", std::string(name)}},
+                          static_cast<double>(received[index]));
+            fields.emplace_back("sent_" + std::string(name), std::to_string(sent[index]));
+            fields.emplace_back("received_" + std::string(name), std::to_string(received[index]));
+        }
+        m_metrics.add(Metric::Connections, {{"outcome", "opened"}}, static_cast<double>(counts.opened));
+        m_metrics.add(Metric::Connections, {{"outcome", "late"}}, static_cast<double>(counts.late));
+        m_metrics.add(Metric::Connections, {{"outcome", "failed"}}, static_cast<double>(counts.failed));
+        const double linkBytes = m_settings.linkMbps * bytesPerMbit * seconds;
+        if (static_cast<double>(sumOf(sent) + sumOf(received)) < loggedLinkShare * linkBytes && counts.late == 0)
+            return;
+        fields.emplace_back("over_ms", std::to_string(static_cast<unsigned>(seconds * 1000)));
+        fields.emplace_back("link_mbps", std::to_string(m_settings.linkMbps));
+        fields.emplace_back("opened", std::to_string(counts.opened));
+        fields.emplace_back("late", std::to_string(counts.late));
+        fields.emplace_back("longest_ms", std::to_string(counts.longest.count() / 1000));
+        fields.emplace_back("callers", std::to_string(m_callers.connections()));
+        m_log.note(GatewayEvent::LinkLoad, fields);
+    }
+
     void tickOrders(Instant now)
     {
         m_shardSizes = shardSizes(now);
@@ -1461,6 +1512,17 @@
     /// The tick before the last. What is read now arrived later, also if the process was suspended until the last tick.
     Instant m_tickBefore{};
     Instant m_lastPeerMessage{};
+    /// The node's work for its failure domain.
+    struct Roles {
+        bool isRelay = false;
+        bool isReader = false;
+
+        friend bool operator==(const Roles &, const Roles &) = default;
+    };
+
+    Roles m_roles; ///< Last logged.
+    PeerTraffic m_peerTraffic; ///< Last reported.
+    Instant m_linkLoadAt = BootClock{}.now(); ///< Time of the last report.
     struct LoggedSpeed {
         Estimates::Speed speed;
         Instant at{};
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -55,6 +55,7 @@
     double memoryMb = 4 * static_cast<double>(settings.answerBufferBytes) / bytesPerMb;
     reader.scalar("memory_mb", Presence::Optional, memoryMb, counts);
     settings.answerBufferBytes = static_cast<std::size_t>(memoryMb * bytesPerMb / 4);
+    settings.linkMbps = linkMbps;
     settings.capacity = std::min(cpuShare / referenceCpuShare, linkMbps / referenceLinkMbps);
 }
 
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -40,14 +40,17 @@
             const auto size = socket.receive_from(asio::buffer(bytes), sender, 0, error);
             if (error)
                 return;
-            if (const auto message = decodeGatewayMessage({bytes.data(), size}))
+            if (const auto message = decodeGatewayMessage({bytes.data(), size})) {
+                traffic.received[static_cast<std::size_t>(kindOf(*message))] += size;
                 handler(*message);
+            }
         }
     }
 
     udp::socket socket;
     Handler handler;
     std::array<char, 65536> bytes{};
+    PeerTraffic traffic;
 };
 
 PeerLink::PeerLink(Http::EventLoop &loop, const Http::Endpoint &listen, Handler handler)
@@ -67,6 +70,7 @@
     if (targets.empty())
         return;
     const auto text = encode(message);
+    m_d->traffic.sent[static_cast<std::size_t>(kindOf(message))] += text.size() * targets.size();
     for (const auto &target : targets) {
         // An error counts as a lost datagram, which receivers tolerate.
         ErrorCode ignored;
@@ -75,4 +79,9 @@
     }
 }
 
+const PeerTraffic &PeerLink::traffic() const
+{
+    return m_d->traffic;
+}
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/gatewaymessage.h"
+#include "gateway/peertraffic.h"
 #include "http/message.h"
 
 #include <functional>
@@ -29,6 +30,9 @@
     /// Sends @p message to each of @p targets; errors are ignored.
     void send(const GatewayMessage &message, const std::vector<NodeAddress> &targets);
 
+    /// Returns what was sent and received since construction.
+    const PeerTraffic &traffic() const;
+
 private:
     struct Private;
     std::shared_ptr<Private> m_d;
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <map>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Gypsumtally::Relay
@@ -76,6 +77,7 @@
     std::map<std::string, std::vector<std::shared_ptr<Connection>>> idle;
     std::unordered_map<UpstreamClient::Token, std::shared_ptr<Connection>> busy;
     std::uint64_t opened = 0;
+    ConnectionCounts counts; ///< Since they were last taken.
     tcp::endpoint local; ///< Unspecified: the kernel chooses it.
 };
 
@@ -102,16 +104,20 @@
                 self->fail(ExchangeFailure::NotConnected, error.message());
             });
         ++m_shared->opened;
+        m_connectSince = BootClock{}.now();
         m_socket.set_option(tcp::no_delay(true), error);
         ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unsentBytesTimeoutMs,
                      sizeof unsentBytesTimeoutMs);
         m_socket.async_connect(tcp::endpoint(address, endpoint.port), [self = shared_from_this()](ErrorCode result) {
             if (self->m_closed)
                 return;
-            if (result)
+            if (result) {
+                self->countConnection(&ConnectionCounts::failed);
                 return self->fail(ExchangeFailure::NotConnected, result.message(),
                                   result == asio::error::connection_refused);
+            }
             self->m_connected = true;
+            self->countConnection(&ConnectionCounts::opened);
             if (self->m_exchange && self->m_exchange->isConnectOnly)
                 return self->complete(false);
             ErrorCode ignored;
@@ -179,10 +185,12 @@
     {
         if (!m_exchange)
             return;
-        if (!m_connected && now > m_exchange->connectDeadline)
+        if (!m_connected && now > m_exchange->connectDeadline) {
+            countConnection(&ConnectionCounts::late);
             fail(ExchangeFailure::NotConnected, "the connection was not made in time");
-        else if (m_exchange->responseDeadline != Instant{} && now > m_exchange->responseDeadline)
+        } else if (m_exchange->responseDeadline != Instant{} && now > m_exchange->responseDeadline) {
             fail(ExchangeFailure::Broken, "there was no whole response in time");
+        }
     }
 
     bool hasExpired(Instant now) const
@@ -198,6 +206,13 @@
     }
 
 private:
+    void countConnection(std::uint64_t ConnectionCounts::*outcome)
+    {
+        auto &counts = m_shared->counts;
+        ++(counts.*outcome);
+        counts.longest = std::max<Duration>(counts.longest, BootClock{}.now() - m_connectSince);
+    }
+
     void transmit()
     {
         if (!m_exchange || m_closed)
@@ -297,6 +312,7 @@
     std::string m_key;
     std::shared_ptr<PendingExchange> m_exchange; ///< Shared, because an observer may cancel its own exchange.
     std::unique_ptr<ResponseReader> m_reader;
+    Instant m_connectSince{};
     Instant m_idleSince{};
     Duration m_idleLimit = std::chrono::hours{1};
     std::vector<std::string> m_refusedIds; ///< Ids of requests whose refusal was received.
@@ -461,4 +477,9 @@
     return m_d->shared->opened;
 }
 
+ConnectionCounts UpstreamClient::takeConnectionCounts()
+{
+    return std::exchange(m_d->shared->counts, {});
+}
+
 } // namespace Gypsumtally::Relay
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -38,6 +38,14 @@
     Failed, ///< It was not established in time, or cannot be.
 };
 
+/// The connections that were opened, or not, in some time.
+struct ConnectionCounts {
+    std::uint64_t opened = 0;
+    std::uint64_t late = 0; ///< Were not made in time.
+    std::uint64_t failed = 0; ///< Failed for another reason.
+    Duration longest{}; ///< Longest time until one was made or given up.
+};
+
 struct FailedExchange {
     ExchangeFailure kind = ExchangeFailure::Broken;
     bool sent = false; ///< True if a byte of the request may have left this process.
@@ -124,6 +132,9 @@
     /// Returns the number of connections opened since construction.
     std::uint64_t connectionsOpened() const;
 
+    /// Returns what has become of the connections of the time since the last call.
+    ConnectionCounts takeConnectionCounts();
+
 private:
     struct Private;
     std::shared_ptr<Private> m_d;
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -24,7 +24,7 @@
     Retries, ///< Label: reason.
     KeyValueCalls, ///< Label: call.
     PeerMessages, ///< Label: message.
-    PeerBytes, ///< Label: direction.
+    PeerBytes, ///< Labels: direction, and kind in the gateway.
     RegionBytes, ///< Bytes sent to another region. Label: region.
     CallsInFlight,
     OwnedUpstreams,
@@ -37,6 +37,7 @@
     UnreachedUpstreams, ///< That the node is cut off from.
     LimitedSends, ///< Requests to upstreams that limit their requests. Label: kind.
     CallerLosses, ///< Requests and connections of callers that were left unanswered. Label: kind.
+    Connections, ///< To upstreams and peers. Label: outcome.
     RelayedCalls, ///< Calls passed between nodes. Labels: direction, verdict.
 };
 
