Nodes relay reports in proportion to their capacity

Each failure domain has two relays, the first by capacity.

Relays are now as many nodes as have the capacity of a machine together without the largest of them, and each gets a share in proportion to its capacity. A relay with a small share batches longer. Nodes that stop or are silent are relays only if there are no others: reports were sent to them.

--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -1,7 +1,10 @@
 #include "gateway/dissemination.h"
 
+#include "routing/rendezvous.h"
+
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace Gypsumtally::Gateway
@@ -10,6 +13,14 @@
 namespace
 {
 
+constexpr double usualRelays = 2; ///< Number of relays in a failure domain of machines of capacity 1 or more.
+
+double capacityOf(const std::vector<NodeAddress> &nodes)
+{
+    return std::accumulate(nodes.begin(), nodes.end(), 0.0,
+                           [](double sum, const NodeAddress &node) { return sum + node.capacity; });
+}
+
 template<typename Item>
 void append(std::vector<Item> &to, std::vector<Item> &&from)
 {
@@ -111,7 +122,34 @@
 {
     if (isDirect(members, now))
         return {};
-    return m_settings.pause + m_settings.pausePerNode * members.peerCountIn(members.self().failureDomain, now);
+    const auto &self = members.self();
+    const auto pause = m_settings.pause + m_settings.pausePerNode * members.peerCountIn(self.failureDomain, now);
+    const auto relays = relaysOf(self.failureDomain, members, now);
+    if (std::ranges::find(relays, self) == relays.end())
+        return pause;
+    const double factor = capacityOf(relays) / (usualRelays * self.capacity);
+    return std::chrono::duration_cast<Duration>(pause * std::clamp(factor, 1.0, m_settings.maxPauseFactor));
+}
+
+std::vector<NodeAddress> Dissemination::relaysOf(const std::string &failureDomain, const MemberTable &members,
+                                                 Instant now) const
+{
+    return members.relaysOf(failureDomain, m_settings.spareRelayCapacity, now);
+}
+
+const NodeAddress &Dissemination::nextOf(const std::vector<NodeAddress> &relays, const std::string &self)
+{
+    const auto seed = XXH3_64bits(self.data(), self.size());
+    for (const auto &relay : relays) {
+        // Differs between senders, so that they do not choose the same relay at the same time.
+        const auto initial
+            = relay.capacity * fractionOf(XXH3_64bits_withSeed(relay.node.data(), relay.node.size(), seed));
+        m_credits.try_emplace(relay.node, initial).first->second += relay.capacity;
+    }
+    const auto &next
+        = *std::ranges::max_element(relays, {}, [this](const NodeAddress &relay) { return m_credits[relay.node]; });
+    m_credits[next.node] -= capacityOf(relays);
+    return next;
 }
 
 void Dissemination::send(const std::vector<NodeReport> &reports, ForwardScope forwardScope,
@@ -135,9 +173,8 @@
 {
     if (isDirect(members, now))
         return false;
-    const auto &self = members.self();
-    const auto relays = members.relaysOf(self.failureDomain, m_settings.relaysPerDomain, now);
-    return std::ranges::find(relays, self) != relays.end();
+    const auto relays = relaysOf(members.self().failureDomain, members, now);
+    return std::ranges::find(relays, members.self()) != relays.end();
 }
 
 std::vector<Dissemination::Delivery> Dissemination::flush(const MemberTable &members, Instant now)
@@ -150,23 +187,22 @@
     if (isDirect(members, now)) {
         send(own, ForwardScope::None, members.peers(now), members, deliveries);
     } else {
-        const auto relays = members.relaysOf(self.failureDomain, m_settings.relaysPerDomain, now);
+        const auto relays = relaysOf(self.failureDomain, members, now);
         const bool isRelay = std::ranges::find(relays, self) != relays.end();
         if (isRelay) {
             for (auto &report : own)
                 addTo(everywhere, std::move(report));
         } else if (!own.empty()) {
-            send(own, ForwardScope::Everywhere, {relays[m_nextRelay++ % relays.size()]}, members, deliveries);
+            send(own, ForwardScope::Everywhere, {nextOf(relays, self.node)}, members, deliveries);
         }
     }
     if (!everywhere.empty()) {
         std::vector<NodeAddress> elsewhere;
         for (const auto &domain : members.failureDomains(now)) {
-            const auto relays = members.relaysOf(domain, m_settings.relaysPerDomain, now);
+            const auto relays = relaysOf(domain, members, now);
             if (domain != self.failureDomain && !relays.empty())
-                elsewhere.push_back(relays[m_nextRelay % relays.size()]);
+                elsewhere.push_back(nextOf(relays, self.node));
         }
-        ++m_nextRelay;
         send(everywhere, ForwardScope::OwnDomain, elsewhere, members, deliveries);
         for (auto &report : everywhere)
             addTo(ownDomain, std::move(report));
--- a/src/gateway/dissemination.h
+++ b/src/gateway/dissemination.h
@@ -4,6 +4,8 @@
 #include "gateway/membertable.h"
 
 #include <cstddef>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace Gypsumtally::Gateway
@@ -13,14 +15,18 @@
 struct DisseminationSettings {
     /// Maximum number of peers for which each report is sent to all of them directly and without delay.
     std::size_t directPeers = 16;
-    /// Number of relays of each failure domain. They are used in turn, so that the loss of one costs only half of the
-    /// reports until it is detected.
-    std::size_t relaysPerDomain = 2;
+    /// Capacity of the relays of a failure domain without the largest of them, so that the loss of one costs only a
+    /// part of the reports until it is detected. Each forwards a share in proportion to its capacity, as the link of a
+    /// small machine does not bear all reports of a large fleet.
+    double spareRelayCapacity = 1;
     /// Time for which each relay batches reports, longer in large domains, so that the rate of datagrams that it sends
     /// grows more slowly than its domain. Short compared with the 300 ms for which an engine is assumed to queue a
     /// prompt.
     Duration pause = std::chrono::milliseconds{6};
     Duration pausePerNode = std::chrono::microseconds{250};
+    /// Limit on the factor by which a relay with a small share batches longer, so that it sends fewer and fuller
+    /// datagrams.
+    double maxPauseFactor = 4;
     /// Maximum number of reports in one datagram, which keeps it to a few kilobytes.
     std::size_t reportsPerMessage = 16;
 };
@@ -60,6 +66,11 @@
 
 private:
     bool isDirect(const MemberTable &members, Instant now) const;
+    std::vector<NodeAddress> relaysOf(const std::string &failureDomain, const MemberTable &members, Instant now) const;
+
+    /// Returns the relay among @p relays whose turn it is at the node @p self. Precondition: there is one.
+    const NodeAddress &nextOf(const std::vector<NodeAddress> &relays, const std::string &self);
+
     void send(const std::vector<NodeReport> &reports, ForwardScope forwardScope,
               const std::vector<NodeAddress> &targets, const MemberTable &members,
               std::vector<Delivery> &deliveries) const;
@@ -68,7 +79,7 @@
     std::vector<NodeReport> m_own;
     std::vector<NodeReport> m_forEverywhere;
     std::vector<NodeReport> m_forOwnDomain;
-    std::size_t m_nextRelay = 0;
+    std::map<std::string, double> m_credits; ///< Of relays, by node: what they forward less than their share.
 };
 
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1119,11 +1119,12 @@
     /// Sends pending reports, own and forwarded ones, at once in a small fleet and in batches in a large one.
     void flushSoon()
     {
+        if (m_flushScheduled)
+            return;
         const auto pause = m_dissemination.pause(m_members, BootClock{}.now());
         if (pause == Duration{})
             return flush();
-        if (std::exchange(m_flushScheduled, true))
-            return;
+        m_flushScheduled = true;
         m_loop.runAfter(pause, [this] {
             m_flushScheduled = false;
             flush();
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -230,12 +230,17 @@
     return *candidates.front().second;
 }
 
-std::vector<NodeAddress> MemberTable::relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const
+std::vector<NodeAddress> MemberTable::relaysOf(const std::string &failureDomain, double spareCapacity,
+                                               Instant now) const
 {
+    const auto candidates = relayCandidates(failureDomain, now);
+    const auto stateOf = [](const RelayRank &rank) { return std::pair{std::get<0>(rank), std::get<1>(rank)}; };
     std::vector<NodeAddress> relays;
-    for (const auto &[rank, address] : relayCandidates(failureDomain, now)) {
-        if (relays.size() == count)
+    double spare = 0;
+    for (const auto &[rank, address] : candidates) {
+        if (spare >= spareCapacity || stateOf(rank) != stateOf(candidates.front().first))
             break;
+        spare += relays.empty() ? 0 : address->capacity;
         relays.push_back(*address);
     }
     return relays;
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -62,10 +62,11 @@
     /// Returns the failure domains of this node and all peers().
     std::set<std::string> failureDomains(Instant now) const;
 
-    /// Returns at most @p count nodes of @p failureDomain that forward messages, possibly including this one. Prefers
-    /// live nodes, then those that accept callers, then those of the highest capacity. Nodes with the same view of the
-    /// membership choose the same relays.
-    std::vector<NodeAddress> relaysOf(const std::string &failureDomain, std::size_t count, Instant now) const;
+    /// Returns the nodes of @p failureDomain that forward messages, each in proportion to its capacity, possibly
+    /// including this one: the first by rank of those that are live and accept callers, so many that the others have
+    /// @p spareCapacity together if the largest is lost. Others are relays only if there are none of these. Nodes with
+    /// the same view of the membership choose the same relays. Precondition: @p spareCapacity is positive.
+    std::vector<NodeAddress> relaysOf(const std::string &failureDomain, double spareCapacity, Instant now) const;
 
     /// Returns the node that reads the store for @p failureDomain: the first live relay that reaches the store, or the
     /// first of all if none does. Precondition: this node is in that domain.
