Tests: all that a call has begun ends with it; silences in series in the soak

CallMoves/endsAllThatTheCallHasBegun takes the place of ten rows: each stage and move, before and during a replacement, with callers that leave, deadlines and exits (72 rows). Beside open requests it checks that the node counts nothing of the call and sends nothing after its end. The soak lets workers fall silent too, and engines twice, beside reloads, stops and newer software; draws of a generator of their own, so that those of a seed stay.

--- a/tests/gateway/callmovestest.cpp
+++ b/tests/gateway/callmovestest.cpp
@@ -111,6 +111,7 @@
 
 /// In which peers' contact shows that the node is cut off; shorter than any silence.
 constexpr Duration evidenceTime = std::chrono::milliseconds{100};
+constexpr Duration timeAfterEnd = std::chrono::milliseconds{200}; ///< In which a call that has ended sends nothing.
 
 bool isStream(Stage stage)
 {
@@ -243,6 +244,14 @@
             cr_assert(!send.isOpen, "%s: a request to %s is open", name, send.destination.instance.c_str());
     }
 
+    /// Fails the test if the node counts anything of a call that has ended.
+    void assertNothingLeft(const char *name)
+    {
+        cr_assert_eq(m_forwarder.activeCalls(), 0U, "%s", name);
+        for (const auto &[instance, upstream] : m_context.upstreams.all())
+            cr_assert_eq(upstream.ownInFlight, 0U, "%s: %u at %s", name, upstream.ownInFlight, instance.c_str());
+    }
+
     void stop()
     {
         m_forwarder.beginStop(StopSchedule(BootClock{}.now(), std::chrono::seconds{8}));
@@ -538,41 +547,55 @@
     Stage stage;
     Move move;
     CallEnd end;
+    bool isMoved; ///< Ends while a replacement is tried, rather than before.
+    std::string name;
 };
 
-const EndCase ends[] = {
-    {Stage::StreamBegun, Move::ToUpstream, CallEnd::CallerLeaves},
-    {Stage::StreamBegun, Move::ToPeer, CallEnd::CallerLeaves},
-    {Stage::PlainPart, Move::ToUpstream, CallEnd::CallerLeaves},
-    {Stage::StreamBegun, Move::ToUpstream, CallEnd::Deadline},
-    {Stage::StreamBegun, Move::ToPeer, CallEnd::Deadline},
-    {Stage::PlainSent, Move::ToUpstream, CallEnd::Deadline},
-    {Stage::StreamBegun, Move::BetweenPeers, CallEnd::Deadline},
-    {Stage::StreamBegun, Move::ToUpstream, CallEnd::Exit},
-    {Stage::StreamBegun, Move::ToPeer, CallEnd::Exit},
-    {Stage::PlainPart, Move::ToUpstream, CallEnd::Exit},
-};
+constexpr std::array callEnds{CallEnd::CallerLeaves, CallEnd::Deadline, CallEnd::Exit};
+
+const auto ends = [] {
+    std::array<EndCase, stages.size() * moves.size() * callEnds.size() * 2> all;
+    std::size_t i = 0;
+    for (const auto stage : stages) {
+        for (const auto move : moves) {
+            for (const auto end : callEnds) {
+                for (const bool isMoved : {false, true})
+                    all.at(i++) = {stage, move, end, isMoved,
+                                   "stage " + std::to_string(static_cast<int>(stage)) + ", move "
+                                       + std::to_string(static_cast<int>(move)) + ", end "
+                                       + std::to_string(static_cast<int>(end)) + (isMoved ? ", moved" : "")};
+            }
+        }
+    }
+    return all;
+}();
 
 } // namespace
 
-/// Guards against a run that goes on at either place after its call has ended.
-TABLE_TEST(CallMoves, endsBothRequestsWithTheCall, ends)
+/// Guards against a run that goes on, or begins, after its call has ended.
+TABLE_TEST(CallMoves, endsAllThatTheCallHasBegun, ends)
 {
     MoveFixture fixture(row.stage, row.move);
-    fixture.awaitReplacement();
+    if (row.isMoved)
+        fixture.awaitReplacement();
+    const auto &caller = *fixture.caller;
     switch (row.end) {
     case CallEnd::CallerLeaves:
         fixture.caller->leave();
         break;
     case CallEnd::Deadline:
         fixture.passDeadline();
-        cr_assert(fixture.caller->isBrokenOff || fixture.caller->status == 504, "%u", fixture.caller->status);
+        cr_assert(caller.isBrokenOff || caller.status == 504, "%s: %u", row.name.c_str(), caller.status);
         break;
     case CallEnd::Exit:
         fixture.stop();
-        cr_assert(fixture.caller->isBrokenOff || fixture.caller->status == 502, "%u", fixture.caller->status);
+        cr_assert(caller.isBrokenOff || caller.status == 502, "%s: %u", row.name.c_str(), caller.status);
     }
-    MoveFixture::assertNoneOpen("ended");
+    const auto sent = MoveFixture::sends().size();
+    MoveFixture::assertNoneOpen(row.name.c_str());
+    fixture.assertNothingLeft(row.name.c_str());
+    fixture.run(timeAfterEnd);
+    cr_assert_eq(MoveFixture::sends().size(), sent, "%s: sent after its end", row.name.c_str());
 }
 
 /// Guards against a stream that stays behind a cut, as the first peer that was asked had no room.
--- a/tests/gatewayfleet/soakmain.cpp
+++ b/tests/gatewayfleet/soakmain.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <exception>
 #include <iterator>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -43,8 +44,9 @@
 class Soak
 {
 public:
-    explicit Soak(Fleet &fleet)
+    Soak(Fleet &fleet, unsigned seed)
         : m_fleet(fleet)
+        , m_silences(seed)
     {
     }
 
@@ -170,7 +172,8 @@
             m_fleet.after(i * pause, [this] { m_fleet.changeConfiguration(); });
     }
 
-    /// Lets sound engines fall silent together, all of them or some, beside changes of the configuration.
+    /// Lets sound engines fall silent together, all of them or some, beside changes of the configuration. Workers of
+    /// the plain service may fall silent as well, twice, beside reloads, stops and newer software.
     void hush()
     {
         const auto time = milliseconds{600} + below(milliseconds{800});
@@ -179,6 +182,30 @@
             m_fleet.engine(number).silence(time);
         if (below(2) == 0)
             changeConfigurations();
+        hushAgain(time);
+    }
+
+    /// Has a generator of its own, so that the other draws of a seed stay as they are.
+    void hushAgain(Duration time)
+    {
+        if (m_silences() % 2 == 0) {
+            for (std::size_t number = 0; number < m_fleet.workers(); ++number)
+                m_fleet.after(time / 4, [this, number, time] { m_fleet.worker(number).silence(time); });
+        }
+        if (m_silences() % 2 == 0) {
+            for (std::size_t number = 0; number < m_fleet.engines(); ++number)
+                m_fleet.after(2 * time, [this, number, time] { m_fleet.engine(number).silence(time); });
+        }
+        switch (m_silences() % 4) {
+        case 0:
+            return reloadSeries();
+        case 1:
+            return stopSeries();
+        case 2:
+            return releaseNewer();
+        default:
+            return;
+        }
     }
 
     /// Replaces half of the engines in turn by ones of a newer software version; a node may freeze or lose power at
@@ -298,6 +325,7 @@
     static constexpr std::array partitions{PathState::Silent, PathState::Reset, PathState::ClosedToNew};
 
     Fleet &m_fleet;
+    std::mt19937_64 m_silences;
     unsigned m_crashingParts = 0;
 };
 
@@ -339,7 +367,7 @@
     makeSomeLong(fleet);
     fleet.setLoad(ordinaryLoad);
     fleet.run(warmUp);
-    Soak soak(fleet);
+    Soak soak(fleet, seed);
     soak.schedule();
     fleet.run(disturbances + recovery);
     fleet.clearTallies();
