Reports and changes of the store wait while they take half of the link

A reader of the store sends its changes to all nodes of its failure domain in one burst, and relays forward whatever comes, whoever has the role. Where that is more than the link bears, its queue grows for seconds, and callers' closes, resets and new connections wait in it.

What goes out on behalf of others takes half of the link at most (LinkBudget): a relay flushes again when what it has forwarded has left, and merges reports until then; a reader spreads the copies of a change over its nodes, beginning with another one each time, and leaves out those that would wait over a second, which call the store. Reports and changes that are held advance the times in them (sends, limits, contacts, orders): receivers took them for times of the arrival. Machines below capacity 1 share a domain's reports among all of them, as half of them would not bear those of 200 nodes.

Tests: Dissemination/heldReportsKeepTheirTimes, four rows red without the advance; LinkBudget/takesHalfOfTheLink; two rows of 198 nodes of nodesRelayByCapacity, one red with relays limited by spare capacity alone.

--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -76,8 +76,18 @@
     into.changedInFlight = std::move(from.changedInFlight);
 }
 
-void addTo(std::vector<NodeReport> &reports, NodeReport &&report)
+} // namespace
+
+void Dissemination::HeldReports::advanceTo(Instant now)
+{
+    const auto time = now - std::exchange(asOf, now);
+    for (auto &report : reports)
+        advance(report, time);
+}
+
+void Dissemination::HeldReports::add(NodeReport report, Instant now)
 {
+    advanceTo(now);
     const auto same = std::ranges::find_if(reports, [&](const NodeReport &each) {
         return each.from.node == report.from.node && each.from.startedAt == report.from.startedAt;
     });
@@ -87,30 +97,34 @@
         merge(*same, std::move(report));
 }
 
-} // namespace
+std::vector<NodeReport> Dissemination::HeldReports::take(Instant now)
+{
+    advanceTo(now);
+    return std::exchange(reports, {});
+}
 
 Dissemination::Dissemination(DisseminationSettings settings)
     : m_settings(settings)
 {
 }
 
-void Dissemination::add(NodeReport report)
+void Dissemination::add(NodeReport report, Instant now)
 {
-    addTo(m_own, std::move(report));
+    m_own.add(std::move(report), now);
 }
 
-void Dissemination::onMessage(const GatewayMessage &message)
+void Dissemination::onMessage(const GatewayMessage &message, Instant now)
 {
     if (message.forwardScope == ForwardScope::None)
         return;
-    auto &reports = message.forwardScope == ForwardScope::Everywhere ? m_forEverywhere : m_forOwnDomain;
-    for (auto report : message.reports)
-        addTo(reports, std::move(report));
+    auto &held = message.forwardScope == ForwardScope::Everywhere ? m_forEverywhere : m_forOwnDomain;
+    for (const auto &report : message.reports)
+        held.add(report, now);
 }
 
 bool Dissemination::isEmpty() const
 {
-    return m_own.empty() && m_forEverywhere.empty() && m_forOwnDomain.empty();
+    return m_own.reports.empty() && m_forEverywhere.reports.empty() && m_forOwnDomain.reports.empty();
 }
 
 bool Dissemination::isDirect(const MemberTable &members, Instant now) const
@@ -134,7 +148,9 @@
 std::vector<NodeAddress> Dissemination::relaysOf(const std::string &failureDomain, const MemberTable &members,
                                                  Instant now) const
 {
-    return members.relaysOf(failureDomain, m_settings.spareRelayCapacity, now);
+    const auto nodes = static_cast<double>(members.peerCountIn(failureDomain, now));
+    const double spare = std::max(m_settings.spareRelayCapacity, nodes / m_settings.nodesPerRelayCapacity);
+    return members.relaysOf(failureDomain, spare, now);
 }
 
 const NodeAddress &Dissemination::nextOf(const std::vector<NodeAddress> &relays, const std::string &self)
@@ -181,9 +197,7 @@
 {
     std::vector<Delivery> deliveries;
     const auto &self = members.self();
-    auto own = std::exchange(m_own, {});
-    auto everywhere = std::exchange(m_forEverywhere, {});
-    auto ownDomain = std::exchange(m_forOwnDomain, {});
+    auto own = m_own.take(now);
     if (isDirect(members, now)) {
         send(own, ForwardScope::None, members.peers(now), members, deliveries);
     } else {
@@ -191,11 +205,12 @@
         const bool isRelay = std::ranges::find(relays, self) != relays.end();
         if (isRelay) {
             for (auto &report : own)
-                addTo(everywhere, std::move(report));
+                m_forEverywhere.add(std::move(report), now);
         } else if (!own.empty()) {
             send(own, ForwardScope::Everywhere, {nextOf(relays, self.node)}, members, deliveries);
         }
     }
+    auto everywhere = m_forEverywhere.take(now);
     if (!everywhere.empty()) {
         std::vector<NodeAddress> elsewhere;
         for (const auto &domain : members.failureDomains(now)) {
@@ -205,9 +220,9 @@
         }
         send(everywhere, ForwardScope::OwnDomain, elsewhere, members, deliveries);
         for (auto &report : everywhere)
-            addTo(ownDomain, std::move(report));
+            m_forOwnDomain.add(std::move(report), now);
     }
-    send(ownDomain, ForwardScope::None, members.peersIn(self.failureDomain, now), members, deliveries);
+    send(m_forOwnDomain.take(now), ForwardScope::None, members.peersIn(self.failureDomain, now), members, deliveries);
     return deliveries;
 }
 
--- a/src/gateway/dissemination.h
+++ b/src/gateway/dissemination.h
@@ -15,10 +15,12 @@
 struct DisseminationSettings {
     /// Maximum number of peers for which each report is sent to all of them directly and without delay.
     std::size_t directPeers = 16;
-    /// Capacity of the relays of a failure domain without the largest of them, so that the loss of one costs only a
-    /// part of the reports until it is detected. Each forwards a share in proportion to its capacity, as the link of a
-    /// small machine does not bear all reports of a large fleet.
+    /// Least capacity of the relays of a failure domain without the largest of them, so that the loss of one costs only
+    /// a part of the reports until it is detected. Each forwards a share in proportion to its capacity, as the link of
+    /// a small machine does not bear all reports of a large fleet.
     double spareRelayCapacity = 1;
+    /// The same in large domains: for so many nodes a machine of capacity 1 forwards all reports.
+    double nodesPerRelayCapacity = 12;
     /// Time for which each relay batches reports, longer in large domains, so that the rate of datagrams that it sends
     /// grows more slowly than its domain. Short compared with the 300 ms for which an engine is assumed to queue a
     /// prompt.
@@ -26,7 +28,7 @@
     Duration pausePerNode = std::chrono::microseconds{250};
     /// Limit on the factor by which a relay with a small share batches longer, so that it sends fewer and fuller
     /// datagrams.
-    double maxPauseFactor = 4;
+    double maxPauseFactor = 2;
     /// Maximum number of reports in one datagram, which keeps it to a few kilobytes.
     std::size_t reportsPerMessage = 16;
 };
@@ -46,11 +48,12 @@
 
     explicit Dissemination(DisseminationSettings settings = {});
 
-    /// Adds a report of this node to those to be sent.
-    void add(NodeReport report);
+    /// Adds a report that this node makes at @p now to those to be sent.
+    void add(NodeReport report, Instant now);
 
     /// Adds the reports of @p message to those to be sent if its forwardScope requires this node to forward them.
-    void onMessage(const GatewayMessage &message);
+    /// Reports of one process are merged while they are held.
+    void onMessage(const GatewayMessage &message, Instant now);
 
     /// Returns true if the node passes on reports between its failure domain and the others.
     bool isRelay(const MemberTable &members, Instant now) const;
@@ -65,6 +68,20 @@
     std::vector<Delivery> flush(const MemberTable &members, Instant now);
 
 private:
+    /// Reports that are to be sent, all as of the time of the last change.
+    struct HeldReports {
+        std::vector<NodeReport> reports;
+        Instant asOf{};
+
+        void add(NodeReport report, Instant now);
+
+        /// Removes and returns all of them, as of @p now.
+        std::vector<NodeReport> take(Instant now);
+
+    private:
+        void advanceTo(Instant now);
+    };
+
     bool isDirect(const MemberTable &members, Instant now) const;
     std::vector<NodeAddress> relaysOf(const std::string &failureDomain, const MemberTable &members, Instant now) const;
 
@@ -76,9 +93,9 @@
               std::vector<Delivery> &deliveries) const;
 
     DisseminationSettings m_settings;
-    std::vector<NodeReport> m_own;
-    std::vector<NodeReport> m_forEverywhere;
-    std::vector<NodeReport> m_forOwnDomain;
+    HeldReports m_own;
+    HeldReports m_forEverywhere;
+    HeldReports m_forOwnDomain;
     std::map<std::string, double> m_credits; ///< Of relays, by node: what they forward less than their share.
 };
 
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -513,6 +513,24 @@
     return isWhole(address) ? std::optional(std::move(address)) : std::nullopt;
 }
 
+void advance(NodeReport &report, Duration time)
+{
+    for (auto &send : report.sends)
+        send.in -= time;
+    for (auto &released : report.released)
+        released.sinceLastOrder += time;
+    for (auto &turnedAway : report.turnedAway)
+        turnedAway.time = std::max(Duration{}, turnedAway.time - time);
+    for (auto &limit : report.limits)
+        limit.age += time;
+    for (auto &brittleness : report.brittleness)
+        brittleness.age += time;
+    for (auto &contact : report.contacts)
+        contact.age += time;
+    for (auto &placement : report.placements)
+        placement.usableIn = std::max(Duration{}, placement.usableIn - time);
+}
+
 std::string encode(const GatewayMessage &message)
 {
     json::object object{{"sender", message.sender}};
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -170,6 +170,10 @@
 /// Records in the upstream's tables that @p node sends the request of @p notice, or withdraws the notice.
 void applySendNotice(UpstreamTable &table, const std::string &node, const SendNotice &notice, Instant now);
 
+/// Updates the times in @p report, which are relative to when it was made, after it has been held for @p time.
+/// Thread-safe.
+void advance(NodeReport &report, Duration time);
+
 /// Returns the datagram of @p message. Thread-safe.
 std::string encode(const GatewayMessage &message);
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -6,6 +6,7 @@
 #include "gateway/dissemination.h"
 #include "gateway/fleetestimates.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/linkbudget.h"
 #include "gateway/membertable.h"
 #include "gateway/peerlink.h"
 #include "gateway/placementcontroller.h"
@@ -105,6 +106,7 @@
         , m_entries(m_loop, {}, [this](auto exchange) { answerEntries(*exchange); })
         , m_metricsServer(m_loop, {}, [this](auto exchange) { answerMetrics(*exchange); })
         , m_peers(m_loop, settings.peers, [this](const GatewayMessage &message) { onMessage(message); })
+        , m_linkBudget(settings.linkBytesPerSecond)
         , m_registry(m_loop, m_store, settings.drainBound, {Platform::operatorPrefix(), operatorObserver()},
                      {Platform::upstreamPrefix(), upstreamObserver()}, {ownPrefix(), ownObserver()},
                      jitterFactorOf(settings.node),
@@ -255,9 +257,11 @@
     static constexpr Duration linkLoadInterval = std::chrono::seconds{2}; ///< Between two reports.
     /// Share of the link's rate from which messages between nodes are logged.
     static constexpr double loggedLinkShare = 0.25;
-    static constexpr double bytesPerMbit = 125'000;
     /// Minimum time between two writes of the estimates to the store, each of which is a billed call.
     static constexpr Duration estimatesInterval = std::chrono::seconds{3};
+    /// Longest wait of reports and of changes of the store for the link. Later they would be out of date.
+    static constexpr Duration maxLinkWait = std::chrono::seconds{1};
+    static constexpr Duration minLinkWait = std::chrono::milliseconds{10}; ///< Shorter ones are left to the kernel.
     static constexpr std::size_t maxDepartures = 64; ///< Maximum number in one digest.
     static constexpr std::size_t maxLimits = 64; ///< Maximum number in one digest.
     /// Time during which digests repeat the end of an upstream's request limit or a service's brittleness.
@@ -455,11 +459,41 @@
         auto delta = update.delta;
         dropUnusableValues(delta, maxUpdateBytes,
                            [&](const KeyChange &change) { return isUsable(update.view, change); });
-        for (auto &part : split(std::move(delta), maxUpdateBytes, maxRevisionBytes)) {
-            auto notice = message();
-            notice.registry.push_back({update.view, std::move(part), m_storeEra});
-            m_peers.send(notice, targets);
+        for (auto &part : split(std::move(delta), maxUpdateBytes, maxRevisionBytes))
+            sendUpdate({update.view, std::move(part), m_storeEra}, targets, now);
+    }
+
+    /// Sends @p update to @p targets as the link bears it, beginning with another one each time. A target whose turn
+    /// would come too late calls the store, as it lacks the changes.
+    void sendUpdate(RegistryUpdate update, const std::vector<NodeAddress> &targets, Instant now)
+    {
+        const auto bytes = bytesOf(update.delta);
+        auto notice = std::make_shared<GatewayMessage>(message());
+        notice->registry.push_back(std::move(update));
+        std::vector<NodeAddress> atOnce;
+        const auto first = m_updates++;
+        for (std::size_t i = 0; i < targets.size(); ++i) {
+            if (m_linkBudget.backlog(now) > maxLinkWait) {
+                m_droppedBytes += (targets.size() - i) * bytes;
+                break;
+            }
+            const auto &target = targets[(first + i) % targets.size()];
+            const auto delay = m_linkBudget.take(bytes, now);
+            if (delay < minLinkWait)
+                atOnce.push_back(target);
+            else
+                m_loop.runAfter(delay, [this, notice, target, now] { sendHeldUpdate(*notice, target, now); });
         }
+        m_peers.send(*notice, atOnce);
+    }
+
+    /// Sends a message with an update that was made at @p madeAt.
+    void sendHeldUpdate(GatewayMessage notice, const NodeAddress &target, Instant madeAt)
+    {
+        auto &age = notice.registry.front().delta.age;
+        if (age)
+            *age += BootClock{}.now() - madeAt;
+        m_peers.send(notice, {target});
     }
 
     /// Returns true if the value of @p change, which it must have, means anything to a node.
@@ -929,14 +963,17 @@
             fields.emplace_back("sent_" + std::string(name), std::to_string(sent[index]));
             fields.emplace_back("received_" + std::string(name), std::to_string(received[index]));
         }
+        const auto dropped = std::exchange(m_droppedBytes, 0);
+        m_metrics.add(Metric::PeerBytes, {{"direction", "dropped"}, {"kind", ""}}, static_cast<double>(dropped));
         m_metrics.add(Metric::Connections, {{"outcome", "opened"}}, static_cast<double>(counts.opened));
         m_metrics.add(Metric::Connections, {{"outcome", "late"}}, static_cast<double>(counts.late));
         m_metrics.add(Metric::Connections, {{"outcome", "failed"}}, static_cast<double>(counts.failed));
-        const double linkBytes = m_settings.linkMbps * bytesPerMbit * seconds;
+        const double linkBytes = m_settings.linkBytesPerSecond * seconds;
         if (static_cast<double>(sumOf(sent) + sumOf(received)) < loggedLinkShare * linkBytes && counts.late == 0)
             return;
+        fields.emplace_back("dropped", std::to_string(dropped));
         fields.emplace_back("over_ms", std::to_string(static_cast<unsigned>(seconds * 1000)));
-        fields.emplace_back("link_mbps", std::to_string(m_settings.linkMbps));
+        fields.emplace_back("link_bytes", std::to_string(static_cast<std::uint64_t>(linkBytes)));
         fields.emplace_back("opened", std::to_string(counts.opened));
         fields.emplace_back("late", std::to_string(counts.late));
         fields.emplace_back("longest_ms", std::to_string(counts.longest.count() / 1000));
@@ -1112,7 +1149,7 @@
     /// Sends @p report to all other nodes.
     void broadcast(NodeReport report)
     {
-        m_dissemination.add(std::move(report));
+        m_dissemination.add(std::move(report), BootClock{}.now());
         flushSoon();
     }
 
@@ -1121,11 +1158,12 @@
     {
         if (m_flushScheduled)
             return;
-        const auto pause = m_dissemination.pause(m_members, BootClock{}.now());
+        const auto now = BootClock{}.now();
+        const auto pause = m_dissemination.pause(m_members, now);
         if (pause == Duration{})
             return flush();
         m_flushScheduled = true;
-        m_loop.runAfter(pause, [this] {
+        m_loop.runAfter(std::max(pause, std::min(m_linkBudget.backlog(now), maxLinkWait)), [this] {
             m_flushScheduled = false;
             flush();
         });
@@ -1133,8 +1171,12 @@
 
     void flush()
     {
-        for (const auto &delivery : m_dissemination.flush(m_members, BootClock{}.now()))
-            m_peers.send(delivery.message, delivery.targets);
+        const auto now = BootClock{}.now();
+        for (const auto &delivery : m_dissemination.flush(m_members, now)) {
+            const auto bytes = m_peers.send(delivery.message, delivery.targets);
+            if (kindOf(delivery.message) == PeerMessageKind::ForwardedReports)
+                m_linkBudget.take(bytes, now);
+        }
     }
 
     void digest()
@@ -1341,7 +1383,7 @@
         m_lastPeerMessage = now;
         for (const auto &report : message.reports)
             onReport(report, now);
-        m_dissemination.onMessage(message);
+        m_dissemination.onMessage(message, now);
         if (!m_dissemination.isEmpty())
             flushSoon();
         for (const auto &used : message.used) {
@@ -1489,8 +1531,11 @@
     Relay::CallerServer m_entries;
     Relay::CallerServer m_metricsServer;
     PeerLink m_peers;
+    LinkBudget m_linkBudget;
     Dissemination m_dissemination;
     std::uint64_t m_sequence = 0;
+    std::uint64_t m_updates = 0; ///< Number of updates sent; each begins with another node.
+    std::uint64_t m_droppedBytes = 0; ///< Of updates since the last report, which the link would not have borne.
     bool m_flushScheduled = false;
     bool m_reachScheduled = false;
     Registry m_registry;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -17,6 +17,9 @@
 constexpr double bytesPerMb = 1024 * 1024;
 /// Share of a core that gives capacity 1, as at the platform's first two sites.
 constexpr double referenceCpuShare = 0.25;
+constexpr double bytesPerMbit = 125'000;
+constexpr double minLinkMbps = 1;
+constexpr double minCapacity = 0.01;
 constexpr double referenceLinkMbps = 100; ///< Link rate that gives capacity 1.
 
 void readRegions(MapReader &reader, GatewaySettings &settings)
@@ -55,8 +58,8 @@
     double memoryMb = 4 * static_cast<double>(settings.answerBufferBytes) / bytesPerMb;
     reader.scalar("memory_mb", Presence::Optional, memoryMb, counts);
     settings.answerBufferBytes = static_cast<std::size_t>(memoryMb * bytesPerMb / 4);
-    settings.linkMbps = linkMbps;
-    settings.capacity = std::min(cpuShare / referenceCpuShare, linkMbps / referenceLinkMbps);
+    settings.linkBytesPerSecond = bytesPerMbit * std::max(linkMbps, minLinkMbps);
+    settings.capacity = std::max(minCapacity, std::min(cpuShare / referenceCpuShare, linkMbps / referenceLinkMbps));
 }
 
 void readSettings(MapReader &reader, GatewaySettings &settings)
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -29,7 +29,7 @@
     /// Local address of connections to upstreams; the kernel chooses it if the address is empty, and the port if it
     /// is 0.
     Http::Endpoint connectFrom;
-    double linkMbps = 0; ///< Rate of the machine's link, in Mbit/s.
+    double linkBytesPerSecond = 12.5e6; ///< Rate of the machine's link; positive.
     /// Relative capacity of the machine for work on behalf of other nodes: its share of a core over 0.25, or its link
     /// rate over 100 Mbit/s, whichever is less.
     double capacity = 1;
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -16,6 +16,9 @@
 constexpr Duration livenessTimeoutPerNode = std::chrono::milliseconds{35};
 constexpr Duration unlistedTimeout = std::chrono::seconds{20}; ///< After the last report of an unlisted node.
 
+/// Capacity from which a machine bears a good part of its domain's reports. Smaller ones share them all.
+constexpr double ownShareCapacity = 1;
+
 /// Minimum number of nearby entry points. With fewer, the failure of one would overload the others.
 constexpr std::size_t minNearEntryPoints = 3;
 
@@ -238,7 +241,8 @@
     std::vector<NodeAddress> relays;
     double spare = 0;
     for (const auto &[rank, address] : candidates) {
-        if (spare >= spareCapacity || stateOf(rank) != stateOf(candidates.front().first))
+        const bool isEnough = spare >= spareCapacity && relays.back().capacity >= ownShareCapacity;
+        if (isEnough || stateOf(rank) != stateOf(candidates.front().first))
             break;
         spare += relays.empty() ? 0 : address->capacity;
         relays.push_back(*address);
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -64,8 +64,9 @@
 
     /// Returns the nodes of @p failureDomain that forward messages, each in proportion to its capacity, possibly
     /// including this one: the first by rank of those that are live and accept callers, so many that the others have
-    /// @p spareCapacity together if the largest is lost. Others are relays only if there are none of these. Nodes with
-    /// the same view of the membership choose the same relays. Precondition: @p spareCapacity is positive.
+    /// @p spareCapacity together if the largest is lost; all of them, if machines of capacity 1 or more do not suffice.
+    /// Others are relays only if there are none of these. Nodes with the same view of the membership choose the same
+    /// relays. Precondition: @p spareCapacity is positive.
     std::vector<NodeAddress> relaysOf(const std::string &failureDomain, double spareCapacity, Instant now) const;
 
     /// Returns the node that reads the store for @p failureDomain: the first live relay that reaches the store, or the
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -65,10 +65,10 @@
     m_d->socket.close(ignored);
 }
 
-void PeerLink::send(const GatewayMessage &message, const std::vector<NodeAddress> &targets)
+std::size_t PeerLink::send(const GatewayMessage &message, const std::vector<NodeAddress> &targets)
 {
     if (targets.empty())
-        return;
+        return 0;
     const auto text = encode(message);
     m_d->traffic.sent[static_cast<std::size_t>(kindOf(message))] += text.size() * targets.size();
     for (const auto &target : targets) {
@@ -77,6 +77,7 @@
         m_d->socket.send_to(asio::buffer(text),
                             udp::endpoint(asio::ip::make_address(target.peers.address), target.peers.port), 0, ignored);
     }
+    return text.size() * targets.size();
 }
 
 const PeerTraffic &PeerLink::traffic() const
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -27,8 +27,8 @@
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
 
-    /// Sends @p message to each of @p targets; errors are ignored.
-    void send(const GatewayMessage &message, const std::vector<NodeAddress> &targets);
+    /// Sends @p message to each of @p targets and returns the bytes that were sent; errors are ignored.
+    std::size_t send(const GatewayMessage &message, const std::vector<NodeAddress> &targets);
 
     /// Returns what was sent and received since construction.
     const PeerTraffic &traffic() const;
--- a/src/gateway/registrydelta.cpp
+++ b/src/gateway/registrydelta.cpp
@@ -15,14 +15,6 @@
     return change.key.size() + (change.value ? change.value->size() : 0);
 }
 
-std::size_t bytesOf(const RegistryDelta &delta)
-{
-    std::size_t sum = 0;
-    for (const auto &change : delta.changes)
-        sum += bytesOf(change);
-    return sum;
-}
-
 /// Returns true if @p text is written in a datagram as it is, but for quotes and backslashes.
 bool isPrintable(std::string_view text)
 {
@@ -31,6 +23,14 @@
 
 } // namespace
 
+std::size_t bytesOf(const RegistryDelta &delta)
+{
+    std::size_t sum = 0;
+    for (const auto &change : delta.changes)
+        sum += bytesOf(change);
+    return sum;
+}
+
 std::vector<RegistryDelta> split(RegistryDelta delta, std::size_t bytes, std::size_t largest)
 {
     std::vector<RegistryDelta> parts;
--- a/src/gateway/registrydelta.h
+++ b/src/gateway/registrydelta.h
@@ -44,6 +44,9 @@
     StoreEra era = 0; ///< Of the store whose revisions the delta holds.
 };
 
+/// Returns the bytes of the keys and values in @p delta. Thread-safe.
+std::size_t bytesOf(const RegistryDelta &delta);
+
 /// Splits @p delta into consecutive parts, each with at most @p bytes of keys and values or with the changes of a
 /// single revision. Drops the changes of a part above @p largest bytes and leaves a gap in its place, from which
 /// receivers detect that they must call the store themselves. Only the last part has an age. Thread-safe.
--- a/tests/gateway/disseminationtest.cpp
+++ b/tests/gateway/disseminationtest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -23,7 +24,7 @@
 public:
     /// @p capacityOf returns the capacity of each node, by its index.
     explicit Fleet(
-        std::size_t size, double (*capacityOf)(std::size_t) = [](std::size_t) { return 1.0; })
+        std::size_t size, const std::function<double(std::size_t)> &capacityOf = [](std::size_t) { return 1.0; })
     {
         for (std::size_t i = 0; i < size; ++i)
             m_nodes.push_back(std::make_unique<Node>(addressOf(i, capacityOf(i))));
@@ -38,7 +39,7 @@
     {
         auto report = reportOf(m_nodes[from]->members.self(), ++m_sequence);
         report.sends.push_back({"e", 1});
-        m_nodes[from]->dissemination.add(report);
+        m_nodes[from]->dissemination.add(report, m_now);
         flush(*m_nodes[from]);
         while (!m_inTransit.empty()) {
             const auto [target, message] = m_inTransit.front();
@@ -152,7 +153,7 @@
             if (report.from.node != target)
                 (*node)->prompts += report.sends.size();
         }
-        (*node)->dissemination.onMessage(message);
+        (*node)->dissemination.onMessage(message, m_now);
         flush(**node);
     }
 
@@ -201,51 +202,122 @@
 namespace
 {
 
-/// A fleet in which two nodes of each failure domain have twenty times the capacity of the others.
+/// A fleet in which a few nodes of each failure domain have many times the capacity of the others.
 struct MixedCase {
     const char *name;
+    std::size_t nodes;
+    std::size_t large; ///< Of each domain.
+    double smallCapacity;
     std::size_t away; ///< Large nodes of each domain that are away.
 };
 
-const MixedCase mixedFleets[] = {{"none away", 0}, {"one large node away", 1}, {"both large nodes away", 2}};
+const MixedCase mixedFleets[] = {
+    {"none away", 78, 2, 0.1, 0},          {"one of two away", 78, 2, 0.1, 1}, {"both away", 78, 2, 0.1, 2},
+    {"one of three away", 198, 3, 0.2, 1}, {"all three away", 198, 3, 0.2, 3},
+};
 
-constexpr std::size_t mixedNodes = 78;
+constexpr double largeCapacity = 2;
 constexpr double allowedShare = 2; ///< Of what a node sends, over its share of the running capacity of its domain.
 
-double mixedCapacity(std::size_t index)
-{
-    return index < 2 * domains ? 2.0 : 0.1;
-}
-
 } // namespace
 
 /// Guards against small nodes whose links the reports of the fleet fill while large ones restart.
 TABLE_TEST(Dissemination, nodesRelayByCapacity, mixedFleets)
 {
-    Fleet fleet(mixedNodes, mixedCapacity);
-    for (std::size_t node = 0; node < row.away * domains; ++node)
+    Fleet fleet(row.nodes,
+                [&](std::size_t node) { return node < row.large * domains ? largeCapacity : row.smallCapacity; });
+    const auto away = row.away * domains;
+    for (std::size_t node = 0; node < away; ++node)
         fleet.stop(node);
     fleet.reportAll(start + std::chrono::seconds{10});
-    constexpr std::size_t rounds = 5;
-    for (std::size_t i = 0; i < rounds * mixedNodes; ++i) {
-        if (fleet.isRunning(i % mixedNodes))
-            fleet.broadcast(i % mixedNodes);
+    constexpr std::size_t rounds = 3;
+    for (std::size_t i = 0; i < rounds * row.nodes; ++i) {
+        if (fleet.isRunning(i % row.nodes))
+            fleet.broadcast(i % row.nodes);
     }
     std::array<double, domains> capacity{};
     std::array<double, domains> sent{};
-    for (std::size_t node = 0; node < mixedNodes; ++node) {
+    for (std::size_t node = 0; node < row.nodes; ++node) {
         capacity[node % domains] += fleet.isRunning(node) ? fleet.capacityOf(node) : 0;
         sent[node % domains] += static_cast<double>(fleet.sentBy(node));
     }
-    const std::size_t running = mixedNodes - row.away * domains;
-    for (std::size_t node = row.away * domains; node < mixedNodes; ++node) {
+    for (std::size_t node = row.large * domains; node < row.nodes; ++node) {
         const auto domain = node % domains;
         const double share = fleet.capacityOf(node) / capacity[domain];
         cr_assert_leq(static_cast<double>(fleet.sentBy(node)), allowedShare * share * sent[domain],
                       "%s: node %zu has sent %zu of %.0f, %.3f of the capacity", row.name, node, fleet.sentBy(node),
                       sent[domain], share);
-        cr_assert_eq(fleet.promptsReceivedBy(node), rounds * (running - 1), "%s: node %zu", row.name, node);
+        cr_assert_eq(fleet.promptsReceivedBy(node), rounds * (row.nodes - away - 1), "%s: node %zu", row.name, node);
+    }
+}
+
+namespace
+{
+
+constexpr Duration heldFor = std::chrono::milliseconds{400};
+
+/// A report with times that are relative to when it was made.
+NodeReport timedReport(const NodeAddress &from)
+{
+    NodeReport report;
+    report.from = from;
+    report.sequence = 1;
+    report.sends = {{"e", 1, std::chrono::milliseconds{300}, 1}};
+    report.limits = {{{"e", 1}, 2.0, std::chrono::milliseconds{100}, 0}};
+    report.brittleness = {{"s", 2U, std::chrono::milliseconds{100}}};
+    report.contacts = {{{"e", 1}, std::chrono::milliseconds{100}}};
+    report.turnedAway = {{{"e", 1}, std::chrono::milliseconds{500}}};
+    report.released = {{0, 1, std::chrono::milliseconds{100}}};
+    report.placements = {{"e", "m/a", 1, false, std::chrono::milliseconds{500}}};
+    return report;
+}
+
+struct HoldCase {
+    const char *name;
+    bool isForwarded; ///< Has come from another node.
+    bool isMerged; ///< With a later report of the process.
+};
+
+const HoldCase holds[] = {
+    {"own", false, false}, {"own, merged", false, true}, {"forwarded", true, false}, {"forwarded, merged", true, true}};
+
+} // namespace
+
+/// Guards against reports whose times count from their arrival although they were held on the way.
+TABLE_TEST(Dissemination, heldReportsKeepTheirTimes, holds)
+{
+    const NodeAddress self{"n0", "d", "d", {"10.0.0.1", 80, false}, {"10.0.0.1", 90, false}, 1};
+    const NodeAddress peer{"n1", "d", "d", {"10.0.0.2", 80, false}, {"10.0.0.2", 90, false}, 1};
+    MemberTable members(self);
+    members.onReport(timedReport(peer), start);
+    Dissemination dissemination;
+    const auto hold = [&](const NodeReport &report, Instant now) {
+        if (!row.isForwarded)
+            return dissemination.add(report, now);
+        GatewayMessage message;
+        message.forwardScope = ForwardScope::OwnDomain;
+        message.reports = {report};
+        dissemination.onMessage(message, now);
+    };
+    const auto from = row.isForwarded ? peer : self;
+    hold(timedReport(from), start);
+    if (row.isMerged) {
+        NodeReport later;
+        later.from = from;
+        later.sequence = 2;
+        hold(later, start + heldFor / 2);
     }
+    const auto deliveries = dissemination.flush(members, start + heldFor);
+    cr_assert_eq(deliveries.size(), 1U, "%s", row.name);
+    const auto &sent = deliveries.front().message.reports.front();
+    using std::chrono::milliseconds;
+    cr_assert_eq(sent.sends.front().in, Duration{milliseconds{-100}}, "%s", row.name);
+    cr_assert_eq(sent.limits.front().age, Duration{milliseconds{500}}, "%s", row.name);
+    cr_assert_eq(sent.brittleness.front().age, Duration{milliseconds{500}}, "%s", row.name);
+    cr_assert_eq(sent.contacts.front().age, Duration{milliseconds{500}}, "%s", row.name);
+    cr_assert_eq(sent.turnedAway.front().time, Duration{milliseconds{100}}, "%s", row.name);
+    cr_assert_eq(sent.released.front().sinceLastOrder, Duration{milliseconds{500}}, "%s", row.name);
+    cr_assert_eq(sent.placements.front().usableIn, Duration{milliseconds{100}}, "%s", row.name);
 }
 
 Test(Dissemination, mergesReportsOfOneProcess)
@@ -262,7 +334,7 @@
         report.sequence = sequence;
         report.takesCallers = sequence < 3;
         report.sends = {{"e", static_cast<double>(sequence)}};
-        dissemination.add(report);
+        dissemination.add(report, start);
     }
     const auto deliveries = dissemination.flush(members, start);
     cr_assert_eq(deliveries.size(), 1U);
@@ -317,7 +389,7 @@
         report.turnedAway = {{{"e", 1}, std::chrono::seconds{1}}};
         report.hasInFlight = part.whole;
         (part.whole ? report.inFlight : report.changedInFlight)["e"] = part.inFlight;
-        dissemination.add(report);
+        dissemination.add(report, start);
     }
     const auto deliveries = dissemination.flush(members, start);
     const auto &sent = deliveries.front().message.reports;
