Request limit check: a limit counts from the answer that tells it

The check took a limit to be stated from the moment at which the stand-in was set to state it. While an upstream is silent, its answers are held back, so that no node can know the limit for up to 1.4 s, and what was sent meanwhile was held against it.

The rule is about windows that end 3 s or more after limits began to be stated, and an upstream states a limit in answers. So a limit, or a lower one, is in force from its first answer that leaves for any node, whatever it answers: also a question for the engine's state, and also if the node makes nothing of it. The end of a limit and a higher one count from the change, as before. An answer that was held back beyond the next change brings no older limit back. Window, ramp, factor, slack and excuses are the same, and a flood in the second before the first answer counts as it did before the change.

Of the new rows of requestlimitchecktest five fail with the check before (answers held back that bring no excess), and the rows of floods, limits that are not kept after their answer, and stale answers fail what they must.

--- a/tests/gateway/sendscheduletest.cpp
+++ b/tests/gateway/sendscheduletest.cpp
@@ -141,6 +141,7 @@
     {
         m_limit = perSecond;
         record.onStated(m_simulation.now(), perSecond);
+        record.onDelivered(m_simulation.now(), perSecond);
     }
 
     /// Sends @p requests requests at once, and then sets the limit in the view of all nodes.
--- a/tests/gatewayfleet/requestlimitcheck.h
+++ b/tests/gatewayfleet/requestlimitcheck.h
@@ -11,14 +11,17 @@
 namespace Gypsumtally::GatewayFleet
 {
 
-/// What one upstream has seen of a request limit: the requests that arrived and the limits that it stated.
+/// What one upstream has seen of a request limit: the requests that arrived and the limits that it stated. A limit is
+/// in force from its first answer that has left for a node, or from a higher one's or the end's change on.
 class RequestLimitRecord
 {
 public:
-    /// Records that the upstream states @p limit, in requests per second, from @p at on; nothing if it states none.
+    /// Records that the upstream writes answers that state @p limit, in requests per second, from @p at on; nothing if
+    /// they state none.
     void onStated(Instant at, std::optional<double> limit);
 
-    /// Records that an answer that states @p limit has left for the node at @p address.
+    /// Records that an answer that states @p limit has left for the node at @p address. It counts for the newest change
+    /// to this limit.
     void onDelivered(Instant at, double limit, const std::string &address = {});
 
     /// Records the arrival of a request of @p node; @p description tells which. Precondition: not before earlier
@@ -29,7 +32,7 @@
     void excuse(const std::string &node, Instant from, Instant to);
 
     /// Returns a description of each window in which more requests arrived than are tolerated: one and a half times
-    /// the limits, and 5 more, in every 4 s that end 3 s or more after limits began to be stated.
+    /// the limits, and 5 more, in every 4 s that end 3 s or more after a limit came into force.
     std::vector<std::string> violations() const;
 
     /// Returns the requests that arrived between @p from and @p to, divided by what the limits permitted in that time.
@@ -62,8 +65,9 @@
         Instant to{};
     };
 
-    std::optional<Instant> limitedSince(Instant at) const;
-    std::optional<double> permitted(Instant from, Instant to) const;
+    std::vector<Stated> inForce() const;
+    static std::optional<Instant> limitedSince(const std::vector<Stated> &limits, Instant at);
+    static std::optional<double> permitted(const std::vector<Stated> &limits, Instant from, Instant to);
     bool isExcused(const Arrival &arrival) const;
 
     std::vector<Arrival> m_arrivals;
--- a/tests/gatewayfleet/requestlimitchecktest.cpp
+++ b/tests/gatewayfleet/requestlimitchecktest.cpp
@@ -8,9 +8,12 @@
 namespace
 {
 
+constexpr double never = 1000;
+
 struct Stated {
     double at;
     std::optional<double> limit;
+    double heldFor = 0; ///< Time until the first answer leaves.
 };
 
 struct Flow {
@@ -40,6 +43,21 @@
      {{10, 2.0}, {20, std::nullopt}, {25, 2.0}},
      {{10, 20, 2}, {20, 25, 5}, {25, 40, 5}},
      false},
+    {"held back", {{10, 2.0, 3}}, {{0, 13, 10}, {13, 30, 2}}, true},
+    {"held back, and not kept once it has left", {{10, 2.0, 3}}, {{0, 13, 2}, {13, 30, 5}}, false},
+    {"held back, flood in the second before it leaves", {{10, 2.0, 3}}, {{12.1, 13, 25}, {13, 30, 2}}, false},
+    {"held back, flood before that", {{10, 2.0, 3}}, {{10, 11.9, 25}, {13, 30, 2}}, true},
+    {"never told", {{10, 2.0, never}}, {{0, 30, 50}}, true},
+    {"lowered, held back", {{10, 4.0}, {20, 1.0, 3}}, {{10, 23, 4}, {23, 30, 1}}, true},
+    {"lowered, held back, not kept", {{10, 4.0}, {20, 1.0, 3}}, {{10, 30, 4}}, false},
+    {"lowered, held back, higher one not kept", {{10, 4.0}, {20, 1.0, 8}}, {{10, 20, 4}, {20, 27, 9}}, false},
+    {"lowered twice, the first one told late",
+     {{10, 4.0}, {20, 2.0, 8}, {24, 1.0, 1}},
+     {{10, 25, 4}, {25, 40, 3}},
+     false},
+    {"raised, held back", {{10, 1.0}, {20, 4.0, 5}}, {{10, 20, 1}, {20, 40, 4}}, true},
+    {"lowered untold, then less", {{10, 4.0}, {20, 1.0, never}, {22, 3.0, 6}}, {{10, 28, 5}, {28, 40, 3}}, true},
+    {"untold before its end", {{10, 2.0, never}, {12, std::nullopt}, {20, 2.0}}, {{10, 20, 5}, {20, 40, 5}}, false},
 };
 
 constexpr Instant start{std::chrono::seconds{100}};
@@ -52,8 +70,11 @@
 RequestLimitRecord recordOf(const CheckCase &check)
 {
     RequestLimitRecord record;
-    for (const auto &each : check.stated)
+    for (const auto &each : check.stated) {
         record.onStated(at(each.at), each.limit);
+        if (each.limit)
+            record.onDelivered(at(each.at + each.heldFor), *each.limit);
+    }
     for (const auto &flow : check.arrivals) {
         for (double time = flow.from; time < flow.to; time += 1 / flow.perSecond)
             record.onArrival(at(time), "n");
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -34,6 +34,18 @@
     return id.substr(0, id.find(':'));
 }
 
+std::string textOf(double limit)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3g", limit);
+    return text;
+}
+
+double limitFrom(std::string_view text)
+{
+    return std::strtod(std::string(text).c_str(), nullptr);
+}
+
 /// Returns the adapter that the request names, or an empty string.
 std::string adapterOf(const Http::Request &request)
 {
@@ -79,8 +91,7 @@
 {
     for (auto at = bytes.find(limitField); at != std::string_view::npos; at = bytes.find(limitField, at)) {
         at += limitField.size();
-        const std::string text(bytes.substr(at, bytes.find("\r\n", at) - at));
-        limits.onDelivered(BootClock{}.now(), std::strtod(text.c_str(), nullptr), address);
+        limits.onDelivered(BootClock{}.now(), limitFrom(bytes.substr(at, bytes.find("\r\n", at) - at)), address);
     }
 }
 
@@ -155,8 +166,8 @@
 
 void UpstreamStandIn::setLimit(std::optional<double> limit)
 {
-    behaviour.limit = limit;
-    limits.onStated(BootClock{}.now(), limit);
+    behaviour.limit = limit ? std::optional(limitFrom(textOf(*limit))) : std::nullopt;
+    limits.onStated(BootClock{}.now(), behaviour.limit);
 }
 
 std::vector<std::string> UpstreamStandIn::limitViolations() const
@@ -204,11 +215,8 @@
         headers.add("X-Request-Id", std::string(id));
     if (behaviour.refusalsBorne)
         headers.add("Server-Brittle", std::to_string(*behaviour.refusalsBorne));
-    if (behaviour.limit) {
-        char text[32];
-        std::snprintf(text, sizeof text, "%.3g", *behaviour.limit);
-        headers.add(std::string(limitHeader), text);
-    }
+    if (behaviour.limit)
+        headers.add(std::string(limitHeader), textOf(*behaviour.limit));
     return headers;
 }
 
