Count questions for the state of engines before a request limit

Callers see nothing; the engine in need bears it.

Cause: nodes that fail to get answers ask the engine for its state, each of them and, for each other, again. A flood in the second before a limit delays the first requests after it, but of the nodes' own sends only requests, orders and inspections were counted there, not these questions. Silences of engines bring many questions, so limits that begin beside them show it.

The monitor counts each question now, in the schedule or in the second before it. upstreammonitortest is red without this in all three rows (an exchange broke, a failure is to be confirmed, a stream is to go on), and so is the row "stated while all upstreams are silent" of limitedupstreamtest (18 nodes): 19 requests in 4 s, 17 are tolerated.

--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -92,14 +92,12 @@
     }
 
     /// Asks the process of @p upstream for its start time, and calls @p onResult with whether it is the one of the
-    /// record. Avoids the upstream for a while if it is not known to be. Where the upstream limits its requests, the
-    /// question counts as one.
+    /// record. Avoids the upstream for a while if it is not known to be.
     void verify(const Upstream &upstream, std::function<void(ProcessCheck)> onResult)
     {
         const UpstreamProcess process{upstream.record.instance, upstream.record.startedAt};
         const auto endpoint = upstream.record.endpoint;
-        if (upstream.limitsRequests())
-            m_context.announceSend({process.instance, 0, {}, 1}, BootClock{}.now());
+        countQuestion(process.instance, BootClock{}.now());
         const auto onState = [this, process, sentAt = BootClock{}.now(),
                               onResult = std::move(onResult)](const Relay::WholeResponse &response) {
             recordAnswer(process, response, sentAt);
@@ -147,6 +145,18 @@
         return options;
     }
 
+    /// Counts a question among the requests that the upstream gets, also before it limits them.
+    void countQuestion(const std::string &instance, Instant now)
+    {
+        auto *upstream = m_context.upstreams.find(instance);
+        if (!upstream)
+            return;
+        if (upstream->limitsRequests())
+            m_context.announceSend({instance, 0, {}, 1}, now);
+        else
+            upstream->sends.addUnlimited(now);
+    }
+
     /// Asks an engine at which an exchange broke for its state, and reports its crash if there is no such process.
     void checkLiveness(const UpstreamProcess &process, const Http::Endpoint &endpoint)
     {
@@ -168,6 +178,7 @@
         auto options = checkOptions();
         options.maxIdleAge = {};
         m_context.reach.onProbed(process, BootClock{}.now());
+        countQuestion(instance, BootClock{}.now());
         m_client.send({endpoint, instance}, Dialect::writeLivenessCheck(instance), std::move(observer), options);
     }
 
@@ -187,6 +198,7 @@
             const auto onState = [this, process, sentAt](const Relay::WholeResponse &response) {
                 recordAnswer(process, response, sentAt);
             };
+            countQuestion(process.instance, sentAt);
             m_client.fetch(destination, Dialect::writeLivenessCheck(process.instance), onState, options);
             return;
         }
--- a/tests/gatewayfleet/limitedupstreamtest.cpp
+++ b/tests/gatewayfleet/limitedupstreamtest.cpp
@@ -110,6 +110,17 @@
      },
      seconds{12}},
     {"before a fleet that reports through relays", {20, 2, 2}, Service::Whole, limitOneOfEach, seconds{10}},
+    {"stated while all upstreams are silent",
+     {18, 2, 2},
+     Service::Disturbed,
+     [](Fleet &fleet) {
+         for (const auto number : {0, 1}) {
+             fleet.engine(number).silence(milliseconds{1400});
+             fleet.worker(number).silence(milliseconds{1400});
+         }
+         fleet.after(milliseconds{100}, [&fleet] { limitOneOfEach(fleet); });
+     },
+     seconds{8}},
 };
 
 /// Checks what callers got in the run.
