--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -212,6 +212,15 @@
     }
 
 private:
+    /// The use of the machine's link by messages between nodes, and the connections that were opened over it.
+    struct LinkLoad {
+        Duration time{};
+        PeerBytes sent{};
+        PeerBytes received{};
+        std::uint64_t dropped = 0;
+        Relay::ConnectionCounts connections;
+    };
+
     using Registry = RegistryViews<typename Platform::Store>;
     using Orders = PlacementController<typename Platform::Orders, typename Platform::Store>;
 
@@ -948,35 +957,52 @@
     {
         if (now - m_linkLoadAt < linkLoadInterval)
             return;
-        const double seconds = std::chrono::duration<double>(now - std::exchange(m_linkLoadAt, now)).count();
-        const auto counts = m_forwarder.takeConnectionCounts();
+        const auto time = now - std::exchange(m_linkLoadAt, now);
         const auto before = std::exchange(m_peerTraffic, m_peers.traffic());
-        const auto sent = since(before.sent, m_peerTraffic.sent);
-        const auto received = since(before.received, m_peerTraffic.received);
+        const LinkLoad load{time, since(before.sent, m_peerTraffic.sent),
+                            since(before.received, m_peerTraffic.received), std::exchange(m_droppedBytes, 0),
+                            m_forwarder.takeConnectionCounts()};
+        countLinkLoad(load);
+        const double capacity = m_settings.linkBytesPerSecond * std::chrono::duration<double>(time).count();
+        const auto bytes = static_cast<double>(sumOf(load.sent) + sumOf(load.received));
+        if (bytes >= loggedLinkShare * capacity || load.connections.late > 0)
+            logLinkLoad(load, capacity);
+    }
+
+    void countLinkLoad(const LinkLoad &load)
+    {
+        const auto addBytes = [this](const char *direction, std::string_view kind, std::uint64_t bytes) {
+            m_metrics.add(Metric::PeerBytes, {{"direction", direction}, {"kind", std::string(kind)}},
+                          static_cast<double>(bytes));
+        };
+        for (const auto &[kind, name] : enumNames<PeerMessageKind>) {
+            addBytes("out", name, load.sent[static_cast<std::size_t>(kind)]);
+            addBytes("in", name, load.received[static_cast<std::size_t>(kind)]);
+        }
+        addBytes("dropped", nameOf(PeerMessageKind::Registry), load.dropped);
+        const auto addConnections = [this](const char *outcome, std::uint64_t count) {
+            m_metrics.add(Metric::Connections, {{"outcome", outcome}}, static_cast<double>(count));
+        };
+        addConnections("opened", load.connections.opened);
+        addConnections("late", load.connections.late);
+        addConnections("failed", load.connections.failed);
+    }
+
+    /// @p capacity is what the link bears in the time of @p load, in bytes.
+    void logLinkLoad(const LinkLoad &load, double capacity)
+    {
         std::vector<LogField> fields;
         for (const auto &[kind, name] : enumNames<PeerMessageKind>) {
             const auto index = static_cast<std::size_t>(kind);
-            m_metrics.add(Metric::PeerBytes, {{"direction", "out"}, {"kind", std::string(name)}},
-                          static_cast<double>(sent[index]));
-            m_metrics.add(Metric::PeerBytes, {{"direction", "in"}, {"kind", std::string(name)}},
-                          static_cast<double>(received[index]));
-            fields.emplace_back("sent_" + std::string(name), std::to_string(sent[index]));
-            fields.emplace_back("received_" + std::string(name), std::to_string(received[index]));
+            fields.emplace_back("sent_" + std::string(name), std::to_string(load.sent[index]));
+            fields.emplace_back("received_" + std::string(name), std::to_string(load.received[index]));
         }
-        const auto dropped = std::exchange(m_droppedBytes, 0);
-        m_metrics.add(Metric::PeerBytes, {{"direction", "dropped"}, {"kind", ""}}, static_cast<double>(dropped));
-        m_metrics.add(Metric::Connections, {{"outcome", "opened"}}, static_cast<double>(counts.opened));
-        m_metrics.add(Metric::Connections, {{"outcome", "late"}}, static_cast<double>(counts.late));
-        m_metrics.add(Metric::Connections, {{"outcome", "failed"}}, static_cast<double>(counts.failed));
-        const double linkBytes = m_settings.linkBytesPerSecond * seconds;
-        if (static_cast<double>(sumOf(sent) + sumOf(received)) < loggedLinkShare * linkBytes && counts.late == 0)
-            return;
-        fields.emplace_back("dropped", std::to_string(dropped));
-        fields.emplace_back("over_ms", std::to_string(static_cast<unsigned>(seconds * 1000)));
-        fields.emplace_back("link_bytes", std::to_string(static_cast<std::uint64_t>(linkBytes)));
-        fields.emplace_back("opened", std::to_string(counts.opened));
-        fields.emplace_back("late", std::to_string(counts.late));
-        fields.emplace_back("longest_ms", std::to_string(counts.longest.count() / 1000));
+        fields.emplace_back("dropped", std::to_string(load.dropped));
+        fields.emplace_back("over_ms", std::to_string(load.time.count() / 1000));
+        fields.emplace_back("capacity", std::to_string(static_cast<std::uint64_t>(capacity)));
+        fields.emplace_back("opened", std::to_string(load.connections.opened));
+        fields.emplace_back("late", std::to_string(load.connections.late));
+        fields.emplace_back("longest_ms", std::to_string(load.connections.longest.count() / 1000));
         fields.emplace_back("callers", std::to_string(m_callers.connections()));
         m_log.note(GatewayEvent::LinkLoad, fields);
     }
