Learn request limits from answers to questions for the state of engines

The first answer with the limit left for a node after 2 ms, and 15 such answers for 12 nodes within 0.3 s. No node logged upstream_limits_requests before the first answer to a stream, after 359 ms; all 20 nodes knew it 30 ms later. Until then they went on with questions for the engine's state.

Cause: the monitor took such an answer for a contact only and dropped what the engine states in it, unlike the answers to orders and inspections. An engine that has been silent is asked by many nodes, and gets few other requests.

The monitor records the statement now.

--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -163,11 +163,10 @@
         Relay::ExchangeObserver observer;
         const auto &instance = process.instance;
         observer.onHead = [this, process, sentAt = BootClock{}.now()](const Relay::ResponseHead &head) {
-            const auto now = BootClock{}.now();
             if (Dialect::readReply(head).wrongInstance)
-                onCrashed(process.instance, now);
+                onCrashed(process.instance, BootClock{}.now());
             else
-                m_context.recordContact(process, now, sentAt);
+                recordReply(process, head, sentAt);
         };
         observer.onFailure = [this, process](const Relay::FailedExchange &failure) {
             const auto now = BootClock{}.now();
@@ -260,7 +259,18 @@
         if (response.head.status == 0)
             m_context.recordFailure(process, ReachFailure::NotConnected, now);
         else if (!Dialect::readReply(response.head).wrongInstance)
-            m_context.recordContact(process, now, sentAt);
+            recordReply(process, response.head, sentAt);
+    }
+
+    /// Records an answer of @p process to a question, and what the process states of itself in it.
+    void recordReply(const UpstreamProcess &process, const Relay::ResponseHead &head, Instant sentAt)
+    {
+        const auto now = BootClock{}.now();
+        m_context.recordContact(process, now, sentAt);
+        auto statement = Dialect::readReply(head).statement;
+        statement.isFull = false; // A question needs no room.
+        // An answer without an id may be a copy of an earlier one, so that it neither raises nor ends a request limit.
+        m_context.recordStatement(process, statement, now);
     }
 
     void publish(const CrashReport &report, Instant now)
--- a/tests/gateway/upstreammonitortest.cpp
+++ b/tests/gateway/upstreammonitortest.cpp
@@ -170,3 +170,43 @@
     fixture.state(2);
     cr_assert_eq(fixture.engine().sends.takeEarlier(BootClock{}.now()), 1U, "%s", row.name);
 }
+
+namespace
+{
+
+struct StatementCase {
+    const char *name;
+    void (MonitorFixture::*ask)();
+    std::optional<double> known; ///< Limit before the answer.
+    unsigned status;
+    Http::Headers headers;
+    std::optional<double> limit; ///< Limit after it.
+};
+
+const StatementCase statements[] = {
+    {"an exchange broke", &MonitorFixture::breakExchange, {}, 200, {{"Limit", "2"}}, 2},
+    {"a failure is to be confirmed", &MonitorFixture::probe, {}, 200, {{"Limit", "2"}}, 2},
+    {"a stream is to go on", &MonitorFixture::verify, {}, 200, {{"Limit", "2"}}, 2},
+    {"no limit", &MonitorFixture::probe, {}, 200, {}, {}},
+    {"lowered", &MonitorFixture::verify, 4, 200, {{"Limit", "2"}}, 2},
+    {"raised", &MonitorFixture::verify, 2, 200, {{"Limit", "4"}}, 2},
+    {"ended", &MonitorFixture::verify, 2, 200, {}, 2},
+    {"refused with a limit", &MonitorFixture::verify, 4, 503, {{"Limit", "2"}}, 2},
+    {"refused without one", &MonitorFixture::verify, 2, 503, {}, 2},
+    {"another process", &MonitorFixture::verify, 2, 421, {{"Limit", "1"}}, 2},
+    {"no answer", &MonitorFixture::verify, 2, 0, {}, 2},
+};
+
+} // namespace
+
+/// Guards against nodes that learn of a request limit late, as they made nothing of what answers to questions state.
+TABLE_TEST(UpstreamMonitor, learnsRequestLimitsFromAnswers, statements)
+{
+    MonitorFixture fixture;
+    if (row.known)
+        fixture.state(row.known);
+    (fixture.*row.ask)();
+    cr_assert_eq(fixture.questions(), 1U, "%s: %zu questions", row.name, fixture.questions());
+    fixture.answer(row.status, row.headers);
+    cr_assert(fixture.engine().requestLimit.perSecond == row.limit, "%s", row.name);
+}
