A client looks at what has arrived before it gives up as late

What callers saw: after a stall of the node's process, upstreams and peers that had accepted the connection counted as not connected ("the connection was not made in time"), and a question whose answer lay in the kernel's buffer as unanswered, so that calls went elsewhere and sound places as lost.

It now asks the kernel: a connection that was made is left to the loop, and bytes that have arrived are read first. A part of an answer is late as before.

Relay/stalledClientJudgesByWhatHasArrived was red in three of five rows before (a connection, an answer, an answer that is read in pieces).

--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -181,16 +181,24 @@
         close();
     }
 
+    /// Ends an exchange that is late, unless the kernel holds what it waits for, as after a stall of the process.
     void sweep(Instant now)
     {
-        if (!m_exchange)
+        if (!m_exchange || (!m_connected && isConnectionMade()))
             return;
         if (!m_connected && now > m_exchange->connectDeadline) {
             countConnection(&ConnectionCounts::late);
-            fail(ExchangeFailure::NotConnected, "the connection was not made in time");
-        } else if (m_exchange->responseDeadline != Instant{} && now > m_exchange->responseDeadline) {
-            fail(ExchangeFailure::Broken, "there was no whole response in time");
+            return fail(ExchangeFailure::NotConnected, "the connection was not made in time");
         }
+        const auto isLate = [&] {
+            return m_exchange && m_exchange->responseDeadline != Instant{} && now > m_exchange->responseDeadline;
+        };
+        const auto self = shared_from_this();
+        ErrorCode ignored;
+        while (isLate() && m_socket.available(ignored) > 0)
+            read();
+        if (isLate())
+            fail(ExchangeFailure::Broken, "there was no whole response in time");
     }
 
     bool hasExpired(Instant now) const
@@ -213,6 +221,14 @@
         counts.longest = std::max<Duration>(counts.longest, BootClock{}.now() - m_connectSince);
     }
 
+    /// Returns true if the kernel has made the connection, which the loop then reports.
+    bool isConnectionMade()
+    {
+        ErrorCode error;
+        m_socket.remote_endpoint(error);
+        return !error;
+    }
+
     void transmit()
     {
         if (!m_exchange || m_closed)
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -903,3 +903,114 @@
     cr_assert(result == row.result, "%s", row.name);
     cr_assert_eq(server.server.connections(), 0U, "%s", row.name);
 }
+
+namespace
+{
+
+/// What the kernel holds for a client whose process was stopped for longer than the client's time-outs.
+enum class Arrived {
+    Nothing, ///< Not even the connection.
+    Connection,
+    PartOfAnswer,
+    Answer,
+};
+
+struct StallCase {
+    const char *name;
+    Arrived arrived;
+    std::size_t bodyBytes;
+    bool isWhole;
+};
+
+const StallCase stalls[] = {
+    {"no connection", Arrived::Nothing, 10, false},
+    {"a connection", Arrived::Connection, 10, true},
+    {"a part of the answer", Arrived::PartOfAnswer, 10, false},
+    {"an answer", Arrived::Answer, 10, true},
+    {"an answer that is read in pieces", Arrived::Answer, 100 * 1000, true},
+};
+
+/// A server that runs only when the test says so, while the client does not.
+class HeldServer
+{
+public:
+    explicit HeldServer(Http::EventLoop &loop, bool takesConnections)
+        : m_acceptor(loop.context())
+    {
+        m_acceptor.open(tcp::v4());
+        m_acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+        m_acceptor.listen(takesConnections ? 8 : 0);
+        while (!takesConnections && m_filling.size() < 3) {
+            m_filling.emplace_back(loop.context(), tcp::v4());
+            m_filling.back().native_non_blocking(true);
+            const auto address = m_acceptor.local_endpoint();
+            ::connect(m_filling.back().native_handle(), address.data(), static_cast<socklen_t>(address.size()));
+        }
+    }
+
+    Http::Endpoint endpoint() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port(), false};
+    }
+
+    /// Accepts the client's connection, reads its request, for which @p run lets the client go on, and sends @p bytes.
+    void answer(std::string_view bytes, const std::function<void()> &run)
+    {
+        std::array<char, 4096> request{};
+        tcp::socket socket(m_acceptor.get_executor());
+        boost::system::error_code error = boost::asio::error::would_block;
+        m_acceptor.non_blocking(true);
+        for (int i = 0; i < maxRuns && error; ++i) {
+            run();
+            m_acceptor.accept(socket, error);
+        }
+        cr_assert_not(error, "no connection");
+        socket.non_blocking(true);
+        for (int i = 0; i < maxRuns && socket.read_some(boost::asio::buffer(request), error) == 0; ++i)
+            run();
+        cr_assert_not(error, "no request");
+        socket.non_blocking(false);
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        m_open.push_back(std::move(socket));
+    }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+    static constexpr int maxRuns = 60;
+
+    tcp::acceptor m_acceptor;
+    std::vector<tcp::socket> m_filling; ///< Fill the queue of connections that the kernel makes.
+    std::vector<tcp::socket> m_open;
+};
+
+} // namespace
+
+/// A connection that had been made, or an answer that had arrived, was given up as late after a stall of the process.
+TABLE_TEST(Relay, stalledClientJudgesByWhatHasArrived, stalls)
+{
+    Http::EventLoop loop;
+    HeldServer server(loop, row.arrived != Arrived::Nothing);
+    UpstreamClient client(loop);
+    SendOptions options;
+    if (row.arrived != Arrived::Connection)
+        options.timeout = std::chrono::milliseconds{500};
+    std::optional<WholeResponse> received;
+    client.fetch(
+        {server.endpoint(), "a"}, {"GET", "/x", {{"Host", "h"}}, {}},
+        [&](const WholeResponse &response) { received = response; }, options);
+    const std::function<void()> run = [&] { RawCaller::runLoop(loop, std::chrono::milliseconds{30}); };
+    const std::string body(row.bodyBytes, 'x');
+    const auto whole = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    if (row.arrived == Arrived::PartOfAnswer || row.arrived == Arrived::Answer)
+        server.answer(std::string_view(whole).substr(0, whole.size() - (row.arrived == Arrived::Answer ? 0 : 1)), run);
+    client.sweep(BootClock{}.now() + std::chrono::seconds{1});
+    run();
+    if (row.arrived == Arrived::Connection) {
+        cr_assert_not(received.has_value(), "%s", row.name);
+        server.answer(whole, run);
+        run();
+    }
+    cr_assert(received.has_value(), "%s", row.name);
+    cr_assert_eq(received->head.status, row.isWhole ? 200U : 0U, "%s", row.name);
+    cr_assert_eq(received->body, row.isWhole ? body : std::string(), "%s", row.name);
+}
