Nothing is sent for a caller whose close has arrived

What callers saw: a request reached a worker after its caller had left (GONE), when a node that had been held up found request and close together.

Cause: the server reads a request and passes it on before its next read shows the close; the send was cancelled at once after, but the upstream had it. Each send, to an upstream or to a peer, now asks the kernel first whether the caller's connection is still open.

CallForwarder/sendsNothingForCallerWhoHasLeft was red before in the two rows in which the caller leaves behind its request, by close and by reset: 1 send each. The two rows in which it leaves while its request waits were green before, and guard the same place.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -652,6 +652,8 @@
 
     void sendToPeer(const CallPtr &call, const RelayPeer &peer, Instant now)
     {
+        if (call->exchange->hasCallerLeft())
+            return onCallerGone(call);
         beginSend(call, now);
         call->instance.clear();
         call->peer = peer.node;
@@ -1109,6 +1111,8 @@
 
     void send(const CallPtr &call, const UpstreamChoice &choice, Instant now)
     {
+        if (call->exchange->hasCallerLeft())
+            return onCallerGone(call);
         if (call->sends > 0 && !isPaid(*call) && !takeRepeat(*call, now)) {
             if (returnToHeld(call))
                 return;
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -89,6 +89,8 @@
         m_onGone = std::move(task);
     }
 
+    bool hasCallerLeft() override;
+
     /// Reports the disconnect of the caller, whose task may release the exchange. Called by the connection when it
     /// closes.
     void detach()
@@ -253,6 +255,13 @@
         }
     }
 
+    /// Returns true if the caller has closed or reset the connection, also behind bytes that have not been read.
+    bool hasCallerClosed()
+    {
+        const auto state = tcpState();
+        return state && state != TCP_ESTABLISHED;
+    }
+
 private:
     bool isIdle() const
     {
@@ -401,13 +410,6 @@
         return m_hasUnread && undelivered() > 0;
     }
 
-    /// Returns true if the caller has closed or reset the connection, also behind bytes that have not been read.
-    bool hasCallerClosed()
-    {
-        const auto state = tcpState();
-        return state && state != TCP_ESTABLISHED;
-    }
-
     /// Returns the state of the connection, such as TCP_CLOSE; nothing if the kernel does not tell.
     std::optional<int> tcpState()
     {
@@ -584,6 +586,11 @@
         connection->finishResponse();
 }
 
+bool Exchange::hasCallerLeft()
+{
+    return !m_connection || m_connection->hasCallerClosed();
+}
+
 void Exchange::abort()
 {
     const auto self = shared_from_this();
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -51,6 +51,12 @@
 
     /// Registers @p task, which is called once if the caller closes its connection before the response has ended.
     virtual void onGone(std::function<void()> task) = 0;
+
+    /// Returns true if the caller has closed its connection, also if that has not been read yet.
+    virtual bool hasCallerLeft()
+    {
+        return false;
+    }
 };
 
 struct CallerServerSettings {
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -415,6 +415,28 @@
         return refusals;
     }
 
+    /// Lets a caller send a request and leave before the node's loop has run, or, if @p waits, while the request waits
+    /// for a place that becomes free before the loop runs again. Precondition: ask() was called.
+    void askAndLeave(bool waits, bool resets)
+    {
+        makeBrittle(3, {0, 1});
+        auto caller = std::make_unique<Testing::RawCaller>(m_loop, m_entryEndpoint);
+        for (const auto *instance : {"u0", "u1"})
+            upstream(instance).peersInFlight = waits ? 4 : 0;
+        caller->send("POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: r2\r\nContent-Length: 1\r\n\r\nq");
+        if (waits)
+            caller->wait(std::chrono::milliseconds{60});
+        cr_assert_eq(m_forwarder.activeCalls(), waits ? 1U : 0U);
+        if (resets)
+            caller->reset();
+        caller.reset();
+        for (const auto *instance : {"u0", "u1"})
+            upstream(instance).peersInFlight = 0;
+        m_forwarder.onPlacement();
+        Testing::RawCaller::runLoop(m_loop, std::chrono::milliseconds{100});
+        cr_assert_eq(m_forwarder.activeCalls(), 0U);
+    }
+
     /// Lets the node get SIGTERM @p time from now, and SIGKILL @p grace later.
     void stopAfter(Duration time, Duration grace)
     {
@@ -1938,3 +1960,31 @@
     cr_expect_eq(fixture.sends, row.sends, "%s", row.path);
     cr_expect_eq(fixture.stopCounts().refused, row.sends == 0 ? 1U : 0U, "%s", row.path);
 }
+
+namespace
+{
+
+struct LeavingCase {
+    const char *name;
+    bool waits; ///< For a place, when its caller leaves.
+    bool resets;
+};
+
+const LeavingCase leavings[] = {
+    {"closes behind its request", false, false},
+    {"resets behind its request", false, true},
+    {"closes while it waits", true, false},
+    {"resets while it waits", true, true},
+};
+
+} // namespace
+
+/// A request went to an upstream although its caller's close had arrived, as after a stall of the node.
+TABLE_TEST(CallForwarder, sendsNothingForCallerWhoHasLeft, leavings)
+{
+    ForwarderFixture fixture({answer});
+    cr_assert_eq(fixture.ask("/safe/1"), 200U, "%s", row.name);
+    const auto before = fixture.sends;
+    fixture.askAndLeave(row.waits, row.resets);
+    cr_assert_eq(fixture.sends, before, "%s: %u sends", row.name, fixture.sends - before);
+}
