--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
+#include <utility>
 
 namespace Gypsumtally::GatewayFleet
 {
@@ -518,6 +519,23 @@
     });
 }
 
+void Fleet::halt(std::size_t number, Duration time)
+{
+    auto &node = m_nodes[number];
+    if (std::exchange(node.isHalted, true))
+        return;
+    ++m_halts;
+    const auto now = BootClock{}.now();
+    node.process->signal(SIGSTOP);
+    excuse(node, now, now + time);
+    after(time, [this, number, now] {
+        auto &halted = m_nodes[number];
+        halted.isHalted = false;
+        halted.process->signal(SIGCONT);
+        excuse(halted, now, BootClock{}.now());
+    });
+}
+
 void Fleet::restart(std::size_t number, Duration pause)
 {
     auto &node = m_nodes[number];
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -87,6 +87,10 @@
     /// Freezes a node's process for @p time.
     void freeze(std::size_t node, Duration time);
 
+    /// Halts a node's process for @p time, so briefly that the users' rules on answers bind it all the while. Does
+    /// nothing if it is halted.
+    void halt(std::size_t node, Duration time);
+
     /// Kills a node's process and starts it again after @p pause.
     void restart(std::size_t node, Duration pause);
 
@@ -207,6 +211,12 @@
         return m_random;
     }
 
+    /// Returns how often halt() has halted a node.
+    unsigned halts() const
+    {
+        return m_halts;
+    }
+
     /// Returns the number of lines about @p event that all nodes have logged.
     unsigned logLines(const std::string &event) const;
 
@@ -228,6 +238,7 @@
         Instant partitionedUntil{}; ///< From all upstreams, which may break its requests that are in flight.
         Instant startedAt{};
         std::optional<Instant> stopAt; ///< When it was asked to stop.
+        bool isHalted = false;
         bool isExpectedToRun = true; ///< False from a kill or stop until its next start.
     };
 
@@ -287,6 +298,7 @@
     std::set<std::string> m_booked; ///< Ids of requests that must not run twice.
     std::vector<std::string> m_problems;
     bool m_countsOnlyBinding = false;
+    unsigned m_halts = 0;
     std::uint64_t m_sent = 0;
     std::uint64_t m_prompts = 0;
     std::uint64_t m_configurations = 0;
