--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr double usualRelays = 2; ///< Number of relays in a failure domain of machines of capacity 1 or more.
+constexpr double usualRelays = 2; ///< That share the reports of a failure domain of equal machines of capacity 1.
 
 double capacityOf(const std::vector<NodeAddress> &nodes)
 {
@@ -81,6 +81,8 @@
 void Dissemination::HeldReports::advanceTo(Instant now)
 {
     const auto time = now - std::exchange(asOf, now);
+    if (time == Duration{})
+        return; // All reports of one message.
     for (auto &report : reports)
         advance(report, time);
 }
@@ -153,6 +155,7 @@
     return members.relaysOf(failureDomain, spare, now);
 }
 
+/// A smooth weighted round robin.
 const NodeAddress &Dissemination::nextOf(const std::vector<NodeAddress> &relays, const std::string &self)
 {
     const auto seed = XXH3_64bits(self.data(), self.size());
--- a/src/gateway/dissemination.h
+++ b/src/gateway/dissemination.h
@@ -15,9 +15,9 @@
 struct DisseminationSettings {
     /// Maximum number of peers for which each report is sent to all of them directly and without delay.
     std::size_t directPeers = 16;
-    /// Least capacity of the relays of a failure domain without the largest of them, so that the loss of one costs only
-    /// a part of the reports until it is detected. Each forwards a share in proportion to its capacity, as the link of
-    /// a small machine does not bear all reports of a large fleet.
+    /// Least capacity (1: a quarter of a core and 100 Mbit/s) of the relays of a failure domain without the largest of
+    /// them, so that the loss of one costs only a part of the reports until it is detected. Each forwards a share in
+    /// proportion to its capacity, as the link of a small machine does not bear all reports of a large fleet.
     double spareRelayCapacity = 1;
     /// The same in large domains: for so many nodes a machine of capacity 1 forwards all reports.
     double nodesPerRelayCapacity = 12;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -212,6 +212,14 @@
     }
 
 private:
+    /// The node's work for its failure domain.
+    struct Roles {
+        bool isRelay = false;
+        bool isReader = false;
+
+        friend bool operator==(const Roles &, const Roles &) = default;
+    };
+
     /// The use of the machine's link by messages between nodes, and the connections that were opened over it.
     struct LinkLoad {
         Duration time{};
@@ -1584,14 +1592,6 @@
     /// The tick before the last. What is read now arrived later, also if the process was suspended until the last tick.
     Instant m_tickBefore{};
     Instant m_lastPeerMessage{};
-    /// The node's work for its failure domain.
-    struct Roles {
-        bool isRelay = false;
-        bool isReader = false;
-
-        friend bool operator==(const Roles &, const Roles &) = default;
-    };
-
     Roles m_roles; ///< Last logged.
     PeerTraffic m_peerTraffic; ///< Last reported.
     Instant m_linkLoadAt = BootClock{}.now(); ///< Time of the last report.
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -19,7 +19,7 @@
 constexpr double referenceCpuShare = 0.25;
 constexpr double bytesPerMbit = 125'000;
 constexpr double minLinkMbps = 1;
-constexpr double minCapacity = 0.01;
+constexpr double minCapacity = 0.01; ///< Nodes divide by it.
 constexpr double referenceLinkMbps = 100; ///< Link rate that gives capacity 1.
 
 void readRegions(MapReader &reader, GatewaySettings &settings)
