--- a/tests/gatewayfleet/crashingparttest.cpp
+++ b/tests/gatewayfleet/crashingparttest.cpp
@@ -103,6 +103,8 @@
     fleet.setLoad({});
     fleet.run(seconds{1});
     const auto problems = fleet.finish();
+    if (!problems.empty())
+        fleet.keepFiles();
     cr_expect(problems.empty(), "%s: %zu problems, the first: %s", row.name, problems.size(),
               problems.empty() ? "" : problems.front().c_str());
     const auto &sound = fleet.tally(CallerRequest::Stream);
--- a/tests/gatewayfleet/mixedsoftwaretest.cpp
+++ b/tests/gatewayfleet/mixedsoftwaretest.cpp
@@ -123,6 +123,8 @@
     fleet.setLoad({});
     fleet.run(seconds{3});
     const auto problems = fleet.finish();
+    if (!problems.empty())
+        fleet.keepFiles();
     cr_expect(problems.empty(), "%s: %zu problems, the first: %s", row.name, problems.size(),
               problems.empty() ? "" : problems.front().c_str());
     cr_expect_leq(fleet.streamCallers().joinedStreams(), toleratedStreams,
