--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -21,6 +21,11 @@
                            [](double sum, const NodeAddress &node) { return sum + node.capacity; });
 }
 
+bool contains(const std::vector<NodeAddress> &nodes, const NodeAddress &node)
+{
+    return std::ranges::find(nodes, node) != nodes.end();
+}
+
 template<typename Item>
 void append(std::vector<Item> &to, std::vector<Item> &&from)
 {
@@ -141,7 +146,7 @@
     const auto &self = members.self();
     const auto pause = m_settings.pause + m_settings.pausePerNode * members.peerCountIn(self.failureDomain, now);
     const auto relays = relaysOf(self.failureDomain, members, now);
-    if (std::ranges::find(relays, self) == relays.end())
+    if (!contains(relays, self))
         return pause;
     const double factor = capacityOf(relays) / (usualRelays * self.capacity);
     return std::chrono::duration_cast<Duration>(pause * std::clamp(factor, 1.0, m_settings.maxPauseFactor));
@@ -192,8 +197,7 @@
 {
     if (isDirect(members, now))
         return false;
-    const auto relays = relaysOf(members.self().failureDomain, members, now);
-    return std::ranges::find(relays, members.self()) != relays.end();
+    return contains(relaysOf(members.self().failureDomain, members, now), members.self());
 }
 
 std::vector<Dissemination::Delivery> Dissemination::flush(const MemberTable &members, Instant now)
@@ -205,8 +209,7 @@
         send(own, ForwardScope::None, members.peers(now), members, deliveries);
     } else {
         const auto relays = relaysOf(self.failureDomain, members, now);
-        const bool isRelay = std::ranges::find(relays, self) != relays.end();
-        if (isRelay) {
+        if (contains(relays, self)) {
             for (auto &report : own)
                 m_forEverywhere.add(std::move(report), now);
         } else if (!own.empty()) {
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -70,14 +70,15 @@
     if (targets.empty())
         return 0;
     const auto text = encode(message);
-    m_d->traffic.sent[static_cast<std::size_t>(kindOf(message))] += text.size() * targets.size();
+    const auto bytes = text.size() * targets.size();
+    m_d->traffic.sent[static_cast<std::size_t>(kindOf(message))] += bytes;
     for (const auto &target : targets) {
         // An error counts as a lost datagram, which receivers tolerate.
         ErrorCode ignored;
         m_d->socket.send_to(asio::buffer(text),
                             udp::endpoint(asio::ip::make_address(target.peers.address), target.peers.port), 0, ignored);
     }
-    return text.size() * targets.size();
+    return bytes;
 }
 
 const PeerTraffic &PeerLink::traffic() const
