--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -68,6 +68,14 @@
     /// Returns the violations of the request limits that its processes have stated.
     std::vector<std::string> limitViolations() const;
 
+    /// Writes what its processes have seen of request limits to @p stream; see RequestLimitRecord::write().
+    void writeLimits(std::ostream &stream, Duration logOffset) const;
+
+    const std::string &name() const
+    {
+        return m_name;
+    }
+
     /// Returns how often it has fallen over because it had to refuse too many requests.
     unsigned falls() const
     {
@@ -100,6 +108,7 @@
 
     void startProcess();
     void endProcess();
+    void onAnswerPassed(const std::string &address, std::string_view bytes);
     void sendHeartbeats();
     void sweepPaths();
     bool crashAt(const Exchange &exchange);
