Refusals tell which stream a call takes up and which upstreams were left to it

Callers saw take-ups refused while new streams began, and no log told whether versions, places or reach decided. request_refused now has the stream that is taken up, its software version and its source, and how many upstreams are open, suspect, cut off or limiting.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -887,17 +887,15 @@
         return choose(call, now, std::move(excluded), false);
     }
 
-    /// Chooses an upstream other than those in @p excluded: with @p isBehindCut one that this node is cut off from,
-    /// otherwise one that it reaches.
-    std::optional<UpstreamChoice> choose(const Call &call, Instant now, std::vector<std::string> excluded,
-                                         bool isBehindCut)
+    /// Returns what the call requires of an upstream.
+    UpstreamDemand demandOf(const Call &call, Instant now)
     {
         UpstreamDemand demand{call.service,
                               call.request.target,
                               0,
                               m_context.failureDomain,
                               &m_context.regions,
-                              std::move(excluded),
+                              {},
                               call.request.promptTokens,
                               paceOf(call, now),
                               m_context.speeds[call.service].speed(),
@@ -905,13 +903,23 @@
                               m_context.limitShare,
                               call.streamVersion ? &*call.streamVersion : nullptr,
                               {},
-                              std::max(latestSend(call), now),
-                              isBehindCut};
+                              std::max(latestSend(call), now)};
         if (call.route.kind == RequestKind::Streaming && !call.streamVersion)
             demand.heldVersions = m_context.streams.heldVersions(call.service);
         demand.refusalsPerSecond = m_context.upstreams.brittleness(call.service).refusalsPerSecond;
         demand.rank = m_context.rank;
         demand.spreadSeed = XXH3_64bits(call.request.id.data(), call.request.id.size());
+        return demand;
+    }
+
+    /// Chooses an upstream other than those in @p excluded: with @p isBehindCut one that this node is cut off from,
+    /// otherwise one that it reaches.
+    std::optional<UpstreamChoice> choose(const Call &call, Instant now, std::vector<std::string> excluded,
+                                         bool isBehindCut)
+    {
+        auto demand = demandOf(call, now);
+        demand.excluded = std::move(excluded);
+        demand.isBehindCut = isBehindCut;
         if (call.request.target.empty())
             return chooseUpstream(m_context.upstreams, demand, now);
         // Prefers the newest version as soon as it is declared; an older one serves until the new one is loaded.
@@ -1910,6 +1918,25 @@
         return call.relayed ? call.relayed->origin : std::string{};
     }
 
+    /// Adds which stream the call takes up and at which software version, and which upstreams that leaves it.
+    void addPlaces(std::vector<LogField> &fields, const Call &call, Instant now)
+    {
+        if (call.service.empty())
+            return;
+        if (call.lastEvent) {
+            fields.emplace_back("resumes", call.request.resumedId);
+            fields.emplace_back("after_event", std::to_string(*call.lastEvent));
+            fields.emplace_back("software", call.streamVersion.value_or("unknown"));
+            if (call.streamVersion)
+                fields.emplace_back("version_from", std::string(nameOf(call.versionSource)));
+        }
+        const auto counts = countUpstreams(m_context.upstreams, demandOf(call, now), now);
+        fields.emplace_back("open", std::to_string(counts.open));
+        fields.emplace_back("suspect", std::to_string(counts.suspect));
+        fields.emplace_back("cut_off", std::to_string(counts.cutOff));
+        fields.emplace_back("limiting", std::to_string(counts.limiting));
+    }
+
     /// Adds the version of the configuration that decides on requests, and for how long it has been in force.
     void addConfiguration(std::vector<LogField> &fields, Instant now) const
     {
@@ -2012,6 +2039,7 @@
                                      {"sends", std::to_string(call->sends)},
                                      {"after_ms", std::to_string((now - call->arrival).count() / 1000)},
                                      {"verdict", std::string(nameOf(call->verdict))}};
+        addPlaces(fields, *call, now);
         addConfiguration(fields, now);
         addWaits(*call, fields);
         m_log.decision(GatewayEvent::Refused, call->request.id, std::move(fields));
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -188,6 +188,25 @@
     });
 }
 
+UpstreamCounts countUpstreams(const UpstreamTable &table, const UpstreamDemand &demand, Instant now)
+{
+    UpstreamCounts counts;
+    for (const auto &[instance, upstream] : table.all()) {
+        if (upstream.record.service != demand.service || !upstream.staysInService()
+            || !hasUsableSoftware(upstream.record, demand))
+            continue;
+        if (upstream.isCutOff)
+            ++counts.cutOff;
+        else if (upstream.backpressureUntil > now || upstream.limitsRequests())
+            ++counts.limiting;
+        else if (isSuspect(upstream, demand, now))
+            ++counts.suspect;
+        else
+            ++counts.open;
+    }
+    return counts;
+}
+
 std::vector<std::string> upstreamsOfOtherSoftware(const UpstreamTable &table, const std::string &service,
                                                   const std::string &softwareVersion)
 {
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -89,6 +89,17 @@
 bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
                  const std::string *softwareVersion = nullptr);
 
+/// The upstreams of a service that stay in service, by what keeps requests of this node from them.
+struct UpstreamCounts {
+    unsigned open = 0; ///< Accept requests and respond.
+    unsigned suspect = 0; ///< Do not respond, or are avoided after a failure.
+    unsigned cutOff = 0; ///< This node is cut off from them.
+    unsigned limiting = 0; ///< Apply backpressure to this node or limit their requests.
+};
+
+/// Returns the counts for the service of @p demand; of its software version only, if it names one. Thread-safe.
+UpstreamCounts countUpstreams(const UpstreamTable &table, const UpstreamDemand &demand, Instant now);
+
 /// Returns the upstreams of @p service that have another software version than @p softwareVersion. Thread-safe.
 std::vector<std::string> upstreamsOfOtherSoftware(const UpstreamTable &table, const std::string &service,
                                                   const std::string &softwareVersion);
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -280,3 +280,47 @@
         upstream.ownInFlight = 60;
     cr_assert_eq(chooseUpstream(table, demand, now)->instance, std::string("far"));
 }
+
+namespace
+{
+
+struct CountCase {
+    const char *name;
+    void (*change)(UpstreamTable &);
+    const char *softwareVersion; ///< Null: any.
+    UpstreamCounts counts;
+};
+
+const CountCase countCases[] = {
+    {"both respond", [](UpstreamTable &) {}, nullptr, {2, 0, 0, 0}},
+    {"one is cut off", [](UpstreamTable &table) { table.find("near")->isCutOff = true; }, nullptr, {1, 0, 1, 0}},
+    {"one is avoided",
+     [](UpstreamTable &table) { table.find("near")->avoidUntil = now + std::chrono::seconds{1}; },
+     nullptr,
+     {1, 1, 0, 0}},
+    {"one applies backpressure",
+     [](UpstreamTable &table) { table.find("near")->backpressureUntil = now + std::chrono::seconds{1}; },
+     nullptr,
+     {1, 0, 0, 1}},
+    {"one leaves", [](UpstreamTable &table) { table.find("near")->record.draining = true; }, nullptr, {1, 0, 0, 0}},
+    {"one has another software version",
+     [](UpstreamTable &table) { table.find("near")->record.softwareVersion = "v2"; },
+     "v2",
+     {1, 0, 0, 0}},
+};
+
+} // namespace
+
+TABLE_TEST(EngineChoice, countsUpstreamsByWhatKeepsRequestsAway, countCases)
+{
+    auto table = twoEngines();
+    row.change(table);
+    auto wanting = demand;
+    const std::string version = row.softwareVersion ? row.softwareVersion : "";
+    wanting.softwareVersion = row.softwareVersion ? &version : nullptr;
+    const auto counts = countUpstreams(table, wanting, now);
+    cr_assert(counts.open == row.counts.open && counts.suspect == row.counts.suspect
+                  && counts.cutOff == row.counts.cutOff && counts.limiting == row.counts.limiting,
+              "%s: %u open, %u suspect, %u cut off, %u limiting", row.name, counts.open, counts.suspect, counts.cutOff,
+              counts.limiting);
+}
