--- a/tests/gateway/reachabilitytest.cpp
+++ b/tests/gateway/reachabilitytest.cpp
@@ -21,6 +21,7 @@
 constexpr Instant start{std::chrono::hours{1}};
 constexpr int stepMs = 5;
 constexpr int tickMs = 50;
+constexpr int avoidanceMs = 700; ///< Time for which a node avoids an upstream that has not answered.
 
 enum class Mode { Refuse, Reset, Hang, LiveOnes };
 
@@ -33,6 +34,14 @@
     Mode mode;
 };
 
+/// Upstreams that answer nobody for a time, and then all requests that were not given up.
+struct Silence {
+    int fromMs;
+    int untilMs;
+    unsigned firstUpstream;
+    unsigned upstreams;
+};
+
 /// Nodes that use upstreams in virtual time, and exchange their reports by datagrams.
 class Fleet
 {
@@ -49,6 +58,7 @@
     }
 
     std::vector<Cut> cuts;
+    std::vector<Silence> silences;
     std::map<unsigned, int> crashes; ///< Time by upstream.
     unsigned lostDatagramsOf10 = 0;
     unsigned idleFrom = ~0U; ///< Nodes from here on send no requests.
@@ -151,6 +161,18 @@
         return std::nullopt;
     }
 
+    /// Returns the end of the silence of @p upstream; 0 if it answers.
+    int silentUntil(unsigned upstream) const
+    {
+        int until = 0;
+        for (const auto &silence : silences) {
+            if (m_ms >= silence.fromMs && m_ms < silence.untilMs && upstream >= silence.firstUpstream
+                && upstream < silence.firstUpstream + silence.upstreams)
+                until = std::max(until, silence.untilMs);
+        }
+        return until;
+    }
+
     bool isCrashed(unsigned upstream) const
     {
         const auto it = crashes.find(upstream);
@@ -191,6 +213,8 @@
     {
         const auto mode = isCrashed(upstream) ? std::optional(Mode::Refuse) : cutOf(node, upstream);
         const auto sentAt = now();
+        if (const int until = silentUntil(upstream); until > 0 && !mode)
+            return awaitSilent(node, upstream, until - m_ms, isProbe);
         if (!mode) {
             m_nodes[node].broken.erase(upstream);
             after(stepMs, [=, this] { reach(node).onContact(process(upstream), now(), sentAt); });
@@ -205,6 +229,21 @@
         return ms;
     }
 
+    /// Waits for an upstream that goes on in @p silentMs. Returns the time for which it then gets no other request.
+    int awaitSilent(unsigned node, unsigned upstream, int silentMs, bool isProbe)
+    {
+        const int patienceMs = isProbe ? 500 : 300;
+        const int ms = std::min(patienceMs, silentMs + stepMs);
+        after(ms, [=, this, sentAt = now()] {
+            if (silentMs < patienceMs)
+                reach(node).onContact(process(upstream), now(), sentAt);
+            else
+                reach(node).onFailure(process(upstream), now(),
+                                      isProbe ? ReachFailure::NotConnected : ReachFailure::Silent);
+        });
+        return silentMs < patienceMs ? ms : ms + avoidanceMs;
+    }
+
     void exchange(unsigned node)
     {
         auto &reach = m_nodes[node].reach;
@@ -334,6 +373,56 @@
     }
 }
 
+namespace
+{
+
+struct SilenceCase {
+    const char *name;
+    unsigned nodes;
+    int useMs; ///< Interval between requests of a node to one upstream.
+    std::vector<Silence> silences;
+    unsigned lostDatagramsOf10 = 0;
+};
+
+const SilenceCase silenceCases[] = {
+    {"one upstream", 9, 100, {{1000, 2700, 4, 1}}},
+    {"one upstream, requests are rare", 9, 1500, {{1000, 2700, 4, 1}}},
+    {"all upstreams", 9, 100, {{1000, 2700, 0, 15}}},
+    {"all upstreams, one after the other",
+     9,
+     100,
+     {{1000, 2200, 0, 3}, {1000, 2310, 3, 4}, {1100, 2450, 7, 2}, {1150, 2700, 9, 4}, {1200, 3100, 13, 2}}},
+    {"silences in series", 9, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}, {4300, 5900, 2, 11}}},
+    {"silences that overlap", 9, 100, {{1000, 2250, 0, 6}, {1500, 3300, 3, 12}, {3000, 5400, 0, 12}}},
+    {"short silences in quick succession", 9, 50, {{1000, 1800, 0, 15}, {1850, 2650, 0, 15}, {2700, 3500, 0, 15}}},
+    {"lost datagrams", 9, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}, 3},
+    {"thirty nodes", 30, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}},
+};
+
+} // namespace
+
+TABLE_TEST(Reachability, takesNoSilenceForACut, silenceCases)
+{
+    Fleet fleet(row.nodes, 15, row.useMs);
+    fleet.silences = row.silences;
+    fleet.lostDatagramsOf10 = row.lostDatagramsOf10;
+    for (int ms = 1000; ms < 8000; ms += 10) {
+        fleet.runUntil(ms);
+        cr_assert_eq(fleet.falseCuts(), 0U, "%s: %u wrong at %d ms", row.name, fleet.falseCuts(), ms);
+    }
+}
+
+Test(Reachability, tellsACutBesideASilence)
+{
+    Fleet fleet(9, 15, 100);
+    fleet.cuts = {{1000, 6000, 3, 0, 8, Mode::Hang}};
+    fleet.silences = {{1200, 2900, 5, 10}};
+    fleet.runUntil(4000);
+    cr_assert_eq(fleet.missedCuts(), 0U, "%u missed", fleet.missedCuts());
+    fleet.runUntil(7000);
+    cr_assert_eq(fleet.falseCuts(), 0U, "%u remain", fleet.falseCuts());
+}
+
 Test(Reachability, tellsACrashBesideACut)
 {
     Fleet fleet(9, 15, 50);
