A silence is no cut: an unanswered question needs a later one that is overtaken

Cause: a node that had asked an engine in vain took any later contact of another node with it for the proof of a cut. At the end of a silence there always is one. Nodes then counted as cut off from up to all 18 engines, passed calls round among each other, refused them, and holders of orders released their leases.

Change: what a silent upstream causes too, a connection or question without an answer in time, has a name of its own (unanswered) and shows a cut only with a question that is still open when another node has contact that is later than it, and what has arrived meanwhile was read. Such a node asks again after each contact of others. Refused and broken connections count as before.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1717,8 +1717,8 @@
             return;
         call.brokenAt = now;
         const bool isUnconnected = failure.kind == Relay::ExchangeFailure::NotConnected;
-        m_context.recordFailure(processOf(send), isUnconnected ? ReachFailure::NotConnected : ReachFailure::Broken,
-                                now);
+        const auto unconnected = failure.isLate ? ReachFailure::Unanswered : ReachFailure::NotConnected;
+        m_context.recordFailure(processOf(send), isUnconnected ? unconnected : ReachFailure::Broken, now);
     }
 
     /// Sends the call to another upstream, as the current one has accepted no connection; after a delay if there is
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -614,7 +614,14 @@
         if (response.head.status != 0)
             m_context.recordContact(process, now, sentAt);
         else
-            m_context.recordFailure(process, response.sent ? ReachFailure::Silent : ReachFailure::NotConnected, now);
+            m_context.recordFailure(process, reachFailureOf(response), now);
+    }
+
+    static ReachFailure reachFailureOf(const Relay::WholeResponse &response)
+    {
+        if (response.sent)
+            return ReachFailure::Silent;
+        return response.isLate ? ReachFailure::Unanswered : ReachFailure::NotConnected;
     }
 
     void onOrderAnswer(const EngineOrder &order, Relay::UpstreamClient::Token token, OrderOutcome outcome,
--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -103,6 +103,7 @@
     link.failingSince = {};
     link.failures = 0;
     link.isFailing = false;
+    link.isUnanswered = false;
     link.isShownCut = false;
     link.reports = 0;
     link.isProbedForPeer = false;
@@ -114,7 +115,8 @@
         return;
     auto &link = currentOrNew(process, now);
     m_hasNewFailures = m_hasNewFailures || link.reports == 0;
-    const bool isForPeer = link.isProbedForPeer && failure == ReachFailure::NotConnected && link.failures == 0;
+    const bool isUnconnected = failure == ReachFailure::NotConnected || failure == ReachFailure::Unanswered;
+    const bool isForPeer = link.isProbedForPeer && isUnconnected && link.failures == 0;
     if (!link.isShownCut && link.failingSince != Instant{} && now - link.failedAt > failureWindow)
         clearFailures(link);
     link.isProbedForPeer = isForPeer;
@@ -123,8 +125,9 @@
     link.failedAt = now;
     link.failure = failure;
     ++link.failures;
-    if (failure == ReachFailure::NotConnected)
+    if (isUnconnected)
         link.connectFailedAt = now;
+    link.isUnanswered = link.isUnanswered || failure == ReachFailure::Unanswered;
     const bool isBrokenOften = failure == ReachFailure::Broken && link.failures >= failuresForCut;
     link.isFailing = link.isFailing || failure == ReachFailure::NotConnected || isBrokenOften;
     update(now);
@@ -358,8 +361,49 @@
     return answers;
 }
 
+/// Returns true if a failure of @p link is to be confirmed: once, and again after each contact of another node.
+bool Reachability::needsProbe(const Link &link, Instant now)
+{
+    if (link.failingSince == Instant{} || link.isFailing || link.openProbeAt != Instant{})
+        return false;
+    if (link.isUnanswered && link.peerContactAt >= link.failingSince + contactMargin
+        && link.probedAt < link.peerContactAt)
+        return true;
+    return (link.probedAt == Instant{} || now - link.probedAt >= probeInterval) && now - link.failedAt <= failureWindow
+           && link.probedAt < link.failingSince;
+}
+
+void Reachability::openProbe(Link &link, Instant now)
+{
+    link.probedAt = now;
+    link.openProbeAt = now;
+    link.overtakenAt = {};
+    // The other nodes are asked again, as their contact must be later than the probe.
+    if (link.isUnanswered)
+        link.reports = 0;
+}
+
+/// Shows the cuts of links whose probes other nodes' contacts have overtaken. What had arrived when the contact was
+/// seen has been read by the next call.
+void Reachability::confirmCuts(Instant now)
+{
+    bool isAnyConfirmed = false;
+    for (auto &[process, link] : m_links) {
+        if (!link.isUnanswered || link.isShownCut || link.replacedAt != Instant{} || link.openProbeAt == Instant{}
+            || link.peerContactAt < link.openProbeAt + contactMargin)
+            continue;
+        if (link.overtakenAt == Instant{})
+            link.overtakenAt = now;
+        else if (now - link.overtakenAt >= contactMargin)
+            isAnyConfirmed = link.isShownCut = true;
+    }
+    if (isAnyConfirmed)
+        update(now);
+}
+
 std::vector<UpstreamProcess> Reachability::takeProbes(Instant now)
 {
+    confirmCuts(now);
     std::vector<UpstreamProcess> probes;
     for (auto &[process, link] : m_links) {
         if (probes.size() == maxProbes)
@@ -367,15 +411,12 @@
         if (link.replacedAt != Instant{} || m_cutOff.contains(process.instance)
             || (link.probedAt != Instant{} && now - link.probedAt < peerProbeInterval))
             continue;
-        const bool isUnconfirmed = link.failingSince != Instant{} && !link.isFailing
-                                   && (link.probedAt == Instant{} || now - link.probedAt >= probeInterval)
-                                   && now - link.failedAt <= failureWindow && link.probedAt < link.failingSince;
         const bool isAsked = link.askedAt != Instant{} && now - link.askedAt <= questionLifetime
                              && now - link.askedAt >= probeDelay && link.rank < maxProbers
                              && link.contactAt < link.askedAt + answerMargin && link.failingSince == Instant{};
-        if (!isUnconfirmed && !isAsked)
+        if (!isAsked && !needsProbe(link, now))
             continue;
-        link.probedAt = now;
+        openProbe(link, now);
         link.isProbedForPeer = isAsked;
         probes.push_back(process);
     }
@@ -409,7 +450,15 @@
 void Reachability::onProbed(const UpstreamProcess &process, Instant now)
 {
     if (auto *link = current(process))
-        link->probedAt = now;
+        openProbe(*link, now);
+}
+
+void Reachability::onProbeEnded(const UpstreamProcess &process)
+{
+    if (auto *link = current(process)) {
+        link->openProbeAt = {};
+        link->overtakenAt = {};
+    }
 }
 
 bool Reachability::hasFailedToConnect(const UpstreamProcess &process) const
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -16,7 +16,8 @@
 
 /// How an upstream failed to answer this node.
 enum class ReachFailure {
-    NotConnected, ///< A connection was refused or not established, or a probe was not answered.
+    NotConnected, ///< A connection was refused or closed, so that the path or the process has failed.
+    Unanswered, ///< A connection or a probe brought nothing in time, which a silent upstream does too.
     Broken, ///< An exchange broke off.
     Silent, ///< An exchange has brought nothing for long.
 };
@@ -72,7 +73,8 @@
     /// Records that @p instance has no process any more.
     void onGone(const std::string &instance, Instant now);
 
-    /// Records that @p process has failed this node.
+    /// Records that @p process has failed this node. Failures that a silent upstream causes too show a cut only with a
+    /// probe that another node's contact has overtaken.
     void onFailure(const UpstreamProcess &process, Instant now, ReachFailure failure = ReachFailure::NotConnected);
 
     /// Records that bytes of an answer of @p process to a request that was sent at @p sentAt have arrived here. Answers
@@ -150,6 +152,9 @@
     /// Records that @p process is probed now for another reason than takeProbes().
     void onProbed(const UpstreamProcess &process, Instant now);
 
+    /// Records that a probe of takeProbes() or onProbed() has ended. Call it before its result is recorded.
+    void onProbeEnded(const UpstreamProcess &process);
+
     /// Returns the upstreams that were lost or found since the last call.
     std::vector<ReachChange> takeChanges();
 
@@ -163,6 +168,9 @@
         ReachFailure failure = ReachFailure::NotConnected; ///< The last one.
         unsigned failures = 0; ///< Without contact since.
         bool isFailing = false; ///< The failures suffice for a cut if other nodes have contact.
+        bool isUnanswered = false; ///< A connection or probe brought nothing in time.
+        Instant openProbeAt{}; ///< Start of the probe that has not ended.
+        Instant overtakenAt{}; ///< Time at which another node's contact was seen that is later than that start.
         bool isShownCut = false; ///< Other nodes have had contact since.
         unsigned reports = 0; ///< Of the failure, to all nodes.
         Instant reportedAt{};
@@ -204,6 +212,9 @@
     unsigned rankFor(const UpstreamProcess &process, const std::string &self, const std::set<std::string> &peers,
                      Instant now) const;
     void prune(Instant now);
+    static bool needsProbe(const Link &link, Instant now);
+    static void openProbe(Link &link, Instant now);
+    void confirmCuts(Instant now);
     void addCutProbes(std::vector<UpstreamProcess> &probes, Instant now);
 
     Links m_links;
@@ -224,8 +235,9 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::ReachFailure, 3> enumNames<Gateway::ReachFailure>{{
+inline constexpr EnumTable<Gateway::ReachFailure, 4> enumNames<Gateway::ReachFailure>{{
     {Gateway::ReachFailure::NotConnected, "not_connected"},
+    {Gateway::ReachFailure::Unanswered, "unanswered"},
     {Gateway::ReachFailure::Broken, "broken"},
     {Gateway::ReachFailure::Silent, "silent"},
 }};
--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -163,6 +163,7 @@
         Relay::ExchangeObserver observer;
         const auto &instance = process.instance;
         observer.onHead = [this, process, sentAt = BootClock{}.now()](const Relay::ResponseHead &head) {
+            m_context.reach.onProbeEnded(process);
             if (Dialect::readReply(head).wrongInstance)
                 onCrashed(process.instance, BootClock{}.now());
             else
@@ -170,7 +171,8 @@
         };
         observer.onFailure = [this, process](const Relay::FailedExchange &failure) {
             const auto now = BootClock{}.now();
-            m_context.recordFailure(process, ReachFailure::NotConnected, now);
+            m_context.reach.onProbeEnded(process);
+            m_context.recordFailure(process, reachFailureOf(failure.isLate), now);
             if (failure.isRefused)
                 onCrashed(process.instance, now);
         };
@@ -195,6 +197,7 @@
         options.maxIdleAge = {};
         if (service && service->engine && !upstream->limitsRequests()) {
             const auto onState = [this, process, sentAt](const Relay::WholeResponse &response) {
+                m_context.reach.onProbeEnded(process);
                 recordAnswer(process, response, sentAt);
             };
             countQuestion(process.instance, sentAt);
@@ -204,6 +207,7 @@
         m_client.connect(
             destination,
             [this, process, sentAt](Relay::ConnectResult result) {
+                m_context.reach.onProbeEnded(process);
                 if (result != Relay::ConnectResult::Connected || m_context.reach.hasFailedToConnect(process))
                     recordConnection(process, result, sentAt);
             },
@@ -217,7 +221,12 @@
         if (result == Relay::ConnectResult::Connected)
             m_context.recordContact(process, now, sentAt);
         else
-            m_context.recordFailure(process, ReachFailure::NotConnected, now);
+            m_context.recordFailure(process, reachFailureOf(result == Relay::ConnectResult::Late), now);
+    }
+
+    static ReachFailure reachFailureOf(bool isLate)
+    {
+        return isLate ? ReachFailure::Unanswered : ReachFailure::NotConnected;
     }
 
     /// Connects to an upstream that must not be asked for its state, after an exchange broke there at @p brokenAt, and
@@ -230,6 +239,7 @@
         const auto sentAt = BootClock{}.now();
         const auto onResult = [this, process, brokenAt, sentAt](Relay::ConnectResult result) {
             const auto now = BootClock{}.now();
+            m_context.reach.onProbeEnded(process);
             recordConnection(process, result, sentAt);
             if (result == Relay::ConnectResult::Refused)
                 onCrashed(process.instance, now);
@@ -257,7 +267,7 @@
     {
         const auto now = BootClock{}.now();
         if (response.head.status == 0)
-            m_context.recordFailure(process, ReachFailure::NotConnected, now);
+            m_context.recordFailure(process, reachFailureOf(response.isLate), now);
         else if (!Dialect::readReply(response.head).wrongInstance)
             recordReply(process, response.head, sentAt);
     }
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -113,8 +113,7 @@
                 return;
             if (result) {
                 self->countConnection(&ConnectionCounts::failed);
-                return self->fail(ExchangeFailure::NotConnected, result.message(),
-                                  result == asio::error::connection_refused);
+                return self->fail(ExchangeFailure::NotConnected, result.message(), endOf(result));
             }
             self->m_connected = true;
             self->countConnection(&ConnectionCounts::opened);
@@ -188,7 +187,7 @@
             return;
         if (!m_connected && now > m_exchange->connectDeadline) {
             countConnection(&ConnectionCounts::late);
-            return fail(ExchangeFailure::NotConnected, "the connection was not made in time");
+            return fail(ExchangeFailure::NotConnected, "the connection was not made in time", FailureEnd::Late);
         }
         const auto isLate = [&] {
             return m_exchange && m_exchange->responseDeadline != Instant{} && now > m_exchange->responseDeadline;
@@ -198,7 +197,7 @@
         while (isLate() && m_socket.available(ignored) > 0)
             read();
         if (isLate())
-            fail(ExchangeFailure::Broken, "there was no whole response in time");
+            fail(ExchangeFailure::Broken, "there was no whole response in time", FailureEnd::Late);
     }
 
     bool hasExpired(Instant now) const
@@ -311,7 +310,16 @@
             exchange->observer.onEnd();
     }
 
-    void fail(ExchangeFailure kind, const std::string &reason, bool isRefused = false)
+    enum class FailureEnd { Refused, Late, Other };
+
+    static FailureEnd endOf(const ErrorCode &connectError)
+    {
+        if (connectError == asio::error::connection_refused)
+            return FailureEnd::Refused;
+        return connectError == asio::error::timed_out ? FailureEnd::Late : FailureEnd::Other;
+    }
+
+    void fail(ExchangeFailure kind, const std::string &reason, FailureEnd end = FailureEnd::Other)
     {
         if (!m_exchange)
             return;
@@ -320,7 +328,8 @@
         m_shared->busy.erase(exchange->token);
         close();
         if (exchange->observer.onFailure)
-            exchange->observer.onFailure({kind, exchange->sent, reason, isRefused});
+            exchange->observer.onFailure(
+                {kind, exchange->sent, reason, end == FailureEnd::Refused, end == FailureEnd::Late});
     }
 
     tcp::socket m_socket;
@@ -411,7 +420,8 @@
     ExchangeObserver observer;
     observer.onEnd = [onResult] { onResult(ConnectResult::Connected); };
     observer.onFailure = [onResult](const FailedExchange &failure) {
-        onResult(failure.isRefused ? ConnectResult::Refused : ConnectResult::Failed);
+        const auto unmade = failure.isLate ? ConnectResult::Late : ConnectResult::Failed;
+        onResult(failure.isRefused ? ConnectResult::Refused : unmade);
     };
     auto connection = std::make_shared<Connection>(m_d->shared, poolKey(destination));
     m_d->shared->busy.emplace(token, connection);
@@ -438,7 +448,9 @@
         onResponse({});
     };
     observer.onEnd = [response, onResponse] { onResponse(*response); };
-    observer.onFailure = [onResponse](const FailedExchange &failure) { onResponse({{}, {}, failure.sent}); };
+    observer.onFailure = [onResponse](const FailedExchange &failure) {
+        onResponse({{}, {}, failure.sent, failure.isLate});
+    };
     *token = send(destination, request, std::move(observer), options);
     return *token;
 }
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -35,7 +35,8 @@
 enum class ConnectResult {
     Connected,
     Refused, ///< No process listens at the endpoint.
-    Failed, ///< It was not established in time, or cannot be.
+    Failed, ///< It cannot be established.
+    Late, ///< It was not established in time.
 };
 
 /// The connections that were opened, or not, in some time.
@@ -51,6 +52,7 @@
     bool sent = false; ///< True if a byte of the request may have left this process.
     std::string reason;
     bool isRefused = false; ///< The endpoint refused the connection, as no process listens there.
+    bool isLate = false; ///< The time was over, and nothing else had failed.
 };
 
 /// Callbacks for one request, in this order: onHead at most once, onBody any number of times, then either onEnd or
@@ -67,6 +69,7 @@
     ResponseHead head; ///< Its status is 0 if no complete response was received.
     std::string body;
     bool sent = true; ///< True if a byte of the request may have left this process.
+    bool isLate = false; ///< No complete response was received in time, and nothing else had failed.
 };
 
 struct SendOptions {
--- a/tests/gateway/reachabilitytest.cpp
+++ b/tests/gateway/reachabilitytest.cpp
@@ -217,29 +217,43 @@
             return awaitSilent(node, upstream, until - m_ms, isProbe);
         if (!mode) {
             m_nodes[node].broken.erase(upstream);
-            after(stepMs, [=, this] { reach(node).onContact(process(upstream), now(), sentAt); });
+            after(stepMs, [=, this] {
+                endProbe(node, upstream, isProbe);
+                reach(node).onContact(process(upstream), now(), sentAt);
+            });
             return 0;
         }
         if (*mode == Mode::LiveOnes && !isProbe)
             reach(node).onContact(process(upstream), now(), start);
         const bool isReset = *mode == Mode::Reset && !isProbe && m_nodes[node].broken.insert(upstream).second;
-        const auto failure = isReset ? ReachFailure::Broken : ReachFailure::NotConnected;
+        const auto unconnected = *mode == Mode::Hang ? ReachFailure::Unanswered : ReachFailure::NotConnected;
+        const auto failure = isReset ? ReachFailure::Broken : unconnected;
         const int ms = *mode == Mode::Hang ? (isProbe ? 500 : 300) : stepMs;
-        after(ms, [=, this] { reach(node).onFailure(process(upstream), now(), failure); });
+        after(ms, [=, this] {
+            endProbe(node, upstream, isProbe);
+            reach(node).onFailure(process(upstream), now(), failure);
+        });
         return ms;
     }
 
+    void endProbe(unsigned node, unsigned upstream, bool isProbe)
+    {
+        if (isProbe)
+            reach(node).onProbeEnded(process(upstream));
+    }
+
     /// Waits for an upstream that goes on in @p silentMs. Returns the time for which it then gets no other request.
     int awaitSilent(unsigned node, unsigned upstream, int silentMs, bool isProbe)
     {
         const int patienceMs = isProbe ? 500 : 300;
         const int ms = std::min(patienceMs, silentMs + stepMs);
         after(ms, [=, this, sentAt = now()] {
+            endProbe(node, upstream, isProbe);
             if (silentMs < patienceMs)
                 reach(node).onContact(process(upstream), now(), sentAt);
             else
                 reach(node).onFailure(process(upstream), now(),
-                                      isProbe ? ReachFailure::NotConnected : ReachFailure::Silent);
+                                      isProbe ? ReachFailure::Unanswered : ReachFailure::Silent);
         });
         return silentMs < patienceMs ? ms : ms + avoidanceMs;
     }
@@ -546,6 +560,53 @@
          reach.onPeerContact("n1", process, at(250));
      },
      false, true},
+    {"a question without an answer",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.onPeerContact("n1", process, at(250));
+         reach.takeProbes(at(1000));
+     },
+     false, true},
+    {"a question that a peer's contact has overtaken",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onPeerContact("n1", process, at(200));
+         reach.takeProbes(at(250));
+         reach.takeProbes(at(300));
+     },
+     true, true},
+    {"a question that was sent when a peer had contact",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onPeerContact("n1", process, at(160));
+         reach.takeProbes(at(250));
+         reach.takeProbes(at(300));
+     },
+     false, true},
+    {"an overtaken question whose answer was read late",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onPeerContact("n1", process, at(200));
+         reach.takeProbes(at(900));
+         reach.onProbeEnded(process);
+         reach.onContact(process, at(901), at(150));
+         reach.takeProbes(at(950));
+     },
+     false, true},
+    {"a question that ended before a peer had contact",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onProbeEnded(process);
+         reach.onFailure(process, at(650), ReachFailure::Unanswered);
+         reach.onPeerContact("n1", process, at(800));
+         reach.takeProbes(at(850));
+         reach.takeProbes(at(900));
+     },
+     false, true},
     {"an answer since",
      [](Reachability &reach) {
          reach.onFailure(process, at(100));
