Only answers to requests and questions are evidence that an upstream answers

Cause: each contact that the loss was put down to was with one of the two holders of orders. An engine that is silent takes orders and answers them, and the holder told the others that it had contact.

Change: a contact by an order counts at the holder itself; others get evidence of answers to requests and questions only, and a holder that is asked probes like any other node.

--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -29,9 +29,9 @@
         onReachFailure();
 }
 
-void CallContext::recordContact(const UpstreamProcess &process, Instant now, Instant sentAt)
+void CallContext::recordContact(const UpstreamProcess &process, Instant now, Instant sentAt, ContactKind kind)
 {
-    reach.onContact(process, now, sentAt);
+    reach.onContact(process, now, sentAt, kind);
     applyReach(now);
 }
 
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -103,8 +103,9 @@
     /// Records that @p process has failed this node, which tells nothing about the process itself.
     void recordFailure(const UpstreamProcess &process, ReachFailure failure, Instant now);
 
-    /// Records that bytes of an answer of @p process to a request that was sent at @p sentAt have arrived.
-    void recordContact(const UpstreamProcess &process, Instant now, Instant sentAt);
+    /// Records that bytes of an answer of @p process to what was sent at @p sentAt have arrived.
+    void recordContact(const UpstreamProcess &process, Instant now, Instant sentAt,
+                       ContactKind kind = ContactKind::Request);
 
     /// Applies changes of the reach to the upstreams. To be called after evidence of other nodes was recorded.
     void applyReach(Instant now);
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -595,7 +595,7 @@
         auto token = std::make_shared<Relay::UpstreamClient::Token>(0);
         const UpstreamProcess process{order.instance, upstream->record.startedAt};
         const auto onResponse = [this, order, token, process, now](const Relay::WholeResponse &response) {
-            recordReach(process, response, now);
+            recordReach(process, response, now, ContactKind::Order);
             m_context.recordStatement(process, Dialect::readStatement(response.head), BootClock{}.now());
             const auto unanswered = response.sent ? OrderOutcome::Unknown : OrderOutcome::Conflict;
             onOrderAnswer(order, *token,
@@ -608,11 +608,12 @@
     }
 
     /// Records whether @p process has answered an order or inspection that was sent at @p sentAt.
-    void recordReach(const UpstreamProcess &process, const Relay::WholeResponse &response, Instant sentAt)
+    void recordReach(const UpstreamProcess &process, const Relay::WholeResponse &response, Instant sentAt,
+                     ContactKind kind)
     {
         const auto now = BootClock{}.now();
         if (response.head.status != 0)
-            m_context.recordContact(process, now, sentAt);
+            m_context.recordContact(process, now, sentAt, kind);
         else
             m_context.recordFailure(process, reachFailureOf(response), now);
     }
@@ -658,7 +659,7 @@
         options.isAnonymous = true;
         const UpstreamProcess process{instance, upstream->record.startedAt};
         const auto onResponse = [this, instance, process, now](const Relay::WholeResponse &response) {
-            recordReach(process, response, now);
+            recordReach(process, response, now, ContactKind::Request);
             m_context.recordStatement(process, Dialect::readStatement(response.head), BootClock{}.now());
             const auto report = response.head.status == 200 ? Dialect::readReport(response.body) : std::nullopt;
             if (m_log.isDetailed() && report)
--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -133,12 +133,14 @@
     update(now);
 }
 
-void Reachability::onContact(const UpstreamProcess &process, Instant now, Instant sentAt)
+void Reachability::onContact(const UpstreamProcess &process, Instant now, Instant sentAt, ContactKind kind)
 {
     if (isOutdated(process))
         return;
     auto &link = currentOrNew(process, now);
     const auto previous = std::exchange(link.contactAt, now);
+    if (kind == ContactKind::Request)
+        link.requestContactAt = now;
     const bool disprovesFailure = link.connectFailedAt == Instant{} || sentAt >= link.connectFailedAt;
     link.isProbedForPeer = false;
     if (link.failingSince != Instant{} && disprovesFailure)
@@ -351,12 +353,12 @@
             continue;
         }
         const auto delay = std::min<Duration>(answerDelayPerRank * link.rank, maxAnswerDelay);
-        if (link.contactAt < link.askedAt + answerMargin || now < link.askedAt + answerMargin + delay
+        if (link.requestContactAt < link.askedAt + answerMargin || now < link.askedAt + answerMargin + delay
             || now - link.answeredAt < answerInterval || answers.size() == maxReported)
             continue;
-        answers.push_back({process, now - link.contactAt});
+        answers.push_back({process, now - link.requestContactAt});
         link.answeredAt = now;
-        onAnswered(link, link.contactAt);
+        onAnswered(link, link.requestContactAt);
     }
     return answers;
 }
@@ -413,7 +415,7 @@
             continue;
         const bool isAsked = link.askedAt != Instant{} && now - link.askedAt <= questionLifetime
                              && now - link.askedAt >= probeDelay && link.rank < maxProbers
-                             && link.contactAt < link.askedAt + answerMargin && link.failingSince == Instant{};
+                             && link.requestContactAt < link.askedAt + answerMargin && link.failingSince == Instant{};
         if (!isAsked && !needsProbe(link, now))
             continue;
         openProbe(link, now);
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -28,6 +28,12 @@
     OtherCuts, ///< Others are cut off, and nothing has arrived from it or its like since.
 };
 
+/// What an upstream has answered.
+enum class ContactKind {
+    Request, ///< A request or a question for its state.
+    Order, ///< An order, which an engine may take while it answers nothing else.
+};
+
 /// A process that a node fails to reach.
 struct FailedReach {
     UpstreamProcess process;
@@ -79,7 +85,8 @@
 
     /// Records that bytes of an answer of @p process to a request that was sent at @p sentAt have arrived here. Answers
     /// to requests that were sent before a connection failed do not disprove that failure.
-    void onContact(const UpstreamProcess &process, Instant now, Instant sentAt = Instant::max());
+    void onContact(const UpstreamProcess &process, Instant now, Instant sentAt = Instant::max(),
+                   ContactKind kind = ContactKind::Request);
 
     /// Records that peer @p node has had bytes from @p process at @p at.
     void onPeerContact(const std::string &node, const UpstreamProcess &process, Instant at);
@@ -162,6 +169,7 @@
     struct Link {
         std::string service;
         Instant contactAt{};
+        Instant requestContactAt{}; ///< Other than by orders; the evidence that other nodes get.
         Instant failingSince{}; ///< First failure without contact since.
         Instant connectFailedAt{}; ///< Last failed connection.
         Instant failedAt{}; ///< Last failure of any kind.
--- a/tests/gateway/reachabilitytest.cpp
+++ b/tests/gateway/reachabilitytest.cpp
@@ -62,6 +62,7 @@
     std::map<unsigned, int> crashes; ///< Time by upstream.
     unsigned lostDatagramsOf10 = 0;
     unsigned idleFrom = ~0U; ///< Nodes from here on send no requests.
+    bool isOrdering = false; ///< Node 0 sends orders, which silent upstreams answer too.
 
     UpstreamProcess process(unsigned upstream) const
     {
@@ -103,6 +104,8 @@
             for (unsigned node = 0; node < m_nodes.size(); ++node) {
                 if (node < idleFrom)
                     useUpstreams(node);
+                if (node == 0 && isOrdering && m_ms % tickMs == 0)
+                    sendOrders();
                 exchange(node);
             }
         }
@@ -208,6 +211,14 @@
         }
     }
 
+    void sendOrders()
+    {
+        for (unsigned upstream = 0; upstream < m_upstreams; ++upstream) {
+            if (!isCrashed(upstream) && !cutOf(0, upstream))
+                reach(0).onContact(process(upstream), now(), now(), ContactKind::Order);
+        }
+    }
+
     /// Returns how long the connection takes.
     int connect(unsigned node, unsigned upstream, bool isProbe)
     {
@@ -396,6 +407,7 @@
     int useMs; ///< Interval between requests of a node to one upstream.
     std::vector<Silence> silences;
     unsigned lostDatagramsOf10 = 0;
+    bool takesOrders = false; ///< Silent upstreams answer orders.
 };
 
 const SilenceCase silenceCases[] = {
@@ -411,6 +423,8 @@
     {"short silences in quick succession", 9, 50, {{1000, 1800, 0, 15}, {1850, 2650, 0, 15}, {2700, 3500, 0, 15}}},
     {"lost datagrams", 9, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}, 3},
     {"thirty nodes", 30, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}},
+    {"orders are answered", 9, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}, 0, true},
+    {"orders are answered, requests are rare", 9, 1500, {{1000, 3250, 0, 15}}, 0, true},
 };
 
 } // namespace
@@ -420,12 +434,24 @@
     Fleet fleet(row.nodes, 15, row.useMs);
     fleet.silences = row.silences;
     fleet.lostDatagramsOf10 = row.lostDatagramsOf10;
+    fleet.isOrdering = row.takesOrders;
     for (int ms = 1000; ms < 8000; ms += 10) {
         fleet.runUntil(ms);
         cr_assert_eq(fleet.falseCuts(), 0U, "%s: %u wrong at %d ms", row.name, fleet.falseCuts(), ms);
     }
 }
 
+Test(Reachability, showsACutWhereOnlyOrdersAreAnswered)
+{
+    Fleet fleet(9, 15, 100);
+    fleet.idleFrom = 2;
+    fleet.isOrdering = true;
+    fleet.cuts = {{1000, 6000, 3, 0, 8, Mode::Hang}};
+    fleet.runUntil(3000);
+    for (unsigned node = 0; node < 2; ++node)
+        cr_assert_eq(fleet.reach(node).cutOff().size(), 8U, "node %u", node);
+}
+
 Test(Reachability, tellsACutBesideASilence)
 {
     Fleet fleet(9, 15, 100);
