--- a/tests/gatewayfleet/soakmain.cpp
+++ b/tests/gatewayfleet/soakmain.cpp
@@ -1,5 +1,7 @@
 #include "gatewayfleet/gatewayfleet.h"
 
+#include "support/knownred.h"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -403,8 +405,9 @@
     absl::ParseCommandLine(argc, argv);
     std::size_t problems = 0;
     try {
-        for (unsigned i = 0; i < absl::GetFlag(FLAGS_runs); ++i)
-            problems += run(absl::GetFlag(FLAGS_first_seed) + i);
+        for (const auto seed :
+             Gypsumtally::Testing::seedsToRun(absl::GetFlag(FLAGS_first_seed), absl::GetFlag(FLAGS_runs)))
+            problems += run(static_cast<unsigned>(seed));
     } catch (const std::exception &failure) {
         std::fprintf(stderr, "gateway-soak: %s\n", failure.what());
         return 2;
--- a/tests/processes/sweepmain.cpp
+++ b/tests/processes/sweepmain.cpp
@@ -1,17 +1,38 @@
 #include "processes/scenarios.h"
 
+#include "support/knownred.h"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
 #include <cstdio>
+#include <cstdlib>
+#include <exception>
 #include <string>
+#include <vector>
 
 ABSL_FLAG(std::string, scenario, "", "name of the scenario to run; empty for all");
 ABSL_FLAG(std::uint64_t, first_seed, 0, "first seed; 0 for the default seed of each scenario");
 ABSL_FLAG(std::uint64_t, seeds, 1, "number of seeds to run for each scenario");
 ABSL_FLAG(bool, keep_files, false, "keep logs and journals and print their directory");
 
+namespace
+{
+
+/// Ends the process if a case of KNOWN-RED.txt is none of the scenario's seeds.
+std::vector<std::uint64_t> seedsOf(const Gypsumtally::Processes::Scenario &scenario)
+{
+    try {
+        return Gypsumtally::Testing::seedsToRun(scenario.seed, absl::GetFlag(FLAGS_seeds));
+    } catch (const std::exception &failure) {
+        std::fprintf(stderr, "process-sweep: %s\n", failure.what());
+        std::exit(2);
+    }
+}
+
+} // namespace
+
 int main(int argc, char *argv[])
 {
     using namespace Gypsumtally::Processes;
@@ -26,7 +47,8 @@
         scenario.fleet.keepFiles = absl::GetFlag(FLAGS_keep_files);
         if (absl::GetFlag(FLAGS_first_seed) != 0)
             scenario.seed = absl::GetFlag(FLAGS_first_seed);
-        for (std::uint64_t run = 0; run < absl::GetFlag(FLAGS_seeds); ++run, ++scenario.seed) {
+        for (const auto seed : seedsOf(scenario)) {
+            scenario.seed = seed;
             const auto problems = Gypsumtally::Processes::run(scenario);
             std::printf("%s, seed %llu: %zu violations\n", scenario.name,
                         static_cast<unsigned long long>(scenario.seed), problems.size());
