Report each request that ends without a whole answer, with its cause

Callers' connections were closed without an answer at several places of CallerServer: a close or reset by the caller, a failed write, a full buffer, an answer that is not read, a break or release by the owner, and the exit.

CallerServer::onUnanswered() reports each such end once, with UnansweredCause, the request's id, the operating system's reason, and how much of the answer was unsent.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -367,6 +367,7 @@
         if (const auto *bad = std::get_if<BadRequest>(&decoded))
             return refuse(call, 400, ErrorCode::BadRequest, bad->reason, {});
         call->request = std::move(std::get<CallerRequest>(decoded));
+        call->exchange->setId(call->request.id);
         if (!canRoute()) {
             if (m_isOver)
                 return refuseStopping(call);
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -57,6 +57,7 @@
     LoopLate,
     SpeedLearnt,
     CallersUnanswered,
+    RequestUnanswered,
     CutByExit,
     RolesChanged,
     LinkLoad,
@@ -68,7 +69,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 46> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 47> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -112,6 +113,7 @@
     {Gateway::GatewayEvent::LoopLate, "loop_late"},
     {Gateway::GatewayEvent::SpeedLearnt, "speed_learnt"},
     {Gateway::GatewayEvent::CallersUnanswered, "callers_unanswered"},
+    {Gateway::GatewayEvent::RequestUnanswered, "request_unanswered"},
     {Gateway::GatewayEvent::CutByExit, "cut_by_exit"},
     {Gateway::GatewayEvent::RolesChanged, "roles_changed"},
     {Gateway::GatewayEvent::LinkLoad, "link_load"},
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -112,6 +112,8 @@
                      jitterFactorOf(settings.node),
                      [this](const RegistryUpdate &update, bool isOverdue) { publishUpdate(update, isOverdue); })
     {
+        m_callers.onUnanswered([this](const Relay::UnansweredRequest &request) { noteUnanswered("callers", request); });
+        m_relayed.onUnanswered([this](const Relay::UnansweredRequest &request) { noteUnanswered("peers", request); });
         m_store.onEra([this](StoreEra era) { onStoreEra(era); });
         m_store.onUnreadableEra([this](const std::string &text) {
             m_log.decision(GatewayEvent::BadHeader, "store", {{"header", "Store-Era"}, {"value", text}});
@@ -950,6 +952,20 @@
         m_metrics.add(Metric::CallerLosses, {{"kind", "connection"}}, static_cast<double>(connections));
     }
 
+    /// Logs and counts a request from @p sender, callers or peers, that ended without a whole answer.
+    void noteUnanswered(const char *sender, const Relay::UnansweredRequest &request)
+    {
+        const std::string cause(nameOf(request.cause));
+        m_log.decision(GatewayEvent::RequestUnanswered, request.id,
+                       {{"from", sender},
+                        {"cause", cause},
+                        {"reason", request.reason},
+                        {"answering", request.hasBegun ? "yes" : "no"},
+                        {"unsent_bytes", std::to_string(request.unsentBytes)},
+                        {"after_ms", std::to_string(request.age.count() / 1000)}});
+        m_metrics.add(Metric::UnansweredRequests, {{"from", sender}, {"cause", cause}});
+    }
+
     /// Logs whether this node works for its failure domain, if that has changed.
     void logRoles(Instant now)
     {
@@ -1528,8 +1544,11 @@
         }
         if (now >= m_stop->endOfCalls())
             endCalls();
-        if (isDrained() || now >= m_stop->exitAt())
-            m_loop.stop();
+        if (!isDrained() && now < m_stop->exitAt())
+            return;
+        m_callers.reportUnwritten();
+        m_relayed.reportUnwritten();
+        m_loop.stop();
     }
 
     bool isDrained() const
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -91,6 +91,21 @@
 
     bool hasCallerLeft() override;
 
+    void setId(const std::string &id) override
+    {
+        m_id = id;
+    }
+
+    const std::string &id() const
+    {
+        return m_id;
+    }
+
+    bool hasBegun() const
+    {
+        return m_hasBegun;
+    }
+
     /// Reports the disconnect of the caller, whose task may release the exchange. Called by the connection when it
     /// closes.
     void detach()
@@ -101,12 +116,11 @@
     }
 
 private:
-    /// Closes the connection without reporting it, unless the response has ended.
-    void close();
-
     std::shared_ptr<Connection> m_connection; ///< Null once the response has ended or the caller has disconnected.
     Http::Request m_request;
     Instant m_arrival;
+    std::string m_id;
+    bool m_hasBegun = false; ///< A part of the response was passed to the connection.
     bool m_chunked = false;
     std::function<void()> m_onGone;
 };
@@ -114,6 +128,7 @@
 struct Shared {
     CallerServerSettings settings;
     CallerServer::Handler handler;
+    std::function<void(const UnansweredRequest &)> onUnanswered;
     bool closing = false;
     bool leavesNext = false; ///< Requests that have not begun to arrive remain unread.
     std::size_t active = 0;
@@ -147,20 +162,22 @@
             ErrorCode error;
             const auto written = m_socket.write_some(asio::buffer(bytes), error);
             if (error && error != asio::error::would_block)
-                return closeNow();
+                return closeNow(UnansweredCause::WriteFailed, error);
             bytes.remove_prefix(error ? 0 : written);
         }
         if (bytes.empty())
             return;
         m_output.append(bytes);
         if (m_output.size() > m_shared->settings.maxBufferedBytes)
-            return closeNow();
+            return closeNow(UnansweredCause::BufferFull);
         waitForWritable();
     }
 
-    /// Prepares for the next request, or closes the connection, after the current response was written or buffered.
-    void finishResponse()
+    /// Prepares for the next request, or closes the connection, after the current response, to the request with @p id,
+    /// was written or buffered.
+    void finishResponse(std::string id)
     {
+        m_answeredId = std::move(id);
         m_exchange.reset();
         --m_shared->active;
         m_stateSince = BootClock{}.now();
@@ -172,12 +189,24 @@
         parse();
     }
 
-    /// Closes the connection without completing the response.
-    void abortResponse()
+    /// Closes the connection without completing the response to @p exchange.
+    void abortResponse(const Exchange &exchange)
     {
-        m_exchange.reset();
-        --m_shared->active;
-        closeNow();
+        report(UnansweredCause::Aborted, exchange);
+        dropResponse();
+        m_output.clear();
+        closeNow(UnansweredCause::Aborted);
+    }
+
+    /// Closes the connection, as @p exchange is destroyed before its response has ended.
+    void releaseResponse(const Exchange &exchange)
+    {
+        if (m_closed)
+            return;
+        report(hasCallerClosed() ? UnansweredCause::CallerClosed : UnansweredCause::Released, exchange);
+        dropResponse();
+        m_output.clear();
+        closeNow(UnansweredCause::Released);
     }
 
     /// Returns true if the connection closes after this response, which must then carry `Connection: close`. While the
@@ -203,12 +232,12 @@
         if (m_lingering) {
             const auto limit = m_output.empty() && !isEndangered() ? lingerTime : m_limit;
             if (now - m_stateSince > limit || (m_hasUnread && m_output.empty() && undelivered() == 0))
-                closeNow();
+                closeNow(UnansweredCause::NotRead);
             return;
         }
         if (!m_exchange.expired()) {
             if (!m_waitingForBytes && hasCallerClosed())
-                closeNow();
+                closeNow(UnansweredCause::CallerClosed);
             return;
         }
         if (now - m_stateSince <= m_limit)
@@ -238,12 +267,14 @@
             refuse(503, "the node stops");
     }
 
-    /// Closes the connection at once. A caller that waits for a response observes that there is none.
-    void closeNow()
+    /// Closes the connection at once. A caller that waits for a response observes that there is none, which is reported
+    /// with @p cause, and with @p error if there is one.
+    void closeNow(UnansweredCause cause, const ErrorCode &error = {})
     {
         if (m_closed)
             return;
         const auto self = shared_from_this();
+        reportUnwritten(cause, error);
         m_closed = true;
         ErrorCode ignored;
         m_socket.close(ignored);
@@ -255,6 +286,16 @@
         }
     }
 
+    /// Reports the current request, or the last one if a part of its answer is unsent.
+    void reportUnwritten(UnansweredCause cause, const ErrorCode &error = {})
+    {
+        if (const auto exchange = m_exchange.lock())
+            report(cause, *exchange, error);
+        else if (!m_output.empty())
+            report({cause, m_answeredId, reasonOf(error), {}, true, m_output.size()});
+        m_output.clear();
+    }
+
     /// Returns true if the caller has closed or reset the connection, also behind bytes that have not been read.
     bool hasCallerClosed()
     {
@@ -263,6 +304,30 @@
     }
 
 private:
+    static std::string reasonOf(const ErrorCode &error)
+    {
+        return error ? error.message() : std::string{};
+    }
+
+    void report(UnansweredCause cause, const Exchange &exchange, const ErrorCode &error = {})
+    {
+        report({cause, exchange.id(), reasonOf(error), BootClock{}.now() - exchange.arrival(), exchange.hasBegun(),
+                m_output.size()});
+    }
+
+    void report(const UnansweredRequest &request)
+    {
+        if (m_shared->onUnanswered)
+            m_shared->onUnanswered(request);
+    }
+
+    /// Ends the current request without the rest of its response.
+    void dropResponse()
+    {
+        m_exchange.reset();
+        --m_shared->active;
+    }
+
     bool isIdle() const
     {
         return m_exchange.expired() && m_reader->state() == RequestReader::State::Idle && !m_lingering;
@@ -291,7 +356,7 @@
         const auto idleSince = m_stateSince;
         read();
         if (m_exchange.expired() && !m_lingering && m_stateSince == idleSince)
-            closeNow();
+            closeNow(UnansweredCause::NotRead);
     }
 
     /// Refuses a request that is late, unless the kernel holds the rest of it, as after a stall of the process.
@@ -387,8 +452,10 @@
     /// Closes the connection. A caller that has ended only its sending direction gets the rest of an answer first.
     void onInputEnd(const ErrorCode &error)
     {
-        if (error != asio::error::eof || !m_exchange.expired() || m_output.empty())
-            return closeNow();
+        if (error != asio::error::eof)
+            return closeNow(UnansweredCause::CallerReset, error);
+        if (!m_exchange.expired() || m_output.empty())
+            return closeNow(UnansweredCause::CallerClosed);
         m_lingering = true;
     }
 
@@ -461,12 +528,17 @@
     void refuse(unsigned status, const std::string &reason)
     {
         m_isRefused = true;
+        sendRefusal(status, reason);
+        closeGracefully();
+    }
+
+    void sendRefusal(unsigned status, const std::string &reason)
+    {
         const auto body = reason + '\n';
         send(headText(status, {{"Content-Type", "text/plain"},
                                {"Content-Length", std::to_string(body.size())},
                                {"Connection", "close"}})
              + "\r\n" + body);
-        closeGracefully();
     }
 
     void closeGracefully()
@@ -500,7 +572,7 @@
         ErrorCode error;
         const auto written = m_socket.write_some(asio::buffer(m_output), error);
         if (error && error != asio::error::would_block)
-            return closeNow();
+            return closeNow(UnansweredCause::WriteFailed, error);
         m_output.erase(0, error ? 0 : written);
         if (m_lingering || isIdle())
             m_stateSince = BootClock{}.now(); // The time-out is one of callers that do not read.
@@ -516,6 +588,7 @@
     std::weak_ptr<Exchange> m_exchange;
     std::string m_input;
     std::string m_output;
+    std::string m_answeredId; ///< Id of the request that was answered last.
     Instant m_stateSince{}; ///< Start of the current state, for timeouts.
     Duration m_limit{}; ///< Timeout of the current state, while no request is in progress.
     bool m_keepsConnection = true;
@@ -530,7 +603,9 @@
 
 Exchange::~Exchange()
 {
-    close();
+    m_onGone = nullptr;
+    if (const auto connection = std::exchange(m_connection, nullptr))
+        connection->releaseResponse(*this);
 }
 
 void Exchange::respond(const Http::Response &response)
@@ -544,6 +619,7 @@
         text += "Connection: close\r\n";
     text += "\r\n";
     text += response.body;
+    m_hasBegun = true;
     m_connection->send(text);
     end();
 }
@@ -559,6 +635,7 @@
     if (m_connection->closesAfterResponse())
         text += "Connection: close\r\n";
     text += "\r\n";
+    m_hasBegun = true;
     m_connection->send(text);
 }
 
@@ -583,7 +660,7 @@
         m_connection->send("0\r\n\r\n");
     m_onGone = nullptr;
     if (const auto connection = std::exchange(m_connection, nullptr))
-        connection->finishResponse();
+        connection->finishResponse(m_id);
 }
 
 bool Exchange::hasCallerLeft()
@@ -594,14 +671,9 @@
 void Exchange::abort()
 {
     const auto self = shared_from_this();
-    close();
-}
-
-void Exchange::close()
-{
     m_onGone = nullptr;
     if (const auto connection = std::exchange(m_connection, nullptr))
-        connection->abortResponse();
+        connection->abortResponse(*this);
 }
 
 } // namespace
@@ -609,7 +681,7 @@
 struct CallerServer::Private : std::enable_shared_from_this<CallerServer::Private> {
     Private(Http::EventLoop &eventLoop, CallerServerSettings settings, Handler handler)
         : context(eventLoop.context())
-        , shared(std::make_shared<Shared>(Shared{settings, std::move(handler), false, false, 0, {}, {}}))
+        , shared(std::make_shared<Shared>(Shared{settings, std::move(handler), {}, false, false, 0, {}, {}}))
         , acceptor(context)
     {
     }
@@ -644,6 +716,12 @@
 {
     ErrorCode ignored;
     m_d->acceptor.close(ignored);
+    m_d->shared->onUnanswered = nullptr;
+}
+
+void CallerServer::onUnanswered(std::function<void(const UnansweredRequest &)> task)
+{
+    m_d->shared->onUnanswered = std::move(task);
 }
 
 std::uint16_t CallerServer::listen(const Http::Endpoint &endpoint)
@@ -711,6 +789,13 @@
     return std::ranges::none_of(m_d->shared->connections, [](const auto &connection) { return connection->isBusy(); });
 }
 
+void CallerServer::reportUnwritten()
+{
+    for (const auto &connection : m_d->shared->connections)
+        connection->reportUnwritten(UnansweredCause::Exit);
+    m_d->shared->onUnanswered = nullptr;
+}
+
 const CallerLosses &CallerServer::losses() const
 {
     return m_d->shared->losses;
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -3,12 +3,14 @@
 #include "common/clock.h"
 #include "http/message.h"
 #include "relay/requestreader.h"
+#include "relay/unansweredrequest.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Gypsumtally::Http
@@ -57,6 +59,11 @@
     {
         return false;
     }
+
+    /// Sets the id by which the server reports the request if it ends without a whole answer.
+    virtual void setId(const std::string & /*id*/)
+    {
+    }
 };
 
 struct CallerServerSettings {
@@ -86,6 +93,10 @@
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
 
+    /// Registers @p task, which is called with each request that ends without a whole answer. It must not use the
+    /// server or its exchanges.
+    void onUnanswered(std::function<void(const UnansweredRequest &)> task);
+
     /// Listens on @p endpoint and returns the port; port 0 selects a free one. Throws std::system_error on failure.
     std::uint16_t listen(const Http::Endpoint &endpoint);
 
@@ -115,6 +126,9 @@
     /// Returns true if no request is being read or answered and everything that was sent has been written.
     bool isDrained() const;
 
+    /// Reports the requests whose answers have not been written whole, as the process exits, and nothing afterwards.
+    void reportUnwritten();
+
     /// Returns what has been left unanswered since the start.
     const CallerLosses &losses() const;
 
--- a/src/report/metrics.cpp
+++ b/src/report/metrics.cpp
@@ -32,7 +32,7 @@
     const char *help;
 };
 
-constexpr std::array<Description, 26> descriptions{{
+constexpr std::array<Description, 27> descriptions{{
     {Metric::Requests, Kind::Counter, "gypsumtally_requests_total", "Requests that have ended."},
     {Metric::RequestSeconds, Kind::Histogram, "gypsumtally_request_seconds", "Time from arrival to the whole answer."},
     {Metric::FirstTokenSeconds, Kind::Histogram, "gypsumtally_first_token_seconds",
@@ -64,6 +64,8 @@
      "Requests sent to upstreams that state a request limit."},
     {Metric::CallerLosses, Kind::Counter, "gypsumtally_caller_losses_total",
      "Callers' requests and connections that were closed without an answer."},
+    {Metric::UnansweredRequests, Kind::Counter, "gypsumtally_unanswered_requests_total",
+     "Requests that ended without a whole answer."},
     {Metric::Connections, Kind::Counter, "gypsumtally_connections_total", "Connections to upstreams and peers."},
     {Metric::RelayedCalls, Kind::Counter, "gypsumtally_relayed_calls_total", "Calls passed between nodes."},
 }};
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -37,6 +37,7 @@
     UnreachedUpstreams, ///< That the node is cut off from.
     LimitedSends, ///< Requests to upstreams that limit their requests. Label: kind.
     CallerLosses, ///< Requests and connections of callers that were left unanswered. Label: kind.
+    UnansweredRequests, ///< Requests that ended without a whole answer. Labels: from, cause.
     Connections, ///< To upstreams and peers. Label: outcome.
     RelayedCalls, ///< Calls passed between nodes. Labels: direction, verdict.
 };
