Refuse requests whose exchange is released before an answer

A caller whose request a gateway dropped got a closed connection, from which it cannot tell whether the request ran.

CallerExchange::refuseOnRelease() states what is known of the request. If the exchange is then destroyed before anything of an answer was written, the caller gets 503 if the request did not run and 502 otherwise, the statuses of CallForwarder's own refusals, with Connection: close. CallForwarder states not-run when it accepts a request and may-have-run from the first send on. Exchanges without a statement, and those whose answer has begun, close their connection as before.

UnansweredRequest/isRefusedWhenItIsReleased: 4 rows green, the rows for 503 and 502 red without the refusal. unansweredRequestClosesConnection of relaytest stays as it was and is green.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -359,6 +359,7 @@
     void start(const CallPtr &call)
     {
         ++m_stopCounts.accepted;
+        call->exchange->refuseOnRelease(Verdict::NotRun);
         call->exchange->onGone([this, weak = std::weak_ptr<Call>(call)] {
             if (const auto gone = weak.lock())
                 onCallerGone(gone);
@@ -1203,6 +1204,7 @@
     void beginSend(const CallPtr &call, Instant now)
     {
         ++m_stopCounts.sent;
+        call->exchange->refuseOnRelease(Verdict::MayHaveRun);
         call->number = ++call->begunSends;
         call->sentAt = now;
         call->lastProgress = now;
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -96,6 +96,11 @@
         m_id = id;
     }
 
+    void refuseOnRelease(Verdict verdict) override
+    {
+        m_verdictOnRelease = verdict;
+    }
+
     const std::string &id() const
     {
         return m_id;
@@ -120,6 +125,7 @@
     Http::Request m_request;
     Instant m_arrival;
     std::string m_id;
+    std::optional<Verdict> m_verdictOnRelease;
     bool m_hasBegun = false; ///< A part of the response was passed to the connection.
     bool m_chunked = false;
     std::function<void()> m_onGone;
@@ -198,15 +204,21 @@
         closeNow(UnansweredCause::Aborted);
     }
 
-    /// Closes the connection, as @p exchange is destroyed before its response has ended.
-    void releaseResponse(const Exchange &exchange)
+    /// Closes the connection, as @p exchange is destroyed before its response has ended. Refuses the request first, if
+    /// there is a @p verdict on it and nothing was sent yet.
+    void releaseResponse(const Exchange &exchange, std::optional<Verdict> verdict)
     {
         if (m_closed)
             return;
         report(hasCallerClosed() ? UnansweredCause::CallerClosed : UnansweredCause::Released, exchange);
         dropResponse();
-        m_output.clear();
-        closeNow(UnansweredCause::Released);
+        if (!verdict || exchange.hasBegun()) {
+            m_output.clear();
+            return closeNow(UnansweredCause::Released);
+        }
+        m_keepsConnection = false;
+        sendRefusal(*verdict == Verdict::NotRun ? 503 : 502, "the request was dropped");
+        closeGracefully();
     }
 
     /// Returns true if the connection closes after this response, which must then carry `Connection: close`. While the
@@ -605,7 +617,7 @@
 {
     m_onGone = nullptr;
     if (const auto connection = std::exchange(m_connection, nullptr))
-        connection->releaseResponse(*this);
+        connection->releaseResponse(*this, m_verdictOnRelease);
 }
 
 void Exchange::respond(const Http::Response &response)
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/verdict.h"
 #include "http/message.h"
 #include "relay/requestreader.h"
 #include "relay/unansweredrequest.h"
@@ -22,9 +23,10 @@
 {
 
 /// One request from a caller and the means to respond to it. Use only on the event loop's thread. Destroying the
-/// exchange before the response has ended closes the connection. All calls are ignored once the caller has
-/// disconnected. Before respond() or end() returns, the server's handler may be called with the next request of the
-/// connection; before any method that sends returns, the task of onGone(), which may release the exchange.
+/// exchange before the response has ended closes the connection, after a refusal if refuseOnRelease() asks for one. All
+/// calls are ignored once the caller has disconnected. Before respond() or end() returns, the server's handler may be
+/// called with the next request of the connection; before any method that sends returns, the task of onGone(), which
+/// may release the exchange.
 class CallerExchange
 {
 public:
@@ -64,6 +66,12 @@
     virtual void setId(const std::string & /*id*/)
     {
     }
+
+    /// Makes the server refuse the request if the exchange is destroyed before anything was sent: with status 503 if
+    /// @p verdict says that it did not run, otherwise with 502. Later calls replace the verdict.
+    virtual void refuseOnRelease(Verdict /*verdict*/)
+    {
+    }
 };
 
 struct CallerServerSettings {
--- a/tests/relay/unansweredrequesttest.cpp
+++ b/tests/relay/unansweredrequesttest.cpp
@@ -127,6 +127,20 @@
      UnansweredCause::Exit, true},
 };
 
+struct ReleaseCase {
+    const char *name;
+    std::optional<Verdict> verdict;
+    bool hasBegun;
+    const char *answer; ///< Start of what the caller gets.
+};
+
+const ReleaseCase releases[] = {
+    {"was sent nowhere", Verdict::NotRun, false, "HTTP/1.1 503 "},
+    {"may have run", Verdict::MayHaveRun, false, "HTTP/1.1 502 "},
+    {"its answer has begun", Verdict::MayHaveRun, true, "HTTP/1.1 200 "},
+    {"nothing is known of it", {}, false, ""},
+};
+
 } // namespace
 
 /// Guards against requests whose connection was closed without an answer for a reason that nothing told.
@@ -145,3 +159,20 @@
     cr_expect(report.id == id, "%s: %s", row.name, report.id.c_str());
     cr_expect_eq(report.hasBegun, row.hasBegun, "%s", row.name);
 }
+
+/// Guards against a closed connection where the caller could have been told what became of its request.
+TABLE_TEST(UnansweredRequest, isRefusedWhenItIsReleased, releases)
+{
+    ReportingServer server;
+    if (row.verdict)
+        server.held->refuseOnRelease(*row.verdict);
+    if (row.hasBegun)
+        begin(server);
+    server.held.reset();
+    server.caller.wait();
+    const auto &received = server.caller.received();
+    cr_expect(received.starts_with(row.answer), "%s: %s", row.name, received.c_str());
+    cr_expect(*row.answer != '\0' || received.empty(), "%s: %s", row.name, received.c_str());
+    cr_expect(server.caller.hasEnd(), "%s", row.name);
+    cr_expect_eq(server.server.activeRequests(), 0U, "%s", row.name);
+}
