Send no late stream while a node stops that its exit may cut

Cause: requests are taken until the tick after the three seconds, and longer on open connections. For such a late one StopSchedule compared twice the usual time of streams with what was left of the grace, so that a stream that lasts longer than usual was sent though the exit had to cut it. The rule on planned work binds from three seconds on, so the node was at fault; the check stays.

A late call whose deadline is after the end of calls is not sent any more while other nodes take calls, and is refused at once with the short Retry-After of calls that are served elsewhere. If no other node takes calls, the estimate decides as before: its caller has nowhere to go.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -592,8 +592,7 @@
         if (!isIsolated)
             return false;
         // Where other nodes take no calls either, the path may be open again, or never have been closed.
-        const bool isDoubtful = m_context.relayPeers && !m_context.relayPeers().empty();
-        const auto cutOff = isDoubtful ? choose(*call, now, call->excluded, true) : std::nullopt;
+        const auto cutOff = othersTakeCalls() ? choose(*call, now, call->excluded, true) : std::nullopt;
         if (!cutOff || cutOff->sendAt > now || cutOff->isFull) {
             giveUp(call, ErrorCode::NoUpstream,
                    "this node is cut off from the upstreams of the service, and no peer takes the call",
@@ -2048,15 +2047,26 @@
     void refuseStopping(const CallPtr &call)
     {
         call->mayTryAnother = true;
-        const bool othersTakeCalls = m_context.relayPeers && !m_context.relayPeers().empty();
         giveUp(call, ErrorCode::Stopping, "the node stops",
-               othersTakeCalls ? std::optional(elsewhereRetryAfter) : std::nullopt);
+               othersTakeCalls() ? std::optional(elsewhereRetryAfter) : std::nullopt);
+    }
+
+    bool othersTakeCalls() const
+    {
+        return m_context.relayPeers && !m_context.relayPeers().empty();
+    }
+
+    /// Returns the latest time to send the call so that this node, which stops, need not cut it. Precondition: the node
+    /// stops.
+    Instant latestSendBeforeExit(const Call &call)
+    {
+        return m_stop->latestSend(lengthOf(call), othersTakeCalls());
     }
 
     /// Refuses the call if this node stops and the call, sent at @p sendAt, would not end before. Returns true if so.
     bool refuseIfCut(const CallPtr &call, Instant sendAt)
     {
-        if (!m_stop || (!m_isOver && sendAt <= m_stop->latestSend(lengthOf(*call))))
+        if (!m_stop || (!m_isOver && sendAt <= latestSendBeforeExit(*call)))
             return false;
         ++m_stopCounts.refused;
         refuseStopping(call);
@@ -2216,7 +2226,7 @@
     /// on, until the other one goes on with the answer.
     void moveFromSilentUpstream(const CallPtr &call, Instant now)
     {
-        if (now < call->moveAt || (m_stop && now > m_stop->latestSend(lengthOf(*call))))
+        if (now < call->moveAt || (m_stop && now > latestSendBeforeExit(*call)))
             return;
         if (!m_context.allowance.hasRoom(call->service, now) || m_context.crashes.verdictOn(call->causes))
             return;
--- a/src/gateway/stopschedule.cpp
+++ b/src/gateway/stopschedule.cpp
@@ -16,11 +16,13 @@
     return !othersTakeCallers && now < m_endOfCalls - closingTime;
 }
 
-Instant StopSchedule::latestSend(const CallLength &length) const
+Instant StopSchedule::latestSend(const CallLength &length, bool othersTakeCalls) const
 {
     if (length.deadline < m_endOfCalls)
         return Instant::max();
     const bool isEarly = length.arrival <= m_stoppedAt + takingTime;
+    if (!isEarly && othersTakeCalls)
+        return Instant::min();
     return m_endOfCalls - (length.mayBeRepeated && isEarly ? length.expected : length.longest);
 }
 
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -36,8 +36,9 @@
 
     /// Returns the latest time to send a call so that it ends before the node does; Instant::max() for a call whose
     /// deadline is earlier. A call that may be repeated counts with its usual length if it arrived in takingTime, any
-    /// other one with its longest.
-    Instant latestSend(const CallLength &length) const;
+    /// other one with its longest. One that arrived after takingTime is not to be sent if @p othersTakeCalls, as no
+    /// length but its deadline is certain: Instant::min().
+    Instant latestSend(const CallLength &length, bool othersTakeCalls) const;
 
     /// Returns the time at which the node may exit if nothing is in progress.
     Instant earliestExit() const
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -447,6 +447,14 @@
         });
     }
 
+    /// Lets the node be stopped for @p time by now, with @p grace; with @p others, another node takes calls.
+    void beginStopBefore(Duration time, Duration grace, bool others)
+    {
+        if (others)
+            m_context.relayPeers = [] { return std::vector<RelayPeer>(1); };
+        m_forwarder.beginStop(StopSchedule(BootClock{}.now() - time, grace));
+    }
+
     const StopCounts &stopCounts()
     {
         return m_forwarder.stopCounts();
@@ -1964,6 +1972,38 @@
 namespace
 {
 
+struct LateStreamCase {
+    const char *name;
+    int arrivalMs; ///< After SIGTERM.
+    int graceMs;
+    bool others; ///< Another node takes calls.
+    unsigned status;
+};
+
+const LateStreamCase lateStreams[] = {
+    {"in time", 2900, 8000, true, 200},
+    {"late", 3100, 8000, true, 503},
+    {"late, but its deadline is before the exit", 3100, 60000, true, 200},
+    {"late, and no other node takes calls", 3100, 8000, false, 200},
+};
+
+} // namespace
+
+/// Guards against streams that are taken late and last longer than usual, so that the exit cuts them.
+TABLE_TEST(CallForwarder, sendsNoLateStreamThatTheExitMayCut, lateStreams)
+{
+    ForwarderFixture fixture({streamRest});
+    fixture.beginStopBefore(std::chrono::milliseconds{row.arrivalMs}, std::chrono::milliseconds{row.graceMs},
+                            row.others);
+    const auto status = fixture.ask("/stream/1");
+    cr_expect_eq(status, row.status, "%s: %u", row.name, status);
+    cr_expect_eq(fixture.sends, row.status == 200 ? 1U : 0U, "%s", row.name);
+    cr_expect_eq(fixture.retryAfter.empty(), row.status == 200, "%s", row.name);
+}
+
+namespace
+{
+
 struct LeavingCase {
     const char *name;
     bool waits; ///< For a place, when its caller leaves.
--- a/tests/gateway/stopscheduletest.cpp
+++ b/tests/gateway/stopscheduletest.cpp
@@ -2,6 +2,7 @@
 
 #include "support/table.h"
 
+#include <limits>
 #include <optional>
 
 using namespace Gypsumtally;
@@ -30,6 +31,8 @@
     {3000, false, true}, {6499, false, true}, {6500, false, false}, {9000, false, false},
 };
 
+constexpr int never = std::numeric_limits<int>::min(); ///< Of a call that is not to be sent.
+
 struct SendCase {
     const char *name;
     int arrival;
@@ -37,19 +40,25 @@
     int expected;
     int longest;
     bool mayBeRepeated;
+    bool othersTakeCalls;
     std::optional<int> latest; ///< Nothing if the call may be sent at any time.
 };
 
 const SendCase sends[] = {
-    {"long stream that came before the stop", -1000, 14000, 4500, 6000, true, 3000},
-    {"long stream that came in time", 3000, 14000, 4500, 6000, true, 3000},
-    {"long stream that came late", 3001, 14000, 4500, 6000, true, 1500},
-    {"short stream that came late", 3500, 14000, 600, 1000, true, 6500},
-    {"call that runs once and came in time", 1000, 9000, 60, 1000, false, 6500},
-    {"call that runs once and came late", 5000, 9000, 60, 1000, false, 6500},
-    {"call that is longer than the grace", 0, 30000, 9000, 12000, false, -4500},
-    {"deadline before the end", 3500, 7499, 9000, 12000, false, {}},
-    {"deadline at the end", 3500, 7500, 60, 1000, false, 6500},
+    {"long stream that came before the stop", -1000, 14000, 4500, 6000, true, false, 3000},
+    {"long stream that came in time", 3000, 14000, 4500, 6000, true, false, 3000},
+    {"long stream that came in time while others take calls", 3000, 14000, 4500, 6000, true, true, 3000},
+    {"long stream that came late", 3001, 14000, 4500, 6000, true, false, 1500},
+    {"short stream that came late", 3500, 14000, 600, 1000, true, false, 6500},
+    {"short stream that came late while others take calls", 3001, 14000, 600, 1000, true, true, never},
+    {"call that runs once and came in time", 1000, 9000, 60, 1000, false, false, 6500},
+    {"call that runs once and came in time while others take calls", 1000, 9000, 60, 1000, false, true, 6500},
+    {"call that runs once and came late", 5000, 9000, 60, 1000, false, false, 6500},
+    {"call that runs once and came late while others take calls", 5000, 9000, 60, 1000, false, true, never},
+    {"call that is longer than the grace", 0, 30000, 9000, 12000, false, false, -4500},
+    {"deadline before the end", 3500, 7499, 9000, 12000, false, false, {}},
+    {"deadline before the end while others take calls", 3500, 7499, 9000, 12000, false, true, {}},
+    {"deadline at the end", 3500, 7500, 60, 1000, false, false, 6500},
 };
 
 } // namespace
@@ -64,8 +73,10 @@
 {
     const StopSchedule schedule(stoppedAt, grace);
     const auto latest = schedule.latestSend(
-        {at(row.arrival), at(row.deadline), milliseconds{row.expected}, milliseconds{row.longest}, row.mayBeRepeated});
-    cr_assert_eq(latest, row.latest ? at(*row.latest) : Instant::max(), "%s: %ld ms", row.name,
+        {at(row.arrival), at(row.deadline), milliseconds{row.expected}, milliseconds{row.longest}, row.mayBeRepeated},
+        row.othersTakeCalls);
+    const auto expected = row.latest == never ? Instant::min() : at(row.latest.value_or(0));
+    cr_assert_eq(latest, row.latest ? expected : Instant::max(), "%s: %ld ms", row.name,
                  static_cast<long>((latest - stoppedAt).count() / 1000));
 }
 
--- a/tests/gatewayfleet/plannedstoptest.cpp
+++ b/tests/gatewayfleet/plannedstoptest.cpp
@@ -30,8 +30,38 @@
 constexpr Duration eventPause = milliseconds{300}; ///< Six events: a stream takes longer than a third of the grace.
 constexpr Duration warmUp = seconds{8}; ///< Covers the loads of all adapters, and the estimate of the streams' time.
 
+constexpr FleetSize longStreamSize{2, 8, 1, seconds{8}};
+constexpr Load fewStreams{0, 0, 20};
+constexpr Load manyStreams{0, 0, 600};
+constexpr Duration untilLate = milliseconds{2950}; ///< From SIGTERM; from 3 s on no request may be cut.
+constexpr Duration lateTime = milliseconds{120};
+constexpr double longRatio = 0.5; ///< Of the late streams, which last longer than the rest of the grace.
+
 } // namespace
 
+/// Guards against streams that come when a stopping node has just ceased to take requests, and that its exit cuts.
+Test(PlannedStop, takesNoLateStreamsThatItsExitMayCut)
+{
+    Fleet fleet(longStreamSize, 1);
+    fleet.waitUntilReady();
+    fleet.setLoad(fewStreams);
+    fleet.run(warmUp);
+    fleet.stop(0, untilLate + lateTime);
+    fleet.run(untilLate);
+    for (std::size_t number = 0; number < fleet.engines(); ++number)
+        fleet.engine(number).behaviour.longRatio = longRatio;
+    fleet.setLoad(manyStreams);
+    fleet.run(lateTime);
+    fleet.setLoad({});
+    fleet.run(seconds{9});
+    const auto problems = fleet.finish();
+    if (!problems.empty())
+        fleet.keepFiles();
+    for (const auto &problem : problems)
+        cr_expect_fail("%s", problem.c_str());
+    cr_expect_gt(fleet.tally(CallerRequest::Stream).served, 0U);
+}
+
 /// Guards against requests that a stopping node takes and cuts at its exit.
 TABLE_TEST(PlannedStop, cutsNoRequests, stops)
 {
