Count the grace of a stop from the earliest time of SIGTERM

A node that is short of processor around SIGTERM, or halted, took late streams for early ones and cut them, and exited after the end of its grace, when it would have been killed.

Cause: StopSchedule counted both from when the loop handled the signal. The signal may have come any time since the loop last ran in time.

Requests are still taken for three seconds from the notice, as callers learn of the stop no sooner; but the end of calls, the exit, and the time from which a call counts as late are counted from the tick before the last one, up to 100 ms early in ordinary times. A node that notices its stop after most of the grace takes requests no longer than calls go on.

PlannedStop/takesNoLateStreamsThatItsExitMayCut is a table now, whose first row is the test that it replaces.

--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1517,7 +1517,9 @@
     {
         if (m_stop)
             return;
-        m_stop = StopSchedule(BootClock{}.now(), m_settings.stopGrace);
+        const auto now = BootClock{}.now();
+        const auto earliest = m_tickBefore == Instant{} ? now : m_tickBefore; // The last tick may follow a stall.
+        m_stop = StopSchedule(earliest, now, m_settings.stopGrace);
         m_log.note(GatewayEvent::Stopping, {{"active", std::to_string(activeRequests())}});
         for (const auto &orders : m_orders)
             orders->stop();
--- a/src/gateway/stopschedule.cpp
+++ b/src/gateway/stopschedule.cpp
@@ -3,15 +3,16 @@
 namespace Gypsumtally::Gateway
 {
 
-StopSchedule::StopSchedule(Instant stoppedAt, Duration grace)
-    : m_stoppedAt(stoppedAt)
-    , m_endOfCalls(stoppedAt + grace - endMargin)
+StopSchedule::StopSchedule(Instant earliestStop, Instant noticedAt, Duration grace)
+    : m_earliestStop(earliestStop)
+    , m_noticedAt(noticedAt)
+    , m_endOfCalls(earliestStop + grace - endMargin)
 {
 }
 
 bool StopSchedule::takesRequests(Instant now, bool othersTakeCallers) const
 {
-    if (now < m_stoppedAt + takingTime)
+    if (now < earliestExit())
         return true;
     return !othersTakeCallers && now < m_endOfCalls - closingTime;
 }
@@ -20,7 +21,7 @@
 {
     if (length.deadline < m_endOfCalls)
         return Instant::max();
-    const bool isEarly = length.arrival <= m_stoppedAt + takingTime;
+    const bool isEarly = length.arrival <= m_earliestStop + takingTime;
     if (!isEarly && othersTakeCalls)
         return Instant::min();
     return m_endOfCalls - (length.mayBeRepeated && isEarly ? length.expected : length.longest);
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -2,6 +2,8 @@
 
 #include "common/clock.h"
 
+#include <algorithm>
+
 namespace Gypsumtally::Gateway
 {
 
@@ -27,23 +29,25 @@
     /// Time before the end of the calls in which no requests are accepted, even if no other node takes them.
     static constexpr Duration closingTime = std::chrono::milliseconds{1000};
 
-    /// Of a node that got SIGTERM at @p stoppedAt and SIGKILL @p grace later.
-    StopSchedule(Instant stoppedAt, Duration grace);
+    /// Of a node that noticed SIGTERM at @p noticedAt and gets SIGKILL @p grace after SIGTERM, which came at
+    /// @p earliestStop or later: a process that is short of processor notices it late. Precondition: @p earliestStop is
+    /// not after @p noticedAt.
+    StopSchedule(Instant earliestStop, Instant noticedAt, Duration grace);
 
     /// Returns true if requests on open and new connections are accepted at @p now. That goes on for longer if
     /// @p othersTakeCallers is false, as callers have nowhere else to go.
     bool takesRequests(Instant now, bool othersTakeCallers) const;
 
     /// Returns the latest time to send a call so that it ends before the node does; Instant::max() for a call whose
-    /// deadline is earlier. A call that may be repeated counts with its usual length if it arrived in takingTime, any
-    /// other one with its longest. One that arrived after takingTime is not to be sent if @p othersTakeCalls, as no
-    /// length but its deadline is certain: Instant::min().
+    /// deadline is earlier. A call that may be repeated counts with its usual length if it arrived in takingTime from
+    /// the earliest SIGTERM, any other one with its longest. One that arrived after takingTime is not to be sent if @p
+    /// othersTakeCalls, as no length but its deadline is certain: Instant::min().
     Instant latestSend(const CallLength &length, bool othersTakeCalls) const;
 
     /// Returns the time at which the node may exit if nothing is in progress.
     Instant earliestExit() const
     {
-        return m_stoppedAt + takingTime;
+        return std::min(m_noticedAt + takingTime, m_endOfCalls);
     }
 
     /// Returns the time at which the calls in progress are ended.
@@ -59,7 +63,8 @@
     }
 
 private:
-    Instant m_stoppedAt;
+    Instant m_earliestStop;
+    Instant m_noticedAt;
     Instant m_endOfCalls;
 };
 
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -441,7 +441,8 @@
     void stopAfter(Duration time, Duration grace)
     {
         m_loop.runAfter(time, [this, grace] {
-            const StopSchedule schedule(BootClock{}.now(), grace);
+            const auto now = BootClock{}.now();
+            const StopSchedule schedule(now, now, grace);
             m_forwarder.beginStop(schedule);
             m_loop.runAfter(schedule.endOfCalls() - BootClock{}.now(), [this] { m_forwarder.endCalls(); });
         });
@@ -452,7 +453,8 @@
     {
         if (others)
             m_context.relayPeers = [] { return std::vector<RelayPeer>(1); };
-        m_forwarder.beginStop(StopSchedule(BootClock{}.now() - time, grace));
+        const auto stoppedAt = BootClock{}.now() - time;
+        m_forwarder.beginStop(StopSchedule(stoppedAt, stoppedAt, grace));
     }
 
     const StopCounts &stopCounts()
--- a/tests/gateway/callmovestest.cpp
+++ b/tests/gateway/callmovestest.cpp
@@ -254,7 +254,8 @@
 
     void stop()
     {
-        m_forwarder.beginStop(StopSchedule(BootClock{}.now(), std::chrono::seconds{8}));
+        const auto now = BootClock{}.now();
+        m_forwarder.beginStop(StopSchedule(now, now, std::chrono::seconds{8}));
         m_forwarder.endCalls();
     }
 
--- a/tests/gateway/stopscheduletest.cpp
+++ b/tests/gateway/stopscheduletest.cpp
@@ -61,17 +61,24 @@
     {"deadline at the end", 3500, 7500, 60, 1000, false, false, 6500},
 };
 
+struct NoticeCase {
+    int noticedAt;
+    int takesUntil;
+};
+
+const NoticeCase notices[] = {{0, 3000}, {100, 3100}, {600, 3600}, {6000, 7500}};
+
 } // namespace
 
 TABLE_TEST(StopSchedule, takesRequestsWhileCallersHaveNoOtherNode, takings)
 {
-    const StopSchedule schedule(stoppedAt, grace);
+    const StopSchedule schedule(stoppedAt, stoppedAt, grace);
     cr_assert_eq(schedule.takesRequests(at(row.at), row.othersTakeCallers), row.takes, "%d", row.at);
 }
 
 TABLE_TEST(StopSchedule, sendsOnlyWhatEndsBeforeTheExit, sends)
 {
-    const StopSchedule schedule(stoppedAt, grace);
+    const StopSchedule schedule(stoppedAt, stoppedAt, grace);
     const auto latest = schedule.latestSend(
         {at(row.arrival), at(row.deadline), milliseconds{row.expected}, milliseconds{row.longest}, row.mayBeRepeated},
         row.othersTakeCalls);
@@ -80,10 +87,26 @@
                  static_cast<long>((latest - stoppedAt).count() / 1000));
 }
 
-Test(StopSchedule, exitsBeforeItIsKilled)
+/// Guards against a node that counts the grace from when it noticed SIGTERM, and is killed with calls in progress.
+TABLE_TEST(StopSchedule, exitsBeforeItIsKilled, notices)
+{
+    const StopSchedule schedule(stoppedAt, at(row.noticedAt), grace);
+    cr_expect_eq(schedule.earliestExit(), at(row.takesUntil), "%d", row.noticedAt);
+    cr_expect_leq(schedule.earliestExit(), schedule.endOfCalls(), "%d", row.noticedAt);
+    cr_expect_lt(schedule.endOfCalls(), schedule.exitAt(), "%d", row.noticedAt);
+    cr_expect_lt(schedule.exitAt(), stoppedAt + grace, "%d", row.noticedAt);
+    cr_expect_eq(schedule.takesRequests(at(row.takesUntil - 1), true), true, "%d", row.noticedAt);
+    cr_expect_eq(schedule.takesRequests(at(row.takesUntil), true), false, "%d", row.noticedAt);
+}
+
+/// Guards against a call that counts as early as the node noticed SIGTERM late.
+TABLE_TEST(StopSchedule, countsCallsAsLateFromTheEarliestStop, notices)
 {
-    const StopSchedule schedule(stoppedAt, grace);
-    cr_assert_lt(schedule.earliestExit(), schedule.endOfCalls());
-    cr_assert_lt(schedule.endOfCalls(), schedule.exitAt());
-    cr_assert_lt(schedule.exitAt(), stoppedAt + grace);
+    const StopSchedule schedule(stoppedAt, at(row.noticedAt), grace);
+    const auto latest = [&](int arrival) {
+        return schedule.latestSend({at(arrival), at(arrival + 9000), milliseconds{4500}, milliseconds{6000}, true},
+                                   true);
+    };
+    cr_expect_eq(latest(3000), at(3000), "%d", row.noticedAt);
+    cr_expect_eq(latest(3001), Instant::min(), "%d", row.noticedAt);
 }
--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -581,6 +581,7 @@
     after(std::chrono::milliseconds{100}, [this, number, since] {
         if (m_nodes[number].process->isRunning())
             return startWhenEnded(number, since);
+        m_longestStop = std::max<Duration>(m_longestStop, BootClock{}.now() - since);
         startAgain(number, since);
     });
 }
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -217,6 +217,12 @@
         return m_halts;
     }
 
+    /// Returns the longest time from SIGTERM to the end of a node's process, accurate to 100 ms.
+    Duration longestStop() const
+    {
+        return m_longestStop;
+    }
+
     /// Returns the number of lines about @p event that all nodes have logged.
     unsigned logLines(const std::string &event) const;
 
@@ -299,6 +305,7 @@
     std::vector<std::string> m_problems;
     bool m_countsOnlyBinding = false;
     unsigned m_halts = 0;
+    Duration m_longestStop{};
     std::uint64_t m_sent = 0;
     std::uint64_t m_prompts = 0;
     std::uint64_t m_configurations = 0;
--- a/tests/gatewayfleet/plannedstoptest.cpp
+++ b/tests/gatewayfleet/plannedstoptest.cpp
@@ -33,21 +33,35 @@
 constexpr FleetSize longStreamSize{2, 8, 1, seconds{8}};
 constexpr Load fewStreams{0, 0, 20};
 constexpr Load manyStreams{0, 0, 600};
-constexpr Duration untilLate = milliseconds{2950}; ///< From SIGTERM; from 3 s on no request may be cut.
 constexpr Duration lateTime = milliseconds{120};
+
+struct LateStop {
+    const char *name;
+    Duration halt; ///< Of the node's process, from just before SIGTERM.
+    Duration streamsAt; ///< When many streams come, from SIGTERM; from 3 s on none may be cut.
+};
+
+const LateStop lateStops[] = {
+    {"at once", Duration{}, milliseconds{2950}},
+    {"short of processor", milliseconds{100}, milliseconds{2950}},
+    {"halted", milliseconds{600}, milliseconds{3400}},
+};
+
 constexpr double longRatio = 0.5; ///< Of the late streams, which last longer than the rest of the grace.
 
 } // namespace
 
 /// Guards against streams that come when a stopping node has just ceased to take requests, and that its exit cuts.
-Test(PlannedStop, takesNoLateStreamsThatItsExitMayCut)
+TABLE_TEST(PlannedStop, takesNoLateStreamsThatItsExitMayCut, lateStops)
 {
     Fleet fleet(longStreamSize, 1);
     fleet.waitUntilReady();
     fleet.setLoad(fewStreams);
     fleet.run(warmUp);
-    fleet.stop(0, untilLate + lateTime);
-    fleet.run(untilLate);
+    if (row.halt > Duration{})
+        fleet.halt(0, row.halt);
+    fleet.stop(0, row.streamsAt + lateTime);
+    fleet.run(row.streamsAt);
     for (std::size_t number = 0; number < fleet.engines(); ++number)
         fleet.engine(number).behaviour.longRatio = longRatio;
     fleet.setLoad(manyStreams);
@@ -58,8 +72,10 @@
     if (!problems.empty())
         fleet.keepFiles();
     for (const auto &problem : problems)
-        cr_expect_fail("%s", problem.c_str());
-    cr_expect_gt(fleet.tally(CallerRequest::Stream).served, 0U);
+        cr_expect_fail("%s: %s", row.name, problem.c_str());
+    cr_expect_gt(fleet.tally(CallerRequest::Stream).served, 0U, "%s", row.name);
+    cr_expect_lt(fleet.longestStop(), longStreamSize.stopGrace, "%s: %ld ms", row.name,
+                 static_cast<long>(fleet.longestStop().count() / 1000));
 }
 
 /// Guards against requests that a stopping node takes and cuts at its exit.
