Let calls go on after a stop that is noticed late

A node whose loop had stood still before SIGTERM would have cut calls up to the length of the stall before the end of the calls, since the earliest time of the signal counts: the rule that a planned stop cuts no request binds for 5/6 of the grace.

Calls go on for at least that share of the grace from the notice; a notice that is later than the rest of the grace allows for is taken for a signal that came later.

--- a/src/gateway/stopschedule.cpp
+++ b/src/gateway/stopschedule.cpp
@@ -6,7 +6,8 @@
 StopSchedule::StopSchedule(Instant earliestStop, Instant noticedAt, Duration grace)
     : m_earliestStop(earliestStop)
     , m_noticedAt(noticedAt)
-    , m_endOfCalls(earliestStop + grace - endMargin)
+    , m_endOfCalls(std::max(earliestStop + grace - endMargin,
+                            noticedAt + std::chrono::duration_cast<Duration>(minCallShare * grace)))
 {
 }
 
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -24,13 +24,16 @@
     static constexpr Duration takingTime = std::chrono::milliseconds{3000};
     /// Time before SIGKILL at which the calls in progress are ended.
     static constexpr Duration endMargin = std::chrono::milliseconds{500};
+    /// Share of the grace for which calls go on at least, from the notice of SIGTERM.
+    static constexpr double minCallShare = 5.0 / 6;
     /// Time between the end of the calls and the exit, in which callers get their answers.
     static constexpr Duration flushTime = std::chrono::milliseconds{150};
     /// Time before the end of the calls in which no requests are accepted, even if no other node takes them.
     static constexpr Duration closingTime = std::chrono::milliseconds{1000};
 
     /// Of a node that noticed SIGTERM at @p noticedAt and gets SIGKILL @p grace after SIGTERM, which came at
-    /// @p earliestStop or later: a process that is short of processor notices it late. Precondition: @p earliestStop is
+    /// @p earliestStop or later: a process that is short of processor notices it late. If that is so long ago that
+    /// calls would not go on for minCallShare, SIGTERM is assumed to have come later. Precondition: @p earliestStop is
     /// not after @p noticedAt.
     StopSchedule(Instant earliestStop, Instant noticedAt, Duration grace);
 
