Name what callers and nodes saw of requests without a whole answer

"got no whole answer from a node that was neither killed nor frozen" did not tell whether the node closed the connection or the caller's own time ended, nor what the node did.

WholeResponse has the reason of the failure, and the fleet's finding adds it with the time since the request, and all lines that nodes have logged with its id, or that there is none. What counts as a finding is unchanged; the logs are read after the run, so that reading them disturbs nothing.

--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -435,10 +435,12 @@
         if (response->body.size() <= maxBytes)
             return;
         cancel(*token);
-        onResponse({});
+        onResponse({{}, {}, true, "the response is too large"});
     };
     observer.onEnd = [response, onResponse] { onResponse(*response); };
-    observer.onFailure = [onResponse](const FailedExchange &failure) { onResponse({{}, {}, failure.sent}); };
+    observer.onFailure = [onResponse](const FailedExchange &failure) {
+        onResponse({{}, {}, failure.sent, failure.reason});
+    };
     *token = send(destination, request, std::move(observer), options);
     return *token;
 }
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -67,6 +67,7 @@
     ResponseHead head; ///< Its status is 0 if no complete response was received.
     std::string body;
     bool sent = true; ///< True if a byte of the request may have left this process.
+    std::string failure{}; ///< Why no complete response was received.
 };
 
 struct SendOptions {
--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -390,7 +390,7 @@
     if (!promisesNotRun(status)) {
         ++(status == 0 ? tally.broken : tally.failed);
         if (status == 0 && response.sent)
-            checkBroken(kind, id, m_nodes[node], sentAt);
+            checkBroken(kind, id, m_nodes[node], sentAt, response.failure);
         return;
     }
     ++tally.refused;
@@ -403,8 +403,10 @@
 
 /// Records a problem if nothing explains that the request got no whole answer: its node was neither killed nor frozen
 /// meanwhile, no upstream has broken off a stream, and its deadline was not reached.
-void Fleet::checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt)
+void Fleet::checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt,
+                        const std::string &failure)
 {
+    m_broken[id] = failure + " after " + std::to_string((BootClock{}.now() - sentAt).count() / 1000) + " ms";
     const bool mayBeBrokenOff = isStream(kind) && std::ranges::any_of(m_engines, [&](const auto &engine) {
                                     return engine->lastBreak() >= sentAt;
                                 });
@@ -417,7 +419,19 @@
         return;
     }
     if (!mayBeBrokenOff && node.disturbedAt < sentAt && !isExcusedByStop(id, node, sentAt))
-        m_problems.push_back(id + " got no whole answer from a node that was neither killed nor frozen");
+        m_notWhole.push_back(id);
+}
+
+/// Returns what all nodes have logged about the request with @p id.
+std::string Fleet::loggedAbout(const std::string &id) const
+{
+    std::string text;
+    for (const auto &node : m_nodes) {
+        std::ifstream log(m_files.file(node.name + ".log"));
+        for (std::string line; std::getline(log, line);)
+            text += line.find("\"request\":\"" + id + '"') != std::string::npos ? "\n    " + line : "";
+    }
+    return text.empty() ? "; no node has logged it" : text;
 }
 
 bool Fleet::hasRun(const std::string &id) const
@@ -477,7 +491,7 @@
     const auto named = [&](const Node &node) { return id.starts_with(node.name + ':'); };
     const auto node = std::ranges::find_if(m_nodes, named);
     if (hasRun(id))
-        checkBroken(CallerRequest::Book, id, *node, sentAt);
+        checkBroken(CallerRequest::Book, id, *node, sentAt, "its connection was closed");
 }
 
 void Fleet::after(Duration delay, std::function<void()> task)
@@ -633,6 +647,9 @@
         node.process->kill();
     }
     auto problems = m_problems;
+    for (const auto &id : m_notWhole)
+        problems.push_back(id + " got no whole answer from a node that was neither killed nor frozen: " + m_broken[id]
+                           + loggedAbout(id));
     std::ranges::move(m_crashing.violations(), std::back_inserter(problems));
     std::ranges::move(m_streamCallers.problems(), std::back_inserter(problems));
     std::ranges::copy(m_pipelines.problems(), std::back_inserter(problems));
@@ -655,7 +672,8 @@
         if (const auto refused = m_notRun.find(id); refused != m_notRun.end())
             problems.push_back(id + " was answered " + refused->second + " and has run");
         if (m_unanswered.contains(id))
-            problems.push_back(id + " has run and got no whole answer from a node that was neither killed nor frozen");
+            problems.push_back(id + " has run and got no whole answer from a node that was neither killed nor frozen: "
+                               + m_broken[id] + loggedAbout(id));
         if (count > 1 && m_booked.contains(id))
             problems.push_back(id + " has run " + std::to_string(count) + " times");
     }
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -270,7 +270,9 @@
     std::optional<CallerTarget> drawTarget(const std::set<std::string> &versions);
     void onAnswer(CallerRequest kind, const std::string &id, std::size_t node, Instant sentAt,
                   const Relay::WholeResponse &response);
-    void checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt);
+    void checkBroken(CallerRequest kind, const std::string &id, const Node &node, Instant sentAt,
+                     const std::string &failure);
+    std::string loggedAbout(const std::string &id) const;
     void sendPipeline();
     void onUnanswered(const std::string &id, Instant sentAt);
     bool hasRun(const std::string &id) const;
@@ -300,6 +302,8 @@
     std::map<CallerRequest, Tally> m_tallies;
     std::map<std::size_t, Tally> m_nodeTallies;
     std::map<std::string, std::string> m_notRun; ///< Answers that promise that a request did not run, by its id.
+    std::map<std::string, std::string> m_broken; ///< What callers saw of requests without a whole answer, by id.
+    std::vector<std::string> m_notWhole; ///< Ids of requests that must have got a whole answer.
     std::set<std::string> m_unanswered; ///< Ids of requests without a whole answer that must not have run.
     std::set<std::string> m_booked; ///< Ids of requests that must not run twice.
     std::vector<std::string> m_problems;
