--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -359,6 +359,7 @@
     void start(const CallPtr &call)
     {
         ++m_stopCounts.accepted;
+        call->exchange->refuseOnRelease(Verdict::NotRun);
         call->exchange->onGone([this, weak = std::weak_ptr<Call>(call)] {
             if (const auto gone = weak.lock())
                 onCallerGone(gone);
@@ -367,6 +368,7 @@
         if (const auto *bad = std::get_if<BadRequest>(&decoded))
             return refuse(call, 400, ErrorCode::BadRequest, bad->reason, {});
         call->request = std::move(std::get<CallerRequest>(decoded));
+        call->exchange->setId(call->request.id);
         if (!canRoute()) {
             if (m_isOver)
                 return refuseStopping(call);
@@ -590,8 +592,7 @@
         if (!isIsolated)
             return false;
         // Where other nodes take no calls either, the path may be open again, or never have been closed.
-        const bool isDoubtful = m_context.relayPeers && !m_context.relayPeers().empty();
-        const auto cutOff = isDoubtful ? choose(*call, now, call->excluded, true) : std::nullopt;
+        const auto cutOff = othersTakeCalls() ? choose(*call, now, call->excluded, true) : std::nullopt;
         if (!cutOff || cutOff->sendAt > now || cutOff->isFull) {
             giveUp(call, ErrorCode::NoUpstream,
                    "this node is cut off from the upstreams of the service, and no peer takes the call",
@@ -1210,6 +1211,7 @@
     void beginSend(const CallPtr &call, Instant now)
     {
         ++m_stopCounts.sent;
+        call->exchange->refuseOnRelease(Verdict::MayHaveRun);
         call->number = ++call->begunSends;
         call->sentAt = now;
         call->lastProgress = now;
@@ -2073,15 +2075,26 @@
     void refuseStopping(const CallPtr &call)
     {
         call->mayTryAnother = true;
-        const bool othersTakeCalls = m_context.relayPeers && !m_context.relayPeers().empty();
         giveUp(call, ErrorCode::Stopping, "the node stops",
-               othersTakeCalls ? std::optional(elsewhereRetryAfter) : std::nullopt);
+               othersTakeCalls() ? std::optional(elsewhereRetryAfter) : std::nullopt);
+    }
+
+    bool othersTakeCalls() const
+    {
+        return m_context.relayPeers && !m_context.relayPeers().empty();
+    }
+
+    /// Returns the latest time to send the call so that this node, which stops, need not cut it. Precondition: the node
+    /// stops.
+    Instant latestSendBeforeExit(const Call &call)
+    {
+        return m_stop->latestSend(lengthOf(call), othersTakeCalls());
     }
 
     /// Refuses the call if this node stops and the call, sent at @p sendAt, would not end before. Returns true if so.
     bool refuseIfCut(const CallPtr &call, Instant sendAt)
     {
-        if (!m_stop || (!m_isOver && sendAt <= m_stop->latestSend(lengthOf(*call))))
+        if (!m_stop || (!m_isOver && sendAt <= latestSendBeforeExit(*call)))
             return false;
         ++m_stopCounts.refused;
         refuseStopping(call);
@@ -2241,7 +2254,7 @@
     /// on, until the other one goes on with the answer.
     void moveFromSilentUpstream(const CallPtr &call, Instant now)
     {
-        if (now < call->moveAt || (m_stop && now > m_stop->latestSend(lengthOf(*call))))
+        if (now < call->moveAt || (m_stop && now > latestSendBeforeExit(*call)))
             return;
         if (!m_context.allowance.hasRoom(call->service, now) || m_context.crashes.verdictOn(call->causes))
             return;
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/verdict.h"
 #include "http/message.h"
 #include "relay/requestreader.h"
+#include "relay/unansweredrequest.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Gypsumtally::Http
@@ -20,9 +23,10 @@
 {
 
 /// One request from a caller and the means to respond to it. Use only on the event loop's thread. Destroying the
-/// exchange before the response has ended closes the connection. All calls are ignored once the caller has
-/// disconnected. Before respond() or end() returns, the server's handler may be called with the next request of the
-/// connection; before any method that sends returns, the task of onGone(), which may release the exchange.
+/// exchange before the response has ended closes the connection, after a refusal if refuseOnRelease() asks for one. All
+/// calls are ignored once the caller has disconnected. Before respond() or end() returns, the server's handler may be
+/// called with the next request of the connection; before any method that sends returns, the task of onGone(), which
+/// may release the exchange.
 class CallerExchange
 {
 public:
@@ -57,6 +61,17 @@
     {
         return false;
     }
+
+    /// Sets the id by which the server reports the request if it ends without a whole answer.
+    virtual void setId(const std::string & /*id*/)
+    {
+    }
+
+    /// Makes the server refuse the request if the exchange is destroyed before anything was sent: with status 503 if
+    /// @p verdict says that it did not run, otherwise with 502. Later calls replace the verdict.
+    virtual void refuseOnRelease(Verdict /*verdict*/)
+    {
+    }
 };
 
 struct CallerServerSettings {
@@ -86,6 +101,10 @@
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
 
+    /// Registers @p task, which is called with each request that ends without a whole answer. It must not use the
+    /// server or its exchanges.
+    void onUnanswered(std::function<void(const UnansweredRequest &)> task);
+
     /// Listens on @p endpoint and returns the port; port 0 selects a free one. Throws std::system_error on failure.
     std::uint16_t listen(const Http::Endpoint &endpoint);
 
@@ -115,6 +134,9 @@
     /// Returns true if no request is being read or answered and everything that was sent has been written.
     bool isDrained() const;
 
+    /// Reports the requests whose answers have not been written whole, as the process exits, and nothing afterwards.
+    void reportUnwritten();
+
     /// Returns what has been left unanswered since the start.
     const CallerLosses &losses() const;
 
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -70,6 +70,7 @@
     std::string body;
     bool sent = true; ///< True if a byte of the request may have left this process.
     bool isLate = false; ///< No complete response was received in time, and nothing else had failed.
+    std::string failure{}; ///< Why no complete response was received.
 };
 
 struct SendOptions {
