--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -445,7 +445,7 @@
         if (response->body.size() <= maxBytes)
             return;
         cancel(*token);
-        onResponse({{}, {}, true, "the response is too large"});
+        onResponse({{}, {}, true, false, "the response is too large"});
     };
     observer.onEnd = [response, onResponse] { onResponse(*response); };
     observer.onFailure = [onResponse](const FailedExchange &failure) {
