--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -125,7 +125,6 @@
 }
 
 /// A request for a load named no copy that its node is cut off from, so that the holder of orders saw no need.
-/// over.
 Test(EngineChoice, countsCopiesThatTheNodeIsCutOffFromAsUnfit)
 {
     auto table = twoEngines();
@@ -324,3 +323,95 @@
               "%s: %u open, %u suspect, %u cut off, %u limiting", row.name, counts.open, counts.suspect, counts.cutOff,
               counts.limiting);
 }
+
+namespace
+{
+
+struct Binding {
+    const char *name;
+    void (*bind)(UpstreamTable &); ///< Leaves only `near` to bound requests.
+    const char *softwareVersion; ///< Null: any.
+    std::uint64_t minVersion;
+};
+
+const std::string boundVersion = "v1";
+
+const Binding bindings[] = {
+    {"a stream's software version",
+     [](UpstreamTable &table) {
+         table.find("near")->record.softwareVersion = boundVersion;
+         table.find("far")->record.softwareVersion = "v2";
+     },
+     boundVersion.c_str(), 0},
+    {"an adapter's version", [](UpstreamTable &table) { table.find("near")->residency.onLoading("m/a", 2, now, now); },
+     nullptr, 2},
+    {"an adapter's only holder", [](UpstreamTable &table) { table.find("far")->residency.onDropped("m/a", now); },
+     nullptr, 0},
+};
+
+struct PlaceState {
+    const char *name;
+    void (*change)(Upstream &);
+    bool isBehindCut;
+};
+
+const PlaceState placeStates[] = {
+    {"responds", [](Upstream &) {}, false},
+    {"is silent",
+     [](Upstream &upstream) {
+         upstream.ownInFlight = 1;
+         upstream.waitingSince = now - std::chrono::seconds{1};
+     },
+     false},
+    {"is avoided", [](Upstream &upstream) { upstream.avoidUntil = now + std::chrono::seconds{1}; }, false},
+    {"is cut off", [](Upstream &upstream) { upstream.isCutOff = true; }, false},
+    {"is cut off, for a peer's call", [](Upstream &upstream) { upstream.isCutOff = true; }, true},
+    {"leaves", [](Upstream &upstream) { upstream.record.draining = true; }, false},
+    {"is full", [](Upstream &upstream) { upstream.ownInFlight = upstream.record.slots; }, false},
+    {"applies backpressure", [](Upstream &upstream) { upstream.backpressureUntil = now + std::chrono::seconds{1}; },
+     false},
+    {"limits its requests", [](Upstream &upstream) { upstream.requestLimit.perSecond = 10; }, false},
+};
+
+struct BoundCase {
+    Binding binding;
+    PlaceState state;
+};
+
+std::vector<BoundCase> boundCases()
+{
+    std::vector<BoundCase> cases;
+    for (const auto &binding : bindings) {
+        for (const auto &state : placeStates)
+            cases.push_back({binding, state});
+    }
+    return cases;
+}
+
+} // namespace
+
+/// Guards against requests that are bound to few upstreams and get less of them than a request that is free to choose.
+Test(EngineChoice, boundRequestsGetWhatFreeOnesGetThere)
+{
+    for (const auto &[binding, state] : boundCases()) {
+        auto table = twoEngines();
+        binding.bind(table);
+        state.change(*table.find("near"));
+        auto bound = demand;
+        bound.isBehindCut = state.isBehindCut;
+        auto freeOnes = bound;
+        const std::string version = binding.softwareVersion ? binding.softwareVersion : "";
+        bound.softwareVersion = binding.softwareVersion ? &version : nullptr;
+        bound.minVersion = binding.minVersion;
+        auto placesOnly = table;
+        placesOnly.find("far")->record.service = "other";
+        const auto expected = chooseUpstream(placesOnly, freeOnes, now);
+        const auto choice = chooseUpstream(table, bound, now);
+        cr_expect_eq(choice.has_value(), expected.has_value(), "%s, upstream %s", binding.name, state.name);
+        if (!choice || !expected)
+            continue;
+        cr_expect(choice->instance == "near" && choice->sendAt == expected->sendAt && choice->isFull == expected->isFull
+                      && choice->isSuspect == expected->isSuspect && choice->isLimited == expected->isLimited,
+                  "%s, upstream %s", binding.name, state.name);
+    }
+}
