--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -918,7 +918,7 @@
     std::optional<UpstreamChoice> choose(const Call &call, Instant now, std::vector<std::string> excluded,
                                          bool isBehindCut)
     {
-        auto demand = demandOf(call, now);
+        UpstreamDemand demand = demandOf(call, now);
         demand.excluded = std::move(excluded);
         demand.isBehindCut = isBehindCut;
         if (call.request.target.empty())
