Answer requests that wait to be accepted when a node stops accepting

Callers who connected to a stopping node while it was halted had their request reset unread, within the three seconds in which a stopping node takes requests: "n1:1021 got no whole answer ...: Connection reset by peer after 205 ms; no node has logged it", sent about 2.9 s after SIGTERM to a node that was halted for 275 ms, in one of two runs of haltednodetest with stops beside halts.

Cause, as far as the logs show: the first step of the loop after the halt was the one that closes the listening socket, which resets the connections in its queue; on open connections the kernel's requests are read first.

stopAccepting() takes the connections that wait to be accepted before it closes the socket.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -703,17 +703,36 @@
         acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
             if (error == asio::error::operation_aborted || !self->acceptor.is_open())
                 return;
-            if (!error && self->shared->connections.size() >= self->shared->settings.maxConnections) {
-                ++self->shared->losses.connections;
-            } else if (!error) {
-                auto connection = std::make_shared<Connection>(std::move(socket), self->shared);
-                self->shared->connections.insert(connection);
-                connection->start();
-            }
+            if (!error)
+                self->take(std::move(socket));
             self->accept();
         });
     }
 
+    /// Takes the connections that have been made and wait to be accepted, as after a stall of the process.
+    void acceptWaiting()
+    {
+        ErrorCode error;
+        acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(context);
+            acceptor.accept(socket, error);
+            if (!error)
+                take(std::move(socket));
+        }
+    }
+
+    void take(tcp::socket socket)
+    {
+        if (shared->connections.size() >= shared->settings.maxConnections) {
+            ++shared->losses.connections;
+            return;
+        }
+        auto connection = std::make_shared<Connection>(std::move(socket), shared);
+        shared->connections.insert(connection);
+        connection->start();
+    }
+
     asio::io_context &context;
     std::shared_ptr<Shared> shared;
     tcp::acceptor acceptor;
@@ -770,6 +789,7 @@
 void CallerServer::stopAccepting()
 {
     m_d->shared->leavesNext = true;
+    m_d->acceptWaiting();
     ErrorCode ignored;
     m_d->acceptor.close(ignored);
     const std::vector<std::shared_ptr<Connection>> all(m_d->shared->connections.begin(),
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -522,6 +522,21 @@
     cr_assert(row.answers == 2 || caller.wasReset(), "%s", row.name);
 }
 
+/// Guards against a request whose connection still waits to be accepted when a stopping node stops accepting, as after
+/// a stall, and is then reset.
+Test(Relay, answersRequestsOfConnectionsThatWaitToBeAccepted)
+{
+    AnsweringServer server;
+    RawCaller first(server.loop, server.endpoint);
+    RawCaller second(server.loop, server.endpoint);
+    first.send(question);
+    second.send(question);
+    stop(server);
+    first.wait();
+    cr_assert_eq(answersIn(first.received()), 1U, "%s", first.received().c_str());
+    cr_assert_eq(answersIn(second.received()), 1U, "%s", second.received().c_str());
+}
+
 /// Guards against a request that has come in part when the process exits, and then gets no answer.
 Test(Relay, refusesRequestsThatHaveComeInPart)
 {
