Keep a connection that was accepted just before a node stops accepting

Cause: while connections wait, the acceptor accepts the next one at once and queues its handler, behind the timer that stops accepting. The handler then found the acceptor closed and dropped the connection, which resets it.

The handler keeps the connection, unless the server is gone. Once a server leaves what comes next, a connection that it takes is read at once, and closed if it holds no request.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -701,11 +701,11 @@
     void accept()
     {
         acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
-            if (error == asio::error::operation_aborted || !self->acceptor.is_open())
-                return;
-            if (!error)
+            // A connection may have been accepted just before the acceptor was closed.
+            if (!error && !self->isDestroyed)
                 self->take(std::move(socket));
-            self->accept();
+            if (error != asio::error::operation_aborted && self->acceptor.is_open())
+                self->accept();
         });
     }
 
@@ -731,11 +731,14 @@
         auto connection = std::make_shared<Connection>(std::move(socket), shared);
         shared->connections.insert(connection);
         connection->start();
+        if (shared->leavesNext)
+            connection->closeIfIdle();
     }
 
     asio::io_context &context;
     std::shared_ptr<Shared> shared;
     tcp::acceptor acceptor;
+    bool isDestroyed = false; ///< The server is gone, and its handler with it.
 };
 
 CallerServer::CallerServer(Http::EventLoop &loop, CallerServerSettings settings, Handler handler)
@@ -747,6 +750,7 @@
 {
     ErrorCode ignored;
     m_d->acceptor.close(ignored);
+    m_d->isDestroyed = true;
     m_d->shared->onUnanswered = nullptr;
 }
 
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -537,6 +537,22 @@
     cr_assert_eq(answersIn(second.received()), 1U, "%s", second.received().c_str());
 }
 
+/// Guards against a connection that was accepted in the turn of the loop in which a node stops accepting, and is
+/// dropped.
+Test(Relay, answersRequestsOfConnectionsThatAreBeingAccepted)
+{
+    AnsweringServer server;
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<RawCaller>(server.loop, server.endpoint));
+        callers.back()->send(question);
+    }
+    server.loop.runAfter(Duration{}, [&] { stop(server); });
+    callers.front()->wait();
+    for (const auto &caller : callers)
+        cr_expect_eq(answersIn(caller->received()), 1U, "%s", caller->received().c_str());
+}
+
 /// Guards against a request that has come in part when the process exits, and then gets no answer.
 Test(Relay, refusesRequestsThatHaveComeInPart)
 {
