A stream waits for the upstreams of its own version, whatever others do

What callers saw: a stream that breaks off while the only upstreams of its software version want no requests for a moment was broken off for good if one of another version served, where it would have waited if none had.

Cause: waits for the end of backpressure, of request limits and for loads counted upstreams of all versions, though the stream can go on at one only.

Change: endOfBackpressure, endOfRequestLimit, canLoad and the first hasUpstream get the version.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -969,18 +969,20 @@
     void waitForLoad(const CallPtr &call, Instant now)
     {
         const bool needsLoad = !adapterOf(call->request.target).empty();
-        if (const auto next = endOfBackpressure(m_context.upstreams, call->service, now);
-            next && !(needsLoad && hasUpstream(m_context.upstreams, call->service, now)))
+        const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
+        if (const auto next = endOfBackpressure(m_context.upstreams, call->service, now, version);
+            next && !(needsLoad && hasUpstream(m_context.upstreams, call->service, now, version)))
             return waitOutBackpressure(call, *next, now);
         const bool isLoadable
-            = needsLoad && canLoad(m_context.upstreams, call->service, call->request.target, m_context.limitShare, now);
-        if (const auto next = endOfRequestLimit(m_context.upstreams, call->service, m_context.limitShare, now);
+            = needsLoad
+              && canLoad(m_context.upstreams, call->service, call->request.target, m_context.limitShare, now, version);
+        if (const auto next = endOfRequestLimit(m_context.upstreams, call->service, m_context.limitShare, now, version);
             next && !isLoadable)
             return giveUp(call, ErrorCode::Overloaded, "the upstreams limit their requests",
                           acceptableRetryAfter(*call, *next - now, now));
         if (!hasUpstream(m_context.upstreams, call->service, now))
             return giveUp(call, ErrorCode::NoUpstream, "no upstream of the service takes requests");
-        if (call->streamVersion && !hasUpstream(m_context.upstreams, call->service, now, &*call->streamVersion))
+        if (version && !hasUpstream(m_context.upstreams, call->service, now, version))
             return giveUp(call, ErrorCode::NoUpstream,
                           "no upstream of the software version that began the stream takes requests");
         if (!needsLoad)
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -81,6 +81,11 @@
     return !demand.heldVersions.contains(record.softwareVersion);
 }
 
+bool isOf(const UpstreamRecord &record, const std::string &service, const std::string *softwareVersion)
+{
+    return record.service == service && (!softwareVersion || record.softwareVersion == *softwareVersion);
+}
+
 double distanceMs(const Upstream &upstream, const UpstreamDemand &demand, const DistanceCost &cost)
 {
     if (upstream.record.failureDomain == demand.failureDomain)
@@ -182,9 +187,7 @@
                  const std::string *softwareVersion)
 {
     return std::ranges::any_of(table.all(), [&](const auto &item) {
-        const auto &record = item.second.record;
-        return record.service == service && (!softwareVersion || record.softwareVersion == *softwareVersion)
-               && item.second.takesRequests(now);
+        return isOf(item.second.record, service, softwareVersion) && item.second.takesRequests(now);
     });
 }
 
@@ -219,11 +222,11 @@
 }
 
 bool canLoad(const UpstreamTable &table, const std::string &service, const ModelTarget &target, double limitShare,
-             Instant now)
+             Instant now, const std::string *softwareVersion)
 {
     return std::ranges::any_of(table.all(), [&](const auto &item) {
         const auto &upstream = item.second;
-        if (upstream.record.service != service || !upstream.takesRequests(now))
+        if (!isOf(upstream.record, service, softwareVersion) || !upstream.takesRequests(now))
             return false;
         return !upstream.limitsRequests()
                || (!upstream.residency.find(target)
@@ -232,11 +235,12 @@
 }
 
 std::optional<Instant> endOfRequestLimit(const UpstreamTable &table, const std::string &service, double limitShare,
-                                         Instant now)
+                                         Instant now, const std::string *softwareVersion)
 {
     std::optional<Instant> earliest;
     for (const auto &[instance, upstream] : table.all()) {
-        if (upstream.record.service != service || !upstream.takesRequests(now) || !upstream.limitsRequests())
+        if (!isOf(upstream.record, service, softwareVersion) || !upstream.takesRequests(now)
+            || !upstream.limitsRequests())
             continue;
         const auto next = upstream.sends.nextFree(*upstream.requestLimit.perSecond * limitShare, now);
         earliest = std::min(earliest.value_or(next), next);
@@ -244,11 +248,13 @@
     return earliest;
 }
 
-std::optional<Instant> endOfBackpressure(const UpstreamTable &table, const std::string &service, Instant now)
+std::optional<Instant> endOfBackpressure(const UpstreamTable &table, const std::string &service, Instant now,
+                                         const std::string *softwareVersion)
 {
     std::optional<Instant> earliest;
     for (const auto &[instance, upstream] : table.all()) {
-        if (upstream.record.service == service && upstream.staysInService() && upstream.backpressureUntil > now)
+        if (isOf(upstream.record, service, softwareVersion) && upstream.staysInService()
+            && upstream.backpressureUntil > now)
             earliest = std::min(earliest.value_or(upstream.backpressureUntil), upstream.backpressureUntil);
     }
     return earliest;
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -105,18 +105,21 @@
                                                   const std::string &softwareVersion);
 
 /// Returns the earliest time at which an upstream of @p service that now applies backpressure accepts requests again;
-/// nothing if no upstream applies backpressure. Thread-safe.
-std::optional<Instant> endOfBackpressure(const UpstreamTable &table, const std::string &service, Instant now);
+/// nothing if no upstream applies backpressure. Considers those of @p softwareVersion only, if it is not null.
+/// Thread-safe.
+std::optional<Instant> endOfBackpressure(const UpstreamTable &table, const std::string &service, Instant now,
+                                         const std::string *softwareVersion = nullptr);
 
 /// Returns true if an upstream of @p service that accepts requests could load @p target now: one that does not limit
-/// its requests, or one that does and is free for an order. Thread-safe.
+/// its requests, or one that does and is free for an order. Considers those of @p softwareVersion only, if it is not
+/// null. Thread-safe.
 bool canLoad(const UpstreamTable &table, const std::string &service, const ModelTarget &target, double limitShare,
-             Instant now);
+             Instant now, const std::string *softwareVersion = nullptr);
 
 /// Returns the earliest time at which an upstream of @p service that limits its requests is free; nothing if none
-/// does. Thread-safe.
+/// does. Considers those of @p softwareVersion only, if it is not null. Thread-safe.
 std::optional<Instant> endOfRequestLimit(const UpstreamTable &table, const std::string &service, double limitShare,
-                                         Instant now);
+                                         Instant now, const std::string *softwareVersion = nullptr);
 
 /// Returns the requests in flight per slot of the upstreams of @p service that accept requests: 1 if all slots are
 /// taken or there are none, more if requests queue. Thread-safe.
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -1788,6 +1788,16 @@
     fixture.upstream("u1").backpressureUntil = BootClock{}.now() + breakTime + std::chrono::milliseconds{900};
 }
 
+/// Lets the only upstream of the stream's version apply backpressure while one of another version serves.
+void applyLongBackpressureOfVersion(ForwarderFixture &fixture)
+{
+    applyLongBackpressure(fixture);
+    for (const auto *instance : {"u0", "u1"})
+        fixture.upstream(instance).record.softwareVersion = "v1";
+    fixture.loop().runAfter(breakTime - std::chrono::milliseconds{100},
+                            [&fixture] { fixture.upstream("u0").record.softwareVersion = "v2"; });
+}
+
 void dropCopyForSomeTime(ForwarderFixture &fixture)
 {
     dropCopyOfOther(fixture);
@@ -1805,6 +1815,7 @@
     {"full for 0.5 s", occupyBriefly, true, 4000},
     {"reading prompts for 0.5 s", readPrompts, true, 4000},
     {"under backpressure for 0.9 s", applyLongBackpressure, true, 4300},
+    {"backpressure of the only upstream of its version", applyLongBackpressureOfVersion, true, 4300},
     {"without the adapter for 1.3 s", loadAfterSomeTime, true, 4700},
     {"without the adapter, in an outage of load orders", dropCopyForSomeTime, true, 4700},
     {"full for good", occupyForGood, false, 5000},
