Evidence of reach counts by when a request was sent, and probes have one end

Four ways in which a silence could still be taken for a cut, found by review, each a row of reachabilitytest that was red before:

Contact counts from when its request was sent. - A probe that was not sent, or whose process left and came back, stayed open for ever, so that a contact of long ago showed a cut at the next failure. - A node that stood still between two looks took what it had not read for a missing answer. - The end of one probe ended a later one too, so that a cut was found later.

--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -30,6 +30,7 @@
 constexpr Duration probeDelay = std::chrono::milliseconds{50}; ///< From a question, for nodes that have contact.
 constexpr unsigned maxProbers = 2; ///< Nodes that probe a process for another one.
 constexpr Duration peerProbeInterval = std::chrono::milliseconds{150}; ///< For one process and another node.
+constexpr Duration stallTime = std::chrono::milliseconds{200}; ///< Between two calls of takeProbes().
 constexpr Duration probeInterval = std::chrono::milliseconds{500}; ///< For one process, and for all that are cut off.
 /// Time after an upstream was found in which all others that are cut off are probed once.
 constexpr Duration promptProbeTime = std::chrono::seconds{1};
@@ -75,6 +76,8 @@
         it->second = process.startedAt;
     }
     auto &link = m_links[process];
+    if (link.replacedAt != Instant{})
+        closeProbe(link); // It may have ended meanwhile.
     link.service = service;
     link.replacedAt = {};
     update(now);
@@ -140,7 +143,7 @@
     auto &link = currentOrNew(process, now);
     const auto previous = std::exchange(link.contactAt, now);
     if (kind == ContactKind::Request)
-        link.requestContactAt = now;
+        link.requestContactAt = std::max(link.requestContactAt, std::min(sentAt, now));
     const bool disprovesFailure = link.connectFailedAt == Instant{} || sentAt >= link.connectFailedAt;
     link.isProbedForPeer = false;
     if (link.failingSince != Instant{} && disprovesFailure)
@@ -375,11 +378,17 @@
            && link.probedAt < link.failingSince;
 }
 
+void Reachability::closeProbe(Link &link)
+{
+    link.openProbeAt = {};
+    link.overtakenAt = {};
+}
+
 void Reachability::openProbe(Link &link, Instant now)
 {
+    closeProbe(link);
     link.probedAt = now;
     link.openProbeAt = now;
-    link.overtakenAt = {};
     // The other nodes are asked again, as their contact must be later than the probe.
     if (link.isUnanswered)
         link.reports = 0;
@@ -389,12 +398,13 @@
 /// seen has been read by the next call.
 void Reachability::confirmCuts(Instant now)
 {
+    const bool hasStoodStill = now - std::exchange(m_confirmedAt, now) > stallTime;
     bool isAnyConfirmed = false;
     for (auto &[process, link] : m_links) {
         if (!link.isUnanswered || link.isShownCut || link.replacedAt != Instant{} || link.openProbeAt == Instant{}
             || link.peerContactAt < link.openProbeAt + contactMargin)
             continue;
-        if (link.overtakenAt == Instant{})
+        if (link.overtakenAt == Instant{} || hasStoodStill)
             link.overtakenAt = now;
         else if (now - link.overtakenAt >= contactMargin)
             isAnyConfirmed = link.isShownCut = true;
@@ -455,12 +465,10 @@
         openProbe(*link, now);
 }
 
-void Reachability::onProbeEnded(const UpstreamProcess &process)
+void Reachability::onProbeEnded(const UpstreamProcess &process, Instant startedAt)
 {
-    if (auto *link = current(process)) {
-        link->openProbeAt = {};
-        link->overtakenAt = {};
-    }
+    if (auto *link = current(process); link && link->openProbeAt <= startedAt)
+        closeProbe(*link);
 }
 
 bool Reachability::hasFailedToConnect(const UpstreamProcess &process) const
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -159,8 +159,9 @@
     /// Records that @p process is probed now for another reason than takeProbes().
     void onProbed(const UpstreamProcess &process, Instant now);
 
-    /// Records that a probe of takeProbes() or onProbed() has ended. Call it before its result is recorded.
-    void onProbeEnded(const UpstreamProcess &process);
+    /// Records that the probe of takeProbes() or onProbed() that began at @p startedAt has ended, or was not sent. Call
+    /// it before its result is recorded. Does nothing if a later probe has begun.
+    void onProbeEnded(const UpstreamProcess &process, Instant startedAt);
 
     /// Returns the upstreams that were lost or found since the last call.
     std::vector<ReachChange> takeChanges();
@@ -169,7 +170,9 @@
     struct Link {
         std::string service;
         Instant contactAt{};
-        Instant requestContactAt{}; ///< Other than by orders; the evidence that other nodes get.
+        /// When the last request was sent that it has answered; the evidence that other nodes get. A silent upstream
+        /// may go on with what it had begun before.
+        Instant requestContactAt{};
         Instant failingSince{}; ///< First failure without contact since.
         Instant connectFailedAt{}; ///< Last failed connection.
         Instant failedAt{}; ///< Last failure of any kind.
@@ -222,6 +225,7 @@
     void prune(Instant now);
     static bool needsProbe(const Link &link, Instant now);
     static void openProbe(Link &link, Instant now);
+    static void closeProbe(Link &link);
     void confirmCuts(Instant now);
     void addCutProbes(std::vector<UpstreamProcess> &probes, Instant now);
 
@@ -232,6 +236,7 @@
     std::vector<ReachChange> m_changes;
     bool m_cutsChanged = false;
     bool m_hasNewFailures = false;
+    Instant m_confirmedAt{}; ///< Last call of takeProbes().
     Instant m_cutProbedAt{};
     Instant m_foundAt{}; ///< Last time at which an upstream that was cut off was found.
     Instant m_lastCutBegan{}; ///< Latest first failure of an upstream that is shown cut off.
--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -162,24 +162,25 @@
     {
         Relay::ExchangeObserver observer;
         const auto &instance = process.instance;
-        observer.onHead = [this, process, sentAt = BootClock{}.now()](const Relay::ResponseHead &head) {
-            m_context.reach.onProbeEnded(process);
+        const auto sentAt = BootClock{}.now();
+        observer.onHead = [this, process, sentAt](const Relay::ResponseHead &head) {
+            m_context.reach.onProbeEnded(process, sentAt);
             if (Dialect::readReply(head).wrongInstance)
                 onCrashed(process.instance, BootClock{}.now());
             else
                 recordReply(process, head, sentAt);
         };
-        observer.onFailure = [this, process](const Relay::FailedExchange &failure) {
+        observer.onFailure = [this, process, sentAt](const Relay::FailedExchange &failure) {
             const auto now = BootClock{}.now();
-            m_context.reach.onProbeEnded(process);
+            m_context.reach.onProbeEnded(process, sentAt);
             m_context.recordFailure(process, reachFailureOf(failure.isLate), now);
             if (failure.isRefused)
                 onCrashed(process.instance, now);
         };
         auto options = checkOptions();
         options.maxIdleAge = {};
-        m_context.reach.onProbed(process, BootClock{}.now());
-        countQuestion(instance, BootClock{}.now());
+        m_context.reach.onProbed(process, sentAt);
+        countQuestion(instance, sentAt);
         m_client.send({endpoint, instance}, Dialect::writeLivenessCheck(instance), std::move(observer), options);
     }
 
@@ -187,17 +188,17 @@
     /// has no state to ask for or may count the question.
     void probe(const UpstreamProcess &process)
     {
+        const auto sentAt = BootClock{}.now();
         const auto *upstream = m_context.upstreams.find(process.instance);
         if (!upstream || upstream->record.startedAt != process.startedAt)
-            return;
+            return m_context.reach.onProbeEnded(process, sentAt);
         const Relay::Destination destination{upstream->record.endpoint, process.instance};
         const auto *service = m_context.routes ? m_context.routes->service(upstream->record.service) : nullptr;
-        const auto sentAt = BootClock{}.now();
         auto options = checkOptions();
         options.maxIdleAge = {};
         if (service && service->engine && !upstream->limitsRequests()) {
             const auto onState = [this, process, sentAt](const Relay::WholeResponse &response) {
-                m_context.reach.onProbeEnded(process);
+                m_context.reach.onProbeEnded(process, sentAt);
                 recordAnswer(process, response, sentAt);
             };
             countQuestion(process.instance, sentAt);
@@ -207,7 +208,7 @@
         m_client.connect(
             destination,
             [this, process, sentAt](Relay::ConnectResult result) {
-                m_context.reach.onProbeEnded(process);
+                m_context.reach.onProbeEnded(process, sentAt);
                 if (result != Relay::ConnectResult::Connected || m_context.reach.hasFailedToConnect(process))
                     recordConnection(process, result, sentAt);
             },
@@ -239,7 +240,7 @@
         const auto sentAt = BootClock{}.now();
         const auto onResult = [this, process, brokenAt, sentAt](Relay::ConnectResult result) {
             const auto now = BootClock{}.now();
-            m_context.reach.onProbeEnded(process);
+            m_context.reach.onProbeEnded(process, sentAt);
             recordConnection(process, result, sentAt);
             if (result == Relay::ConnectResult::Refused)
                 onCrashed(process.instance, now);
--- a/tests/gateway/reachabilitytest.cpp
+++ b/tests/gateway/reachabilitytest.cpp
@@ -63,6 +63,7 @@
     unsigned lostDatagramsOf10 = 0;
     unsigned idleFrom = ~0U; ///< Nodes from here on send no requests.
     bool isOrdering = false; ///< Node 0 sends orders, which silent upstreams answer too.
+    bool isStreaming = false; ///< Node 0 has streams that go on while their upstreams answer nothing new.
 
     UpstreamProcess process(unsigned upstream) const
     {
@@ -104,8 +105,8 @@
             for (unsigned node = 0; node < m_nodes.size(); ++node) {
                 if (node < idleFrom)
                     useUpstreams(node);
-                if (node == 0 && isOrdering && m_ms % tickMs == 0)
-                    sendOrders();
+                if (node == 0 && (isOrdering || isStreaming) && m_ms % tickMs == 0)
+                    receiveElse();
                 exchange(node);
             }
         }
@@ -211,11 +212,16 @@
         }
     }
 
-    void sendOrders()
+    /// Receives what silent upstreams bring to node 0: answers to orders and events of streams that had begun.
+    void receiveElse()
     {
         for (unsigned upstream = 0; upstream < m_upstreams; ++upstream) {
-            if (!isCrashed(upstream) && !cutOf(0, upstream))
+            if (isCrashed(upstream) || cutOf(0, upstream))
+                continue;
+            if (isOrdering)
                 reach(0).onContact(process(upstream), now(), now(), ContactKind::Order);
+            if (isStreaming)
+                reach(0).onContact(process(upstream), now(), start);
         }
     }
 
@@ -229,7 +235,7 @@
         if (!mode) {
             m_nodes[node].broken.erase(upstream);
             after(stepMs, [=, this] {
-                endProbe(node, upstream, isProbe);
+                endProbe(node, upstream, isProbe, sentAt);
                 reach(node).onContact(process(upstream), now(), sentAt);
             });
             return 0;
@@ -241,16 +247,16 @@
         const auto failure = isReset ? ReachFailure::Broken : unconnected;
         const int ms = *mode == Mode::Hang ? (isProbe ? 500 : 300) : stepMs;
         after(ms, [=, this] {
-            endProbe(node, upstream, isProbe);
+            endProbe(node, upstream, isProbe, sentAt);
             reach(node).onFailure(process(upstream), now(), failure);
         });
         return ms;
     }
 
-    void endProbe(unsigned node, unsigned upstream, bool isProbe)
+    void endProbe(unsigned node, unsigned upstream, bool isProbe, Instant sentAt)
     {
         if (isProbe)
-            reach(node).onProbeEnded(process(upstream));
+            reach(node).onProbeEnded(process(upstream), sentAt);
     }
 
     /// Waits for an upstream that goes on in @p silentMs. Returns the time for which it then gets no other request.
@@ -259,7 +265,7 @@
         const int patienceMs = isProbe ? 500 : 300;
         const int ms = std::min(patienceMs, silentMs + stepMs);
         after(ms, [=, this, sentAt = now()] {
-            endProbe(node, upstream, isProbe);
+            endProbe(node, upstream, isProbe, sentAt);
             if (silentMs < patienceMs)
                 reach(node).onContact(process(upstream), now(), sentAt);
             else
@@ -408,6 +414,7 @@
     std::vector<Silence> silences;
     unsigned lostDatagramsOf10 = 0;
     bool takesOrders = false; ///< Silent upstreams answer orders.
+    bool continuesStreams = false; ///< Silent upstreams go on with streams that they had begun.
 };
 
 const SilenceCase silenceCases[] = {
@@ -425,6 +432,8 @@
     {"thirty nodes", 30, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}},
     {"orders are answered", 9, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}, 0, true},
     {"orders are answered, requests are rare", 9, 1500, {{1000, 3250, 0, 15}}, 0, true},
+    {"streams go on", 9, 100, {{1000, 2700, 0, 15}}, 0, false, true},
+    {"streams go on, requests are rare", 9, 1500, {{1000, 2700, 0, 15}}, 0, false, true},
 };
 
 } // namespace
@@ -435,6 +444,7 @@
     fleet.silences = row.silences;
     fleet.lostDatagramsOf10 = row.lostDatagramsOf10;
     fleet.isOrdering = row.takesOrders;
+    fleet.isStreaming = row.continuesStreams;
     for (int ms = 1000; ms < 8000; ms += 10) {
         fleet.runUntil(ms);
         cr_assert_eq(fleet.falseCuts(), 0U, "%s: %u wrong at %d ms", row.name, fleet.falseCuts(), ms);
@@ -617,7 +627,7 @@
          reach.takeProbes(at(150));
          reach.onPeerContact("n1", process, at(200));
          reach.takeProbes(at(900));
-         reach.onProbeEnded(process);
+         reach.onProbeEnded(process, at(150));
          reach.onContact(process, at(901), at(150));
          reach.takeProbes(at(950));
      },
@@ -626,13 +636,69 @@
      [](Reachability &reach) {
          reach.onFailure(process, at(100), ReachFailure::Unanswered);
          reach.takeProbes(at(150));
-         reach.onProbeEnded(process);
+         reach.onProbeEnded(process, at(150));
          reach.onFailure(process, at(650), ReachFailure::Unanswered);
          reach.onPeerContact("n1", process, at(800));
          reach.takeProbes(at(850));
          reach.takeProbes(at(900));
      },
      false, true},
+    {"a question that was not sent, before another failure",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Silent);
+         reach.takeProbes(at(150));
+         reach.onProbeEnded(process, at(150));
+         reach.onContact(process, at(200));
+         reach.onPeerContact("n1", process, at(1000));
+         reach.onFailure(process, at(3000), ReachFailure::Unanswered);
+         reach.takeProbes(at(3050));
+         reach.takeProbes(at(3100));
+     },
+     false, true},
+    {"a question whose process has left and come back",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onGone("u", at(160));
+         reach.onProbeEnded(process, at(150));
+         reach.onProcess(process, "s", at(700));
+         reach.onContact(process, at(710));
+         reach.onPeerContact("n1", process, at(1000));
+         reach.onFailure(process, at(3000), ReachFailure::Unanswered);
+         reach.takeProbes(at(3050));
+         reach.takeProbes(at(3100));
+     },
+     false, true},
+    {"a stall after a question was overtaken",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onPeerContact("n1", process, at(200));
+         reach.takeProbes(at(215));
+         reach.takeProbes(at(900));
+     },
+     false, true},
+    {"a second question that is overtaken after the first has ended",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onProbed(process, at(600));
+         reach.onProbeEnded(process, at(150));
+         reach.onFailure(process, at(650), ReachFailure::Unanswered);
+         reach.onPeerContact("n1", process, at(700));
+         reach.takeProbes(at(710));
+         reach.takeProbes(at(760));
+     },
+     true, true},
+    {"a question whose contact was seen just now",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onPeerContact("n1", process, at(200));
+         reach.takeProbes(at(250));
+         reach.takeProbes(at(260));
+     },
+     false, true},
     {"an answer since",
      [](Reachability &reach) {
          reach.onFailure(process, at(100));
