--- a/tests/gateway/reachabilitytest.cpp
+++ b/tests/gateway/reachabilitytest.cpp
@@ -63,6 +63,7 @@
     unsigned lostDatagramsOf10 = 0;
     unsigned idleFrom = ~0U; ///< Nodes from here on send no requests.
     bool isOrdering = false; ///< Node 0 sends orders, which silent upstreams answer too.
+    int slowMs = 0; ///< Longest time of an answer.
     bool isStreaming = false; ///< Node 0 has streams that go on while their upstreams answer nothing new.
 
     UpstreamProcess process(unsigned upstream) const
@@ -232,6 +233,10 @@
         const auto sentAt = now();
         if (const int until = silentUntil(upstream); until > 0 && !mode)
             return awaitSilent(node, upstream, until - m_ms, isProbe);
+        if (slowMs > 0 && !mode) {
+            m_random = m_random * 1103515245U + 12345U;
+            return awaitSilent(node, upstream, static_cast<int>(m_random >> 16U) % slowMs, isProbe);
+        }
         if (!mode) {
             m_nodes[node].broken.erase(upstream);
             after(stepMs, [=, this] {
@@ -325,6 +330,7 @@
     int m_useMs;
     int m_ms = 0;
     unsigned m_datagrams = 0;
+    unsigned m_random = 7;
     std::deque<Pending> m_pending;
 };
 
@@ -415,6 +421,7 @@
     unsigned lostDatagramsOf10 = 0;
     bool takesOrders = false; ///< Silent upstreams answer orders.
     bool continuesStreams = false; ///< Silent upstreams go on with streams that they had begun.
+    int slowMs = 0; ///< Longest time of an answer.
 };
 
 const SilenceCase silenceCases[] = {
@@ -434,6 +441,9 @@
     {"orders are answered, requests are rare", 9, 1500, {{1000, 3250, 0, 15}}, 0, true},
     {"streams go on", 9, 100, {{1000, 2700, 0, 15}}, 0, false, true},
     {"streams go on, requests are rare", 9, 1500, {{1000, 2700, 0, 15}}, 0, false, true},
+    {"answers take up to 400 ms", 9, 100, {}, 0, false, false, 400},
+    {"answers take up to 800 ms", 9, 100, {}, 0, false, false, 800},
+    {"answers take up to 1500 ms", 9, 100, {}, 0, false, false, 1500},
 };
 
 } // namespace
@@ -445,6 +455,7 @@
     fleet.lostDatagramsOf10 = row.lostDatagramsOf10;
     fleet.isOrdering = row.takesOrders;
     fleet.isStreaming = row.continuesStreams;
+    fleet.slowMs = row.slowMs;
     for (int ms = 1000; ms < 8000; ms += 10) {
         fleet.runUntil(ms);
         cr_assert_eq(fleet.falseCuts(), 0U, "%s: %u wrong at %d ms", row.name, fleet.falseCuts(), ms);
