--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -359,6 +359,7 @@
     void start(const CallPtr &call)
     {
         ++m_stopCounts.accepted;
+        call->exchange->refuseOnRelease(Verdict::NotRun);
         call->exchange->onGone([this, weak = std::weak_ptr<Call>(call)] {
             if (const auto gone = weak.lock())
                 onCallerGone(gone);
@@ -367,6 +368,7 @@
         if (const auto *bad = std::get_if<BadRequest>(&decoded))
             return refuse(call, 400, ErrorCode::BadRequest, bad->reason, {});
         call->request = std::move(std::get<CallerRequest>(decoded));
+        call->exchange->setId(call->request.id);
         if (!canRoute()) {
             if (m_isOver)
                 return refuseStopping(call);
@@ -590,8 +592,7 @@
         if (!isIsolated)
             return false;
         // Where other nodes take no calls either, the path may be open again, or never have been closed.
-        const bool isDoubtful = m_context.relayPeers && !m_context.relayPeers().empty();
-        const auto cutOff = isDoubtful ? choose(*call, now, call->excluded, true) : std::nullopt;
+        const auto cutOff = othersTakeCalls() ? choose(*call, now, call->excluded, true) : std::nullopt;
         if (!cutOff || cutOff->sendAt > now || cutOff->isFull) {
             giveUp(call, ErrorCode::NoUpstream,
                    "this node is cut off from the upstreams of the service, and no peer takes the call",
@@ -917,7 +918,7 @@
     std::optional<UpstreamChoice> choose(const Call &call, Instant now, std::vector<std::string> excluded,
                                          bool isBehindCut)
     {
-        auto demand = demandOf(call, now);
+        UpstreamDemand demand = demandOf(call, now);
         demand.excluded = std::move(excluded);
         demand.isBehindCut = isBehindCut;
         if (call.request.target.empty())
@@ -968,18 +969,20 @@
     void waitForLoad(const CallPtr &call, Instant now)
     {
         const bool needsLoad = !adapterOf(call->request.target).empty();
-        if (const auto next = endOfBackpressure(m_context.upstreams, call->service, now);
-            next && !(needsLoad && hasUpstream(m_context.upstreams, call->service, now)))
+        const auto *version = call->streamVersion ? &*call->streamVersion : nullptr;
+        if (const auto next = endOfBackpressure(m_context.upstreams, call->service, now, version);
+            next && !(needsLoad && hasUpstream(m_context.upstreams, call->service, now, version)))
             return waitOutBackpressure(call, *next, now);
         const bool isLoadable
-            = needsLoad && canLoad(m_context.upstreams, call->service, call->request.target, m_context.limitShare, now);
-        if (const auto next = endOfRequestLimit(m_context.upstreams, call->service, m_context.limitShare, now);
+            = needsLoad
+              && canLoad(m_context.upstreams, call->service, call->request.target, m_context.limitShare, now, version);
+        if (const auto next = endOfRequestLimit(m_context.upstreams, call->service, m_context.limitShare, now, version);
             next && !isLoadable)
             return giveUp(call, ErrorCode::Overloaded, "the upstreams limit their requests",
                           acceptableRetryAfter(*call, *next - now, now));
         if (!hasUpstream(m_context.upstreams, call->service, now))
             return giveUp(call, ErrorCode::NoUpstream, "no upstream of the service takes requests");
-        if (call->streamVersion && !hasUpstream(m_context.upstreams, call->service, now, &*call->streamVersion))
+        if (version && !hasUpstream(m_context.upstreams, call->service, now, version))
             return giveUp(call, ErrorCode::NoUpstream,
                           "no upstream of the software version that began the stream takes requests");
         if (!needsLoad)
@@ -1210,6 +1213,7 @@
     void beginSend(const CallPtr &call, Instant now)
     {
         ++m_stopCounts.sent;
+        call->exchange->refuseOnRelease(Verdict::MayHaveRun);
         call->number = ++call->begunSends;
         call->sentAt = now;
         call->lastProgress = now;
@@ -2073,15 +2077,26 @@
     void refuseStopping(const CallPtr &call)
     {
         call->mayTryAnother = true;
-        const bool othersTakeCalls = m_context.relayPeers && !m_context.relayPeers().empty();
         giveUp(call, ErrorCode::Stopping, "the node stops",
-               othersTakeCalls ? std::optional(elsewhereRetryAfter) : std::nullopt);
+               othersTakeCalls() ? std::optional(elsewhereRetryAfter) : std::nullopt);
+    }
+
+    bool othersTakeCalls() const
+    {
+        return m_context.relayPeers && !m_context.relayPeers().empty();
+    }
+
+    /// Returns the latest time to send the call so that this node, which stops, need not cut it. Precondition: the node
+    /// stops.
+    Instant latestSendBeforeExit(const Call &call)
+    {
+        return m_stop->latestSend(lengthOf(call), othersTakeCalls());
     }
 
     /// Refuses the call if this node stops and the call, sent at @p sendAt, would not end before. Returns true if so.
     bool refuseIfCut(const CallPtr &call, Instant sendAt)
     {
-        if (!m_stop || (!m_isOver && sendAt <= m_stop->latestSend(lengthOf(*call))))
+        if (!m_stop || (!m_isOver && sendAt <= latestSendBeforeExit(*call)))
             return false;
         ++m_stopCounts.refused;
         refuseStopping(call);
@@ -2241,7 +2256,7 @@
     /// on, until the other one goes on with the answer.
     void moveFromSilentUpstream(const CallPtr &call, Instant now)
     {
-        if (now < call->moveAt || (m_stop && now > m_stop->latestSend(lengthOf(*call))))
+        if (now < call->moveAt || (m_stop && now > latestSendBeforeExit(*call)))
             return;
         if (!m_context.allowance.hasRoom(call->service, now) || m_context.crashes.verdictOn(call->causes))
             return;
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -2,6 +2,8 @@
 
 #include "common/clock.h"
 
+#include <algorithm>
+
 namespace Gypsumtally::Gateway
 {
 
@@ -22,27 +24,33 @@
     static constexpr Duration takingTime = std::chrono::milliseconds{3000};
     /// Time before SIGKILL at which the calls in progress are ended.
     static constexpr Duration endMargin = std::chrono::milliseconds{500};
+    /// Share of the grace for which calls go on at least, from the notice of SIGTERM.
+    static constexpr double minCallShare = 5.0 / 6;
     /// Time between the end of the calls and the exit, in which callers get their answers.
     static constexpr Duration flushTime = std::chrono::milliseconds{150};
     /// Time before the end of the calls in which no requests are accepted, even if no other node takes them.
     static constexpr Duration closingTime = std::chrono::milliseconds{1000};
 
-    /// Of a node that got SIGTERM at @p stoppedAt and SIGKILL @p grace later.
-    StopSchedule(Instant stoppedAt, Duration grace);
+    /// Of a node that noticed SIGTERM at @p noticedAt and gets SIGKILL @p grace after SIGTERM, which came at
+    /// @p earliestStop or later: a process that is short of processor notices it late. If that is so long ago that
+    /// calls would not go on for minCallShare, SIGTERM is assumed to have come later. Precondition: @p earliestStop is
+    /// not after @p noticedAt.
+    StopSchedule(Instant earliestStop, Instant noticedAt, Duration grace);
 
     /// Returns true if requests on open and new connections are accepted at @p now. That goes on for longer if
     /// @p othersTakeCallers is false, as callers have nowhere else to go.
     bool takesRequests(Instant now, bool othersTakeCallers) const;
 
     /// Returns the latest time to send a call so that it ends before the node does; Instant::max() for a call whose
-    /// deadline is earlier. A call that may be repeated counts with its usual length if it arrived in takingTime, any
-    /// other one with its longest.
-    Instant latestSend(const CallLength &length) const;
+    /// deadline is earlier. A call that may be repeated counts with its usual length if it arrived in takingTime from
+    /// the earliest SIGTERM, any other one with its longest. One that arrived after takingTime is not to be sent if @p
+    /// othersTakeCalls, as no length but its deadline is certain: Instant::min().
+    Instant latestSend(const CallLength &length, bool othersTakeCalls) const;
 
     /// Returns the time at which the node may exit if nothing is in progress.
     Instant earliestExit() const
     {
-        return m_stoppedAt + takingTime;
+        return std::min(m_noticedAt + takingTime, m_endOfCalls);
     }
 
     /// Returns the time at which the calls in progress are ended.
@@ -58,7 +66,8 @@
     }
 
 private:
-    Instant m_stoppedAt;
+    Instant m_earliestStop;
+    Instant m_noticedAt;
     Instant m_endOfCalls;
 };
 
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -441,12 +441,22 @@
     void stopAfter(Duration time, Duration grace)
     {
         m_loop.runAfter(time, [this, grace] {
-            const StopSchedule schedule(BootClock{}.now(), grace);
+            const auto now = BootClock{}.now();
+            const StopSchedule schedule(now, now, grace);
             m_forwarder.beginStop(schedule);
             m_loop.runAfter(schedule.endOfCalls() - BootClock{}.now(), [this] { m_forwarder.endCalls(); });
         });
     }
 
+    /// Lets the node be stopped for @p time by now, with @p grace; with @p others, another node takes calls.
+    void beginStopBefore(Duration time, Duration grace, bool others)
+    {
+        if (others)
+            m_context.relayPeers = [] { return std::vector<RelayPeer>(1); };
+        const auto stoppedAt = BootClock{}.now() - time;
+        m_forwarder.beginStop(StopSchedule(stoppedAt, stoppedAt, grace));
+    }
+
     const StopCounts &stopCounts()
     {
         return m_forwarder.stopCounts();
@@ -1778,6 +1788,16 @@
     fixture.upstream("u1").backpressureUntil = BootClock{}.now() + breakTime + std::chrono::milliseconds{900};
 }
 
+/// Lets the only upstream of the stream's version apply backpressure while one of another version serves.
+void applyLongBackpressureOfVersion(ForwarderFixture &fixture)
+{
+    applyLongBackpressure(fixture);
+    for (const auto *instance : {"u0", "u1"})
+        fixture.upstream(instance).record.softwareVersion = "v1";
+    fixture.loop().runAfter(breakTime - std::chrono::milliseconds{100},
+                            [&fixture] { fixture.upstream("u0").record.softwareVersion = "v2"; });
+}
+
 void dropCopyForSomeTime(ForwarderFixture &fixture)
 {
     dropCopyOfOther(fixture);
@@ -1795,6 +1815,7 @@
     {"full for 0.5 s", occupyBriefly, true, 4000},
     {"reading prompts for 0.5 s", readPrompts, true, 4000},
     {"under backpressure for 0.9 s", applyLongBackpressure, true, 4300},
+    {"backpressure of the only upstream of its version", applyLongBackpressureOfVersion, true, 4300},
     {"without the adapter for 1.3 s", loadAfterSomeTime, true, 4700},
     {"without the adapter, in an outage of load orders", dropCopyForSomeTime, true, 4700},
     {"full for good", occupyForGood, false, 5000},
@@ -1964,6 +1985,38 @@
 namespace
 {
 
+struct LateStreamCase {
+    const char *name;
+    int arrivalMs; ///< After SIGTERM.
+    int graceMs;
+    bool others; ///< Another node takes calls.
+    unsigned status;
+};
+
+const LateStreamCase lateStreams[] = {
+    {"in time", 2900, 8000, true, 200},
+    {"late", 3100, 8000, true, 503},
+    {"late, but its deadline is before the exit", 3100, 60000, true, 200},
+    {"late, and no other node takes calls", 3100, 8000, false, 200},
+};
+
+} // namespace
+
+/// Guards against streams that are taken late and last longer than usual, so that the exit cuts them.
+TABLE_TEST(CallForwarder, sendsNoLateStreamThatTheExitMayCut, lateStreams)
+{
+    ForwarderFixture fixture({streamRest});
+    fixture.beginStopBefore(std::chrono::milliseconds{row.arrivalMs}, std::chrono::milliseconds{row.graceMs},
+                            row.others);
+    const auto status = fixture.ask("/stream/1");
+    cr_expect_eq(status, row.status, "%s: %u", row.name, status);
+    cr_expect_eq(fixture.sends, row.status == 200 ? 1U : 0U, "%s", row.name);
+    cr_expect_eq(fixture.retryAfter.empty(), row.status == 200, "%s", row.name);
+}
+
+namespace
+{
+
 struct LeavingCase {
     const char *name;
     bool waits; ///< For a place, when its caller leaves.
--- a/tests/gateway/reachabilitytest.cpp
+++ b/tests/gateway/reachabilitytest.cpp
@@ -62,6 +62,8 @@
     std::map<unsigned, int> crashes; ///< Time by upstream.
     unsigned lostDatagramsOf10 = 0;
     unsigned idleFrom = ~0U; ///< Nodes from here on send no requests.
+    bool isOrdering = false; ///< Node 0 sends orders, which silent upstreams answer too.
+    bool isStreaming = false; ///< Node 0 has streams that go on while their upstreams answer nothing new.
 
     UpstreamProcess process(unsigned upstream) const
     {
@@ -103,6 +105,8 @@
             for (unsigned node = 0; node < m_nodes.size(); ++node) {
                 if (node < idleFrom)
                     useUpstreams(node);
+                if (node == 0 && (isOrdering || isStreaming) && m_ms % tickMs == 0)
+                    receiveElse();
                 exchange(node);
             }
         }
@@ -208,6 +212,19 @@
         }
     }
 
+    /// Receives what silent upstreams bring to node 0: answers to orders and events of streams that had begun.
+    void receiveElse()
+    {
+        for (unsigned upstream = 0; upstream < m_upstreams; ++upstream) {
+            if (isCrashed(upstream) || cutOf(0, upstream))
+                continue;
+            if (isOrdering)
+                reach(0).onContact(process(upstream), now(), now(), ContactKind::Order);
+            if (isStreaming)
+                reach(0).onContact(process(upstream), now(), start);
+        }
+    }
+
     /// Returns how long the connection takes.
     int connect(unsigned node, unsigned upstream, bool isProbe)
     {
@@ -218,7 +235,7 @@
         if (!mode) {
             m_nodes[node].broken.erase(upstream);
             after(stepMs, [=, this] {
-                endProbe(node, upstream, isProbe);
+                endProbe(node, upstream, isProbe, sentAt);
                 reach(node).onContact(process(upstream), now(), sentAt);
             });
             return 0;
@@ -230,16 +247,16 @@
         const auto failure = isReset ? ReachFailure::Broken : unconnected;
         const int ms = *mode == Mode::Hang ? (isProbe ? 500 : 300) : stepMs;
         after(ms, [=, this] {
-            endProbe(node, upstream, isProbe);
+            endProbe(node, upstream, isProbe, sentAt);
             reach(node).onFailure(process(upstream), now(), failure);
         });
         return ms;
     }
 
-    void endProbe(unsigned node, unsigned upstream, bool isProbe)
+    void endProbe(unsigned node, unsigned upstream, bool isProbe, Instant sentAt)
     {
         if (isProbe)
-            reach(node).onProbeEnded(process(upstream));
+            reach(node).onProbeEnded(process(upstream), sentAt);
     }
 
     /// Waits for an upstream that goes on in @p silentMs. Returns the time for which it then gets no other request.
@@ -248,7 +265,7 @@
         const int patienceMs = isProbe ? 500 : 300;
         const int ms = std::min(patienceMs, silentMs + stepMs);
         after(ms, [=, this, sentAt = now()] {
-            endProbe(node, upstream, isProbe);
+            endProbe(node, upstream, isProbe, sentAt);
             if (silentMs < patienceMs)
                 reach(node).onContact(process(upstream), now(), sentAt);
             else
@@ -396,6 +413,8 @@
     int useMs; ///< Interval between requests of a node to one upstream.
     std::vector<Silence> silences;
     unsigned lostDatagramsOf10 = 0;
+    bool takesOrders = false; ///< Silent upstreams answer orders.
+    bool continuesStreams = false; ///< Silent upstreams go on with streams that they had begun.
 };
 
 const SilenceCase silenceCases[] = {
@@ -411,6 +430,10 @@
     {"short silences in quick succession", 9, 50, {{1000, 1800, 0, 15}, {1850, 2650, 0, 15}, {2700, 3500, 0, 15}}},
     {"lost datagrams", 9, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}, 3},
     {"thirty nodes", 30, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}},
+    {"orders are answered", 9, 100, {{1000, 2250, 0, 6}, {2440, 4210, 0, 15}}, 0, true},
+    {"orders are answered, requests are rare", 9, 1500, {{1000, 3250, 0, 15}}, 0, true},
+    {"streams go on", 9, 100, {{1000, 2700, 0, 15}}, 0, false, true},
+    {"streams go on, requests are rare", 9, 1500, {{1000, 2700, 0, 15}}, 0, false, true},
 };
 
 } // namespace
@@ -420,12 +443,25 @@
     Fleet fleet(row.nodes, 15, row.useMs);
     fleet.silences = row.silences;
     fleet.lostDatagramsOf10 = row.lostDatagramsOf10;
+    fleet.isOrdering = row.takesOrders;
+    fleet.isStreaming = row.continuesStreams;
     for (int ms = 1000; ms < 8000; ms += 10) {
         fleet.runUntil(ms);
         cr_assert_eq(fleet.falseCuts(), 0U, "%s: %u wrong at %d ms", row.name, fleet.falseCuts(), ms);
     }
 }
 
+Test(Reachability, showsACutWhereOnlyOrdersAreAnswered)
+{
+    Fleet fleet(9, 15, 100);
+    fleet.idleFrom = 2;
+    fleet.isOrdering = true;
+    fleet.cuts = {{1000, 6000, 3, 0, 8, Mode::Hang}};
+    fleet.runUntil(3000);
+    for (unsigned node = 0; node < 2; ++node)
+        cr_assert_eq(fleet.reach(node).cutOff().size(), 8U, "node %u", node);
+}
+
 Test(Reachability, tellsACutBesideASilence)
 {
     Fleet fleet(9, 15, 100);
@@ -591,7 +627,7 @@
          reach.takeProbes(at(150));
          reach.onPeerContact("n1", process, at(200));
          reach.takeProbes(at(900));
-         reach.onProbeEnded(process);
+         reach.onProbeEnded(process, at(150));
          reach.onContact(process, at(901), at(150));
          reach.takeProbes(at(950));
      },
@@ -600,13 +636,69 @@
      [](Reachability &reach) {
          reach.onFailure(process, at(100), ReachFailure::Unanswered);
          reach.takeProbes(at(150));
-         reach.onProbeEnded(process);
+         reach.onProbeEnded(process, at(150));
          reach.onFailure(process, at(650), ReachFailure::Unanswered);
          reach.onPeerContact("n1", process, at(800));
          reach.takeProbes(at(850));
          reach.takeProbes(at(900));
      },
      false, true},
+    {"a question that was not sent, before another failure",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Silent);
+         reach.takeProbes(at(150));
+         reach.onProbeEnded(process, at(150));
+         reach.onContact(process, at(200));
+         reach.onPeerContact("n1", process, at(1000));
+         reach.onFailure(process, at(3000), ReachFailure::Unanswered);
+         reach.takeProbes(at(3050));
+         reach.takeProbes(at(3100));
+     },
+     false, true},
+    {"a question whose process has left and come back",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onGone("u", at(160));
+         reach.onProbeEnded(process, at(150));
+         reach.onProcess(process, "s", at(700));
+         reach.onContact(process, at(710));
+         reach.onPeerContact("n1", process, at(1000));
+         reach.onFailure(process, at(3000), ReachFailure::Unanswered);
+         reach.takeProbes(at(3050));
+         reach.takeProbes(at(3100));
+     },
+     false, true},
+    {"a stall after a question was overtaken",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onPeerContact("n1", process, at(200));
+         reach.takeProbes(at(215));
+         reach.takeProbes(at(900));
+     },
+     false, true},
+    {"a second question that is overtaken after the first has ended",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onProbed(process, at(600));
+         reach.onProbeEnded(process, at(150));
+         reach.onFailure(process, at(650), ReachFailure::Unanswered);
+         reach.onPeerContact("n1", process, at(700));
+         reach.takeProbes(at(710));
+         reach.takeProbes(at(760));
+     },
+     true, true},
+    {"a question whose contact was seen just now",
+     [](Reachability &reach) {
+         reach.onFailure(process, at(100), ReachFailure::Unanswered);
+         reach.takeProbes(at(150));
+         reach.onPeerContact("n1", process, at(200));
+         reach.takeProbes(at(250));
+         reach.takeProbes(at(260));
+     },
+     false, true},
     {"an answer since",
      [](Reachability &reach) {
          reach.onFailure(process, at(100));
