Tests: late answers and connections are told from failed ones, from the client to the reach

By review, nothing pinned the way from a time-out to what the reach concludes: upstreammonitortest stayed green with all failures taken for refused ones.

--- a/tests/gateway/upstreammonitortest.cpp
+++ b/tests/gateway/upstreammonitortest.cpp
@@ -34,7 +34,12 @@
     Token send(const Relay::Destination &, const Http::Request &, const Relay::ExchangeObserver &observer,
                const Relay::SendOptions &)
     {
-        questions.push_back([observer](const Relay::WholeResponse &response) { observer.onHead(response.head); });
+        questions.push_back([observer](const Relay::WholeResponse &response) {
+            if (response.head.status == 0)
+                observer.onFailure({Relay::ExchangeFailure::Broken, response.sent, {}, false, response.isLate});
+            else
+                observer.onHead(response.head);
+        });
         return questions.size();
     }
 
@@ -45,9 +50,10 @@
         return questions.size();
     }
 
-    Token connect(const Relay::Destination &, const std::function<void(Relay::ConnectResult)> &,
+    Token connect(const Relay::Destination &, const std::function<void(Relay::ConnectResult)> &onResult,
                   const Relay::SendOptions &)
     {
+        connections.push_back(onResult);
         return 0;
     }
 
@@ -72,6 +78,7 @@
     }
 
     std::deque<std::function<void(const Relay::WholeResponse &)>> questions;
+    std::deque<std::function<void(Relay::ConnectResult)>> connections;
 };
 
 /// One engine and what asks it for its state.
@@ -131,11 +138,31 @@
             question({{status, headers, {}}, "7", true});
     }
 
+    /// Ends all questions and connections so far without an answer.
+    void fail(bool isLate)
+    {
+        for (const auto &question : std::exchange(m_client.questions, {}))
+            question({{}, {}, true, isLate});
+        for (const auto &connection : std::exchange(m_client.connections, {}))
+            connection(isLate ? Relay::ConnectResult::Late : Relay::ConnectResult::Failed);
+    }
+
+    void hearFromPeer()
+    {
+        m_context.reach.onPeerContact("n1", process, BootClock{}.now() + std::chrono::milliseconds{100});
+        m_context.applyReach(BootClock{}.now());
+    }
+
     std::size_t questions() const
     {
         return m_client.questions.size();
     }
 
+    std::size_t connections() const
+    {
+        return m_client.connections.size();
+    }
+
     const UpstreamProcess process{"e0", 7};
     int announced = 0; ///< Requests that other nodes were told of.
 
@@ -210,3 +237,43 @@
     fixture.answer(row.status, row.headers);
     cr_assert(fixture.engine().requestLimit.perSecond == row.limit, "%s", row.name);
 }
+
+namespace
+{
+
+struct UnansweredCase {
+    const char *name;
+    void (MonitorFixture::*ask)();
+    std::optional<double> limit; ///< The engine's, which is then not asked but connected to.
+    bool isLate;
+    bool isCutOff;
+};
+
+const UnansweredCase unanswered[] = {
+    {"late after a break", &MonitorFixture::breakExchange, {}, true, false},
+    {"broken after a break", &MonitorFixture::breakExchange, {}, false, true},
+    {"late probe", &MonitorFixture::probe, {}, true, false},
+    {"broken probe", &MonitorFixture::probe, {}, false, true},
+    {"late connection after a break", &MonitorFixture::breakExchange, 2, true, false},
+    {"failed connection after a break", &MonitorFixture::breakExchange, 2, false, true},
+    {"late connection of a probe", &MonitorFixture::probe, 2, true, false},
+    {"failed connection of a probe", &MonitorFixture::probe, 2, false, true},
+};
+
+} // namespace
+
+/// Guards against silent engines that count as cut off once another node has heard from them.
+TABLE_TEST(UpstreamMonitor, asksAgainBeforeALateAnswerShowsACut, unanswered)
+{
+    MonitorFixture fixture;
+    if (row.limit)
+        fixture.state(row.limit);
+    (fixture.*row.ask)();
+    fixture.fail(row.isLate);
+    fixture.hearFromPeer();
+    cr_expect_eq(fixture.engine().isCutOff, row.isCutOff, "%s", row.name);
+    fixture.monitor.sweep(BootClock{}.now() + std::chrono::milliseconds{200});
+    if (row.isLate)
+        cr_expect_eq(fixture.questions() + fixture.connections(), 1U, "%s: %zu", row.name,
+                     fixture.questions() + fixture.connections());
+}
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -1017,6 +1017,29 @@
 
 } // namespace
 
+/// Guards against a silent upstream that is taken for one that refuses or resets.
+Test(Relay, tellsLateFromFailed)
+{
+    Http::EventLoop loop;
+    HeldServer full(loop, false);
+    HeldServer silent(loop, true);
+    UpstreamClient client(loop);
+    SendOptions options;
+    options.connectTimeout = std::chrono::milliseconds{50};
+    options.timeout = std::chrono::milliseconds{50};
+    std::optional<ConnectResult> connection;
+    client.connect(
+        {full.endpoint(), "a"}, [&](ConnectResult result) { connection = result; }, options);
+    std::optional<WholeResponse> response;
+    client.fetch(
+        {silent.endpoint(), "b"}, {"GET", "/", {{"Host", "b"}}, {}},
+        [&](const WholeResponse &received) { response = received; }, options);
+    RawCaller::runLoop(loop, std::chrono::milliseconds{100});
+    client.sweep(BootClock{}.now());
+    cr_assert(connection == ConnectResult::Late);
+    cr_assert(response && response->head.status == 0 && response->isLate);
+}
+
 /// A connection that had been made, or an answer that had arrived, was given up as late after a stall of the process.
 TABLE_TEST(Relay, stalledClientJudgesByWhatHasArrived, stalls)
 {
