--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -302,6 +302,7 @@
         std::unique_ptr<CallSend> held;
         std::shared_ptr<Relay::CallerExchange> exchange;
         CallerRequest request;
+        Access::Identity identity;
         Route route;
         std::string service;
         Instant arrival{};
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "access/organisation.h"
 #include "common/clock.h"
 #include "gateway/residency.h"
 #include "gateway/upstreamstatement.h"
@@ -24,6 +25,8 @@
     ModelTarget target; ///< Empty if the request names no model.
     double promptTokens = 0;
     double outputTokens = 0; ///< Upper bound on the tokens of the answer.
+    bool hasTokens = false; ///< The request states both numbers.
+    std::string key; ///< Of the caller's organisation; empty if none is stated. Must not be logged.
     std::optional<Duration> timeout; ///< Time for which the caller waits.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller has of an earlier answer.
     std::string resumedId; ///< Id of the send that brought the first event of that answer; empty if not stated.
@@ -43,6 +46,7 @@
     std::optional<std::uint64_t> version; ///< Adapter version; the engine refuses the request if it holds another.
     std::optional<unsigned> priority; ///< 0 is the most urgent.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that has been delivered.
+    Access::Identity identity{}; ///< If it is checked, the upstream learns the organisation and not the key.
 };
 
 /// The head of an upstream's answer, decoded.
--- a/src/gateway/trafficpolicy.h
+++ b/src/gateway/trafficpolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "access/organisation.h"
 #include "common/clock.h"
 #include "common/enumtable.h"
 
@@ -39,6 +40,7 @@
     unsigned priority = 5; ///< 0 is the most urgent.
     unsigned attempts = 1; ///< Number of upstreams that one request may run on.
     bool canResume = false; ///< A stream may be resumed at another upstream, after the last event received.
+    bool isPublic = false; ///< Requests need no key of an organisation.
     std::vector<WeightedService> services;
 
     /// Returns true if a request that may have run can be sent again.
@@ -82,6 +84,8 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     CallerLimits limits;
+    /// Whose requests are served; nothing if requests belong to no organisation and need no key.
+    std::optional<std::vector<Access::Organisation>> organisations;
 };
 
 /// Looks up routes by host and path, and services by name. Immutable, so thread-safe.
