gateway: serve only requests with the key of an organisation, if the configuration has organisations

The gateway did not know organisations: requests ran without a key, and upstreams got the callers' Authorization. A call is now checked when it is routed and, if the configuration has changed since, before each send. Upstreams get the organisation's name instead of the key, and engines the urgency of both priorities. A document with a malformed or ambiguous organisation is bad as a whole. A peer's 401 is final, as its configuration is not older.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/verdict.h"
+#include "gateway/callaccess.h"
 #include "gateway/callcontext.h"
 #include "gateway/callrelay.h"
 #include "gateway/callsend.h"
@@ -293,16 +294,17 @@
     static constexpr double streamSafetyFactor = 2.5;
     static constexpr Duration streamSafetyMargin = std::chrono::milliseconds{250};
     static constexpr double maxRetryAfterSeconds = 3600; ///< A peer states no longer time.
+    static constexpr const char *noKeyReason = "the request needs the key of an organisation";
     static constexpr const char *supersededReason
         = "a newer version of the adapter was declared before the stream began";
 
-    /// A call; its base is the send that is to answer it.
-    struct Call : CallSend {
+    /// A call; its bases are the send that is to answer it, and its access under the last configuration that it was
+    /// checked with.
+    struct Call : CallSend, CallAccess {
         /// A send that has gone silent, kept until the current one goes on with the answer; null if there is none.
         std::unique_ptr<CallSend> held;
         std::shared_ptr<Relay::CallerExchange> exchange;
         CallerRequest request;
-        Access::Identity identity;
         Route route;
         std::string service;
         Instant arrival{};
@@ -392,6 +394,10 @@
         if (!route)
             return refuse(call, 404, ErrorCode::UnknownRoute, "no route has this host and path", {});
         call->route = *route;
+        auto access = accessOf(call->request, *route, *m_context.routes);
+        if (!access)
+            return refuse(call, 401, ErrorCode::Unauthorized, noKeyReason, {});
+        static_cast<CallAccess &>(*call) = std::move(*access);
         if (route->services.empty())
             return refuse(call, 503, ErrorCode::UnknownService, "the route has no service", {});
         // A stream that is taken up goes on at the service that began it.
@@ -468,6 +474,8 @@
         if (call->done || call->token != 0)
             return;
         const auto now = BootClock{}.now();
+        if (!keepsAccess(*call))
+            return giveUp(call, ErrorCode::Unauthorized, noKeyReason);
         if (refuseIfCut(call, now))
             return;
         if (now < call->notBefore && !awaitsCutOffUpstream(*call)) {
@@ -547,6 +555,12 @@
         send(call, *choice, now);
     }
 
+    /// Returns true if the call may be sent under the configuration in force.
+    bool keepsAccess(Call &call) const
+    {
+        return renewAccess(call, call.request, call.route, *m_context.routes);
+    }
+
     /// Lets the call go back to upstreams that it has left as silent. Returns false if there are none.
     static bool readmitSilent(Call &call)
     {
@@ -1140,9 +1154,9 @@
         beginSend(call, now);
         call->instance = choice.instance;
         call->peer.clear();
-        SendInstructions instructions{choice.instance, call->deadline - now, {}, {}, {}};
+        SendInstructions instructions{choice.instance, call->deadline - now, {}, {}, {}, call->identity};
         if (!call->request.target.empty()) {
-            instructions.priority = std::min(9U, call->route.priority);
+            instructions.priority = call->urgency;
             if (const auto it = m_context.declared.find(call->request.target);
                 it != m_context.declared.end()
                 && (choice.version >= it->second.newest() || it->second.oldestUsable(now) > 0))
@@ -1624,7 +1638,8 @@
         call->peerRetryAfter = retryAfterOf(call->reply.headers);
         if (returnToHeld(call))
             return;
-        call->isServedHere = !call->peerAnswer.mayTryAnother && canBeServedHere(*call);
+        // The peer's configuration is not older, so that a key that it does not know is not valid any more.
+        call->isServedHere = !call->peerAnswer.mayTryAnother && call->reply.status != 401 && canBeServedHere(*call);
         if (call->peerAnswer.mayTryAnother || call->isServedHere)
             return retry(call);
         const auto status = call->reply.status;
@@ -1635,8 +1650,15 @@
             return abortAnswer(call, reason);
         if (call->verdict != Verdict::NotRun)
             return refuse(call, 502, ErrorCode::UpstreamFailed, reason, {});
-        refuse(call, status, status == 429 ? ErrorCode::Overloaded : ErrorCode::NoUpstream, reason,
-               call->peerRetryAfter);
+        refuse(call, status, refusalCodeOf(status), reason, call->peerRetryAfter);
+    }
+
+    /// Returns the reason for which a peer has refused a call with @p status.
+    static ErrorCode refusalCodeOf(unsigned status)
+    {
+        if (status == 401)
+            return ErrorCode::Unauthorized;
+        return status == 429 ? ErrorCode::Overloaded : ErrorCode::NoUpstream;
     }
 
     /// Returns true if an upstream that this node reaches can serve the call in time.
@@ -2007,6 +2029,14 @@
             m_context.onStreamBroken(originOf(call));
     }
 
+    /// Returns the status of the refusal of a call that was not run.
+    static unsigned refusalStatusOf(ErrorCode code)
+    {
+        if (code == ErrorCode::Unauthorized)
+            return 401;
+        return code == ErrorCode::Overloaded ? 429 : 503;
+    }
+
     /// Fails the call. A request that was not run may be retried by its caller. It gets a Retry-After: @p servedIn if
     /// that is given, otherwise one that depends on the time left, unless it would be refused again or too little time
     /// is left.
@@ -2019,11 +2049,12 @@
         if (call->verdict == Verdict::NotRun) {
             const auto left = call->deadline - now;
             auto retryAfter = servedIn;
-            const bool isFinal = code == ErrorCode::Quarantined || code == ErrorCode::StreamUnknown;
+            const bool isFinal
+                = code == ErrorCode::Quarantined || code == ErrorCode::StreamUnknown || code == ErrorCode::Unauthorized;
             if (!retryAfter && !isFinal && left > std::chrono::milliseconds{100})
                 retryAfter = std::min<Duration>(std::chrono::seconds{1},
                                                 std::chrono::duration_cast<Duration>(left * maxRetryAfterFraction));
-            return refuse(call, code == ErrorCode::Overloaded ? 429 : 503, code, reason, retryAfter);
+            return refuse(call, refusalStatusOf(code), code, reason, retryAfter);
         }
         refuse(call, code == ErrorCode::DeadlineExceeded ? 504 : 502, code, reason, {});
     }
@@ -2257,7 +2288,7 @@
     /// on, until the other one goes on with the answer.
     void moveFromSilentUpstream(const CallPtr &call, Instant now)
     {
-        if (now < call->moveAt || (m_stop && now > latestSendBeforeExit(*call)))
+        if (now < call->moveAt || (m_stop && now > latestSendBeforeExit(*call)) || !keepsAccess(*call))
             return;
         if (!m_context.allowance.hasRoom(call->service, now) || m_context.crashes.verdictOn(call->causes))
             return;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -578,11 +578,13 @@
             const auto earliest = m_registry.earliestTimeOf(revision);
             const bool isFirst = earliest == Instant::min(); // It may have been written at any time.
             const auto ageMs = isFirst ? 0 : (m_context.configuredAt - earliest).count() / 1000;
-            m_log.note(GatewayEvent::ConfigurationInForce,
-                       {{"version", std::to_string(policy->version)},
-                        {"revision", std::to_string(revision)},
-                        {"written_within_ms", isFirst ? "unknown" : std::to_string(ageMs)},
-                        {"routes", std::to_string(policy->routes.size())}});
+            m_log.note(
+                GatewayEvent::ConfigurationInForce,
+                {{"version", std::to_string(policy->version)},
+                 {"revision", std::to_string(revision)},
+                 {"written_within_ms", isFirst ? "unknown" : std::to_string(ageMs)},
+                 {"routes", std::to_string(policy->routes.size())},
+                 {"organisations", policy->organisations ? std::to_string(policy->organisations->size()) : "none"}});
             m_context.routes = std::make_shared<RouteTable>(std::move(*policy));
             std::erase_if(m_context.speeds, [&](const auto &item) { return !m_context.routes->service(item.first); });
             Relay::CallerServerSettings server;
--- a/src/gateway/trafficpolicy.cpp
+++ b/src/gateway/trafficpolicy.cpp
@@ -9,8 +9,22 @@
 namespace Gypsumtally::Gateway
 {
 
+namespace
+{
+
+std::vector<Access::RouteAccess> accessOf(const std::vector<Route> &routes)
+{
+    std::vector<Access::RouteAccess> access;
+    for (const auto &route : routes)
+        access.push_back({route.priority, route.isPublic});
+    return access;
+}
+
+} // namespace
+
 RouteTable::RouteTable(TrafficPolicy policy)
     : m_policy(std::move(policy))
+    , m_access(m_policy.organisations, accessOf(m_policy.routes))
 {
     for (const auto &route : m_policy.routes)
         m_byHost[route.host].push_back(&route);
--- a/src/gateway/trafficpolicy.h
+++ b/src/gateway/trafficpolicy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "access/organisation.h"
+#include "access/accesstable.h"
 #include "common/clock.h"
 #include "common/enumtable.h"
 
@@ -92,6 +92,7 @@
 class RouteTable
 {
 public:
+    /// Precondition: Access::problemOf() finds nothing in the organisations of @p policy.
     explicit RouteTable(TrafficPolicy policy);
 
     /// Returns the route of @p host with the longest prefix of @p path, or null if none matches.
@@ -105,8 +106,15 @@
         return m_policy;
     }
 
+    /// Returns whose requests are served and how urgent they are.
+    const Access::AccessTable &access() const
+    {
+        return m_access;
+    }
+
 private:
     TrafficPolicy m_policy;
+    Access::AccessTable m_access;
     std::unordered_map<std::string, std::vector<const Route *>> m_byHost; ///< Longest prefix first.
     std::unordered_map<std::string, const Service *> m_services;
 };
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -384,6 +384,8 @@
         Http::Request request{"POST", path, {{"Host", "h"}, {"Id", requestId}}, "question"};
         if (!target.empty())
             request.headers.add("Target", target);
+        if (!key.empty())
+            request.headers.add("Key", key);
         m_client.send({m_entryEndpoint, {}}, request, std::move(observer), {});
         m_loop.context().restart();
         m_loop.run();
@@ -512,7 +514,29 @@
         Duration in{};
     };
 
+    /// Sends a request with @p key over the connection of @p caller and returns the bytes of the answer.
+    std::string askOver(Testing::RawCaller &caller, const std::string &key)
+    {
+        const auto before = caller.received().size();
+        caller.send("POST /safe/1 HTTP/1.1\r\nHost: h\r\nId: r2\r\nKey: " + key + "\r\nContent-Length: 1\r\n\r\nq");
+        for (int i = 0; i < 200 && caller.received().size() == before; ++i)
+            caller.wait(std::chrono::milliseconds{10});
+        return caller.received().substr(before);
+    }
+
+    /// Connects a caller. Precondition: ask() was called.
+    std::unique_ptr<Testing::RawCaller> connect()
+    {
+        return std::make_unique<Testing::RawCaller>(m_loop, m_entryEndpoint);
+    }
+
+    std::string metrics()
+    {
+        return m_metrics.text(BootClock{}.now());
+    }
+
     std::string requestId = "r1"; ///< Of the next request.
+    std::string key = "k1"; ///< Of the caller's organisation; empty: states none.
     std::string body;
     Duration elapsed{}; ///< Time that the last request took.
     std::string retryAfter; ///< Retry-After of the last answer.
@@ -520,6 +544,8 @@
     std::string received; ///< What the upstreams have received, to explain a failure.
     std::vector<std::size_t> sentTo; ///< Index of the upstream that received each send.
     std::vector<std::string> versions; ///< Adapter version that each send asked for; empty if any may serve.
+    std::vector<std::string> organisations; ///< That each send named; "unchecked" if it did not state any or none.
+    std::vector<std::string> priorities; ///< That each send stated.
     double announcedTokens = 0; ///< Sum over all announcements; withdrawals count as negative.
     std::vector<Announcement> announced; ///< Prompt announcements to other nodes.
 
@@ -567,7 +593,10 @@
                 received += request.method + ' ' + request.target + ' ' + std::string(request.headers.get("Id"))
                             + " at " + std::to_string(number) + "; ";
                 sentTo.push_back(number);
-                versions.emplace_back(exchange->request().headers.get("Version"));
+                versions.emplace_back(request.headers.get("Version"));
+                organisations.emplace_back(
+                    request.headers.contains("Organisation") ? request.headers.get("Organisation") : "unchecked");
+                priorities.emplace_back(request.headers.get("Priority"));
                 const auto responder = m_responders[std::min<std::size_t>(sends++, m_responders.size() - 1)];
                 changeAt(ChangeStage::Received);
                 if (responder)
@@ -1577,9 +1606,29 @@
     void (*apply)(TrafficPolicy &policy);
 };
 
+/// Requires the keys of two organisations, but not on one route.
+void requireKeys(TrafficPolicy &policy)
+{
+    policy.organisations = {{{"first", {"k1", "k1b"}, 1, {}}, {"second", {"k2"}, 2, {}}}};
+    policy.routes[1].isPublic = true; // "/once/"
+}
+
+void withdrawKey(TrafficPolicy &policy)
+{
+    policy.organisations->front().keys = {"k1b"};
+    policy.routes[1].isPublic = false;
+}
+
+void withdrawOrganisations(TrafficPolicy &policy)
+{
+    policy.organisations->clear();
+    policy.routes.clear();
+}
+
 const ConfigurationChange changes[] = {
     {"routes moved", moveRoutes},      {"service replaced", replaceService},     {"routes removed", removeRoutes},
     {"service made plain", makePlain}, {"time-outs shortened", shortenTimeouts}, {"repeats forbidden", forbidRepeats},
+    {"keys required", requireKeys},
 };
 
 struct ChangeCase {
@@ -1667,6 +1716,185 @@
 namespace
 {
 
+const ConfigurationChange withdrawals[] = {
+    {"key withdrawn", withdrawKey},
+    {"all organisations and routes withdrawn", withdrawOrganisations},
+};
+
+struct WithdrawalCase {
+    const char *name;
+    ChangeStage stage;
+    const char *path;
+    const char *target;
+    std::vector<ForwarderFixture::Responder> responders;
+    unsigned status;
+    unsigned sends; ///< Received by the upstreams.
+    void (*prepare)(ForwarderFixture &fixture); ///< Called just before the request is accepted.
+};
+
+const WithdrawalCase withdrawalCases[] = {
+    {"waits for a load", ChangeStage::Accepted, "/paced/1", "m/a", {streamRest}, 401, 0, loadAdapter},
+    {"waits for the pace", ChangeStage::Accepted, "/paced/1", "m/a", {streamRest}, 401, 0, fillWindows},
+    {"waits out backpressure",
+     ChangeStage::Refused,
+     "/safe/1",
+     "",
+     {applyBriefBackpressure, applyBriefBackpressure, answer},
+     401,
+     2,
+     prepareNothing},
+    {"is sent", ChangeStage::Received, "/safe/1", "", {answerLate}, 200, 1, prepareNothing},
+    {"is sent as a stream", ChangeStage::Received, "/paced/1", "m/a", {streamLate}, 200, 1, holdAdapter},
+    {"streams", ChangeStage::Streaming, "/paced/1", "m/a", {streamWithPause}, 200, 1, holdAdapter},
+    {"is at a silent upstream", ChangeStage::Received, "/safe/1", "", {nullptr, answer}, 200, 1, prepareNothing},
+    {"would be sent again", ChangeStage::Received, "/safe/1", "", {failLate, answer}, 502, 1, prepareNothing},
+    {"would be sent again as not run",
+     ChangeStage::Received,
+     "/safe/1",
+     "",
+     {refuseUnstarted, answer},
+     401,
+     1,
+     prepareNothing},
+    // The liveness check of the upstream that broke the stream off is received like a send.
+    {"would resume", ChangeStage::Received, "/paced/1", "m/a", {streamAndCutLate, streamRest}, 0, 2, holdAdapter},
+};
+
+} // namespace
+
+/// Guards against a request that runs at an upstream after its key was withdrawn.
+TABLE_TEST(CallForwarder, sendsNothingAfterItsKeyIsWithdrawn, withdrawalCases)
+{
+    for (const auto &change : withdrawals) {
+        ForwarderFixture fixture(row.responders);
+        fixture.configure(requireKeys);
+        fixture.configureAt(row.stage, change.apply, row.prepare);
+        const auto status = fixture.ask(row.path, row.target);
+        cr_assert_eq(status, row.status, "%s, %s: status %u, %s", row.name, change.name, status, fixture.body.c_str());
+        cr_assert(status != 401 || fixture.retryAfter.empty(), "%s, %s", row.name, change.name);
+        fixture.awaitSends(row.sends, checkTime);
+        cr_assert_eq(fixture.sends, row.sends, "%s, %s: %s", row.name, change.name, fixture.received.c_str());
+        cr_assert(fixture.isChanged(), "%s, %s", row.name, change.name);
+    }
+}
+
+namespace
+{
+
+struct KeyCase {
+    const char *name;
+    const char *path;
+    const char *key;
+    unsigned status;
+    const char *organisation; ///< At the upstream; null: nothing is sent.
+};
+
+const KeyCase keyCases[] = {
+    {"key", "/safe/1", "k1", 200, "first"},
+    {"further key", "/safe/1", "k1b", 200, "first"},
+    {"other organisation", "/safe/1", "k2", 200, "second"},
+    {"unknown", "/safe/1", "k3", 401, nullptr},
+    {"missing", "/safe/1", "", 401, nullptr},
+    {"public, key", "/once/1", "k2", 200, "second"},
+    {"public, unknown", "/once/1", "k3", 200, ""},
+    {"public, missing", "/once/1", "", 200, ""},
+    {"no route", "/none/1", "", 404, nullptr},
+};
+
+} // namespace
+
+/// Guards against requests that are served without a key, or under the name of another organisation.
+TABLE_TEST(CallForwarder, servesOrganisationsByTheirKeys, keyCases)
+{
+    ForwarderFixture fixture({answer});
+    fixture.configure(requireKeys);
+    fixture.key = row.key;
+    const auto status = fixture.ask(row.path);
+    cr_assert_eq(status, row.status, "%s: %u", row.name, status);
+    cr_assert_eq(fixture.sends, row.organisation ? 1U : 0U, "%s", row.name);
+    if (row.organisation)
+        cr_assert_eq(fixture.organisations.front(), std::string(row.organisation), "%s", row.name);
+    const auto metrics = fixture.metrics();
+    const auto isRefused = metrics.find(R"(code="unauthorized")") != std::string::npos;
+    cr_assert_eq(isRefused, row.status == 401, "%s", metrics.c_str());
+    cr_assert(!isRefused || metrics.find(R"(verdict="not-run")") != std::string::npos, "%s", metrics.c_str());
+}
+
+/// Guards against a connection whose first request speaks for all others on it.
+Test(CallForwarder, checksEachRequestOfAConnection)
+{
+    ForwarderFixture fixture({answer});
+    fixture.ask("/safe/1");
+    fixture.configure(requireKeys);
+    const auto caller = fixture.connect();
+    cr_assert(fixture.askOver(*caller, "k1").starts_with("HTTP/1.1 200"));
+    cr_assert(fixture.askOver(*caller, "k3").starts_with("HTTP/1.1 401"));
+    cr_assert(fixture.askOver(*caller, "k1").starts_with("HTTP/1.1 200"));
+    fixture.configure(withdrawKey);
+    cr_assert(fixture.askOver(*caller, "k1").starts_with("HTTP/1.1 401"));
+    cr_assert(fixture.askOver(*caller, "k1b").starts_with("HTTP/1.1 200"));
+    cr_assert_eq(fixture.sends, 4U);
+}
+
+/// Guards against a 401 of a node that knows no keys yet, and against a request that such a node serves without one.
+Test(CallForwarder, refusesNoKeyWithoutConfiguration)
+{
+    ForwarderFixture fixture({answer});
+    fixture.configure(requireKeys);
+    fixture.key = "k3";
+    fixture.configureAfter(std::chrono::milliseconds{100});
+    cr_assert_eq(fixture.ask("/safe/1"), 401U);
+    fixture.configureAfter({});
+    cr_assert_eq(fixture.ask("/safe/1"), 503U);
+    cr_assert_eq(fixture.sends, 0U);
+}
+
+namespace
+{
+
+void changeNothing(TrafficPolicy &)
+{
+}
+
+void makeUrgent(TrafficPolicy &policy)
+{
+    requireKeys(policy);
+    policy.organisations->back().priority = 0;
+    policy.routes.back().priority = 3;
+}
+
+struct PriorityCase {
+    void (*change)(TrafficPolicy &policy);
+    const char *path;
+    const char *key;
+    const char *priority;
+};
+
+/// Organisations of priorities 1 and 2 or 0, one public route, routes of priority 5 and one of 3.
+const PriorityCase priorityCases[] = {
+    {changeNothing, "/stream/1", "k1", "5"}, {requireKeys, "/stream/1", "k1", "0"},
+    {requireKeys, "/stream/1", "k2", "1"},   {makeUrgent, "/paced/1", "k1", "2"},
+    {makeUrgent, "/stream/1", "k1", "3"},    {makeUrgent, "/paced/1", "k2", "0"},
+    {makeUrgent, "/stream/1", "k2", "1"},
+};
+
+} // namespace
+
+/// Guards against an engine that serves a less urgent organisation first.
+TABLE_TEST(CallForwarder, statesThePriorityOfTheOrganisation, priorityCases)
+{
+    ForwarderFixture fixture({streamRest});
+    holdAdapter(fixture);
+    fixture.configure(row.change);
+    fixture.key = row.key;
+    cr_assert_eq(fixture.ask(row.path, "m/a"), 200U);
+    cr_assert_eq(fixture.priorities.front(), std::string(row.priority), "%s %s: %s", row.path, row.key,
+                 fixture.priorities.front().c_str());
+}
+
+namespace
+{
+
 /// How the other upstream answers liveness checks, while a stream is to be resumed there.
 struct VerificationCase {
     const char *name;
--- a/tests/gateway/callrelaytest.cpp
+++ b/tests/gateway/callrelaytest.cpp
@@ -165,6 +165,8 @@
         Http::Request request{"POST", path, {{"Host", "h"}, {"Id", "r" + std::to_string(++m_asked)}}, "question"};
         if (!target.empty())
             request.headers.add("Target", target);
+        if (!key.empty())
+            request.headers.add("Key", key);
         lastToken = m_client.send({nodes[node]->entry, {}}, request, std::move(observer), {});
         return answer;
     }
@@ -252,6 +254,8 @@
     std::vector<std::unique_ptr<RelayNode>> nodes;
     unsigned served = 0; ///< Requests that upstreams have received.
     unsigned abandoned = 0; ///< Requests whose sender has left the upstream.
+    std::string key; ///< Of the caller's organisation; empty: states none.
+    std::vector<std::string> organisations; ///< That each request at an upstream named.
     bool failsResumed = false; ///< Upstreams fail requests that go on with a stream.
     Relay::UpstreamClient::Token lastToken = 0;
 
@@ -274,6 +278,7 @@
         if (exchange->request().target == "/alive")
             return exchange->respond({200, {}, "1"});
         ++served;
+        organisations.emplace_back(exchange->request().headers.get("Organisation"));
         const Http::Headers headers{{"Id", std::string(exchange->request().headers.get("Id"))}, {"Proof", "p"}};
         exchange->onGone([this] { ++abandoned; });
         if (failsResumed && exchange->request().headers.contains("Resume"))
@@ -650,6 +655,66 @@
     cr_assert_gt(fixture.nodes[1]->received, 0U);
 }
 
+namespace
+{
+
+/// Whether the node and its peers know that the caller's key was withdrawn.
+struct RelayedKeyCase {
+    const char *name;
+    bool isCutOff; ///< From all upstreams; otherwise from the one that holds the target.
+    bool nodeKnows;
+    bool peersKnow;
+    unsigned status;
+};
+
+const RelayedKeyCase relayedKeys[] = {
+    {"valid", true, false, false, 200},
+    {"withdrawn at the peer", true, false, true, 401},
+    {"withdrawn at all", true, true, true, 401},
+    {"valid, node reaches an upstream", false, false, false, 200},
+    {"withdrawn at the peer, node reaches an upstream", false, false, true, 401},
+};
+
+std::shared_ptr<const RouteTable> routesWithKey(const RouteTable &routes, std::uint64_t version, const char *key)
+{
+    auto policy = routes.policy();
+    policy.version = version;
+    policy.organisations = {{{"first", {key}, 1, {}}}};
+    return std::make_shared<RouteTable>(std::move(policy));
+}
+
+} // namespace
+
+/// Guards against a call that runs through a peer, or after its refusal at the own node, though its key was withdrawn.
+TABLE_TEST(CallRelay, peersCheckTheKey, relayedKeys)
+{
+    RelayFixture fixture(2);
+    fixture.hold("m/a", "u0");
+    const auto &routes = *fixture.nodes[0]->context.routes;
+    const auto before = routesWithKey(routes, 1, "k1");
+    const auto after = routesWithKey(routes, 2, "k2");
+    if (row.isCutOff) {
+        fixture.cutOff(0);
+    } else {
+        fixture.nodes[0]->links[0]->set(LinkState::Reset);
+        fixture.nodes[0]->context.recordFailure({"u0", 1}, ReachFailure::NotConnected, BootClock{}.now());
+        fixture.run(std::chrono::milliseconds{150});
+        const auto now = BootClock{}.now();
+        fixture.nodes[0]->context.upstreams.find("u1")->residency.onLoading("m/a", 0, now + std::chrono::seconds{1},
+                                                                            now);
+    }
+    fixture.nodes[0]->context.routes = row.nodeKnows ? after : before;
+    fixture.nodes[1]->context.routes = row.peersKnow ? after : before;
+    fixture.key = "k1";
+    const auto answer = fixture.ask(0, "/stream/1", "m/a");
+    fixture.await(answer);
+    cr_assert_eq(answer->status, row.status, "%s: %u %s", row.name, answer->status, answer->body.c_str());
+    cr_assert_eq(fixture.relayed(), row.nodeKnows ? 0U : 1U, "%s: %u", row.name, fixture.relayed());
+    cr_assert_eq(fixture.served, row.status == 200 ? 1U : 0U, "%s: %u", row.name, fixture.served);
+    if (row.status == 200)
+        cr_assert_eq(fixture.organisations.back(), std::string("first"), "%s", row.name);
+}
+
 /// Requests that had not run were answered 502 if the limit on bodies was smaller at the peer than at their node.
 Test(CallRelay, peersWithASmallerLimitOnBodiesAreFollowedByOthers)
 {
--- a/tests/platformadapter/calldialecttest.cpp
+++ b/tests/platformadapter/calldialecttest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/table.h"
 
+#include <boost/beast/core/string.hpp>
+
 using namespace Gypsumtally;
 using namespace Gypsumtally::Gateway;
 using Platform::CallDialect;
@@ -111,6 +113,107 @@
         cr_assert_not(sent.headers.contains(dropped), "%s", dropped);
 }
 
+namespace
+{
+
+struct KeyCase {
+    const char *authorization;
+    const char *key;
+};
+
+const KeyCase keys[] = {
+    {"Bearer s3cret", "s3cret"},
+    {"bearer s3cret", "s3cret"},
+    {"BEARER  \ts3cret \t", "s3cret"},
+    {"Bearer a b", "a b"}, // No organisation has such a key.
+    {"Bearers3cret", ""},
+    {"Bearer", ""},
+    {"Bearer ", ""},
+    {"Bear", ""},
+    {"Basic s3cret", ""},
+    {"s3cret", ""},
+    {"", ""},
+};
+
+struct TokensCase {
+    const char *tokens;
+    double prompt;
+    double output;
+    bool hasTokens;
+};
+
+const TokensCase tokenCounts[] = {
+    {"1460,80", 1460, 80, true}, {"0,0", 0, 0, true},       {"1460, 80", 1460, 80, true},
+    {"1460", 1460, 0, false},    {"1460,", 1460, 0, false}, {",80", 0, 80, false},
+    {"", 0, 0, false},           {"-5,80", 0, 80, false},   {"99999999999,80", 0, 80, false},
+};
+
+/// A caller's request with a key and a forged organisation, under names of several cases.
+Http::Request requestWithKey(const char *connection)
+{
+    auto keyed = request();
+    for (const auto *name : {"Authorization", "AUTHORIZATION", "authorization"})
+        keyed.headers.add(name, "Bearer s3cret");
+    for (const auto *name : {"X-Tenant", "x-tenant", "X-TENANT"})
+        keyed.headers.add(name, "forged");
+    if (*connection != 0)
+        keyed.headers.add("Connection", connection);
+    return keyed;
+}
+
+struct IdentityCase {
+    const char *name;
+    const char *connection; ///< Connection header of the caller.
+    Access::Identity identity;
+    std::vector<std::string> organisations; ///< Values of the organisation's header at the upstream.
+    std::size_t keys; ///< Headers with the key at the upstream.
+};
+
+const IdentityCase identities[] = {
+    {"of an organisation", "", {true, "hule930"}, {"hule930"}, 0},
+    {"of none", "", {true, ""}, {}, 0},
+    {"listed as hop-by-hop", "close, X-Tenant, Authorization", {true, "hule930"}, {"hule930"}, 0},
+    {"not checked", "", {}, {"forged", "forged", "forged"}, 3},
+};
+
+} // namespace
+
+/// Guards against a key that is read from another scheme, or with a part of its header.
+TABLE_TEST(CallDialect, readsKeys, keys)
+{
+    const Http::Request keyed{
+        "POST", "/x/1", {{"Host", "a"}, {"X-Request-Id", "r1"}, {"AUTHORIZATION", row.authorization}}, {}};
+    const auto call = std::get<CallerRequest>(CallDialect::readRequest(keyed));
+    cr_assert_eq(call.key, std::string(row.key), "%s", row.authorization);
+}
+
+/// Guards against a cost of tokens that the caller has not stated.
+TABLE_TEST(CallDialect, readsTokenCounts, tokenCounts)
+{
+    const Http::Request counted{
+        "POST", "/x/1", {{"Host", "a"}, {"X-Request-Id", "r1"}, {"X-Token-Count", row.tokens}}, {}};
+    const auto call = std::get<CallerRequest>(CallDialect::readRequest(counted));
+    cr_assert_eq(call.hasTokens, row.hasTokens, "%s", row.tokens);
+    cr_assert_eq(call.promptTokens, row.prompt, "%s", row.tokens);
+    cr_assert_eq(call.outputTokens, row.output, "%s", row.tokens);
+}
+
+/// Guards against a key or a forged organisation that reaches an upstream.
+TABLE_TEST(CallDialect, namesTheOrganisationInsteadOfItsKey, identities)
+{
+    SendInstructions instructions{"i-1", std::chrono::milliseconds{900}, {}, {}, {}, row.identity};
+    const auto sent = CallDialect::writeRequest(requestWithKey(row.connection), instructions);
+    std::vector<std::string> organisations;
+    std::size_t found = 0;
+    for (const auto &[name, value] : sent.headers) {
+        if (boost::beast::iequals(name, "X-Tenant"))
+            organisations.push_back(value);
+        found += value.find("s3cret") == std::string::npos ? 0 : 1;
+    }
+    cr_assert(organisations == row.organisations, "%s", row.name);
+    cr_assert_eq(found, row.keys, "%s", row.name);
+}
+
 TABLE_TEST(CallDialect, readsReplies, replies)
 {
     const auto reply = CallDialect::readReply({row.status, row.headers, {}});
--- a/tests/platformadapter/documentstest.cpp
+++ b/tests/platformadapter/documentstest.cpp
@@ -79,6 +79,87 @@
     cr_assert(std::holds_alternative<BadDocument>(Platform::readOperatorDocument("op/config", row)));
 }
 
+namespace
+{
+
+/// Returns a configuration with the field @p tenants.
+std::string withOrganisations(const std::string &tenants)
+{
+    return R"({"version":1,"tenants":)" + tenants
+           + R"(,"routes":[{"host":"h","prefix":"/x/","kind":"idempotent","public":true},)"
+             R"({"host":"h","prefix":"/y/","kind":"idempotent","public":"true"},)"
+             R"({"host":"h","prefix":"/z/","kind":"idempotent"}]})";
+}
+
+struct OrganisationCase {
+    const char *entry;
+    Access::Organisation expected;
+};
+
+const OrganisationCase organisationCases[] = {
+    {R"({"name":"a","api_keys":["k1","k2"],"priority":1,"unit":"token_rate","plain_tokens":200,"rate_per_s":285911,
+         "burst":2.5})",
+     {"a", {"k1", "k2"}, 1, {285911, 2.5, 200, true}}},
+    {R"({"name":"a"})", {"a", {}, 5, {0, 0, 1, false}}},
+    {R"({"name":"a","api_keys":null,"priority":0})", {"a", {}, 0, {0, 0, 1, false}}},
+    {R"({"name":"a","unit":"requests","plain_tokens":200,"rate_per_s":10})", {"a", {}, 5, {10, 0, 1, false}}},
+    {R"({"name":"a","unit":"token_rate"})", {"a", {}, 5, {0, 0, 1, true}}},
+};
+
+const char *const badOrganisations[] = {
+    "null",
+    "{}",
+    R"("a")",
+    R"(["a"])",
+    R"([{"api_keys":["s3cret"]}])",
+    R"([{"name":"","api_keys":["s3cret"]}])",
+    R"([{"name":7,"api_keys":["s3cret"]}])",
+    R"([{"name":"a","api_keys":"s3cret"}])",
+    R"([{"name":"a","api_keys":["s3cret",7]}])",
+    R"([{"name":"a","api_keys":["s3cret",""]}])",
+    R"([{"name":"a","api_keys":["s3cret"]},{"name":"b","api_keys":["s3cret"]}])",
+    R"([{"name":"a","api_keys":["s3cret"],"priority":-1}])",
+    R"([{"name":"a","api_keys":["s3cret"],"priority":1.5}])",
+    R"([{"name":"a","api_keys":["s3cret"],"priority":"1"}])",
+    R"([{"name":"a","api_keys":["s3cret"],"rate_per_s":-1}])",
+    R"([{"name":"a","api_keys":["s3cret"],"rate_per_s":1e999}])",
+    R"([{"name":"a","api_keys":["s3cret"],"burst":null}])",
+    R"([{"name":"a","api_keys":["s3cret"],"unit":"token_rate","plain_tokens":-1}])",
+};
+
+} // namespace
+
+/// Guards against an organisation that is read with another key, priority or limit than the operators wrote.
+TABLE_TEST(Documents, readsOrganisations, organisationCases)
+{
+    const auto document
+        = Platform::readOperatorDocument("op/config", withOrganisations('[' + std::string(row.entry) + ']'));
+    cr_assert(std::holds_alternative<TrafficPolicy>(document), "%s", row.entry);
+    const auto &policy = std::get<TrafficPolicy>(document);
+    cr_assert(policy.organisations.has_value());
+    cr_assert_eq(policy.organisations->size(), 1U);
+    cr_assert(policy.organisations->front() == row.expected, "%s", row.entry);
+    cr_assert(policy.routes[0].isPublic && !policy.routes[1].isPublic && !policy.routes[2].isPublic);
+}
+
+/// Guards against requests without a key where the list of organisations is empty, and the reverse.
+Test(Documents, tellsAnEmptyListFromNone)
+{
+    const auto with = Platform::readOperatorDocument("op/config", withOrganisations("[]"));
+    cr_assert(std::get<TrafficPolicy>(with).organisations.has_value());
+    const auto without = Platform::readOperatorDocument("op/config", configuration);
+    cr_assert_not(std::get<TrafficPolicy>(without).organisations.has_value());
+}
+
+/// Guards against a part of the organisations in force, and against a key in the log of bad documents.
+TABLE_TEST(Documents, refusesBadOrganisations, badOrganisations)
+{
+    const auto document = Platform::readOperatorDocument("op/config", withOrganisations(row));
+    cr_assert(std::holds_alternative<BadDocument>(document), "%s", row);
+    const auto &reason = std::get<BadDocument>(document).reason;
+    cr_assert(!reason.empty() && reason.find("s3cret") == std::string::npos, "%s", reason.c_str());
+}
+
 Test(Documents, readsVersionsOfAdapters)
 {
     const auto document
--- a/tests/support/plaindialect.h
+++ b/tests/support/plaindialect.h
@@ -20,6 +20,7 @@
         decoded.timeout = std::chrono::seconds{5};
         decoded.target = std::string(request.headers.get("Target"));
         decoded.promptTokens = decoded.target.empty() ? 0 : 500;
+        decoded.key = std::string(request.headers.get("Key"));
         return decoded;
     }
 
@@ -33,6 +34,10 @@
             sent.headers.add("Resume", std::to_string(*instructions.resumeAfter));
         if (instructions.version)
             sent.headers.add("Version", std::to_string(*instructions.version));
+        if (instructions.identity.isChecked)
+            sent.headers.add("Organisation", instructions.identity.organisation);
+        if (instructions.priority)
+            sent.headers.add("Priority", std::to_string(*instructions.priority));
         return sent;
     }
 
