Charge organisations fleet-wide: sums in reports, heard share, hook in the forwarder, metrics

Reports carry what each process has charged to organisations; relays that merge reports keep the newest sums. Nodes use the share of the limits that is the fraction of nodes they hear from, and take back what they refilled before a cut was noticed.

--- a/src/allowances/fleetallowance.cpp
+++ b/src/allowances/fleetallowance.cpp
@@ -23,7 +23,7 @@
 constexpr Duration partHalfLife = std::chrono::seconds{2};
 /// Silence after which a process is taken to have used the share that this node withheld. As long as the time within
 /// which it must be heard to count for that share.
-constexpr Duration maxSilence = std::chrono::seconds{1};
+constexpr Duration maxSilence = std::chrono::milliseconds{1200};
 /// Age from which this process has heard from all others that it can hear from, also if some reports were lost.
 constexpr Duration settlingTime = std::chrono::seconds{3};
 /// A process sends a report for each request; one that has sent no more than so many has just begun.
@@ -31,6 +31,8 @@
 /// Heard share from which no good part of the fleet is cut off.
 constexpr double wholeShare = 0.9;
 constexpr Duration withheldTime = std::chrono::seconds{2}; ///< In which all processes that come back send a digest.
+/// Time for which reports repeat a changed sum; as long as two that went different ways may differ in their delay.
+constexpr Duration repeatTime = std::chrono::milliseconds{200};
 constexpr Duration peerRetention = std::chrono::minutes{10};
 constexpr Duration retryMargin = std::chrono::milliseconds{1}; ///< For roundings.
 
@@ -48,6 +50,23 @@
     return tokens.isStated ? tokens.count : limit.plainCost;
 }
 
+std::map<std::string, LimitUse> LimitLabels::label(const std::map<std::string, LimitUse> &uses)
+{
+    std::map<std::string, LimitUse> labelled;
+    for (const auto &name : m_names)
+        labelled.emplace(name, LimitUse{});
+    for (const auto &[organisation, use] : uses) {
+        if (m_names.size() < maxNames)
+            m_names.insert(organisation);
+        auto &sum = labelled[m_names.contains(organisation) ? organisation : "other"];
+        sum.perSecond += use.perSecond;
+        sum.level += use.level;
+        sum.granted += use.granted;
+        sum.refusals += use.refusals;
+    }
+    return labelled;
+}
+
 FleetAllowance::Bucket::Bucket(const Limit &limit, Instant now)
     : limit(limit)
     , refilledAt(now)
@@ -82,9 +101,11 @@
     const bool isWhole = now - m_partedAt > withheldTime;
     for (auto &[organisation, bucket] : m_buckets)
         refill(bucket, now);
-    m_share = std::clamp(share, 0.0, 1.0);
+    const double lost = std::exchange(m_share, std::clamp(share, 0.0, 1.0)) - m_share;
     m_sharedAt = now;
     for (auto &[organisation, bucket] : m_buckets) {
+        if (lost > 0 && m_share < wholeShare)
+            takeBack(bucket, lost);
         bucket.level = std::min(bucket.level, capacityOf(bucket));
         if (isWhole)
             bucket.withheld = 0;
@@ -92,6 +113,18 @@
     std::erase_if(m_peers, [&](const auto &item) { return now - item.second.heardAt > peerRetention; });
 }
 
+/// Takes back the part @p lost of the refill of the time in which silent nodes still counted as heard. The debt is
+/// limited to what is refilled in as long a time, as a node that is cut off from most others would refuse all its
+/// callers for too long. Single nodes that seem silent after lost reports are not worth it.
+void FleetAllowance::takeBack(Bucket &bucket, double lost) const
+{
+    const double refilled = bucket.limit.perSecond * secondsOf(maxSilence);
+    const double lowest = std::min(bucket.level, -refilled * m_share);
+    const double taken = std::min(refilled * lost, bucket.level - lowest);
+    bucket.level -= taken;
+    bucket.withheld += taken;
+}
+
 double FleetAllowance::capacityOf(const Bucket &bucket) const
 {
     return bucket.limit.burst * m_share;
@@ -130,7 +163,7 @@
     bucket.granted += cost;
     bucket.ownSpent.count(now, cost);
     bucket.spent.count(now, cost);
-    noteSum(organisation, cost);
+    noteSum(organisation, cost, now);
     return {};
 }
 
@@ -173,18 +206,19 @@
     return std::clamp(observed, average, 1.0);
 }
 
-void FleetAllowance::noteSum(const std::string &organisation, double change)
+void FleetAllowance::noteSum(const std::string &organisation, double change, Instant now)
 {
     auto &sum = m_ownSums[organisation];
     sum = std::max(0.0, sum + change);
-    m_changed.insert(organisation);
+    m_changed[organisation] = now;
+    m_hasChanged = true;
 }
 
 void FleetAllowance::giveBack(const std::string &organisation, double cost, Instant now)
 {
     if (cost <= 0)
         return;
-    noteSum(organisation, -cost);
+    noteSum(organisation, -cost, now);
     const auto it = m_buckets.find(organisation);
     if (it == m_buckets.end())
         return;
@@ -200,11 +234,13 @@
     giveBack(taken.organisation, taken.cost, now);
 }
 
-std::map<std::string, double> FleetAllowance::takeChangedSums()
+std::map<std::string, double> FleetAllowance::takeChangedSums(Instant now)
 {
     std::map<std::string, double> sums;
-    for (const auto &organisation : std::exchange(m_changed, {}))
+    for (const auto &[organisation, changedAt] : m_changed)
         sums.emplace(organisation, m_ownSums[organisation]);
+    std::erase_if(m_changed, [&](const auto &item) { return now - item.second >= repeatTime; });
+    m_hasChanged = false;
     return sums;
 }
 
--- a/src/allowances/fleetallowance.h
+++ b/src/allowances/fleetallowance.h
@@ -4,6 +4,7 @@
 #include "common/clock.h"
 #include "common/decayedrate.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -50,6 +51,21 @@
     std::uint64_t refusals = 0; ///< By this process.
 };
 
+/// Chooses the organisations whose use is shown under their names, so that the number of names is bounded while the
+/// process runs. Not thread-safe.
+class LimitLabels
+{
+public:
+    /// Returns @p uses with those of all organisations without a name of their own summed as "other". Names that were
+    /// shown before stay, without use.
+    std::map<std::string, LimitUse> label(const std::map<std::string, LimitUse> &uses);
+
+private:
+    static constexpr std::size_t maxNames = 32;
+
+    std::set<std::string> m_names;
+};
+
 /// The rate limits of organisations, which apply to all nodes together. Each node keeps for each organisation a token
 /// bucket that models the fleet's: it deducts its own requests at once and those of other nodes when their cumulative
 /// sums arrive. A node that does not hear from all others uses a share of the limits. See docs/design/allowances.md.
@@ -92,11 +108,18 @@
     /// Returns true if a sum has changed since the last call of takeChangedSums().
     bool hasChangedSums() const
     {
-        return !m_changed.empty();
+        return m_hasChanged;
     }
 
-    /// Returns the sums that have changed since the last call.
-    std::map<std::string, double> takeChangedSums();
+    /// Returns the sums that have changed since the last call, and those that have changed shortly before. A report
+    /// that is merged with a later one on the way would otherwise pass on a sum that one between them has replaced.
+    std::map<std::string, double> takeChangedSums(Instant now);
+
+    /// Returns true if any organisation has a limit.
+    bool isLimiting() const
+    {
+        return !m_buckets.empty();
+    }
 
     /// Applies a report of another process. To be called with each report, also one without sums.
     void onPeerSums(const PeerSums &report, Instant now);
@@ -138,17 +161,19 @@
     };
 
     void refill(Bucket &bucket, Instant now) const;
+    void takeBack(Bucket &bucket, double lost) const;
     double capacityOf(const Bucket &bucket) const;
     double unseenSpending(const Bucket &bucket, Instant now) const;
     Duration waitFor(Bucket &bucket, double cost, double missing, Instant now, Duration longestWait) const;
     double partOf(const Bucket &bucket, Instant now) const;
-    void noteSum(const std::string &organisation, double change);
+    void noteSum(const std::string &organisation, double change, Instant now);
     Peer &peerOf(const PeerSums &report, Instant now);
     void deduct(const std::string &organisation, double spent, bool isCatchingUp, Instant now);
 
     std::map<std::string, Bucket> m_buckets; ///< Of the organisations with a limit.
     std::map<std::string, double> m_ownSums; ///< Kept while the process runs, as other nodes know them.
-    std::set<std::string> m_changed; ///< Organisations whose sum was not reported since it changed.
+    std::map<std::string, Instant> m_changed; ///< When sums have changed last.
+    bool m_hasChanged = false; ///< A sum was not reported since it changed.
     std::map<std::string, Peer> m_peers; ///< By node.
     double m_share = 0;
     Instant m_sharedAt{}; ///< Time of the last setHeardShare().
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowances/fleetallowance.h"
 #include "estimates/pacemargin.h"
 #include "gateway/crashledger.h"
 #include "gateway/declaredversion.h"
@@ -42,6 +43,7 @@
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
     RetryAllowance allowance{RetryBound{}};
+    Allowances::FleetAllowance fleetAllowance; ///< Of organisations.
     CrashLedger crashes;
     bool awaitsVerdicts = false; ///< The store's verdicts on causes of crashes are not known yet.
     StreamVersions streams;
--- a/src/gateway/dissemination.cpp
+++ b/src/gateway/dissemination.cpp
@@ -63,6 +63,7 @@
             into.hasInFlight = from.hasInFlight;
             into.inFlight = std::move(from.inFlight);
         }
+        into.spent.merge(from.spent);
         return;
     }
     into.sequence = from.sequence;
@@ -79,6 +80,8 @@
     }
     from.changedInFlight.merge(into.changedInFlight);
     into.changedInFlight = std::move(from.changedInFlight);
+    from.spent.merge(into.spent);
+    into.spent = std::move(from.spent);
 }
 
 } // namespace
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -72,6 +72,7 @@
 constexpr double maxFigure = 1e9;
 constexpr unsigned maxCount = 1'000'000;
 constexpr Duration maxTime = std::chrono::hours{24};
+constexpr double maxSum = 1e15; ///< Of tokens; a double holds whole numbers up to it. Greater ones are not valid.
 
 double figureIn(const json::array &row, std::size_t index)
 {
@@ -256,6 +257,31 @@
                 [&](UpstreamProcess process, const json::array &) { report.cutOff.push_back(std::move(process)); });
 }
 
+/// Adds the sums that are charged to organisations. Whole ones are written as integers, which are shorter.
+void addSpent(json::object &object, const std::map<std::string, double> &spent)
+{
+    if (spent.empty())
+        return;
+    json::array rows;
+    for (const auto &[organisation, sum] : spent) {
+        const auto whole = toWhole<std::int64_t>(sum);
+        rows.push_back({organisation, whole ? json::value(*whole) : json::value(sum)});
+    }
+    object["spent"] = std::move(rows);
+}
+
+std::map<std::string, double> spentFrom(const json::object &object)
+{
+    std::map<std::string, double> spent;
+    eachRow(object, "spent", [&](const json::array &row) {
+        const double sum = row.size() > 1 ? numberFrom<double>(row[1]).value_or(-1) : -1;
+        auto organisation = textIn(row, 0);
+        if (!organisation.empty() && sum >= 0 && sum <= maxSum)
+            spent[std::move(organisation)] = sum;
+    });
+    return spent;
+}
+
 /// Rounds to three decimal places to save bytes in the datagram.
 double rounded(double figure)
 {
@@ -370,6 +396,7 @@
     addReach(object, report);
     if (!report.placements.empty())
         object["placements"] = noticesToJson(report.placements);
+    addSpent(object, report.spent);
     return object;
 }
 
@@ -450,6 +477,7 @@
     report.brokenStreams = streamsFrom(object, "broken_streams");
     readReach(object, report);
     report.placements = noticesFrom(object, "placements");
+    report.spent = spentFrom(object);
     return report;
 }
 
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -144,6 +144,14 @@
     std::vector<BrittlenessNotice> brittleness;
     std::vector<StreamOrigin> brokenStreams; ///< Streams of the node that callers may take up.
     std::vector<PlacementNotice> placements; ///< Sent by the holder of an order lease only.
+    /// What the process has charged to organisations with a rate limit, cumulative: changed sums, or in digests all.
+    std::map<std::string, double> spent;
+
+    /// Digests state the full address, and all of what other reports state the changes of.
+    bool isDigest() const
+    {
+        return from.callers.port != 0;
+    }
 };
 
 /// The nodes to which the receiver of a message forwards the reports in it.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -242,6 +242,9 @@
     /// Digest interval per peer. The product with the number of peers applies if it exceeds digestInterval: larger
     /// fleets send digests less often, so that the traffic that a node receives grows more slowly than the fleet.
     static constexpr Duration digestIntervalPerNode = std::chrono::milliseconds{6};
+    /// Longest pause between two reports of a node while organisations have limits. Two of them are sent within the time
+    /// after which it would count as not heard, also in large fleets, which send digests less often.
+    static constexpr Duration maxReportPause = std::chrono::milliseconds{400};
     /// Delay per rank before a node acquires the vacant lease of a shard. The node that ranks first acquires it after
     /// the minimum delay; the next ones follow if it does not.
     static constexpr Duration acquireDelayPerRank = std::chrono::milliseconds{250};
@@ -584,6 +587,7 @@
                         {"written_within_ms", isFirst ? "unknown" : std::to_string(ageMs)},
                         {"routes", std::to_string(policy->routes.size())}});
             m_context.routes = std::make_shared<RouteTable>(std::move(*policy));
+            m_context.fleetAllowance.setLimits(limitsOf(m_context.routes->policy()), m_context.configuredAt);
             std::erase_if(m_context.speeds, [&](const auto &item) { return !m_context.routes->service(item.first); });
             Relay::CallerServerSettings server;
             const auto &limits = m_context.routes->policy().limits;
@@ -605,6 +609,16 @@
         }
     }
 
+    static std::map<std::string, Allowances::Limit> limitsOf(const TrafficPolicy &policy)
+    {
+        std::map<std::string, Allowances::Limit> limits;
+        if (policy.organisations) {
+            for (const auto &organisation : *policy.organisations)
+                limits.emplace(organisation.name, organisation.limit);
+        }
+        return limits;
+    }
+
     void onUpstreamRecord(const std::string &key, const std::string &value)
     {
         const auto instance = instanceOf(key);
@@ -824,6 +838,13 @@
         m_metrics.set(Metric::ViewAgeSeconds, age(m_lastPeerMessage), {{"view", "peers"}});
         for (const auto &service : m_context.allowance.services())
             m_metrics.set(Metric::RetriesLeft, m_context.allowance.left(service, now), {{"service", service}});
+        for (const auto &[organisation, use] : m_limitLabels.label(m_context.fleetAllowance.uses(now))) {
+            const MetricLabels labels{{"organisation", organisation}};
+            m_metrics.set(Metric::OrganisationLimit, use.perSecond, labels);
+            m_metrics.set(Metric::OrganisationLevel, use.level, labels);
+            m_metrics.set(Metric::OrganisationGranted, use.granted, labels);
+            m_metrics.set(Metric::OrganisationRefusals, static_cast<double>(use.refusals), labels);
+        }
         exchange.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text(now)});
     }
 
@@ -912,6 +933,7 @@
         m_context.allowance.setNodes(std::max(minAllowanceShares, static_cast<unsigned>(shares)));
         const double live = m_members.liveShare(now);
         m_context.limitShare = live > liveMajority ? 1 : live;
+        tickAllowance(now);
         const auto nodes = m_members.liveNodes(now);
         m_context.rank.index = static_cast<unsigned>(std::distance(nodes.begin(), nodes.lower_bound(m_address.node)));
         m_context.rank.count = static_cast<unsigned>(nodes.size()) + 1;
@@ -937,6 +959,17 @@
         m_loop.runAfter(tickInterval, [this] { tick(); });
     }
 
+    /// Sets this node's share of organisations' limits, and reports what it has charged to them if no other report has
+    /// done so. The reports of an idle node keep it among those that are heard.
+    void tickAllowance(Instant now)
+    {
+        const std::size_t minKnown = now - m_started < joiningTime ? minAllowanceShares : 1;
+        m_context.fleetAllowance.setHeardShare(m_members.heardShare(minKnown, now), now);
+        const bool isDue = m_context.fleetAllowance.isLimiting() && now - m_reportedAt >= maxReportPause;
+        if (isDue || m_context.fleetAllowance.hasChangedSums())
+            broadcast(report());
+    }
+
     /// Logs and counts the callers' requests and connections that were closed without an answer.
     void reportCallerLosses()
     {
@@ -1196,10 +1229,14 @@
         return message;
     }
 
-    /// Sends @p report to all other nodes.
+    /// Sends @p report to all other nodes, with the sums that organisations were charged.
     void broadcast(NodeReport report)
     {
-        m_dissemination.add(std::move(report), BootClock{}.now());
+        const auto now = BootClock{}.now();
+        auto changed = m_context.fleetAllowance.takeChangedSums(now);
+        report.spent = report.isDigest() ? m_context.fleetAllowance.ownSums() : std::move(changed);
+        m_reportedAt = now;
+        m_dissemination.add(std::move(report), now);
         flushSoon();
     }
 
@@ -1465,6 +1502,8 @@
         if (report.from.node == m_address.node)
             return;
         const ReportStamp stamp{report.from.node, report.from.startedAt, report.sequence};
+        m_context.fleetAllowance.onPeerSums(
+            {report.from.node, report.from.startedAt, report.sequence, report.isDigest(), report.spent}, now);
         const bool isNewest = m_members.onReport(report, now, m_tickBefore);
         applyReachNews(m_context.reach, report, isNewest, m_address.node,
                        report.failedReach.empty() ? std::set<std::string>{} : m_members.liveNodes(now), now);
@@ -1589,6 +1628,8 @@
     LinkBudget m_linkBudget;
     Dissemination m_dissemination;
     std::uint64_t m_sequence = 0;
+    Instant m_reportedAt{}; ///< When this node's last report was made.
+    Allowances::LimitLabels m_limitLabels;
     std::uint64_t m_updates = 0; ///< Number of updates sent; each begins with another node.
     std::uint64_t m_droppedBytes = 0; ///< Of updates since the last report, which the link would not have borne.
     bool m_flushScheduled = false;
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -16,6 +16,13 @@
 constexpr Duration livenessTimeoutPerNode = std::chrono::milliseconds{35};
 constexpr Duration unlistedTimeout = std::chrono::seconds{20}; ///< After the last report of an unlisted node.
 
+/// Time in which a node must be heard to count for the heard share: two digests of a fleet of 76 nodes, one of which may
+/// be lost, and the delay of reports. Until it has passed, a cut fleet charges organisations too little.
+constexpr Duration heardTimeout = std::chrono::milliseconds{1200};
+/// Time for which a silent node without a record counts as one that may serve callers. Twice the TTL of the record: a
+/// node that is cut off from the store loses its record too.
+constexpr Duration unheardTimeout = std::chrono::seconds{60};
+
 /// Capacity from which a machine bears a good part of its domain's reports. Smaller ones share them all.
 constexpr double ownShareCapacity = 1;
 
@@ -69,6 +76,7 @@
     member.sequence = 0;
     member.heardAt = {};
     member.holdsVersions = false;
+    member.stops = false;
 }
 
 Instant MemberTable::lastUnheard(Instant time, Duration allowance) const
@@ -105,6 +113,7 @@
     if (report.sequence <= member.sequence)
         return false;
     member.sequence = report.sequence;
+    member.stops = !report.takesCallers && (member.stops || member.takesCallers);
     member.takesCallers = report.takesCallers;
     member.reachesStore = report.reachesStore;
     member.reach = report.reach;
@@ -270,6 +279,19 @@
     return static_cast<double>(1 + liveNodes(now).size()) / static_cast<double>(1 + peerCount(now));
 }
 
+double MemberTable::heardShare(std::size_t minKnown, Instant now) const
+{
+    std::size_t heard = 1;
+    std::size_t known = 1;
+    for (const auto &[node, member] : m_members) {
+        const bool isHeard = member.heardAt != Instant{} && now - member.heardAt <= heardTimeout;
+        const bool maySpend = !member.stops && (member.listed || now - member.lastReportAt <= unheardTimeout);
+        heard += isHeard ? 1 : 0;
+        known += isHeard || maySpend ? 1 : 0;
+    }
+    return static_cast<double>(heard) / static_cast<double>(std::max(known, minKnown));
+}
+
 std::vector<std::string> MemberTable::silentNodes(Instant now) const
 {
     std::vector<std::string> nodes;
--- a/src/gateway/membertable.h
+++ b/src/gateway/membertable.h
@@ -82,6 +82,11 @@
     /// Returns the fraction of all known nodes that are live, with this one among both.
     double liveShare(Instant now) const;
 
+    /// Returns the fraction of the known nodes that have been heard from within 1.2 s, with this one among both. Nodes
+    /// that have announced that they stop do not count when they are silent; others whose record is gone count for a
+    /// time, as they may be cut off from the store. Takes at least @p minKnown nodes as known.
+    double heardShare(std::size_t minKnown, Instant now) const;
+
     /// Returns the other nodes that are not live.
     std::vector<std::string> silentNodes(Instant now) const;
 
@@ -136,6 +141,7 @@
         Instant lastReportAt{}; ///< When the last report was read.
         Instant heardAt{}; ///< When the last report had not arrived yet.
         bool holdsVersions = false;
+        bool stops = false; ///< The process took callers, and has announced that it takes no more.
     };
 
     /// Prepares @p member for another process of its node.
--- a/src/report/metrics.cpp
+++ b/src/report/metrics.cpp
@@ -32,7 +32,7 @@
     const char *help;
 };
 
-constexpr std::array<Description, 27> descriptions{{
+constexpr std::array<Description, 31> descriptions{{
     {Metric::Requests, Kind::Counter, "gypsumtally_requests_total", "Requests that have ended."},
     {Metric::RequestSeconds, Kind::Histogram, "gypsumtally_request_seconds", "Time from arrival to the whole answer."},
     {Metric::FirstTokenSeconds, Kind::Histogram, "gypsumtally_first_token_seconds",
@@ -67,6 +67,14 @@
     {Metric::UnansweredRequests, Kind::Counter, "gypsumtally_unanswered_requests_total",
      "Requests that ended without a whole answer."},
     {Metric::Connections, Kind::Counter, "gypsumtally_connections_total", "Connections to upstreams and peers."},
+    {Metric::OrganisationLimit, Kind::Gauge, "gypsumtally_organisation_limit",
+     "Rate limit of the organisation at all nodes together, per second."},
+    {Metric::OrganisationLevel, Kind::Gauge, "gypsumtally_organisation_level",
+     "What is left of the organisation's limit now, as this node knows it."},
+    {Metric::OrganisationGranted, Kind::Gauge, "gypsumtally_organisation_granted",
+     "Cost of the organisation's requests that this node has let through and that may have run, since its start."},
+    {Metric::OrganisationRefusals, Kind::Gauge, "gypsumtally_organisation_refusals",
+     "Requests that this node has refused as the organisation had reached its limit, since its start."},
     {Metric::RelayedCalls, Kind::Counter, "gypsumtally_relayed_calls_total", "Calls passed between nodes."},
 }};
 
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -39,6 +39,10 @@
     CallerLosses, ///< Requests and connections of callers that were left unanswered. Label: kind.
     UnansweredRequests, ///< Requests that ended without a whole answer. Labels: from, cause.
     Connections, ///< To upstreams and peers. Label: outcome.
+    OrganisationLimit, ///< Label: organisation.
+    OrganisationLevel, ///< Label: organisation.
+    OrganisationGranted, ///< Label: organisation.
+    OrganisationRefusals, ///< Label: organisation.
     RelayedCalls, ///< Calls passed between nodes. Labels: direction, verdict.
 };
 
--- a/tests/gateway/disseminationtest.cpp
+++ b/tests/gateway/disseminationtest.cpp
@@ -346,6 +346,27 @@
     cr_assert(dissemination.isEmpty());
 }
 
+/// Guards against sums of an organisation that are lost, or replaced by older ones, on the way.
+Test(Dissemination, keepsNewestSums)
+{
+    MemberTable members({"n0", "d", "d", {"10.0.0.1", 80, false}, {"10.0.0.1", 90, false}, 1});
+    NodeReport peer;
+    peer.from = {"n1", "d", "d", {"10.0.0.2", 80, false}, {"10.0.0.2", 90, false}, 1};
+    peer.sequence = 1;
+    members.onReport(peer, start);
+    Dissemination dissemination;
+    NodeReport report;
+    report.from = members.self();
+    for (const std::uint64_t sequence : {5, 7, 6}) {
+        report.sequence = sequence;
+        report.spent = {{"all", sequence}, {"o" + std::to_string(sequence), 1}};
+        dissemination.add(report, start);
+    }
+    const auto deliveries = dissemination.flush(members, start);
+    const std::map<std::string, double> newest{{"all", 7}, {"o5", 1}, {"o6", 1}, {"o7", 1}};
+    cr_assert(deliveries.front().message.reports.front().spent == newest);
+}
+
 namespace
 {
 
--- a/tests/gateway/membertabletest.cpp
+++ b/tests/gateway/membertabletest.cpp
@@ -203,6 +203,48 @@
 namespace
 {
 
+struct HeardCase {
+    const char *name;
+    bool isListed; ///< n5, which is heard for the last time at the start.
+    bool stops; ///< n5 has announced it.
+    int seconds; ///< Since.
+    double share;
+};
+
+const HeardCase heardCases[] = {
+    {"just heard", false, false, 1, 1},        {"silent", false, false, 3, 0.8},
+    {"listed for long", true, false, 100, 0.8}, {"not listed", false, false, 30, 0.8},
+    {"gone", false, false, 100, 1},            {"stopped", true, true, 3, 1},
+    {"about to stop", true, true, 1, 1},
+};
+
+} // namespace
+
+/// Guards against parts of a fleet that use the whole limit of an organisation each, and against nodes that have left
+/// and keep a share.
+TABLE_TEST(MemberTable, shareOfHeardNodes, heardCases)
+{
+    auto table = fiveNodes();
+    table.onReport(reportFrom(address("n5", "b"), !row.stops, 2), start);
+    if (row.isListed)
+        table.onListed(address("n5", "b"), start);
+    const auto now = start + std::chrono::seconds{row.seconds};
+    for (const auto *node : {"n2", "n3", "n4"})
+        table.onReport(reportFrom(address(node, node[1] < '4' ? "a" : "b"), true, 3), now);
+    cr_assert_float_eq(table.heardShare(1, now), row.share, 1e-9, "%s", row.name);
+}
+
+/// Guards against a node that has just started, knows no other yet and uses the whole limit of an organisation.
+Test(MemberTable, shareOfNodeThatKnowsNoOther)
+{
+    const MemberTable table(address("n1", "a"));
+    cr_assert_float_eq(table.heardShare(1, start), 1, 1e-9);
+    cr_assert_float_eq(table.heardShare(10, start), 0.1, 1e-9);
+}
+
+namespace
+{
+
 constexpr Duration allowance = std::chrono::seconds{2};
 
 struct UnheardCase {
