Organisations' limits hold when a cut, or the end of all processes, coincides with a flood

Change: a node whose heard share falls takes back the lost part of the level and of what was spent since the silent nodes were last heard, up to a debt of 4 s; a bucket begins with a debt of half a second; first sums of processes that have just begun count; a tenth of the burst is kept for what nodes grant before they hear of each other.

--- a/src/allowances/fleetallowance.cpp
+++ b/src/allowances/fleetallowance.cpp
@@ -20,6 +20,10 @@
 /// Limit on the part of a bucket that counts as spent by others that have not reported it yet, so that a burst that is
 /// small in relation to its rate can be used.
 constexpr double maxUnseenPart = 0.5;
+/// Part of the burst that is used. The rest covers what nodes grant in a flood before they hear of each other.
+constexpr double burstPart = 0.9;
+/// Debt with which a bucket begins, in seconds of the rate: what the processes before may have left after a flood.
+constexpr double initialDebt = 0.5;
 constexpr Duration partHalfLife = std::chrono::seconds{2};
 /// Silence after which a process is taken to have used the share that this node withheld. As long as the time within
 /// which it must be heard to count for that share.
@@ -28,12 +32,17 @@
 constexpr Duration settlingTime = std::chrono::seconds{3};
 /// A process sends a report for each request; one that has sent no more than so many has just begun.
 constexpr std::uint64_t maxFirstReports = 256;
+/// The same for a process that begins at about the same time as this one. An idle process sends so many in 8 s.
+constexpr std::uint64_t maxFirstReportsAtStart = 20;
 /// Heard share from which no good part of the fleet is cut off.
 constexpr double wholeShare = 0.9;
+/// Longest time in which the debt that follows from a cut is refilled.
+constexpr Duration maxDebtTime = std::chrono::seconds{4};
 constexpr Duration withheldTime = std::chrono::seconds{2}; ///< In which all processes that come back send a digest.
 /// Time for which reports repeat a changed sum; as long as two that went different ways may differ in their delay.
 constexpr Duration repeatTime = std::chrono::milliseconds{200};
 constexpr Duration peerRetention = std::chrono::minutes{10};
+constexpr int slicesOfSum = 10;
 constexpr Duration retryMargin = std::chrono::milliseconds{1}; ///< For roundings.
 
 double secondsOf(Duration time)
@@ -50,6 +59,28 @@
     return tokens.isStated ? tokens.count : limit.plainCost;
 }
 
+RecentSum::RecentSum(Duration time)
+    : m_time(time)
+{
+}
+
+void RecentSum::add(double amount, Instant now)
+{
+    if (m_slices.empty() || now - m_slices.back().begin >= m_time / slicesOfSum)
+        m_slices.push_back({now, 0});
+    m_slices.back().amount += amount;
+    while (now - m_slices.front().begin > m_time)
+        m_slices.pop_front();
+}
+
+double RecentSum::sum(Instant now) const
+{
+    double sum = 0;
+    for (const auto &slice : m_slices)
+        sum += now - slice.begin <= m_time ? slice.amount : 0;
+    return sum;
+}
+
 std::map<std::string, LimitUse> LimitLabels::label(const std::map<std::string, LimitUse> &uses)
 {
     std::map<std::string, LimitUse> labelled;
@@ -69,10 +100,12 @@
 
 FleetAllowance::Bucket::Bucket(const Limit &limit, Instant now)
     : limit(limit)
+    , level(-initialDebt * limit.perSecond)
     , refilledAt(now)
     , spentByOthers(spendingHalfLife)
     , ownSpent(partHalfLife)
     , spent(partHalfLife)
+    , spentInSilence(maxSilence)
 {
 }
 
@@ -101,11 +134,11 @@
     const bool isWhole = now - m_partedAt > withheldTime;
     for (auto &[organisation, bucket] : m_buckets)
         refill(bucket, now);
-    const double lost = std::exchange(m_share, std::clamp(share, 0.0, 1.0)) - m_share;
+    const double before = std::exchange(m_share, std::clamp(share, 0.0, 1.0));
     m_sharedAt = now;
     for (auto &[organisation, bucket] : m_buckets) {
-        if (lost > 0 && m_share < wholeShare)
-            takeBack(bucket, lost);
+        if (m_share < before && m_share < wholeShare)
+            takeBack(bucket, 1 - m_share / before, now);
         bucket.level = std::min(bucket.level, capacityOf(bucket));
         if (isWhole)
             bucket.withheld = 0;
@@ -113,21 +146,21 @@
     std::erase_if(m_peers, [&](const auto &item) { return now - item.second.heardAt > peerRetention; });
 }
 
-/// Takes back the part @p lost of the refill of the time in which silent nodes still counted as heard. The debt is
-/// limited to what is refilled in as long a time, as a node that is cut off from most others would refuse all its
+/// Takes back what belonged to the part @p lost of the nodes since they were heard last: of the level, and of what the
+/// others have spent meanwhile. The debt is limited, as a node that is cut off from most others would refuse all its
 /// callers for too long. Single nodes that seem silent after lost reports are not worth it.
-void FleetAllowance::takeBack(Bucket &bucket, double lost) const
+void FleetAllowance::takeBack(Bucket &bucket, double lost, Instant now) const
 {
-    const double refilled = bucket.limit.perSecond * secondsOf(maxSilence);
-    const double lowest = std::min(bucket.level, -refilled * m_share);
-    const double taken = std::min(refilled * lost, bucket.level - lowest);
+    const double lowest = std::min(bucket.level, -bucket.limit.perSecond * secondsOf(maxDebtTime) * m_share);
+    const double before = std::max(0.0, bucket.level + bucket.spentInSilence.sum(now));
+    const double taken = std::min(before * lost, bucket.level - lowest);
     bucket.level -= taken;
     bucket.withheld += taken;
 }
 
 double FleetAllowance::capacityOf(const Bucket &bucket) const
 {
-    return bucket.limit.burst * m_share;
+    return burstPart * bucket.limit.burst * m_share;
 }
 
 void FleetAllowance::refill(Bucket &bucket, Instant now) const
@@ -163,6 +196,7 @@
     bucket.granted += cost;
     bucket.ownSpent.count(now, cost);
     bucket.spent.count(now, cost);
+    bucket.spentInSilence.add(cost, now);
     noteSum(organisation, cost, now);
     return {};
 }
@@ -253,7 +287,8 @@
         // The successor of a known process, or one that has begun since all processes were heard, has spent its sums
         // lately. The sums of others may have been spent at any time.
         const bool isSettled = m_firstSharedAt != Instant{} && now - m_firstSharedAt >= settlingTime;
-        peer = Peer{report.startedAt, now, !isFirst || (isSettled && report.sequence <= maxFirstReports), true, {}};
+        const bool hasJustBegun = report.sequence <= (isSettled ? maxFirstReports : maxFirstReportsAtStart);
+        peer = Peer{report.startedAt, now, !isFirst || hasJustBegun, true, {}};
     }
     peer.isCatchingUp = peer.isCatchingUp || wasSilent;
     peer.heardAt = now;
@@ -298,6 +333,7 @@
         return;
     bucket.spentByOthers.count(now, spent);
     bucket.spent.count(now, spent);
+    bucket.spentInSilence.add(spent, now);
 }
 
 std::map<std::string, LimitUse> FleetAllowance::uses(Instant now)
--- a/src/allowances/fleetallowance.h
+++ b/src/allowances/fleetallowance.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -22,6 +23,27 @@
 /// Returns what a request costs under @p limit. Thread-safe.
 double costOf(const Limit &limit, const StatedTokens &tokens);
 
+/// The sum of amounts over a time that ends now, to within a tenth of it. Not thread-safe.
+class RecentSum
+{
+public:
+    explicit RecentSum(Duration time);
+
+    /// Precondition: @p now is not earlier than in previous calls.
+    void add(double amount, Instant now);
+
+    double sum(Instant now) const;
+
+private:
+    struct Slice {
+        Instant begin;
+        double amount = 0;
+    };
+
+    Duration m_time;
+    std::deque<Slice> m_slices;
+};
+
 /// The answer to a request that is to be charged.
 struct Decision {
     bool isGranted = true;
@@ -139,6 +161,7 @@
         DecayedRate spentByOthers; ///< Over about the time that reports take.
         DecayedRate ownSpent; ///< Over some seconds; with spent, gives the part of this node.
         DecayedRate spent;
+        RecentSum spentInSilence; ///< Over the time in which a silent node counts as heard.
         Instant promisedUntil{}; ///< Time at which all refused callers that come back have been granted.
         double granted = 0;
         std::uint64_t refusals = 0;
@@ -161,7 +184,7 @@
     };
 
     void refill(Bucket &bucket, Instant now) const;
-    void takeBack(Bucket &bucket, double lost) const;
+    void takeBack(Bucket &bucket, double lost, Instant now) const;
     double capacityOf(const Bucket &bucket) const;
     double unseenSpending(const Bucket &bucket, Instant now) const;
     Duration waitFor(Bucket &bucket, double cost, double missing, Instant now, Duration longestWait) const;
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/verdict.h"
+#include "gateway/callcharge.h"
 #include "gateway/callcontext.h"
 #include "gateway/callrelay.h"
 #include "gateway/callsend.h"
@@ -400,8 +401,15 @@
             = chooseService(*route, call->request.resumedId.empty() ? call->request.id : call->request.resumedId);
         const auto timeout = std::min(call->request.timeout.value_or(route->timeout), route->timeout);
         call->deadline = call->relayed ? call->exchange->arrival() + call->relayed->timeLeft : call->arrival + timeout;
-        if (!chargeOrganisation(call))
-            return;
+        if (!call->relayed) {
+            const auto now = BootClock{}.now();
+            const auto longest = std::chrono::duration_cast<Duration>((call->deadline - now) * maxRetryAfterFraction);
+            const auto charged = chargeCall(m_context.fleetAllowance, call->charge, call->identity.organisation,
+                                            call->request, longest, now);
+            if (!charged.isGranted)
+                return refuse(call, 429, ErrorCode::QuotaExceeded, "the organisation has reached its rate limit",
+                              charged.retryAfter);
+        }
         call->lastEvent = call->request.resumeAfter;
         call->streamId = streamIdOf(call->lastEvent ? call->request.resumedId : call->request.id);
         if (call->lastEvent)
@@ -421,25 +429,6 @@
         proceed(call);
     }
 
-    /// Charges the call to the rate limit of its organisation, unless the node that the caller chose has done so.
-    /// Refuses it and returns false if the limit is reached.
-    bool chargeOrganisation(const CallPtr &call)
-    {
-        const auto now = BootClock{}.now();
-        const auto &request = call->request;
-        const auto longest = std::chrono::duration_cast<Duration>((call->deadline - now) * maxRetryAfterFraction);
-        if (call->relayed)
-            return true;
-        const auto decision
-            = m_context.fleetAllowance.charge(call->charge, call->identity.organisation,
-                                              {request.promptTokens + request.outputTokens, request.hasTokens}, now,
-                                              longest);
-        if (!decision.isGranted)
-            refuse(call, 429, ErrorCode::QuotaExceeded, "the organisation has reached its rate limit",
-                   std::min(decision.retryAfter, longest));
-        return decision.isGranted;
-    }
-
     /// Continues a relayed call where the other node has left it.
     void takeOver(Call &call)
     {
@@ -2065,10 +2054,8 @@
                                      {"upstream", call->instance},
                                      {"sends", std::to_string(call->sends)},
                                      {"after_ms", std::to_string((now - call->arrival).count() / 1000)},
-                                     {"verdict", std::string(nameOf(call->verdict))},
-                                     {"organisation", call->identity.organisation},
-                                     {"limit_level",
-                                      m_context.fleetAllowance.levelText(call->identity.organisation, now)}};
+                                     {"verdict", std::string(nameOf(call->verdict))}};
+        addLimit(fields, m_context.fleetAllowance, call->identity.organisation, now);
         addPlaces(fields, *call, now);
         addConfiguration(fields, now);
         addWaits(*call, fields);
@@ -2172,8 +2159,7 @@
         const auto now = BootClock{}.now();
         withdrawReservation(*call, now);
         countEnded(*call, now);
-        if (call->verdict == Verdict::NotRun)
-            m_context.fleetAllowance.giveBack(call->charge, now);
+        settleCharge(m_context.fleetAllowance, call->charge, call->verdict, now);
         const bool wasRouted = m_calls.erase(call) > 0;
         if (wasRouted && call->relayed)
             --m_relayedCalls;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -242,8 +242,8 @@
     /// Digest interval per peer. The product with the number of peers applies if it exceeds digestInterval: larger
     /// fleets send digests less often, so that the traffic that a node receives grows more slowly than the fleet.
     static constexpr Duration digestIntervalPerNode = std::chrono::milliseconds{6};
-    /// Longest pause between two reports of a node while organisations have limits. Two of them are sent within the time
-    /// after which it would count as not heard, also in large fleets, which send digests less often.
+    /// Longest pause between two reports of a node while organisations have limits. Two of them are sent within the
+    /// time after which it would count as not heard, also in large fleets, which send digests less often.
     static constexpr Duration maxReportPause = std::chrono::milliseconds{400};
     /// Delay per rank before a node acquires the vacant lease of a shard. The node that ranks first acquires it after
     /// the minimum delay; the next ones follow if it does not.
--- a/src/gateway/membertable.cpp
+++ b/src/gateway/membertable.cpp
@@ -16,8 +16,8 @@
 constexpr Duration livenessTimeoutPerNode = std::chrono::milliseconds{35};
 constexpr Duration unlistedTimeout = std::chrono::seconds{20}; ///< After the last report of an unlisted node.
 
-/// Time in which a node must be heard to count for the heard share: two digests of a fleet of 76 nodes, one of which may
-/// be lost, and the delay of reports. Until it has passed, a cut fleet charges organisations too little.
+/// Time in which a node must be heard to count for the heard share: two digests of a fleet of 76 nodes, one of which
+/// may be lost, and the delay of reports. Until it has passed, a cut fleet charges organisations too little.
 constexpr Duration heardTimeout = std::chrono::milliseconds{1200};
 /// Time for which a silent node without a record counts as one that may serve callers. Twice the TTL of the record: a
 /// node that is cut off from the store loses its record too.
