--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -2,6 +2,7 @@
 
 #include "common/verdict.h"
 #include "gateway/callaccess.h"
+#include "gateway/callcharge.h"
 #include "gateway/callcontext.h"
 #include "gateway/callrelay.h"
 #include "gateway/callsend.h"
@@ -305,6 +306,7 @@
         std::unique_ptr<CallSend> held;
         std::shared_ptr<Relay::CallerExchange> exchange;
         CallerRequest request;
+        Allowances::Charge charge; ///< To the organisation's rate limit.
         Route route;
         std::string service;
         Instant arrival{};
@@ -405,6 +407,15 @@
             = chooseService(*route, call->request.resumedId.empty() ? call->request.id : call->request.resumedId);
         const auto timeout = std::min(call->request.timeout.value_or(route->timeout), route->timeout);
         call->deadline = call->relayed ? call->exchange->arrival() + call->relayed->timeLeft : call->arrival + timeout;
+        if (!call->relayed) {
+            const auto now = BootClock{}.now();
+            const auto longest = std::chrono::duration_cast<Duration>((call->deadline - now) * maxRetryAfterFraction);
+            const auto charged = chargeCall(m_context.fleetAllowance, call->charge, call->identity.organisation,
+                                            call->request, longest, now);
+            if (!charged.isGranted)
+                return refuse(call, 429, ErrorCode::QuotaExceeded, "the organisation has reached its rate limit",
+                              charged.retryAfter);
+        }
         call->lastEvent = call->request.resumeAfter;
         call->streamId = streamIdOf(call->lastEvent ? call->request.resumedId : call->request.id);
         if (call->lastEvent)
@@ -2075,6 +2086,7 @@
                                      {"sends", std::to_string(call->sends)},
                                      {"after_ms", std::to_string((now - call->arrival).count() / 1000)},
                                      {"verdict", std::string(nameOf(call->verdict))}};
+        addLimit(fields, m_context.fleetAllowance, call->identity.organisation, now);
         addPlaces(fields, *call, now);
         addConfiguration(fields, now);
         addWaits(*call, fields);
@@ -2178,6 +2190,7 @@
         const auto now = BootClock{}.now();
         withdrawReservation(*call, now);
         countEnded(*call, now);
+        settleCharge(m_context.fleetAllowance, call->charge, call->verdict, now);
         const bool wasRouted = m_calls.erase(call) > 0;
         if (wasRouted && call->relayed)
             --m_relayedCalls;
