callreachtest: end the loop after the nodes whose connections belong to it

The fixture's loop was declared after the nodes, so that their servers and links were destroyed after it: a use after free (valgrind: ~CallerServer reads the reactor that ~EventLoop has freed), which ended 12 of 23 tests as soon as the layout of the heap changed.

callreachtest: 23 of 23 pass.

--- a/tests/gateway/callreachtest.cpp
+++ b/tests/gateway/callreachtest.cpp
@@ -173,6 +173,10 @@
         return nodes[node]->context.upstreams.find("u" + std::to_string(upstream))->isCutOff;
     }
 
+private:
+    Http::EventLoop m_loop; ///< Outlives the nodes, whose connections belong to it.
+
+public:
     unsigned served = 0;
     std::vector<std::unique_ptr<ReachNode>> nodes;
 
@@ -253,7 +257,6 @@
     static constexpr Duration datagramTime = milliseconds{5};
     static constexpr Duration listenerTime = milliseconds{150}; ///< From the end of a process's exchanges.
 
-    Http::EventLoop m_loop;
     std::vector<std::unique_ptr<Relay::CallerServer>> m_upstreams;
     Relay::UpstreamClient m_client;
     unsigned m_asked = 0;
