relay, http: bytes with an invalid status are no response

A worker in trouble sent status 000, and the caller got it as a response. Statuses outside of 200 to 599 and 101, which no request asks for, now end the exchange as malformed: the send may have run, and the caller gets 502, or another attempt is made where that is safe. Streams, held sends and relayed calls are read by the same reader.

Before the change, red were: responsereadertest and clienttest with 000, 099, 600, 999 and 101 (statuses of two or four digits and without a number were rejected already); callforwardertest passesOnNoInvalidResponse in all 9 rows, where the caller got the bytes with their status.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -161,6 +161,8 @@
         stream.expires_after(options.idleTimeout);
         co_await bhttp::async_read_header(stream, buffer, *response, into(error));
     }
+    if (!error && !isFinal(response->get().result_int()))
+        error = bhttp::error::bad_status;
     if (error || exchange->cancelled)
         co_return false;
     auto &parser = *response;
--- a/src/http/interimresponse.h
+++ b/src/http/interimresponse.h
@@ -14,4 +14,13 @@
     return status / 100 == 1 && status != switchingProtocols;
 }
 
+/// Returns true if @p status is that of a response that ends a request. 101 is none, as no request of this system asks
+/// to switch protocols. Thread-safe.
+constexpr bool isFinal(unsigned status)
+{
+    constexpr unsigned firstFinal = 200;
+    constexpr unsigned lastFinal = 599;
+    return status >= firstFinal && status <= lastFinal;
+}
+
 } // namespace Gypsumtally::Http
--- a/src/relay/responsereader.cpp
+++ b/src/relay/responsereader.cpp
@@ -99,6 +99,11 @@
                 skipInterim();
                 continue;
             }
+            if (!Http::isFinal(parser.get().result_int())) {
+                m_state = State::Failed;
+                m_problem = "the status is not one of a response";
+                return used;
+            }
             readHead();
         }
         if (received > 0)
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -819,6 +819,51 @@
 namespace
 {
 
+struct InvalidAnswerCase {
+    const char *name;
+    const char *path;
+    const char *statusLine;
+    const char *header; ///< Further line of the head.
+    unsigned invalid; ///< Sends that get an invalid response; further ones get a whole answer or stream.
+    unsigned status; ///< That the caller gets.
+    unsigned sends;
+};
+
+const InvalidAnswerCase invalidAnswers[] = {
+    {"not idempotent, 000", "/once/1", "HTTP/1.1 000 Unknown", "", 1, 502, 1},
+    {"not idempotent, 600", "/once/1", "HTTP/1.1 600 Unknown", "", 1, 502, 1},
+    {"not idempotent, 999", "/once/1", "HTTP/1.1 999 Unknown", "", 1, 502, 1},
+    {"not idempotent, 101", "/once/1", "HTTP/1.1 101 Switching Protocols", "", 1, 502, 1},
+    {"not idempotent, said to be not run", "/once/1", "HTTP/1.1 000 Unknown", "Not-Run: 1\r\n", 1, 502, 1},
+    {"idempotent, once", "/safe/1", "HTTP/1.1 000 Unknown", "", 1, 200, 2},
+    {"idempotent, each time", "/safe/1", "HTTP/1.1 000 Unknown", "", 9, 502, 2},
+    {"stream that can resume", "/stream/1", "HTTP/1.1 000 Unknown", "", 1, 200, 2},
+    {"stream that cannot", "/solo/1", "HTTP/1.1 000 Unknown", "", 1, 502, 1},
+};
+
+} // namespace
+
+/// A worker in trouble sent status 000, which its caller got as a response.
+TABLE_TEST(CallForwarder, passesOnNoInvalidResponse, invalidAnswers)
+{
+    ForwarderFixture fixture({answer});
+    unsigned sends = 0;
+    const std::string rest = "\r\nId: r1\r\nProof: p\r\n";
+    Testing::ScriptedServer server(fixture.loop(), [&](const Testing::ScriptedRequest &) {
+        if (++sends <= row.invalid)
+            return row.statusLine + rest + row.header + "Content-Length: 3\r\n\r\nodd";
+        return "HTTP/1.1 200 OK" + rest + "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
+    });
+    fixture.replaceUpstreams(server.endpoint());
+    const auto status = fixture.ask(row.path);
+    cr_assert_eq(status, row.status, "%s: status %u", row.name, status);
+    cr_assert(fixture.body.find("odd") == std::string::npos, "%s: %s", row.name, fixture.body.c_str());
+    cr_assert_eq(sends, row.sends, "%s: %u", row.name, sends);
+}
+
+namespace
+{
+
 struct UnframedAnswerCase {
     const char *name;
     const char *path;
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -237,6 +237,33 @@
     }
 }
 
+/// Guards against bytes that are no response, of a worker in trouble, which the caller gets as one.
+TABLE_TEST(Client, failsIfTheStatusIsInvalid, Testing::invalidStatusLines)
+{
+    EventLoop loop;
+    Testing::RawServer server(loop, std::string(row) + "\r\nContent-Length: 3\r\n\r\nxyz",
+                              Testing::ConnectionEnd::KeepOpen);
+    Client client(loop);
+    unsigned heads = 0;
+    bool ended = false;
+    bool failed = false;
+    ResponseObserver observer;
+    observer.onHead = [&](unsigned, const Headers &) { ++heads; };
+    observer.onEnd = [&] {
+        ended = true;
+        loop.stop();
+    };
+    observer.onFailure = [&](const TransportFailure &failure) {
+        failed = failure.sent && !failure.timedOut;
+        loop.stop();
+    };
+    client.send(server.endpoint(), {}, observer);
+    loop.runAfter(std::chrono::seconds{3}, [&] { loop.stop(); });
+    loop.run();
+    cr_assert(failed, "%s", row);
+    cr_assert(!ended && heads == 0, "%s", row);
+}
+
 namespace
 {
 
--- a/tests/relay/responsereadertest.cpp
+++ b/tests/relay/responsereadertest.cpp
@@ -1,5 +1,6 @@
 #include "relay/responsereader.h"
 
+#include "support/rawserver.h"
 #include "support/table.h"
 
 #include <string>
@@ -83,6 +84,51 @@
 namespace
 {
 
+/// Reads @p bytes in pieces of @p pieceSize; sets @p heads to the number of heads that are passed on.
+Read readWithHeads(const std::string &bytes, std::size_t pieceSize, unsigned &heads)
+{
+    Read read;
+    heads = 0;
+    ResponseReader reader(
+        {[&](const ResponseHead &) { ++heads; }, [&](std::string_view piece) { read.body += piece; }});
+    for (std::size_t at = 0; at < bytes.size() && reader.state() == State::Reading; at += pieceSize)
+        reader.feed(std::string_view(bytes).substr(at, pieceSize));
+    read.state = reader.state();
+    return read;
+}
+
+const char *const statusLines[] = {"HTTP/1.1 200 OK", "HTTP/1.1 204 No Content", "HTTP/1.1 421 Misdirected",
+                                   "HTTP/1.1 599 Unknown", "HTTP/1.1 299 Unknown"};
+
+} // namespace
+
+/// A worker in trouble sent status 000, which its caller got as a response.
+TABLE_TEST(ResponseReader, rejectsInvalidStatuses, Gypsumtally::Testing::invalidStatusLines)
+{
+    const std::string invalid = std::string(row) + "\r\nContent-Length: 3\r\n\r\nxyz";
+    for (const auto &bytes : {invalid, "HTTP/1.1 100 Continue\r\n\r\n" + invalid}) {
+        for (const std::size_t pieceSize : {1000, 1}) {
+            unsigned heads = 0;
+            const auto read = readWithHeads(bytes, pieceSize, heads);
+            cr_assert(read.state == State::Failed, "%s in pieces of %zu", row, pieceSize);
+            cr_assert_eq(heads, 0U, "%s", row);
+            cr_assert_eq(read.body, std::string(), "%s", row);
+        }
+    }
+}
+
+/// Guards against the rejection of a response with an unusual status.
+TABLE_TEST(ResponseReader, takesAllFinalStatuses, statusLines)
+{
+    unsigned heads = 0;
+    const auto read = readWithHeads(std::string(row) + "\r\nContent-Length: 0\r\n\r\n", 1000, heads);
+    cr_assert(read.state == State::Complete, "%s", row);
+    cr_assert_eq(heads, 1U, "%s", row);
+}
+
+namespace
+{
+
 const char *const wholeResponses[] = {
     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz",
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -104,6 +104,21 @@
     {"silent without an end", "HTTP/1.1 200 OK\r\n\r\nonly a pa", ConnectionEnd::KeepOpen, false, ""},
 };
 
+/// Heads whose status line is not one of a response, up to the end of the line.
+inline const char *const invalidStatusLines[] = {
+    "HTTP/1.1 000 Unknown",
+    "HTTP/1.1 099 Unknown",
+    "HTTP/1.1 600 Unknown",
+    "HTTP/1.1 999 Unknown",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 2x0 OK",
+    "HTTP/1.1 -20 OK",
+    "HTTP/1.1 OK",
+    "HTTP/1.1 ",
+    "HTTP/1.1 101 Switching Protocols",
+};
+
 /// Responses whose end shows, so that a connection that ends before it leaves them incomplete.
 inline const char *const delimitedAnswers[] = {
     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz",
