gateway: move calls, their log fields and refusals out of callforwarder.h

Call, the fields of its log lines and the status and Retry-After of refusals have files of their own, so that other parts need not be in the template. Behaviour and log lines are unchanged.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1,16 +1,16 @@
 #pragma once
 
 #include "common/verdict.h"
-#include "gateway/callaccess.h"
+#include "gateway/call.h"
 #include "gateway/callcontext.h"
+#include "gateway/calllog.h"
 #include "gateway/callrelay.h"
-#include "gateway/callsend.h"
 #include "gateway/dialect.h"
 #include "gateway/gatewaylog.h"
+#include "gateway/refusal.h"
 #include "gateway/stopschedule.h"
 #include "gateway/upstreammonitor.h"
 #include "gateway/upstreamroom.h"
-#include "gateway/waittimes.h"
 #include "http/eventloop.h"
 #include "relay/callerserver.h"
 #include "relay/upstreamclient.h"
@@ -20,7 +20,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <memory>
 #include <optional>
@@ -293,72 +292,10 @@
     /// Factor and time by which a stream may exceed the estimate for the largest number of its tokens.
     static constexpr double streamSafetyFactor = 2.5;
     static constexpr Duration streamSafetyMargin = std::chrono::milliseconds{250};
-    static constexpr double maxRetryAfterSeconds = 3600; ///< A peer states no longer time.
     static constexpr const char *noKeyReason = "the request needs the key of an organisation";
     static constexpr const char *supersededReason
         = "a newer version of the adapter was declared before the stream began";
 
-    /// A call; its bases are the send that is to answer it, and its access under the last configuration that it was
-    /// checked with.
-    struct Call : CallSend, CallAccess {
-        /// A send that has gone silent, kept until the current one goes on with the answer; null if there is none.
-        std::unique_ptr<CallSend> held;
-        std::shared_ptr<Relay::CallerExchange> exchange;
-        CallerRequest request;
-        Route route;
-        std::string service;
-        Instant arrival{};
-        Instant deadline{};
-        std::vector<CrashCause> causes; ///< What may crash upstreams: the request itself, then its prompt's parts.
-        std::vector<std::string> excluded; ///< Instances that have failed the request.
-        std::vector<std::string> silent; ///< Those of them that went silent, and may have gone on since.
-        unsigned sends = 0; ///< Sends that reached an upstream, or may have.
-        unsigned runs = 0; ///< Sends that an upstream may have run.
-        unsigned unconnected = 0; ///< Sends for which no connection was made.
-        unsigned refused = 0; ///< Sends that an upstream refused without starting the request.
-        Verdict verdict = Verdict::NotRun;
-        bool answering = false; ///< The head of the answer has been sent to the caller.
-        bool done = false;
-        std::string_view code = "ok"; ///< For metrics: the name of the ErrorCode, or "caller_gone", if the call failed.
-        bool waiting = false; ///< Is in m_waiting, for any WaitCause.
-        Instant waitingSince{};
-        WaitTimes waits;
-        Instant waitUntil{}; ///< Time at which the call is failed if no engine has the adapter.
-        Instant loadRequestedAt{};
-        unsigned loadRequests = 0; ///< Number of load requests sent.
-        Instant notBefore{}; ///< Earliest time of the next attempt to send the call.
-        bool jittered = false; ///< The jitter that separates this node's choice from those of others was applied.
-        std::optional<UpstreamChoice> reservation; ///< Engine and time for which the prompt was announced.
-        Instant brokenAt{}; ///< Last time that a connection to an upstream failed or broke.
-        std::optional<RelayedCall> relayed; ///< Set if another node has passed the call to this one.
-        bool mayTryAnother = false; ///< A refusal of the relayed call is due to this node's state.
-        bool leftSilent = false; ///< The call has left an upstream that went silent.
-        std::vector<std::string> failedPeers; ///< Peers that have failed the call.
-        std::optional<Duration> peerRetryAfter; ///< That a peer's refusal stated.
-        bool isServedHere = false; ///< Waits for an upstream that this node reaches, as a peer had no room.
-        unsigned answerStatus = 0; ///< Of the answer that has begun, with its Content-Type.
-        std::string answerType;
-        bool hasConsecutiveIds = false; ///< Events that the caller has got had successive ids.
-        bool hasSkippedIds = false; ///< An event had not.
-        unsigned begunSends = 0; ///< Gives sends their numbers.
-        unsigned failedMoves = 0; ///< Replacements of silent sends that have not gone on with the answer.
-        Instant moveAt{}; ///< Earliest time of the next such replacement.
-        std::optional<std::uint64_t> lastEvent; ///< Id of the last event that the caller has.
-        StreamId streamId = 0;
-        std::optional<std::string> streamVersion; ///< Software version that began the stream; nothing before.
-        VersionSource versionSource = VersionSource::Begun; ///< How the node knows streamVersion.
-        Instant streamWantedAt{}; ///< When the records of streams were last read for the call.
-        UpstreamProcess verified; ///< Process that has stated its start time, so that its software version is known.
-        Instant verifiedAt{};
-        Instant verifyingUntil{}; ///< Time until which the process that was asked last may answer.
-        UpstreamProcess unanswered; ///< Process that has not answered when it was asked last.
-        Instant verifyAgainAt{}; ///< Time until which that process is not asked again.
-        Instant lastEventAt{};
-        Duration firstEvent{}; ///< Time from the call's arrival to the first event.
-        Duration longestPause{};
-    };
-    using CallPtr = std::shared_ptr<Call>;
-
     void start(const CallPtr &call)
     {
         ++m_stopCounts.accepted;
@@ -723,14 +660,13 @@
 
     void logUnknownStream(const Call &call, Instant now)
     {
-        const auto ms = [](Duration time) { return std::to_string(time.count() / 1000); };
         const auto unheard = m_context.lastUnheard ? m_context.lastUnheard(call.arrival) : Instant::min();
         m_log.decision(GatewayEvent::StreamUnknown, call.request.id,
                        {{"resumes", call.request.resumedId},
                         {"mixed", m_context.streams.isMixed(call.service, now) ? "yes" : "no"},
-                        {"view_age_ms", ms(m_context.streams.viewAge(now))},
+                        {"view_age_ms", toMs(m_context.streams.viewAge(now))},
                         {"records_read", m_context.streams.areRecordsRead(call.arrival) ? "yes" : "no"},
-                        {"unheard_ms", unheard == Instant::min() ? "none" : ms(now - unheard)}});
+                        {"unheard_ms", unheard == Instant::min() ? "none" : toMs(now - unheard)}});
     }
 
     /// Returns true if the call may be sent to @p instance. While several software versions serve, an engine with which
@@ -1168,13 +1104,7 @@
         call->processStartedAt = upstream->record.startedAt;
         call->softwareAtSend = upstream->record.softwareVersion;
         if (call->lastEvent)
-            m_log.decision(GatewayEvent::StreamResumed, call->request.id,
-                           {{"resumes", call->request.resumedId},
-                            {"after_event", std::to_string(*call->lastEvent)},
-                            {"within_answer", call->answering ? "yes" : "no"},
-                            {"upstream", call->instance},
-                            {"software", call->softwareAtSend},
-                            {"version_from", std::string(nameOf(call->versionSource))}});
+            m_log.decision(GatewayEvent::StreamResumed, call->request.id, resumedFields(*call));
         call->inFlightAtSend = upstream->inFlight();
         const auto speed = m_context.speeds[call->service].speed();
         call->slownessAtSend = slownessOf(*upstream, speed);
@@ -1653,14 +1583,6 @@
         refuse(call, status, refusalCodeOf(status), reason, call->peerRetryAfter);
     }
 
-    /// Returns the reason for which a peer has refused a call with @p status.
-    static ErrorCode refusalCodeOf(unsigned status)
-    {
-        if (status == 401)
-            return ErrorCode::Unauthorized;
-        return status == 429 ? ErrorCode::Overloaded : ErrorCode::NoUpstream;
-    }
-
     /// Returns true if an upstream that this node reaches can serve the call in time.
     bool canBeServedHere(const Call &call)
     {
@@ -1682,16 +1604,6 @@
                "the upstream of the peer failed", {});
     }
 
-    static std::optional<Duration> retryAfterOf(const Http::Headers &headers)
-    {
-        const std::string text(headers.get("Retry-After"));
-        char *end = nullptr;
-        const double seconds = std::strtod(text.c_str(), &end);
-        if (text.empty() || *end != '\0' || !(seconds >= 0 && seconds < maxRetryAfterSeconds))
-            return std::nullopt;
-        return Duration{static_cast<std::int64_t>(seconds * 1e6)};
-    }
-
     void countRelayed(const char *direction, Verdict verdict)
     {
         m_metrics.add(Metric::RelayedCalls, {{"direction", direction}, {"verdict", std::string(nameOf(verdict))}});
@@ -1910,79 +1822,15 @@
     /// Logs a stream that missed its latency objective or paused for too long; logs every stream at the detailed level.
     void logAnswered(const Call &call)
     {
-        const bool isLate = call.firstEvent > call.route.latencyObjective
-                            || (call.route.longestPause > Duration{} && call.longestPause > call.route.longestPause);
-        if (!isLate && !m_log.isDetailed())
+        if (!isLate(call) && !m_log.isDetailed())
             return;
-        const auto ms = [](Duration duration) { return std::to_string(duration.count() / 1000); };
-        std::vector<LogField> fields{{"route", call.route.name},
-                                     {"relayed_from", originNodeOf(call)},
-                                     {"late", isLate ? "yes" : "no"},
-                                     {"target", call.request.target},
-                                     {"upstream", call.instance},
-                                     {"peer", call.peer},
-                                     {"software", call.softwareAtSend},
-                                     {"sent_after_ms", ms(call.sentAt - call.arrival)},
-                                     {"first_event_ms", ms(call.firstEvent)},
-                                     {"longest_pause_ms", ms(call.longestPause)},
-                                     {"total_ms", ms(BootClock{}.now() - call.arrival)},
-                                     {"objective_ms", ms(call.route.latencyObjective)},
-                                     {"sends", std::to_string(call.sends)},
-                                     {"in_flight", std::to_string(call.inFlightAtSend)},
-                                     {"slowness", std::to_string(call.slownessAtSend)},
-                                     {"prompt", std::to_string(static_cast<long>(call.request.promptTokens))},
-                                     {"unread", std::to_string(static_cast<long>(call.prefillBacklogAtSend))}};
-        addWaits(call, fields);
+        auto fields = answeredFields(call, BootClock{}.now());
         if (m_log.isDetailed())
             m_log.detail(GatewayEvent::Answered, call.request.id, std::move(fields));
         else
             m_log.decision(GatewayEvent::Answered, call.request.id, std::move(fields));
     }
 
-    /// Returns the node that has passed the call to this one, or an empty string.
-    static std::string originNodeOf(const Call &call)
-    {
-        return call.relayed ? call.relayed->origin : std::string{};
-    }
-
-    /// Adds which stream the call takes up and at which software version, and which upstreams that leaves it.
-    void addPlaces(std::vector<LogField> &fields, const Call &call, Instant now)
-    {
-        if (call.service.empty())
-            return;
-        if (call.lastEvent) {
-            fields.emplace_back("resumes", call.request.resumedId);
-            fields.emplace_back("after_event", std::to_string(*call.lastEvent));
-            fields.emplace_back("software", call.streamVersion.value_or("unknown"));
-            if (call.streamVersion)
-                fields.emplace_back("version_from", std::string(nameOf(call.versionSource)));
-        }
-        const auto counts = countUpstreams(m_context.upstreams, demandOf(call, now), now);
-        fields.emplace_back("open", std::to_string(counts.open));
-        fields.emplace_back("suspect", std::to_string(counts.suspect));
-        fields.emplace_back("cut_off", std::to_string(counts.cutOff));
-        fields.emplace_back("limiting", std::to_string(counts.limiting));
-    }
-
-    /// Adds the version of the configuration that decides on requests, and for how long it has been in force.
-    void addConfiguration(std::vector<LogField> &fields, Instant now) const
-    {
-        if (!m_context.routes) {
-            fields.emplace_back("configuration", "none");
-            return;
-        }
-        fields.emplace_back("configuration", std::to_string(m_context.routes->policy().version));
-        fields.emplace_back("configuration_age_ms", std::to_string((now - m_context.configuredAt).count() / 1000));
-    }
-
-    static void addWaits(const Call &call, std::vector<LogField> &fields)
-    {
-        for (const auto &[cause, name] : enumNames<WaitCause>) {
-            if (const auto time = call.waits.of(cause); time > Duration{})
-                fields.emplace_back("waited_" + std::string(name) + "_ms", std::to_string(time.count() / 1000));
-        }
-    }
-
     /// Forwards the upstream's complete answer to the caller unchanged.
     void forwardAnswer(const CallPtr &call)
     {
@@ -2011,12 +1859,7 @@
     void abortAnswer(const CallPtr &call, const std::string &reason)
     {
         call->code = nameOf(ErrorCode::UpstreamLost);
-        m_log.decision(GatewayEvent::BrokenOff, call->request.id,
-                       {{"upstream", call->instance},
-                        {"relayed_from", originNodeOf(*call)},
-                        {"software", call->softwareAtSend},
-                        {"reason", reason},
-                        {"events", std::to_string(call->lastEvent.value_or(0))}});
+        m_log.decision(GatewayEvent::BrokenOff, call->request.id, brokenOffFields(*call, reason));
         noteStreamBroken(*call);
         call->exchange->abort();
         finish(call);
@@ -2029,14 +1872,6 @@
             m_context.onStreamBroken(originOf(call));
     }
 
-    /// Returns the status of the refusal of a call that was not run.
-    static unsigned refusalStatusOf(ErrorCode code)
-    {
-        if (code == ErrorCode::Unauthorized)
-            return 401;
-        return code == ErrorCode::Overloaded ? 429 : 503;
-    }
-
     /// Fails the call. A request that was not run may be retried by its caller. It gets a Retry-After: @p servedIn if
     /// that is given, otherwise one that depends on the time left, unless it would be refused again or too little time
     /// is left.
@@ -2065,26 +1900,13 @@
         call->code = nameOf(code);
         const auto now = BootClock{}.now();
         call->waits.end(now);
-        std::vector<LogField> fields{{"status", std::to_string(status)},
-                                     {"code", std::string(nameOf(code))},
-                                     {"reason", reason},
-                                     {"route", call->route.name},
-                                     {"relayed_from", originNodeOf(*call)},
-                                     {"target", call->request.target},
-                                     {"upstream", call->instance},
-                                     {"sends", std::to_string(call->sends)},
-                                     {"after_ms", std::to_string((now - call->arrival).count() / 1000)},
-                                     {"verdict", std::string(nameOf(call->verdict))}};
-        addPlaces(fields, *call, now);
-        addConfiguration(fields, now);
-        addWaits(*call, fields);
+        auto fields = refusedFields(*call, status, code, reason, now);
+        if (!call->service.empty())
+            addPlaces(fields, *call, countUpstreams(m_context.upstreams, demandOf(*call, now), now));
+        addConfiguration(fields, m_context.routes.get(), m_context.configuredAt, now);
+        addWaits(fields, *call);
         m_log.decision(GatewayEvent::Refused, call->request.id, std::move(fields));
-        Http::Headers headers{{"Content-Type", "text/plain"}};
-        if (retryAfter) {
-            std::array<char, 32> text{};
-            std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(*retryAfter).count());
-            headers.add("Retry-After", text.data());
-        }
+        const auto headers = refusalHeaders(retryAfter);
         call->exchange->respond({status, answerHeaders(*call, call->verdict, headers), reason + '\n'});
         finish(call);
     }
@@ -2092,15 +1914,7 @@
     void cut(const CallPtr &call)
     {
         ++m_stopCounts.cut;
-        const auto now = BootClock{}.now();
-        m_log.decision(GatewayEvent::CutByExit, call->request.id,
-                       {{"route", call->route.name},
-                        {"upstream", call->instance},
-                        {"peer", call->peer},
-                        {"waiting", call->token == 0 ? "yes" : "no"},
-                        {"answering", call->answering ? "yes" : "no"},
-                        {"sent_before_ms", call->sends > 0 ? std::to_string((now - call->sentAt).count() / 1000) : ""},
-                        {"after_ms", std::to_string((now - call->arrival).count() / 1000)}});
+        m_log.decision(GatewayEvent::CutByExit, call->request.id, cutFields(*call, BootClock{}.now()));
         cancelSend(call);
         refuseStopping(call);
     }
