--- a/src/access/accesstable.cpp
+++ b/src/access/accesstable.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t maxNameBytes = 200;
 
 /// Priority of requests on public routes that belong to no organisation.
-constexpr unsigned anonymousPriority = Organisation{}.priority;
+constexpr unsigned anonymousPriority = defaultPriority;
 
 /// Returns true if @p name can be the value of a header.
 bool isName(std::string_view name)
--- a/src/access/accesstable.h
+++ b/src/access/accesstable.h
@@ -18,7 +18,7 @@
 
 /// What a table needs of a route.
 struct RouteAccess {
-    unsigned priority = 5; ///< 0 is the most urgent.
+    unsigned priority = defaultPriority; ///< 0 is the most urgent.
     bool isPublic = false; ///< Requests need no key.
 };
 
--- a/src/access/organisation.h
+++ b/src/access/organisation.h
@@ -8,11 +8,13 @@
 namespace Gypsumtally::Access
 {
 
+inline constexpr unsigned defaultPriority = 5; ///< Of organisations and routes.
+
 /// A customer whose callers identify themselves by keys.
 struct Organisation {
     std::string name;
     std::vector<std::string> keys;
-    unsigned priority = 5; ///< 0 is the most urgent; takes precedence over that of a route.
+    unsigned priority = defaultPriority; ///< 0 is the most urgent; takes precedence over that of a route.
     Allowances::Limit limit;
 
     friend bool operator==(const Organisation &, const Organisation &) = default;
--- a/src/gateway/trafficpolicy.cpp
+++ b/src/gateway/trafficpolicy.cpp
@@ -15,6 +15,7 @@
 std::vector<Access::RouteAccess> accessOf(const std::vector<Route> &routes)
 {
     std::vector<Access::RouteAccess> access;
+    access.reserve(routes.size());
     for (const auto &route : routes)
         access.push_back({route.priority, route.isPublic});
     return access;
--- a/tests/access/accesstabletest.cpp
+++ b/tests/access/accesstabletest.cpp
@@ -90,6 +90,7 @@
 std::vector<Organisation> withPriorities(const std::vector<unsigned> &priorities)
 {
     std::vector<Organisation> organisations;
+    organisations.reserve(priorities.size());
     for (const auto priority : priorities)
         organisations.push_back(organisation("o" + std::to_string(organisations.size()), {}, priority));
     return organisations;
