--- a/tests/gateway/callreachtest.cpp
+++ b/tests/gateway/callreachtest.cpp
@@ -94,8 +94,6 @@
 /// Several nodes that exchange their reports, and scripted upstreams, on one event loop over the loopback interface.
 class ReachFixture
 {
-    Http::EventLoop m_loop; ///< Declared first, as it must outlive the nodes.
-
 public:
     explicit ReachFixture(std::size_t nodeCount)
         : m_client(m_loop)
@@ -175,6 +173,10 @@
         return nodes[node]->context.upstreams.find("u" + std::to_string(upstream))->isCutOff;
     }
 
+private:
+    Http::EventLoop m_loop; ///< Outlives the nodes, whose connections belong to it.
+
+public:
     unsigned served = 0;
     std::vector<std::unique_ptr<ReachNode>> nodes;
 
