Serve urgent calls first in the gateway, and refuse calls that have no chance

The forwarder takes the order of waiting calls, the reserve and the send window from package scheduling. Ticks, finished loads and freed slots serve the most urgent first; less urgent calls use a part of slots and prompt pace while urgent ones are short of capacity. A call that is not of the most urgent class and finds all engines full is refused at once if too many others go first. Nothing changes where a service has one urgency.

--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -12,6 +12,7 @@
 #include "gateway/trafficpolicy.h"
 #include "gateway/upstreamstatement.h"
 #include "gateway/upstreamtable.h"
+#include "scheduling/capacityreserve.h"
 
 #include <functional>
 #include <map>
@@ -41,6 +42,7 @@
     bool hasPeers = false; ///< Other nodes are live, whose evidence tells a cut from a crash.
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
+    Scheduling::CapacityReserve reserve; ///< Of services' capacity for urgent calls.
     RetryAllowance allowance{RetryBound{}};
     CrashLedger crashes;
     bool awaitsVerdicts = false; ///< The store's verdicts on causes of crashes are not known yet.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -15,6 +15,8 @@
 #include "relay/upstreamclient.h"
 #include "report/metrics.h"
 #include "routing/rendezvous.h"
+#include "scheduling/sendwindow.h"
+#include "scheduling/waitingqueue.h"
 
 #include <xxhash.h>
 
@@ -31,14 +33,6 @@
 namespace Gypsumtally::Gateway
 {
 
-/// What has become of calls since their node was asked to stop.
-struct StopCounts {
-    unsigned accepted = 0; ///< Calls that were read.
-    unsigned sent = 0; ///< Sends to upstreams and peers.
-    unsigned refused = 0; ///< Calls that would not have ended before the exit.
-    unsigned cut = 0; ///< Calls that the exit ended.
-};
-
 /// Forwards callers' requests to upstreams and the answers back: selects an upstream, sends, retries where that is
 /// safe, resumes streams, and refuses requests that cannot be served. Not thread-safe: for the loop's thread only.
 template<CallDialect Dialect, Relay::ExchangeClient Client = Relay::UpstreamClient>
@@ -51,6 +45,7 @@
         , m_log(log)
         , m_metrics(metrics)
         , m_client(loop)
+        , m_waiting(context.reserve)
         , m_monitor(m_client, context)
         , m_relay(context)
     {
@@ -104,9 +99,14 @@
     {
         m_client.sweep(now);
         m_monitor.sweep(now);
-        const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(), m_calls.end());
-        for (const auto &call : calls)
+        m_waiting.report(now);
+        for (const auto &call : m_waiting.inOrder(now))
             sweepCall(call, now);
+        const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(), m_calls.end());
+        for (const auto &call : calls) {
+            if (!m_waiting.contains(call))
+                sweepCall(call, now);
+        }
         refuseUnrouted(now);
     }
 
@@ -121,13 +121,11 @@
         }
     }
 
-    /// Retries all waiting calls. To be called when the set of adapters that engines hold has changed.
+    /// Retries all waiting calls, the most urgent first. To be called when the set of adapters that engines hold has
+    /// changed.
     void onPlacement()
     {
-        if (m_waiting.empty())
-            return;
-        const std::vector<std::shared_ptr<Call>> waiting(m_waiting.begin(), m_waiting.end());
-        for (const auto &call : waiting)
+        for (const auto &call : m_waiting.inOrder(BootClock{}.now()))
             proceed(call);
     }
 
@@ -226,10 +224,6 @@
     static constexpr Duration loadRequestInterval = std::chrono::milliseconds{150};
     static constexpr Duration maxLoadWait = std::chrono::milliseconds{2000}; ///< Eight loads in sequence.
     static constexpr double maxLoadWaitFraction = 0.5; ///< Fraction of the request's remaining time.
-    static constexpr double maxQueueTimeFraction = 0.5; ///< Fraction of the time from arrival to deadline.
-    /// Fraction of the caller's patience, from the arrival or the last event, after which nothing is sent any more; the
-    /// rest is for the next event.
-    static constexpr double maxPatienceFraction = 0.6;
     /// Longest wait for the end of upstreams' backpressure, as a fraction of the request's remaining time.
     static constexpr double maxBackpressureWaitFraction = 0.3;
     /// Time for which an upstream is avoided after an answer from the wrong process.
@@ -250,6 +244,7 @@
     static constexpr double maxUtilisationForFurtherCopy = 0.6;
     /// Utilisation of an engine's slots from which other nodes are notified of each request that ends.
     static constexpr double crowdedUtilisation = 0.75;
+    static constexpr std::size_t maxWokenCalls = 8; ///< Waiting calls that try for a slot when a request has ended.
     static constexpr std::size_t maxAnswerBytes = 4 * 1024 * 1024; ///< Equals the limit on request bodies.
     /// Longest time to find out at which software version a stream began. Covers two reads of the store, and a report
     /// of the node at which it broke off.
@@ -269,30 +264,17 @@
     static constexpr double newPaceShare = 0.3;
     /// Slowness from which an engine's pauses don't adjust the pace margin, as they don't represent other engines.
     static constexpr double slowEngineThreshold = 1.5;
-    /// Longest Retry-After as a fraction of the request's remaining time: callers ignore more than a third.
-    static constexpr double maxRetryAfterFraction = 0.3;
     /// A reserved time that has passed by more than this lapses, for example after the process was suspended.
     static constexpr Duration maxReservationDelay = std::chrono::milliseconds{200};
     /// Time by which another upstream must serve a call earlier for the call to give up its reserved time.
     static constexpr Duration minGainForChange = std::chrono::milliseconds{50};
-    static constexpr Duration minRetryAfter = std::chrono::seconds{1}; ///< Shortest Retry-After, if callers accept it.
     /// Limit on the peers that a call without a begun answer is passed to in turn, because each fails it.
     static constexpr std::size_t maxFailedPeers = 8;
     /// Silence after which a relayed stream is moved off its peer, in those after which the peer moves it.
     static constexpr int peerSilenceFactor = 2;
     static constexpr Duration evidencePollInterval = std::chrono::milliseconds{20}; ///< Of the other nodes.
-    static constexpr std::size_t maxLoggedUpstreams = 16; ///< In one line.
     /// Retry-After of calls that a node refuses because it stops, while other nodes take them.
     static constexpr Duration elsewhereRetryAfter = std::chrono::milliseconds{50};
-    /// Expected and longest times of answers, in the usual ones of their service.
-    static constexpr double expectedInAnswerTimes = 4;
-    static constexpr double expectedInStreamTimes = 1.5;
-    static constexpr double longestInStreamTimes = 2;
-    static constexpr Duration minLongestAnswer = std::chrono::seconds{1};
-    /// Factor and time by which a stream may exceed the estimate for the largest number of its tokens.
-    static constexpr double streamSafetyFactor = 2.5;
-    static constexpr Duration streamSafetyMargin = std::chrono::milliseconds{250};
-    static constexpr double maxRetryAfterSeconds = 3600; ///< A peer states no longer time.
     static constexpr const char *supersededReason
         = "a newer version of the adapter was declared before the stream began";
 
@@ -318,8 +300,6 @@
         bool answering = false; ///< The head of the answer has been sent to the caller.
         bool done = false;
         std::string_view code = "ok"; ///< For metrics: the name of the ErrorCode, or "caller_gone", if the call failed.
-        bool waiting = false; ///< Is in m_waiting, for any WaitCause.
-        Instant waitingSince{};
         WaitTimes waits;
         Instant waitUntil{}; ///< Time at which the call is failed if no engine has the adapter.
         Instant loadRequestedAt{};
@@ -410,6 +390,7 @@
         else
             m_context.allowance.onRequest(call->service, call->arrival);
         if (!call->request.target.empty()) {
+            m_context.reserve.onArrived(call->service, urgencyOf(*call), BootClock{}.now());
             auto &use = m_context.uses[call->request.target];
             use.service = call->service;
             ++use.inFlight;
@@ -497,7 +478,7 @@
         if (!choice)
             choice = choose(*call, now);
         if (!choice && !call->excluded.empty() && call->runs == 0) {
-            if (call->unconnected > 0 && now > latestSend(*call))
+            if (call->unconnected > 0 && now > windowOf(*call).latestSend())
                 return giveUp(call, ErrorCode::NoUpstream, "the upstreams accept no connections");
             call->excluded.clear();
             choice = choose(*call, now);
@@ -513,13 +494,8 @@
         if (choice->sendAt > now) {
             if (refuseIfCut(call, choice->sendAt))
                 return;
-            const auto sendAt
-                = choice->isFull && isBrittle(call->service) ? endOfBacklog(*call, *choice, now) : choice->sendAt;
-            if (sendAt > latestSend(*call))
-                return giveUp(call, ErrorCode::Overloaded,
-                              isBrittle(call->service) ? "the upstreams are full"
-                                                       : "the engines that have the adapter are full",
-                              acceptableRetryAfter(*call, sendAt - now, now));
+            if (const auto sendAt = expectedSend(*call, *choice, now); sendAt > windowOf(*call).latestSend())
+                return refuseAsFull(call, *choice, sendAt, now);
             if (const auto later = loadJitter(*call, *choice, now); later > Duration{}) {
                 call->notBefore = now + later;
                 startWaiting(call, WaitCause::LoadInProgress, now);
@@ -644,14 +620,6 @@
         return call.answering || failedPeers.size() < maxFailedPeers;
     }
 
-    static std::string joined(const std::vector<std::string> &names)
-    {
-        std::string text;
-        for (std::size_t i = 0; i < std::min(names.size(), maxLoggedUpstreams); ++i)
-            text.append(i == 0 ? "" : ",").append(names[i]);
-        return text;
-    }
-
     void sendToPeer(const CallPtr &call, const RelayPeer &peer, Instant now)
     {
         if (call->exchange->hasCallerLeft())
@@ -782,18 +750,42 @@
         wakeAt(call, now + pause, now);
     }
 
-    /// Returns the latest useful time to send the call: the caller must still be waiting when the next event arrives.
-    static Instant latestSend(const Call &call)
+    static Scheduling::SendWindow windowOf(const Call &call)
     {
-        const auto time = call.deadline - call.arrival;
-        const bool hasHead = call.answering || (call.relayed && call.relayed->isAnswering);
-        const auto patience = call.route.callerPatience > Duration{} ? std::min(time, call.route.callerPatience) : time;
-        if (hasHead)
-            return std::min(call.deadline, std::max(call.lastEventAt, call.exchange->arrival())
-                                               + std::chrono::duration_cast<Duration>(maxPatienceFraction * patience));
-        return call.arrival
-               + std::chrono::duration_cast<Duration>(
-                   std::min(maxQueueTimeFraction * time, maxPatienceFraction * patience));
+        Scheduling::SendWindow window{
+            call.arrival, call.deadline, call.route.callerPatience, call.route.latencyObjective, {}};
+        if (call.answering || (call.relayed && call.relayed->isAnswering))
+            window.lastEventAt = std::max(call.lastEventAt, call.exchange->arrival());
+        return window;
+    }
+
+    static unsigned urgencyOf(const Call &call)
+    {
+        return Scheduling::urgencyOf(call.route.priority);
+    }
+
+    static Scheduling::QueueRank queueRankOf(const Call &call)
+    {
+        const auto window = windowOf(call);
+        return {urgencyOf(call), window.inTimeUntil(), window.latestSend()};
+    }
+
+    /// Lets the most urgent calls that wait for room at @p service try first for a slot that has become free.
+    void wakeMostUrgent(const std::string &service)
+    {
+        if (!m_waking.insert(service).second)
+            return;
+        m_loop.post([this, service] {
+            m_waking.erase(service);
+            auto calls = m_waiting.forCapacity(service, BootClock{}.now());
+            calls.resize(std::min(calls.size(), maxWokenCalls));
+            for (const auto &call : calls) {
+                if (call->reservation || call->refused > 0)
+                    continue;
+                call->notBefore = {};
+                proceed(call);
+            }
+        });
     }
 
     /// Returns true if the upstreams of @p service state to be brittle.
@@ -802,28 +794,46 @@
         return m_context.upstreams.brittleness(service).refusalsPerSecond.has_value();
     }
 
-    /// Returns when the call is expected to have room at the brittle upstreams of its service, behind the calls that
-    /// wait for room at this node already. Each of the node's requests there makes room for one when it ends.
-    Instant endOfBacklog(const Call &call, const UpstreamChoice &choice, Instant now)
+    /// Returns when the call is expected to have room, behind the calls that go before it at this node. It stays a call
+    /// with a chance to be sent, unless there is solid evidence that it has none.
+    Instant expectedSend(const Call &call, const UpstreamChoice &choice, Instant now)
+    {
+        if (!choice.isFull)
+            return choice.sendAt;
+        if (isBrittle(call.service))
+            return std::max(choice.sendAt, now + timeOfBacklog(call));
+        if (call.verdict != Verdict::NotRun || call.answering
+            || hasFreeSlot(m_context.upstreams, call.service, shareOf(call, now), now))
+            return choice.sendAt;
+        const auto ahead = m_waiting.countBefore(queueRankOf(call), call.service, now);
+        const auto &reserve = m_context.reserve;
+        return std::max(choice.sendAt,
+                        now + reserve.earliestTurn(call.service, urgencyOf(call), ahead, m_context.rank.count, now));
+    }
+
+    /// Returns the time until the calls that arrived before have room at the brittle upstreams of the service. Each of
+    /// the node's requests there makes room for one when it ends.
+    Duration timeOfBacklog(const Call &call)
     {
-        const auto waiting = std::ranges::count_if(m_waiting, [&](const CallPtr &other) {
-            return other->service == call.service && other->arrival < call.arrival;
-        });
-        unsigned ownInFlight = 0;
-        for (const auto &[instance, upstream] : m_context.upstreams.all())
-            ownInFlight += upstream.record.service == call.service ? upstream.ownInFlight : 0;
         const auto speed = m_context.speeds[call.service].speed();
         const double timeMs = call.request.target.empty() ? speed.answerMs : speed.streamMs;
-        const double waitMs = static_cast<double>(waiting) * timeMs / std::max(1U, ownInFlight);
-        return std::max(choice.sendAt, now + Duration{static_cast<std::int64_t>(waitMs * 1000)});
+        const double waitMs = m_waiting.countArrivedBefore(call.arrival, call.service) * timeMs
+                              / std::max(1U, ownInFlightOf(m_context.upstreams, call.service));
+        return Duration{static_cast<std::int64_t>(waitMs * 1000)};
     }
 
-    /// Returns the Retry-After for a call that can be served in @p servedIn. It is capped because callers retry at most
-    /// once, and not at all if the Retry-After is longer than they accept.
-    static Duration acceptableRetryAfter(const Call &call, Duration servedIn, Instant now)
+    /// Refuses the call, whose turn is expected at @p sendAt, too late to be useful.
+    void refuseAsFull(const CallPtr &call, const UpstreamChoice &choice, Instant sendAt, Instant now)
     {
-        const auto longest = std::chrono::duration_cast<Duration>((call.deadline - now) * maxRetryAfterFraction);
-        return std::min(longest, std::max<Duration>(servedIn, minRetryAfter));
+        m_context.reserve.onRefused(call->service, urgencyOf(*call), now);
+        const bool isForecast = sendAt > choice.sendAt && !isBrittle(call->service);
+        if (isForecast)
+            m_metrics.add(Metric::ForecastRefusals, {{"urgency", std::to_string(urgencyOf(*call))}});
+        giveUp(call, ErrorCode::Overloaded,
+               isForecast                 ? "too many calls go first"
+               : isBrittle(call->service) ? "the upstreams are full"
+                                          : "the engines that have the adapter are full",
+               windowOf(*call).acceptableRetryAfter(sendAt - now, now));
     }
 
     /// Withdraws the call's reservation, and announces that to all nodes if it still counts at its upstream.
@@ -849,7 +859,7 @@
         if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || !it->second.limitsRequests())
             return false;
         const auto due = dueAt(it->second, *call.reservation);
-        return due > now && due <= latestSend(call);
+        return due > now && due <= windowOf(call).latestSend();
     }
 
     /// Returns the choice of an upstream other than the reserved one if that can serve the call earlier.
@@ -892,6 +902,7 @@
     /// Returns what the call requires of an upstream.
     UpstreamDemand demandOf(const Call &call, Instant now)
     {
+        const double share = shareOf(call, now);
         UpstreamDemand demand{call.service,
                               call.request.target,
                               0,
@@ -899,17 +910,18 @@
                               &m_context.regions,
                               {},
                               call.request.promptTokens,
-                              paceOf(call, now),
+                              paceOf(call, share, now),
                               m_context.speeds[call.service].speed(),
                               m_context.node,
                               m_context.limitShare,
                               call.streamVersion ? &*call.streamVersion : nullptr,
                               {},
-                              std::max(latestSend(call), now)};
+                              std::max(windowOf(call).latestSend(), now)};
         if (call.route.kind == RequestKind::Streaming && !call.streamVersion)
             demand.heldVersions = m_context.streams.heldVersions(call.service);
         demand.refusalsPerSecond = m_context.upstreams.brittleness(call.service).refusalsPerSecond;
         demand.rank = m_context.rank;
+        demand.slotShare = share;
         demand.spreadSeed = XXH3_64bits(call.request.id.data(), call.request.id.size());
         return demand;
     }
@@ -944,19 +956,30 @@
         return service && service->engine ? &*service->engine : nullptr;
     }
 
-    /// Returns the prompt pace for the call. Calls past their latency objective leave a part of it to the others; while
-    /// callers take up streams that only a part of the upstreams can serve, new calls leave most of it to those.
-    PromptPace paceOf(const Call &call, Instant now)
+    /// Returns the fraction of its service's slots and prompt pace that the call may use. A stream that goes on may use
+    /// all, as its caller has begun to read it.
+    double shareOf(const Call &call, Instant now) const
+    {
+        if (call.request.target.empty() || call.lastEvent || call.answering)
+            return 1;
+        return m_context.reserve.share(call.service, urgencyOf(call), m_context.rank.count, now,
+                                       [&] { return utilisationOf(m_context.upstreams, call.service, now); });
+    }
+
+    /// Returns the prompt pace for the call, which may use @p share of it. Calls past their latency objective leave a
+    /// part of it to the others; while callers take up streams that only a part of the upstreams can serve, new calls
+    /// leave most of it to those.
+    PromptPace paceOf(const Call &call, double share, Instant now)
     {
         const auto *engine = engineOf(call);
         if (!engine)
             return {};
-        double share = m_context.paceMargins[call.service].share(now);
         if (m_context.streams.yieldsToTakeUps(call.service, now))
-            share *= call.lastEvent ? 1 : newPaceShare;
+            share = call.lastEvent ? 1 : newPaceShare;
         else if (now - call.arrival > call.route.latencyObjective)
-            share *= latePaceShare;
-        return {call.route.longestPause, engine->tokensPerEvent, share};
+            share = std::min(latePaceShare, share);
+        return {call.route.longestPause, engine->tokensPerEvent,
+                share * m_context.paceMargins[call.service].share(now)};
     }
 
     void wakeAt(const CallPtr &call, Instant time, Instant now)
@@ -980,7 +1003,7 @@
         if (const auto next = endOfRequestLimit(m_context.upstreams, call->service, m_context.limitShare, now, version);
             next && !isLoadable)
             return giveUp(call, ErrorCode::Overloaded, "the upstreams limit their requests",
-                          acceptableRetryAfter(*call, *next - now, now));
+                          windowOf(*call).acceptableRetryAfter(*next - now, now));
         if (!hasUpstream(m_context.upstreams, call->service, now))
             return giveUp(call, ErrorCode::NoUpstream, "no upstream of the service takes requests");
         if (version && !hasUpstream(m_context.upstreams, call->service, now, version))
@@ -988,15 +1011,15 @@
                           "no upstream of the software version that began the stream takes requests");
         if (!needsLoad)
             return giveUp(call, ErrorCode::NoUpstream, "every upstream of the service has failed the request");
-        const bool maySendLater = call->answering && now < latestSend(*call);
+        const bool maySendLater = call->answering && now < windowOf(*call).latestSend();
         if (!m_context.loadOrdersAvailable && !maySendLater)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now",
-                          acceptableRetryAfter(*call, now - m_context.loadOutageSince, now));
-        const bool isFirst = !call->waiting;
+                          windowOf(*call).acceptableRetryAfter(now - m_context.loadOutageSince, now));
+        const bool isFirst = !m_waiting.contains(call);
         startWaiting(call, WaitCause::Load, now);
         if (isFirst) {
             const auto part = std::chrono::duration_cast<Duration>((call->deadline - now) * maxLoadWaitFraction);
-            call->waitUntil = std::min(now + maxLoadWait, call->answering ? latestSend(*call) : now + part);
+            call->waitUntil = std::min(now + maxLoadWait, call->answering ? windowOf(*call).latestSend() : now + part);
         }
         if (now >= call->waitUntil)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "the adapter was not loaded in time");
@@ -1028,8 +1051,8 @@
         if (refuseIfCut(call, next))
             return;
         const auto wait = next - now;
-        const bool isTooLate
-            = call->answering ? next > latestSend(*call) : wait > (call->deadline - now) * maxBackpressureWaitFraction;
+        const bool isTooLate = call->answering ? next > windowOf(*call).latestSend()
+                                               : wait > (call->deadline - now) * maxBackpressureWaitFraction;
         if (isTooLate)
             return giveUp(call, ErrorCode::Overloaded, "the upstreams want no requests for now", wait);
         call->notBefore = next;
@@ -1050,10 +1073,8 @@
     void startWaiting(const CallPtr &call, WaitCause cause, Instant now)
     {
         call->waits.begin(cause, now);
-        if (std::exchange(call->waiting, true))
-            return;
-        call->waitingSince = now;
-        m_waiting.insert(call);
+        m_waiting.begin(call, {call->service, queueRankOf(*call), call->arrival},
+                        cause == WaitCause::Room || cause == WaitCause::Pace, now);
     }
 
     static MetricLabels labelsOf(const Call &call)
@@ -1063,13 +1084,12 @@
 
     void stopWaiting(const CallPtr &call)
     {
-        if (!call->waiting)
-            return;
-        call->waiting = false;
-        m_waiting.erase(call);
         const auto now = BootClock{}.now();
+        const auto waited = m_waiting.end(call, now);
+        if (!waited)
+            return;
         call->waits.end(now);
-        m_metrics.observe(Metric::LoadStallSeconds, labelsOf(*call), now - call->waitingSince, now);
+        m_metrics.observe(Metric::LoadStallSeconds, labelsOf(*call), *waited, now);
     }
 
     /// Announces to all nodes that the call is sent as in @p choice. Returns false if there is nothing to announce.
@@ -1091,7 +1111,7 @@
             return std::nullopt;
         const auto it = m_context.upstreams.all().find(call.reservation->instance);
         if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || now < it->second.avoidUntil
-            || it->second.inFlight() >= it->second.record.slots
+            || it->second.inFlight() >= usableSlots(it->second, shareOf(call, now))
             || !keepsRequestLimit(it->second, *call.reservation, now)
             || (call.reservation->isLent && !isStillLent(it->second, m_context.node, now)))
             return std::nullopt;
@@ -1142,7 +1162,10 @@
         call->peer.clear();
         SendInstructions instructions{choice.instance, call->deadline - now, {}, {}, {}};
         if (!call->request.target.empty()) {
-            instructions.priority = std::min(9U, call->route.priority);
+            instructions.priority = urgencyOf(*call);
+            if (call->number == 1)
+                m_context.reserve.onStarted(call->service, instructions.priority.value(),
+                                            call->request.promptTokens + call->request.outputTokens, now);
             if (const auto it = m_context.declared.find(call->request.target);
                 it != m_context.declared.end()
                 && (choice.version >= it->second.newest() || it->second.oldestUsable(now) > 0))
@@ -1276,6 +1299,8 @@
         if ((isBrittle(upstream->record.service) || (wasCrowded && !call.request.target.empty()))
             && m_context.onLoadChanged)
             m_context.onLoadChanged(send.instance);
+        if (m_waiting.hasSeveralUrgencies(upstream->record.service))
+            wakeMostUrgent(upstream->record.service);
     }
 
     /// Ends the current send and the held one, if there are any, as the call has ended for another reason.
@@ -1644,7 +1669,7 @@
     {
         const auto now = BootClock{}.now();
         const auto direct = choose(call, now);
-        return direct && !direct->isSuspect && direct->sendAt <= latestSend(call);
+        return direct && !direct->isSuspect && direct->sendAt <= windowOf(call).latestSend();
     }
 
     void onBrokenByPeer(const CallPtr &call)
@@ -1660,16 +1685,6 @@
                "the upstream of the peer failed", {});
     }
 
-    static std::optional<Duration> retryAfterOf(const Http::Headers &headers)
-    {
-        const std::string text(headers.get("Retry-After"));
-        char *end = nullptr;
-        const double seconds = std::strtod(text.c_str(), &end);
-        if (text.empty() || *end != '\0' || !(seconds >= 0 && seconds < maxRetryAfterSeconds))
-            return std::nullopt;
-        return Duration{static_cast<std::int64_t>(seconds * 1e6)};
-    }
-
     void countRelayed(const char *direction, Verdict verdict)
     {
         m_metrics.add(Metric::RelayedCalls, {{"direction", direction}, {"verdict", std::string(nameOf(verdict))}});
@@ -1905,12 +1920,13 @@
                                      {"longest_pause_ms", ms(call.longestPause)},
                                      {"total_ms", ms(BootClock{}.now() - call.arrival)},
                                      {"objective_ms", ms(call.route.latencyObjective)},
+                                     {"urgency", std::to_string(urgencyOf(call))},
                                      {"sends", std::to_string(call.sends)},
                                      {"in_flight", std::to_string(call.inFlightAtSend)},
                                      {"slowness", std::to_string(call.slownessAtSend)},
                                      {"prompt", std::to_string(static_cast<long>(call.request.promptTokens))},
                                      {"unread", std::to_string(static_cast<long>(call.prefillBacklogAtSend))}};
-        addWaits(call, fields);
+        addWaits(call.waits, fields);
         if (m_log.isDetailed())
             m_log.detail(GatewayEvent::Answered, call.request.id, std::move(fields));
         else
@@ -1953,14 +1969,6 @@
         fields.emplace_back("configuration_age_ms", std::to_string((now - m_context.configuredAt).count() / 1000));
     }
 
-    static void addWaits(const Call &call, std::vector<LogField> &fields)
-    {
-        for (const auto &[cause, name] : enumNames<WaitCause>) {
-            if (const auto time = call.waits.of(cause); time > Duration{})
-                fields.emplace_back("waited_" + std::string(name) + "_ms", std::to_string(time.count() / 1000));
-        }
-    }
-
     /// Forwards the upstream's complete answer to the caller unchanged.
     void forwardAnswer(const CallPtr &call)
     {
@@ -2021,8 +2029,7 @@
             auto retryAfter = servedIn;
             const bool isFinal = code == ErrorCode::Quarantined || code == ErrorCode::StreamUnknown;
             if (!retryAfter && !isFinal && left > std::chrono::milliseconds{100})
-                retryAfter = std::min<Duration>(std::chrono::seconds{1},
-                                                std::chrono::duration_cast<Duration>(left * maxRetryAfterFraction));
+                retryAfter = std::min<Duration>(std::chrono::seconds{1}, windowOf(*call).longestRetryAfter(now));
             return refuse(call, code == ErrorCode::Overloaded ? 429 : 503, code, reason, retryAfter);
         }
         refuse(call, code == ErrorCode::DeadlineExceeded ? 504 : 502, code, reason, {});
@@ -2041,12 +2048,13 @@
                                      {"relayed_from", originNodeOf(*call)},
                                      {"target", call->request.target},
                                      {"upstream", call->instance},
+                                     {"urgency", std::to_string(urgencyOf(*call))},
                                      {"sends", std::to_string(call->sends)},
                                      {"after_ms", std::to_string((now - call->arrival).count() / 1000)},
                                      {"verdict", std::string(nameOf(call->verdict))}};
         addPlaces(fields, *call, now);
         addConfiguration(fields, now);
-        addWaits(*call, fields);
+        addWaits(call->waits, fields);
         m_log.decision(GatewayEvent::Refused, call->request.id, std::move(fields));
         Http::Headers headers{{"Content-Type", "text/plain"}};
         if (retryAfter) {
@@ -2107,22 +2115,11 @@
     /// Returns how long the call takes at its upstream, by what answers of its service have taken lately.
     CallLength lengthOf(const Call &call)
     {
-        CallLength length{call.arrival, call.deadline, {}, {}, call.route.mayRepeat()};
+        const CallLength length{call.arrival, call.deadline, {}, {}, call.route.mayRepeat()};
         const auto speed = m_context.speeds[call.service].speed();
-        const auto milliseconds = [](double count) { return Duration{static_cast<std::int64_t>(count * 1000)}; };
-        if (call.route.kind != RequestKind::Streaming && call.request.target.empty()) {
-            length.expected = milliseconds(expectedInAnswerTimes * speed.answerMs);
-            length.longest = std::max(minLongestAnswer, milliseconds(silenceInAnswerTimes * speed.answerMs));
-            return length;
-        }
-        const double tokensMs
-            = call.request.promptTokens / speed.promptTokensPerMs + call.request.outputTokens * speed.stepMs;
-        // Steps are slower than in the estimate while engines are busy, which the usual time shows.
-        const double longestMs = std::max(streamSafetyFactor * tokensMs, longestInStreamTimes * speed.streamMs);
-        const double usualMs = expectedInStreamTimes * speed.streamMs;
-        length.expected = milliseconds(call.request.outputTokens > 0 ? std::min(tokensMs, usualMs) : usualMs);
-        length.longest = milliseconds(longestMs) + streamSafetyMargin;
-        return length;
+        if (call.route.kind != RequestKind::Streaming && call.request.target.empty())
+            return answerLength(length, speed, silenceInAnswerTimes);
+        return streamLength(length, speed, call.request.promptTokens, call.request.outputTokens);
     }
 
     void onCallerGone(const CallPtr &call)
@@ -2178,7 +2175,7 @@
             cancelSend(call);
             return giveUp(call, ErrorCode::DeadlineExceeded, "the time is over");
         }
-        if (call->waiting)
+        if (m_waiting.contains(call))
             return proceed(call);
         if (call->token == 0)
             return;
@@ -2454,7 +2451,8 @@
     Metrics &m_metrics;
     Client m_client;
     std::unordered_set<CallPtr> m_calls;
-    std::unordered_set<CallPtr> m_waiting;
+    Scheduling::WaitingQueue<CallPtr> m_waiting;
+    std::set<std::string> m_waking; ///< Services for which wakeMostUrgent() has been scheduled.
     std::vector<CallPtr> m_unrouted; ///< Calls that wait for the node's first configuration.
     UpstreamMonitor<Dialect, Client> m_monitor;
     CallRelay m_relay;
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -171,7 +171,7 @@
             choice.sendAt = upstream.prompts.earliestSendAt(
                 demand.promptTokens, tokensWithinPause(demand.pace, demand.speed, slownessOf(upstream, demand.speed)),
                 demand.pace.longestPause, std::max(choice.sendAt, now));
-        choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.record.slots;
+        choice.isFull = !demand.target.empty() && upstream.inFlight() >= usableSlots(upstream, demand.slotShare);
         if (demand.refusalsPerSecond)
             awaitRoom(choice, upstream, demand, ownPlaces, now);
         if (choice.isFull)
@@ -183,6 +183,22 @@
     return best;
 }
 
+unsigned usableSlots(const Upstream &upstream, double share)
+{
+    if (share >= 1)
+        return upstream.record.slots;
+    return std::max(1U, static_cast<unsigned>(std::ceil(share * upstream.record.slots)));
+}
+
+bool hasFreeSlot(const UpstreamTable &table, const std::string &service, double share, Instant now)
+{
+    return std::ranges::any_of(table.all(), [&](const auto &item) {
+        const auto &upstream = item.second;
+        return upstream.record.service == service && upstream.takesRequests(now)
+               && upstream.inFlight() < usableSlots(upstream, share);
+    });
+}
+
 bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
                  const std::string *softwareVersion)
 {
@@ -273,6 +289,14 @@
     return slots == 0 ? 1 : inFlight / slots;
 }
 
+unsigned ownInFlightOf(const UpstreamTable &table, const std::string &service)
+{
+    unsigned ownInFlight = 0;
+    for (const auto &[instance, upstream] : table.all())
+        ownInFlight += upstream.record.service == service ? upstream.ownInFlight : 0;
+    return ownInFlight;
+}
+
 std::vector<std::string> saturatedEngines(const UpstreamTable &table, const ModelTarget &target, Instant now)
 {
     std::vector<std::string> holders;
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -55,6 +55,7 @@
     /// What the service states of being brittle: requests are sent only where there is room, see roomFor().
     std::optional<unsigned> refusalsPerSecond{};
     NodeRank rank{}; ///< This node's.
+    double slotShare = 1; ///< Fraction of an engine's slots that the request may use, see usableSlots().
     std::uint64_t spreadSeed = 0; ///< Spreads requests over the upstreams of a brittle service.
 };
 
@@ -84,6 +85,13 @@
 std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
                                              const DistanceCost &cost = {});
 
+/// Returns the number of slots of @p upstream that requests with @p share of them may use; at least one. Thread-safe.
+unsigned usableSlots(const Upstream &upstream, double share);
+
+/// Returns true if an upstream of @p service that accepts requests has a free slot for requests with @p share of its
+/// slots. Thread-safe.
+bool hasFreeSlot(const UpstreamTable &table, const std::string &service, double share, Instant now);
+
 /// Returns true if any upstream of @p service accepts requests of this node; of those of @p softwareVersion only, if it
 /// is not null. Thread-safe.
 bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
@@ -125,6 +133,9 @@
 /// taken or there are none, more if requests queue. Thread-safe.
 double utilisationOf(const UpstreamTable &table, const std::string &service, Instant now);
 
+/// Returns the number of this node's requests in flight at the upstreams of @p service. Thread-safe.
+unsigned ownInFlightOf(const UpstreamTable &table, const std::string &service);
+
 /// Returns the upstreams that hold a copy of @p target but cannot serve it now, because all their slots are taken, they
 /// apply backpressure to this node, they limit their requests, or this node is cut off from them. Thread-safe.
 std::vector<std::string> saturatedEngines(const UpstreamTable &table, const ModelTarget &target, Instant now);
--- a/src/gateway/gatewaylog.cpp
+++ b/src/gateway/gatewaylog.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaylog.h"
 
+#include <algorithm>
+
 namespace Gypsumtally::Gateway
 {
 
@@ -7,6 +9,7 @@
 {
 
 constexpr unsigned maxLinesPerSecond = 20; ///< Per event; writes about 5 kB/s and takes 1% of a quarter of a core.
+constexpr std::size_t maxJoinedNames = 16; ///< In one line.
 
 } // namespace
 
@@ -44,4 +47,20 @@
     m_log.log(LogLevel::Info, nameOf(event), fields);
 }
 
+std::string joined(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (std::size_t i = 0; i < std::min(names.size(), maxJoinedNames); ++i)
+        text.append(i == 0 ? "" : ",").append(names[i]);
+    return text;
+}
+
+void addWaits(const WaitTimes &waits, std::vector<LogField> &fields)
+{
+    for (const auto &[cause, name] : enumNames<WaitCause>) {
+        if (const auto time = waits.of(cause); time > Duration{})
+            fields.emplace_back("waited_" + std::string(name) + "_ms", std::to_string(time.count() / 1000));
+    }
+}
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/enumtable.h"
+#include "gateway/waittimes.h"
 #include "logging/logging.h"
 
 #include <array>
@@ -158,4 +159,10 @@
     std::array<Window, enumNames<GatewayEvent>.size()> m_windows{};
 };
 
+/// Returns the first of @p names with commas between them, for one field of a line. Thread-safe.
+std::string joined(const std::vector<std::string> &names);
+
+/// Adds a field for each cause for which a request has waited. Thread-safe.
+void addWaits(const WaitTimes &waits, std::vector<LogField> &fields);
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+constexpr std::size_t maxWaitingCounts = 40; ///< In one report: four services with all urgencies.
 constexpr Duration maxContactAge = std::chrono::minutes{1}; ///< Greater ages are not valid.
 
 json::object addressToJson(const NodeAddress &address)
@@ -262,6 +263,29 @@
     return std::round(figure * 1000) / 1000;
 }
 
+json::array waitingToJson(const std::vector<Scheduling::WaitingCount> &counts)
+{
+    json::array rows;
+    for (const auto &[service, urgency, calls] : counts) {
+        if (rows.size() < maxWaitingCounts)
+            rows.push_back({service, urgency, calls});
+    }
+    return rows;
+}
+
+std::vector<Scheduling::WaitingCount> waitingFrom(const json::object &object)
+{
+    std::vector<Scheduling::WaitingCount> counts;
+    eachRow(object, "waiting", [&](const json::array &row) {
+        const auto none = Scheduling::urgencyCount;
+        const auto urgency = row.size() > 2 ? numberFrom<unsigned>(row[1]).value_or(none) : none;
+        auto service = textIn(row, 0);
+        if (urgency < none && !service.empty() && counts.size() < maxWaitingCounts)
+            counts.push_back({std::move(service), urgency, countIn(row, 2)});
+    });
+    return counts;
+}
+
 json::object reportToJson(const NodeReport &report)
 {
     json::object object{{"sequence", report.sequence}, {"open", report.takesCallers}};
@@ -370,6 +394,8 @@
     addReach(object, report);
     if (!report.placements.empty())
         object["placements"] = noticesToJson(report.placements);
+    if (!report.waiting.empty())
+        object["waiting"] = waitingToJson(report.waiting);
     return object;
 }
 
@@ -450,6 +476,7 @@
     report.brokenStreams = streamsFrom(object, "broken_streams");
     readReach(object, report);
     report.placements = noticesFrom(object, "placements");
+    report.waiting = waitingFrom(object);
     return report;
 }
 
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -10,6 +10,7 @@
 #include "gateway/streamversions.h"
 #include "gateway/upstreamstatement.h"
 #include "gateway/upstreamtable.h"
+#include "scheduling/urgency.h"
 
 #include <cstdint>
 #include <map>
@@ -144,6 +145,8 @@
     std::vector<BrittlenessNotice> brittleness;
     std::vector<StreamOrigin> brokenStreams; ///< Streams of the node that callers may take up.
     std::vector<PlacementNotice> placements; ///< Sent by the holder of an order lease only.
+    /// Calls that wait at the node for capacity. Replaces what it reported before if it is not empty, or in digests.
+    std::vector<Scheduling::WaitingCount> waiting;
 };
 
 /// The nodes to which the receiver of a message forwards the reports in it.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1116,6 +1116,7 @@
             if (m_orders[shard]->isOrdering())
                 report.ordering.push_back(shard);
         }
+        report.waiting = m_context.reserve.takeNews(BootClock{}.now());
         return report;
     }
 
@@ -1236,6 +1237,7 @@
         digest.from = m_address;
         digest.operatorRevision = m_registry.newestOperatorChange();
         digest.hasInFlight = true;
+        digest.waiting = m_context.reserve.tellWaiting(now);
         digest.holdsVersions = true;
         for (auto &[instance, upstream] : m_context.upstreams.all()) {
             if (upstream.ownInFlight > 0)
@@ -1482,6 +1484,8 @@
             for (const auto &[instance, requests] : report.changedInFlight)
                 m_context.upstreams.onPeerLoad(stamp, instance, requests);
         }
+        if (report.hasInFlight || !report.waiting.empty())
+            m_context.reserve.onPeerWaiting(stamp.node, stamp.startedAt, stamp.sequence, report.waiting, now);
         for (const auto &released : report.released) {
             if (released.shard < orderShards)
                 m_orders[released.shard]->onReleasedByOther({released.term, now - released.sinceLastOrder});
--- a/src/gateway/relaycodec.cpp
+++ b/src/gateway/relaycodec.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdlib>
 #include <iterator>
 #include <limits>
 #include <string_view>
@@ -34,6 +35,7 @@
 constexpr std::int64_t maxTimeUs = 3'600'000'000; ///< Longer than any timeout.
 constexpr unsigned maxSends = 10'000; ///< More than any request can need.
 
+constexpr double maxRetryAfterSeconds = 3600; ///< A peer states no longer time.
 /// Headers that frame one connection's messages.
 constexpr std::array<std::string_view, 5> framingHeaders{"Content-Length", "Transfer-Encoding", "Connection", "Expect",
                                                          "Keep-Alive"};
@@ -214,4 +216,14 @@
     return others;
 }
 
+std::optional<Duration> retryAfterOf(const Http::Headers &headers)
+{
+    const std::string text(headers.get("Retry-After"));
+    char *end = nullptr;
+    const double seconds = std::strtod(text.c_str(), &end);
+    if (text.empty() || *end != '\0' || !(seconds >= 0 && seconds < maxRetryAfterSeconds))
+        return std::nullopt;
+    return Duration{static_cast<std::int64_t>(seconds * 1e6)};
+}
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/relaycodec.h
+++ b/src/gateway/relaycodec.h
@@ -62,4 +62,8 @@
 /// Returns the headers of a relayed answer that the caller gets. Thread-safe.
 Http::Headers callerHeadersOf(const Http::Headers &headers);
 
+/// Returns the time that the header Retry-After states in seconds; nothing if there is none or it is not valid.
+/// Thread-safe.
+std::optional<Duration> retryAfterOf(const Http::Headers &headers);
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "estimates/servicespeed.h"
 
 #include <algorithm>
 
@@ -16,6 +17,14 @@
     bool mayBeRepeated = false; ///< Its caller gets the answer elsewhere if this node cuts it.
 };
 
+/// Returns the expected and the longest time of a plain request by what answers of its service have taken lately; the
+/// longest is @p longestInAnswerTimes usual ones. Thread-safe.
+CallLength answerLength(CallLength call, const Estimates::Speed &speed, double longestInAnswerTimes);
+
+/// Returns the expected and the longest time of a stream with @p promptTokens and at most @p outputTokens, by what
+/// streams of its service have taken lately. Thread-safe.
+CallLength streamLength(CallLength call, const Estimates::Speed &speed, double promptTokens, double outputTokens);
+
 /// What a node may still do between SIGTERM and its exit. Not thread-safe; does no I/O.
 class StopSchedule
 {
@@ -71,4 +80,12 @@
     Instant m_endOfCalls;
 };
 
+/// What has become of calls since their node was asked to stop.
+struct StopCounts {
+    unsigned accepted = 0; ///< Calls that were read.
+    unsigned sent = 0; ///< Sends to upstreams and peers.
+    unsigned refused = 0; ///< Calls that would not have ended before the exit.
+    unsigned cut = 0; ///< Calls that the exit ended.
+};
+
 } // namespace Gypsumtally::Gateway
--- a/src/report/metrics.cpp
+++ b/src/report/metrics.cpp
@@ -32,7 +32,7 @@
     const char *help;
 };
 
-constexpr std::array<Description, 27> descriptions{{
+constexpr std::array<Description, 28> descriptions{{
     {Metric::Requests, Kind::Counter, "gypsumtally_requests_total", "Requests that have ended."},
     {Metric::RequestSeconds, Kind::Histogram, "gypsumtally_request_seconds", "Time from arrival to the whole answer."},
     {Metric::FirstTokenSeconds, Kind::Histogram, "gypsumtally_first_token_seconds",
@@ -68,6 +68,8 @@
      "Requests that ended without a whole answer."},
     {Metric::Connections, Kind::Counter, "gypsumtally_connections_total", "Connections to upstreams and peers."},
     {Metric::RelayedCalls, Kind::Counter, "gypsumtally_relayed_calls_total", "Calls passed between nodes."},
+    {Metric::ForecastRefusals, Kind::Counter, "gypsumtally_forecast_refusals_total",
+     "Requests refused at once because too many others go first."},
 }};
 
 const prometheus::Histogram::BucketBoundaries secondsBuckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -40,6 +40,7 @@
     UnansweredRequests, ///< Requests that ended without a whole answer. Labels: from, cause.
     Connections, ///< To upstreams and peers. Label: outcome.
     RelayedCalls, ///< Calls passed between nodes. Labels: direction, verdict.
+    ForecastRefusals, ///< Requests refused because too many others go first. Label: urgency.
 };
 
 /// The names and values of the labels of one time series.
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -42,6 +42,7 @@
     report.cutOff = {{"e12", 10}};
     report.hasCutOff = true;
     report.placements = {{"e1", "m/a", 2, false, std::chrono::milliseconds{250}}, {"e2", "m/b", 0, true, {}}};
+    report.waiting = {{"s", 1, 4}, {"s", 9, 2}};
     GatewayMessage message;
     message.sender = "n2";
     message.forwardScope = ForwardScope::Everywhere;
@@ -129,6 +130,7 @@
     cr_assert_eq(report.placements[0].version, 2U);
     cr_assert(report.placements[0].usableIn == std::chrono::milliseconds{250});
     cr_assert(report.placements[1].dropped);
+    cr_assert(report.waiting == sent.waiting);
     cr_assert_eq(read->used.front().target, std::string("m/a"));
     cr_assert_eq(read->wanted.front().target, std::string("m/b"));
     cr_assert_eq(read->wanted.front().unfit.size(), 1U);
@@ -205,6 +207,45 @@
     cr_assert_eq(report.hasCutOff, row.hasCutOff, "%s", row.fields);
 }
 
+namespace
+{
+
+struct WaitingCase {
+    const char *fields;
+    std::size_t counts; ///< That are read.
+};
+
+const WaitingCase waitingCases[] = {
+    {R"("open":true)", 0}, // Of a node of an earlier build.
+    {R"("waiting":[["s",0,3],["s",9,1]])", 2},
+    {R"("waiting":[["s",10,3],["",1,3],["s",1],["s",-1,2],7,[]])", 0},
+    {R"("waiting":{"s":3})", 0},
+};
+
+} // namespace
+
+/// Guards against counts of an urgency that does not exist, which would be written outside a table.
+TABLE_TEST(GatewayMessage, readsValidWaitingCounts, waitingCases)
+{
+    const auto text = R"({"sender":"n","reports":[{"from":{"node":"n"},)" + std::string(row.fields) + "}]}";
+    const auto read = decodeGatewayMessage(text);
+    cr_assert(read && read->reports.size() == 1, "%s", row.fields);
+    cr_assert_eq(read->reports.front().waiting.size(), row.counts, "%s", row.fields);
+}
+
+/// Guards against a report that takes a receiver's memory.
+Test(GatewayMessage, boundsWaitingCounts)
+{
+    NodeReport report;
+    report.from.node = "n";
+    for (unsigned i = 0; i < 5000; ++i)
+        report.waiting.push_back({"s" + std::to_string(i), 1, 1});
+    GatewayMessage message;
+    message.sender = "n";
+    message.reports = {report};
+    cr_assert_eq(decodeGatewayMessage(encode(message))->reports.front().waiting.size(), 40U);
+}
+
 Test(GatewayMessage, boundsReachOfAnySender)
 {
     NodeReport report;
--- a/tests/gateway/overloadtest.cpp
+++ b/tests/gateway/overloadtest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <array>
+#include <cmath>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,12 +22,20 @@
 constexpr Duration eventPause = std::chrono::milliseconds{25};
 constexpr int eventsOfAStream = 8;
 constexpr Duration objective = std::chrono::milliseconds{600};
+constexpr Duration callerPatience = std::chrono::milliseconds{2400};
 constexpr unsigned slots = 4;
 constexpr std::size_t engineCount = 2;
 
 /// Throughput of all engines, in streams per second: each stream takes 0.2 s.
 constexpr double capacity = engineCount * slots / 0.2;
 
+/// What became of requests of one urgency.
+struct Outcomes {
+    double sent = 0;
+    double served = 0;
+    double inTime = 0;
+};
+
 /// A node and engines with few slots, which refuse requests that exceed these, under a load that changes in phases.
 class Overload
 {
@@ -46,10 +55,13 @@
         route.attempts = 2;
         route.latencyObjective = objective;
         route.longestPause = std::chrono::milliseconds{300};
-        route.callerPatience = std::chrono::milliseconds{2400};
+        route.callerPatience = callerPatience;
         route.services = {{"s", 1}};
+        auto urgentRoute = route;
+        urgentRoute.prefix = "/u/";
+        urgentRoute.priority = route.priority - 1;
         TrafficPolicy policy;
-        policy.routes = {route};
+        policy.routes = {route, urgentRoute};
         policy.services = {{"s", EngineProfile{}}};
         m_context.routes = std::make_shared<RouteTable>(policy);
         m_context.allowance = RetryAllowance({0.2, 50, std::chrono::seconds{10}, 1});
@@ -65,9 +77,12 @@
     }
 
     /// Offers @p load times the engines' capacity for @p time. Returns the goodput of the second half, in streams per
-    /// second that met the latency objective.
-    double run(double load, Duration time)
+    /// second that met the latency objective. @p urgentPart of the requests are more urgent than the others; what
+    /// became of those of the second half whose callers have waited for long enough is in urgent and others.
+    double run(double load, Duration time, double urgentPart = 0)
     {
+        m_urgentPart = urgentPart;
+        urgent = others = {};
         const auto begin = BootClock{}.now();
         m_countFrom = begin + time / 2;
         m_inTime = 0;
@@ -86,6 +101,8 @@
         m_isFailing = isFailing;
     }
 
+    Outcomes urgent;
+    Outcomes others;
     unsigned unanswered = 0; ///< Requests whose exchange failed without a complete answer.
 
 private:
@@ -145,13 +162,25 @@
                 *first = BootClock{}.now();
         };
         const bool counts = now >= m_countFrom;
-        observer.onEnd = [this, first, status, now, counts] {
-            if (counts && *status == 200 && *first - now < objective)
+        ++m_sent;
+        const bool isUrgent = std::floor(m_sent * m_urgentPart) > std::floor((m_sent - 1) * m_urgentPart);
+        auto *outcomes = counts && now < m_until - callerPatience ? isUrgent ? &urgent : &others : nullptr;
+        if (outcomes)
+            ++outcomes->sent;
+        observer.onEnd = [this, first, status, now, counts, outcomes] {
+            const bool isServed = *status == 200;
+            const bool isInTime = isServed && *first - now < objective;
+            if (counts && isInTime)
                 ++m_inTime;
+            if (outcomes) {
+                outcomes->served += isServed ? 1 : 0;
+                outcomes->inTime += isInTime ? 1 : 0;
+            }
         };
         observer.onFailure = [this](const Relay::FailedExchange &) { ++unanswered; };
-        const auto id = "r" + std::to_string(++m_sent);
-        m_client.send({m_entryEndpoint, {}}, {"POST", "/s/1", {{"Host", "h"}, {"Id", id}, {"Target", "m/a"}}, "q"},
+        const auto id = "r" + std::to_string(m_sent);
+        m_client.send({m_entryEndpoint, {}},
+                      {"POST", isUrgent ? "/u/1" : "/s/1", {{"Host", "h"}, {"Id", id}, {"Target", "m/a"}}, "q"},
                       std::move(observer), {});
     }
 
@@ -178,6 +207,7 @@
     Instant m_until{};
     Duration m_pause{};
     unsigned m_sent = 0;
+    double m_urgentPart = 0;
     double m_inTime = 0;
     bool m_isFailing = false;
 };
@@ -214,3 +244,32 @@
     cr_assert_geq(after, recovered * before, "%s: goodput of %f, which was %f before", row.name, after, before);
     cr_assert_eq(overload.unanswered, 0U, "%s: %u", row.name, overload.unanswered);
 }
+
+struct MixCase {
+    const char *name;
+    double urgentPart;
+    double urgentInTime; ///< Fraction that is to be in time.
+};
+
+const MixCase mixes[] = {
+    {"urgent requests fit in", 0.3, 0.9},
+    {"urgent requests alone exceed the capacity", 0.75, 0},
+};
+
+/// At twice the capacity urgent requests are served in time at least as often as others, and those are served at least
+/// a quarter as often as all. Guards against urgent requests that get the worst service, and others that starve.
+TABLE_TEST(Overload, prefersUrgentRequests, mixes)
+{
+    Overload overload;
+    overload.run(2, std::chrono::seconds{10}, row.urgentPart);
+    const auto &urgent = overload.urgent;
+    const auto &others = overload.others;
+    const double served = (urgent.served + others.served) / (urgent.sent + others.sent);
+    cr_log_info("%s: of %.0f urgent %.0f served, %.0f in time; of %.0f others %.0f served, %.0f in time", row.name,
+                urgent.sent, urgent.served, urgent.inTime, others.sent, others.served, others.inTime);
+    cr_assert_geq(urgent.inTime / urgent.sent, others.inTime / others.sent, "%s: %f of %f and %f of %f", row.name,
+                  urgent.inTime, urgent.sent, others.inTime, others.sent);
+    cr_assert_geq(urgent.inTime / urgent.sent, row.urgentInTime, "%s: %f of %f", row.name, urgent.inTime, urgent.sent);
+    cr_assert_geq(others.served / others.sent, served / 4, "%s: %f of %f", row.name, others.served, others.sent);
+    cr_assert_eq(overload.unanswered, 0U, "%s: %u", row.name, overload.unanswered);
+}
