Fair turns of organisations of equal urgency, by tokens in service

An organisation with many or large calls took the turns of others of its urgency. The waiting queue counts the tokens of each organisation's calls at upstreams and of its calls before; the least goes first (start-time fair queueing). Calls without an organisation keep their order. The forecast counts only calls that certainly go before.

--- a/src/gateway/callcontext.cpp
+++ b/src/gateway/callcontext.cpp
@@ -75,4 +75,14 @@
     return it == declared.end() ? 0 : it->second.oldestUsable(now);
 }
 
+void CallContext::addConfiguration(std::vector<LogField> &fields, Instant now) const
+{
+    if (!routes) {
+        fields.emplace_back("configuration", "none");
+        return;
+    }
+    fields.emplace_back("configuration", std::to_string(routes->policy().version));
+    fields.emplace_back("configuration_age_ms", std::to_string((now - configuredAt).count() / 1000));
+}
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -12,6 +12,7 @@
 #include "gateway/trafficpolicy.h"
 #include "gateway/upstreamstatement.h"
 #include "gateway/upstreamtable.h"
+#include "logging/logging.h"
 #include "scheduling/capacityreserve.h"
 
 #include <functional>
@@ -125,6 +126,9 @@
     /// Records the declaration of a version of @p target; see DeclaredVersion::declare().
     bool declare(const ModelTarget &target, std::uint64_t version, Instant earliest, Instant now);
 
+    /// Adds the version of the configuration that decides on requests, and for how long it has been in force.
+    void addConfiguration(std::vector<LogField> &fields, Instant now) const;
+
     /// Returns the oldest version of @p target that may serve at @p now; 0 if any may.
     std::uint64_t minVersion(const ModelTarget &target, Instant now) const;
 };
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -764,10 +764,20 @@
         return Scheduling::urgencyOf(call.route.priority);
     }
 
-    static Scheduling::QueueRank queueRankOf(const Call &call)
+    static Scheduling::WaitingCall waitingOf(const Call &call)
     {
         const auto window = windowOf(call);
-        return {urgencyOf(call), window.inTimeUntil(), window.latestSend()};
+        return {call.service,
+                {urgencyOf(call), window.inTimeUntil(), window.latestSend()},
+                call.arrival,
+                call.identity.organisation,
+                tokensOf(call)};
+    }
+
+    /// Returns the tokens of the call's prompt and of its longest answer.
+    static double tokensOf(const Call &call)
+    {
+        return call.request.promptTokens + call.request.outputTokens;
     }
 
     /// Lets the most urgent calls that wait for room at @p service try first for a slot that has become free.
@@ -805,7 +815,7 @@
         if (call.verdict != Verdict::NotRun || call.answering
             || hasFreeSlot(m_context.upstreams, call.service, shareOf(call, now), now))
             return choice.sendAt;
-        const auto ahead = m_waiting.countBefore(queueRankOf(call), call.service, now);
+        const auto ahead = m_waiting.countBefore(waitingOf(call), now);
         const auto &reserve = m_context.reserve;
         return std::max(choice.sendAt,
                         now + reserve.earliestTurn(call.service, urgencyOf(call), ahead, m_context.rank.count, now));
@@ -1073,8 +1083,7 @@
     void startWaiting(const CallPtr &call, WaitCause cause, Instant now)
     {
         call->waits.begin(cause, now);
-        m_waiting.begin(call, {call->service, queueRankOf(*call), call->arrival},
-                        cause == WaitCause::Room || cause == WaitCause::Pace, now);
+        m_waiting.begin(call, waitingOf(*call), cause == WaitCause::Room || cause == WaitCause::Pace, now);
     }
 
     static MetricLabels labelsOf(const Call &call)
@@ -1164,8 +1173,7 @@
         if (!call->request.target.empty()) {
             instructions.priority = urgencyOf(*call);
             if (call->number == 1)
-                m_context.reserve.onStarted(call->service, instructions.priority.value(),
-                                            call->request.promptTokens + call->request.outputTokens, now);
+                m_context.reserve.onStarted(call->service, urgencyOf(*call), tokensOf(*call), now);
             if (const auto it = m_context.declared.find(call->request.target);
                 it != m_context.declared.end()
                 && (choice.version >= it->second.newest() || it->second.oldestUsable(now) > 0))
@@ -1173,6 +1181,7 @@
         }
         if (call->lastEvent)
             instructions.resumeAfter = call->lastEvent;
+        m_waiting.onSent(call->identity.organisation, tokensOf(*call));
         call->adapterVersion = choice.version;
         call->processStartedAt = upstream->record.startedAt;
         call->softwareAtSend = upstream->record.softwareVersion;
@@ -1291,6 +1300,7 @@
         send.token = 0;
         if (!send.peer.empty())
             return m_relay.onEnded(send.peer);
+        m_waiting.onEnded(call.identity.organisation, tokensOf(call));
         auto *upstream = m_context.upstreams.find(send.instance);
         if (!upstream || upstream->record.startedAt != send.processStartedAt || upstream->ownInFlight == 0)
             return;
@@ -1958,17 +1968,6 @@
         fields.emplace_back("limiting", std::to_string(counts.limiting));
     }
 
-    /// Adds the version of the configuration that decides on requests, and for how long it has been in force.
-    void addConfiguration(std::vector<LogField> &fields, Instant now) const
-    {
-        if (!m_context.routes) {
-            fields.emplace_back("configuration", "none");
-            return;
-        }
-        fields.emplace_back("configuration", std::to_string(m_context.routes->policy().version));
-        fields.emplace_back("configuration_age_ms", std::to_string((now - m_context.configuredAt).count() / 1000));
-    }
-
     /// Forwards the upstream's complete answer to the caller unchanged.
     void forwardAnswer(const CallPtr &call)
     {
@@ -2053,7 +2052,7 @@
                                      {"after_ms", std::to_string((now - call->arrival).count() / 1000)},
                                      {"verdict", std::string(nameOf(call->verdict))}};
         addPlaces(fields, *call, now);
-        addConfiguration(fields, now);
+        m_context.addConfiguration(fields, now);
         addWaits(call->waits, fields);
         m_log.decision(GatewayEvent::Refused, call->request.id, std::move(fields));
         Http::Headers headers{{"Content-Type", "text/plain"}};
--- a/src/scheduling/waitingqueue.h
+++ b/src/scheduling/waitingqueue.h
@@ -36,6 +36,8 @@
     std::string service;
     QueueRank rank;
     Instant arrival{};
+    std::string organisation{}; ///< Empty if the call belongs to none.
+    double tokens = 0; ///< Of its prompt and of the longest answer.
 };
 
 /// The calls that wait at a node, in the order in which they are served. Tells the reserve how long calls wait for
@@ -75,29 +77,35 @@
         return now - since;
     }
 
-    /// Returns all calls in the order of service. Those of a class that starves go first.
+    /// Records that a call of @p organisation was sent to an upstream.
+    void onSent(const std::string &organisation, double tokens)
+    {
+        if (!organisation.empty())
+            m_inService[organisation] += std::max(1.0, tokens);
+    }
+
+    /// Records the end of such a send. Precondition: onSent() was called with the same arguments.
+    void onEnded(const std::string &organisation, double tokens)
+    {
+        const auto it = m_inService.find(organisation);
+        if (it != m_inService.end() && (it->second -= std::max(1.0, tokens)) <= 0)
+            m_inService.erase(it);
+    }
+
+    /// Returns all calls in the order of service. Those of a class that starves go first. Of equal rank otherwise,
+    /// those of the organisation go first that has the least tokens in service, the calls before counted.
     std::vector<Call> inOrder(Instant now) const
     {
-        struct Place {
-            bool isStarving = false;
-            const Entry *entry = nullptr;
-            const Call *call = nullptr;
-        };
-        std::map<std::pair<std::string_view, unsigned>, bool> starving;
-        std::vector<Place> places;
-        places.reserve(m_entries.size());
-        for (const auto &[call, entry] : m_entries) {
-            const auto &[service, rank, arrival] = entry.waiting;
-            const auto [it, isNew] = starving.try_emplace({service, rank.urgency});
-            if (isNew)
-                it->second = m_reserve.isStarving(service, rank.urgency, now);
-            places.push_back({it->second, &entry, &call});
+        auto places = ranked(now);
+        auto inService = m_inService;
+        for (auto &place : places) {
+            const auto &waiting = place.entry->waiting;
+            if (waiting.organisation.empty())
+                continue;
+            place.tokens = inService[waiting.organisation];
+            inService[waiting.organisation] += std::max(1.0, waiting.tokens);
         }
-        std::ranges::sort(places, [&](const Place &left, const Place &right) {
-            if (left.isStarving != right.isStarving)
-                return left.isStarving;
-            return left.entry->waiting.rank.goesBefore(right.entry->waiting.rank, now);
-        });
+        std::ranges::stable_sort(places, {}, [](const Place &place) { return std::pair(place.group, place.tokens); });
         std::vector<Call> calls;
         calls.reserve(places.size());
         for (const auto &place : places)
@@ -113,11 +121,14 @@
         return calls;
     }
 
-    /// Returns the number of calls that wait for capacity of @p service and go before @p rank at @p now.
-    unsigned countBefore(const QueueRank &rank, const std::string &service, Instant now) const
+    /// Returns the number of calls that wait for capacity of the service of @p waiting and certainly go before it at @p
+    /// now: more urgent ones, and earlier ones of its organisation.
+    unsigned countBefore(const WaitingCall &waiting, Instant now) const
     {
         return static_cast<unsigned>(std::ranges::count_if(m_entries, [&](const auto &item) {
-            return isForCapacity(item.second, service) && item.second.waiting.rank.goesBefore(rank, now);
+            const auto &other = item.second.waiting;
+            return isForCapacity(item.second, waiting.service) && other.rank.goesBefore(waiting.rank, now)
+                   && (other.rank.urgency < waiting.rank.urgency || other.organisation == waiting.organisation);
         }));
     }
 
@@ -166,6 +177,35 @@
         std::optional<Instant> forCapacitySince;
     };
 
+    /// Calls are served by group: whether the class starves, the urgency, and whether the call is late.
+    using Group = std::tuple<bool, unsigned, bool>;
+
+    struct Place {
+        Group group;
+        double tokens = 0; ///< Of the organisation in service when it is the call's turn.
+        const Entry *entry = nullptr;
+        const Call *call = nullptr;
+    };
+
+    /// Returns the calls in the order of service, organisations aside.
+    std::vector<Place> ranked(Instant now) const
+    {
+        std::map<std::pair<std::string_view, unsigned>, bool> starving;
+        std::vector<Place> places;
+        places.reserve(m_entries.size());
+        for (const auto &[call, entry] : m_entries) {
+            const auto &rank = entry.waiting.rank;
+            const auto [it, isNew] = starving.try_emplace({entry.waiting.service, rank.urgency});
+            if (isNew)
+                it->second = m_reserve.isStarving(entry.waiting.service, rank.urgency, now);
+            places.push_back({{!it->second, rank.urgency, rank.inTimeUntil < now}, 0, &entry, &call});
+        }
+        std::ranges::sort(places, {}, [](const Place &place) {
+            return std::pair(place.group, place.entry->waiting.rank.latestSend);
+        });
+        return places;
+    }
+
     static bool isForCapacity(const Entry &entry, const std::string &service)
     {
         return entry.forCapacitySince && entry.waiting.service == service;
@@ -173,6 +213,7 @@
 
     CapacityReserve &m_reserve;
     std::map<Call, Entry> m_entries;
+    std::map<std::string, double> m_inService; ///< Tokens of this node's calls at upstreams, by organisation.
 };
 
 } // namespace Gypsumtally::Scheduling
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -114,6 +114,43 @@
     cr_assert_eq(choice ? choice->instance : std::string{}, std::string(row.chosen));
 }
 
+namespace
+{
+
+struct SlotCase {
+    const char *name;
+    unsigned slots;
+    double share;
+    unsigned usable;
+};
+
+const SlotCase slotCases[] = {
+    {"all", 12, 1, 12},
+    {"half", 12, 0.5, 6},
+    {"a part of a slot counts as one", 12, 0.6, 8},
+    {"one at least", 1, 0.5, 1},
+};
+
+} // namespace
+
+/// Guards against less urgent requests that use slots which are reserved, and against an engine that they never get.
+TABLE_TEST(EngineChoice, leavesReservedSlots, slotCases)
+{
+    auto table = twoEngines();
+    table.find("far")->record.draining = true;
+    auto &upstream = *table.find("near");
+    upstream.record.slots = row.slots;
+    auto limited = demand;
+    limited.slotShare = row.share;
+    cr_assert_eq(usableSlots(upstream, row.share), row.usable, "%s", row.name);
+    upstream.ownInFlight = row.usable - 1;
+    cr_assert(hasFreeSlot(table, "s", row.share, now), "%s", row.name);
+    cr_assert_not(chooseUpstream(table, limited, now)->isFull, "%s", row.name);
+    upstream.ownInFlight = row.usable;
+    cr_assert_not(hasFreeSlot(table, "s", row.share, now), "%s", row.name);
+    cr_assert(chooseUpstream(table, limited, now)->isFull, "%s", row.name);
+}
+
 Test(EngineChoice, rejectsOlderVersions)
 {
     auto table = twoEngines();
