Less urgent calls reserve the prompt pace one pause ahead at most

Calls reserve the prompt pace up to their latest useful send, seconds ahead. At the beginning of an overload less urgent ones took it before a shortage was known, so that urgent calls of the next seconds found no room. A call that yields to more urgent ones in demand now waits without a reservation if its prompt fits only later, and counts for the forecast.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -217,9 +217,8 @@
     static constexpr Duration refusalRetryDelay = std::chrono::milliseconds{60};
     /// Number of sends of one request without a connection that are followed by another one at once.
     static constexpr unsigned maxImmediateReconnects = 3;
+    static constexpr Duration yieldingRetryDelay = std::chrono::milliseconds{60}; ///< While others reserve the pace.
     static constexpr unsigned maxRetryDelayDoublings = 2; ///< Limits the delay's growth by further refusals.
-    /// A load that is overdue by more than this is no longer presumed to be in progress.
-    static constexpr Duration maxLoadOverrun = std::chrono::milliseconds{800};
     /// Interval between load requests; bounds the delay that a lost datagram causes.
     static constexpr Duration loadRequestInterval = std::chrono::milliseconds{150};
     static constexpr Duration maxLoadWait = std::chrono::milliseconds{2000}; ///< Eight loads in sequence.
@@ -502,20 +501,22 @@
                 call->waitUntil = std::max(call->waitUntil, choice->sendAt + maxLoadWait);
                 return wakeAt(call, call->notBefore, now);
             }
+            const bool mayReserve = !choice->isFull && !isTooFarAhead(*call, *choice, now);
+            const auto tryAt = mayReserve || choice->isFull ? choice->sendAt : now + yieldingRetryDelay;
             // A call with a time at a limited upstream looks for a better upstream meanwhile.
-            call->notBefore = choice->isLimited && !choice->isFull ? Instant{} : choice->sendAt;
+            call->notBefore = choice->isLimited && !choice->isFull ? Instant{} : tryAt;
             if (choice->isLimited)
                 requestCopyElsewhere(*call, *choice, now);
             if (choice->isFull && now - call->arrival > furtherCopyDelay
                 && utilisationOf(m_context.upstreams, call->service, now) < maxUtilisationForFurtherCopy)
                 requestLoad(*call, now);
-            if (!choice->isFull) {
+            if (mayReserve) {
                 announceSend(*call, *choice, now);
                 call->reservation = *choice;
             }
             startWaiting(call, causeOf(*choice, now), now);
             call->waitUntil = std::max(call->waitUntil, choice->sendAt + std::chrono::milliseconds{500});
-            return wakeAt(call, choice->sendAt, now);
+            return wakeAt(call, tryAt, now);
         }
         if (!isVerified(call, choice->instance, now))
             return;
@@ -808,12 +809,12 @@
     /// with a chance to be sent, unless there is solid evidence that it has none.
     Instant expectedSend(const Call &call, const UpstreamChoice &choice, Instant now)
     {
-        if (!choice.isFull)
+        if (!choice.isFull && !isTooFarAhead(call, choice, now))
             return choice.sendAt;
         if (isBrittle(call.service))
             return std::max(choice.sendAt, now + timeOfBacklog(call));
         if (call.verdict != Verdict::NotRun || call.answering
-            || hasFreeSlot(m_context.upstreams, call.service, shareOf(call, now), now))
+            || (choice.isFull && hasFreeSlot(m_context.upstreams, call.service, shareOf(call, now), now)))
             return choice.sendAt;
         const auto ahead = m_waiting.countBefore(waitingOf(call), now);
         const auto &reserve = m_context.reserve;
@@ -821,6 +822,15 @@
                         now + reserve.earliestTurn(call.service, urgencyOf(call), ahead, m_context.rank.count, now));
     }
 
+    /// Returns true if the call would reserve the prompt pace so far ahead that more urgent calls, to which it yields,
+    /// would find it taken. Such a call waits without a reservation.
+    bool isTooFarAhead(const Call &call, const UpstreamChoice &choice, Instant now) const
+    {
+        return !choice.isLimited && !choice.isLent && choice.usableAt <= now
+               && choice.sendAt - now > call.route.longestPause
+               && m_context.reserve.yields(call.service, urgencyOf(call), m_context.rank.count, now);
+    }
+
     /// Returns the time until the calls that arrived before have room at the brittle upstreams of the service. Each of
     /// the node's requests there makes room for one when it ends.
     Duration timeOfBacklog(const Call &call)
@@ -1071,15 +1081,6 @@
         wakeAt(call, next, now);
     }
 
-    static WaitCause causeOf(const UpstreamChoice &choice, Instant now)
-    {
-        if (choice.usableAt > now)
-            return WaitCause::LoadInProgress;
-        if (choice.isFull)
-            return WaitCause::Room;
-        return choice.isLimited ? WaitCause::RequestLimit : WaitCause::Pace;
-    }
-
     void startWaiting(const CallPtr &call, WaitCause cause, Instant now)
     {
         call->waits.begin(cause, now);
@@ -1818,13 +1819,6 @@
         return refusalRetryDelay * (1U << std::min(call.refused, maxRetryDelayDoublings));
     }
 
-    /// Returns true if a refusal probably means that the load of @p target has not ended yet.
-    static bool isStillLoading(const Upstream &upstream, const ModelTarget &target, Instant now)
-    {
-        const auto *copy = target.empty() ? nullptr : upstream.residency.find(target);
-        return copy && copy->loadedByOrder && now - copy->usableAt < maxLoadOverrun;
-    }
-
     /// Delays the call and all others that wait for the same load, and notifies the lease holder.
     void waitForLateLoad(Call &call, Upstream &upstream, Instant now)
     {
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -24,6 +24,8 @@
 constexpr double maxSlowness = 8; ///< Estimates above this are presumed wrong.
 
 constexpr double brittleSpreadMs = 20; ///< Longest random cost, to spread requests over a brittle service's upstreams.
+/// A load that is overdue by more than this is no longer presumed to be in progress.
+constexpr Duration maxLoadOverrun = std::chrono::milliseconds{800};
 constexpr Duration fullEngineDelay = std::chrono::milliseconds{60}; ///< Delay before a full engine is considered again.
 constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Time for which a sent prompt may still be queued.
 constexpr double stepsPerRunningRequest = 0.15; ///< Delay of a new request by each running one, in steps.
@@ -183,6 +185,21 @@
     return best;
 }
 
+WaitCause causeOf(const UpstreamChoice &choice, Instant now)
+{
+    if (choice.usableAt > now)
+        return WaitCause::LoadInProgress;
+    if (choice.isFull)
+        return WaitCause::Room;
+    return choice.isLimited ? WaitCause::RequestLimit : WaitCause::Pace;
+}
+
+bool isStillLoading(const Upstream &upstream, const ModelTarget &target, Instant now)
+{
+    const auto *copy = target.empty() ? nullptr : upstream.residency.find(target);
+    return copy && copy->loadedByOrder && now - copy->usableAt < maxLoadOverrun;
+}
+
 unsigned usableSlots(const Upstream &upstream, double share)
 {
     if (share >= 1)
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -3,6 +3,7 @@
 #include "estimates/servicespeed.h"
 #include "gateway/upstreamroom.h"
 #include "gateway/upstreamtable.h"
+#include "gateway/waittimes.h"
 
 #include <functional>
 #include <map>
@@ -85,6 +86,12 @@
 std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
                                              const DistanceCost &cost = {});
 
+/// Returns why a request that is to be sent as in @p choice, later than @p now, waits. Thread-safe.
+WaitCause causeOf(const UpstreamChoice &choice, Instant now);
+
+/// Returns true if a refusal of @p upstream probably means that its load of @p target has not ended yet. Thread-safe.
+bool isStillLoading(const Upstream &upstream, const ModelTarget &target, Instant now);
+
 /// Returns the number of slots of @p upstream that requests with @p share of them may use; at least one. Thread-safe.
 unsigned usableSlots(const Upstream &upstream, double share);
 
--- a/src/scheduling/capacityreserve.cpp
+++ b/src/scheduling/capacityreserve.cpp
@@ -88,6 +88,11 @@
     return m_waiting;
 }
 
+bool CapacityReserve::yields(const std::string &service, unsigned urgency, unsigned nodes, Instant now) const
+{
+    return demandAbove(service, urgency, nodes, now).reserve > negligibleReserve && !isStarving(service, urgency, now);
+}
+
 bool CapacityReserve::isStarving(const std::string &service, unsigned urgency, Instant now) const
 {
     const auto it = m_services.find(service);
@@ -107,8 +112,7 @@
                                        unsigned nodes, Instant now) const
 {
     const auto it = m_services.find(service);
-    if (it == m_services.end() || demandAbove(service, urgency, nodes, now).reserve <= negligibleReserve
-        || isStarving(service, urgency, now))
+    if (it == m_services.end() || !yields(service, urgency, nodes, now))
         return {};
     double starts = 0;
     double perSecond = 0;
--- a/src/scheduling/capacityreserve.h
+++ b/src/scheduling/capacityreserve.h
@@ -60,6 +60,10 @@
         return 1 - shortage * std::min(demand.reserve, 1 - minShare);
     }
 
+    /// Returns true if calls of @p urgency yield to more urgent ones: such calls are in demand, and the class does not
+    /// starve. @p nodes is the number of live nodes, this one included.
+    bool yields(const std::string &service, unsigned urgency, unsigned nodes, Instant now) const;
+
     /// Returns true if calls of @p urgency start so much less often than all calls of the service that they may not
     /// yield any more.
     bool isStarving(const std::string &service, unsigned urgency, Instant now) const;
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -261,6 +261,15 @@
         }
     }
 
+    /// Lets @p calls of urgency 0 be in demand.
+    void addUrgentDemand(unsigned calls)
+    {
+        for (unsigned i = 0; i < calls; ++i) {
+            m_context.reserve.onArrived("s", 0, BootClock{}.now());
+            m_context.reserve.onStarted("s", 0, 500, BootClock{}.now());
+        }
+    }
+
     /// Sends a request whose caller disconnects after @p time.
     void askAndDisconnect(const std::string &path, const ModelTarget &target, Duration time)
     {
@@ -1218,6 +1227,36 @@
     cr_assert_eq(fixture.retryAfter.empty(), row.status == 200);
 }
 
+namespace
+{
+
+struct YieldCase {
+    const char *name;
+    unsigned urgentCalls; ///< In demand lately.
+    int leastMs; ///< Bounds on the time from the first announcement to the send.
+    int mostMs;
+};
+
+const YieldCase yieldCases[] = {
+    {"the most urgent class", 0, 700, 1500},
+    {"more urgent calls are in demand", 10, 0, 300},
+};
+
+} // namespace
+
+/// Guards against less urgent requests that reserve the prompt pace far ahead, so that urgent ones find it taken.
+TABLE_TEST(CallForwarder, reservesNotFarAheadOfUrgentRequests, yieldCases)
+{
+    ForwarderFixture fixture({streamRest});
+    fixture.load("u0", "m/a", std::chrono::milliseconds{-1000});
+    fixture.fillPromptWindows(std::chrono::milliseconds{1000});
+    fixture.addUrgentDemand(row.urgentCalls);
+    cr_assert_eq(fixture.ask("/paced/1", "m/a"), 200U, "%s", row.name);
+    cr_assert_not(fixture.announced.empty(), "%s", row.name);
+    const auto in = fixture.announced.front().in.count() / 1000;
+    cr_assert(in >= row.leastMs && in <= row.mostMs, "%s: %ld ms", row.name, static_cast<long>(in));
+}
+
 /// Announcements are withdrawn if the caller disconnects, so that engines are not kept free for a prompt that will
 /// never be sent.
 Test(CallForwarder, withdrawsAnnouncementOnDisconnect)
--- a/tests/gateway/overloadtest.cpp
+++ b/tests/gateway/overloadtest.cpp
@@ -34,6 +34,7 @@
     double sent = 0;
     double served = 0;
     double inTime = 0;
+    double refusalSeconds = 0; ///< Sum of the times until a refusal.
 };
 
 /// A node and engines with few slots, which refuse requests that exceed these, under a load that changes in phases.
@@ -175,6 +176,8 @@
             if (outcomes) {
                 outcomes->served += isServed ? 1 : 0;
                 outcomes->inTime += isInTime ? 1 : 0;
+                outcomes->refusalSeconds
+                    += isServed ? 0 : std::chrono::duration<double>(BootClock{}.now() - now).count();
             }
         };
         observer.onFailure = [this](const Relay::FailedExchange &) { ++unanswered; };
@@ -245,6 +248,8 @@
     cr_assert_eq(overload.unanswered, 0U, "%s: %u", row.name, overload.unanswered);
 }
 
+constexpr double latestSendSeconds = 0.6 * 2.4; ///< The latest useful time to send, by the caller's patience.
+
 struct MixCase {
     const char *name;
     double urgentPart;
@@ -257,7 +262,8 @@
 };
 
 /// At twice the capacity urgent requests are served in time at least as often as others, and those are served at least
-/// a quarter as often as all. Guards against urgent requests that get the worst service, and others that starve.
+/// a quarter as often as all. Guards against urgent requests that get the worst service, others that starve, and others
+/// that are refused only when their time is over.
 TABLE_TEST(Overload, prefersUrgentRequests, mixes)
 {
     Overload overload;
@@ -265,11 +271,15 @@
     const auto &urgent = overload.urgent;
     const auto &others = overload.others;
     const double served = (urgent.served + others.served) / (urgent.sent + others.sent);
-    cr_log_info("%s: of %.0f urgent %.0f served, %.0f in time; of %.0f others %.0f served, %.0f in time", row.name,
-                urgent.sent, urgent.served, urgent.inTime, others.sent, others.served, others.inTime);
+    const double refusedAfter = others.refusalSeconds / (others.sent - others.served);
+    cr_log_info("%s: of %.0f urgent %.0f served, %.0f in time; of %.0f others %.0f served, %.0f in time, refused after "
+                "%.2f s",
+                row.name, urgent.sent, urgent.served, urgent.inTime, others.sent, others.served, others.inTime,
+                refusedAfter);
     cr_assert_geq(urgent.inTime / urgent.sent, others.inTime / others.sent, "%s: %f of %f and %f of %f", row.name,
                   urgent.inTime, urgent.sent, others.inTime, others.sent);
     cr_assert_geq(urgent.inTime / urgent.sent, row.urgentInTime, "%s: %f of %f", row.name, urgent.inTime, urgent.sent);
     cr_assert_geq(others.served / others.sent, served / 4, "%s: %f of %f", row.name, others.served, others.sent);
+    cr_assert_lt(refusedAfter, latestSendSeconds, "%s: %f s", row.name, refusedAfter);
     cr_assert_eq(overload.unanswered, 0U, "%s: %u", row.name, overload.unanswered);
 }
--- a/tests/scheduling/capacityreservetest.cpp
+++ b/tests/scheduling/capacityreservetest.cpp
@@ -79,6 +79,7 @@
     }
     reserve.onStarted("s", other, 100, now);
     cr_assert_eq(reserve.share("s", other, 1, now, [] { return 1.0; }), 1);
+    cr_assert_not(reserve.yields("s", other, 1, now));
     for (unsigned i = 0; i < 12; ++i)
         reserve.onStarted("s", other, 100, now);
     cr_assert_lt(reserve.share("s", other, 1, now, [] { return 1.0; }), 1);
