--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -46,8 +46,6 @@
     bool answering = false; ///< The head of the answer has been sent to the caller.
     bool done = false;
     std::string_view code = "ok"; ///< For metrics: the name of the ErrorCode, or "caller_gone", if the call failed.
-    bool waiting = false; ///< For any WaitCause.
-    Instant waitingSince{};
     WaitTimes waits;
     Instant waitUntil{}; ///< Time at which the call is failed if no engine has the adapter.
     Instant loadRequestedAt{};
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -18,6 +18,8 @@
 #include "relay/upstreamclient.h"
 #include "report/metrics.h"
 #include "routing/rendezvous.h"
+#include "scheduling/sendwindow.h"
+#include "scheduling/waitingqueue.h"
 
 #include <xxhash.h>
 
@@ -33,14 +35,6 @@
 namespace Gypsumtally::Gateway
 {
 
-/// What has become of calls since their node was asked to stop.
-struct StopCounts {
-    unsigned accepted = 0; ///< Calls that were read.
-    unsigned sent = 0; ///< Sends to upstreams and peers.
-    unsigned refused = 0; ///< Calls that would not have ended before the exit.
-    unsigned cut = 0; ///< Calls that the exit ended.
-};
-
 /// Forwards callers' requests to upstreams and the answers back: selects an upstream, sends, retries where that is
 /// safe, resumes streams, and refuses requests that cannot be served. Not thread-safe: for the loop's thread only.
 template<CallDialect Dialect, Relay::ExchangeClient Client = Relay::UpstreamClient>
@@ -53,6 +47,7 @@
         , m_log(log)
         , m_metrics(metrics)
         , m_client(loop)
+        , m_waiting(context.reserve)
         , m_monitor(m_client, context)
         , m_relay(context)
     {
@@ -106,9 +101,14 @@
     {
         m_client.sweep(now);
         m_monitor.sweep(now);
-        const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(), m_calls.end());
-        for (const auto &call : calls)
+        m_waiting.report(now);
+        for (const auto &call : m_waiting.inOrder(now))
             sweepCall(call, now);
+        const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(), m_calls.end());
+        for (const auto &call : calls) {
+            if (!m_waiting.contains(call))
+                sweepCall(call, now);
+        }
         refuseUnrouted(now);
     }
 
@@ -123,13 +123,11 @@
         }
     }
 
-    /// Retries all waiting calls. To be called when the set of adapters that engines hold has changed.
+    /// Retries all waiting calls, the most urgent first. To be called when the set of adapters that engines hold has
+    /// changed.
     void onPlacement()
     {
-        if (m_waiting.empty())
-            return;
-        const std::vector<std::shared_ptr<Call>> waiting(m_waiting.begin(), m_waiting.end());
-        for (const auto &call : waiting)
+        for (const auto &call : m_waiting.inOrder(BootClock{}.now()))
             proceed(call);
     }
 
@@ -221,17 +219,12 @@
     static constexpr Duration refusalRetryDelay = std::chrono::milliseconds{60};
     /// Number of sends of one request without a connection that are followed by another one at once.
     static constexpr unsigned maxImmediateReconnects = 3;
+    static constexpr Duration yieldingRetryDelay = std::chrono::milliseconds{60}; ///< While others reserve the pace.
     static constexpr unsigned maxRetryDelayDoublings = 2; ///< Limits the delay's growth by further refusals.
-    /// A load that is overdue by more than this is no longer presumed to be in progress.
-    static constexpr Duration maxLoadOverrun = std::chrono::milliseconds{800};
     /// Interval between load requests; bounds the delay that a lost datagram causes.
     static constexpr Duration loadRequestInterval = std::chrono::milliseconds{150};
     static constexpr Duration maxLoadWait = std::chrono::milliseconds{2000}; ///< Eight loads in sequence.
     static constexpr double maxLoadWaitFraction = 0.5; ///< Fraction of the request's remaining time.
-    static constexpr double maxQueueTimeFraction = 0.5; ///< Fraction of the time from arrival to deadline.
-    /// Fraction of the caller's patience, from the arrival or the last event, after which nothing is sent any more; the
-    /// rest is for the next event.
-    static constexpr double maxPatienceFraction = 0.6;
     /// Longest wait for the end of upstreams' backpressure, as a fraction of the request's remaining time.
     static constexpr double maxBackpressureWaitFraction = 0.3;
     /// Time for which an upstream is avoided after an answer from the wrong process.
@@ -252,6 +245,7 @@
     static constexpr double maxUtilisationForFurtherCopy = 0.6;
     /// Utilisation of an engine's slots from which other nodes are notified of each request that ends.
     static constexpr double crowdedUtilisation = 0.75;
+    static constexpr std::size_t maxWokenCalls = 8; ///< Waiting calls that try for a slot when a request has ended.
     static constexpr std::size_t maxAnswerBytes = 4 * 1024 * 1024; ///< Equals the limit on request bodies.
     /// Longest time to find out at which software version a stream began. Covers two reads of the store, and a report
     /// of the node at which it broke off.
@@ -271,29 +265,17 @@
     static constexpr double newPaceShare = 0.3;
     /// Slowness from which an engine's pauses don't adjust the pace margin, as they don't represent other engines.
     static constexpr double slowEngineThreshold = 1.5;
-    /// Longest Retry-After as a fraction of the request's remaining time: callers ignore more than a third.
-    static constexpr double maxRetryAfterFraction = 0.3;
     /// A reserved time that has passed by more than this lapses, for example after the process was suspended.
     static constexpr Duration maxReservationDelay = std::chrono::milliseconds{200};
     /// Time by which another upstream must serve a call earlier for the call to give up its reserved time.
     static constexpr Duration minGainForChange = std::chrono::milliseconds{50};
-    static constexpr Duration minRetryAfter = std::chrono::seconds{1}; ///< Shortest Retry-After, if callers accept it.
     /// Limit on the peers that a call without a begun answer is passed to in turn, because each fails it.
     static constexpr std::size_t maxFailedPeers = 8;
     /// Silence after which a relayed stream is moved off its peer, in those after which the peer moves it.
     static constexpr int peerSilenceFactor = 2;
     static constexpr Duration evidencePollInterval = std::chrono::milliseconds{20}; ///< Of the other nodes.
-    static constexpr std::size_t maxLoggedUpstreams = 16; ///< In one line.
     /// Retry-After of calls that a node refuses because it stops, while other nodes take them.
     static constexpr Duration elsewhereRetryAfter = std::chrono::milliseconds{50};
-    /// Expected and longest times of answers, in the usual ones of their service.
-    static constexpr double expectedInAnswerTimes = 4;
-    static constexpr double expectedInStreamTimes = 1.5;
-    static constexpr double longestInStreamTimes = 2;
-    static constexpr Duration minLongestAnswer = std::chrono::seconds{1};
-    /// Factor and time by which a stream may exceed the estimate for the largest number of its tokens.
-    static constexpr double streamSafetyFactor = 2.5;
-    static constexpr Duration streamSafetyMargin = std::chrono::milliseconds{250};
     static constexpr const char *noKeyReason = "the request needs the key of an organisation";
     static constexpr const char *supersededReason
         = "a newer version of the adapter was declared before the stream began";
@@ -346,9 +328,8 @@
         call->deadline = call->relayed ? call->exchange->arrival() + call->relayed->timeLeft : call->arrival + timeout;
         if (!call->relayed) {
             const auto now = BootClock{}.now();
-            const auto longest = std::chrono::duration_cast<Duration>((call->deadline - now) * maxRetryAfterFraction);
             const auto charged = chargeCall(m_context.fleetAllowance, call->charge, call->identity.organisation,
-                                            call->request, longest, now);
+                                            call->request, windowOf(*call).longestRetryAfter(now), now);
             if (!charged.isGranted)
                 return refuse(call, 429, ErrorCode::QuotaExceeded, "the organisation has reached its rate limit",
                               charged.retryAfter);
@@ -364,6 +345,7 @@
         else
             m_context.allowance.onRequest(call->service, call->arrival);
         if (!call->request.target.empty()) {
+            m_context.reserve.onArrived(call->service, call->urgency, BootClock{}.now());
             auto &use = m_context.uses[call->request.target];
             use.service = call->service;
             ++use.inFlight;
@@ -453,7 +435,7 @@
         if (!choice)
             choice = choose(*call, now);
         if (!choice && !call->excluded.empty() && call->runs == 0) {
-            if (call->unconnected > 0 && now > latestSend(*call))
+            if (call->unconnected > 0 && now > windowOf(*call).latestSend())
                 return giveUp(call, ErrorCode::NoUpstream, "the upstreams accept no connections");
             call->excluded.clear();
             choice = choose(*call, now);
@@ -469,33 +451,30 @@
         if (choice->sendAt > now) {
             if (refuseIfCut(call, choice->sendAt))
                 return;
-            const auto sendAt
-                = choice->isFull && isBrittle(call->service) ? endOfBacklog(*call, *choice, now) : choice->sendAt;
-            if (sendAt > latestSend(*call))
-                return giveUp(call, ErrorCode::Overloaded,
-                              isBrittle(call->service) ? "the upstreams are full"
-                                                       : "the engines that have the adapter are full",
-                              acceptableRetryAfter(*call, sendAt - now, now));
+            if (const auto sendAt = expectedSend(*call, *choice, now); sendAt > windowOf(*call).latestSend())
+                return refuseAsFull(call, *choice, sendAt, now);
             if (const auto later = loadJitter(*call, *choice, now); later > Duration{}) {
                 call->notBefore = now + later;
                 startWaiting(call, WaitCause::LoadInProgress, now);
                 call->waitUntil = std::max(call->waitUntil, choice->sendAt + maxLoadWait);
                 return wakeAt(call, call->notBefore, now);
             }
+            const bool mayReserve = !choice->isFull && !isTooFarAhead(*call, *choice, now);
+            const auto tryAt = mayReserve || choice->isFull ? choice->sendAt : now + yieldingRetryDelay;
             // A call with a time at a limited upstream looks for a better upstream meanwhile.
-            call->notBefore = choice->isLimited && !choice->isFull ? Instant{} : choice->sendAt;
+            call->notBefore = choice->isLimited && !choice->isFull ? Instant{} : tryAt;
             if (choice->isLimited)
                 requestCopyElsewhere(*call, *choice, now);
             if (choice->isFull && now - call->arrival > furtherCopyDelay
                 && utilisationOf(m_context.upstreams, call->service, now) < maxUtilisationForFurtherCopy)
                 requestLoad(*call, now);
-            if (!choice->isFull) {
+            if (mayReserve) {
                 announceSend(*call, *choice, now);
                 call->reservation = *choice;
             }
             startWaiting(call, causeOf(*choice, now), now);
             call->waitUntil = std::max(call->waitUntil, choice->sendAt + std::chrono::milliseconds{500});
-            return wakeAt(call, choice->sendAt, now);
+            return wakeAt(call, tryAt, now);
         }
         if (!isVerified(call, choice->instance, now))
             return;
@@ -606,14 +585,6 @@
         return call.answering || failedPeers.size() < maxFailedPeers;
     }
 
-    static std::string joined(const std::vector<std::string> &names)
-    {
-        std::string text;
-        for (std::size_t i = 0; i < std::min(names.size(), maxLoggedUpstreams); ++i)
-            text.append(i == 0 ? "" : ",").append(names[i]);
-        return text;
-    }
-
     void sendToPeer(const CallPtr &call, const RelayPeer &peer, Instant now)
     {
         if (call->exchange->hasCallerLeft())
@@ -743,18 +714,47 @@
         wakeAt(call, now + pause, now);
     }
 
-    /// Returns the latest useful time to send the call: the caller must still be waiting when the next event arrives.
-    static Instant latestSend(const Call &call)
+    static Scheduling::SendWindow windowOf(const Call &call)
     {
-        const auto time = call.deadline - call.arrival;
-        const bool hasHead = call.answering || (call.relayed && call.relayed->isAnswering);
-        const auto patience = call.route.callerPatience > Duration{} ? std::min(time, call.route.callerPatience) : time;
-        if (hasHead)
-            return std::min(call.deadline, std::max(call.lastEventAt, call.exchange->arrival())
-                                               + std::chrono::duration_cast<Duration>(maxPatienceFraction * patience));
-        return call.arrival
-               + std::chrono::duration_cast<Duration>(
-                   std::min(maxQueueTimeFraction * time, maxPatienceFraction * patience));
+        Scheduling::SendWindow window{
+            call.arrival, call.deadline, call.route.callerPatience, call.route.latencyObjective, {}};
+        if (call.answering || (call.relayed && call.relayed->isAnswering))
+            window.lastEventAt = std::max(call.lastEventAt, call.exchange->arrival());
+        return window;
+    }
+
+    static Scheduling::WaitingCall waitingOf(const Call &call)
+    {
+        const auto window = windowOf(call);
+        return {call.service,
+                {call.urgency, window.inTimeUntil(), window.latestSend()},
+                call.arrival,
+                call.identity.organisation,
+                tokensOf(call)};
+    }
+
+    /// Returns the tokens of the call's prompt and of its longest answer.
+    static double tokensOf(const Call &call)
+    {
+        return call.request.promptTokens + call.request.outputTokens;
+    }
+
+    /// Lets the most urgent calls that wait for room at @p service try first for a slot that has become free.
+    void wakeMostUrgent(const std::string &service)
+    {
+        if (!m_waking.insert(service).second)
+            return;
+        m_loop.post([this, service] {
+            m_waking.erase(service);
+            auto calls = m_waiting.forCapacity(service, BootClock{}.now());
+            calls.resize(std::min(calls.size(), maxWokenCalls));
+            for (const auto &call : calls) {
+                if (call->reservation || call->refused > 0)
+                    continue;
+                call->notBefore = {};
+                proceed(call);
+            }
+        });
     }
 
     /// Returns true if the upstreams of @p service state to be brittle.
@@ -763,28 +763,55 @@
         return m_context.upstreams.brittleness(service).refusalsPerSecond.has_value();
     }
 
-    /// Returns when the call is expected to have room at the brittle upstreams of its service, behind the calls that
-    /// wait for room at this node already. Each of the node's requests there makes room for one when it ends.
-    Instant endOfBacklog(const Call &call, const UpstreamChoice &choice, Instant now)
+    /// Returns when the call is expected to have room, behind the calls that go before it at this node. It stays a call
+    /// with a chance to be sent, unless there is solid evidence that it has none.
+    Instant expectedSend(const Call &call, const UpstreamChoice &choice, Instant now)
+    {
+        if (!choice.isFull && !isTooFarAhead(call, choice, now))
+            return choice.sendAt;
+        if (isBrittle(call.service))
+            return std::max(choice.sendAt, now + timeOfBacklog(call));
+        if (call.verdict != Verdict::NotRun || call.answering
+            || (choice.isFull && hasFreeSlot(m_context.upstreams, call.service, shareOf(call, now), now)))
+            return choice.sendAt;
+        const auto ahead = m_waiting.countBefore(waitingOf(call), now);
+        const auto &reserve = m_context.reserve;
+        return std::max(choice.sendAt,
+                        now + reserve.earliestTurn(call.service, call.urgency, ahead, m_context.rank.count, now));
+    }
+
+    /// Returns true if the call would reserve the prompt pace so far ahead that more urgent calls, to which it yields,
+    /// would find it taken. Such a call waits without a reservation.
+    bool isTooFarAhead(const Call &call, const UpstreamChoice &choice, Instant now) const
+    {
+        return !choice.isLimited && !choice.isLent && choice.usableAt <= now
+               && choice.sendAt - now > call.route.longestPause
+               && m_context.reserve.yields(call.service, call.urgency, m_context.rank.count, now);
+    }
+
+    /// Returns the time until the calls that arrived before have room at the brittle upstreams of the service. Each of
+    /// the node's requests there makes room for one when it ends.
+    Duration timeOfBacklog(const Call &call)
     {
-        const auto waiting = std::ranges::count_if(m_waiting, [&](const CallPtr &other) {
-            return other->service == call.service && other->arrival < call.arrival;
-        });
-        unsigned ownInFlight = 0;
-        for (const auto &[instance, upstream] : m_context.upstreams.all())
-            ownInFlight += upstream.record.service == call.service ? upstream.ownInFlight : 0;
         const auto speed = m_context.speeds[call.service].speed();
         const double timeMs = call.request.target.empty() ? speed.answerMs : speed.streamMs;
-        const double waitMs = static_cast<double>(waiting) * timeMs / std::max(1U, ownInFlight);
-        return std::max(choice.sendAt, now + Duration{static_cast<std::int64_t>(waitMs * 1000)});
+        const double waitMs = m_waiting.countArrivedBefore(call.arrival, call.service) * timeMs
+                              / std::max(1U, ownInFlightOf(m_context.upstreams, call.service));
+        return Duration{static_cast<std::int64_t>(waitMs * 1000)};
     }
 
-    /// Returns the Retry-After for a call that can be served in @p servedIn. It is capped because callers retry at most
-    /// once, and not at all if the Retry-After is longer than they accept.
-    static Duration acceptableRetryAfter(const Call &call, Duration servedIn, Instant now)
+    /// Refuses the call, whose turn is expected at @p sendAt, too late to be useful.
+    void refuseAsFull(const CallPtr &call, const UpstreamChoice &choice, Instant sendAt, Instant now)
     {
-        const auto longest = std::chrono::duration_cast<Duration>((call.deadline - now) * maxRetryAfterFraction);
-        return std::min(longest, std::max<Duration>(servedIn, minRetryAfter));
+        m_context.reserve.onRefused(call->service, call->urgency, now);
+        const bool isForecast = sendAt > choice.sendAt && !isBrittle(call->service);
+        if (isForecast)
+            m_metrics.add(Metric::ForecastRefusals, {{"urgency", std::to_string(call->urgency)}});
+        giveUp(call, ErrorCode::Overloaded,
+               isForecast                 ? "too many calls go first"
+               : isBrittle(call->service) ? "the upstreams are full"
+                                          : "the engines that have the adapter are full",
+               windowOf(*call).acceptableRetryAfter(sendAt - now, now));
     }
 
     /// Withdraws the call's reservation, and announces that to all nodes if it still counts at its upstream.
@@ -810,7 +837,7 @@
         if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || !it->second.limitsRequests())
             return false;
         const auto due = dueAt(it->second, *call.reservation);
-        return due > now && due <= latestSend(call);
+        return due > now && due <= windowOf(call).latestSend();
     }
 
     /// Returns the choice of an upstream other than the reserved one if that can serve the call earlier.
@@ -853,6 +880,7 @@
     /// Returns what the call requires of an upstream.
     UpstreamDemand demandOf(const Call &call, Instant now)
     {
+        const double share = shareOf(call, now);
         UpstreamDemand demand{call.service,
                               call.request.target,
                               0,
@@ -860,17 +888,18 @@
                               &m_context.regions,
                               {},
                               call.request.promptTokens,
-                              paceOf(call, now),
+                              paceOf(call, share, now),
                               m_context.speeds[call.service].speed(),
                               m_context.node,
                               m_context.limitShare,
                               call.streamVersion ? &*call.streamVersion : nullptr,
                               {},
-                              std::max(latestSend(call), now)};
+                              std::max(windowOf(call).latestSend(), now)};
         if (call.route.kind == RequestKind::Streaming && !call.streamVersion)
             demand.heldVersions = m_context.streams.heldVersions(call.service);
         demand.refusalsPerSecond = m_context.upstreams.brittleness(call.service).refusalsPerSecond;
         demand.rank = m_context.rank;
+        demand.slotShare = share;
         demand.spreadSeed = XXH3_64bits(call.request.id.data(), call.request.id.size());
         return demand;
     }
@@ -905,19 +934,30 @@
         return service && service->engine ? &*service->engine : nullptr;
     }
 
-    /// Returns the prompt pace for the call. Calls past their latency objective leave a part of it to the others; while
-    /// callers take up streams that only a part of the upstreams can serve, new calls leave most of it to those.
-    PromptPace paceOf(const Call &call, Instant now)
+    /// Returns the fraction of its service's slots and prompt pace that the call may use. A stream that goes on may use
+    /// all, as its caller has begun to read it.
+    double shareOf(const Call &call, Instant now) const
+    {
+        if (call.request.target.empty() || call.lastEvent || call.answering)
+            return 1;
+        return m_context.reserve.share(call.service, call.urgency, m_context.rank.count, now,
+                                       [&] { return utilisationOf(m_context.upstreams, call.service, now); });
+    }
+
+    /// Returns the prompt pace for the call, which may use @p share of it. Calls past their latency objective leave a
+    /// part of it to the others; while callers take up streams that only a part of the upstreams can serve, new calls
+    /// leave most of it to those.
+    PromptPace paceOf(const Call &call, double share, Instant now)
     {
         const auto *engine = engineOf(call);
         if (!engine)
             return {};
-        double share = m_context.paceMargins[call.service].share(now);
         if (m_context.streams.yieldsToTakeUps(call.service, now))
-            share *= call.lastEvent ? 1 : newPaceShare;
+            share = call.lastEvent ? 1 : newPaceShare;
         else if (now - call.arrival > call.route.latencyObjective)
-            share *= latePaceShare;
-        return {call.route.longestPause, engine->tokensPerEvent, share};
+            share = std::min(latePaceShare, share);
+        return {call.route.longestPause, engine->tokensPerEvent,
+                share * m_context.paceMargins[call.service].share(now)};
     }
 
     void wakeAt(const CallPtr &call, Instant time, Instant now)
@@ -941,7 +981,7 @@
         if (const auto next = endOfRequestLimit(m_context.upstreams, call->service, m_context.limitShare, now, version);
             next && !isLoadable)
             return giveUp(call, ErrorCode::Overloaded, "the upstreams limit their requests",
-                          acceptableRetryAfter(*call, *next - now, now));
+                          windowOf(*call).acceptableRetryAfter(*next - now, now));
         if (!hasUpstream(m_context.upstreams, call->service, now))
             return giveUp(call, ErrorCode::NoUpstream, "no upstream of the service takes requests");
         if (version && !hasUpstream(m_context.upstreams, call->service, now, version))
@@ -949,15 +989,15 @@
                           "no upstream of the software version that began the stream takes requests");
         if (!needsLoad)
             return giveUp(call, ErrorCode::NoUpstream, "every upstream of the service has failed the request");
-        const bool maySendLater = call->answering && now < latestSend(*call);
+        const bool maySendLater = call->answering && now < windowOf(*call).latestSend();
         if (!m_context.loadOrdersAvailable && !maySendLater)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "no engine has the adapter and none can be loaded now",
-                          acceptableRetryAfter(*call, now - m_context.loadOutageSince, now));
-        const bool isFirst = !call->waiting;
+                          windowOf(*call).acceptableRetryAfter(now - m_context.loadOutageSince, now));
+        const bool isFirst = !m_waiting.contains(call);
         startWaiting(call, WaitCause::Load, now);
         if (isFirst) {
             const auto part = std::chrono::duration_cast<Duration>((call->deadline - now) * maxLoadWaitFraction);
-            call->waitUntil = std::min(now + maxLoadWait, call->answering ? latestSend(*call) : now + part);
+            call->waitUntil = std::min(now + maxLoadWait, call->answering ? windowOf(*call).latestSend() : now + part);
         }
         if (now >= call->waitUntil)
             return giveUp(call, ErrorCode::AdapterLoadFailed, "the adapter was not loaded in time");
@@ -989,8 +1029,8 @@
         if (refuseIfCut(call, next))
             return;
         const auto wait = next - now;
-        const bool isTooLate
-            = call->answering ? next > latestSend(*call) : wait > (call->deadline - now) * maxBackpressureWaitFraction;
+        const bool isTooLate = call->answering ? next > windowOf(*call).latestSend()
+                                               : wait > (call->deadline - now) * maxBackpressureWaitFraction;
         if (isTooLate)
             return giveUp(call, ErrorCode::Overloaded, "the upstreams want no requests for now", wait);
         call->notBefore = next;
@@ -999,22 +1039,10 @@
         wakeAt(call, next, now);
     }
 
-    static WaitCause causeOf(const UpstreamChoice &choice, Instant now)
-    {
-        if (choice.usableAt > now)
-            return WaitCause::LoadInProgress;
-        if (choice.isFull)
-            return WaitCause::Room;
-        return choice.isLimited ? WaitCause::RequestLimit : WaitCause::Pace;
-    }
-
     void startWaiting(const CallPtr &call, WaitCause cause, Instant now)
     {
         call->waits.begin(cause, now);
-        if (std::exchange(call->waiting, true))
-            return;
-        call->waitingSince = now;
-        m_waiting.insert(call);
+        m_waiting.begin(call, waitingOf(*call), cause == WaitCause::Room || cause == WaitCause::Pace, now);
     }
 
     static MetricLabels labelsOf(const Call &call)
@@ -1024,13 +1052,12 @@
 
     void stopWaiting(const CallPtr &call)
     {
-        if (!call->waiting)
-            return;
-        call->waiting = false;
-        m_waiting.erase(call);
         const auto now = BootClock{}.now();
+        const auto waited = m_waiting.end(call, now);
+        if (!waited)
+            return;
         call->waits.end(now);
-        m_metrics.observe(Metric::LoadStallSeconds, labelsOf(*call), now - call->waitingSince, now);
+        m_metrics.observe(Metric::LoadStallSeconds, labelsOf(*call), *waited, now);
     }
 
     /// Announces to all nodes that the call is sent as in @p choice. Returns false if there is nothing to announce.
@@ -1052,7 +1079,7 @@
             return std::nullopt;
         const auto it = m_context.upstreams.all().find(call.reservation->instance);
         if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || now < it->second.avoidUntil
-            || it->second.inFlight() >= it->second.record.slots
+            || it->second.inFlight() >= usableSlots(it->second, shareOf(call, now))
             || !keepsRequestLimit(it->second, *call.reservation, now)
             || (call.reservation->isLent && !isStillLent(it->second, m_context.node, now)))
             return std::nullopt;
@@ -1104,6 +1131,8 @@
         SendInstructions instructions{choice.instance, call->deadline - now, {}, {}, {}, call->identity};
         if (!call->request.target.empty()) {
             instructions.priority = call->urgency;
+            if (call->number == 1)
+                m_context.reserve.onStarted(call->service, call->urgency, tokensOf(*call), now);
             if (const auto it = m_context.declared.find(call->request.target);
                 it != m_context.declared.end()
                 && (choice.version >= it->second.newest() || it->second.oldestUsable(now) > 0))
@@ -1111,6 +1140,7 @@
         }
         if (call->lastEvent)
             instructions.resumeAfter = call->lastEvent;
+        m_waiting.onSent(call->identity.organisation, tokensOf(*call));
         call->adapterVersion = choice.version;
         call->processStartedAt = upstream->record.startedAt;
         call->softwareAtSend = upstream->record.softwareVersion;
@@ -1223,6 +1253,7 @@
         send.token = 0;
         if (!send.peer.empty())
             return m_relay.onEnded(send.peer);
+        m_waiting.onEnded(call.identity.organisation, tokensOf(call));
         auto *upstream = m_context.upstreams.find(send.instance);
         if (!upstream || upstream->record.startedAt != send.processStartedAt || upstream->ownInFlight == 0)
             return;
@@ -1231,6 +1262,8 @@
         if ((isBrittle(upstream->record.service) || (wasCrowded && !call.request.target.empty()))
             && m_context.onLoadChanged)
             m_context.onLoadChanged(send.instance);
+        if (m_waiting.hasSeveralUrgencies(upstream->record.service))
+            wakeMostUrgent(upstream->record.service);
     }
 
     /// Ends the current send and the held one, if there are any, as the call has ended for another reason.
@@ -1599,7 +1632,7 @@
     {
         const auto now = BootClock{}.now();
         const auto direct = choose(call, now);
-        return direct && !direct->isSuspect && direct->sendAt <= latestSend(call);
+        return direct && !direct->isSuspect && direct->sendAt <= windowOf(call).latestSend();
     }
 
     void onBrokenByPeer(const CallPtr &call)
@@ -1738,13 +1771,6 @@
         return refusalRetryDelay * (1U << std::min(call.refused, maxRetryDelayDoublings));
     }
 
-    /// Returns true if a refusal probably means that the load of @p target has not ended yet.
-    static bool isStillLoading(const Upstream &upstream, const ModelTarget &target, Instant now)
-    {
-        const auto *copy = target.empty() ? nullptr : upstream.residency.find(target);
-        return copy && copy->loadedByOrder && now - copy->usableAt < maxLoadOverrun;
-    }
-
     /// Delays the call and all others that wait for the same load, and notifies the lease holder.
     void waitForLateLoad(Call &call, Upstream &upstream, Instant now)
     {
@@ -1898,8 +1924,7 @@
             const bool isFinal
                 = code == ErrorCode::Quarantined || code == ErrorCode::StreamUnknown || code == ErrorCode::Unauthorized;
             if (!retryAfter && !isFinal && left > std::chrono::milliseconds{100})
-                retryAfter = std::min<Duration>(std::chrono::seconds{1},
-                                                std::chrono::duration_cast<Duration>(left * maxRetryAfterFraction));
+                retryAfter = std::min<Duration>(std::chrono::seconds{1}, windowOf(*call).longestRetryAfter(now));
             return refuse(call, refusalStatusOf(code), code, reason, retryAfter);
         }
         refuse(call, code == ErrorCode::DeadlineExceeded ? 504 : 502, code, reason, {});
@@ -1964,22 +1989,11 @@
     /// Returns how long the call takes at its upstream, by what answers of its service have taken lately.
     CallLength lengthOf(const Call &call)
     {
-        CallLength length{call.arrival, call.deadline, {}, {}, call.route.mayRepeat()};
+        const CallLength length{call.arrival, call.deadline, {}, {}, call.route.mayRepeat()};
         const auto speed = m_context.speeds[call.service].speed();
-        const auto milliseconds = [](double count) { return Duration{static_cast<std::int64_t>(count * 1000)}; };
-        if (call.route.kind != RequestKind::Streaming && call.request.target.empty()) {
-            length.expected = milliseconds(expectedInAnswerTimes * speed.answerMs);
-            length.longest = std::max(minLongestAnswer, milliseconds(silenceInAnswerTimes * speed.answerMs));
-            return length;
-        }
-        const double tokensMs
-            = call.request.promptTokens / speed.promptTokensPerMs + call.request.outputTokens * speed.stepMs;
-        // Steps are slower than in the estimate while engines are busy, which the usual time shows.
-        const double longestMs = std::max(streamSafetyFactor * tokensMs, longestInStreamTimes * speed.streamMs);
-        const double usualMs = expectedInStreamTimes * speed.streamMs;
-        length.expected = milliseconds(call.request.outputTokens > 0 ? std::min(tokensMs, usualMs) : usualMs);
-        length.longest = milliseconds(longestMs) + streamSafetyMargin;
-        return length;
+        if (call.route.kind != RequestKind::Streaming && call.request.target.empty())
+            return answerLength(length, speed, silenceInAnswerTimes);
+        return streamLength(length, speed, call.request.promptTokens, call.request.outputTokens);
     }
 
     void onCallerGone(const CallPtr &call)
@@ -2036,7 +2050,7 @@
             cancelSend(call);
             return giveUp(call, ErrorCode::DeadlineExceeded, "the time is over");
         }
-        if (call->waiting)
+        if (m_waiting.contains(call))
             return proceed(call);
         if (call->token == 0)
             return;
@@ -2312,7 +2326,8 @@
     Metrics &m_metrics;
     Client m_client;
     std::unordered_set<CallPtr> m_calls;
-    std::unordered_set<CallPtr> m_waiting;
+    Scheduling::WaitingQueue<CallPtr> m_waiting;
+    std::set<std::string> m_waking; ///< Services for which wakeMostUrgent() has been scheduled.
     std::vector<CallPtr> m_unrouted; ///< Calls that wait for the node's first configuration.
     UpstreamMonitor<Dialect, Client> m_monitor;
     CallRelay m_relay;
--- a/src/gateway/calllog.cpp
+++ b/src/gateway/calllog.cpp
@@ -39,6 +39,7 @@
                                  {"longest_pause_ms", toMs(call.longestPause)},
                                  {"total_ms", toMs(now - call.arrival)},
                                  {"objective_ms", toMs(call.route.latencyObjective)},
+                                 {"urgency", std::to_string(call.urgency)},
                                  {"sends", std::to_string(call.sends)},
                                  {"in_flight", std::to_string(call.inFlightAtSend)},
                                  {"slowness", std::to_string(call.slownessAtSend)},
@@ -88,6 +89,7 @@
             {"relayed_from", originNodeOf(call)},
             {"target", call.request.target},
             {"upstream", call.instance},
+            {"urgency", std::to_string(call.urgency)},
             {"sends", std::to_string(call.sends)},
             {"after_ms", toMs(now - call.arrival)},
             {"verdict", std::string(nameOf(call.verdict))}};
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -24,6 +24,8 @@
 constexpr double maxSlowness = 8; ///< Estimates above this are presumed wrong.
 
 constexpr double brittleSpreadMs = 20; ///< Longest random cost, to spread requests over a brittle service's upstreams.
+/// A load that is overdue by more than this is no longer presumed to be in progress.
+constexpr Duration maxLoadOverrun = std::chrono::milliseconds{800};
 constexpr Duration fullEngineDelay = std::chrono::milliseconds{60}; ///< Delay before a full engine is considered again.
 constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Time for which a sent prompt may still be queued.
 constexpr double stepsPerRunningRequest = 0.15; ///< Delay of a new request by each running one, in steps.
@@ -171,7 +173,7 @@
             choice.sendAt = upstream.prompts.earliestSendAt(
                 demand.promptTokens, tokensWithinPause(demand.pace, demand.speed, slownessOf(upstream, demand.speed)),
                 demand.pace.longestPause, std::max(choice.sendAt, now));
-        choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.record.slots;
+        choice.isFull = !demand.target.empty() && upstream.inFlight() >= usableSlots(upstream, demand.slotShare);
         if (demand.refusalsPerSecond)
             awaitRoom(choice, upstream, demand, ownPlaces, now);
         if (choice.isFull)
@@ -183,6 +185,37 @@
     return best;
 }
 
+WaitCause causeOf(const UpstreamChoice &choice, Instant now)
+{
+    if (choice.usableAt > now)
+        return WaitCause::LoadInProgress;
+    if (choice.isFull)
+        return WaitCause::Room;
+    return choice.isLimited ? WaitCause::RequestLimit : WaitCause::Pace;
+}
+
+bool isStillLoading(const Upstream &upstream, const ModelTarget &target, Instant now)
+{
+    const auto *copy = target.empty() ? nullptr : upstream.residency.find(target);
+    return copy && copy->loadedByOrder && now - copy->usableAt < maxLoadOverrun;
+}
+
+unsigned usableSlots(const Upstream &upstream, double share)
+{
+    if (share >= 1)
+        return upstream.record.slots;
+    return std::max(1U, static_cast<unsigned>(std::ceil(share * upstream.record.slots)));
+}
+
+bool hasFreeSlot(const UpstreamTable &table, const std::string &service, double share, Instant now)
+{
+    return std::ranges::any_of(table.all(), [&](const auto &item) {
+        const auto &upstream = item.second;
+        return upstream.record.service == service && upstream.takesRequests(now)
+               && upstream.inFlight() < usableSlots(upstream, share);
+    });
+}
+
 bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
                  const std::string *softwareVersion)
 {
@@ -273,6 +306,14 @@
     return slots == 0 ? 1 : inFlight / slots;
 }
 
+unsigned ownInFlightOf(const UpstreamTable &table, const std::string &service)
+{
+    unsigned ownInFlight = 0;
+    for (const auto &[instance, upstream] : table.all())
+        ownInFlight += upstream.record.service == service ? upstream.ownInFlight : 0;
+    return ownInFlight;
+}
+
 std::vector<std::string> saturatedEngines(const UpstreamTable &table, const ModelTarget &target, Instant now)
 {
     std::vector<std::string> holders;
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/enumtable.h"
+#include "gateway/waittimes.h"
 #include "logging/logging.h"
 
 #include <array>
@@ -158,4 +159,7 @@
     std::array<Window, enumNames<GatewayEvent>.size()> m_windows{};
 };
 
+/// Returns the first of @p names with commas between them, for one field of a line. Thread-safe.
+std::string joined(const std::vector<std::string> &names);
+
 } // namespace Gypsumtally::Gateway
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -10,6 +10,7 @@
 #include "gateway/streamversions.h"
 #include "gateway/upstreamstatement.h"
 #include "gateway/upstreamtable.h"
+#include "scheduling/urgency.h"
 
 #include <cstdint>
 #include <map>
@@ -152,6 +153,8 @@
     {
         return from.callers.port != 0;
     }
+    /// Calls that wait at the node for capacity. Replaces what it reported before if it is not empty, or in digests.
+    std::vector<Scheduling::WaitingCount> waiting;
 };
 
 /// The nodes to which the receiver of a message forwards the reports in it.
--- a/src/gateway/relaycodec.cpp
+++ b/src/gateway/relaycodec.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdlib>
 #include <iterator>
 #include <limits>
 #include <string_view>
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -44,6 +44,7 @@
     OrganisationGranted, ///< Label: organisation.
     OrganisationRefusals, ///< Label: organisation.
     RelayedCalls, ///< Calls passed between nodes. Labels: direction, verdict.
+    ForecastRefusals, ///< Requests refused because too many others go first. Label: urgency.
 };
 
 /// The names and values of the labels of one time series.
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -43,6 +43,7 @@
     report.hasCutOff = true;
     report.placements = {{"e1", "m/a", 2, false, std::chrono::milliseconds{250}}, {"e2", "m/b", 0, true, {}}};
     report.spent = {{"o1", 123456789012345}, {"o2", 0.5}, {"o3", 0}};
+    report.waiting = {{"s", 1, 4}, {"s", 9, 2}};
     GatewayMessage message;
     message.sender = "n2";
     message.forwardScope = ForwardScope::Everywhere;
@@ -132,6 +133,7 @@
     cr_assert(report.placements[1].dropped);
     cr_assert(report.spent == sent.spent);
     cr_assert(report.isDigest());
+    cr_assert(report.waiting == sent.waiting);
     cr_assert_eq(read->used.front().target, std::string("m/a"));
     cr_assert_eq(read->wanted.front().target, std::string("m/b"));
     cr_assert_eq(read->wanted.front().unfit.size(), 1U);
@@ -224,6 +226,18 @@
     {"odd sums", R"("spent":[["o",-1],["p",1e16],["q",1e300],["r",1e999],["s",null],["t",2.5]])", {{"t", 2.5}}},
 };
 
+struct WaitingCase {
+    const char *fields;
+    std::size_t counts; ///< That are read.
+};
+
+const WaitingCase waitingCases[] = {
+    {R"("open":true)", 0}, // Of a node of an earlier build.
+    {R"("waiting":[["s",0,3],["s",9,1]])", 2},
+    {R"("waiting":[["s",10,3],["",1,3],["s",1],["s",-1,2],7,[]])", 0},
+    {R"("waiting":{"s":3})", 0},
+};
+
 } // namespace
 
 /// Guards against sums that exhaust or fill an organisation's limit at all nodes that read them.
@@ -236,6 +250,28 @@
     cr_assert(read->reports.front().spent == row.spent, "%s", row.name);
 }
 
+/// Guards against counts of an urgency that does not exist, which would be written outside a table.
+TABLE_TEST(GatewayMessage, readsValidWaitingCounts, waitingCases)
+{
+    const auto text = R"({"sender":"n","reports":[{"from":{"node":"n"},)" + std::string(row.fields) + "}]}";
+    const auto read = decodeGatewayMessage(text);
+    cr_assert(read && read->reports.size() == 1, "%s", row.fields);
+    cr_assert_eq(read->reports.front().waiting.size(), row.counts, "%s", row.fields);
+}
+
+/// Guards against a report that takes a receiver's memory.
+Test(GatewayMessage, boundsWaitingCounts)
+{
+    NodeReport report;
+    report.from.node = "n";
+    for (unsigned i = 0; i < 5000; ++i)
+        report.waiting.push_back({"s" + std::to_string(i), 1, 1});
+    GatewayMessage message;
+    message.sender = "n";
+    message.reports = {report};
+    cr_assert_eq(decodeGatewayMessage(encode(message))->reports.front().waiting.size(), 40U);
+}
+
 Test(GatewayMessage, boundsReachOfAnySender)
 {
     NodeReport report;
