Test of organisations' limits in the forwarder

Guards against requests over the limit that run, and against charges for requests that have not run.

--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -353,6 +353,21 @@
         m_context.upstreams.find(instance)->residency.onLoading(target, version, now + time, now);
     }
 
+    /// Limits @p organisation to one request per second, of which it can send one now.
+    void limit(const std::string &organisation)
+    {
+        const auto now = BootClock{}.now();
+        m_context.fleetAllowance.setLimits({{organisation, {1, 1, 1, false}}}, now - std::chrono::seconds{4});
+        for (auto age = std::chrono::milliseconds{4000}; age.count() >= 0; age -= std::chrono::milliseconds{100})
+            m_context.fleetAllowance.setHeardShare(1, now - age);
+    }
+
+    /// Returns what the limited organisation @p organisation was charged.
+    double chargedTo(const std::string &organisation)
+    {
+        return m_context.fleetAllowance.uses(BootClock{}.now()).at(organisation).granted;
+    }
+
     /// Records that @p version of @p target was declared @p age ago, of which this node learns now.
     void declare(const ModelTarget &target, std::uint64_t version, Duration age)
     {
@@ -1865,6 +1880,48 @@
     cr_assert(!isRefused || metrics.find(R"(verdict="not-run")") != std::string::npos, "%s", metrics.c_str());
 }
 
+namespace
+{
+
+struct LimitCase {
+    const char *name;
+    const char *path;
+    const char *key;
+    std::vector<ForwarderFixture::Responder> responders;
+    double charged; ///< For the first request.
+    unsigned secondStatus;
+};
+
+const LimitCase limitCases[] = {
+    {"served", "/safe/1", "k1", {answer}, 1, 429},           {"may have run", "/once/1", "k1", {cut}, 1, 429},
+    {"not run", "/safe/1", "k1", {refuseUnstarted}, 0, 503}, {"other organisation", "/safe/1", "k2", {answer}, 0, 200},
+    {"no organisation", "/once/1", "", {answer}, 0, 200},
+};
+
+} // namespace
+
+/// Guards against requests over an organisation's limit that run, and against charges for requests that have not run.
+TABLE_TEST(CallForwarder, keepsOrganisationsToTheirLimits, limitCases)
+{
+    ForwarderFixture fixture(row.responders);
+    fixture.configure(requireKeys);
+    fixture.limit("first");
+    fixture.key = row.key;
+    fixture.ask(row.path);
+    cr_assert_eq(fixture.chargedTo("first"), row.charged, "%s: %f", row.name, fixture.chargedTo("first"));
+    const auto sends = fixture.sends;
+    const auto status = fixture.ask(row.path);
+    cr_assert_eq(status, row.secondStatus, "%s: %u %s", row.name, status, fixture.body.c_str());
+    if (status != 429)
+        return;
+    cr_assert_eq(fixture.sends, sends, "%s", row.name);
+    cr_assert(!fixture.retryAfter.empty(), "%s", row.name);
+    const auto metrics = fixture.metrics();
+    const auto refused = metrics.find(R"(code="quota_exceeded")");
+    cr_assert(refused != std::string::npos, "%s", metrics.c_str());
+    cr_assert(metrics.find(R"(verdict="not-run")", refused) != std::string::npos, "%s", metrics.c_str());
+}
+
 /// Guards against a connection whose first request speaks for all others on it.
 Test(CallForwarder, checksEachRequestOfAConnection)
 {
