organisationkeystest: real nodes serve only valid keys, and show none

Guards against a key that reaches an upstream or a log, and against requests that run without a valid key, with the real processes and wire names.

--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -16,6 +16,8 @@
 namespace
 {
 
+constexpr std::string_view organisation = "hule930"; ///< That holds the key, if one is required.
+constexpr unsigned keyRefused = 401;
 constexpr Duration sweepInterval = std::chrono::milliseconds{50};
 constexpr Duration readyTimeout = std::chrono::seconds{20};
 constexpr Duration lostTime = std::chrono::milliseconds{200}; ///< In which a node may close without having read.
@@ -135,7 +137,11 @@
     const bool isOther = version % 2 == 0;
     m_store.put(
         "op/config",
-        R"({"version": )" + std::to_string(version) + R"(, "routes": [)"
+        R"({"version": )" + std::to_string(version)
+            + (m_requiredKey.empty() ? std::string()
+                                     : R"(, "tenants": [{"name": ")" + std::string(organisation)
+                                           + R"(", "api_keys": [")" + m_requiredKey + R"("]}])")
+            + R"(, "routes": [)"
             + (isOther ? R"({"name": "other", "host": "h", "prefix": "/other/", "kind": "idempotent", "timeout_ms": 500,
          "goal_ms": 90, "service": "web", "attempts": 1},)"
                        : "")
@@ -158,6 +164,16 @@
     m_configurationProbes.onWritten(version, BootClock{}.now());
 }
 
+void Fleet::requireKey(const std::string &key)
+{
+    m_requiredKey = key;
+    for (const auto *group : {&m_engines, &m_workers}) {
+        for (const auto &upstream : *group)
+            upstream->behaviour.organisation = organisation;
+    }
+    changeConfiguration();
+}
+
 void Fleet::writeOddConfiguration()
 {
     m_store.put("op/config",
@@ -351,6 +367,10 @@
         request.headers.add("X-Token-Count", "200,18");
         request.headers.add("X-Prompt-Prefix", prompt.parts);
     }
+    if (!m_callerKey.empty()) {
+        request.headers.add("Authorization", "Bearer " + m_callerKey);
+        request.headers.add("X-Tenant", "forged");
+    }
     if (kind == CallerRequest::Book || kind == CallerRequest::Work)
         m_booked.insert(id);
     Relay::SendOptions options;
@@ -389,6 +409,8 @@
     }
     if (!promisesNotRun(status)) {
         ++(status == 0 ? tally.broken : tally.failed);
+        if (status == keyRefused)
+            m_notRun[id] = std::to_string(status);
         if (status == 0 && response.sent)
             checkBroken(kind, id, m_nodes[node], sentAt, response.failure);
         return;
@@ -655,6 +677,10 @@
     std::ranges::copy(m_pipelines.problems(), std::back_inserter(problems));
     std::ranges::copy(m_versions.violations(), std::back_inserter(problems));
     std::ranges::copy(m_configurationProbes.violations(), std::back_inserter(problems));
+    for (const auto &key : {m_requiredKey, m_callerKey}) {
+        if (!key.empty() && logLines(key) > 0)
+            problems.push_back("a node has logged a key");
+    }
     std::map<std::string, unsigned> runs;
     const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
     const auto logOffset = std::chrono::duration_cast<Duration>(wallTime) - BootClock{}.now().time_since_epoch();
@@ -662,6 +688,7 @@
         for (const auto &upstream : *group) {
             for (const auto &violation : upstream->limitViolations())
                 problems.push_back(upstream->name() + ": " + violation);
+            std::ranges::copy(upstream->identityViolations(), std::back_inserter(problems));
             std::ofstream limits(m_files.file(upstream->name() + ".limits"));
             upstream->writeLimits(limits, logOffset);
             for (const auto &[id, count] : upstream->runs())
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -108,6 +108,21 @@
     /// send.
     void changeConfiguration();
 
+    /// Puts a configuration into force with one organisation, which holds @p key.
+    void requireKey(const std::string &key);
+
+    /// Returns true if all nodes have logged the configuration that was written last. Precondition: none has restarted.
+    bool isConfigurationInForce() const
+    {
+        return logLines("configuration_in_force") >= m_nodes.size() * m_configurations;
+    }
+
+    /// Lets callers state @p key and another organisation's name in the requests of the first kinds.
+    void setCallerKey(const std::string &key)
+    {
+        m_callerKey = key;
+    }
+
     /// Writes what is no configuration in place of the one in force, and shortly after it the next configuration.
     void writeOddConfiguration();
 
@@ -313,6 +328,8 @@
     std::uint64_t m_sent = 0;
     std::uint64_t m_prompts = 0;
     std::uint64_t m_configurations = 0;
+    std::string m_requiredKey; ///< Empty: the configuration has no organisations.
+    std::string m_callerKey; ///< Empty: callers state none.
     ConfigurationProbes m_configurationProbes;
     Instant m_storeDisturbedUntil{};
 };
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -242,6 +242,7 @@
     if (m_server->activeRequests() > slots + behaviour.waitingRoom)
         return refuseFull(exchange);
     ++m_runs[std::string(request.headers.get("X-Request-Id"))];
+    checkIdentity(request);
     m_exchanges.emplace_back(exchange);
     std::erase_if(m_exchanges, [](const auto &each) { return each.expired(); });
     if (adapterOf(request).empty())
@@ -250,6 +251,15 @@
         answerStream(exchange);
 }
 
+void UpstreamStandIn::checkIdentity(const Http::Request &request)
+{
+    const std::string id(request.headers.get("X-Request-Id"));
+    if (request.headers.contains("Authorization"))
+        m_identityViolations.push_back(id + " stated its key");
+    if (request.headers.get("X-Tenant") != behaviour.organisation)
+        m_identityViolations.push_back(id + " named organisation " + std::string(request.headers.get("X-Tenant")));
+}
+
 /// Refuses a request for want of room. A brittle upstream that refuses too many falls over.
 void UpstreamStandIn::refuseFull(const Exchange &exchange)
 {
--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -34,6 +34,7 @@
     /// The brittleness that it states: it falls over if it refuses more requests in a second for want of room.
     std::optional<unsigned> refusalsBorne;
     unsigned waitingRoom = slots; ///< Requests that may wait for a slot.
+    std::string organisation; ///< That requests must name; empty: none.
     std::optional<double> limit; ///< The request limit that it states in its answers, in requests per second.
 };
 
@@ -100,6 +101,12 @@
         return m_lastBreak;
     }
 
+    /// Returns the requests that stated a key, or another organisation than they must.
+    const std::vector<std::string> &identityViolations() const
+    {
+        return m_identityViolations;
+    }
+
     UpstreamBehaviour behaviour;
     RequestLimitRecord limits; ///< Of the current process.
 
@@ -114,6 +121,7 @@
     bool crashAt(const Exchange &exchange);
     void refuseFull(const Exchange &exchange);
     void serve(const Exchange &exchange);
+    void checkIdentity(const Http::Request &request);
     void answerPlain(const Exchange &exchange);
     void answerStream(const Exchange &exchange);
     void sendEvents(const Exchange &exchange, unsigned next, unsigned end, bool isComplete, Duration pause);
@@ -149,6 +157,7 @@
     Instant m_lastBreak{};
     std::deque<Instant> m_refusals; ///< For want of room, in the last second.
     unsigned m_falls = 0;
+    std::vector<std::string> m_identityViolations;
 };
 
 } // namespace Gypsumtally::GatewayFleet
