Prompt pace under overload: short reservations, in time first, room for large prompts

A simulation of the prompt pace at twice its speed (promptsharetest, 1 and 5 nodes) showed what reservations far ahead do: 0.13 of many urgent calls and 0.02 of the others were in time, and large prompts were served a third as often as small ones of their class. While calls of several urgencies are in demand, none reserves the pace for more than one longest pause; a call counts as late when its turn and one pause would exceed 0.8 of its objective; large calls yield less, and small prompts of lower classes leave room for one of the usual size. The minimum share is 0.35, as half left too little room for large urgent prompts (0.69 of them in time with 0.5, 0.83 with 0.35).

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -389,7 +389,7 @@
         else
             m_context.allowance.onRequest(call->service, call->arrival);
         if (!call->request.target.empty()) {
-            m_context.reserve.onArrived(call->service, urgencyOf(*call), BootClock{}.now());
+            m_context.reserve.onArrived(call->service, urgencyOf(*call), call->request.promptTokens, BootClock{}.now());
             auto &use = m_context.uses[call->request.target];
             use.service = call->service;
             ++use.inFlight;
@@ -753,8 +753,12 @@
 
     static Scheduling::SendWindow windowOf(const Call &call)
     {
-        Scheduling::SendWindow window{
-            call.arrival, call.deadline, call.route.callerPatience, call.route.latencyObjective, {}};
+        Scheduling::SendWindow window{call.arrival,
+                                      call.deadline,
+                                      call.route.callerPatience,
+                                      call.route.latencyObjective,
+                                      call.route.longestPause,
+                                      {}};
         if (call.answering || (call.relayed && call.relayed->isAnswering))
             window.lastEventAt = std::max(call.lastEventAt, call.exchange->arrival());
         return window;
@@ -822,13 +826,13 @@
                         now + reserve.earliestTurn(call.service, urgencyOf(call), ahead, m_context.rank.count, now));
     }
 
-    /// Returns true if the call would reserve the prompt pace so far ahead that more urgent calls, to which it yields,
-    /// would find it taken. Such a call waits without a reservation.
+    /// Returns true if the call would reserve the prompt pace so far ahead that calls that go before it would find it
+    /// taken. Such a call waits without a reservation.
     bool isTooFarAhead(const Call &call, const UpstreamChoice &choice, Instant now) const
     {
         return !choice.isLimited && !choice.isLent && choice.usableAt <= now
-               && choice.sendAt - now > call.route.longestPause
-               && m_context.reserve.yields(call.service, urgencyOf(call), m_context.rank.count, now);
+               && choice.sendAt - now > call.route.longestPause && !call.lastEvent
+               && m_context.reserve.isShared(call.service, now);
     }
 
     /// Returns the time until the calls that arrived before have room at the brittle upstreams of the service. Each of
@@ -942,6 +946,8 @@
         demand.refusalsPerSecond = m_context.upstreams.brittleness(call.service).refusalsPerSecond;
         demand.rank = m_context.rank;
         demand.slotShare = share;
+        if (m_context.reserve.isBelowOthers(call.service, urgencyOf(call), m_context.rank.count, now))
+            demand.usualTokens = m_context.reserve.usualPrompt(call.service, urgencyOf(call), now);
         demand.spreadSeed = XXH3_64bits(call.request.id.data(), call.request.id.size());
         return demand;
     }
@@ -982,7 +988,7 @@
     {
         if (call.request.target.empty() || call.lastEvent || call.answering)
             return 1;
-        return m_context.reserve.share(call.service, urgencyOf(call), m_context.rank.count, now,
+        return m_context.reserve.share(call.service, urgencyOf(call), tokensOf(call), m_context.rank.count, now,
                                        [&] { return utilisationOf(m_context.upstreams, call.service, now); });
     }
 
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -171,7 +171,8 @@
         }
         if (!demand.target.empty() && demand.pace.longestPause > Duration{})
             choice.sendAt = upstream.prompts.earliestSendAt(
-                demand.promptTokens, tokensWithinPause(demand.pace, demand.speed, slownessOf(upstream, demand.speed)),
+                std::max(demand.promptTokens, demand.usualTokens),
+                tokensWithinPause(demand.pace, demand.speed, slownessOf(upstream, demand.speed)),
                 demand.pace.longestPause, std::max(choice.sendAt, now));
         choice.isFull = !demand.target.empty() && upstream.inFlight() >= usableSlots(upstream, demand.slotShare);
         if (demand.refusalsPerSecond)
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -56,6 +56,8 @@
     /// What the service states of being brittle: requests are sent only where there is room, see roomFor().
     std::optional<unsigned> refusalsPerSecond{};
     NodeRank rank{}; ///< This node's.
+    double usualTokens
+        = 0; ///< A smaller prompt is sent where one of this size would fit, so that it leaves those room.
     double slotShare = 1; ///< Fraction of an engine's slots that the request may use, see usableSlots().
     std::uint64_t spreadSeed = 0; ///< Spreads requests over the upstreams of a brittle service.
 };
--- a/src/scheduling/capacityreserve.cpp
+++ b/src/scheduling/capacityreserve.cpp
@@ -19,6 +19,7 @@
 /// Fraction of a class's calls that start, relative to that of all calls, below which the class starves. Callers need a
 /// quarter; the rest is for calls that start but are late.
 constexpr double minRelativeService = 0.4;
+constexpr double negligibleArrivals = 0.1; ///< Decayed number below which a class is not in demand.
 constexpr double minArrivals = 3; ///< Decayed number below which a class is not judged.
 /// Decayed number of starts from which they tell the node's throughput.
 constexpr double minStarts = 8;
@@ -28,9 +29,12 @@
 
 } // namespace
 
-void CapacityReserve::onArrived(const std::string &service, unsigned urgency, Instant now)
+void CapacityReserve::onArrived(const std::string &service, unsigned urgency, double promptTokens, Instant now)
 {
-    m_services[service][urgency].arrived.count(now);
+    auto &arrived = m_services[service][urgency];
+    arrived.arrived.count(now);
+    arrived.prompts.count(now, promptTokens);
+    arrived.promptSquares.count(now, promptTokens * promptTokens);
 }
 
 void CapacityReserve::onStarted(const std::string &service, unsigned urgency, double tokens, Instant now)
@@ -90,7 +94,28 @@
 
 bool CapacityReserve::yields(const std::string &service, unsigned urgency, unsigned nodes, Instant now) const
 {
-    return demandAbove(service, urgency, nodes, now).reserve > negligibleReserve && !isStarving(service, urgency, now);
+    return isBelowOthers(service, urgency, nodes, now) && !isStarving(service, urgency, now);
+}
+
+bool CapacityReserve::isBelowOthers(const std::string &service, unsigned urgency, unsigned nodes, Instant now) const
+{
+    return demandAbove(service, urgency, nodes, now).reserve > negligibleReserve;
+}
+
+double CapacityReserve::usualPrompt(const std::string &service, unsigned urgency, Instant now) const
+{
+    const auto it = m_services.find(service);
+    const double prompts = it == m_services.end() ? 0 : it->second[urgency].prompts.weightAt(now);
+    return prompts > 0 ? it->second[urgency].promptSquares.weightAt(now) / prompts : 0;
+}
+
+bool CapacityReserve::isShared(const std::string &service, Instant now) const
+{
+    const auto it = m_services.find(service);
+    return it != m_services.end() && std::ranges::count_if(it->second, [&](const UrgencyClass &each) {
+                                         return each.arrived.lastWeight() > 0
+                                                && each.arrived.weightAt(now) > negligibleArrivals;
+                                     }) > 1;
 }
 
 bool CapacityReserve::isStarving(const std::string &service, unsigned urgency, Instant now) const
@@ -101,6 +126,8 @@
     double arrived = 0;
     double served = 0;
     for (const auto &each : it->second) {
+        if (each.arrived.lastWeight() == 0)
+            continue;
         arrived += each.arrived.weightAt(now);
         served += each.served.weightAt(now);
     }
@@ -147,6 +174,8 @@
     double starts = 0;
     double tokens = 0;
     for (unsigned each = first; each < urgencyCount; ++each) {
+        if (classes[each].starts.lastWeight() == 0)
+            continue;
         starts += classes[each].starts.weightAt(now);
         tokens += classes[each].tokens.weightAt(now);
     }
@@ -165,7 +194,7 @@
         backlogTokens += delayed * (started >= 1 ? startedTokens / started : meanTokens);
     }
     return {headroom * (urgentTokens + backlogTokens) / std::max(tokens + backlogTokens, meanTokens),
-            std::min(1.0, backlog / (shortageBacklog * std::max(1.0, urgentStarts)))};
+            std::min(1.0, backlog / (shortageBacklog * std::max(1.0, urgentStarts))), meanTokens};
 }
 
 /// Returns the calls that wait for capacity of @p service at this node, and at another node on average, by urgency.
--- a/src/scheduling/capacityreserve.h
+++ b/src/scheduling/capacityreserve.h
@@ -24,10 +24,11 @@
     /// Wait for capacity from which a call is evidence of a shortage. A prompt often waits for less behind another one.
     static constexpr Duration minDelay = std::chrono::milliseconds{100};
     static constexpr Duration reportLifetime = std::chrono::seconds{1}; ///< Validity of a peer's report.
-    static constexpr double minShare = 0.5; ///< Every class may use this part of the capacity.
+    /// Every class may use this part of the capacity; above the quarter that callers need, as prompts fill it unevenly.
+    static constexpr double minShare = 0.35;
 
-    /// Records that a call of this node arrived.
-    void onArrived(const std::string &service, unsigned urgency, Instant now);
+    /// Records that a call of this node arrived, with the tokens in its prompt.
+    void onArrived(const std::string &service, unsigned urgency, double promptTokens, Instant now);
 
     /// Records that a call is sent to an upstream for the first time, with the tokens in its prompt and its answer.
     void onStarted(const std::string &service, unsigned urgency, double tokens, Instant now);
@@ -46,24 +47,37 @@
     void onPeerWaiting(const std::string &node, std::int64_t startedAt, std::uint64_t sequence,
                        std::vector<WaitingCount> counts, Instant now);
 
-    /// Returns the fraction of the capacity of @p service that calls of @p urgency may use, from minShare to 1. It is 1
-    /// for the most urgent class, and for all while capacity is not short. @p utilisation returns the requests in
-    /// flight per slot of the service; @p nodes is the number of live nodes, this one included.
+    /// Returns the fraction of the capacity of @p service that a call of @p urgency with @p tokens may use, from
+    /// minShare to 1. It is 1 for the most urgent class, and for all while capacity is not short. A large call yields
+    /// less, as it would never fit between small ones. @p utilisation returns the requests in flight per slot of the
+    /// service; @p nodes is the number of live nodes, this one included.
     template<typename Utilisation>
-    double share(const std::string &service, unsigned urgency, unsigned nodes, Instant now,
+    double share(const std::string &service, unsigned urgency, double tokens, unsigned nodes, Instant now,
                  Utilisation &&utilisation) const
     {
         const auto demand = demandAbove(service, urgency, nodes, now);
         if (demand.reserve <= negligibleReserve || isStarving(service, urgency, now))
             return 1;
         const double shortage = demand.shortage >= 1 ? 1 : std::max(demand.shortage, shortageAt(utilisation()));
-        return 1 - shortage * std::min(demand.reserve, 1 - minShare);
+        const double bySize = std::min(1.0, demand.meanTokens / std::max(1.0, tokens));
+        return 1 - shortage * std::min(demand.reserve, 1 - minShare) * bySize;
     }
 
+    /// Returns true if calls more urgent than @p urgency are in demand. @p nodes is the number of live nodes, this one
+    /// included.
+    bool isBelowOthers(const std::string &service, unsigned urgency, unsigned nodes, Instant now) const;
+
     /// Returns true if calls of @p urgency yield to more urgent ones: such calls are in demand, and the class does not
     /// starve. @p nodes is the number of live nodes, this one included.
     bool yields(const std::string &service, unsigned urgency, unsigned nodes, Instant now) const;
 
+    /// Returns the prompt tokens of the calls of @p urgency that have arrived lately, averaged over their tokens: the
+    /// size of the call that a token belongs to on average. 0 if none has arrived.
+    double usualPrompt(const std::string &service, unsigned urgency, Instant now) const;
+
+    /// Returns true if calls of several urgencies are in demand.
+    bool isShared(const std::string &service, Instant now) const;
+
     /// Returns true if calls of @p urgency start so much less often than all calls of the service that they may not
     /// yield any more.
     bool isStarving(const std::string &service, unsigned urgency, Instant now) const;
@@ -97,6 +111,8 @@
         DecayedRate tokens{demandHalfLife}; ///< Of the calls in @c starts.
         DecayedRate delayed{demandHalfLife}; ///< Calls that have waited for capacity for minDelay.
         DecayedRate arrived{servedHalfLife};
+        DecayedRate prompts{servedHalfLife}; ///< Prompt tokens of the calls in @c arrived.
+        DecayedRate promptSquares{servedHalfLife}; ///< Sum of their squares.
         DecayedRate served{servedHalfLife};
     };
     using Classes = std::array<UrgencyClass, urgencyCount>;
@@ -112,6 +128,7 @@
     struct Demand {
         double reserve = 0; ///< Part of the capacity that it needs; 1 or more if it needs all.
         double shortage = 0; ///< 0 if these classes have not waited; 1 if they wait much.
+        double meanTokens = 1; ///< Of the calls of these and all less urgent classes that have started lately.
     };
 
     static double shortageAt(double utilisation);
--- a/src/scheduling/waitingqueue.h
+++ b/src/scheduling/waitingqueue.h
@@ -165,6 +165,7 @@
                 ++counts[{entry.waiting.service, entry.waiting.rank.urgency}];
         }
         std::vector<WaitingCount> rows;
+        rows.reserve(counts.size());
         for (const auto &[key, calls] : counts)
             rows.push_back({key.first, key.second, calls});
         m_reserve.setWaiting(std::move(rows), now);
