Untrusted callers: tests that bound a node's memory and descriptors

Callers that hold what they can made a process run out of memory. A small crowd before a real gateway process (machine of 64 MB, bodies of at most 1 MB, long time-outs) shows it; the process may grow by half of the machine's memory over its idle size, descriptors are bounded by the settings, and an ordinary request is answered beside the crowd.

--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -92,6 +92,12 @@
     return kind == CallerRequest::Stream || kind == CallerRequest::CrashingStream;
 }
 
+std::string usualLimits(bool isOther)
+{
+    return std::string(R"({"header_bytes": 16384, "max_body_bytes": )") + (isOther ? "32768" : "65536")
+           + R"(, "header_timeout_ms": 3000, "idle_timeout_ms": )" + (isOther ? "5000" : "15000") + "}";
+}
+
 bool promisesNotRun(unsigned status)
 {
     return status == 429 || status == 503 || status == 408 || status == 421;
@@ -152,9 +158,8 @@
          "gap_target_ms": 300, "service": "model", "attempts": 2, "can_resume": true}],
         "services": [{"name": "web"}, {"name": "model", "engine": {"slots": 16, "stride": 3, "adapter_slots": 8,
         "models": [{"name": "m", "load_s": 0.1}]}}],
-        "limits": {"header_bytes": 16384, "max_body_bytes": )"
-            + (isOther ? "32768" : "65536") + R"(, "header_timeout_ms": 3000, "idle_timeout_ms": )"
-            + (isOther ? "5000" : "15000") + "}}");
+        "limits": )"
+            + (m_size.limits.empty() ? usualLimits(isOther) : m_size.limits) + "}");
     m_configurationProbes.onWritten(version, BootClock{}.now());
 }
 
@@ -221,7 +226,8 @@
                             << "\norder_handover: 3000ms\ndrain_bound: 2500ms\nstop_grace: "
                             << m_size.stopGrace.count() / 1000
                             << "ms\nentry_ttl: 1s\nretries:\n  ratio: 0.2\n  slack: 58\n  window: 10s\nlog:\n"
-                               "  level: info\n  format: json\n";
+                               "  level: info\n  format: json\n"
+                            << (m_size.machine.empty() ? "" : "machine: " + m_size.machine + '\n');
     node.process = std::make_unique<Processes::ChildProcess>(
         std::vector<std::string>{GYPSUMTALLY_GATEWAYD, "--settings=" + settings}, m_files.file(node.name + ".log"));
     node.isOpen = true;
@@ -230,6 +236,11 @@
     node.isExpectedToRun = true;
 }
 
+Http::Endpoint Fleet::callersOf(std::size_t node) const
+{
+    return m_nodes[node].ports[Callers]->endpoint();
+}
+
 void Fleet::run(Duration time)
 {
     m_loop.runAfter(time, [this] { m_loop.stop(); });
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -26,6 +26,8 @@
     unsigned engines = 2;
     unsigned workers = 2; ///< Of the plain service.
     Duration stopGrace = std::chrono::seconds{4}; ///< Of its nodes.
+    std::string machine{}; ///< The section `machine` of its nodes' settings; empty if there is none.
+    std::string limits{}; ///< The configuration's limits, in JSON; empty for the usual ones.
 };
 
 /// The kinds of requests that callers send.
@@ -177,6 +179,19 @@
         return m_nodeTallies[node];
     }
 
+    Http::EventLoop &loop()
+    {
+        return m_loop;
+    }
+
+    Http::Endpoint callersOf(std::size_t node) const;
+
+    /// Returns the process of @p node.
+    Processes::ChildProcess &processOf(std::size_t node)
+    {
+        return *m_nodes[node].process;
+    }
+
     std::size_t nodes() const
     {
         return m_nodes.size();
--- /dev/null
+++ b/tests/gatewayfleet/untrustedcallerstest.cpp
@@ -0,0 +1,186 @@
+#include "gatewayfleet/untrustedcallers.h"
+#include "gatewayfleet/gatewayfleet.h"
+
+#include "support/table.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <string>
+
+using namespace Gypsumtally;
+using namespace Gypsumtally::GatewayFleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr std::size_t kilobyte = 1024;
+constexpr std::size_t memoryMb = 64; ///< Of the node's machine, in the settings.
+constexpr std::size_t maxGrowth = memoryMb * kilobyte / 2; ///< In kilobytes, beyond the idle process.
+constexpr std::size_t maxBody = 1024 * kilobyte; ///< In the configuration.
+constexpr std::size_t chunk = 64 * kilobyte;
+constexpr std::size_t crowd = 64; ///< Its bodies have twice the size by which the node may grow.
+constexpr std::size_t largeAnswer = 512 * kilobyte;
+constexpr std::size_t pipelined = 200; ///< Requests of each caller whose answers exceed all buffers of the kernel.
+constexpr unsigned workers = 4; ///< Have room for one request of each caller.
+constexpr std::size_t headerCrowd = 400;
+constexpr std::size_t headerBytes = 1000; ///< Of a header that never ends.
+constexpr std::size_t maxDescriptors = 300; ///< In the settings; 200 of them are reserved for files.
+constexpr std::size_t usualConnections = 3000; ///< Connections of callers where the settings state no descriptors.
+constexpr std::size_t reservedDescriptors = 200;
+
+/// The callers' time-outs are long, so that the node's memory is bounded by its limits alone.
+const std::string limits = R"({"header_bytes": 16384, "max_body_bytes": )" + std::to_string(maxBody)
+                           + R"(, "header_timeout_ms": 60000, "idle_timeout_ms": 60000})";
+
+const std::string head = "POST /book/1 HTTP/1.1\r\nHost: h\r\n";
+const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string largeChunk = "10000\r\n" + std::string(chunk, 'x') + "\r\n";
+
+/// Returns the chunks of one byte that make @p size bytes.
+std::string smallChunks(std::size_t size)
+{
+    std::string text;
+    for (std::size_t byte = 0; byte < size; ++byte)
+        text += "1\r\nx\r\n";
+    return text;
+}
+
+std::string getRequests(std::size_t count)
+{
+    std::string text;
+    for (std::size_t number = 0; number < count; ++number)
+        text += "GET /read/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: n0:" + std::to_string(number) + "\r\n\r\n";
+    return text;
+}
+
+struct CrowdCase {
+    const char *name;
+    std::size_t callers;
+    std::size_t descriptors; ///< In the settings; 0 if they state none.
+    std::size_t answerBytes; ///< Size of an upstream's answer to the crowd.
+    UntrustedBytes (*bytes)(); ///< That each caller sends.
+};
+
+const CrowdCase crowds[] = {
+    {"chunked bodies in large chunks", crowd, 0, 0,
+     [] {
+         return UntrustedBytes{chunkedHead, largeChunk, maxBody / chunk - 1, false};
+     }},
+    {"chunked bodies in one-byte chunks", crowd, 0, 0,
+     [] {
+         return UntrustedBytes{chunkedHead, smallChunks(chunk), maxBody / chunk - 1, false};
+     }},
+    {"bodies over the limit, with a length", crowd, 0, 0,
+     [] {
+         const auto length = std::to_string(16 * maxBody);
+         return UntrustedBytes{head + "Content-Length: " + length + "\r\n\r\n", largeChunk, 16 * maxBody / chunk,
+                               false};
+     }},
+    {"bodies over the limit, without a length", crowd, 0, 0,
+     [] {
+         return UntrustedBytes{chunkedHead, largeChunk, 16 * maxBody / chunk, false};
+     }},
+    {"pipelined requests with unread answers", crowd, 0, largeAnswer,
+     [] {
+         return UntrustedBytes{{}, getRequests(pipelined), 1, false};
+     }},
+    {"request headers that grow byte by byte", headerCrowd, 0, 0,
+     [] {
+         return UntrustedBytes{head + "X-Long: ", std::string(headerBytes, 'x'), 1, true};
+     }},
+    {"many idle connections", usualConnections + 200, 0, 0, [] { return UntrustedBytes{}; }},
+    {"many idle connections, few descriptors", 2 * maxDescriptors, maxDescriptors, 0, [] { return UntrustedBytes{}; }},
+};
+
+constexpr Duration step = milliseconds{200};
+constexpr unsigned quietSteps
+    = 5; ///< Without a byte, a connection or growth, after which the crowd has sent what is read.
+constexpr unsigned maxCrowdSteps = 100; ///< For which a crowd is observed that goes on sending.
+constexpr unsigned maxAttempts = 50; ///< Of the ordinary request.
+
+/// Returns a figure of the status of process @p id, in kilobytes.
+std::size_t memoryOf(pid_t id, const std::string &figure)
+{
+    std::ifstream status("/proc/" + std::to_string(id) + "/status");
+    for (std::string name; status >> name;) {
+        std::size_t value = 0;
+        if (name == figure + ':' && status >> value)
+            return value;
+    }
+    return 0;
+}
+
+std::size_t descriptorsOf(pid_t id)
+{
+    std::error_code ignored;
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(id) + "/fd", ignored);
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
+/// Returns true if one of a few ordinary requests, sent in turn, is answered by an upstream.
+bool isOrdinaryRequestAnswered(Fleet &fleet)
+{
+    Relay::UpstreamClient client(fleet.loop());
+    const auto isAnswered = std::make_shared<bool>(false);
+    for (unsigned attempt = 0; attempt < maxAttempts && !*isAnswered; ++attempt) {
+        Relay::SendOptions options;
+        options.maxIdleAge = {};
+        client.fetch(
+            {fleet.callersOf(0), {}}, {"GET", "/read/1", {{"Host", "h"}, {"X-Request-Id", "n0:0"}}, {}},
+            [isAnswered](const Relay::WholeResponse &response) {
+                *isAnswered = *isAnswered || response.head.status == 200;
+            },
+            options);
+        fleet.run(step);
+        client.sweep(BootClock{}.now());
+    }
+    return *isAnswered;
+}
+
+void setAnswerBytes(Fleet &fleet, std::size_t bytes)
+{
+    for (std::size_t number = 0; number < fleet.workers(); ++number)
+        fleet.worker(number).behaviour.answerBytes = bytes;
+}
+
+} // namespace
+
+/// Guards against a process that runs out of memory or descriptors, or serves nobody else, because of callers that hold
+/// what they can.
+TABLE_TEST(UntrustedCallers, leaveTheProcessAlive, crowds)
+{
+    FleetSize size{1, 1, workers};
+    size.machine = "{memory_mb: " + std::to_string(memoryMb)
+                   + (row.descriptors == 0 ? "" : ", max_descriptors: " + std::to_string(row.descriptors)) + '}';
+    size.limits = limits;
+    Fleet fleet(size, 1);
+    fleet.waitUntilReady();
+    cr_assert(isOrdinaryRequestAnswered(fleet), "%s: no answer before the crowd", row.name);
+    const auto id = fleet.processOf(0).id();
+    const auto idle = memoryOf(id, "VmRSS");
+    const auto maxOpen = row.descriptors == 0 ? usualConnections + reservedDescriptors : row.descriptors;
+    std::size_t open = 0;
+    setAnswerBytes(fleet, row.answerBytes);
+    UntrustedCallers callers(fleet.loop(), fleet.callersOf(0), row.callers, row.bytes());
+    unsigned quiet = 0;
+    for (unsigned steps = 0; quiet < quietSteps && steps < maxCrowdSteps; ++steps) {
+        const auto activity = [&] { return callers.connected() + callers.written() + memoryOf(id, "VmHWM"); };
+        const auto before = activity();
+        fleet.run(step);
+        quiet = activity() == before ? quiet + 1 : 0;
+        open = std::max(open, descriptorsOf(id));
+    }
+    setAnswerBytes(fleet, 0);
+    cr_expect(isOrdinaryRequestAnswered(fleet), "%s: no answer beside the crowd", row.name);
+    cr_expect(fleet.processOf(0).isRunning(), "%s: the process has ended", row.name);
+    const auto peak = memoryOf(id, "VmHWM");
+    cr_log_warn("%s: %zu kB idle, %zu kB at most, %zu descriptors, %zu bytes written", row.name, idle, peak, open,
+                static_cast<std::size_t>(callers.written()));
+    cr_expect_leq(peak, idle + maxGrowth, "%s: %zu kB, %zu kB idle", row.name, peak, idle);
+    cr_expect_leq(open, maxOpen, "%s: %zu descriptors", row.name, open);
+}
--- a/tests/gatewayfleet/upstreamstandin.cpp
+++ b/tests/gatewayfleet/upstreamstandin.cpp
@@ -276,7 +276,9 @@
     m_loop.runAfter(time, [this, exchange, status] {
         auto headers = headersFor(exchange->request());
         headers.add("X-Response-Signature", "s");
-        exchange->respond({status, headers, std::string(exchange->request().headers.get("X-Request-Id"))});
+        std::string body(exchange->request().headers.get("X-Request-Id"));
+        body.append(behaviour.answerBytes, 'x');
+        exchange->respond({status, headers, std::move(body)});
     });
 }
 
--- a/tests/gatewayfleet/upstreamstandin.h
+++ b/tests/gatewayfleet/upstreamstandin.h
@@ -26,6 +26,7 @@
 /// The behaviour of an UpstreamStandIn. It can change at any time.
 struct UpstreamBehaviour {
     Duration answerTime = std::chrono::milliseconds{15}; ///< Of a plain request, and of each event of a stream.
+    std::size_t answerBytes = 0; ///< By which the answers to plain requests are longer.
     double longRatio = 0; ///< Of streams and of requests for long work that last several seconds.
     double failureRatio = 0; ///< Of plain requests that are answered with status 500.
     double breakRatio = 0; ///< Of streams that are cut off after their second event.
