Callers: one budget for the memory that a gateway holds on their behalf

Bodies that stay incomplete, pipelined requests with unread answers and idle connections let a process grow without a bound, or shut out other callers.

Requests that are read or in progress, pipelined bytes, unsent output and buffered answers are now charged to one MemoryBudget (3/8 of machine.memory_mb). While it is short, connections that would grow stop reading, and the holders that have held most for longest without progress are shed: a request that has arrived in part is refused with 503, a connection whose answer is not read is closed. A quarter is reserved for small requests. The next pipelined request waits while more than 256 KB are unsent. The storage of a body grows with what has arrived, never beyond the limit. With machine.max_descriptors each server has its share of connections; one that is idle or slow is closed for a new one.

--- /dev/null
+++ b/src/budget/memorybudget.cpp
@@ -0,0 +1,82 @@
+#include "budget/memorybudget.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace Gypsumtally::Budget
+{
+
+namespace
+{
+
+/// Time without progress from which a holder may be shed while the budget is short. Pauses of ordinary callers on slow
+/// paths are shorter.
+constexpr Duration minStall = std::chrono::milliseconds{200};
+/// Divides the rank of holders that this node itself holds up.
+constexpr double heldUpDivisor = 8;
+
+struct Candidate {
+    MemoryHolder *holder = nullptr;
+    bool isLarge = false;
+    double rank = 0; ///< The highest is shed first.
+};
+
+} // namespace
+
+MemoryBudget::MemoryBudget(const MemoryLimits &limits)
+    : m_limits(limits)
+{
+}
+
+bool MemoryBudget::mayGrow(std::size_t held, std::size_t growth) const
+{
+    const bool isSmall = held + growth <= m_limits.smallBytes;
+    return m_used + growth <= m_limits.total - (isSmall ? 0 : m_limits.reserve);
+}
+
+void MemoryBudget::onShort(std::function<void()> task)
+{
+    m_onShort = std::move(task);
+}
+
+std::size_t MemoryBudget::shed(Instant now)
+{
+    if (!isShort())
+        return 0;
+    std::vector<Candidate> candidates;
+    for (const auto &[holder, bytes] : m_tracked) {
+        const auto stall = holder->stalledFor(now);
+        if (!stall || (*stall < minStall && !isExhausted()))
+            continue;
+        const double rank = static_cast<double>(bytes) * std::chrono::duration<double>(*stall).count();
+        candidates.push_back({holder, bytes > m_limits.smallBytes, holder->isHeldUp() ? rank / heldUpDivisor : rank});
+    }
+    std::ranges::sort(candidates, [](const Candidate &a, const Candidate &b) {
+        return a.isLarge != b.isLarge ? a.isLarge : a.rank > b.rank;
+    });
+    std::size_t count = 0;
+    for (const auto &candidate : candidates) {
+        if (!isShort() || (!candidate.isLarge && !isExhausted()))
+            break;
+        // Shedding a holder may end others.
+        if (!m_tracked.contains(candidate.holder))
+            continue;
+        candidate.holder->shed();
+        ++count;
+    }
+    return count;
+}
+
+void MemoryBudget::change(MemoryHolder *holder, std::size_t before, std::size_t after)
+{
+    const bool wasShort = isShort();
+    m_used = m_used - before + after;
+    if (holder && after >= m_limits.trackedBytes && after > 0)
+        m_tracked[holder] = after;
+    else if (holder && before >= m_limits.trackedBytes)
+        m_tracked.erase(holder);
+    if (!wasShort && isShort() && m_onShort)
+        m_onShort();
+}
+
+} // namespace Gypsumtally::Budget
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/memorybudget.h"
 #include "estimates/pacemargin.h"
 #include "gateway/crashledger.h"
 #include "gateway/declaredversion.h"
@@ -51,6 +52,7 @@
     double limitShare = 1;
     NodeRank rank; ///< This node's among the live ones.
     std::size_t maxBufferedAnswerBytes = 64 * 1024 * 1024; ///< Limit on the buffered bytes of all incomplete answers.
+    Budget::MemoryBudget *memory = nullptr; ///< Limits the buffered answers as well; null: it does not.
     std::size_t maxRelayedCalls = 200; ///< Limit on the calls of other nodes in progress here.
     /// True if some node orders loads, or if this node has started too recently to have received reports of one.
     bool loadOrdersAvailable = false;
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1496,18 +1496,26 @@
     {
         if (call->body.size() + piece.size() > maxAnswerBytes)
             return dropSend(call, "the answer is too large");
-        if (m_bufferedBytes + piece.size() > m_context.maxBufferedAnswerBytes)
+        const bool fits = !m_context.memory || m_context.memory->mayGrow(call->body.size(), piece.size());
+        if (!fits || m_bufferedBytes + piece.size() > m_context.maxBufferedAnswerBytes)
             return dropSend(call, "the answers of all requests take too much memory");
         call->body += piece;
-        m_bufferedBytes += piece.size();
+        setBuffered(m_bufferedBytes + piece.size());
     }
 
     std::string takeBody(CallSend &send)
     {
-        m_bufferedBytes -= send.body.size();
+        setBuffered(m_bufferedBytes - send.body.size());
         return std::exchange(send.body, {});
     }
 
+    void setBuffered(std::size_t bytes)
+    {
+        const auto before = std::exchange(m_bufferedBytes, bytes);
+        if (m_context.memory)
+            m_context.memory->change(nullptr, before, bytes);
+    }
+
     /// Updates the step estimates with the mean of two successive pauses, as engines that make several tokens in a step
     /// alternate between long and short pauses. Leaves out the pause before the last event of a stream, which may hold
     /// fewer tokens than others.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -89,6 +89,7 @@
     GatewayNode(const GatewaySettings &settings, const Logging &logging)
         : m_settings(settings)
         , m_log(logging)
+        , m_memory(memoryLimits(settings))
         , m_store(m_loop, settings.store)
         , m_address{settings.node,  settings.failureDomain, settings.region,  settings.callers,
                     settings.peers, wallMilliseconds(),     settings.capacity}
@@ -99,12 +100,15 @@
         , m_streams(m_store, m_context, m_log, streamKeys(),
                     [this](const std::vector<StreamOrigin> &streams) { return sendToRecorder(streams); })
         , m_forwarder(m_loop, m_context, m_log, m_metrics)
-        , m_callers(m_loop, {}, [this](auto exchange) { m_forwarder.accept(exchange); })
-        , m_relayed(m_loop, relayedCallSettings({}),
+        , m_callers(m_loop, callerSettings(), [this](auto exchange) { m_forwarder.accept(exchange); })
+        , m_relayed(m_loop, relayedCallSettings(callerSettings()),
                     [this](auto exchange) { m_forwarder.acceptRelayed(exchange, isReady()); })
-        , m_readiness(m_loop, {}, [this](auto exchange) { answerReadiness(*exchange); })
-        , m_entries(m_loop, {}, [this](auto exchange) { answerEntries(*exchange); })
-        , m_metricsServer(m_loop, {}, [this](auto exchange) { answerMetrics(*exchange); })
+        , m_readiness(m_loop, auxiliarySettings(maxProbes, probeShare),
+                      [this](auto exchange) { answerReadiness(*exchange); })
+        , m_entries(m_loop, auxiliarySettings(maxEntryQueries, entryShare),
+                    [this](auto exchange) { answerEntries(*exchange); })
+        , m_metricsServer(m_loop, auxiliarySettings(maxProbes, probeShare),
+                          [this](auto exchange) { answerMetrics(*exchange); })
         , m_peers(m_loop, settings.peers, [this](const GatewayMessage &message) { onMessage(message); })
         , m_linkBudget(settings.linkBytesPerSecond)
         , m_registry(m_loop, m_store, settings.drainBound, {Platform::operatorPrefix(), operatorObserver()},
@@ -114,6 +118,7 @@
     {
         m_callers.onUnanswered([this](const Relay::UnansweredRequest &request) { noteUnanswered("callers", request); });
         m_relayed.onUnanswered([this](const Relay::UnansweredRequest &request) { noteUnanswered("peers", request); });
+        m_memory.onShort([this] { m_loop.post([this] { shed(); }); });
         m_store.onEra([this](StoreEra era) { onStoreEra(era); });
         m_store.onUnreadableEra([this](const std::string &text) {
             m_log.decision(GatewayEvent::BadHeader, "store", {{"header", "Store-Era"}, {"value", text}});
@@ -123,6 +128,7 @@
         m_context.failureDomain = settings.failureDomain;
         m_context.regions = settings.regions;
         m_context.maxBufferedAnswerBytes = settings.answerBufferBytes;
+        m_context.memory = &m_memory;
         m_context.allowance = RetryAllowance(retryBound(settings));
         m_context.crashes = CrashLedger(settings.node);
         m_context.maxRelayedCalls = static_cast<std::size_t>(relayedCallsPerCapacity * settings.capacity);
@@ -234,6 +240,19 @@
     using Registry = RegistryViews<typename Platform::Store>;
     using Orders = PlacementController<typename Platform::Orders, typename Platform::Store>;
 
+    static constexpr std::size_t reserveDivisor = 4; ///< Of the callers' memory, for small requests.
+    /// Holders of memory that are too small to be tracked; more than there are connections.
+    static constexpr std::size_t maxUntracked = 8192;
+    static constexpr std::size_t reservedDescriptors = 200; ///< For files and listening sockets.
+    /// Shares of the other descriptors; the rest is for connections to upstreams, peers and the store.
+    static constexpr double callerShare = 0.5;
+    static constexpr double peerShare = 0.125;
+    static constexpr double entryShare = 0.0625;
+    static constexpr double probeShare = 0.03125;
+    static constexpr std::size_t maxEntryQueries = 256; ///< Connections.
+    static constexpr std::size_t maxProbes = 64; ///< Connections of those who ask for the readiness or for metrics.
+    static constexpr std::size_t maxAuxiliaryBody = 4096; ///< Of requests that have no body.
+    static constexpr unsigned unreadStatus = 429; ///< Tells a peer that a call was refused unread.
     static constexpr Duration tickInterval = std::chrono::milliseconds{50};
     static constexpr Duration reachDelay = std::chrono::milliseconds{3};
     /// Delay of a tick from which it is logged, as it shows a stalled loop or a frozen machine.
@@ -340,11 +359,49 @@
         return lease;
     }
 
+    static Budget::MemoryLimits memoryLimits(const GatewaySettings &settings)
+    {
+        Budget::MemoryLimits limits;
+        limits.total = settings.callerMemoryBytes;
+        limits.reserve = limits.total / reserveDivisor;
+        limits.trackedBytes = limits.total / maxUntracked;
+        return limits;
+    }
+
+    /// Returns the limit on connections that may take @p share of the descriptors, or @p usual if there are enough.
+    std::size_t connectionLimit(std::size_t usual, double share) const
+    {
+        if (!m_settings.maxDescriptors)
+            return usual;
+        const auto available = static_cast<double>(*m_settings.maxDescriptors - reservedDescriptors);
+        return std::min(usual, static_cast<std::size_t>(share * available));
+    }
+
+    Relay::CallerServerSettings callerSettings()
+    {
+        Relay::CallerServerSettings server;
+        server.maxConnections = connectionLimit(server.maxConnections, callerShare);
+        server.memory = &m_memory;
+        return server;
+    }
+
+    /// Returns the settings of a server that answers from memory.
+    Relay::CallerServerSettings auxiliarySettings(std::size_t maxConnections, double share)
+    {
+        Relay::CallerServerSettings server;
+        server.limits.bodyBytes = maxAuxiliaryBody;
+        server.maxConnections = connectionLimit(maxConnections, share);
+        server.memory = &m_memory;
+        return server;
+    }
+
     /// Returns the settings for relayed calls under those for callers: calls have more headers on the way between
-    /// nodes.
-    static Relay::CallerServerSettings relayedCallSettings(Relay::CallerServerSettings settings)
+    /// nodes, and another status shows the other node that a call was not read.
+    Relay::CallerServerSettings relayedCallSettings(Relay::CallerServerSettings settings) const
     {
         settings.limits.headerBytes += relayHeaderBytes;
+        settings.maxConnections = connectionLimit(Relay::CallerServerSettings{}.maxConnections, peerShare);
+        settings.shedStatus = unreadStatus;
         return settings;
     }
 
@@ -585,7 +642,7 @@
                         {"routes", std::to_string(policy->routes.size())}});
             m_context.routes = std::make_shared<RouteTable>(std::move(*policy));
             std::erase_if(m_context.speeds, [&](const auto &item) { return !m_context.routes->service(item.first); });
-            Relay::CallerServerSettings server;
+            auto server = callerSettings();
             const auto &limits = m_context.routes->policy().limits;
             server.limits = {limits.headerBytes, limits.bodyBytes};
             server.headerTimeout = limits.headerTimeout;
@@ -919,6 +976,7 @@
         m_quarantine.tick(now, wallMilliseconds(), m_members.rankOfSelf(quarantinePrefix(), now));
         m_forwarder.onVerdicts();
         m_forwarder.sweep(now);
+        shed();
         m_callers.sweep(now);
         m_relayed.sweep(now);
         if (++m_ticks % 10 == 0) {
@@ -937,19 +995,39 @@
         m_loop.runAfter(tickInterval, [this] { tick(); });
     }
 
-    /// Logs and counts the callers' requests and connections that were closed without an answer.
+    /// Makes memory free for callers if it is short.
+    void shed()
+    {
+        m_memory.shed(BootClock{}.now());
+    }
+
     void reportCallerLosses()
     {
-        const auto last = std::exchange(m_callerLosses, m_callers.losses());
-        const auto requests = m_callerLosses.requests - last.requests;
-        const auto connections = m_callerLosses.connections - last.connections;
-        if (requests == 0 && connections == 0)
+        reportLosses("callers", m_callers, m_callerLosses);
+        reportLosses("peers", m_relayed, m_peerLosses);
+    }
+
+    /// Logs and counts the requests and connections that a server has closed without an answer since @p reported.
+    void reportLosses(const char *sender, const Relay::CallerServer &server, Relay::CallerLosses &reported)
+    {
+        if (server.losses() == reported)
             return;
-        m_log.note(GatewayEvent::CallersUnanswered, {{"requests", std::to_string(requests)},
-                                                     {"connections", std::to_string(connections)},
-                                                     {"open", std::to_string(m_callers.connections())}});
-        m_metrics.add(Metric::CallerLosses, {{"kind", "request"}}, static_cast<double>(requests));
-        m_metrics.add(Metric::CallerLosses, {{"kind", "connection"}}, static_cast<double>(connections));
+        const auto last = std::exchange(reported, server.losses());
+        std::vector<LogField> fields{{"from", sender}};
+        const auto add = [&](const char *field, const char *kind, std::uint64_t Relay::CallerLosses::*count) {
+            const auto losses = reported.*count - last.*count;
+            fields.emplace_back(field, std::to_string(losses));
+            m_metrics.add(Metric::CallerLosses, {{"from", sender}, {"kind", kind}}, static_cast<double>(losses));
+        };
+        add("requests", "request", &Relay::CallerLosses::requests);
+        add("connections", "connection", &Relay::CallerLosses::connections);
+        add("idle", "idle", &Relay::CallerLosses::idle);
+        add("slow", "slow", &Relay::CallerLosses::slow);
+        add("refused_for_memory", "refused_for_memory", &Relay::CallerLosses::refusedForMemory);
+        add("closed_for_memory", "closed_for_memory", &Relay::CallerLosses::closedForMemory);
+        fields.emplace_back("open", std::to_string(server.connections()));
+        fields.emplace_back("held_bytes", std::to_string(m_memory.used()));
+        m_log.note(GatewayEvent::CallersUnanswered, fields);
     }
 
     /// Logs and counts a request from @p sender, callers or peers, that ended without a whole answer.
@@ -1570,6 +1648,7 @@
     GatewaySettings m_settings;
     GatewayLog m_log;
     Metrics m_metrics;
+    Budget::MemoryBudget m_memory; ///< Outlives the loop, whose tasks hold connections.
     Http::EventLoop m_loop;
     typename Platform::Store m_store;
     NodeAddress m_address;
@@ -1581,6 +1660,7 @@
     std::vector<std::unique_ptr<Orders>> m_orders; ///< Indexed by shard.
     Relay::CallerServer m_callers;
     Relay::CallerLosses m_callerLosses; ///< That were reported.
+    Relay::CallerLosses m_peerLosses;
     Relay::CallerServer m_relayed; ///< Calls that other nodes pass on.
     Relay::CallerServer m_readiness;
     Relay::CallerServer m_entries;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -15,6 +15,12 @@
 constexpr Bounds<double> ratios{0, 10};
 constexpr Bounds<double> counts{0, 1'000'000};
 constexpr double bytesPerMb = 1024 * 1024;
+/// Share of the machine's memory that callers may take together. The rest is for the process itself, its tables, copies
+/// on their way and what the allocator does not return.
+constexpr double callerMemoryShare = 0.375;
+constexpr Bounds<double> callerMemory{2, 1'000'000};
+/// At least the descriptors that are reserved for files, and some connections of each kind.
+constexpr Bounds<double> descriptorCounts{264, 1'000'000};
 /// Share of a core that gives capacity 1, as at the platform's first two sites.
 constexpr double referenceCpuShare = 0.25;
 constexpr double bytesPerMbit = 125'000;
@@ -58,6 +64,13 @@
     double memoryMb = 4 * static_cast<double>(settings.answerBufferBytes) / bytesPerMb;
     reader.scalar("memory_mb", Presence::Optional, memoryMb, counts);
     settings.answerBufferBytes = static_cast<std::size_t>(memoryMb * bytesPerMb / 4);
+    double callerMemoryMb = callerMemoryShare * memoryMb;
+    reader.scalar("caller_memory_mb", Presence::Optional, callerMemoryMb, callerMemory);
+    settings.callerMemoryBytes = static_cast<std::size_t>(std::max(callerMemoryMb, callerMemory.min) * bytesPerMb);
+    double descriptors = 0;
+    reader.scalar("max_descriptors", Presence::Optional, descriptors, descriptorCounts);
+    if (descriptors > 0)
+        settings.maxDescriptors = static_cast<std::size_t>(descriptors);
     settings.linkBytesPerSecond = bytesPerMbit * std::max(linkMbps, minLinkMbps);
     settings.capacity = std::max(minCapacity, std::min(cpuShare / referenceCpuShare, linkMbps / referenceLinkMbps));
 }
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -1,6 +1,7 @@
 #include "relay/callerserver.h"
 
 #include "http/eventloop.h"
+#include "relay/detail/bytequeue.h"
 #include "relay/detail/socketwait.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <list>
 #include <optional>
 #include <unordered_set>
 #include <utility>
@@ -33,6 +35,14 @@
 
 constexpr std::size_t readBytes = 32 * 1024;
 constexpr std::size_t maxPipelinedBytes = 256 * 1024; ///< Above this, reading pauses until the response has ended.
+/// Bodies from this size on are sent without being copied to their head.
+constexpr std::size_t largeBodyBytes = 16 * 1024;
+/// Time without a request, or since the beginning of one, from which a connection may be closed for a new one. A caller
+/// that has just connected is about to send.
+constexpr Duration minWaitTime = std::chrono::seconds{1};
+constexpr Duration acceptPause = std::chrono::milliseconds{50}; ///< After a lack of descriptors.
+/// Copies of a request in progress: the request itself, and its text on the way to an upstream.
+constexpr std::size_t requestCopies = 2;
 constexpr Duration lingerTime = std::chrono::seconds{1}; ///< Lets a caller read a rejection before the close.
 
 std::string headText(unsigned status, const Http::Headers &headers)
@@ -140,23 +150,38 @@
     std::size_t active = 0;
     CallerLosses losses;
     std::unordered_set<std::shared_ptr<Connection>> connections;
+    /// Connections that wait for a request, and those that wait for the rest of one. Those that have waited longest are
+    /// first.
+    std::list<Connection *> idle;
+    std::list<Connection *> reading;
+    std::vector<std::weak_ptr<Connection>> heldUp; ///< Connections that have stopped reading for want of memory.
 };
 
-class Connection : public std::enable_shared_from_this<Connection>
+class Connection : public std::enable_shared_from_this<Connection>, private Budget::MemoryHolder
 {
 public:
     Connection(tcp::socket socket, std::shared_ptr<Shared> shared)
         : m_socket(std::move(socket))
         , m_shared(std::move(shared))
+        , m_memory(m_shared->settings.memory, this)
     {
     }
 
+    ~Connection() override
+    {
+        leaveQueue();
+    }
+
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
     void start()
     {
         ErrorCode ignored;
         m_socket.non_blocking(true, ignored);
         m_socket.set_option(tcp::no_delay(true), ignored);
         resetReader();
+        noteState();
         waitForBytes();
     }
 
@@ -170,12 +195,18 @@
             if (error && error != asio::error::would_block)
                 return closeNow(UnansweredCause::WriteFailed, error);
             bytes.remove_prefix(error ? 0 : written);
+            m_writtenAt = BootClock{}.now();
         }
         if (bytes.empty())
             return;
         m_output.append(bytes);
+        noteState();
         if (m_output.size() > m_shared->settings.maxBufferedBytes)
             return closeNow(UnansweredCause::BufferFull);
+        if (m_memory.isExhausted() && m_output.size() > m_shared->settings.maxUnsentBeforeNext) {
+            ++m_shared->losses.closedForMemory;
+            return closeNow(UnansweredCause::ShortOfMemory);
+        }
         waitForWritable();
     }
 
@@ -185,14 +216,16 @@
     {
         m_answeredId = std::move(id);
         m_exchange.reset();
+        m_requestBytes = 0;
         --m_shared->active;
         m_stateSince = BootClock{}.now();
+        noteState();
         if (!m_keepsConnection || (m_shared->leavesNext && !hasNextInput()))
             return closeGracefully();
         resetReader();
-        if (!m_waitingForBytes)
-            waitForBytes();
         parse();
+        noteState();
+        readOn();
     }
 
     /// Closes the connection without completing the response to @p exchange.
@@ -230,6 +263,13 @@
         return !m_keepsConnection;
     }
 
+    /// Reads on after a lack of memory, if there is enough by now.
+    void resume()
+    {
+        if (std::exchange(m_isHeldUp, false) && !m_closed)
+            readOn();
+    }
+
     /// Lets new settings extend the time-out that the connection is subject to, which they never shorten, and applies
     /// the limits on requests to the next one.
     void onSettings()
@@ -266,12 +306,26 @@
         return !m_exchange.expired() || !m_output.empty() || (!m_lingering && isReading()) || isEndangered();
     }
 
+    /// Returns the time for which the connection has been in its state. Precondition: no request is in progress.
+    Duration waitedFor(Instant now) const
+    {
+        return now - m_stateSince;
+    }
+
     void closeIfIdle()
     {
         if (isIdle() && m_output.empty())
             closeUnlessUsed();
     }
 
+    /// Refuses a request that has arrived in part, and closes the connection at once. Precondition: such a one is read.
+    void dropRequest()
+    {
+        const auto self = shared_from_this();
+        sendRefusal(503, "the node has too many connections");
+        closeNow(UnansweredCause::NotRead);
+    }
+
     /// Refuses a request that has arrived in part.
     void refuseIfReading()
     {
@@ -288,6 +342,10 @@
         const auto self = shared_from_this();
         reportUnwritten(cause, error);
         m_closed = true;
+        m_input.clear();
+        m_reader = std::make_unique<RequestReader>(m_shared->settings.limits);
+        m_requestBytes = 0;
+        noteState();
         ErrorCode ignored;
         m_socket.close(ignored);
         m_shared->connections.erase(self);
@@ -337,6 +395,7 @@
     void dropResponse()
     {
         m_exchange.reset();
+        m_requestBytes = 0;
         --m_shared->active;
     }
 
@@ -345,6 +404,65 @@
         return m_exchange.expired() && m_reader->state() == RequestReader::State::Idle && !m_lingering;
     }
 
+    /// Records what the connection holds, and whether it is idle. To be called after each change of either.
+    void noteState()
+    {
+        m_memory.set(m_input.capacity() + m_output.capacity() + m_reader->heldBytes() + requestCopies * m_requestBytes);
+        auto *queue = queueOfState();
+        if (queue == m_queue)
+            return;
+        leaveQueue();
+        m_queue = queue;
+        if (queue)
+            m_place = queue->insert(queue->end(), this);
+    }
+
+    /// Returns the list of Shared that the connection belongs to; null if there is none.
+    std::list<Connection *> *queueOfState()
+    {
+        if (m_closed || m_lingering || !m_exchange.expired() || !m_output.empty())
+            return nullptr;
+        if (isReading())
+            return &m_shared->reading;
+        return m_input.empty() ? &m_shared->idle : nullptr;
+    }
+
+    void leaveQueue()
+    {
+        if (const auto queue = std::exchange(m_queue, nullptr))
+            queue->erase(m_place);
+    }
+
+    /// A caller that does not read its answers is responsible for what it has not read, one that sends a request slowly
+    /// for that part. A request in progress is not shed, as it may have run.
+    std::optional<Duration> stalledFor(Instant now) override
+    {
+        if (m_closed)
+            return std::nullopt;
+        if (!m_output.empty())
+            return now - m_writtenAt;
+        if (m_exchange.expired() && !m_lingering)
+            return now - m_readAt;
+        return std::nullopt;
+    }
+
+    bool isHeldUp() override
+    {
+        ErrorCode ignored;
+        return m_isHeldUp && m_socket.available(ignored) > 0;
+    }
+
+    void shed() override
+    {
+        const auto self = shared_from_this();
+        if (m_output.empty() && isReading()) {
+            ++m_shared->losses.refusedForMemory;
+            return refuse(m_shared->settings.shedStatus, "the node is short of memory", {{"Retry-After", "1"}});
+        }
+        ++m_shared->losses.closedForMemory;
+        closeNow(UnansweredCause::ShortOfMemory);
+    }
+
     bool isReading() const
     {
         return m_reader->state() == RequestReader::State::Reading;
@@ -377,7 +495,11 @@
         const auto begunAt = m_stateSince;
         const auto isSame = [&] { return !m_closed && isReading() && m_stateSince == begunAt; };
         ErrorCode ignored;
-        while (isSame() && m_socket.available(ignored) > 0)
+        // A caller that goes on sending must not hold up the loop, so no more is read than a whole request.
+        const auto &limits = m_shared->settings.limits;
+        for (auto left = limits.headerBytes + limits.bodyBytes;
+             isSame() && left > 0 && m_socket.available(ignored) > 0 && m_memory.mayGrow(readBytes);
+             left -= std::min(left, readBytes))
             read();
         if (isSame())
             refuse(408, "the request did not come in time");
@@ -412,8 +534,19 @@
             return waitForBytes();
         }
         parse();
-        if (m_input.size() < maxPipelinedBytes)
-            waitForBytes();
+        noteState();
+        readOn();
+    }
+
+    /// Waits for more bytes, unless enough has been read or there is no memory for more.
+    void readOn()
+    {
+        if (m_closed || m_hasUnread || m_isHeldUp || m_input.size() >= maxPipelinedBytes)
+            return;
+        if (m_lingering || m_memory.mayGrow(readBytes))
+            return waitForBytes();
+        m_isHeldUp = true;
+        m_shared->heldUp.push_back(weak_from_this());
     }
 
     /// Appends what has arrived to the input.
@@ -421,7 +554,10 @@
     {
         static thread_local std::array<char, readBytes> bytes;
         ErrorCode error;
-        m_input.append(bytes.data(), m_socket.read_some(asio::buffer(bytes), error));
+        const auto size = m_socket.read_some(asio::buffer(bytes), error);
+        m_input.append({bytes.data(), size});
+        if (size > 0)
+            m_readAt = BootClock{}.now();
         return error;
     }
 
@@ -437,7 +573,7 @@
     /// Returns true if another request, or a part of one, has been read.
     bool hasNextInput() const
     {
-        return m_input.find_first_not_of("\r\n") != std::string::npos;
+        return m_input.view().find_first_not_of("\r\n") != std::string_view::npos;
     }
 
     /// Returns true if the connection closes after a response that is in progress or has ended.
@@ -513,9 +649,10 @@
     {
         if (m_closed || m_lingering || !m_exchange.expired() || m_input.empty())
             return false;
+        if (m_output.size() > m_shared->settings.maxUnsentBeforeNext)
+            return false; // flush() goes on.
         const bool wasIdle = m_reader->state() == RequestReader::State::Idle;
-        const auto used = m_reader->feed(m_input);
-        m_input.erase(0, used);
+        m_input.take(m_reader->feed(m_input.view()));
         if (wasIdle)
             startState();
         if (m_reader->takeExpectContinue() && m_reader->state() == RequestReader::State::Reading)
@@ -531,26 +668,30 @@
     void dispatchRequest()
     {
         m_keepsConnection = m_reader->keepsConnection();
+        m_requestBytes = m_reader->heldBytes();
         auto exchange = std::make_shared<Exchange>(shared_from_this(), m_reader->takeRequest(), BootClock{}.now());
         m_exchange = exchange;
+        m_reader = std::make_unique<RequestReader>(m_shared->settings.limits);
         ++m_shared->active;
+        noteState();
         m_shared->handler(std::move(exchange));
     }
 
-    void refuse(unsigned status, const std::string &reason)
+    void refuse(unsigned status, const std::string &reason, const Http::Headers &further = {})
     {
         m_isRefused = true;
-        sendRefusal(status, reason);
+        m_input.clear();
+        sendRefusal(status, reason, further);
         closeGracefully();
     }
 
-    void sendRefusal(unsigned status, const std::string &reason)
+    void sendRefusal(unsigned status, const std::string &reason, Http::Headers headers = {})
     {
         const auto body = reason + '\n';
-        send(headText(status, {{"Content-Type", "text/plain"},
-                               {"Content-Length", std::to_string(body.size())},
-                               {"Connection", "close"}})
-             + "\r\n" + body);
+        headers.add("Content-Type", "text/plain");
+        headers.add("Content-Length", std::to_string(body.size()));
+        headers.add("Connection", "close");
+        send(headText(status, headers) + "\r\n" + body);
     }
 
     void closeGracefully()
@@ -559,6 +700,8 @@
             return;
         m_lingering = true;
         startState();
+        m_reader = std::make_unique<RequestReader>(m_shared->settings.limits);
+        noteState();
         if (m_output.empty())
             shutdownSend();
         waitForBytes();
@@ -582,15 +725,20 @@
         if (m_closed)
             return;
         ErrorCode error;
-        const auto written = m_socket.write_some(asio::buffer(m_output), error);
+        const auto written = m_socket.write_some(asio::buffer(m_output.view()), error);
         if (error && error != asio::error::would_block)
             return closeNow(UnansweredCause::WriteFailed, error);
-        m_output.erase(0, error ? 0 : written);
+        m_output.take(error ? 0 : written);
+        if (!error)
+            m_writtenAt = BootClock{}.now();
         if (m_lingering || isIdle())
             m_stateSince = BootClock{}.now(); // The time-out is one of callers that do not read.
+        noteState();
+        parse(); // The next request may have waited for the caller to read.
+        readOn();
         if (!m_output.empty())
             return waitForWritable();
-        if (m_lingering)
+        if (m_lingering && !m_closed)
             shutdownSend();
     }
 
@@ -598,8 +746,14 @@
     std::shared_ptr<Shared> m_shared;
     std::unique_ptr<RequestReader> m_reader;
     std::weak_ptr<Exchange> m_exchange;
-    std::string m_input;
-    std::string m_output;
+    Detail::ByteQueue m_input;
+    Detail::ByteQueue m_output;
+    Budget::MemoryShare m_memory; ///< Of all that the connection holds.
+    std::size_t m_requestBytes = 0; ///< Held by the request in progress.
+    std::list<Connection *> *m_queue = nullptr; ///< The list of Shared that it is in; null if it is in none.
+    std::list<Connection *>::iterator m_place; ///< Its place there.
+    Instant m_readAt = BootClock{}.now(); ///< When bytes were last read.
+    Instant m_writtenAt{}; ///< When bytes were last written.
     std::string m_answeredId; ///< Id of the request that was answered last.
     Instant m_stateSince{}; ///< Start of the current state, for timeouts.
     Duration m_limit{}; ///< Timeout of the current state, while no request is in progress.
@@ -609,6 +763,7 @@
     bool m_waitingForWritable = false;
     bool m_lingering = false; ///< Sends only buffered bytes and gives the caller time to read them.
     bool m_isRefused = false; ///< What still arrives belongs to a request that was refused.
+    bool m_isHeldUp = false; ///< Has stopped reading for want of memory.
     bool m_hasUnread = false; ///< Bytes after the last request are in the kernel's buffer.
     bool m_closed = false;
 };
@@ -630,9 +785,13 @@
     if (m_connection->closesAfterResponse())
         text += "Connection: close\r\n";
     text += "\r\n";
-    text += response.body;
     m_hasBegun = true;
+    const bool isLarge = response.body.size() >= largeBodyBytes;
+    if (!isLarge)
+        text += response.body;
     m_connection->send(text);
+    if (isLarge && m_connection)
+        m_connection->send(response.body);
     end();
 }
 
@@ -693,9 +852,12 @@
 struct CallerServer::Private : std::enable_shared_from_this<CallerServer::Private> {
     Private(Http::EventLoop &eventLoop, CallerServerSettings settings, Handler handler)
         : context(eventLoop.context())
-        , shared(std::make_shared<Shared>(Shared{settings, std::move(handler), {}, false, false, 0, {}, {}}))
+        , loop(eventLoop)
+        , shared(std::make_shared<Shared>())
         , acceptor(context)
     {
+        shared->settings = settings;
+        shared->handler = std::move(handler);
     }
 
     void accept()
@@ -704,11 +866,52 @@
             // A connection may have been accepted just before the acceptor was closed.
             if (!error && !self->isDestroyed)
                 self->take(std::move(socket));
+            if (error == asio::error::no_descriptors)
+                return self->acceptLater();
             if (error != asio::error::operation_aborted && self->acceptor.is_open())
                 self->accept();
         });
     }
 
+    /// Accepts again after a pause, as the process has no descriptor left, and makes one free.
+    void acceptLater()
+    {
+        makeRoom(BootClock{}.now());
+        loop.runAfter(acceptPause, [self = shared_from_this()] {
+            if (!self->isDestroyed && self->acceptor.is_open())
+                self->accept();
+        });
+    }
+
+    /// Closes the connection that has been idle longest, or the one that has been sending a request for longest, if
+    /// that is some time. Returns true if it did.
+    bool makeRoom(Instant now)
+    {
+        const auto waits
+            = [now](const auto &queue) { return !queue.empty() && queue.front()->waitedFor(now) >= minWaitTime; };
+        if (waits(shared->idle)) {
+            const auto connection = shared->idle.front()->shared_from_this();
+            connection->closeIfIdle();
+            const bool isClosed = !shared->connections.contains(connection); // It may have had a request.
+            shared->losses.idle += isClosed ? 1 : 0;
+            return isClosed;
+        }
+        if (!waits(shared->reading))
+            return false;
+        shared->reading.front()->dropRequest();
+        ++shared->losses.slow;
+        return true;
+    }
+
+    /// Lets connections read on that have stopped for want of memory.
+    void resumeHeldUp()
+    {
+        for (const auto &each : std::exchange(shared->heldUp, {})) {
+            if (const auto connection = each.lock())
+                connection->resume();
+        }
+    }
+
     /// Takes the connections that have been made and wait to be accepted, as after a stall of the process.
     void acceptWaiting()
     {
@@ -724,7 +927,7 @@
 
     void take(tcp::socket socket)
     {
-        if (shared->connections.size() >= shared->settings.maxConnections) {
+        if (shared->connections.size() >= shared->settings.maxConnections && !makeRoom(BootClock{}.now())) {
             ++shared->losses.connections;
             return;
         }
@@ -736,6 +939,7 @@
     }
 
     asio::io_context &context;
+    Http::EventLoop &loop;
     std::shared_ptr<Shared> shared;
     tcp::acceptor acceptor;
     bool isDestroyed = false; ///< The server is gone, and its handler with it.
@@ -783,6 +987,7 @@
                                                        m_d->shared->connections.end());
     for (const auto &connection : all)
         connection->sweep(now);
+    m_d->resumeHeldUp();
 }
 
 void CallerServer::announceClose()
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/memorybudget.h"
 #include "common/clock.h"
 #include "common/verdict.h"
 #include "http/message.h"
@@ -80,6 +81,11 @@
     Duration idleTimeout = std::chrono::seconds{15}; ///< Limit between requests on a persistent connection.
     std::size_t maxConnections = 3000;
     std::size_t maxBufferedBytes = 4 * 1024 * 1024; ///< Unsent bytes above which a slow caller is disconnected.
+    /// Unsent bytes above which the next request of the connection waits.
+    std::size_t maxUnsentBeforeNext = 256 * 1024;
+    unsigned shedStatus = 503; ///< Of a request that has arrived in part when there is no memory for the rest.
+    /// Limits the memory of all connections; null: nothing does. It must outlive the server and its connections.
+    Budget::MemoryBudget *memory = nullptr;
 };
 
 /// What a server has left unanswered. The counts only grow.
@@ -87,6 +93,12 @@
     std::uint64_t requests
         = 0; ///< Connections on which a request, or a part, came after the last answer, and is unread.
     std::uint64_t connections = 0; ///< Connections closed unread, because there were too many.
+    std::uint64_t idle = 0; ///< Idle connections closed for new ones, because there were too many.
+    std::uint64_t slow = 0; ///< Connections closed for new ones although a request had arrived in part.
+    std::uint64_t refusedForMemory = 0; ///< Requests that had arrived in part.
+    std::uint64_t closedForMemory = 0; ///< Connections closed with unsent answers.
+
+    friend bool operator==(const CallerLosses &, const CallerLosses &) = default;
 };
 
 /// An HTTP/1.1 server on one event loop. Connections have no timers of their own: sweep() enforces the timeouts. Use
@@ -112,7 +124,8 @@
     /// become idle, after the call.
     void setSettings(const CallerServerSettings &settings);
 
-    /// Closes connections that have exceeded a timeout. Call it several times per second.
+    /// Closes connections that have exceeded a timeout, and reads on where memory has become free. Call it several
+    /// times per second.
     void sweep(Instant now);
 
     /// Adds `Connection: close` to responses from now on and closes their connections after them. Requests that have
--- a/src/relay/requestreader.cpp
+++ b/src/relay/requestreader.cpp
@@ -1,8 +1,10 @@
 #include "relay/requestreader.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Gypsumtally::Relay
@@ -11,8 +13,76 @@
 namespace bhttp = boost::beast::http;
 using ErrorCode = boost::system::error_code;
 
+namespace
+{
+
+constexpr std::size_t minBodyCapacity = 1024;
+/// Memory of a header field beside its text: two strings, of which a vector may have reserved as many again.
+constexpr std::size_t fieldBytes = 2 * sizeof(std::pair<std::string, std::string>);
+
+/// A body whose storage grows with what has arrived rather than with the stated length, and never beyond the limit, as
+/// callers choose both the length and the size of chunks.
+struct LimitedBody {
+    struct value_type {
+        std::string text;
+        std::size_t limit = 0;
+    };
+
+    class reader
+    {
+    public:
+        template<bool isRequest, typename Fields>
+        reader(bhttp::header<isRequest, Fields> &, value_type &body)
+            : m_body(body)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t> &length, ErrorCode &error)
+        {
+            error = {};
+            if (length)
+                m_body.limit = std::min<std::uint64_t>(m_body.limit, *length);
+        }
+
+        template<typename Buffers>
+        std::size_t put(const Buffers &buffers, ErrorCode &error)
+        {
+            error = {};
+            std::size_t taken = 0;
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+                append({static_cast<const char *>(buffer.data()), buffer.size()});
+                taken += buffer.size();
+            }
+            return taken;
+        }
+
+        void finish(ErrorCode &error)
+        {
+            error = {};
+        }
+
+    private:
+        void append(std::string_view bytes)
+        {
+            auto &text = m_body.text;
+            const auto size = text.size() + bytes.size();
+            if (size > text.capacity()) {
+                std::string larger; // A string that grows takes at least twice its capacity, also beyond the limit.
+                larger.reserve(std::max(size, std::min(m_body.limit, std::max(minBodyCapacity, 2 * text.capacity()))));
+                larger.append(text);
+                text.swap(larger);
+            }
+            text.append(bytes);
+        }
+
+        value_type &m_body;
+    };
+};
+
+} // namespace
+
 struct RequestReader::Private {
-    bhttp::request_parser<bhttp::string_body> parser;
+    bhttp::request_parser<LimitedBody> parser;
     bool hasHead = false;
 };
 
@@ -21,6 +91,7 @@
 {
     m_d->parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     m_d->parser.body_limit(limits.bodyBytes);
+    m_d->parser.get().body().limit = limits.bodyBytes;
 }
 
 RequestReader::~RequestReader() = default;
@@ -51,7 +122,7 @@
         else if (m_d->parser.is_header_done() && !m_d->hasHead)
             readHead();
         if (m_state == State::Reading && m_d->parser.is_done()) {
-            m_request.body = std::move(m_d->parser.get().body());
+            m_request.body = std::move(m_d->parser.get().body().text);
             m_state = State::Complete;
         } else if (taken == 0 && m_state == State::Reading) {
             return used;
@@ -63,13 +134,14 @@
 void RequestReader::readHead()
 {
     m_d->hasHead = true;
-    const auto &message = m_d->parser.get();
+    auto &message = m_d->parser.get();
     m_request.method = std::string(message.method_string());
     m_request.target = std::string(message.target());
     bool hasEncoding = false;
     for (const auto &field : message) {
         hasEncoding = hasEncoding || field.name() == bhttp::field::transfer_encoding;
         m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
+        m_headBytes += fieldBytes + field.name_string().size() + field.value().size();
     }
     m_keepsConnection = message.keep_alive();
     m_expectContinue = boost::beast::iequals(message[bhttp::field::expect], "100-continue");
@@ -78,6 +150,12 @@
     if (!m_request.target.starts_with('/'))
         return fail(400, "the request target is not a path");
     m_d->parser.eager(true);
+    message.clear(); // The fields of the head were copied; trailers are dropped.
+}
+
+std::size_t RequestReader::heldBytes() const
+{
+    return m_headBytes + m_d->parser.get().body().text.capacity() + m_request.body.capacity();
 }
 
 void RequestReader::fail(unsigned status, std::string reason)
--- a/src/relay/requestreader.h
+++ b/src/relay/requestreader.h
@@ -63,6 +63,9 @@
     /// Moves the request out. Call once. Precondition: the state is Complete.
     Http::Request takeRequest();
 
+    /// Returns about how many bytes of memory the request holds.
+    std::size_t heldBytes() const;
+
     /// Returns true if the caller keeps the connection open after this request.
     bool keepsConnection() const
     {
@@ -77,6 +80,7 @@
 
     std::unique_ptr<Private> m_d;
     State m_state = State::Idle;
+    std::size_t m_headBytes = 0; ///< Of memory that the head holds.
     Http::Request m_request;
     bool m_keepsConnection = true;
     bool m_expectContinue = false;
--- a/src/relay/unansweredrequest.h
+++ b/src/relay/unansweredrequest.h
@@ -16,6 +16,7 @@
     WriteFailed, ///< Writing to the caller failed.
     BufferFull, ///< Too much of the answer was unsent, as the caller reads too slowly.
     NotRead, ///< The answer was whole, but the caller did not read it in time.
+    ShortOfMemory, ///< The caller does not read the answer, and its memory is needed for others.
     Aborted, ///< The owner has broken off the answer.
     Released, ///< The owner has released the exchange before the answer had ended.
     Exit, ///< The process exits.
@@ -37,12 +38,13 @@
 {
 
 template<>
-inline constexpr EnumTable<Relay::UnansweredCause, 8> enumNames<Relay::UnansweredCause>{{
+inline constexpr EnumTable<Relay::UnansweredCause, 9> enumNames<Relay::UnansweredCause>{{
     {Relay::UnansweredCause::CallerClosed, "caller_closed"},
     {Relay::UnansweredCause::CallerReset, "caller_reset"},
     {Relay::UnansweredCause::WriteFailed, "write_failed"},
     {Relay::UnansweredCause::BufferFull, "buffer_full"},
     {Relay::UnansweredCause::NotRead, "not_read"},
+    {Relay::UnansweredCause::ShortOfMemory, "short_of_memory"},
     {Relay::UnansweredCause::Aborted, "aborted"},
     {Relay::UnansweredCause::Released, "released"},
     {Relay::UnansweredCause::Exit, "exit"},
