--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -244,6 +244,7 @@
     /// Holders of memory that are too small to be tracked; more than there are connections.
     static constexpr std::size_t maxUntracked = 8192;
     static constexpr std::size_t reservedDescriptors = 200; ///< For files and listening sockets.
+    static constexpr std::size_t minSharedDescriptors = 64; ///< Give each server a connection.
     /// Shares of the other descriptors; the rest is for connections to upstreams, peers and the store.
     static constexpr double callerShare = 0.5;
     static constexpr double peerShare = 0.125;
@@ -373,7 +374,8 @@
     {
         if (!m_settings.maxDescriptors)
             return usual;
-        const auto available = static_cast<double>(*m_settings.maxDescriptors - reservedDescriptors);
+        const auto available = static_cast<double>(
+            std::max(*m_settings.maxDescriptors, reservedDescriptors + minSharedDescriptors) - reservedDescriptors);
         return std::min(usual, static_cast<std::size_t>(share * available));
     }
 
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -15,12 +15,10 @@
 constexpr Bounds<double> ratios{0, 10};
 constexpr Bounds<double> counts{0, 1'000'000};
 constexpr double bytesPerMb = 1024 * 1024;
-/// Share of the machine's memory that callers may take together. The allocator may keep as much again after small blocks
-/// were freed; the rest is for the process itself.
+/// Share of the machine's memory that callers may take together. The allocator may keep as much again after small
+/// blocks were freed; the rest is for the process itself.
 constexpr double callerMemoryShare = 1.0 / 3;
 constexpr Bounds<double> callerMemory{2, 1'000'000};
-/// At least the descriptors that are reserved for files, and some connections of each kind.
-constexpr Bounds<double> descriptorCounts{264, 1'000'000};
 /// Share of a core that gives capacity 1, as at the platform's first two sites.
 constexpr double referenceCpuShare = 0.25;
 constexpr double bytesPerMbit = 125'000;
@@ -68,7 +66,7 @@
     reader.scalar("caller_memory_mb", Presence::Optional, callerMemoryMb, callerMemory);
     settings.callerMemoryBytes = static_cast<std::size_t>(std::max(callerMemoryMb, callerMemory.min) * bytesPerMb);
     double descriptors = 0;
-    reader.scalar("max_descriptors", Presence::Optional, descriptors, descriptorCounts);
+    reader.scalar("max_descriptors", Presence::Optional, descriptors, counts);
     if (descriptors > 0)
         settings.maxDescriptors = static_cast<std::size_t>(descriptors);
     settings.linkBytesPerSecond = bytesPerMbit * std::max(linkMbps, minLinkMbps);
