--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1490,16 +1490,28 @@
     {
         if (call->body.size() + piece.size() > maxAnswerBytes)
             return dropSend(call, "the answer is too large");
-        if (m_bufferedBytes + piece.size() > m_context.maxBufferedAnswerBytes)
+        const bool fits = !m_context.memory || m_context.memory->mayGrow(call->body.size(), piece.size());
+        if (!fits || m_bufferedBytes + piece.size() > m_context.maxBufferedAnswerBytes)
             return dropSend(call, "the answers of all requests take too much memory");
+        const auto before = call->body.capacity();
         call->body += piece;
         m_bufferedBytes += piece.size();
+        charge(before, call->body.capacity());
     }
 
     std::string takeBody(CallSend &send)
     {
         m_bufferedBytes -= send.body.size();
-        return std::exchange(send.body, {});
+        auto body = std::exchange(send.body, {});
+        charge(body.capacity(), send.body.capacity());
+        return body;
+    }
+
+    /// Records that the storage of a buffered answer changes from @p before to @p after bytes.
+    void charge(std::size_t before, std::size_t after)
+    {
+        if (m_context.memory)
+            m_context.memory->change(nullptr, before, after);
     }
 
     /// Updates the step estimates with the mean of two successive pauses, as engines that make several tokens in a step
