--- a/src/gateway/callaccess.h
+++ b/src/gateway/callaccess.h
@@ -14,6 +14,13 @@
     Access::Identity identity;
     unsigned urgency = 0; ///< 0 to Access::lastUrgency; 0 goes first.
     std::uint64_t checkedVersion = 0; ///< Version of the configuration.
+
+    /// Returns the urgency by which nodes order calls and reserve capacity. It is the same for all calls if the
+    /// configuration has no organisations, as engines then order them by the priority of their routes alone.
+    unsigned turn() const
+    {
+        return identity.isChecked ? urgency : 0;
+    }
 };
 
 /// Returns the access of @p request on @p route under @p routes; nothing if it lacks the key of an organisation.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -345,7 +345,7 @@
         else
             m_context.allowance.onRequest(call->service, call->arrival);
         if (!call->request.target.empty()) {
-            m_context.reserve.onArrived(call->service, call->urgency, call->request.promptTokens, BootClock{}.now());
+            m_context.reserve.onArrived(call->service, call->turn(), call->request.promptTokens, BootClock{}.now());
             auto &use = m_context.uses[call->request.target];
             use.service = call->service;
             ++use.inFlight;
@@ -731,7 +731,7 @@
     {
         const auto window = windowOf(call);
         return {call.service,
-                {call.urgency, window.inTimeUntil(), window.latestSend()},
+                {call.turn(), window.inTimeUntil(), window.latestSend()},
                 call.arrival,
                 call.identity.organisation,
                 tokensOf(call)};
@@ -781,7 +781,7 @@
         const auto ahead = m_waiting.countBefore(waitingOf(call), now);
         const auto &reserve = m_context.reserve;
         return std::max(choice.sendAt,
-                        now + reserve.earliestTurn(call.service, call.urgency, ahead, m_context.rank.count, now));
+                        now + reserve.earliestTurn(call.service, call.turn(), ahead, m_context.rank.count, now));
     }
 
     /// Returns true if the call would reserve the prompt pace so far ahead that calls that go before it would find it
@@ -807,7 +807,7 @@
     /// Refuses the call, whose turn is expected at @p sendAt, too late to be useful.
     void refuseAsFull(const CallPtr &call, const UpstreamChoice &choice, Instant sendAt, Instant now)
     {
-        m_context.reserve.onRefused(call->service, call->urgency, now);
+        m_context.reserve.onRefused(call->service, call->turn(), now);
         const bool isForecast = sendAt > choice.sendAt && !isBrittle(call->service);
         if (isForecast)
             m_metrics.add(Metric::ForecastRefusals, {{"urgency", std::to_string(call->urgency)}});
@@ -904,8 +904,8 @@
         demand.refusalsPerSecond = m_context.upstreams.brittleness(call.service).refusalsPerSecond;
         demand.rank = m_context.rank;
         demand.slotShare = share;
-        if (m_context.reserve.isBelowOthers(call.service, call.urgency, m_context.rank.count, now))
-            demand.usualTokens = m_context.reserve.usualPrompt(call.service, call.urgency, now);
+        if (m_context.reserve.isBelowOthers(call.service, call.turn(), m_context.rank.count, now))
+            demand.usualTokens = m_context.reserve.usualPrompt(call.service, call.turn(), now);
         demand.spreadSeed = XXH3_64bits(call.request.id.data(), call.request.id.size());
         return demand;
     }
@@ -946,7 +946,7 @@
     {
         if (call.request.target.empty() || call.lastEvent || call.answering)
             return 1;
-        return m_context.reserve.share(call.service, call.urgency, tokensOf(call), m_context.rank.count, now,
+        return m_context.reserve.share(call.service, call.turn(), tokensOf(call), m_context.rank.count, now,
                                        [&] { return utilisationOf(m_context.upstreams, call.service, now); });
     }
 
@@ -1138,7 +1138,7 @@
         if (!call->request.target.empty()) {
             instructions.priority = call->urgency;
             if (call->number == 1)
-                m_context.reserve.onStarted(call->service, call->urgency, tokensOf(*call), now);
+                m_context.reserve.onStarted(call->service, call->turn(), tokensOf(*call), now);
             if (const auto it = m_context.declared.find(call->request.target);
                 it != m_context.declared.end()
                 && (choice.version >= it->second.newest() || it->second.oldestUsable(now) > 0))
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -1326,6 +1326,12 @@
     int mostMs;
 };
 
+/// Makes the callers' organisation less urgent than another one.
+void addUrgentOrganisation(TrafficPolicy &policy)
+{
+    policy.organisations = {{{"urgent", {"k0"}, 0, {}}, {"usual", {"k1"}, 5, {}}}};
+}
+
 const YieldCase yieldCases[] = {
     {"the most urgent class", 0, 700, 1500},
     {"more urgent calls are in demand", 10, 0, 300},
@@ -1339,6 +1345,7 @@
     ForwarderFixture fixture({streamRest});
     fixture.load("u0", "m/a", std::chrono::milliseconds{-1000});
     fixture.fillPromptWindows(std::chrono::milliseconds{1000});
+    fixture.configure(addUrgentOrganisation);
     fixture.addUrgentDemand(row.urgentCalls);
     cr_assert_eq(fixture.ask("/paced/1", "m/a"), 200U, "%s", row.name);
     cr_assert_not(fixture.announced.empty(), "%s", row.name);
