Upstreams' recent speeds and limits are learnt and shared

Cause: the prompt pace used a low quantile of the pauses of four seconds, which follows an engine whose speed changes within a second too late, and knew no limit below the stated slots.

Change: each upstream has a fast estimate from pauses (or answer times) that is shared with the next report, and a learnt limit of requests. Both are used by the choice, the room and the prompt pace. The learning code moves from the forwarder to CapacityLearner; adaptive_capacity: false turns the new estimates off.

--- a/src/estimates/servicespeed.cpp
+++ b/src/estimates/servicespeed.cpp
@@ -14,6 +14,9 @@
 constexpr double medianQuantile = 0.5;
 constexpr std::size_t capacity = 64;
 constexpr Duration span = std::chrono::seconds{10};
+/// Quantile of answer times that is taken as that of an uncrowded upstream, over a time in which some have been so.
+constexpr double uncrowdedQuantile = 0.25;
+constexpr Duration uncrowdedSpan = std::chrono::seconds{30};
 constexpr std::size_t minReportedSamples = 8; ///< Figures with fewer own samples are not sent to other nodes.
 constexpr double reportWeight = 0.1; ///< Weight of one peer's report in the moving average of reported figures.
 constexpr double reportedSamples = 8; ///< Number of own samples that a reported time weighs as much as.
@@ -67,6 +70,7 @@
     : m_step(stepQuantile, capacity, span)
     , m_stream(medianQuantile, capacity, span)
     , m_answer(medianQuantile, capacity, span)
+    , m_uncrowdedAnswer(uncrowdedQuantile, capacity, uncrowdedSpan)
 {
 }
 
@@ -96,6 +100,12 @@
 void ServiceSpeed::onAnswer(Duration time, Instant now)
 {
     m_answer.add(msOf(time), now);
+    m_uncrowdedAnswer.add(msOf(time), now);
+}
+
+double ServiceSpeed::uncrowdedAnswerMs() const
+{
+    return m_uncrowdedAnswer.samples() < minReportedSamples ? 0 : m_uncrowdedAnswer.value();
 }
 
 void ServiceSpeed::onPeerReport(const EstimatedSpeed &reported)
--- a/src/estimates/servicespeed.h
+++ b/src/estimates/servicespeed.h
@@ -53,6 +53,10 @@
     /// Updates the reported figures with another node's learnt(). Ignores figures that are 0 or not finite.
     void onPeerReport(const EstimatedSpeed &reported);
 
+    /// Returns the time of an answer of an upstream that is not crowded, in ms: a low quantile of own samples, or 0 if
+    /// there are too few.
+    double uncrowdedAnswerMs() const;
+
     /// Restores an estimate that was stored before all nodes of the fleet restarted. Keeps this node's samples and the
     /// figures that other nodes have reported since.
     void restoreStored(const EstimatedSpeed &stored);
@@ -73,6 +77,7 @@
     RecentQuantile m_step;
     RecentQuantile m_stream;
     RecentQuantile m_answer;
+    RecentQuantile m_uncrowdedAnswer;
     PromptSpeed m_prompts;
     Instant m_unqueuedPromptAt{}; ///< Time of the last onFirstEvent().
     EstimatedSpeed m_reported{0, 0, 0, 0}; ///< Moving average of other nodes' reports, or the restored estimate.
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -41,6 +41,9 @@
     bool hasPeers = false; ///< Other nodes are live, whose evidence tells a cut from a crash.
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
+    bool hasAdaptiveCapacity = true; ///< Learns recent speeds and limits of upstreams; see Upstream::capacity.
+    /// By service: the slowness of an upstream up to which callers get what they need.
+    std::map<std::string, double> tolerableSlowness;
     RetryAllowance allowance{RetryBound{}};
     CrashLedger crashes;
     bool awaitsVerdicts = false; ///< The store's verdicts on causes of crashes are not known yet.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -4,6 +4,7 @@
 #include "gateway/callcontext.h"
 #include "gateway/callrelay.h"
 #include "gateway/callsend.h"
+#include "gateway/capacitylearner.h"
 #include "gateway/dialect.h"
 #include "gateway/gatewaylog.h"
 #include "gateway/stopschedule.h"
@@ -53,6 +54,7 @@
         , m_client(loop)
         , m_monitor(m_client, context)
         , m_relay(context)
+        , m_learner(context)
     {
     }
 
@@ -242,8 +244,6 @@
     /// Silence after which a request is moved off its upstream if it is streaming on a route that does not bound
     /// pauses, or if the upstream has no record any more.
     static constexpr Duration defaultSilence = std::chrono::milliseconds{900};
-    /// Time before a send from which an earlier prompt or load may still delay the first event.
-    static constexpr Duration interferenceTime = std::chrono::milliseconds{150};
     /// Wait for a free slot after which the node requests a copy of the adapter at another engine.
     static constexpr Duration furtherCopyDelay = std::chrono::milliseconds{100};
     /// Utilisation of a service's slots from which more copies would only evict other adapters that are needed.
@@ -267,8 +267,6 @@
     /// Share of the prompt pace for new calls while callers take up streams that only a part of the upstreams can
     /// serve.
     static constexpr double newPaceShare = 0.3;
-    /// Slowness from which an engine's pauses don't adjust the pace margin, as they don't represent other engines.
-    static constexpr double slowEngineThreshold = 1.5;
     /// Longest Retry-After as a fraction of the request's remaining time: callers ignore more than a third.
     static constexpr double maxRetryAfterFraction = 0.3;
     /// A reserved time that has passed by more than this lapses, for example after the process was suspended.
@@ -905,6 +903,7 @@
                               m_context.limitShare,
                               call.streamVersion ? &*call.streamVersion : nullptr,
                               {},
+                              call.arrival + call.route.latencyObjective,
                               std::max(latestSend(call), now)};
         if (call.route.kind == RequestKind::Streaming && !call.streamVersion)
             demand.heldVersions = m_context.streams.heldVersions(call.service);
@@ -1085,13 +1084,13 @@
     }
 
     /// Returns the call's reservation if the call can be sent there now.
-    std::optional<UpstreamChoice> usableReservation(Call &call, Instant now) const
+    std::optional<UpstreamChoice> usableReservation(Call &call, Instant now)
     {
         if (!call.reservation)
             return std::nullopt;
         const auto it = m_context.upstreams.all().find(call.reservation->instance);
         if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || now < it->second.avoidUntil
-            || it->second.inFlight() >= it->second.record.slots
+            || it->second.inFlight() >= it->second.usableSlots(now) || wouldStall(it->second, demandOf(call, now), now)
             || !keepsRequestLimit(it->second, *call.reservation, now)
             || (call.reservation->isLent && !isStillLent(it->second, m_context.node, now)))
             return std::nullopt;
@@ -1163,7 +1162,8 @@
                             {"version_from", std::string(nameOf(call->versionSource))}});
         call->inFlightAtSend = upstream->inFlight();
         const auto speed = m_context.speeds[call->service].speed();
-        call->slownessAtSend = slownessOf(*upstream, speed);
+        call->slownessAtSend = slownessNow(*upstream, speed, now);
+        call->limitAtSend = upstream->usableSlots(now);
         if (upstream->limitsRequests())
             m_metrics.add(Metric::LimitedSends, {{"kind", call->sends > 1 ? "repeat" : "first"}});
         else
@@ -1271,8 +1271,9 @@
         auto *upstream = m_context.upstreams.find(send.instance);
         if (!upstream || upstream->record.startedAt != send.processStartedAt || upstream->ownInFlight == 0)
             return;
-        const bool wasCrowded = upstream->inFlight() >= crowdedUtilisation * upstream->record.slots;
+        const bool wasCrowded = upstream->inFlight() >= crowdedUtilisation * upstream->usableSlots(BootClock{}.now());
         --upstream->ownInFlight;
+        upstream->lastEventAt = {};
         if ((isBrittle(upstream->record.service) || (wasCrowded && !call.request.target.empty()))
             && m_context.onLoadChanged)
             m_context.onLoadChanged(send.instance);
@@ -1440,10 +1441,10 @@
                 call->firstEvent = now - call->arrival;
                 if (!call->relayed)
                     m_metrics.observe(Metric::FirstTokenSeconds, labelsOf(*call), call->firstEvent, now);
-                learnPromptSpeed(*call, now);
+                m_learner.onFirstEvent(learntCallOf(*call), *call, now);
             }
         } else {
-            learnStep(*call, now);
+            m_learner.onEvent(learntCallOf(*call), *call, now - call->lastEventAt, now);
             if (now - call->firstEventAt > CrashLedger::beginningTime)
                 acquit(*call, now);
         }
@@ -1486,8 +1487,7 @@
     void notePause(Call &call, Duration pause, Instant now)
     {
         call.longestPause = std::max(call.longestPause, pause);
-        if (call.route.longestPause > Duration{} && call.peer.empty() && call.slownessAtSend < slowEngineThreshold)
-            m_context.paceMargins[call.service].onPause(pause, call.route.longestPause, now);
+        m_learner.onPause(learntCallOf(call), call, pause, now);
     }
 
     /// Buffers a piece of an answer until the answer is complete. Drops the send if the answer exceeds its limit, or
@@ -1508,51 +1508,16 @@
         return std::exchange(send.body, {});
     }
 
-    /// Updates the step estimates with the mean of two successive pauses, as engines that make several tokens in a step
-    /// alternate between long and short pauses. Leaves out the pause before the last event of a stream, which may hold
-    /// fewer tokens than others.
-    void learnStep(Call &call, Instant now)
+    /// Returns what is learnt from the call's answer.
+    LearntCall learntCallOf(const Call &call) const
     {
-        const auto before = std::exchange(call.pauses[0], call.pauses[1]);
-        const auto last = std::exchange(call.pauses[1], now - call.lastEventAt);
-        auto *upstream = m_context.upstreams.find(call.instance);
-        if (!upstream || before == Duration{})
-            return;
-        const auto pause = (before + last) / 2;
         const auto *engine = engineOf(call);
-        const auto tokens = engine ? engine->tokensPerEvent : 1;
-        Gateway::notePause(*upstream, pause, tokens, now);
-        m_context.speeds[call.service].onPause(pause, tokens, now);
-    }
-
-    void noteStreamTime(const Call &call, Instant now)
-    {
-        m_context.speeds[call.service].onStream(now - call.sentAt, now);
-    }
-
-    void noteAnswerTime(const Call &call, Instant now)
-    {
-        m_context.speeds[call.service].onAnswer(now - call.sentAt, now);
-    }
-
-    /// Updates the prefill speed estimate from the time to a first event. Distinguishes prompts that were alone at the
-    /// engine from those that queued behind others.
-    void learnPromptSpeed(const Call &call, Instant now)
-    {
-        const auto *upstream = m_context.upstreams.find(call.instance);
-        if (!upstream || call.lastEvent || call.request.promptTokens <= 0
-            || call.inFlightAtSend >= upstream->record.slots)
-            return;
-        const auto *copy = upstream->residency.find(call.request.target);
-        const auto since = call.sentAt - interferenceTime;
-        if (!copy || copy->usableAt >= since)
-            return;
-        auto &speed = m_context.speeds[call.service];
-        const double tokens = call.request.promptTokens;
-        if (upstream->prompts.sum(now - since, now) <= tokens)
-            speed.onFirstEvent(tokens, now - call.sentAt, call.slownessAtSend, now);
-        else
-            speed.onQueuedFirstEvent(tokens, call.prefillBacklogAtSend, now - call.sentAt, call.slownessAtSend, now);
+        return {call.service,
+                call.request.target,
+                call.request.promptTokens,
+                call.lastEvent.has_value(),
+                call.route.longestPause,
+                engine ? engine->tokensPerEvent : 1};
     }
 
     void onEnd(const CallPtr &call)
@@ -1574,7 +1539,7 @@
             m_context.streams.forget(call->streamId);
             call->verdict = Verdict::Ran;
             if (call->peer.empty())
-                noteStreamTime(*call, BootClock{}.now());
+                m_learner.onStream(learntCallOf(*call), *call, BootClock{}.now());
             logAnswered(*call);
             call->exchange->end();
             return finish(call);
@@ -1582,7 +1547,7 @@
         noteResult(*call, false);
         acquit(*call, BootClock{}.now());
         if (call->request.target.empty() && call->peer.empty())
-            noteAnswerTime(*call, BootClock{}.now());
+            m_learner.onAnswer(learntCallOf(*call), *call, BootClock{}.now());
         forwardAnswer(call);
     }
 
@@ -1908,6 +1873,7 @@
                                      {"sends", std::to_string(call.sends)},
                                      {"in_flight", std::to_string(call.inFlightAtSend)},
                                      {"slowness", std::to_string(call.slownessAtSend)},
+                                     {"limit", std::to_string(call.limitAtSend)},
                                      {"prompt", std::to_string(static_cast<long>(call.request.promptTokens))},
                                      {"unread", std::to_string(static_cast<long>(call.prefillBacklogAtSend))}};
         addWaits(call, fields);
@@ -2458,6 +2424,7 @@
     std::vector<CallPtr> m_unrouted; ///< Calls that wait for the node's first configuration.
     UpstreamMonitor<Dialect, Client> m_monitor;
     CallRelay m_relay;
+    CapacityLearner m_learner;
     std::size_t m_relayedCalls = 0; ///< Routed calls of other nodes.
     std::optional<StopSchedule> m_stop; ///< Set from SIGTERM on.
     bool m_isOver = false; ///< The calls have been ended, as the process exits.
--- a/src/gateway/callsend.h
+++ b/src/gateway/callsend.h
@@ -27,7 +27,8 @@
     std::string softwareAtSend; ///< Software version of the upstream.
     Instant sentAt{};
     Instant lastProgress{}; ///< Last time the upstream made progress on the answer; initially the time of the send.
-    double slownessAtSend = 1; ///< Estimate for the upstream, see slownessOf().
+    double slownessAtSend = 1; ///< Estimate for the upstream, see slownessNow().
+    unsigned limitAtSend = 0; ///< Learnt limit of the upstream, see Upstream::usableSlots().
     unsigned inFlightAtSend = 0; ///< Other requests in flight at the upstream, with those that peers last reported.
     double prefillBacklogAtSend = 0; ///< Prompt tokens, those of the call included; see PromptWindow.
     bool tookRepeat = false; ///< Is a repeat that this node's allowance has paid for.
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -24,11 +24,21 @@
 constexpr double maxSlowness = 8; ///< Estimates above this are presumed wrong.
 
 constexpr double brittleSpreadMs = 20; ///< Longest random cost, to spread requests over a brittle service's upstreams.
+/// Longest random cost of engines, so that nodes don't all choose the same one before they know of each other's
+/// prompts.
+constexpr double engineSpreadMs = 15;
 constexpr Duration fullEngineDelay = std::chrono::milliseconds{60}; ///< Delay before a full engine is considered again.
 constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Time for which a sent prompt may still be queued.
 constexpr double stepsPerRunningRequest = 0.15; ///< Delay of a new request by each running one, in steps.
 /// Fraction of the prompt pace to use. The rest is a reserve for prompts that two nodes send at the same moment.
 constexpr double usablePaceFraction = 0.95;
+/// Longest usual delay of an event by the network and by other work of this node.
+constexpr Duration eventJitter = std::chrono::milliseconds{20};
+/// Longest penalty of an engine on which a prompt of that size makes streams pause for too long.
+constexpr double maxStallPenaltyMs = 3000;
+/// Slowness of a plain upstream that costs nothing, so that differences within the usual scatter of answer times don't
+/// send all requests to one upstream.
+constexpr double plainTolerance = 1.5;
 /// Fraction of a pause that prompts may use at least, however slow the engine is estimated to be.
 constexpr double minPromptPauseFraction = 0.25;
 
@@ -60,6 +70,14 @@
     return penalty;
 }
 
+/// Returns a number from 0 to 1 that differs between the upstreams and between the requests.
+double spreadOf(const Upstream &upstream, const UpstreamDemand &demand)
+{
+    const auto &instance = upstream.record.instance;
+    const auto hash = XXH3_64bits_withSeed(instance.data(), instance.size(), demand.spreadSeed);
+    return static_cast<double>(hash >> 32U) / 4294967296.0;
+}
+
 /// Makes @p choice wait for room at @p upstream, whose service is brittle and where @p ownPlaces belong to this node.
 void awaitRoom(UpstreamChoice &choice, const Upstream &upstream, const UpstreamDemand &demand, unsigned ownPlaces,
                Instant now)
@@ -70,8 +88,7 @@
     if (choice.isLent)
         choice.sendAt = std::max(choice.sendAt, now + announcementDelay);
     // Nodes would lend each other the places of the same upstream at the same moment.
-    const auto hash = XXH3_64bits_withSeed(choice.instance.data(), choice.instance.size(), demand.spreadSeed);
-    choice.score += brittleSpreadMs * static_cast<double>(hash >> 32U) / 4294967296.0;
+    choice.score += brittleSpreadMs * spreadOf(upstream, demand);
 }
 
 bool hasUsableSoftware(const UpstreamRecord &record, const UpstreamDemand &demand)
@@ -96,18 +113,50 @@
     return demand.target.empty() ? cost.plainCrossRegionMs : cost.crossRegionMs;
 }
 
+/// Returns the time that an engine of usual speed takes for @p promptTokens and an event, in ms.
+double usualPauseMs(const UpstreamDemand &demand, double promptTokens)
+{
+    return demand.speed.stepMs * std::max(1U, demand.pace.tokensPerEvent)
+           + promptTokens / demand.speed.promptTokensPerMs;
+}
+
+/// Returns the longest pause of the streams of @p upstream, in ms, while it processes @p promptTokens.
+double pauseMs(const Upstream &upstream, const UpstreamDemand &demand, double promptTokens, Instant now)
+{
+    return slownessNow(upstream, demand.speed, now) * usualPauseMs(demand, promptTokens);
+}
+
+bool canStall(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
+{
+    return demand.pace.longestPause > Duration{} && upstream.inFlight() > 0 && upstream.capacity.isKnown(now);
+}
+
+/// Returns the penalty of an engine that is too slow for the prompt. Another one that serves the request in time, even
+/// if it has to wait for its turn there, costs less.
+double stallPenaltyMs(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
+{
+    if (!canStall(upstream, demand, now)
+        || pauseMs(upstream, demand, demand.promptTokens, now) <= stallFraction * msOf(demand.pace.longestPause))
+        return 0;
+    return std::clamp(msOf(std::min(demand.wantedBy, demand.latestSend) - now), 0.0, maxStallPenaltyMs);
+}
+
 double scoreOf(const Upstream &upstream, const UpstreamDemand &demand, Instant now, const DistanceCost &cost)
 {
     const auto &speed = demand.speed;
-    const double slots = std::max(1U, upstream.record.slots);
+    const double slots = upstream.usableSlots(now);
     const double inFlight = upstream.inFlight();
     const double distance = distanceMs(upstream, demand, cost);
+    const double slowness = slownessNow(upstream, speed, now);
     if (demand.target.empty())
-        return distance + speed.answerMs * std::floor(inFlight / slots) + inFlight / slots
-               + penaltyMs(upstream, demand, now);
+        return distance + speed.answerMs * (std::floor(inFlight / slots) + std::max(0.0, slowness - plainTolerance))
+               + inFlight / slots + penaltyMs(upstream, demand, now);
     const double queued = std::max(0.0, inFlight + 1 - slots);
-    return distance + penaltyMs(upstream, demand, now)
-           + slownessOf(upstream, speed)
+    const double ownMs
+        = upstream.capacity.isKnown(now) ? (slowness - 1) * usualPauseMs(demand, demand.promptTokens) : 0;
+    const double spread = upstream.capacity.isKnown(now) ? engineSpreadMs * spreadOf(upstream, demand) : 0;
+    return distance + spread + ownMs + penaltyMs(upstream, demand, now) + stallPenaltyMs(upstream, demand, now)
+           + slowness
                  * (upstream.prompts.sum(promptSpan, now) / speed.promptTokensPerMs
                     + inFlight * stepsPerRunningRequest * speed.stepMs + queued * speed.streamMs / slots);
 }
@@ -127,6 +176,27 @@
     return std::clamp(upstream.step.value() / speed.stepMs, minSlowness, maxSlowness);
 }
 
+double slownessNow(const Upstream &upstream, const Estimates::Speed &speed, Instant now)
+{
+    if (!upstream.capacity.isKnown(now))
+        return slownessOf(upstream, speed);
+    const double usualMs = upstream.residency.isEmpty() ? speed.answerMs : speed.stepMs;
+    const double learnt = upstream.capacity.slowness(usualMs, upstream.step.value(), now)
+                          * upstream.capacity.crowding(upstream.inFlight());
+    return std::clamp(std::max(learnt, overdueSlowness(upstream, speed, now)), minSlowness, maxSlowness);
+}
+
+double overdueSlowness(const Upstream &upstream, const Estimates::Speed &speed, Instant now)
+{
+    if (upstream.lastEventAt == Instant{} || upstream.ownInFlight == 0)
+        return 0;
+    const auto silence = now - upstream.lastEventAt;
+    const double tokens
+        = std::max(0.0, upstream.prompts.sum(silence + promptTransit, now) - upstream.prompts.sum({}, now));
+    return msOf(silence - eventJitter)
+           / (speed.stepMs * std::max(1U, upstream.tokensPerEvent) + tokens / speed.promptTokensPerMs);
+}
+
 double tokensWithinPause(const PromptPace &pace, const Estimates::Speed &speed, double slowness)
 {
     const double pauseMs = msOf(pace.longestPause);
@@ -169,9 +239,10 @@
         }
         if (!demand.target.empty() && demand.pace.longestPause > Duration{})
             choice.sendAt = upstream.prompts.earliestSendAt(
-                demand.promptTokens, tokensWithinPause(demand.pace, demand.speed, slownessOf(upstream, demand.speed)),
+                demand.promptTokens,
+                tokensWithinPause(demand.pace, demand.speed, slownessNow(upstream, demand.speed, now)),
                 demand.pace.longestPause, std::max(choice.sendAt, now));
-        choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.record.slots;
+        choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.usableSlots(now);
         if (demand.refusalsPerSecond)
             awaitRoom(choice, upstream, demand, ownPlaces, now);
         if (choice.isFull)
@@ -183,6 +254,15 @@
     return best;
 }
 
+bool wouldStall(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
+{
+    if (!canStall(upstream, demand, now))
+        return false;
+    const double later = upstream.prompts.sum({}, now);
+    const double tokens = upstream.prompts.sum(demand.pace.longestPause, now) - later;
+    return pauseMs(upstream, demand, tokens, now) > msOf(demand.pace.longestPause);
+}
+
 bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
                  const std::string *softwareVersion)
 {
@@ -267,7 +347,7 @@
     for (const auto &[instance, upstream] : table.all()) {
         if (upstream.record.service != service || !upstream.takesRequests(now))
             continue;
-        slots += upstream.record.slots;
+        slots += upstream.usableSlots(now);
         inFlight += upstream.inFlight();
     }
     return slots == 0 ? 1 : inFlight / slots;
@@ -278,7 +358,7 @@
     std::vector<std::string> holders;
     for (const auto &[instance, upstream] : table.all()) {
         const bool hasRoom = !upstream.isCutOff && upstream.backpressureUntil <= now
-                             && upstream.inFlight() < upstream.record.slots && !upstream.limitsRequests();
+                             && upstream.inFlight() < upstream.usableSlots(now) && !upstream.limitsRequests();
         if (!hasRoom && upstream.residency.find(target))
             holders.push_back(instance);
     }
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -20,6 +20,13 @@
 /// Returns the region of @p failureDomain; a domain that is not in @p regions is a region of its own. Thread-safe.
 const std::string &regionOf(const std::string &failureDomain, const Regions &regions);
 
+/// Time from the announcement of a prompt until its engine may begin to process it.
+inline constexpr Duration promptTransit = std::chrono::milliseconds{60};
+
+/// Part of the longest pause that a prompt may use with the streams' next event, as the engine may be slower than it is
+/// known to be.
+inline constexpr double stallFraction = 0.8;
+
 /// The limits on prompts that keep them from stalling the streams of an engine.
 struct PromptPace {
     Duration longestPause{}; ///< Longest pause of a stream between two events; zero: not bounded.
@@ -31,6 +38,14 @@
 /// one, below 1 for a faster one, and 1 without an estimate. Thread-safe.
 double slownessOf(const Upstream &upstream, const Estimates::Speed &speed);
 
+/// Returns the same by the samples of about the last second, or the duration of answers relative to @p speed for an
+/// upstream of a plain service. Without such samples, returns slownessOf(). Thread-safe.
+double slownessNow(const Upstream &upstream, const Estimates::Speed &speed, Instant now);
+
+/// Returns a lower bound of the slowness of @p upstream from the time for which all streams of this node there have
+/// been without an event; 0 if there are none. Thread-safe.
+double overdueSlowness(const Upstream &upstream, const Estimates::Speed &speed, Instant now);
+
 /// Returns the number of prompt tokens that an engine can process within @c longestPause without any of its streams
 /// pausing for longer. Thread-safe.
 double tokensWithinPause(const PromptPace &pace, const Estimates::Speed &speed, double slowness);
@@ -50,6 +65,7 @@
     double limitShare = 1; ///< Fraction of upstreams' request limits that the nodes in contact with this one may use.
     const std::string *softwareVersion = nullptr; ///< The upstream's must be this one; null if any may serve.
     std::set<std::string> heldVersions{}; ///< Software versions that may not serve.
+    Instant wantedBy = Instant::max(); ///< Time by which the first event serves the caller best.
     Instant latestSend = Instant::max(); ///< Upstreams that limit their requests are skipped if they are free later.
     bool isBehindCut = false; ///< Only upstreams that this node is cut off from, which serve the request of a peer.
     /// What the service states of being brittle: requests are sent only where there is room, see roomFor().
@@ -84,6 +100,11 @@
 std::optional<UpstreamChoice> chooseUpstream(const UpstreamTable &table, const UpstreamDemand &demand, Instant now,
                                              const DistanceCost &cost = {});
 
+/// Returns true if the prompt of @p demand, together with those that @p upstream already processes, would make its
+/// streams pause for too long by its recent samples; false without any. For a prompt that is due to be sent, and is
+/// among those that are recorded there. Thread-safe.
+bool wouldStall(const Upstream &upstream, const UpstreamDemand &demand, Instant now);
+
 /// Returns true if any upstream of @p service accepts requests of this node; of those of @p softwareVersion only, if it
 /// is not null. Thread-safe.
 bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
@@ -121,12 +142,13 @@
 std::optional<Instant> endOfRequestLimit(const UpstreamTable &table, const std::string &service, double limitShare,
                                          Instant now, const std::string *softwareVersion = nullptr);
 
-/// Returns the requests in flight per slot of the upstreams of @p service that accept requests: 1 if all slots are
+/// Returns the requests in flight per usable slot of the upstreams of @p service that accept requests: 1 if all are
 /// taken or there are none, more if requests queue. Thread-safe.
 double utilisationOf(const UpstreamTable &table, const std::string &service, Instant now);
 
-/// Returns the upstreams that hold a copy of @p target but cannot serve it now, because all their slots are taken, they
-/// apply backpressure to this node, they limit their requests, or this node is cut off from them. Thread-safe.
+/// Returns the upstreams that hold a copy of @p target but cannot serve it now, because all their usable slots are
+/// taken, they apply backpressure to this node, they limit their requests, or this node is cut off from them.
+/// Thread-safe.
 std::vector<std::string> saturatedEngines(const UpstreamTable &table, const ModelTarget &target, Instant now);
 
 /// Updates the failure ratio of @p upstream with the outcome of a request.
--- a/src/gateway/gatewaylog.h
+++ b/src/gateway/gatewaylog.h
@@ -56,6 +56,7 @@
     Answered,
     LoopLate,
     SpeedLearnt,
+    LimitLearnt,
     CallersUnanswered,
     RequestUnanswered,
     CutByExit,
@@ -69,7 +70,7 @@
 {
 
 template<>
-inline constexpr EnumTable<Gateway::GatewayEvent, 47> enumNames<Gateway::GatewayEvent>{{
+inline constexpr EnumTable<Gateway::GatewayEvent, 48> enumNames<Gateway::GatewayEvent>{{
     {Gateway::GatewayEvent::Started, "started"},
     {Gateway::GatewayEvent::Stopping, "stopping"},
     {Gateway::GatewayEvent::Stopped, "stopped"},
@@ -112,6 +113,7 @@
     {Gateway::GatewayEvent::Answered, "answered"},
     {Gateway::GatewayEvent::LoopLate, "loop_late"},
     {Gateway::GatewayEvent::SpeedLearnt, "speed_learnt"},
+    {Gateway::GatewayEvent::LimitLearnt, "limit_learnt"},
     {Gateway::GatewayEvent::CallersUnanswered, "callers_unanswered"},
     {Gateway::GatewayEvent::RequestUnanswered, "request_unanswered"},
     {Gateway::GatewayEvent::CutByExit, "cut_by_exit"},
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -298,7 +298,8 @@
     if (!report.steps.empty()) {
         json::array steps;
         for (const auto &step : report.steps)
-            steps.push_back({step.instance, rounded(step.stepMs)});
+            steps.push_back({step.instance, rounded(step.stepMs), rounded(step.recent.ms), rounded(step.recent.weight),
+                             step.age.count()});
         object["steps"] = std::move(steps);
     }
     if (!report.speeds.empty()) {
@@ -402,7 +403,8 @@
     eachRow(object, "changed_in_flight",
             [&](const json::array &row) { report.changedInFlight[textIn(row, 0)] = countIn(row, 1); });
     eachRow(object, "steps", [&](const json::array &row) {
-        report.steps.push_back({textIn(row, 0), figureIn(row, 1)});
+        report.steps.push_back(
+            {textIn(row, 0), figureIn(row, 1), {figureIn(row, 2), figureIn(row, 3)}, durationIn(row, 4)});
     });
     eachRow(object, "speeds", [&](const json::array &row) {
         report.speeds.push_back(
@@ -527,6 +529,8 @@
         brittleness.age += time;
     for (auto &contact : report.contacts)
         contact.age += time;
+    for (auto &step : report.steps)
+        step.age += time;
     for (auto &placement : report.placements)
         placement.usableIn = std::max(Duration{}, placement.usableIn - time);
 }
--- a/src/gateway/gatewaymessage.h
+++ b/src/gateway/gatewaymessage.h
@@ -77,10 +77,13 @@
     Duration age{}; ///< Time from Brittleness::asOf to the notice.
 };
 
-/// A node's estimate of an engine's speed.
+/// A node's estimates of an upstream's speed.
 struct StepNotice {
     std::string instance;
-    double stepMs = 0; ///< Milliseconds per token of a stream.
+    double stepMs = 0; ///< Milliseconds per token of a stream; 0 if there is no new estimate.
+    /// The node's samples since its last notice, of the upstream's speed; without weight if there are none.
+    Estimates::CapacityReport recent{};
+    Duration age{}; ///< Time from the samples to the notice.
 };
 
 /// A node's estimate of a service's speed.
@@ -126,7 +129,7 @@
     std::map<std::string, unsigned> inFlight; ///< Number of its in-flight requests, by upstream instance.
     bool hasInFlight = false; ///< True if @c inFlight replaces all counts reported before.
     std::map<std::string, unsigned> changedInFlight; ///< Changed counts; others stay as reported.
-    std::vector<StepNotice> steps; ///< Estimates updated since the last digest.
+    std::vector<StepNotice> steps; ///< Estimates updated since the last digest, or that have just changed.
     std::vector<SpeedNotice> speeds; ///< Sent in digests only.
     std::vector<SendNotice> sends;
     std::vector<CrashReport> crashes;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -124,6 +124,7 @@
         m_context.regions = settings.regions;
         m_context.maxBufferedAnswerBytes = settings.answerBufferBytes;
         m_context.allowance = RetryAllowance(retryBound(settings));
+        m_context.hasAdaptiveCapacity = settings.adaptiveCapacity;
         m_context.crashes = CrashLedger(settings.node);
         m_context.maxRelayedCalls = static_cast<std::size_t>(relayedCallsPerCapacity * settings.capacity);
         m_context.relayPeers = [this] { return m_members.relayPeers(BootClock{}.now()); };
@@ -151,11 +152,13 @@
             auto notice = report();
             notice.sends.push_back(send);
             addLoad(notice, send.instance);
+            CapacityLearner(m_context).addNews(notice, BootClock{}.now());
             broadcast(std::move(notice));
         };
         m_context.onLoadChanged = [this](const std::string &instance) {
             auto notice = report();
             addLoad(notice, instance);
+            CapacityLearner(m_context).addNews(notice, BootClock{}.now());
             broadcast(std::move(notice));
         };
         m_context.onMissing
@@ -824,6 +827,13 @@
         m_metrics.set(Metric::ViewAgeSeconds, age(m_lastPeerMessage), {{"view", "peers"}});
         for (const auto &service : m_context.allowance.services())
             m_metrics.set(Metric::RetriesLeft, m_context.allowance.left(service, now), {{"service", service}});
+        for (const auto &[service, spread] : capacitySpreads(m_context, now)) {
+            for (std::size_t i = 0; i < spreadNames.size(); ++i) {
+                const MetricLabels labels{{"service", service}, {"stat", spreadNames[i]}};
+                m_metrics.set(Metric::UpstreamSlowness, spread.slowness[i], labels);
+                m_metrics.set(Metric::UpstreamLimit, spread.limits[i], labels);
+            }
+        }
         exchange.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text(now)});
     }
 
@@ -1247,14 +1257,14 @@
                 = upstream.limitsRequests() || (limitAsOf != Instant{} && now - limitAsOf < limitNewsTime);
             if (isLimitNews && digest.limits.size() < maxLimits)
                 addLimit(digest, upstream, now);
-            if (std::exchange(upstream.ownStepSamples, 0) > 0)
-                digest.steps.push_back({instance, upstream.step.learnt()});
+            addStep(digest, upstream);
         }
         for (const auto &[service, brittleness] : m_context.upstreams.allBrittleness()) {
             if (brittleness.refusalsPerSecond || now - brittleness.asOf < limitNewsTime)
                 addBrittleness(digest, service, now);
         }
         logSpeeds(now);
+        logLimits(now);
         storeEstimates(now);
         for (const auto &[service, speed] : m_context.speeds) {
             if (const auto learnt = speed.learnt(); learnt != Estimates::EstimatedSpeed{0, 0, 0, 0})
@@ -1332,6 +1342,21 @@
         }
     }
 
+    /// Logs the upstreams whose learnt limit has changed much.
+    void logLimits(Instant now)
+    {
+        for (const auto &instance : takeLimitChanges(m_context.upstreams, now)) {
+            const auto &upstream = *m_context.upstreams.find(instance);
+            const auto speed = m_context.speeds[upstream.record.service].speed();
+            m_log.note(GatewayEvent::LimitLearnt,
+                       {{"upstream", instance},
+                        {"limit", std::to_string(upstream.usableSlots(now))},
+                        {"slots", std::to_string(upstream.record.slots)},
+                        {"slowness", std::to_string(slownessNow(upstream, speed, now))},
+                        {"in_flight", std::to_string(upstream.inFlight())}});
+        }
+    }
+
     /// Sends the use of targets since the last digest to the shards' holders, which place adapters by it.
     void sendUse(const std::vector<TargetDemand> &used)
     {
@@ -1486,10 +1511,8 @@
             if (released.shard < orderShards)
                 m_orders[released.shard]->onReleasedByOther({released.term, now - released.sinceLastOrder});
         }
-        for (const auto &step : report.steps) {
-            if (auto *upstream = m_context.upstreams.find(step.instance))
-                noteStep(*upstream, step.stepMs, now);
-        }
+        for (const auto &step : report.steps)
+            CapacityLearner(m_context).onNotice(step, now);
         for (const auto &estimate : report.speeds) {
             if (m_context.routes && m_context.routes->service(estimate.service))
                 m_context.speeds[estimate.service].onPeerReport(estimate.speed);
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -76,6 +76,7 @@
     reader.scalar("order_handover", Presence::Optional, settings.orderHandover, shortTimes);
     reader.scalar("stop_grace", Presence::Optional, settings.stopGrace, shortTimes);
     reader.scalar("entry_ttl", Presence::Optional, settings.entryTtl, shortTimes);
+    reader.scalar("adaptive_capacity", Presence::Optional, settings.adaptiveCapacity);
     reader.map("retries", Presence::Optional, [&](MapReader &map) { readRetries(map, settings); });
     reader.map("log", Presence::Optional, [&](MapReader &map) {
         map.scalar("level", Presence::Optional, settings.logLevel);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -41,6 +41,8 @@
     double retrySlack = 0; ///< Retries allowed in addition, over the whole fleet in one window.
     Duration retryWindow = std::chrono::seconds{10}; ///< Length of the sliding window in which retries are counted.
     Duration entryTtl = std::chrono::seconds{1}; ///< Time for which callers may cache the list of nodes.
+    /// Learns recent speeds and limits of upstreams; off only for comparison.
+    bool adaptiveCapacity = true;
     LogLevel logLevel = LogLevel::Info;
     LogFormat logFormat = LogFormat::Json;
 
--- a/src/gateway/residency.h
+++ b/src/gateway/residency.h
@@ -57,6 +57,12 @@
     /// Returns the copy of @p target, or null.
     const ResidentCopy *find(const ModelTarget &target) const;
 
+    /// Returns true if no copy is known, as of an upstream of a plain service.
+    bool isEmpty() const
+    {
+        return m_copies.empty();
+    }
+
     /// Calls @p take with each target and its copy.
     template<typename Take>
     void forEachCopy(Take &&take) const
--- a/src/gateway/upstreamtable.h
+++ b/src/gateway/upstreamtable.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "common/decayedrate.h"
 #include "estimates/stepestimate.h"
+#include "estimates/upstreamcapacity.h"
 #include "gateway/adaptercacheestimate.h"
 #include "gateway/promptwindow.h"
 #include "gateway/residency.h"
@@ -71,6 +72,12 @@
     double failureRatio = 0; ///< Decayed fraction of failed requests, 0 to 1.
     DecayedRate outcomes{outcomeHalfLife}; ///< Decayed number of requests behind failureRatio.
     Estimates::StepEstimate step; ///< Inter-token latency in ms.
+    Estimates::UpstreamCapacity capacity; ///< Without samples if adaptive capacity is off.
+    /// Last event of any stream of this node that goes on there; Instant{} after the end of any of its requests.
+    Instant lastEventAt{};
+    unsigned tokensPerEvent = 1; ///< Of these streams.
+    unsigned loggedLimit = 0; ///< Last logged usableSlots(); 0 if none was logged.
+    Instant limitLoggedAt{};
     unsigned ownStepSamples = 0; ///< Samples of this node in the estimate since it was last sent to other nodes.
     Instant waitingSince{}; ///< Since when a request has been waiting without any byte of any response arriving.
     bool isLeaving = false; ///< An answer has announced its departure, regardless of its record.
@@ -102,6 +109,12 @@
         return !record.draining && !isLeaving;
     }
 
+    /// Returns the number of requests that it handles well at once: its slots, or fewer if it was slow with them.
+    unsigned usableSlots(Instant now) const
+    {
+        return capacity.limit(record.slots > 0 ? record.slots : 1, now);
+    }
+
     /// Returns the number of in-flight requests from all nodes.
     unsigned inFlight() const
     {
--- a/src/report/metrics.cpp
+++ b/src/report/metrics.cpp
@@ -32,7 +32,7 @@
     const char *help;
 };
 
-constexpr std::array<Description, 27> descriptions{{
+constexpr std::array<Description, 29> descriptions{{
     {Metric::Requests, Kind::Counter, "gypsumtally_requests_total", "Requests that have ended."},
     {Metric::RequestSeconds, Kind::Histogram, "gypsumtally_request_seconds", "Time from arrival to the whole answer."},
     {Metric::FirstTokenSeconds, Kind::Histogram, "gypsumtally_first_token_seconds",
@@ -67,6 +67,10 @@
     {Metric::UnansweredRequests, Kind::Counter, "gypsumtally_unanswered_requests_total",
      "Requests that ended without a whole answer."},
     {Metric::Connections, Kind::Counter, "gypsumtally_connections_total", "Connections to upstreams and peers."},
+    {Metric::UpstreamSlowness, Kind::Gauge, "gypsumtally_upstream_slowness",
+     "Learnt times of a service's upstreams, relative to that of the service."},
+    {Metric::UpstreamLimit, Kind::Gauge, "gypsumtally_upstream_limit",
+     "Learnt limits of a service's upstreams, as fractions of their slots."},
     {Metric::RelayedCalls, Kind::Counter, "gypsumtally_relayed_calls_total", "Calls passed between nodes."},
 }};
 
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -39,6 +39,8 @@
     CallerLosses, ///< Requests and connections of callers that were left unanswered. Label: kind.
     UnansweredRequests, ///< Requests that ended without a whole answer. Labels: from, cause.
     Connections, ///< To upstreams and peers. Label: outcome.
+    UpstreamSlowness, ///< Learnt; the smallest, the median and the largest of a service. Labels: service, stat.
+    UpstreamLimit, ///< Learnt, as a fraction of the slots. Labels: service, stat.
     RelayedCalls, ///< Calls passed between nodes. Labels: direction, verdict.
 };
 
