Recent speeds: news until the fleet knows, own stalls left out, tests

Cause: the first report of a change kept other nodes' samples of it back, so that nodes without streams there took half of the change. Pauses that a node's own stall caused counted as an engine's.

Change: samples are news while they differ from what the reports add up to. Samples that span a late tick are left out. The choice expects more slowness of silent streams, and of requests since the samples in the score only.

--- a/src/estimates/fastestimate.cpp
+++ b/src/estimates/fastestimate.cpp
@@ -13,6 +13,7 @@
 /// Ratio to the mean from which a sample deviates; engines with prompts that are not known of vary by less.
 const double deviation = std::log(1.35);
 const double maxDeviation = std::log(4.0); ///< Bounds the effect of one sample, such as one after a stalled process.
+constexpr double maxWeight = 8; ///< Lets the estimate of a busy upstream fade as fast as that of others.
 constexpr double convincingWeight = 2; ///< Of deviating samples that replace older ones.
 constexpr double replacedWeight = 0.2; ///< Weight that older samples keep then.
 
@@ -37,7 +38,7 @@
     if (std::abs(m_deviating) >= convincingWeight)
         kept = std::min(kept, replacedWeight);
     m_mean += difference * weight / (kept + weight);
-    m_weight = kept + weight;
+    m_weight = std::min(kept + weight, maxWeight);
     m_updated = std::max(m_updated, now);
 }
 
@@ -48,8 +49,12 @@
 
 double FastEstimate::weight(Instant now) const
 {
-    const double seconds = std::max(0.0, std::chrono::duration<double>(now - m_updated).count());
-    return m_weight * std::exp(-seconds / timeConstantSeconds);
+    return m_weight * faded(now - m_updated);
+}
+
+double FastEstimate::faded(Duration age)
+{
+    return std::exp(-std::max(0.0, std::chrono::duration<double>(age).count()) / timeConstantSeconds);
 }
 
 } // namespace Gypsumtally::Estimates
--- a/src/estimates/fastestimate.h
+++ b/src/estimates/fastestimate.h
@@ -26,6 +26,9 @@
     /// Returns the sum of the samples' weights, faded until @p now; 0 if there were none.
     double weight(Instant now) const;
 
+    /// Returns the fraction of its weight that a sample of @p age has.
+    static double faded(Duration age);
+
     /// Returns the time of the newest sample; Instant{} if there was none.
     Instant lastSampleAt() const
     {
--- a/src/estimates/upstreamcapacity.cpp
+++ b/src/estimates/upstreamcapacity.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr double anchorWeight = 0.5; ///< Of the lasting estimate, in samples.
+constexpr double anchorWeight = 0.2; ///< Of the lasting estimate, in samples.
 constexpr double anchorFadingSeconds = 1.5; ///< Time constant with which the lasting estimate fades without samples.
 constexpr double vagueRatio = 1.2; ///< Width of a sample's range from which it may only confirm the estimate.
 constexpr double confirmationWeight = 0.1;
@@ -21,6 +21,7 @@
 /// Bound on the expected effect of requests since the samples. Step times are presumed to grow in proportion to the
 /// requests: nodes that know of a fast upstream would otherwise all send to it until its samples show that.
 constexpr double maxCrowding = 2;
+constexpr double minStrainWeight = 2; ///< Samples without which the limit is not lowered.
 constexpr double decrease = 0.8;
 constexpr unsigned leastShare = 4; ///< The limit stays above the slots divided by this, so that sampling goes on.
 constexpr double increasesToSlots = 8; ///< Increases from none to all slots.
@@ -44,37 +45,34 @@
     m_estimate.add(ms, weight, now);
     m_pendingLogs += weight * std::log(ms);
     m_pendingWeight += weight;
+    m_lastOwnAt = now;
 }
 
 void UpstreamCapacity::addReported(const CapacityReport &report, Duration age, Instant now)
 {
     if (!(report.ms > 0) || !(report.weight > 0))
         return;
-    const FastEstimate aged = [&] {
-        FastEstimate estimate;
-        estimate.add(report.ms, std::min(report.weight, maxReportWeight), now - std::max(Duration{}, age));
-        return estimate;
-    }();
-    m_estimate.add(report.ms, aged.weight(now), now);
-    m_reportedMs = report.ms;
+    const double weight = std::min(report.weight, maxReportWeight) * FastEstimate::faded(age);
+    m_estimate.add(report.ms, weight, now);
+    m_reported.add(report.ms, weight, now);
 }
 
 bool UpstreamCapacity::hasNews() const
 {
     if (m_pendingWeight < minNewsWeight)
         return false;
-    return m_reportedMs == 0
-           || std::abs(m_pendingLogs / m_pendingWeight - std::log(m_reportedMs)) > std::log(newsRatio);
+    return m_reported.value() == 0
+           || std::abs(m_pendingLogs / m_pendingWeight - m_reported.logarithm()) > std::log(newsRatio);
 }
 
-std::optional<CapacityReport> UpstreamCapacity::takeReport()
+std::optional<CapacityReport> UpstreamCapacity::takeReport(Instant now)
 {
     if (m_pendingWeight == 0)
         return std::nullopt;
     const CapacityReport report{std::exp(m_pendingLogs / m_pendingWeight), std::min(m_pendingWeight, maxReportWeight)};
     m_pendingLogs = 0;
     m_pendingWeight = 0;
-    m_reportedMs = report.ms;
+    m_reported.add(report.ms, report.weight, now);
     return report;
 }
 
@@ -106,7 +104,7 @@
 {
     m_sampledInFlight
         = m_sampledInFlight < 0 ? inFlight : m_sampledInFlight + inFlightWeight * (inFlight - m_sampledInFlight);
-    const bool isStrained = strain > 1;
+    const bool isStrained = strain > 1 && m_estimate.weight(now) >= minStrainWeight;
     if (isStrained)
         m_strainedAt = now;
     if (m_limiter && m_slots != slots)
--- a/src/estimates/upstreamcapacity.h
+++ b/src/estimates/upstreamcapacity.h
@@ -30,12 +30,18 @@
     /// Adds another node's report, made @p age ago.
     void addReported(const CapacityReport &report, Duration age, Instant now);
 
-    /// Returns true if this node's samples differ from what the nodes last reported, so that the others should get them
+    /// Returns true if this node's samples differ from what the nodes have reported, so that the others should get them
     /// without delay.
     bool hasNews() const;
 
     /// Returns this node's samples since the last call; nothing if there were none.
-    std::optional<CapacityReport> takeReport();
+    std::optional<CapacityReport> takeReport(Instant now);
+
+    /// Returns the time of this node's newest sample; Instant{} if there was none.
+    Instant lastOwnAt() const
+    {
+        return m_lastOwnAt;
+    }
 
     /// Returns true if there was a sample within fadingTime.
     bool isKnown(Instant now) const;
@@ -62,7 +68,8 @@
     FastEstimate m_estimate;
     double m_pendingLogs = 0; ///< Weighted sum of the logarithms of samples that were not reported.
     double m_pendingWeight = 0;
-    double m_reportedMs = 0; ///< Last report of any node, this one included.
+    Instant m_lastOwnAt{};
+    FastEstimate m_reported; ///< From the reports of all nodes, this one included: what the others know.
     std::optional<ConcurrencyLimiter> m_limiter; ///< Nothing before the first strain.
     unsigned m_slots = 0; ///< That the limiter was made for.
     Instant m_strainedAt{};
--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -42,6 +42,8 @@
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
     bool hasAdaptiveCapacity = true; ///< Learns recent speeds and limits of upstreams; see Upstream::capacity.
+    Instant lastTickAt{}; ///< Of this node's loop, which ticks at short intervals.
+    Instant stalledAt{}; ///< End of the last interval between ticks that was much longer: the node read nothing then.
     /// By service: the slowness of an upstream up to which callers get what they need.
     std::map<std::string, double> tolerableSlowness;
     RetryAllowance allowance{RetryBound{}};
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1090,7 +1090,9 @@
             return std::nullopt;
         const auto it = m_context.upstreams.all().find(call.reservation->instance);
         if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || now < it->second.avoidUntil
-            || it->second.inFlight() >= it->second.usableSlots(now) || wouldStall(it->second, demandOf(call, now), now)
+            || it->second.inFlight()
+                   >= (call.request.target.empty() ? it->second.record.slots : it->second.usableSlots(now))
+            || wouldStall(it->second, demandOf(call, now), now)
             || !keepsRequestLimit(it->second, *call.reservation, now)
             || (call.reservation->isLent && !isStillLent(it->second, m_context.node, now)))
             return std::nullopt;
--- a/src/gateway/capacitylearner.cpp
+++ b/src/gateway/capacitylearner.cpp
@@ -17,6 +17,8 @@
 /// Time of a plain answer, relative to that of an uncrowded upstream of its service, up to which callers get what they
 /// can expect of the service.
 constexpr double tolerablePlainSlowness = 2;
+/// Slowness up to which an upstream counts as usual, as answer times of one service scatter.
+constexpr double minTolerablePlainSlowness = 1.5;
 constexpr double overdueRatio = 1.35; ///< Slowness from a silence, relative to the learnt one, that makes it a sample.
 constexpr double loggedLimitChange = 0.3; ///< Change of a limit that is logged, as a fraction of the slots.
 constexpr Duration limitLogInterval = std::chrono::seconds{5}; ///< Of one upstream.
@@ -51,6 +53,20 @@
 
 } // namespace
 
+void CapacityLearner::onTick(Instant now)
+{
+    const auto before = std::exchange(m_context.lastTickAt, now);
+    if (before != Instant{} && now - before > maxTickInterval)
+        m_context.stalledAt = now;
+}
+
+/// Returns true if the loop has not run at some time from @p since on.
+bool CapacityLearner::wasStalled(Instant since, Instant now) const
+{
+    return m_context.stalledAt > since
+           || (m_context.lastTickAt != Instant{} && now - m_context.lastTickAt > maxTickInterval);
+}
+
 void CapacityLearner::onFirstEvent(const LearntCall &call, const CallSend &send, Instant now)
 {
     const auto *upstream = m_context.upstreams.find(send.instance);
@@ -81,7 +97,7 @@
     const auto mean = (before + last) / 2;
     notePause(*upstream, mean, call.tokensPerEvent, now);
     m_context.speeds[call.service].onPause(mean, call.tokensPerEvent, now);
-    if (m_context.hasAdaptiveCapacity)
+    if (m_context.hasAdaptiveCapacity && !wasStalled(now - last - pause, now))
         learnCapacity(call, *upstream, last + pause, now);
 }
 
@@ -106,7 +122,7 @@
 /// Takes the silence of streams as a sample if it shows that the engine is slower than it was.
 void CapacityLearner::noteOverdue(Upstream &upstream, Instant now)
 {
-    if (upstream.lastEventAt == Instant{} || !upstream.capacity.isKnown(now))
+    if (upstream.lastEventAt == Instant{} || !upstream.capacity.isKnown(now) || wasStalled(upstream.lastEventAt, now))
         return;
     const auto speed = m_context.speeds[upstream.record.service].speed();
     const double overdue = overdueSlowness(upstream, speed, now);
@@ -129,12 +145,12 @@
 {
     m_context.speeds[call.service].onAnswer(now - send.sentAt, now);
     auto *upstream = m_context.upstreams.find(send.instance);
-    if (!upstream || !m_context.hasAdaptiveCapacity)
+    if (!upstream || !m_context.hasAdaptiveCapacity || wasStalled(send.sentAt, now))
         return;
     const auto &speed = m_context.speeds[call.service];
     if (const double uncrowdedMs = speed.uncrowdedAnswerMs(); uncrowdedMs > 0)
         m_context.tolerableSlowness[call.service]
-            = std::max(minTolerableSlowness, tolerablePlainSlowness * uncrowdedMs / speed.speed().answerMs);
+            = std::max(minTolerablePlainSlowness, tolerablePlainSlowness * uncrowdedMs / speed.speed().answerMs);
     const double answerMs = msOf(now - send.sentAt);
     upstream->capacity.addOwn(answerMs, answerMs, 1, now);
     adjustLimit(*upstream, now);
@@ -170,15 +186,14 @@
                                   std::max(1U, upstream.record.slots), now);
 }
 
-void addStep(NodeReport &digest, Upstream &upstream)
+void addStep(NodeReport &digest, Upstream &upstream, Instant now)
 {
     const bool hasOwnSamples = std::exchange(upstream.ownStepSamples, 0) > 0;
-    const auto recent = upstream.capacity.takeReport();
+    const auto recent = upstream.capacity.takeReport(now);
     if (hasOwnSamples || recent)
-        digest.steps.push_back({upstream.record.instance,
-                                hasOwnSamples ? upstream.step.learnt() : 0,
+        digest.steps.push_back({upstream.record.instance, hasOwnSamples ? upstream.step.learnt() : 0,
                                 recent.value_or(Estimates::CapacityReport{}),
-                                {}});
+                                recent ? now - upstream.capacity.lastOwnAt() : Duration{}});
 }
 
 void CapacityLearner::addNews(NodeReport &report, Instant now)
@@ -188,7 +203,7 @@
             return;
         noteOverdue(upstream, now);
         if (upstream.capacity.hasNews())
-            addStep(report, upstream);
+            addStep(report, upstream, now);
     }
 }
 
--- a/src/gateway/capacitylearner.h
+++ b/src/gateway/capacitylearner.h
@@ -28,6 +28,10 @@
     {
     }
 
+    /// Records that the node's loop runs. Pauses during which it did not are no samples of recent speeds. To be called
+    /// at intervals well under maxTickInterval, or never.
+    void onTick(Instant now);
+
     /// Learns from the first event of a stream that this call began.
     void onFirstEvent(const LearntCall &call, const CallSend &send, Instant now);
 
@@ -57,6 +61,10 @@
 private:
     static constexpr std::size_t maxNewsSteps = 4; ///< Bounds the growth of reports.
 
+    /// Interval between ticks from which pauses are lengthened noticeably by this node itself.
+    static constexpr Duration maxTickInterval = std::chrono::milliseconds{100};
+
+    bool wasStalled(Instant since, Instant now) const;
     void noteOverdue(Upstream &upstream, Instant now);
     void learnCapacity(const LearntCall &call, Upstream &upstream, Duration pause, Instant now);
     void adjustLimit(Upstream &upstream, Instant now);
@@ -65,7 +73,7 @@
 };
 
 /// Adds this node's news of @p upstream to a digest.
-void addStep(NodeReport &digest, Upstream &upstream);
+void addStep(NodeReport &digest, Upstream &upstream, Instant now);
 
 /// The smallest, the middle and the largest of the learnt figures of a service's upstreams.
 struct CapacitySpread {
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -32,6 +32,7 @@
 constexpr double stepsPerRunningRequest = 0.15; ///< Delay of a new request by each running one, in steps.
 /// Fraction of the prompt pace to use. The rest is a reserve for prompts that two nodes send at the same moment.
 constexpr double usablePaceFraction = 0.95;
+constexpr Duration maxSlowSilence = std::chrono::seconds{1}; ///< Longer ones have other causes, such as a cut.
 /// Longest usual delay of an event by the network and by other work of this node.
 constexpr Duration eventJitter = std::chrono::milliseconds{20};
 /// Longest penalty of an engine on which a prompt of that size makes streams pause for too long.
@@ -123,7 +124,7 @@
 /// Returns the longest pause of the streams of @p upstream, in ms, while it processes @p promptTokens.
 double pauseMs(const Upstream &upstream, const UpstreamDemand &demand, double promptTokens, Instant now)
 {
-    return slownessNow(upstream, demand.speed, now) * usualPauseMs(demand, promptTokens);
+    return expectedSlowness(upstream, demand.speed, now) * usualPauseMs(demand, promptTokens);
 }
 
 bool canStall(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
@@ -147,13 +148,13 @@
     const double slots = upstream.usableSlots(now);
     const double inFlight = upstream.inFlight();
     const double distance = distanceMs(upstream, demand, cost);
-    const double slowness = slownessNow(upstream, speed, now);
+    const double slowness = expectedSlowness(upstream, speed, now);
     if (demand.target.empty())
         return distance + speed.answerMs * (std::floor(inFlight / slots) + std::max(0.0, slowness - plainTolerance))
                + inFlight / slots + penaltyMs(upstream, demand, now);
     const double queued = std::max(0.0, inFlight + 1 - slots);
-    const double ownMs
-        = upstream.capacity.isKnown(now) ? (slowness - 1) * usualPauseMs(demand, demand.promptTokens) : 0;
+    const double crowded = slowness * upstream.capacity.crowding(upstream.inFlight());
+    const double ownMs = upstream.capacity.isKnown(now) ? (crowded - 1) * usualPauseMs(demand, demand.promptTokens) : 0;
     const double spread = upstream.capacity.isKnown(now) ? engineSpreadMs * spreadOf(upstream, demand) : 0;
     return distance + spread + ownMs + penaltyMs(upstream, demand, now) + stallPenaltyMs(upstream, demand, now)
            + slowness
@@ -181,9 +182,15 @@
     if (!upstream.capacity.isKnown(now))
         return slownessOf(upstream, speed);
     const double usualMs = upstream.residency.isEmpty() ? speed.answerMs : speed.stepMs;
-    const double learnt = upstream.capacity.slowness(usualMs, upstream.step.value(), now)
-                          * upstream.capacity.crowding(upstream.inFlight());
-    return std::clamp(std::max(learnt, overdueSlowness(upstream, speed, now)), minSlowness, maxSlowness);
+    return std::clamp(upstream.capacity.slowness(usualMs, upstream.step.value(), now), minSlowness, maxSlowness);
+}
+
+double expectedSlowness(const Upstream &upstream, const Estimates::Speed &speed, Instant now)
+{
+    const double slowness = slownessNow(upstream, speed, now);
+    if (!upstream.capacity.isKnown(now))
+        return slowness;
+    return std::clamp(std::max(slowness, overdueSlowness(upstream, speed, now)), minSlowness, maxSlowness);
 }
 
 double overdueSlowness(const Upstream &upstream, const Estimates::Speed &speed, Instant now)
@@ -191,6 +198,8 @@
     if (upstream.lastEventAt == Instant{} || upstream.ownInFlight == 0)
         return 0;
     const auto silence = now - upstream.lastEventAt;
+    if (silence > maxSlowSilence)
+        return 0;
     const double tokens
         = std::max(0.0, upstream.prompts.sum(silence + promptTransit, now) - upstream.prompts.sum({}, now));
     return msOf(silence - eventJitter)
@@ -240,7 +249,7 @@
         if (!demand.target.empty() && demand.pace.longestPause > Duration{})
             choice.sendAt = upstream.prompts.earliestSendAt(
                 demand.promptTokens,
-                tokensWithinPause(demand.pace, demand.speed, slownessNow(upstream, demand.speed, now)),
+                tokensWithinPause(demand.pace, demand.speed, expectedSlowness(upstream, demand.speed, now)),
                 demand.pace.longestPause, std::max(choice.sendAt, now));
         choice.isFull = !demand.target.empty() && upstream.inFlight() >= upstream.usableSlots(now);
         if (demand.refusalsPerSecond)
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -42,6 +42,10 @@
 /// upstream of a plain service. Without such samples, returns slownessOf(). Thread-safe.
 double slownessNow(const Upstream &upstream, const Estimates::Speed &speed, Instant now);
 
+/// Returns slownessNow(), or more if streams of this node have been without an event for longer than that explains.
+/// Thread-safe.
+double expectedSlowness(const Upstream &upstream, const Estimates::Speed &speed, Instant now);
+
 /// Returns a lower bound of the slowness of @p upstream from the time for which all streams of this node there have
 /// been without an event; 0 if there are none. Thread-safe.
 double overdueSlowness(const Upstream &upstream, const Estimates::Speed &speed, Instant now);
--- a/src/gateway/gatewaymessage.cpp
+++ b/src/gateway/gatewaymessage.cpp
@@ -297,9 +297,14 @@
     }
     if (!report.steps.empty()) {
         json::array steps;
-        for (const auto &step : report.steps)
+        for (const auto &step : report.steps) {
+            if (step.recent.weight <= 0) {
+                steps.push_back({step.instance, rounded(step.stepMs)});
+                continue;
+            }
             steps.push_back({step.instance, rounded(step.stepMs), rounded(step.recent.ms), rounded(step.recent.weight),
                              step.age.count()});
+        }
         object["steps"] = std::move(steps);
     }
     if (!report.speeds.empty()) {
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -913,6 +913,7 @@
         if (m_lastTick != Instant{} && now - m_lastTick > tickInterval + lateTickDelay)
             m_log.note(GatewayEvent::LoopLate, {{"ms", std::to_string((now - m_lastTick).count() / 1000)}});
         m_tickBefore = std::exchange(m_lastTick, now);
+        CapacityLearner(m_context).onTick(now);
         m_context.upstreams.sweep(now);
         tickReach(now);
         m_store.sweep(now);
@@ -1257,7 +1258,7 @@
                 = upstream.limitsRequests() || (limitAsOf != Instant{} && now - limitAsOf < limitNewsTime);
             if (isLimitNews && digest.limits.size() < maxLimits)
                 addLimit(digest, upstream, now);
-            addStep(digest, upstream);
+            addStep(digest, upstream, now);
         }
         for (const auto &[service, brittleness] : m_context.upstreams.allBrittleness()) {
             if (brittleness.refusalsPerSecond || now - brittleness.asOf < limitNewsTime)
--- a/src/gateway/upstreamroom.cpp
+++ b/src/gateway/upstreamroom.cpp
@@ -37,7 +37,7 @@
 
 unsigned roomOf(const Upstream &upstream, Instant now)
 {
-    const auto slots = upstream.usableSlots(now);
+    const auto slots = std::max(1U, upstream.record.slots);
     if (upstream.refusedAt == Instant{})
         return slots;
     const auto regrown = std::max<Duration::rep>(0, (now - upstream.refusedAt) / regrowthTime);
--- a/src/gateway/upstreamroom.h
+++ b/src/gateway/upstreamroom.h
@@ -46,8 +46,8 @@
     Full,
 };
 
-/// Returns the number of requests that @p upstream can take at once: its usable slots, or fewer after it has refused
-/// requests for want of room. Thread-safe.
+/// Returns the number of requests that @p upstream can take at once: its slots, or fewer after it has refused requests
+/// for want of room. Thread-safe.
 unsigned roomOf(const Upstream &upstream, Instant now);
 
 /// Returns the room of @p upstream for another request of @p node, which has @p ownPlaces there. Places are lent only
--- a/tests/gateway/capacitylearnertest.cpp
+++ b/tests/gateway/capacitylearnertest.cpp
@@ -271,7 +271,7 @@
         for (auto &[instance, upstream] : m_contexts[node].upstreams.all()) {
             if (upstream.ownInFlight > 0)
                 report.inFlight[instance] = upstream.ownInFlight;
-            addStep(report, upstream);
+            addStep(report, upstream, m_now);
         }
         report.speeds.push_back({"s", m_contexts[node].speeds["s"].learnt()});
         deliver(node, std::move(report));
@@ -426,3 +426,115 @@
                   lasting.pausedShare());
     cr_assert_leq(learnt.lateShare(), learnt.pausedShare() + maxFurtherLoss, "%f", learnt.lateShare());
 }
+
+namespace
+{
+
+const FleetCase steady{"15 nodes, steady", 15, 24, 1, std::chrono::seconds{4}, 0, 3.9};
+
+/// Returns the streams sent to the first engine and to each on average during the next @p time.
+std::pair<double, double> sendsDuring(Fleet &fleet, Instant &now, Duration time)
+{
+    double before = fleet.engine(0).sends;
+    double all = 0;
+    for (unsigned index = 0; index < steady.engines; ++index)
+        all -= fleet.engine(index).sends;
+    fleet.runUntil(now += time);
+    for (unsigned index = 0; index < steady.engines; ++index)
+        all += fleet.engine(index).sends;
+    return {fleet.engine(0).sends - before, all / steady.engines};
+}
+
+} // namespace
+
+/// Guards against an engine that is avoided long after it was slow, and against one that is never tried again.
+Test(CapacityLearner, returnsToAnEngineWithinThreeSecondsAndNeverStarvesIt)
+{
+    Fleet fleet(steady, Knowledge::Learnt, 1);
+    auto now = start;
+    sendsDuring(fleet, now, std::chrono::seconds{3});
+    fleet.engine(0).usual = 4;
+    int idle = 0; // Half seconds without a request there.
+    for (int i = 0; i < 40; ++i) {
+        sendsDuring(fleet, now, std::chrono::milliseconds{500});
+        idle = fleet.engine(0).streams.empty() ? idle + 1 : 0;
+        cr_assert_leq(idle, 8);
+    }
+    const auto [slowSent, slowAverage] = sendsDuring(fleet, now, std::chrono::seconds{5});
+    cr_assert_leq(slowSent, slowAverage / 2, "%f of %f", slowSent, slowAverage);
+    fleet.engine(0).usual = 1;
+    sendsDuring(fleet, now, std::chrono::seconds{3});
+    const auto [sent, average] = sendsDuring(fleet, now, std::chrono::seconds{3});
+    cr_assert_geq(sent, average / 2, "%f of %f", sent, average);
+    for (unsigned node = 0; node < steady.nodes; ++node)
+        cr_assert_leq(fleet.assumed(node, 0), 1.6, "%f", fleet.assumed(node, 0));
+}
+
+/// Guards against answer times of plain upstreams that are learnt, but don't keep requests from a slow one.
+Test(CapacityLearner, plainServiceAvoidsSlowUpstreamAndLimitsCrowdedOne)
+{
+    CallContext context;
+    CapacityLearner learner(context);
+    for (const auto *instance : {"crowded", "sound", "sound2"}) {
+        UpstreamRecord record;
+        record.instance = instance;
+        record.service = "p";
+        record.slots = 6;
+        context.upstreams.onRecord(record, start);
+    }
+    const LearntCall call{"p", {}};
+    auto *crowded = context.upstreams.find("crowded");
+    auto now = start;
+    for (; now < start + std::chrono::seconds{2}; now += std::chrono::milliseconds{20}) {
+        for (const auto *instance : {"crowded", "sound", "sound2"}) {
+            CallSend send;
+            send.instance = instance;
+            send.sentAt = now - std::chrono::milliseconds{instance == std::string("crowded") ? 60 : 15};
+            crowded->ownInFlight = 6;
+            learner.onAnswer(call, send, now);
+        }
+    }
+    cr_assert_gt(slownessNow(*crowded, context.speeds["p"].speed(), now), 3);
+    cr_assert_leq(crowded->usableSlots(now), 3U);
+    cr_assert_eq(context.upstreams.find("sound")->usableSlots(now), 6U);
+    crowded->ownInFlight = 0;
+    UpstreamDemand demand{"p", {}, 0, "", nullptr, {}, 0, {}, {}};
+    demand.speed = context.speeds["p"].speed();
+    cr_assert_neq(chooseUpstream(context.upstreams, demand, now)->instance, std::string("crowded"));
+    // Another process of the instance is not known to be slow.
+    auto successor = crowded->record;
+    successor.startedAt = 7;
+    context.upstreams.onRecord(successor, now);
+    cr_assert_eq(crowded->usableSlots(now), 6U);
+    cr_assert_eq(slownessNow(*crowded, demand.speed, now), 1);
+}
+
+/// Guards against samples from pauses that a stall of this node has caused.
+Test(CapacityLearner, ignoresPausesOfAStalledNode)
+{
+    CallContext context;
+    CapacityLearner learner(context);
+    UpstreamRecord record;
+    record.instance = "e";
+    record.service = "s";
+    record.targets = {{"m/a", 1}};
+    context.upstreams.onRecord(record, start);
+    CallSend send;
+    send.instance = "e";
+    const LearntCall call{"s", "m/a", 1460, false, longestPause, tokensPerEvent};
+    auto now = start;
+    const auto runFor = [&](Duration pause, int events, Duration tickGap) {
+        for (int i = 0; i < events; ++i) {
+            now += pause;
+            if (tickGap <= pause)
+                learner.onTick(now);
+            learner.onEvent(call, send, pause, now);
+        }
+    };
+    learner.onTick(now);
+    runFor(std::chrono::milliseconds{60}, 30, std::chrono::milliseconds{50});
+    const double before = slownessNow(*context.upstreams.find("e"), context.speeds["s"].speed(), now);
+    runFor(std::chrono::milliseconds{400}, 3, std::chrono::milliseconds{400});
+    const double after = slownessNow(*context.upstreams.find("e"), context.speeds["s"].speed(), now);
+    cr_assert_leq(after, 1.5 * before, "%f after %f", after, before);
+}
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -415,3 +415,57 @@
                   "%s, upstream %s", binding.name, state.name);
     }
 }
+
+namespace
+{
+
+/// Both engines run streams, and the prompt alone takes 73 ms at usual speed.
+struct StallCase {
+    const char *name;
+    double nearStepMs; ///< Recent samples of the near engine; 0: none.
+    double farPromptTokens; ///< Makes the far engine wait.
+    Duration wantedIn; ///< Time until the first event is late.
+    const char *chosen;
+};
+
+const StallCase stalls[] = {
+    {"no samples", 0, 0, std::chrono::seconds{1}, "near"},
+    {"usual speed", 10, 0, std::chrono::seconds{1}, "near"},
+    {"too slow for the prompt", 27, 0, std::chrono::seconds{1}, "far"},
+    {"the other one serves in time", 27, 6000, std::chrono::seconds{1}, "far"},
+    {"the other one is too late", 27, 6000, std::chrono::milliseconds{10}, "near"},
+};
+
+} // namespace
+
+/// Guards against prompts that make the streams of a slow engine pause for too long while another one could serve them.
+TABLE_TEST(EngineChoice, usesEngineThatIsTooSlowForThePromptOnlyIfNoOtherServesInTime, stalls)
+{
+    auto table = twoEngines();
+    for (auto &[instance, upstream] : table.all())
+        upstream.ownInFlight = 2;
+    for (int i = 0; i < 20; ++i)
+        table.find("near")->capacity.addOwn(row.nearStepMs, row.nearStepMs, 1, now);
+    if (row.farPromptTokens > 0)
+        table.find("far")->prompts.add(row.farPromptTokens, now, now);
+    auto paced = demand;
+    paced.promptTokens = 1460;
+    paced.pace = {std::chrono::milliseconds{300}, 4};
+    paced.wantedBy = now + row.wantedIn;
+    cr_assert_eq(chooseUpstream(table, paced, now)->instance, std::string(row.chosen));
+}
+
+/// Guards against a prompt whose reserved time comes when its engine has become slow.
+Test(EngineChoice, knowsThatAReservedPromptWouldStallStreams)
+{
+    auto table = twoEngines();
+    auto *engine = table.find("near");
+    engine->ownInFlight = 2;
+    engine->prompts.add(1460, now, now);
+    auto paced = demand;
+    paced.pace = {std::chrono::milliseconds{300}, 4};
+    cr_assert_not(wouldStall(*engine, paced, now));
+    for (int i = 0; i < 20; ++i)
+        engine->capacity.addOwn(40, 40, 1, now);
+    cr_assert(wouldStall(*engine, paced, now));
+}
--- a/tests/gateway/gatewaymessagetest.cpp
+++ b/tests/gateway/gatewaymessagetest.cpp
@@ -22,7 +22,7 @@
     report.hasInFlight = true;
     report.inFlight["e1"] = 3;
     report.changedInFlight["e6"] = 4;
-    report.steps = {{"e1", 13.2}};
+    report.steps = {{"e1", 13.2}, {"e2", 0, {25.5, 2.5}, std::chrono::milliseconds{30}}};
     report.released = {{1, 7, std::chrono::milliseconds{-30}}};
     report.speeds = {{"s", {10.25, 20.5, 1500, 0}}};
     report.sends = {{"e1", 1110, std::chrono::milliseconds{40}}, {"e7", 0, std::chrono::milliseconds{-5}, -1}};
@@ -82,7 +82,11 @@
     cr_assert(report.ordering == sent.ordering);
     cr_assert_eq(report.inFlight.at("e1"), 3U);
     cr_assert_eq(report.changedInFlight.at("e6"), 4U);
+    cr_assert_eq(report.steps.size(), 2U);
     cr_assert_eq(report.steps.front().stepMs, 13.2);
+    cr_assert_eq(report.steps.front().recent.weight, 0); // As nodes of the previous build report.
+    cr_assert(report.steps.back().recent == sent.steps.back().recent);
+    cr_assert(report.steps.back().age == sent.steps.back().age);
     cr_assert_eq(report.released.size(), 1U);
     cr_assert_eq(report.released.front().shard, 1U);
     cr_assert_eq(report.released.front().term, 7U);
@@ -298,12 +302,13 @@
 /// Returns a message in which each number is @p figure.
 std::string messageOf(const std::string &figure)
 {
-    auto text = std::string(R"({"sender":"n","reports":[{"from":{"node":"m","started":#},"sequence":#,)")
-                + R"("in_flight":[["u",#]],"changed_in_flight":[["u",#]],"steps":[["u",#]],"speeds":[["s",#,#,#,#]],)"
-                + R"("prompts":[["u",#,#,#]],"limits":[["u",#,#,#,#]],"released":[[#,#,#]],"ordering":[#],)"
-                + R"("acquittals":[["part/1",#]],"turned_away":[["u",#,#]],"placements":[["u","m/a",#,false,#]]}],)"
-                + R"("used":[["s","m/a",#]],"wanted":[["s","m/a",#]],"shard":#,"found":[["u","m/a",#,false,#]],)"
-                + R"("registry":[{"view":"upstreams","after":#,"revision":#,"age":#,"changes":[[#,"k","v"]]}]})";
+    auto text
+        = std::string(R"({"sender":"n","reports":[{"from":{"node":"m","started":#},"sequence":#,)")
+          + R"("in_flight":[["u",#]],"changed_in_flight":[["u",#]],"steps":[["u",#,#,#,#]],"speeds":[["s",#,#,#,#]],)"
+          + R"("prompts":[["u",#,#,#]],"limits":[["u",#,#,#,#]],"released":[[#,#,#]],"ordering":[#],)"
+          + R"("acquittals":[["part/1",#]],"turned_away":[["u",#,#]],"placements":[["u","m/a",#,false,#]]}],)"
+          + R"("used":[["s","m/a",#]],"wanted":[["s","m/a",#]],"shard":#,"found":[["u","m/a",#,false,#]],)"
+          + R"("registry":[{"view":"upstreams","after":#,"revision":#,"age":#,"changes":[[#,"k","v"]]}]})";
     for (auto at = text.find('#'); at != std::string::npos; at = text.find('#', at + figure.size()))
         text.replace(at, 1, figure);
     return text;
@@ -323,7 +328,9 @@
         for (const auto &[instance, requests] : report.changedInFlight)
             cr_expect(isFigure(requests), "changed in flight");
         for (const auto &step : report.steps)
-            cr_expect(isFigure(step.stepMs), "step");
+            cr_expect(isFigure(step.stepMs) && isFigure(step.recent.ms) && isFigure(step.recent.weight)
+                          && isTime(step.age),
+                      "step");
         for (const auto &speed : report.speeds)
             cr_expect(isFigure(speed.speed.stepMs) && isFigure(speed.speed.answerMs), "speed");
         for (const auto &send : report.sends)
