Learnt limits fall only near the limit; less random cost of engines

Cause: in the model, limits that fell in slow phases of half-full engines kept requests away after them, and a random cost of 15 ms outweighed prompts of other nodes under heavy load.

--- a/src/estimates/fastestimate.cpp
+++ b/src/estimates/fastestimate.cpp
@@ -14,7 +14,7 @@
 const double deviation = std::log(1.35);
 const double maxDeviation = std::log(4.0); ///< Bounds the effect of one sample, such as one after a stalled process.
 constexpr double maxWeight = 8; ///< Lets the estimate of a busy upstream fade as fast as that of others.
-constexpr double convincingWeight = 2; ///< Of deviating samples that replace older ones.
+constexpr double convincingWeight = 1.5; ///< Of deviating samples that replace older ones: of more than one pause.
 constexpr double replacedWeight = 0.2; ///< Weight that older samples keep then.
 
 } // namespace
--- a/src/estimates/upstreamcapacity.cpp
+++ b/src/estimates/upstreamcapacity.cpp
@@ -23,6 +23,9 @@
 constexpr double maxCrowding = 2;
 constexpr double minStrainWeight = 2; ///< Samples without which the limit is not lowered.
 constexpr double decrease = 0.8;
+/// Part of the limit from which it is lowered: an upstream that is slow with fewer requests is not slow because of
+/// their number, and a lower limit after its slow phase would only keep requests away.
+constexpr double crowdedShare = 0.75;
 constexpr unsigned leastShare = 4; ///< The limit stays above the slots divided by this, so that sampling goes on.
 constexpr double increasesToSlots = 8; ///< Increases from none to all slots.
 constexpr Duration reactionTime = std::chrono::milliseconds{500}; ///< Nodes know of each other's samples by then.
@@ -117,8 +120,7 @@
             static_cast<double>(slots), static_cast<double>(std::max(1U, slots / leastShare)),
             static_cast<double>(slots), decrease, std::max(1.0, slots / increasesToSlots), reactionTime});
     }
-    // An upstream that is slow with few requests is not slow because of their number.
-    if (isStrained && 2 * inFlight >= m_limiter->limit())
+    if (isStrained && inFlight >= crowdedShare * m_limiter->limit())
         m_limiter->refused(now);
     if (strain > growthStrain)
         return;
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -26,7 +26,7 @@
 constexpr double brittleSpreadMs = 20; ///< Longest random cost, to spread requests over a brittle service's upstreams.
 /// Longest random cost of engines, so that nodes don't all choose the same one before they know of each other's
 /// prompts.
-constexpr double engineSpreadMs = 15;
+constexpr double engineSpreadMs = 6;
 constexpr Duration fullEngineDelay = std::chrono::milliseconds{60}; ///< Delay before a full engine is considered again.
 constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Time for which a sent prompt may still be queued.
 constexpr double stepsPerRunningRequest = 0.15; ///< Delay of a new request by each running one, in steps.
--- a/tests/gateway/capacitylearnertest.cpp
+++ b/tests/gateway/capacitylearnertest.cpp
@@ -390,6 +390,7 @@
 /// Share of streams that pause because slow phases show only in the pauses that they cause.
 constexpr double maxLearningLoss = 0.08;
 constexpr double maxRatioToLasting = 0.75;
+constexpr double maxOverloadLoss = 0.1;
 constexpr double maxFurtherLoss = 0.01; ///< Share of streams that are late or refused, but don't pause.
 
 Outcome outcomeOf(const FleetCase &load, Knowledge knowledge)
@@ -412,6 +413,13 @@
     {"15 nodes, slow from half the slots", 15, 24, 1, std::chrono::seconds{4}, slots / 2, 3.6},
 };
 
+/// Loads that the engines cannot serve in time, whatever the nodes know.
+const FleetCase overloads[] = {
+    {"steady, 10 streams per second", 15, 24, 1, std::chrono::seconds{4}, 0, 10},
+    {"slow phases, 7 streams per second", 15, 24, 2, std::chrono::seconds{4}, 0, 7},
+    {"slow from half the slots, 4.5 streams per second", 15, 24, 1, std::chrono::seconds{4}, slots / 2, 4.5},
+};
+
 } // namespace
 
 /// Guards against estimates that follow an engine too late to keep prompts away from it while it is slow.
@@ -427,6 +435,16 @@
     cr_assert_leq(learnt.lateShare(), learnt.pausedShare() + maxFurtherLoss, "%f", learnt.lateShare());
 }
 
+/// Guards against limits and penalties that keep requests away from engines when all of them are needed.
+TABLE_TEST(CapacityLearner, servesNoLessUnderOverload, overloads)
+{
+    const auto lasting = outcomeOf(row, Knowledge::Lasting);
+    const auto learnt = outcomeOf(row, Knowledge::Learnt);
+    cr_assert_leq(learnt.lateShare(), lasting.lateShare() + maxOverloadLoss, "%f and %f", learnt.lateShare(),
+                  lasting.lateShare());
+    cr_assert_geq(learnt.ended, (1 - maxOverloadLoss) * lasting.ended, "%u and %u", learnt.ended, lasting.ended);
+}
+
 namespace
 {
 
