--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -45,6 +45,11 @@
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
     Scheduling::CapacityReserve reserve; ///< Of services' capacity for urgent calls.
+    bool hasAdaptiveCapacity = true; ///< Learns recent speeds and limits of upstreams; see Upstream::capacity.
+    Instant lastTickAt{}; ///< Of this node's loop, which ticks at short intervals.
+    Instant stalledAt{}; ///< End of the last interval between ticks that was much longer: the node read nothing then.
+    /// By service: the slowness of an upstream up to which callers get what they need.
+    std::map<std::string, double> tolerableSlowness;
     RetryAllowance allowance{RetryBound{}};
     Allowances::FleetAllowance fleetAllowance; ///< Of organisations.
     CrashLedger crashes;
--- a/src/gateway/calllog.cpp
+++ b/src/gateway/calllog.cpp
@@ -43,6 +43,7 @@
                                  {"sends", std::to_string(call.sends)},
                                  {"in_flight", std::to_string(call.inFlightAtSend)},
                                  {"slowness", std::to_string(call.slownessAtSend)},
+                                 {"limit", std::to_string(call.limitAtSend)},
                                  {"prompt", std::to_string(static_cast<long>(call.request.promptTokens))},
                                  {"unread", std::to_string(static_cast<long>(call.prefillBacklogAtSend))}};
     addWaits(fields, call);
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -26,11 +26,22 @@
 constexpr double brittleSpreadMs = 20; ///< Longest random cost, to spread requests over a brittle service's upstreams.
 /// A load that is overdue by more than this is no longer presumed to be in progress.
 constexpr Duration maxLoadOverrun = std::chrono::milliseconds{800};
+/// Longest random cost of engines, so that nodes don't all choose the same one before they know of each other's
+/// prompts.
+constexpr double engineSpreadMs = 6;
 constexpr Duration fullEngineDelay = std::chrono::milliseconds{60}; ///< Delay before a full engine is considered again.
 constexpr Duration promptSpan = std::chrono::milliseconds{300}; ///< Time for which a sent prompt may still be queued.
 constexpr double stepsPerRunningRequest = 0.15; ///< Delay of a new request by each running one, in steps.
 /// Fraction of the prompt pace to use. The rest is a reserve for prompts that two nodes send at the same moment.
 constexpr double usablePaceFraction = 0.95;
+constexpr Duration maxSlowSilence = std::chrono::seconds{1}; ///< Longer ones have other causes, such as a cut.
+/// Longest usual delay of an event by the network and by other work of this node.
+constexpr Duration eventJitter = std::chrono::milliseconds{20};
+/// Longest penalty of an engine on which a prompt of that size makes streams pause for too long.
+constexpr double maxStallPenaltyMs = 3000;
+/// Slowness of a plain upstream that costs nothing, so that differences within the usual scatter of answer times don't
+/// send all requests to one upstream.
+constexpr double plainTolerance = 1.5;
 /// Fraction of a pause that prompts may use at least, however slow the engine is estimated to be.
 constexpr double minPromptPauseFraction = 0.25;
 
@@ -62,6 +73,14 @@
     return penalty;
 }
 
+/// Returns a number from 0 to 1 that differs between the upstreams and between the requests.
+double spreadOf(const Upstream &upstream, const UpstreamDemand &demand)
+{
+    const auto &instance = upstream.record.instance;
+    const auto hash = XXH3_64bits_withSeed(instance.data(), instance.size(), demand.spreadSeed);
+    return static_cast<double>(hash >> 32U) / 4294967296.0;
+}
+
 /// Makes @p choice wait for room at @p upstream, whose service is brittle and where @p ownPlaces belong to this node.
 void awaitRoom(UpstreamChoice &choice, const Upstream &upstream, const UpstreamDemand &demand, unsigned ownPlaces,
                Instant now)
@@ -72,8 +91,7 @@
     if (choice.isLent)
         choice.sendAt = std::max(choice.sendAt, now + announcementDelay);
     // Nodes would lend each other the places of the same upstream at the same moment.
-    const auto hash = XXH3_64bits_withSeed(choice.instance.data(), choice.instance.size(), demand.spreadSeed);
-    choice.score += brittleSpreadMs * static_cast<double>(hash >> 32U) / 4294967296.0;
+    choice.score += brittleSpreadMs * spreadOf(upstream, demand);
 }
 
 bool hasUsableSoftware(const UpstreamRecord &record, const UpstreamDemand &demand)
@@ -98,18 +116,50 @@
     return demand.target.empty() ? cost.plainCrossRegionMs : cost.crossRegionMs;
 }
 
+/// Returns the time that an engine of usual speed takes for @p promptTokens and an event, in ms.
+double usualPauseMs(const UpstreamDemand &demand, double promptTokens)
+{
+    return demand.speed.stepMs * std::max(1U, demand.pace.tokensPerEvent)
+           + promptTokens / demand.speed.promptTokensPerMs;
+}
+
+/// Returns the longest pause of the streams of @p upstream, in ms, while it processes @p promptTokens.
+double pauseMs(const Upstream &upstream, const UpstreamDemand &demand, double promptTokens, Instant now)
+{
+    return expectedSlowness(upstream, demand.speed, now) * usualPauseMs(demand, promptTokens);
+}
+
+bool canStall(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
+{
+    return demand.pace.longestPause > Duration{} && upstream.inFlight() > 0 && upstream.capacity.isKnown(now);
+}
+
+/// Returns the penalty of an engine that is too slow for the prompt. Another one that serves the request in time, even
+/// if it has to wait for its turn there, costs less.
+double stallPenaltyMs(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
+{
+    if (!canStall(upstream, demand, now)
+        || pauseMs(upstream, demand, demand.promptTokens, now) <= stallFraction * msOf(demand.pace.longestPause))
+        return 0;
+    return std::clamp(msOf(std::min(demand.wantedBy, demand.latestSend) - now), 0.0, maxStallPenaltyMs);
+}
+
 double scoreOf(const Upstream &upstream, const UpstreamDemand &demand, Instant now, const DistanceCost &cost)
 {
     const auto &speed = demand.speed;
-    const double slots = std::max(1U, upstream.record.slots);
+    const double slots = upstream.usableSlots(now);
     const double inFlight = upstream.inFlight();
     const double distance = distanceMs(upstream, demand, cost);
+    const double slowness = expectedSlowness(upstream, speed, now);
     if (demand.target.empty())
-        return distance + speed.answerMs * std::floor(inFlight / slots) + inFlight / slots
-               + penaltyMs(upstream, demand, now);
+        return distance + speed.answerMs * (std::floor(inFlight / slots) + std::max(0.0, slowness - plainTolerance))
+               + inFlight / slots + penaltyMs(upstream, demand, now);
     const double queued = std::max(0.0, inFlight + 1 - slots);
-    return distance + penaltyMs(upstream, demand, now)
-           + slownessOf(upstream, speed)
+    const double crowded = slowness * upstream.capacity.crowding(upstream.inFlight());
+    const double ownMs = upstream.capacity.isKnown(now) ? (crowded - 1) * usualPauseMs(demand, demand.promptTokens) : 0;
+    const double spread = upstream.capacity.isKnown(now) ? engineSpreadMs * spreadOf(upstream, demand) : 0;
+    return distance + spread + ownMs + penaltyMs(upstream, demand, now) + stallPenaltyMs(upstream, demand, now)
+           + slowness
                  * (upstream.prompts.sum(promptSpan, now) / speed.promptTokensPerMs
                     + inFlight * stepsPerRunningRequest * speed.stepMs + queued * speed.streamMs / slots);
 }
@@ -129,6 +179,35 @@
     return std::clamp(upstream.step.value() / speed.stepMs, minSlowness, maxSlowness);
 }
 
+double slownessNow(const Upstream &upstream, const Estimates::Speed &speed, Instant now)
+{
+    if (!upstream.capacity.isKnown(now))
+        return slownessOf(upstream, speed);
+    const double usualMs = upstream.residency.isEmpty() ? speed.answerMs : speed.stepMs;
+    return std::clamp(upstream.capacity.slowness(usualMs, upstream.step.value(), now), minSlowness, maxSlowness);
+}
+
+double expectedSlowness(const Upstream &upstream, const Estimates::Speed &speed, Instant now)
+{
+    const double slowness = slownessNow(upstream, speed, now);
+    if (!upstream.capacity.isKnown(now))
+        return slowness;
+    return std::clamp(std::max(slowness, overdueSlowness(upstream, speed, now)), minSlowness, maxSlowness);
+}
+
+double overdueSlowness(const Upstream &upstream, const Estimates::Speed &speed, Instant now)
+{
+    if (upstream.lastEventAt == Instant{} || upstream.ownInFlight == 0)
+        return 0;
+    const auto silence = now - upstream.lastEventAt;
+    if (silence > maxSlowSilence)
+        return 0;
+    const double tokens
+        = std::max(0.0, upstream.prompts.sum(silence + promptTransit, now) - upstream.prompts.sum({}, now));
+    return msOf(silence - eventJitter)
+           / (speed.stepMs * std::max(1U, upstream.tokensPerEvent) + tokens / speed.promptTokensPerMs);
+}
+
 double tokensWithinPause(const PromptPace &pace, const Estimates::Speed &speed, double slowness)
 {
     const double pauseMs = msOf(pace.longestPause);
@@ -172,9 +251,10 @@
         if (!demand.target.empty() && demand.pace.longestPause > Duration{})
             choice.sendAt = upstream.prompts.earliestSendAt(
                 std::max(demand.promptTokens, demand.usualTokens),
-                tokensWithinPause(demand.pace, demand.speed, slownessOf(upstream, demand.speed)),
+                tokensWithinPause(demand.pace, demand.speed, expectedSlowness(upstream, demand.speed, now)),
                 demand.pace.longestPause, std::max(choice.sendAt, now));
-        choice.isFull = !demand.target.empty() && upstream.inFlight() >= usableSlots(upstream, demand.slotShare);
+        choice.isFull = !demand.target.empty()
+                        && upstream.inFlight() >= usableSlots(upstream, demand.target, demand.slotShare, now);
         if (demand.refusalsPerSecond)
             awaitRoom(choice, upstream, demand, ownPlaces, now);
         if (choice.isFull)
@@ -201,22 +281,31 @@
     return copy && copy->loadedByOrder && now - copy->usableAt < maxLoadOverrun;
 }
 
-unsigned usableSlots(const Upstream &upstream, double share)
+unsigned usableSlots(const Upstream &upstream, const ModelTarget &target, double share, Instant now)
 {
-    if (share >= 1)
-        return upstream.record.slots;
-    return std::max(1U, static_cast<unsigned>(std::ceil(share * upstream.record.slots)));
+    const auto slots = target.empty() ? upstream.record.slots : upstream.usableSlots(now);
+    return share >= 1 ? slots : std::max(1U, static_cast<unsigned>(std::ceil(share * slots)));
 }
 
-bool hasFreeSlot(const UpstreamTable &table, const std::string &service, double share, Instant now)
+bool hasFreeSlot(const UpstreamTable &table, const std::string &service, const ModelTarget &target, double share,
+                 Instant now)
 {
     return std::ranges::any_of(table.all(), [&](const auto &item) {
         const auto &upstream = item.second;
         return upstream.record.service == service && upstream.takesRequests(now)
-               && upstream.inFlight() < usableSlots(upstream, share);
+               && upstream.inFlight() < usableSlots(upstream, target, share, now);
     });
 }
 
+bool wouldStall(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
+{
+    if (!canStall(upstream, demand, now))
+        return false;
+    const double later = upstream.prompts.sum({}, now);
+    const double tokens = upstream.prompts.sum(demand.pace.longestPause, now) - later;
+    return pauseMs(upstream, demand, tokens, now) > msOf(demand.pace.longestPause);
+}
+
 bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
                  const std::string *softwareVersion)
 {
@@ -301,7 +390,7 @@
     for (const auto &[instance, upstream] : table.all()) {
         if (upstream.record.service != service || !upstream.takesRequests(now))
             continue;
-        slots += upstream.record.slots;
+        slots += upstream.usableSlots(now);
         inFlight += upstream.inFlight();
     }
     return slots == 0 ? 1 : inFlight / slots;
@@ -320,7 +409,7 @@
     std::vector<std::string> holders;
     for (const auto &[instance, upstream] : table.all()) {
         const bool hasRoom = !upstream.isCutOff && upstream.backpressureUntil <= now
-                             && upstream.inFlight() < upstream.record.slots && !upstream.limitsRequests();
+                             && upstream.inFlight() < upstream.usableSlots(now) && !upstream.limitsRequests();
         if (!hasRoom && upstream.residency.find(target))
             holders.push_back(instance);
     }
--- a/src/report/metrics.cpp
+++ b/src/report/metrics.cpp
@@ -32,7 +32,7 @@
     const char *help;
 };
 
-constexpr std::array<Description, 32> descriptions{{
+constexpr std::array<Description, 34> descriptions{{
     {Metric::Requests, Kind::Counter, "gypsumtally_requests_total", "Requests that have ended."},
     {Metric::RequestSeconds, Kind::Histogram, "gypsumtally_request_seconds", "Time from arrival to the whole answer."},
     {Metric::FirstTokenSeconds, Kind::Histogram, "gypsumtally_first_token_seconds",
@@ -75,6 +75,10 @@
      "Cost of the organisation's requests that this node has let through and that may have run, since its start."},
     {Metric::OrganisationRefusals, Kind::Gauge, "gypsumtally_organisation_refusals",
      "Requests that this node has refused as the organisation had reached its limit, since its start."},
+    {Metric::UpstreamSlowness, Kind::Gauge, "gypsumtally_upstream_slowness",
+     "Learnt times of a service's upstreams, relative to that of the service."},
+    {Metric::UpstreamLimit, Kind::Gauge, "gypsumtally_upstream_limit",
+     "Learnt limits of a service's upstreams, as fractions of their slots."},
     {Metric::RelayedCalls, Kind::Counter, "gypsumtally_relayed_calls_total", "Calls passed between nodes."},
     {Metric::ForecastRefusals, Kind::Counter, "gypsumtally_forecast_refusals_total",
      "Requests refused at once because too many others go first."},
--- a/src/report/metrics.h
+++ b/src/report/metrics.h
@@ -43,6 +43,8 @@
     OrganisationLevel, ///< Label: organisation.
     OrganisationGranted, ///< Label: organisation.
     OrganisationRefusals, ///< Label: organisation.
+    UpstreamSlowness, ///< Learnt; the smallest, the median and the largest of a service. Labels: service, stat.
+    UpstreamLimit, ///< Learnt, as a fraction of the slots. Labels: service, stat.
     RelayedCalls, ///< Calls passed between nodes. Labels: direction, verdict.
     ForecastRefusals, ///< Requests refused because too many others go first. Label: urgency.
 };
