No learnt capacity at brittle services

Change: brittle services take no samples of recent speeds. brittleupstreamtest has not been run to its end on it.

--- a/src/gateway/capacitylearner.cpp
+++ b/src/gateway/capacitylearner.cpp
@@ -60,6 +60,12 @@
         m_context.stalledAt = now;
 }
 
+/// Returns false for brittle services: their places are dealt to nodes, and choices by speed would lend more of them.
+bool CapacityLearner::learnsCapacityOf(const std::string &service) const
+{
+    return m_context.hasAdaptiveCapacity && !m_context.upstreams.brittleness(service).refusalsPerSecond;
+}
+
 /// Returns true if the loop has not run at some time from @p since on.
 bool CapacityLearner::wasStalled(Instant since, Instant now) const
 {
@@ -97,7 +103,7 @@
     const auto mean = (before + last) / 2;
     notePause(*upstream, mean, call.tokensPerEvent, now);
     m_context.speeds[call.service].onPause(mean, call.tokensPerEvent, now);
-    if (m_context.hasAdaptiveCapacity && !wasStalled(now - last - pause, now))
+    if (learnsCapacityOf(call.service) && !wasStalled(now - last - pause, now))
         learnCapacity(call, *upstream, last + pause, now);
 }
 
@@ -145,7 +151,7 @@
 {
     m_context.speeds[call.service].onAnswer(now - send.sentAt, now);
     auto *upstream = m_context.upstreams.find(send.instance);
-    if (!upstream || !m_context.hasAdaptiveCapacity || wasStalled(send.sentAt, now))
+    if (!upstream || !learnsCapacityOf(call.service) || wasStalled(send.sentAt, now))
         return;
     const auto &speed = m_context.speeds[call.service];
     if (const double uncrowdedMs = speed.uncrowdedAnswerMs(); uncrowdedMs > 0)
@@ -163,7 +169,7 @@
         return;
     if (notice.stepMs > 0)
         noteStep(*upstream, notice.stepMs, now);
-    if (!m_context.hasAdaptiveCapacity || notice.recent.weight <= 0)
+    if (!learnsCapacityOf(upstream->record.service) || notice.recent.weight <= 0)
         return;
     upstream->capacity.addReported(notice.recent, notice.age, now);
     adjustLimit(*upstream, now);
--- a/src/gateway/capacitylearner.h
+++ b/src/gateway/capacitylearner.h
@@ -64,6 +64,7 @@
     /// Interval between ticks from which pauses are lengthened noticeably by this node itself.
     static constexpr Duration maxTickInterval = std::chrono::milliseconds{100};
 
+    bool learnsCapacityOf(const std::string &service) const;
     bool wasStalled(Instant since, Instant now) const;
     void noteOverdue(Upstream &upstream, Instant now);
     void learnCapacity(const LearntCall &call, Upstream &upstream, Duration pause, Instant now);
