Waiting queue outlives the calls whose ends it records

A forwarder that is destroyed with calls in progress ended their sends after its waiting queue was gone.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -44,8 +44,8 @@
         , m_context(context)
         , m_log(log)
         , m_metrics(metrics)
-        , m_client(loop)
         , m_waiting(context.reserve)
+        , m_client(loop)
         , m_monitor(m_client, context)
         , m_relay(context)
     {
@@ -2448,10 +2448,10 @@
     CallContext &m_context;
     GatewayLog &m_log;
     Metrics &m_metrics;
+    Scheduling::WaitingQueue<CallPtr> m_waiting; ///< Outlives the calls and their sends, whose ends it records.
+    std::set<std::string> m_waking; ///< Services for which wakeMostUrgent() has been scheduled.
     Client m_client;
     std::unordered_set<CallPtr> m_calls;
-    Scheduling::WaitingQueue<CallPtr> m_waiting;
-    std::set<std::string> m_waking; ///< Services for which wakeMostUrgent() has been scheduled.
     std::vector<CallPtr> m_unrouted; ///< Calls that wait for the node's first configuration.
     UpstreamMonitor<Dialect, Client> m_monitor;
     CallRelay m_relay;
