callreachtest: nodes end before their event loop

The fixture destroyed its event loop before the nodes, whose servers close their acceptors on it: valgrind shows reads of freed memory, and with the larger connections of callers 10 of 23 rows ended with a corrupted heap. The destructor of the server has not changed; the test was not run under valgrind on earlier code. 23 of 23 rows green now, no invalid reads.

--- a/tests/gateway/callreachtest.cpp
+++ b/tests/gateway/callreachtest.cpp
@@ -126,6 +126,15 @@
         tick();
     }
 
+    /// Ends the nodes before their event loop, which their servers use.
+    ~ReachFixture()
+    {
+        nodes.clear();
+    }
+
+    ReachFixture(const ReachFixture &) = delete;
+    ReachFixture &operator=(const ReachFixture &) = delete;
+
     /// Sends streams and other requests to each node from now on, twenty a second each.
     void callAll()
     {
