--- a/src/relay/requestreader.cpp
+++ b/src/relay/requestreader.cpp
@@ -23,7 +23,7 @@
 /// A body whose storage grows with what has arrived rather than with the stated length, and never beyond the limit, as
 /// callers choose both the length and the size of chunks.
 struct LimitedBody {
-    struct value_type {
+    struct value_type { // NOLINT(readability-identifier-naming): Beast's name.
         std::string text;
         std::size_t limit = 0;
 
@@ -37,7 +37,7 @@
         }
     };
 
-    class reader
+    class reader // NOLINT(readability-identifier-naming): Beast's name.
     {
     public:
         template<bool isRequest, typename Fields>
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -281,6 +281,12 @@
         m_context.rank = rank;
     }
 
+    /// Lets buffered answers take memory of @p budget only.
+    void limitMemory(Budget::MemoryBudget &budget)
+    {
+        m_context.memory = &budget;
+    }
+
     /// Leaves no further sends of one request to the node.
     void spendRetries()
     {
@@ -790,6 +796,42 @@
 namespace
 {
 
+constexpr std::size_t largeAnswerBytes = 600 * 1024;
+
+void answerLarge(const Exchange &exchange)
+{
+    exchange->respond({200, signedFor(exchange), std::string(largeAnswerBytes, 'x')});
+}
+
+struct AnswerMemoryCase {
+    const char *name;
+    std::size_t total; ///< Of the budget, in bytes.
+    unsigned status;
+};
+
+const AnswerMemoryCase answerMemories[] = {
+    {"enough", 8 * largeAnswerBytes, 200},
+    {"too little", largeAnswerBytes, 502},
+};
+
+} // namespace
+
+/// Guards against answers that are buffered beyond the callers' memory, and against memory that stays charged.
+TABLE_TEST(CallForwarder, bufferedAnswersTakeMemoryOfCallers, answerMemories)
+{
+    Budget::MemoryLimits limits;
+    limits.total = row.total;
+    limits.reserve = row.total / 4;
+    Budget::MemoryBudget budget(limits);
+    ForwarderFixture fixture({answerLarge});
+    fixture.limitMemory(budget);
+    cr_assert_eq(fixture.ask("/once/1"), row.status);
+    cr_assert_eq(budget.used(), 0U);
+}
+
+namespace
+{
+
 struct UnframedAnswerCase {
     const char *name;
     const char *path;
