--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -45,6 +45,8 @@
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
     Scheduling::CapacityReserve reserve; ///< Of services' capacity for urgent calls.
+    /// Less urgent calls leave a part of the capacity to urgent ones. If not, they only go after those that wait.
+    bool reservesCapacity = false;
     RetryAllowance allowance{RetryBound{}};
     Allowances::FleetAllowance fleetAllowance; ///< Of organisations.
     CrashLedger crashes;
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -788,7 +788,7 @@
     /// taken. Such a call waits without a reservation.
     bool isTooFarAhead(const Call &call, const UpstreamChoice &choice, Instant now) const
     {
-        return !choice.isLimited && !choice.isLent && choice.usableAt <= now
+        return m_context.reservesCapacity && !choice.isLimited && !choice.isLent && choice.usableAt <= now
                && choice.sendAt - now > call.route.longestPause && !call.lastEvent
                && m_context.reserve.isShared(call.service, now);
     }
@@ -904,7 +904,8 @@
         demand.refusalsPerSecond = m_context.upstreams.brittleness(call.service).refusalsPerSecond;
         demand.rank = m_context.rank;
         demand.slotShare = share;
-        if (m_context.reserve.isBelowOthers(call.service, call.turn(), m_context.rank.count, now))
+        if (m_context.reservesCapacity
+            && m_context.reserve.isBelowOthers(call.service, call.turn(), m_context.rank.count, now))
             demand.usualTokens = m_context.reserve.usualPrompt(call.service, call.turn(), now);
         demand.spreadSeed = XXH3_64bits(call.request.id.data(), call.request.id.size());
         return demand;
@@ -944,7 +945,7 @@
     /// all, as its caller has begun to read it.
     double shareOf(const Call &call, Instant now) const
     {
-        if (call.request.target.empty() || call.lastEvent || call.answering)
+        if (!m_context.reservesCapacity || call.request.target.empty() || call.lastEvent || call.answering)
             return 1;
         return m_context.reserve.share(call.service, call.turn(), tokensOf(call), m_context.rank.count, now,
                                        [&] { return utilisationOf(m_context.upstreams, call.service, now); });
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -129,6 +129,7 @@
         m_context.regions = settings.regions;
         m_context.maxBufferedAnswerBytes = settings.answerBufferBytes;
         m_context.memory = &m_memory;
+        m_context.reservesCapacity = settings.urgentReserve;
         m_context.allowance = RetryAllowance(retryBound(settings));
         m_context.crashes = CrashLedger(settings.node);
         m_context.maxRelayedCalls = static_cast<std::size_t>(relayedCallsPerCapacity * settings.capacity);
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -261,9 +261,16 @@
         }
     }
 
+    /// Lets buffered answers take memory of @p budget only.
+    void limitMemory(Budget::MemoryBudget &budget)
+    {
+        m_context.memory = &budget;
+    }
+
     /// Lets @p calls of urgency 0 be in demand.
     void addUrgentDemand(unsigned calls)
     {
+        m_context.reservesCapacity = true;
         for (unsigned i = 0; i < calls; ++i) {
             m_context.reserve.onArrived("s", 0, 100, BootClock{}.now());
             m_context.reserve.onStarted("s", 0, 500, BootClock{}.now());
@@ -843,6 +850,42 @@
 namespace
 {
 
+constexpr std::size_t largeAnswerBytes = 600 * 1024;
+
+void answerLarge(const Exchange &exchange)
+{
+    exchange->respond({200, signedFor(exchange), std::string(largeAnswerBytes, 'x')});
+}
+
+struct AnswerMemoryCase {
+    const char *name;
+    std::size_t total; ///< Of the budget, in bytes.
+    unsigned status;
+};
+
+const AnswerMemoryCase answerMemories[] = {
+    {"enough", 8 * largeAnswerBytes, 200},
+    {"too little", largeAnswerBytes, 502},
+};
+
+} // namespace
+
+/// Guards against answers that are buffered beyond the callers' memory, and against memory that stays charged.
+TABLE_TEST(CallForwarder, bufferedAnswersTakeMemoryOfCallers, answerMemories)
+{
+    Budget::MemoryLimits limits;
+    limits.total = row.total;
+    limits.reserve = row.total / 4;
+    Budget::MemoryBudget budget(limits);
+    ForwarderFixture fixture({answerLarge});
+    fixture.limitMemory(budget);
+    cr_assert_eq(fixture.ask("/once/1"), row.status);
+    cr_assert_eq(budget.used(), 0U);
+}
+
+namespace
+{
+
 struct InvalidAnswerCase {
     const char *name;
     const char *path;
