--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -45,6 +45,8 @@
     std::map<std::string, Estimates::ServiceSpeed> speeds; ///< By service.
     std::map<std::string, Estimates::PaceMargin> paceMargins; ///< By service.
     Scheduling::CapacityReserve reserve; ///< Of services' capacity for urgent calls.
+    /// Less urgent calls leave a part of the capacity to urgent ones. If not, they only go after those that wait.
+    bool reservesCapacity = false;
     bool hasAdaptiveCapacity = true; ///< Learns recent speeds and limits of upstreams; see Upstream::capacity.
     Instant lastTickAt{}; ///< Of this node's loop, which ticks at short intervals.
     Instant stalledAt{}; ///< End of the last interval between ticks that was much longer: the node read nothing then.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -47,8 +47,8 @@
         , m_context(context)
         , m_log(log)
         , m_metrics(metrics)
-        , m_client(loop)
         , m_waiting(context.reserve)
+        , m_client(loop)
         , m_monitor(m_client, context)
         , m_relay(context)
         , m_learner(context)
@@ -787,7 +787,7 @@
     /// taken. Such a call waits without a reservation.
     bool isTooFarAhead(const Call &call, const UpstreamChoice &choice, Instant now) const
     {
-        return !choice.isLimited && !choice.isLent && choice.usableAt <= now
+        return m_context.reservesCapacity && !choice.isLimited && !choice.isLent && choice.usableAt <= now
                && choice.sendAt - now > call.route.longestPause && !call.lastEvent
                && m_context.reserve.isShared(call.service, now);
     }
@@ -904,7 +904,8 @@
         demand.refusalsPerSecond = m_context.upstreams.brittleness(call.service).refusalsPerSecond;
         demand.rank = m_context.rank;
         demand.slotShare = share;
-        if (m_context.reserve.isBelowOthers(call.service, call.turn(), m_context.rank.count, now))
+        if (m_context.reservesCapacity
+            && m_context.reserve.isBelowOthers(call.service, call.turn(), m_context.rank.count, now))
             demand.usualTokens = m_context.reserve.usualPrompt(call.service, call.turn(), now);
         demand.spreadSeed = XXH3_64bits(call.request.id.data(), call.request.id.size());
         return demand;
@@ -944,7 +945,7 @@
     /// all, as its caller has begun to read it.
     double shareOf(const Call &call, Instant now) const
     {
-        if (call.request.target.empty() || call.lastEvent || call.answering)
+        if (!m_context.reservesCapacity || call.request.target.empty() || call.lastEvent || call.answering)
             return 1;
         return m_context.reserve.share(call.service, call.turn(), tokensOf(call), m_context.rank.count, now,
                                        [&] { return utilisationOf(m_context.upstreams, call.service, now); });
@@ -2309,10 +2310,10 @@
     CallContext &m_context;
     GatewayLog &m_log;
     Metrics &m_metrics;
+    Scheduling::WaitingQueue<CallPtr> m_waiting; ///< Outlives the calls and their sends, whose ends it records.
+    std::set<std::string> m_waking; ///< Services for which wakeMostUrgent() has been scheduled.
     Client m_client;
     std::unordered_set<CallPtr> m_calls;
-    Scheduling::WaitingQueue<CallPtr> m_waiting;
-    std::set<std::string> m_waking; ///< Services for which wakeMostUrgent() has been scheduled.
     std::vector<CallPtr> m_unrouted; ///< Calls that wait for the node's first configuration.
     UpstreamMonitor<Dialect, Client> m_monitor;
     CallRelay m_relay;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -84,6 +84,7 @@
     reader.scalar("store", Presence::Required, settings.store);
     reader.scalar("connect_from", Presence::Optional, settings.connectFrom);
     reader.map("machine", Presence::Optional, [&](MapReader &map) { readMachine(map, settings); });
+    reader.scalar("urgent_reserve", Presence::Optional, settings.urgentReserve);
     reader.scalar("order_handover", Presence::Optional, settings.orderHandover, shortTimes);
     reader.scalar("stop_grace", Presence::Optional, settings.stopGrace, shortTimes);
     reader.scalar("entry_ttl", Presence::Optional, settings.entryTtl, shortTimes);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -38,6 +38,7 @@
     /// Limit in bytes for all that is held on behalf of callers, their buffered answers included.
     std::size_t callerMemoryBytes = 256 * 1024 * 1024 / 3;
     std::optional<std::size_t> maxDescriptors; ///< File descriptors of the process.
+    bool urgentReserve = false; ///< Keeps a part of engines' capacity for urgent calls while they are short of it.
     Duration orderHandover = std::chrono::milliseconds{3000}; ///< Minimum time between the orders of two nodes.
     Duration stopGrace = std::chrono::seconds{8}; ///< From SIGTERM to SIGKILL.
     double retryRatio = 0.2; ///< Retries allowed per request.
--- a/tests/gateway/overloadtest.cpp
+++ b/tests/gateway/overloadtest.cpp
@@ -65,6 +65,7 @@
         TrafficPolicy policy;
         policy.routes = {route, urgentRoute};
         policy.services = {{"s", EngineProfile{}}};
+        m_context.reservesCapacity = hasOrganisations;
         if (hasOrganisations)
             policy.organisations = {{{"o", {"k"}, 5, {}}}};
         m_context.routes = std::make_shared<RouteTable>(policy);
