--- a/tests/gatewayfleet/haltednodetest.cpp
+++ b/tests/gatewayfleet/haltednodetest.cpp
@@ -27,7 +27,7 @@
     {"halts beside planned stops", 4, milliseconds{30}, milliseconds{500}, milliseconds{300}, 0, true},
 };
 
-constexpr FleetSize size{3, 4, 3, seconds{8}};
+const FleetSize size{3, 4, 3, seconds{8}};
 constexpr Load load{40, 20, 20, 0, 5, 5, 2};
 constexpr Duration haltedTime = seconds{12};
 constexpr Duration silenceInterval = seconds{3};
--- a/tests/gatewayfleet/organisationkeystest.cpp
+++ b/tests/gatewayfleet/organisationkeystest.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr FleetSize size{2, 2, 2};
+const FleetSize size{2, 2, 2};
 constexpr Load load{20, 10, 5};
 constexpr std::array kinds{CallerRequest::Read, CallerRequest::Book, CallerRequest::Stream};
 
--- a/tests/gatewayfleet/plannedstoptest.cpp
+++ b/tests/gatewayfleet/plannedstoptest.cpp
@@ -30,7 +30,7 @@
 constexpr Duration eventPause = milliseconds{300}; ///< Six events: a stream takes longer than a third of the grace.
 constexpr Duration warmUp = seconds{8}; ///< Covers the loads of all adapters, and the estimate of the streams' time.
 
-constexpr FleetSize longStreamSize{2, 8, 1, seconds{8}};
+const FleetSize longStreamSize{2, 8, 1, seconds{8}};
 constexpr Load fewStreams{0, 0, 20};
 constexpr Load manyStreams{0, 0, 600};
 constexpr Duration lateTime = milliseconds{120};
