--- a/src/gateway/callcontext.h
+++ b/src/gateway/callcontext.h
@@ -47,7 +47,7 @@
     Scheduling::CapacityReserve reserve; ///< Of services' capacity for urgent calls.
     /// Less urgent calls leave a part of the capacity to urgent ones. If not, they only go after those that wait.
     bool reservesCapacity = false;
-    bool hasAdaptiveCapacity = true; ///< Learns recent speeds and limits of upstreams; see Upstream::capacity.
+    bool hasAdaptiveCapacity = false; ///< Learns recent speeds and limits of upstreams; see Upstream::capacity.
     Instant lastTickAt{}; ///< Of this node's loop, which ticks at short intervals.
     Instant stalledAt{}; ///< End of the last interval between ticks that was much longer: the node read nothing then.
     /// By service: the slowness of an upstream up to which callers get what they need.
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -46,7 +46,7 @@
     Duration retryWindow = std::chrono::seconds{10}; ///< Length of the sliding window in which retries are counted.
     Duration entryTtl = std::chrono::seconds{1}; ///< Time for which callers may cache the list of nodes.
     /// Learns recent speeds and limits of upstreams; off only for comparison.
-    bool adaptiveCapacity = true;
+    bool adaptiveCapacity = false;
     LogLevel logLevel = LogLevel::Info;
     LogFormat logFormat = LogFormat::Json;
 
--- a/tests/gateway/gatewaysettingstest.cpp
+++ b/tests/gateway/gatewaysettingstest.cpp
@@ -92,7 +92,7 @@
     {"regions: {a: r}\n", true, false},
     {"machine: {cpu_share: 0.125}\n", false, true},
     {"log: {level: debug}\n", false, true},
-    {"adaptive_capacity: false\n", false, true},
+    {"adaptive_capacity: true\n", false, true},
 };
 
 } // namespace
