--- a/tests/gateway/capacitylearnertest.cpp
+++ b/tests/gateway/capacitylearnertest.cpp
@@ -492,6 +492,7 @@
 Test(CapacityLearner, plainServiceAvoidsSlowUpstreamAndLimitsCrowdedOne)
 {
     CallContext context;
+    context.hasAdaptiveCapacity = true;
     CapacityLearner learner(context);
     for (const auto *instance : {"crowded", "sound", "sound2"}) {
         UpstreamRecord record;
@@ -531,6 +532,7 @@
 Test(CapacityLearner, ignoresPausesOfAStalledNode)
 {
     CallContext context;
+    context.hasAdaptiveCapacity = true;
     CapacityLearner learner(context);
     UpstreamRecord record;
     record.instance = "e";
