Tokens in service end with the organisation with which they began; scheduling urgency named

A call that leaves a silent upstream checks its key again. If a new configuration had given the key to another organisation, the tokens of the held send were never taken from the first one, which then went last at that node.

--- a/src/gateway/callaccess.h
+++ b/src/gateway/callaccess.h
@@ -17,7 +17,7 @@
 
     /// Returns the urgency by which nodes order calls and reserve capacity. It is the same for all calls if the
     /// configuration has no organisations, as engines then order them by the priority of their routes alone.
-    unsigned turn() const
+    unsigned schedulingUrgency() const
     {
         return identity.isChecked ? urgency : 0;
     }
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -343,7 +343,8 @@
         else
             m_context.allowance.onRequest(call->service, call->arrival);
         if (!call->request.target.empty()) {
-            m_context.reserve.onArrived(call->service, call->turn(), call->request.promptTokens, BootClock{}.now());
+            m_context.reserve.onArrived(call->service, call->schedulingUrgency(), call->request.promptTokens,
+                                        BootClock{}.now());
             auto &use = m_context.uses[call->request.target];
             use.service = call->service;
             ++use.inFlight;
@@ -729,7 +730,7 @@
     {
         const auto window = windowOf(call);
         return {call.service,
-                {call.turn(), window.inTimeUntil(), window.latestSend()},
+                {call.schedulingUrgency(), window.inTimeUntil(), window.latestSend()},
                 call.arrival,
                 call.identity.organisation,
                 tokensOf(call)};
@@ -779,8 +780,9 @@
             return choice.sendAt;
         const auto ahead = m_waiting.countBefore(waitingOf(call), now);
         const auto &reserve = m_context.reserve;
-        return std::max(choice.sendAt,
-                        now + reserve.earliestTurn(call.service, call.turn(), ahead, m_context.rank.count, now));
+        return std::max(
+            choice.sendAt,
+            now + reserve.earliestTurn(call.service, call.schedulingUrgency(), ahead, m_context.rank.count, now));
     }
 
     /// Returns true if the call would reserve the prompt pace so far ahead that calls that go before it would find it
@@ -806,7 +808,7 @@
     /// Refuses the call, whose turn is expected at @p sendAt, too late to be useful.
     void refuseAsFull(const CallPtr &call, const UpstreamChoice &choice, Instant sendAt, Instant now)
     {
-        m_context.reserve.onRefused(call->service, call->turn(), now);
+        m_context.reserve.onRefused(call->service, call->schedulingUrgency(), now);
         const bool isForecast = sendAt > choice.sendAt && !isBrittle(call->service);
         if (isForecast)
             m_metrics.add(Metric::ForecastRefusals, {{"urgency", std::to_string(call->urgency)}});
@@ -905,8 +907,8 @@
         demand.rank = m_context.rank;
         demand.slotShare = share;
         if (m_context.reservesCapacity
-            && m_context.reserve.isBelowOthers(call.service, call.turn(), m_context.rank.count, now))
-            demand.usualTokens = m_context.reserve.usualPrompt(call.service, call.turn(), now);
+            && m_context.reserve.isBelowOthers(call.service, call.schedulingUrgency(), m_context.rank.count, now))
+            demand.usualTokens = m_context.reserve.usualPrompt(call.service, call.schedulingUrgency(), now);
         demand.spreadSeed = XXH3_64bits(call.request.id.data(), call.request.id.size());
         return demand;
     }
@@ -947,8 +949,8 @@
     {
         if (!m_context.reservesCapacity || call.request.target.empty() || call.lastEvent || call.answering)
             return 1;
-        return m_context.reserve.share(call.service, call.turn(), tokensOf(call), m_context.rank.count, now,
-                                       [&] { return utilisationOf(m_context.upstreams, call.service, now); });
+        return m_context.reserve.share(call.service, call.schedulingUrgency(), tokensOf(call), m_context.rank.count,
+                                       now, [&] { return utilisationOf(m_context.upstreams, call.service, now); });
     }
 
     /// Returns the prompt pace for the call, which may use @p share of it. Calls past their latency objective leave a
@@ -1140,7 +1142,7 @@
         if (!call->request.target.empty()) {
             instructions.priority = call->urgency;
             if (call->number == 1)
-                m_context.reserve.onStarted(call->service, call->turn(), tokensOf(*call), now);
+                m_context.reserve.onStarted(call->service, call->schedulingUrgency(), tokensOf(*call), now);
             if (const auto it = m_context.declared.find(call->request.target);
                 it != m_context.declared.end()
                 && (choice.version >= it->second.newest() || it->second.oldestUsable(now) > 0))
@@ -1148,7 +1150,8 @@
         }
         if (call->lastEvent)
             instructions.resumeAfter = call->lastEvent;
-        m_waiting.onSent(call->identity.organisation, tokensOf(*call));
+        call->organisationAtSend = call->identity.organisation;
+        m_waiting.onSent(call->organisationAtSend, tokensOf(*call));
         call->adapterVersion = choice.version;
         call->processStartedAt = upstream->record.startedAt;
         call->softwareAtSend = upstream->record.softwareVersion;
@@ -1262,7 +1265,7 @@
         send.token = 0;
         if (!send.peer.empty())
             return m_relay.onEnded(send.peer);
-        m_waiting.onEnded(call.identity.organisation, tokensOf(call));
+        m_waiting.onEnded(send.organisationAtSend, tokensOf(call));
         auto *upstream = m_context.upstreams.find(send.instance);
         if (!upstream || upstream->record.startedAt != send.processStartedAt || upstream->ownInFlight == 0)
             return;
--- a/src/gateway/callsend.h
+++ b/src/gateway/callsend.h
@@ -25,6 +25,7 @@
     std::uint64_t adapterVersion = 0; ///< Version of the upstream's copy; 0 if it is not known.
     std::int64_t processStartedAt = 0; ///< Start time of the upstream process.
     std::string softwareAtSend; ///< Software version of the upstream.
+    std::string organisationAtSend; ///< Whose the call was; a later configuration may give its key to another one.
     Instant sentAt{};
     Instant lastProgress{}; ///< Last time the upstream made progress on the answer; initially the time of the send.
     double slownessAtSend = 1; ///< Estimate for the upstream, see slownessNow().
