Simplify the stall test, memory limits and urgency range; no change in behaviour

wouldStall takes the pace, speed and time instead of a whole demand, so a tick no longer builds the demand of every waiting reserved call. GatewayNode's own derivation of the memory limits is removed, as Budget::MemoryLimits derives the same values. The range of urgencies is defined once, in the scheduling library.

--- a/src/access/accesstable.cpp
+++ b/src/access/accesstable.cpp
@@ -102,11 +102,11 @@
 unsigned AccessTable::urgencyOf(const Identity &identity, unsigned routePriority) const
 {
     if (!m_isEnabled)
-        return std::min(lastUrgency, routePriority);
+        return Scheduling::urgencyOf(routePriority);
     const PriorityPair pair{priorityOf(identity.organisation), routePriority};
     const auto before = std::ranges::lower_bound(m_pairs, pair) - m_pairs.begin();
     const auto place = static_cast<std::size_t>(before);
-    constexpr std::size_t urgencies = lastUrgency + 1;
+    constexpr std::size_t urgencies = Scheduling::urgencyCount;
     const auto urgency = m_pairs.size() <= urgencies ? place : place * urgencies / m_pairs.size();
     return static_cast<unsigned>(std::min<std::size_t>(urgency, lastUrgency));
 }
--- a/src/access/accesstable.h
+++ b/src/access/accesstable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "access/organisation.h"
+#include "scheduling/urgency.h"
 
 #include <cstddef>
 #include <optional>
@@ -14,7 +15,7 @@
 {
 
 /// Urgencies range from 0, which goes first, to this.
-inline constexpr unsigned lastUrgency = 9;
+inline constexpr unsigned lastUrgency = Scheduling::urgencyCount - 1;
 
 /// What a table needs of a route.
 struct RouteAccess {
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1086,10 +1086,11 @@
     {
         if (!call.reservation)
             return std::nullopt;
+        const double share = shareOf(call, now);
         const auto it = m_context.upstreams.all().find(call.reservation->instance);
         if (it == m_context.upstreams.all().end() || !it->second.takesRequests(now) || now < it->second.avoidUntil
-            || it->second.inFlight() >= usableSlots(it->second, call.request.target, shareOf(call, now), now)
-            || wouldStall(it->second, demandOf(call, now), now)
+            || it->second.inFlight() >= usableSlots(it->second, call.request.target, share, now)
+            || wouldStall(it->second, paceOf(call, share, now), m_context.speeds[call.service].speed(), now)
             || !keepsRequestLimit(it->second, *call.reservation, now)
             || (call.reservation->isLent && !isStillLent(it->second, m_context.node, now)))
             return std::nullopt;
--- a/src/gateway/enginechoice.cpp
+++ b/src/gateway/enginechoice.cpp
@@ -117,29 +117,30 @@
 }
 
 /// Returns the time that an engine of usual speed takes for @p promptTokens and an event, in ms.
-double usualPauseMs(const UpstreamDemand &demand, double promptTokens)
+double usualPauseMs(const PromptPace &pace, const Estimates::Speed &speed, double promptTokens)
 {
-    return demand.speed.stepMs * std::max(1U, demand.pace.tokensPerEvent)
-           + promptTokens / demand.speed.promptTokensPerMs;
+    return speed.stepMs * std::max(1U, pace.tokensPerEvent) + promptTokens / speed.promptTokensPerMs;
 }
 
 /// Returns the longest pause of the streams of @p upstream, in ms, while it processes @p promptTokens.
-double pauseMs(const Upstream &upstream, const UpstreamDemand &demand, double promptTokens, Instant now)
+double pauseMs(const Upstream &upstream, const PromptPace &pace, const Estimates::Speed &speed, double promptTokens,
+               Instant now)
 {
-    return expectedSlowness(upstream, demand.speed, now) * usualPauseMs(demand, promptTokens);
+    return expectedSlowness(upstream, speed, now) * usualPauseMs(pace, speed, promptTokens);
 }
 
-bool canStall(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
+bool canStall(const Upstream &upstream, const PromptPace &pace, Instant now)
 {
-    return demand.pace.longestPause > Duration{} && upstream.inFlight() > 0 && upstream.capacity.isKnown(now);
+    return pace.longestPause > Duration{} && upstream.inFlight() > 0 && upstream.capacity.isKnown(now);
 }
 
 /// Returns the penalty of an engine that is too slow for the prompt. Another one that serves the request in time, even
 /// if it has to wait for its turn there, costs less.
 double stallPenaltyMs(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
 {
-    if (!canStall(upstream, demand, now)
-        || pauseMs(upstream, demand, demand.promptTokens, now) <= stallFraction * msOf(demand.pace.longestPause))
+    if (!canStall(upstream, demand.pace, now)
+        || pauseMs(upstream, demand.pace, demand.speed, demand.promptTokens, now)
+               <= stallFraction * msOf(demand.pace.longestPause))
         return 0;
     return std::clamp(msOf(std::min(demand.wantedBy, demand.latestSend) - now), 0.0, maxStallPenaltyMs);
 }
@@ -156,7 +157,8 @@
                + inFlight / slots + penaltyMs(upstream, demand, now);
     const double queued = std::max(0.0, inFlight + 1 - slots);
     const double crowded = slowness * upstream.capacity.crowding(upstream.inFlight());
-    const double ownMs = upstream.capacity.isKnown(now) ? (crowded - 1) * usualPauseMs(demand, demand.promptTokens) : 0;
+    const double ownMs
+        = upstream.capacity.isKnown(now) ? (crowded - 1) * usualPauseMs(demand.pace, speed, demand.promptTokens) : 0;
     const double spread = upstream.capacity.isKnown(now) ? engineSpreadMs * spreadOf(upstream, demand) : 0;
     return distance + spread + ownMs + penaltyMs(upstream, demand, now) + stallPenaltyMs(upstream, demand, now)
            + slowness
@@ -297,13 +299,13 @@
     });
 }
 
-bool wouldStall(const Upstream &upstream, const UpstreamDemand &demand, Instant now)
+bool wouldStall(const Upstream &upstream, const PromptPace &pace, const Estimates::Speed &speed, Instant now)
 {
-    if (!canStall(upstream, demand, now))
+    if (!canStall(upstream, pace, now))
         return false;
     const double later = upstream.prompts.sum({}, now);
-    const double tokens = upstream.prompts.sum(demand.pace.longestPause, now) - later;
-    return pauseMs(upstream, demand, tokens, now) > msOf(demand.pace.longestPause);
+    const double tokens = upstream.prompts.sum(pace.longestPause, now) - later;
+    return pauseMs(upstream, pace, speed, tokens, now) > msOf(pace.longestPause);
 }
 
 bool hasUpstream(const UpstreamTable &table, const std::string &service, Instant now,
--- a/src/gateway/enginechoice.h
+++ b/src/gateway/enginechoice.h
@@ -123,10 +123,9 @@
 bool hasFreeSlot(const UpstreamTable &table, const std::string &service, const ModelTarget &target, double share,
                  Instant now);
 
-/// Returns true if the prompt of @p demand, together with those that @p upstream already processes, would make its
-/// streams pause for too long by its recent samples; false without any. For a prompt that is due to be sent, and is
-/// among those that are recorded there. Thread-safe.
-bool wouldStall(const Upstream &upstream, const UpstreamDemand &demand, Instant now);
+/// Returns true if the prompts that are recorded at @p upstream until now would make its streams pause for longer than
+/// @p pace allows, by its recent samples; false without any. For a reserved prompt that is due to be sent. Thread-safe.
+bool wouldStall(const Upstream &upstream, const PromptPace &pace, const Estimates::Speed &speed, Instant now);
 
 /// Returns true if any upstream of @p service accepts requests of this node; of those of @p softwareVersion only, if it
 /// is not null. Thread-safe.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -89,7 +89,7 @@
     GatewayNode(const GatewaySettings &settings, const Logging &logging)
         : m_settings(settings)
         , m_log(logging)
-        , m_memory(memoryLimits(settings))
+        , m_memory(Budget::MemoryLimits{settings.callerMemoryBytes})
         , m_store(m_loop, settings.store)
         , m_address{settings.node,  settings.failureDomain, settings.region,  settings.callers,
                     settings.peers, wallMilliseconds(),     settings.capacity}
@@ -244,9 +244,6 @@
     using Registry = RegistryViews<typename Platform::Store>;
     using Orders = PlacementController<typename Platform::Orders, typename Platform::Store>;
 
-    static constexpr std::size_t reserveDivisor = 4; ///< Of the callers' memory, for small requests.
-    /// Holders of memory that are too small to be tracked; more than there are connections.
-    static constexpr std::size_t maxUntracked = 8192;
     static constexpr std::size_t reservedDescriptors = 200; ///< For files and listening sockets.
     static constexpr std::size_t minSharedDescriptors = 64; ///< Give each server a connection.
     /// Shares of the other descriptors; the rest is for connections to upstreams, peers and the store.
@@ -367,15 +364,6 @@
         return lease;
     }
 
-    static Budget::MemoryLimits memoryLimits(const GatewaySettings &settings)
-    {
-        Budget::MemoryLimits limits;
-        limits.total = settings.callerMemoryBytes;
-        limits.reserve = limits.total / reserveDivisor;
-        limits.trackedBytes = limits.total / maxUntracked;
-        return limits;
-    }
-
     /// Returns the limit on connections that may take @p share of the descriptors, or @p usual if there are enough.
     std::size_t connectionLimit(std::size_t usual, double share) const
     {
--- a/src/gateway/relaycodec.cpp
+++ b/src/gateway/relaycodec.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstdlib>
 #include <iterator>
 #include <limits>
 #include <string_view>
--- a/tests/gateway/capacitylearnertest.cpp
+++ b/tests/gateway/capacitylearnertest.cpp
@@ -227,7 +227,8 @@
             auto &known = m_contexts[stream.node];
             auto *upstream = known.upstreams.find(instance);
             demand.speed = known.speeds["s"].speed();
-            if (upstream->inFlight() < upstream->usableSlots(m_now) && !wouldStall(*upstream, demand, m_now))
+            if (upstream->inFlight() < upstream->usableSlots(m_now)
+                && !wouldStall(*upstream, demand.pace, demand.speed, m_now))
                 return send(planned, instance);
             announce(stream.node, {instance, -stream.call.promptTokens, {}, 0});
             plan(planned);
--- a/tests/gateway/enginechoicetest.cpp
+++ b/tests/gateway/enginechoicetest.cpp
@@ -501,8 +501,8 @@
     engine->prompts.add(1460, now, now);
     auto paced = demand;
     paced.pace = {std::chrono::milliseconds{300}, 4};
-    cr_assert_not(wouldStall(*engine, paced, now));
+    cr_assert_not(wouldStall(*engine, paced.pace, paced.speed, now));
     for (int i = 0; i < 20; ++i)
         engine->capacity.addOwn(40, 40, 1, now);
-    cr_assert(wouldStall(*engine, paced, now));
+    cr_assert(wouldStall(*engine, paced.pace, paced.speed, now));
 }
