--- a/src/budget/memorybudget.cpp
+++ b/src/budget/memorybudget.cpp
@@ -28,10 +28,16 @@
 {
 }
 
-bool MemoryBudget::mayGrow(std::size_t held, std::size_t growth) const
+bool MemoryBudget::mayGrow(std::size_t held, std::size_t growth)
 {
-    const bool isSmall = held + growth <= m_limits.smallBytes;
-    return m_used + growth <= m_limits.total - (isSmall ? 0 : m_limits.reserve);
+    const auto size = held + growth;
+    auto kept = m_limits.reserve;
+    if (size <= m_limits.smallBytes)
+        kept = size <= m_limits.tinyBytes ? 0 : m_limits.reserve / 2;
+    if (m_used + growth + kept <= m_limits.total)
+        return true;
+    m_wanted = std::max(m_wanted, growth);
+    return false;
 }
 
 void MemoryBudget::onShort(std::function<void()> task)
@@ -41,12 +47,14 @@
 
 std::size_t MemoryBudget::shed(Instant now)
 {
-    if (!isShort())
+    if (!isShort()) {
+        m_wanted = 0;
         return 0;
+    }
     std::vector<Candidate> candidates;
     for (const auto &[holder, bytes] : m_tracked) {
         const auto stall = holder->stalledFor(now);
-        if (!stall || (*stall < minStall && !isExhausted()))
+        if (!stall || (*stall < minStall && m_used + m_limits.tinyBytes <= m_limits.total))
             continue;
         const double rank = static_cast<double>(bytes) * std::chrono::duration<double>(*stall).count();
         candidates.push_back({holder, bytes > m_limits.smallBytes, holder->isHeldUp() ? rank / heldUpDivisor : rank});
@@ -64,6 +72,8 @@
         candidate.holder->shed();
         ++count;
     }
+    if (!isShort())
+        m_wanted = 0;
     return count;
 }
 
--- a/src/budget/memorybudget.h
+++ b/src/budget/memorybudget.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <optional>
@@ -11,11 +12,13 @@
 namespace Gypsumtally::Budget
 {
 
-/// Limits of a budget. Precondition: smallBytes is less than the reserve, and that less than the total.
+/// Limits of a budget. Precondition: smallBytes is less than half of the reserve, and that less than the total.
 struct MemoryLimits {
     std::size_t total = 96 * 1024 * 1024; ///< Bytes for all holders; positive.
-    std::size_t reserve = total / 4; ///< Part of the total that only small holders may use.
+    /// Part of the total that only small holders may use, and half of it only tiny ones.
+    std::size_t reserve = total / 4;
     std::size_t smallBytes = 64 * 1024; ///< Up to which a holder is small. An ordinary request holds less.
+    std::size_t tinyBytes = 40 * 1024; ///< Up to which a holder is tiny, as one that has read once.
     /// From which a holder is tracked, so that it can be shed. As many untracked holders as there are connections by
     /// default take less than half of the total together.
     std::size_t trackedBytes = total / 8192;
@@ -44,19 +47,19 @@
 public:
     explicit MemoryBudget(const MemoryLimits &limits);
 
-    /// Returns true if a holder of @p held bytes may take @p growth more.
-    bool mayGrow(std::size_t held, std::size_t growth) const;
+    /// Returns true if a holder of @p held bytes may take @p growth more. Otherwise shed() makes room for that.
+    bool mayGrow(std::size_t held, std::size_t growth);
 
-    /// Returns true if too little is left for a large holder to grow.
+    /// Returns true if too little is left for large holders to grow.
     bool isShort() const
     {
-        return m_used + m_limits.smallBytes > m_limits.total - m_limits.reserve;
+        return m_used + std::max(m_limits.smallBytes, m_wanted) > m_limits.total - m_limits.reserve;
     }
 
-    /// Returns true if too little is left for another small holder.
+    /// Returns true if too little is left for a small holder to grow.
     bool isExhausted() const
     {
-        return m_used + m_limits.smallBytes > m_limits.total;
+        return m_used + m_limits.smallBytes > m_limits.total - m_limits.reserve / 2;
     }
 
     std::size_t used() const
@@ -79,6 +82,7 @@
 private:
     MemoryLimits m_limits;
     std::size_t m_used = 0;
+    std::size_t m_wanted = 0; ///< The largest growth that was denied since memory was last free for it.
     std::unordered_map<MemoryHolder *, std::size_t> m_tracked; ///< Bytes of the holders that can be shed.
     std::function<void()> m_onShort;
 };
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1499,21 +1499,25 @@
         const bool fits = !m_context.memory || m_context.memory->mayGrow(call->body.size(), piece.size());
         if (!fits || m_bufferedBytes + piece.size() > m_context.maxBufferedAnswerBytes)
             return dropSend(call, "the answers of all requests take too much memory");
+        const auto before = call->body.capacity();
         call->body += piece;
-        setBuffered(m_bufferedBytes + piece.size());
+        m_bufferedBytes += piece.size();
+        charge(before, call->body.capacity());
     }
 
     std::string takeBody(CallSend &send)
     {
-        setBuffered(m_bufferedBytes - send.body.size());
-        return std::exchange(send.body, {});
+        m_bufferedBytes -= send.body.size();
+        auto body = std::exchange(send.body, {});
+        charge(body.capacity(), send.body.capacity());
+        return body;
     }
 
-    void setBuffered(std::size_t bytes)
+    /// Records that the storage of a buffered answer changes from @p before to @p after bytes.
+    void charge(std::size_t before, std::size_t after)
     {
-        const auto before = std::exchange(m_bufferedBytes, bytes);
         if (m_context.memory)
-            m_context.memory->change(nullptr, before, bytes);
+            m_context.memory->change(nullptr, before, after);
     }
 
     /// Updates the step estimates with the mean of two successive pauses, as engines that make several tokens in a step
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -15,9 +15,9 @@
 constexpr Bounds<double> ratios{0, 10};
 constexpr Bounds<double> counts{0, 1'000'000};
 constexpr double bytesPerMb = 1024 * 1024;
-/// Share of the machine's memory that callers may take together. The rest is for the process itself, its tables, copies
-/// on their way and what the allocator does not return.
-constexpr double callerMemoryShare = 0.375;
+/// Share of the machine's memory that callers may take together. The allocator may keep as much again after small blocks
+/// were freed; the rest is for the process itself.
+constexpr double callerMemoryShare = 1.0 / 3;
 constexpr Bounds<double> callerMemory{2, 1'000'000};
 /// At least the descriptors that are reserved for files, and some connections of each kind.
 constexpr Bounds<double> descriptorCounts{264, 1'000'000};
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -36,7 +36,7 @@
     /// Limit in bytes for answers that are buffered until they are complete: a quarter of the memory.
     std::size_t answerBufferBytes = 64 * 1024 * 1024;
     /// Limit in bytes for all that is held on behalf of callers, their buffered answers included.
-    std::size_t callerMemoryBytes = 96 * 1024 * 1024;
+    std::size_t callerMemoryBytes = 256 * 1024 * 1024 / 3;
     std::optional<std::size_t> maxDescriptors; ///< File descriptors of the process.
     Duration orderHandover = std::chrono::milliseconds{3000}; ///< Minimum time between the orders of two nodes.
     Duration stopGrace = std::chrono::seconds{8}; ///< From SIGTERM to SIGKILL.
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -407,7 +407,8 @@
     /// Records what the connection holds, and whether it is idle. To be called after each change of either.
     void noteState()
     {
-        m_memory.set(m_input.capacity() + m_output.capacity() + m_reader->heldBytes() + requestCopies * m_requestBytes);
+        const auto held = m_input.capacity() + m_output.capacity() + m_reader->heldBytes();
+        m_memory.set(m_closed ? 0 : held + requestCopies * m_requestBytes);
         auto *queue = queueOfState();
         if (queue == m_queue)
             return;
@@ -498,8 +499,7 @@
         // A caller that goes on sending must not hold up the loop, so no more is read than a whole request.
         const auto &limits = m_shared->settings.limits;
         for (auto left = limits.headerBytes + limits.bodyBytes;
-             isSame() && left > 0 && m_socket.available(ignored) > 0 && m_memory.mayGrow(readBytes);
-             left -= std::min(left, readBytes))
+             isSame() && left > 0 && m_socket.available(ignored) > 0 && mayRead(); left -= std::min(left, readBytes))
             read();
         if (isSame())
             refuse(408, "the request did not come in time");
@@ -524,6 +524,8 @@
             return;
         if (isLastRequestRead())
             return leaveUnread();
+        if (!m_lingering && !mayRead())
+            return holdUp();
         const auto error = receive();
         if (error == asio::error::would_block)
             return waitForBytes();
@@ -543,10 +545,21 @@
     {
         if (m_closed || m_hasUnread || m_isHeldUp || m_input.size() >= maxPipelinedBytes)
             return;
-        if (m_lingering || m_memory.mayGrow(readBytes))
+        if (m_lingering || mayRead())
             return waitForBytes();
-        m_isHeldUp = true;
-        m_shared->heldUp.push_back(weak_from_this());
+        holdUp();
+    }
+
+    bool mayRead() const
+    {
+        return m_memory.mayGrow(std::max(readBytes, m_reader->growthFor(readBytes)));
+    }
+
+    /// Stops reading until there is memory for more.
+    void holdUp()
+    {
+        if (!std::exchange(m_isHeldUp, true))
+            m_shared->heldUp.push_back(weak_from_this());
     }
 
     /// Appends what has arrived to the input.
--- a/src/relay/requestreader.cpp
+++ b/src/relay/requestreader.cpp
@@ -26,6 +26,15 @@
     struct value_type {
         std::string text;
         std::size_t limit = 0;
+
+        /// Returns the capacity that @p bytes more take.
+        std::size_t capacityWith(std::size_t bytes) const
+        {
+            const auto size = text.size() + bytes;
+            if (size <= text.capacity())
+                return text.capacity();
+            return std::max(size, std::min(limit, std::max(minBodyCapacity, 2 * text.capacity())));
+        }
     };
 
     class reader
@@ -65,10 +74,9 @@
         void append(std::string_view bytes)
         {
             auto &text = m_body.text;
-            const auto size = text.size() + bytes.size();
-            if (size > text.capacity()) {
+            if (const auto capacity = m_body.capacityWith(bytes.size()); capacity > text.capacity()) {
                 std::string larger; // A string that grows takes at least twice its capacity, also beyond the limit.
-                larger.reserve(std::max(size, std::min(m_body.limit, std::max(minBodyCapacity, 2 * text.capacity()))));
+                larger.reserve(capacity);
                 larger.append(text);
                 text.swap(larger);
             }
@@ -109,7 +117,10 @@
     }
     while (m_state == State::Reading && used < bytes.size()) {
         ErrorCode error;
+        const bool isHead = !m_d->hasHead;
         const auto taken = m_d->parser.put(boost::asio::buffer(bytes.substr(used)), error);
+        if (isHead) // The parser holds each line of the head as a field.
+            m_headBytes += taken + fieldBytes * std::ranges::count(bytes.substr(used, taken), '\n');
         used += taken;
         if (error == bhttp::error::need_more)
             return used;
@@ -141,7 +152,6 @@
     for (const auto &field : message) {
         hasEncoding = hasEncoding || field.name() == bhttp::field::transfer_encoding;
         m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
-        m_headBytes += fieldBytes + field.name_string().size() + field.value().size();
     }
     m_keepsConnection = message.keep_alive();
     m_expectContinue = boost::beast::iequals(message[bhttp::field::expect], "100-continue");
@@ -153,6 +163,13 @@
     message.clear(); // The fields of the head were copied; trailers are dropped.
 }
 
+std::size_t RequestReader::growthFor(std::size_t bytes) const
+{
+    const auto &body = m_d->parser.get().body();
+    return body.capacityWith(std::min(bytes, body.limit - std::min(body.limit, body.text.size())))
+           - body.text.capacity();
+}
+
 std::size_t RequestReader::heldBytes() const
 {
     return m_headBytes + m_d->parser.get().body().text.capacity() + m_request.body.capacity();
--- a/src/relay/requestreader.h
+++ b/src/relay/requestreader.h
@@ -63,6 +63,9 @@
     /// Moves the request out. Call once. Precondition: the state is Complete.
     Http::Request takeRequest();
 
+    /// Returns how much more memory the request may hold once @p bytes more of it have been fed.
+    std::size_t growthFor(std::size_t bytes) const;
+
     /// Returns about how many bytes of memory the request holds.
     std::size_t heldBytes() const;
 
--- a/tests/gateway/gatewaysettingstest.cpp
+++ b/tests/gateway/gatewaysettingstest.cpp
@@ -34,6 +34,8 @@
     {"unknown: 1\n", "unknown"},
     {"log: {level: loud}\n", "log.level"},
     {"machine: {cpu_share: -1}\n", "machine.cpu_share"},
+    {"machine: {caller_memory_mb: 1}\n", "machine.caller_memory_mb"},
+    {"machine: {max_descriptors: 200}\n", "machine.max_descriptors"},
 };
 
 } // namespace
@@ -105,6 +107,30 @@
     cr_assert_eq(settings.value->answerBufferBytes, 40U * 1024 * 1024);
 }
 
+namespace
+{
+
+struct CallerMemoryCase {
+    const char *line;
+    std::size_t megabytes;
+};
+
+const CallerMemoryCase callerMemories[] = {
+    {"machine: {memory_mb: 120}\n", 40},
+    {"machine: {memory_mb: 120, caller_memory_mb: 50}\n", 50},
+    {"machine: {memory_mb: 1}\n", 2},
+};
+
+} // namespace
+
+/// Guards against callers that may take all memory of the machine.
+TABLE_TEST(GatewaySettings, callersHaveAPartOfTheMemory, callerMemories)
+{
+    const auto settings = parseGatewaySettings(good + row.line, "f");
+    cr_assert_eq(settings.value->callerMemoryBytes, row.megabytes * 1024 * 1024);
+    cr_assert_not(settings.value->maxDescriptors.has_value());
+}
+
 TABLE_TEST(GatewaySettings, appliesReloadableSettings, rereads)
 {
     const auto running = *parseGatewaySettings(good, "f").value;
--- a/tests/gatewayfleet/untrustedcallerstest.cpp
+++ b/tests/gatewayfleet/untrustedcallerstest.cpp
@@ -184,3 +184,24 @@
     cr_expect_leq(peak, idle + maxGrowth, "%s: %zu kB, %zu kB idle", row.name, peak, idle);
     cr_expect_leq(open, maxOpen, "%s: %zu descriptors", row.name, open);
 }
+
+/// Guards against limits that a single request within the stated ones meets, on the smallest machine.
+Test(UntrustedCallers, singleLargeRequestIsServed)
+{
+    constexpr std::size_t largest = 4 * 1024 * kilobyte;
+    FleetSize size{1, 1, 1};
+    size.machine = "{memory_mb: 120}";
+    size.limits = R"({"header_bytes": 16384, "max_body_bytes": )" + std::to_string(largest) + "}";
+    Fleet fleet(size, 1);
+    fleet.waitUntilReady();
+    setAnswerBytes(fleet, largest - kilobyte);
+    Relay::UpstreamClient client(fleet.loop());
+    const auto response = std::make_shared<Relay::WholeResponse>();
+    client.fetch({fleet.callersOf(0), {}},
+                 {"POST", "/work/1", {{"Host", "h"}, {"X-Request-Id", "n0:0"}}, std::string(largest, 'x')},
+                 [response](const Relay::WholeResponse &received) { *response = received; }, {});
+    for (unsigned steps = 0; steps < maxAttempts && response->head.status == 0; ++steps)
+        fleet.run(step);
+    cr_assert_eq(response->head.status, 200U, "%u", response->head.status);
+    cr_assert_gt(response->body.size(), largest - 2 * kilobyte);
+}
--- a/tests/relay/requestreadertest.cpp
+++ b/tests/relay/requestreadertest.cpp
@@ -86,3 +86,45 @@
     cr_assert(reader.state() == RequestReader::State::Failed);
     cr_assert_eq(reader.refusalStatus(), 431U);
 }
+
+namespace
+{
+
+constexpr std::size_t limitedBody = 64 * 1024;
+constexpr std::size_t limitedHead = 16 * 1024;
+
+std::string repeated(std::string_view piece, std::size_t count)
+{
+    std::string text;
+    for (std::size_t i = 0; i < count; ++i)
+        text += piece;
+    return text;
+}
+
+struct HeldCase {
+    const char *name;
+    std::string bytes;
+    std::size_t least;
+    std::size_t most;
+};
+
+const HeldCase held[] = {
+    {"a length without a body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n", 0, 2048},
+    {"one-byte chunks",
+     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + repeated("1\r\nx\r\n", limitedBody - 1),
+     limitedBody - 1, limitedBody + 2048},
+    {"many short fields", "POST /a HTTP/1.1\r\nHost: h\r\n" + repeated("a:b\r\n", 2000), 2000 * sizeof(std::string),
+     600'000},
+};
+
+} // namespace
+
+/// Guards against requests that hold more memory than is counted, or more than has arrived and the limits allow.
+TABLE_TEST(RequestReader, countsWhatItHolds, held)
+{
+    RequestReader reader({limitedHead, limitedBody});
+    reader.feed(row.bytes);
+    cr_assert(reader.state() == RequestReader::State::Reading);
+    cr_assert_geq(reader.heldBytes(), row.least, "%s: %zu", row.name, reader.heldBytes());
+    cr_assert_leq(reader.heldBytes(), row.most, "%s: %zu", row.name, reader.heldBytes());
+}
