Test legal bodies of callers that the gateway does not control

untrustedcallerstest had no row for bodies within the limit: whole, one piece or one byte short of their end, with their last bytes one by one, in chunks, and at upstreams that take 20 s. The callers of the test move to tests/processes, where tests of the daemon can use them, with the observation of a crowd.

All seven rows are green on the code as it stands: they guard, they show no fault.

--- a/tests/gatewayfleet/untrustedcallerstest.cpp
+++ b/tests/gatewayfleet/untrustedcallerstest.cpp
@@ -1,17 +1,18 @@
-#include "gatewayfleet/untrustedcallers.h"
+#include "processes/untrustedcallers.h"
 #include "gatewayfleet/gatewayfleet.h"
-
+#include "processes/processstatus.h"
 #include "support/table.h"
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <memory>
 #include <string>
 
 using namespace Gypsumtally;
 using namespace Gypsumtally::GatewayFleet;
+using Processes::descriptorsOf;
+using Processes::memoryOf;
+using Processes::UntrustedBytes;
+using Processes::UntrustedCallers;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -24,9 +25,12 @@
 constexpr std::size_t maxBody = 1024 * kilobyte; ///< In the configuration.
 constexpr std::size_t chunk = 64 * kilobyte;
 constexpr std::size_t crowd = 64; ///< Its bodies have twice the size by which the node may grow.
+constexpr std::size_t largeCrowd = 200;
+constexpr std::size_t slowBytes = 1000; ///< At the end of a body, that arrive one by one.
 constexpr std::size_t largeAnswer = 512 * kilobyte;
 constexpr std::size_t pipelined = 200; ///< Requests of each caller whose answers exceed all buffers of the kernel.
 constexpr unsigned workers = 4; ///< Have room for one request of each caller.
+constexpr unsigned manyWorkers = 16; ///< Of a large crowd.
 constexpr std::size_t headerCrowd = 400;
 constexpr std::size_t headerBytes = 1000; ///< Of a header that never ends.
 constexpr std::size_t maxDescriptors = 300; ///< In the settings; 200 of them are reserved for files.
@@ -41,13 +45,10 @@
 const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string largeChunk = "10000\r\n" + std::string(chunk, 'x') + "\r\n";
 
-/// Returns the chunks of one byte that make @p size bytes.
-std::string smallChunks(std::size_t size)
+/// Returns the first part of a legal body with a length: all but @p missing bytes of a piece.
+std::string legalBeginning(std::size_t missing)
 {
-    std::string text;
-    for (std::size_t byte = 0; byte < size; ++byte)
-        text += "1\r\nx\r\n";
-    return text;
+    return head + "Content-Length: " + std::to_string(maxBody) + "\r\n\r\n" + std::string(chunk - missing, 'x');
 }
 
 std::string getRequests(std::size_t count)
@@ -64,6 +65,8 @@
     std::size_t descriptors; ///< In the settings; 0 if they state none.
     std::size_t answerBytes; ///< Size of an upstream's answer to the crowd.
     UntrustedBytes (*bytes)(); ///< That each caller sends.
+    Duration answerTime = milliseconds{15}; ///< Of an upstream for the crowd's requests.
+    unsigned upstreams = workers;
 };
 
 const CrowdCase crowds[] = {
@@ -73,7 +76,7 @@
      }},
     {"chunked bodies in one-byte chunks", crowd, 0, 0,
      [] {
-         return UntrustedBytes{chunkedHead, smallChunks(chunk), maxBody / chunk - 1, false};
+         return UntrustedBytes{chunkedHead, Processes::oneByteChunks(chunk), maxBody / chunk - 1, false};
      }},
     {"bodies over the limit, with a length", crowd, 0, 0,
      [] {
@@ -89,6 +92,36 @@
      [] {
          return UntrustedBytes{{}, getRequests(pipelined), 1, false};
      }},
+    {"legal bodies, one piece short", crowd, 0, 0,
+     [] {
+         return UntrustedBytes{legalBeginning(0), std::string(chunk, 'x'), maxBody / chunk - 2};
+     }},
+    {"legal bodies, one byte short", crowd, 0, 0,
+     [] {
+         return UntrustedBytes{legalBeginning(1), std::string(chunk, 'x'), maxBody / chunk - 1};
+     }},
+    {"many legal bodies, one byte short", largeCrowd, 0, 0,
+     [] {
+         return UntrustedBytes{legalBeginning(1), std::string(chunk, 'x'), maxBody / chunk - 1};
+     }},
+    {"legal bodies", crowd, 0, 0,
+     [] {
+         return UntrustedBytes{legalBeginning(0), std::string(chunk, 'x'), maxBody / chunk - 1};
+     }},
+    {"many legal chunked bodies", largeCrowd, 0, 0,
+     [] {
+         return UntrustedBytes{chunkedHead, largeChunk, maxBody / chunk, false, "0\r\n\r\n"};
+     }},
+    {"legal bodies, the last bytes one by one", crowd, 0, 0,
+     [] {
+         return UntrustedBytes{legalBeginning(slowBytes), std::string(chunk, 'x'), maxBody / chunk - 1, false,
+                               std::string(slowBytes, 'x')};
+     }},
+    {"many legal bodies at slow upstreams", largeCrowd, 0, 0,
+     [] {
+         return UntrustedBytes{legalBeginning(0), std::string(chunk, 'x'), maxBody / chunk - 1};
+     },
+     seconds{20}, manyWorkers},
     {"request headers that grow byte by byte", headerCrowd, 0, 0,
      [] {
          return UntrustedBytes{head + "X-Long: ", std::string(headerBytes, 'x'), 1, true};
@@ -98,30 +131,8 @@
 };
 
 constexpr Duration step = milliseconds{200};
-constexpr unsigned quietSteps
-    = 5; ///< Without a byte, a connection or growth, after which the crowd has sent what is read.
-constexpr unsigned maxCrowdSteps = 100; ///< For which a crowd is observed that goes on sending.
 constexpr unsigned maxAttempts = 50; ///< Of the ordinary request.
 
-/// Returns a figure of the status of process @p id, in kilobytes.
-std::size_t memoryOf(pid_t id, const std::string &figure)
-{
-    std::ifstream status("/proc/" + std::to_string(id) + "/status");
-    for (std::string name; status >> name;) {
-        std::size_t value = 0;
-        if (name == figure + ':' && status >> value)
-            return value;
-    }
-    return 0;
-}
-
-std::size_t descriptorsOf(pid_t id)
-{
-    std::error_code ignored;
-    const std::filesystem::directory_iterator files("/proc/" + std::to_string(id) + "/fd", ignored);
-    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
-}
-
 /// Returns true if one of a few ordinary requests, sent in turn, is answered by an upstream.
 bool isOrdinaryRequestAnswered(Fleet &fleet)
 {
@@ -142,10 +153,12 @@
     return *isAnswered;
 }
 
-void setAnswerBytes(Fleet &fleet, std::size_t bytes)
+void setAnswers(Fleet &fleet, std::size_t bytes, Duration time = milliseconds{15})
 {
-    for (std::size_t number = 0; number < fleet.workers(); ++number)
+    for (std::size_t number = 0; number < fleet.workers(); ++number) {
         fleet.worker(number).behaviour.answerBytes = bytes;
+        fleet.worker(number).behaviour.answerTime = time;
+    }
 }
 
 } // namespace
@@ -154,7 +167,7 @@
 /// what they can.
 TABLE_TEST(UntrustedCallers, leaveTheProcessAlive, crowds)
 {
-    FleetSize size{1, 1, workers};
+    FleetSize size{1, 1, row.upstreams};
     size.machine = "{memory_mb: " + std::to_string(memoryMb)
                    + (row.descriptors == 0 ? "" : ", max_descriptors: " + std::to_string(row.descriptors)) + '}';
     size.limits = limits;
@@ -164,18 +177,10 @@
     const auto id = fleet.processOf(0).id();
     const auto idle = memoryOf(id, "VmRSS");
     const auto maxOpen = row.descriptors == 0 ? usualConnections + reservedDescriptors : row.descriptors;
-    std::size_t open = 0;
-    setAnswerBytes(fleet, row.answerBytes);
-    UntrustedCallers callers(fleet.loop(), fleet.callersOf(0), row.callers, row.bytes());
-    unsigned quiet = 0;
-    for (unsigned steps = 0; quiet < quietSteps && steps < maxCrowdSteps; ++steps) {
-        const auto activity = [&] { return callers.connected() + callers.written() + memoryOf(id, "VmHWM"); };
-        const auto before = activity();
-        fleet.run(step);
-        quiet = activity() == before ? quiet + 1 : 0;
-        open = std::max(open, descriptorsOf(id));
-    }
-    setAnswerBytes(fleet, 0);
+    setAnswers(fleet, row.answerBytes, row.answerTime);
+    const UntrustedCallers callers(fleet.loop(), fleet.callersOf(0), row.callers, row.bytes());
+    const auto open = Processes::watchCrowd(callers, id, [&](Duration time) { fleet.run(time); });
+    setAnswers(fleet, 0);
     cr_expect(isOrdinaryRequestAnswered(fleet), "%s: no answer beside the crowd", row.name);
     cr_expect(fleet.processOf(0).isRunning(), "%s: the process has ended", row.name);
     const auto peak = memoryOf(id, "VmHWM");
@@ -194,7 +199,7 @@
     size.limits = R"({"header_bytes": 16384, "max_body_bytes": )" + std::to_string(largest) + "}";
     Fleet fleet(size, 1);
     fleet.waitUntilReady();
-    setAnswerBytes(fleet, largest - kilobyte);
+    setAnswers(fleet, largest - kilobyte);
     Relay::UpstreamClient client(fleet.loop());
     const auto response = std::make_shared<Relay::WholeResponse>();
     client.fetch({fleet.callersOf(0), {}},
--- a/tests/gatewayfleet/untrustedcallers.h
+++ b/tests/processes/untrustedcallers.h
@@ -5,22 +5,26 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <sys/types.h>
 #include <vector>
 
-namespace Gypsumtally::GatewayFleet
+namespace Gypsumtally::Processes
 {
 
-/// What each of some untrusted callers sends: the beginning, then a piece again and again, then nothing more.
+/// What each of some untrusted callers sends: the beginning, a piece again and again, the ending, then nothing more.
 struct UntrustedBytes {
-    std::string beginning;
+    std::string beginning; ///< In which `{n}` stands for the caller's number.
     std::string piece;
     std::size_t pieces = 0;
     bool isByteByByte = false; ///< Writes one byte at a time.
+    std::string ending{}; ///< Written one byte at a time.
+    bool isLeaving = false; ///< Closes the connection once all is written; otherwise callers never do.
 };
 
-/// Callers that never read an answer and never close their connections. Use only on the event loop's thread.
+/// Callers that never read an answer. Use only on the event loop's thread.
 class UntrustedCallers
 {
 public:
@@ -45,6 +49,7 @@
 private:
     struct Connection;
 
+    const std::string &textOf(const Connection &connection) const;
     void connectNext(std::size_t count);
     void write(const std::shared_ptr<Connection> &connection);
 
@@ -56,4 +61,11 @@
     std::uint64_t m_written = 0;
 };
 
-} // namespace Gypsumtally::GatewayFleet
+/// Calls @p run, which runs the callers' event loop for a time, until @p callers have had no effect on process @p id
+/// for a second, or 20 seconds have passed. Returns the largest number of the process's open descriptors.
+std::size_t watchCrowd(const UntrustedCallers &callers, pid_t id, const std::function<void(Duration)> &run);
+
+/// Returns the chunks of one byte that make @p size bytes.
+std::string oneByteChunks(std::size_t size);
+
+} // namespace Gypsumtally::Processes
