Tell callers that are refused for want of memory when to come back

A request that was refused because memory is short had "Retry-After: 1", whatever the load: callers that held memory together were told to return together, and were refused again.

MemoryBudget measures how fast memory comes free, with a half-life of 2 s. A refused caller is told to return once those that were refused before it can have been served at that rate, from 0.2 s (as long as a holder may pause before it is shed) to 10 s. The rejection is a type with its cause, verdict and Retry-After, so that each process writes it as its protocol has it; the gateway states fractions of a second, as its other refusals do.

memorybudgettest (refusedCallersReturnInTurn): four callers in a row are told times that rise, and ten seconds later the next one is told less than a second. The test does not compile on the code before.

--- a/src/budget/memorybudget.cpp
+++ b/src/budget/memorybudget.cpp
@@ -1,6 +1,7 @@
 #include "budget/memorybudget.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace Gypsumtally::Budget
@@ -12,6 +13,8 @@
 /// Time without progress from which a holder may be shed while the budget is short. Pauses of ordinary callers on slow
 /// paths are shorter.
 constexpr Duration minStall = std::chrono::milliseconds{200};
+constexpr Duration maxRetryAfter = std::chrono::seconds{10};
+constexpr Duration freeingHalfLife = std::chrono::seconds{2};
 /// Divides the rank of holders that this node itself holds up.
 constexpr double heldUpDivisor = 8;
 
@@ -25,6 +28,7 @@
 
 MemoryBudget::MemoryBudget(const MemoryLimits &limits)
     : m_limits(limits)
+    , m_freeing(freeingHalfLife)
 {
 }
 
@@ -77,10 +81,22 @@
     return count;
 }
 
+Duration MemoryBudget::retryAfter(std::size_t bytes, Instant now)
+{
+    m_freeing.count(now, static_cast<double>(std::exchange(m_freed, 0)));
+    const auto size = static_cast<double>(std::max<std::size_t>(bytes, 1));
+    const std::chrono::duration<double> time(size / std::max(m_freeing.perSecond(now), 1.0));
+    const auto end = std::max(m_returnsUntil, now);
+    const std::chrono::duration<double> left = now + maxRetryAfter - end;
+    m_returnsUntil = end + std::chrono::duration_cast<Duration>(std::min(time, left));
+    return std::max(minStall, m_returnsUntil - now);
+}
+
 void MemoryBudget::change(MemoryHolder *holder, std::size_t before, std::size_t after)
 {
     const bool wasShort = isShort();
     m_used = m_used - before + after;
+    m_freed += before > after ? before - after : 0;
     if (holder && after >= m_limits.trackedBytes && after > 0)
         m_tracked[holder] = after;
     else if (holder && before >= m_limits.trackedBytes)
--- a/src/budget/memorybudget.h
+++ b/src/budget/memorybudget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/decayedrate.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -76,12 +77,20 @@
     /// while no holder is in use.
     std::size_t shed(Instant now);
 
+    /// Returns the time after which a caller whose request held @p bytes and is refused now should send it again: once
+    /// the callers that were refused before it can have been served, by the rate at which memory has come free of late.
+    /// Precondition: @p now is not earlier than in previous calls.
+    Duration retryAfter(std::size_t bytes, Instant now);
+
     /// Records that @p holder, which may be null, changes from @p before to @p after bytes.
     void change(MemoryHolder *holder, std::size_t before, std::size_t after);
 
 private:
     MemoryLimits m_limits;
     std::size_t m_used = 0;
+    std::size_t m_freed = 0; ///< Bytes that have come free since m_freeing was updated.
+    DecayedRate m_freeing; ///< Bytes that come free.
+    Instant m_returnsUntil{}; ///< When memory for all callers that were refused will have come free.
     std::size_t m_wanted = 0; ///< The largest growth that was denied since memory was last free for it.
     std::unordered_map<MemoryHolder *, std::size_t> m_tracked; ///< Bytes of the holders that can be shed.
     std::function<void()> m_onShort;
@@ -129,6 +138,13 @@
         return m_budget && m_budget->isExhausted();
     }
 
+    /// Returns the time after which the holder's caller should come back if it is refused now; nothing if nothing is
+    /// limited.
+    std::optional<Duration> retryAfter(Instant now) const
+    {
+        return m_budget ? std::optional(m_budget->retryAfter(m_bytes, now)) : std::nullopt;
+    }
+
 private:
     MemoryBudget *m_budget;
     MemoryHolder *m_holder;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -379,6 +379,9 @@
         Relay::CallerServerSettings server;
         server.maxConnections = connectionLimit(server.maxConnections, callerShare);
         server.memory = &m_memory;
+        server.writeRejection = [](const Relay::Rejection &rejection) {
+            return Http::Response{rejection.status, refusalHeaders(rejection.retryAfter), rejection.reason + '\n'};
+        };
         return server;
     }
 
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -250,7 +250,11 @@
             return closeNow(UnansweredCause::Released);
         }
         m_keepsConnection = false;
-        sendRefusal(*verdict == Verdict::NotRun ? 503 : 502, "the request was dropped");
+        reject({RejectionCause::Dropped,
+                *verdict == Verdict::NotRun ? 503U : 502U,
+                "the request was dropped",
+                *verdict,
+                {}});
         closeGracefully();
     }
 
@@ -322,7 +326,8 @@
     void dropRequest()
     {
         const auto self = shared_from_this();
-        sendRefusal(503, "the node has too many connections");
+        reject({RejectionCause::TooManyConnections, 503, "the node has too many connections", Verdict::NotRun,
+                retryAfter()});
         closeNow(UnansweredCause::NotRead);
     }
 
@@ -330,7 +335,7 @@
     void refuseIfReading()
     {
         if (!m_closed && !m_lingering && m_exchange.expired() && isReading())
-            refuse(503, "the node stops");
+            refuse({RejectionCause::Stopping, 503, "the node stops", Verdict::NotRun, {}});
     }
 
     /// Closes the connection at once. A caller that waits for a response observes that there is none, which is reported
@@ -458,7 +463,8 @@
         const auto self = shared_from_this();
         if (m_output.empty() && isReading()) {
             ++m_shared->losses.refusedForMemory;
-            return refuse(m_shared->settings.shedStatus, "the node is short of memory", {{"Retry-After", "1"}});
+            return refuse({RejectionCause::ShortOfMemory, m_shared->settings.shedStatus, "the node is short of memory",
+                           Verdict::NotRun, retryAfter()});
         }
         ++m_shared->losses.closedForMemory;
         closeNow(UnansweredCause::ShortOfMemory);
@@ -469,6 +475,12 @@
         return m_reader->state() == RequestReader::State::Reading;
     }
 
+    /// Returns when the caller of a request that is refused now should send it again; nothing without a budget.
+    std::optional<Duration> retryAfter() const
+    {
+        return m_memory.retryAfter(BootClock{}.now());
+    }
+
     Duration timeoutOfState() const
     {
         return isReading() ? m_shared->settings.headerTimeout : m_shared->settings.idleTimeout;
@@ -499,10 +511,11 @@
         // A caller that goes on sending must not hold up the loop, so no more is read than a whole request.
         const auto &limits = m_shared->settings.limits;
         for (auto left = limits.headerBytes + limits.bodyBytes;
-             isSame() && left > 0 && m_socket.available(ignored) > 0 && mayRead(); left -= std::min(left, readBytes))
+             isSame() && left > 0 && m_socket.available(ignored) > 0 && mayRead();
+             left -= std::min(left, readBytes))
             read();
         if (isSame())
-            refuse(408, "the request did not come in time");
+            refuse({RejectionCause::BadRequest, 408, "the request did not come in time", Verdict::NotRun, {}});
     }
 
     void resetReader()
@@ -671,7 +684,11 @@
         if (m_reader->takeExpectContinue() && m_reader->state() == RequestReader::State::Reading)
             send("HTTP/1.1 100 Continue\r\n\r\n");
         if (m_reader->state() == RequestReader::State::Failed)
-            refuse(m_reader->refusalStatus(), m_reader->refusalReason());
+            refuse({RejectionCause::BadRequest,
+                    m_reader->refusalStatus(),
+                    m_reader->refusalReason(),
+                    Verdict::NotRun,
+                    {}});
         if (m_reader->state() != RequestReader::State::Complete)
             return false;
         dispatchRequest();
@@ -690,21 +707,31 @@
         m_shared->handler(std::move(exchange));
     }
 
-    void refuse(unsigned status, const std::string &reason, const Http::Headers &further = {})
+    void refuse(const Rejection &rejection)
+    {
+        refuse(m_shared->settings.writeRejection(rejection));
+    }
+
+    /// Refuses a request that was not dispatched, and closes the connection once the caller has had time to read that.
+    void refuse(const Http::Response &response)
     {
         m_isRefused = true;
         m_input.clear();
-        sendRefusal(status, reason, further);
+        reject(response);
         closeGracefully();
     }
 
-    void sendRefusal(unsigned status, const std::string &reason, Http::Headers headers = {})
+    void reject(const Rejection &rejection)
     {
-        const auto body = reason + '\n';
-        headers.add("Content-Type", "text/plain");
-        headers.add("Content-Length", std::to_string(body.size()));
+        reject(m_shared->settings.writeRejection(rejection));
+    }
+
+    void reject(const Http::Response &response)
+    {
+        auto headers = response.headers;
+        headers.add("Content-Length", std::to_string(response.body.size()));
         headers.add("Connection", "close");
-        send(headText(status, headers) + "\r\n" + body);
+        send(headText(response.status, headers) + "\r\n" + response.body);
     }
 
     void closeGracefully()
@@ -862,6 +889,16 @@
 
 } // namespace
 
+Http::Response plainRejection(const Rejection &rejection)
+{
+    Http::Response response{rejection.status, {{"Content-Type", "text/plain"}}, rejection.reason + '\n'};
+    if (rejection.retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*rejection.retryAfter);
+        response.headers.add("Retry-After", std::to_string(seconds.count()));
+    }
+    return response;
+}
+
 struct CallerServer::Private : std::enable_shared_from_this<CallerServer::Private> {
     Private(Http::EventLoop &eventLoop, CallerServerSettings settings, Handler handler)
         : context(eventLoop.context())
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -75,6 +75,28 @@
     }
 };
 
+/// Why a server itself rejects a request.
+enum class RejectionCause {
+    BadRequest, ///< It is malformed, too large or late.
+    ShortOfMemory,
+    TooManyConnections,
+    Stopping,
+    Dropped, ///< Its owner has released it without an answer.
+};
+
+/// The rejection of a request by the server itself.
+struct Rejection {
+    RejectionCause cause = RejectionCause::BadRequest;
+    unsigned status = 503;
+    std::string reason;
+    Verdict verdict = Verdict::NotRun;
+    std::optional<Duration> retryAfter;
+};
+
+/// Creates the response to a request that the server rejects: plain text, with a Retry-After in whole seconds.
+/// Thread-safe.
+Http::Response plainRejection(const Rejection &rejection);
+
 struct CallerServerSettings {
     RequestLimits limits;
     Duration headerTimeout = std::chrono::seconds{3}; ///< Limit from the first to the last byte of a request.
@@ -84,6 +106,8 @@
     /// Unsent bytes above which the next request of the connection waits.
     std::size_t maxUnsentBeforeNext = 256 * 1024;
     unsigned shedStatus = 503; ///< Of a request that has arrived in part when there is no memory for the rest.
+    /// Creates the response to a request that the server rejects.
+    std::function<Http::Response(const Rejection &)> writeRejection = plainRejection;
     /// Limits the memory of all connections; null: nothing does. It must outlive the server and its connections.
     Budget::MemoryBudget *memory = nullptr;
 };
--- a/tests/budget/memorybudgettest.cpp
+++ b/tests/budget/memorybudgettest.cpp
@@ -140,3 +140,19 @@
     cr_assert_eq(budget.used(), 0U);
     cr_assert_eq(budget.shed(now), 0U);
 }
+
+/// Guards against refused callers that come back together, and are refused again.
+Test(MemoryBudget, refusedCallersReturnInTurn)
+{
+    MemoryBudget budget(limits);
+    budget.change(nullptr, 0, 500 * kilobyte);
+    budget.change(nullptr, 500 * kilobyte, 0);
+    Duration last{};
+    for (int caller = 0; caller < 4; ++caller) {
+        const auto time = budget.retryAfter(200 * kilobyte, now);
+        cr_expect_gt(time, last, "caller %d", caller);
+        last = time;
+    }
+    cr_expect_eq(budget.retryAfter(limits.total, now), seconds{10});
+    cr_expect_lt(budget.retryAfter(1, now + seconds{10}), seconds{1});
+}
