Dispatch a whole request only when there is memory for its copies

CallerServer asks the budget before each read, but a request that has arrived counts twice once it is dispatched, as its text is copied on the way to an upstream. Requests that ended together took twice what the budget had allowed them, and were never asked about.

The only request of a server is dispatched at once, so that one that is within the limits is served in calm.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -267,11 +267,14 @@
         return !m_keepsConnection;
     }
 
-    /// Reads on after a lack of memory, if there is enough by now.
+    /// Goes on after a lack of memory, if there is enough by now.
     void resume()
     {
-        if (std::exchange(m_isHeldUp, false) && !m_closed)
-            readOn();
+        if (!std::exchange(m_isHeldUp, false) || m_closed)
+            return;
+        parse(); // A whole request may wait to be dispatched.
+        noteState();
+        readOn();
     }
 
     /// Lets new settings extend the time-out that the connection is subject to, which they never shorten, and applies
@@ -298,7 +301,9 @@
         }
         if (now - m_stateSince <= m_limit)
             return;
-        if (isReading())
+        if (isWhole())
+            shed();
+        else if (isReading())
             refuseUnlessComplete();
         else
             closeUnlessUsed();
@@ -455,7 +460,7 @@
     bool isHeldUp() override
     {
         ErrorCode ignored;
-        return m_isHeldUp && m_socket.available(ignored) > 0;
+        return m_isHeldUp && (isWhole() || m_socket.available(ignored) > 0);
     }
 
     void shed() override
@@ -470,9 +475,16 @@
         closeNow(UnansweredCause::ShortOfMemory);
     }
 
+    /// Returns true if a request has arrived, whole or in part, and was not dispatched.
     bool isReading() const
     {
-        return m_reader->state() == RequestReader::State::Reading;
+        return m_reader->state() == RequestReader::State::Reading || isWhole();
+    }
+
+    /// Returns true if a whole request waits for memory to be dispatched.
+    bool isWhole() const
+    {
+        return m_reader->state() == RequestReader::State::Complete;
     }
 
     /// Returns when the caller of a request that is refused now should send it again; nothing without a budget.
@@ -511,10 +523,12 @@
         // A caller that goes on sending must not hold up the loop, so no more is read than a whole request.
         const auto &limits = m_shared->settings.limits;
         for (auto left = limits.headerBytes + limits.bodyBytes;
-             isSame() && left > 0 && m_socket.available(ignored) > 0 && mayRead();
+             isSame() && !isWhole() && left > 0 && m_socket.available(ignored) > 0 && mayRead();
              left -= std::min(left, readBytes))
             read();
-        if (isSame())
+        if (isSame() && isWhole())
+            shed();
+        else if (isSame())
             refuse({RejectionCause::BadRequest, 408, "the request did not come in time", Verdict::NotRun, {}});
     }
 
@@ -673,10 +687,26 @@
     /// Parses what has arrived of one request, and dispatches it if it is whole. Returns true if it did.
     bool parseRequest()
     {
-        if (m_closed || m_lingering || !m_exchange.expired() || m_input.empty())
+        if (m_closed || m_lingering || !m_exchange.expired())
             return false;
         if (m_output.size() > m_shared->settings.maxUnsentBeforeNext)
             return false; // flush() goes on.
+        if (!isWhole() && !feedReader())
+            return false;
+        if (!mayDispatch()) {
+            holdUp();
+            return false;
+        }
+        dispatchRequest();
+        return true;
+    }
+
+    /// Feeds what has arrived to the reader, and refuses a request that it rejects. Returns true if the request is
+    /// whole.
+    bool feedReader()
+    {
+        if (m_input.empty())
+            return false;
         const bool wasIdle = m_reader->state() == RequestReader::State::Idle;
         m_input.take(m_reader->feed(m_input.view()));
         if (wasIdle)
@@ -689,10 +719,13 @@
                     m_reader->refusalReason(),
                     Verdict::NotRun,
                     {}});
-        if (m_reader->state() != RequestReader::State::Complete)
-            return false;
-        dispatchRequest();
-        return true;
+        return !m_lingering && !m_closed && isWhole();
+    }
+
+    /// Returns true if there is memory for the copies of the whole request, or if no other one takes it.
+    bool mayDispatch() const
+    {
+        return m_shared->active == 0 || m_memory.mayGrow((requestCopies - 1) * m_reader->heldBytes());
     }
 
     void dispatchRequest()
@@ -803,7 +836,7 @@
     bool m_waitingForWritable = false;
     bool m_lingering = false; ///< Sends only buffered bytes and gives the caller time to read them.
     bool m_isRefused = false; ///< What still arrives belongs to a request that was refused.
-    bool m_isHeldUp = false; ///< Has stopped reading for want of memory.
+    bool m_isHeldUp = false; ///< Has stopped reading, or does not dispatch a whole request, for want of memory.
     bool m_hasUnread = false; ///< Bytes after the last request are in the kernel's buffer.
     bool m_closed = false;
 };
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -119,7 +119,7 @@
     std::uint64_t connections = 0; ///< Connections closed unread, because there were too many.
     std::uint64_t idle = 0; ///< Idle connections closed for new ones, because there were too many.
     std::uint64_t slow = 0; ///< Connections closed for new ones although a request had arrived in part.
-    std::uint64_t refusedForMemory = 0; ///< Requests that had arrived in part.
+    std::uint64_t refusedForMemory = 0; ///< Requests that had arrived, whole or in part, and had not been passed on.
     std::uint64_t closedForMemory = 0; ///< Connections closed with unsent answers.
 
     friend bool operator==(const CallerLosses &, const CallerLosses &) = default;
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -1105,6 +1105,18 @@
     std::string_view received; ///< Beginning of what the first caller gets.
 };
 
+struct DispatchCase {
+    const char *name;
+    bool isShed; ///< Before the request in progress is answered.
+    std::string_view received; ///< Beginning of what the second caller gets.
+    unsigned requests; ///< That are dispatched.
+};
+
+const DispatchCase dispatches[] = {
+    {"memory becomes free", false, "HTTP/1.1 200", 2},
+    {"memory stays short", true, "HTTP/1.1 503", 1},
+};
+
 const WaitingCase waiting[] = {
     {"idle", "", &CallerLosses::idle, ""},
     {"with a part of a request", "POST /x HTTP/1.1\r\nHost", &CallerLosses::slow, "HTTP/1.1 503"},
@@ -1157,6 +1169,32 @@
     cr_assert_eq(answersIn(caller.received()), 1U);
 }
 
+/// Guards against whole requests that are passed on, and copied, although there is no memory for the copies.
+TABLE_TEST(Relay, dispatchesARequestOnceThereIsMemoryForItsCopies, dispatches)
+{
+    Budget::MemoryBudget budget(smallBudget());
+    AnsweringServer server(settingsWith(budget));
+    server.holdsAnswers = true;
+    constexpr std::size_t large = budgetBytes * 5 / 16; // Takes twice as much once it is dispatched.
+    constexpr std::size_t small = budgetBytes * 5 / 64;
+    RawCaller first(server.loop, server.endpoint);
+    first.send(headFor(large) + std::string(large, 'x'));
+    first.wait();
+    RawCaller second(server.loop, server.endpoint);
+    second.send(headFor(small) + std::string(small, 'x'));
+    second.wait();
+    cr_assert_eq(server.requests, 1U, "%s", row.name);
+    if (row.isShed)
+        budget.shed(BootClock{}.now() + std::chrono::seconds{1});
+    server.answerHeld();
+    server.holdsAnswers = false;
+    server.server.sweep(BootClock{}.now());
+    second.wait();
+    cr_assert(second.received().starts_with(row.received), "%s: %s", row.name, second.received().c_str());
+    cr_assert_eq(second.received().find("Retry-After: ") != std::string::npos, row.isShed, "%s", row.name);
+    cr_assert_eq(server.requests, row.requests, "%s", row.name);
+}
+
 /// Guards against answers that take memory without end because their caller does not read them.
 Test(Relay, closesConnectionWithUnreadAnswerWhileMemoryIsShort)
 {
