Reload the gateway's limits on memory with SIGHUP

`machine.memory_mb` and `machine.caller_memory_mb` were read at start only. An operator who lowered them beside a crowd of callers had to restart the node, which ends the calls of the others too.

The limits on callers' memory and on buffered answers are reloaded. What exceeds lower limits is shed by the next tick: requests that have arrived in part are refused as not run, connections with unread answers are closed.

memorybudgettest (shedsWhatExceedsLowerLimits) and two rows of gatewaysettingstest, of which "machine: {memory_mb: 128}" counted as in need of a restart before.

--- a/src/budget/memorybudget.cpp
+++ b/src/budget/memorybudget.cpp
@@ -32,6 +32,11 @@
 {
 }
 
+void MemoryBudget::setLimits(const MemoryLimits &limits)
+{
+    m_limits = limits;
+}
+
 bool MemoryBudget::mayGrow(std::size_t held, std::size_t growth)
 {
     const auto size = held + growth;
--- a/src/budget/memorybudget.h
+++ b/src/budget/memorybudget.h
@@ -48,6 +48,9 @@
 public:
     explicit MemoryBudget(const MemoryLimits &limits);
 
+    /// Replaces the limits. What exceeds lower ones is shed by the next call of shed().
+    void setLimits(const MemoryLimits &limits);
+
     /// Returns true if a holder of @p held bytes may take @p growth more. Otherwise shed() makes room for that.
     bool mayGrow(std::size_t held, std::size_t growth);
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -841,6 +841,8 @@
         const bool changed = merged != m_settings;
         m_settings = merged;
         m_context.regions = m_settings.regions;
+        m_context.maxBufferedAnswerBytes = m_settings.answerBufferBytes;
+        m_memory.setLimits({m_settings.callerMemoryBytes});
         m_context.allowance.setBound(retryBound(m_settings));
         m_log.note(GatewayEvent::SettingsRead, {{"outcome", changed ? "reloaded" : "unchanged"},
                                                 {"needs_restart", merged != *read.value ? "yes" : "no"}});
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -104,6 +104,8 @@
     running.drainBound = read.drainBound;
     running.stopGrace = read.stopGrace;
     running.entryTtl = read.entryTtl;
+    running.answerBufferBytes = read.answerBufferBytes;
+    running.callerMemoryBytes = read.callerMemoryBytes;
     running.retryRatio = read.retryRatio;
     running.retrySlack = read.retrySlack;
     running.retryWindow = read.retryWindow;
--- a/tests/budget/memorybudgettest.cpp
+++ b/tests/budget/memorybudgettest.cpp
@@ -156,3 +156,18 @@
     cr_expect_eq(budget.retryAfter(limits.total, now), seconds{10});
     cr_expect_lt(budget.retryAfter(1, now + seconds{10}), seconds{1});
 }
+
+/// Guards against a smaller machine, of which callers keep what they could take of the larger one.
+Test(MemoryBudget, shedsWhatExceedsLowerLimits)
+{
+    MemoryBudget budget(limits);
+    const Holder holder(budget, 300 * kilobyte, seconds{1});
+    budget.shed(now);
+    cr_assert_not(holder.isShed);
+    auto lower = limits;
+    lower.total /= 4;
+    lower.reserve /= 4;
+    budget.setLimits(lower);
+    budget.shed(now);
+    cr_assert(holder.isShed);
+}
--- a/tests/gateway/gatewaysettingstest.cpp
+++ b/tests/gateway/gatewaysettingstest.cpp
@@ -90,6 +90,8 @@
     {"stop_grace: 9s\n", true, false},
     {"entry_ttl: 2s\n", true, false},
     {"regions: {a: r}\n", true, false},
+    {"machine: {memory_mb: 128}\n", true, false},
+    {"machine: {memory_mb: 128, cpu_share: 0.125}\n", true, true},
     {"machine: {cpu_share: 0.125}\n", false, true},
     {"log: {level: debug}\n", false, true},
     {"adaptive_capacity: true\n", false, true},
