Bound what the daemon holds for callers, peers and strangers

Clients of either listener ended the daemon or shut out everybody else: 64 connections with bodies of 4 MB took up to 543 MB, and while all connections were open, each new one was closed at once.

Cause: Http::Server bounds each request, but not their sum, reads bodies into storage that doubles, and keeps idle connections for 60 s although others wait.

The daemon's listeners are CallerServers now, so that one implementation holds the limits. Each has a MemoryBudget of its own, as it has a thread of its own: two thirds for callers and one third for peers and operators, of a third of `machine.memory_mb` (260 MB by default, an entry VM's; new setting, checked at start). A crowd at one listener takes nothing from the other. Refusals are JSON errors with the verdict not-run and a Retry-After; the core counts them in gypsumtally_caller_losses_total and logs at most one line a second for a listener. Large blocks go back to the system, as in the gateway. When the process ends, requests that have arrived in part are refused.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "budget/memorybudget.h"
 #include "daemon/corelink.h"
 #include "daemon/exchangerunner.h"
 #include "daemon/platformclient.h"
@@ -43,6 +44,12 @@
         settings.failureDomain, NodeState::Live};
 }
 
+/// The memory of all clients bounds the unsent answers of one.
+ListenerLimits listenerLimits(const Settings &settings, std::size_t memoryBytes)
+{
+    return {settings.requestLimits, settings.maxConnections, memoryBytes};
+}
+
 LogLevel toLogLevel(Severity severity)
 {
     switch (severity) {
@@ -66,6 +73,8 @@
         : m_log(settings.logLevel, settings.logFormat, settings.node.value)
         , m_peerKeys(std::move(peerKeys))
         , m_operatorTokens(std::move(operatorTokens))
+        , m_callersMemory(Budget::MemoryLimits{settings.machine.callersMemoryBytes})
+        , m_peersMemory(Budget::MemoryLimits{settings.machine.peersMemoryBytes})
         , m_core({recordOf(settings), [this] { return m_peerKeys.keyToSend(); }})
         , m_callersLink(
               m_callersLoop, m_coreLoop, [this] { take(m_callersLink); },
@@ -84,9 +93,12 @@
               [this] {
                   m_platformLink.actions().drain([this](NodeAction action) { m_platform.perform(std::move(action)); });
               })
-        , m_callers(m_callersLoop, RequestServer::Audience::Callers, settings.limits, m_callersLink.eventOutbox(), {})
-        , m_peersServer(m_peersLoop, RequestServer::Audience::Peers, settings.limits, m_peersLink.eventOutbox(),
-                        [this](std::string_view token) { return bearerOf(token); })
+        , m_callers(m_callersLoop, RequestServer::Audience::Callers,
+                    listenerLimits(settings, settings.machine.callersMemoryBytes), m_callersMemory,
+                    m_callersLink.eventOutbox(), {})
+        , m_peersServer(m_peersLoop, RequestServer::Audience::Peers,
+                        listenerLimits(settings, settings.machine.peersMemoryBytes), m_peersMemory,
+                        m_peersLink.eventOutbox(), [this](std::string_view token) { return bearerOf(token); })
         , m_peersClient(m_peersLoop, m_peersLink.eventOutbox())
         , m_upstreams(m_upstreamsLoop, m_upstreamsLink.eventOutbox())
         , m_platform(m_platformLoop, settings, m_platformLink.eventOutbox())
@@ -173,11 +185,17 @@
         m_peersLink.actionOutbox().send(DrainListeners{});
     }
 
-    /// Revokes the lease before the threads end, and leaves time to send the last answers.
+    /// Revokes the lease before the threads end, refuses requests that have arrived in part, and leaves time to send
+    /// the last answers.
     void send(Stopped)
     {
         constexpr Duration lastAnswersTime = std::chrono::milliseconds{300};
         m_platformLoop.post([this] { m_platform.release(); });
+        m_callersLoop.post([this] { m_callers.refuseRest(); });
+        m_peersLoop.post([this] {
+            m_peersServer.drain();
+            m_peersServer.refuseRest();
+        });
         m_coreLoop.runAfter(lastAnswersTime, [this] {
             for (auto *loop : {&m_callersLoop, &m_peersLoop, &m_upstreamsLoop, &m_platformLoop, &m_coreLoop})
                 loop->stop();
@@ -211,6 +229,9 @@
     Logging m_log;
     PeerKeys m_peerKeys;
     PeerKeys m_operatorTokens;
+    /// Of each listener, as they belong to different threads. They outlive the loops, whose tasks hold connections.
+    Budget::MemoryBudget m_callersMemory;
+    Budget::MemoryBudget m_peersMemory;
     NodeCore m_core;
 
     Http::EventLoop m_callersLoop;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include "budget/allocator.h"
 #include "daemon/daemon.h"
 #include "settings/settings.h"
 
@@ -40,5 +41,6 @@
         std::printf("%s: good\n", file.c_str());
         return 0;
     }
+    Gypsumtally::Budget::limitKeptMemory();
     return Gypsumtally::runDaemon(*settings.value);
 }
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1057,17 +1057,12 @@
             return;
         const auto last = std::exchange(reported, server.losses());
         std::vector<LogField> fields{{"from", sender}};
-        const auto add = [&](const char *field, const char *kind, std::uint64_t Relay::CallerLosses::*count) {
+        for (const auto &[field, label, count] : Relay::callerLossKinds) {
             const auto losses = reported.*count - last.*count;
             fields.emplace_back(field, std::to_string(losses));
-            m_metrics.add(Metric::CallerLosses, {{"from", sender}, {"kind", kind}}, static_cast<double>(losses));
-        };
-        add("requests", "request", &Relay::CallerLosses::requests);
-        add("connections", "connection", &Relay::CallerLosses::connections);
-        add("idle", "idle", &Relay::CallerLosses::idle);
-        add("slow", "slow", &Relay::CallerLosses::slow);
-        add("refused_for_memory", "refused_for_memory", &Relay::CallerLosses::refusedForMemory);
-        add("closed_for_memory", "closed_for_memory", &Relay::CallerLosses::closedForMemory);
+            m_metrics.add(Metric::CallerLosses, {{"from", sender}, {"kind", std::string(label)}},
+                          static_cast<double>(losses));
+        }
         fields.emplace_back("open", std::to_string(server.connections()));
         fields.emplace_back("held_bytes", std::to_string(m_memory.used()));
         m_log.note(GatewayEvent::CallersUnanswered, fields);
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -62,6 +62,22 @@
     std::uint64_t salt = 0; ///< Differs between requests; varies the order of entries so that callers spread over them.
 };
 
+/// A number and what it counts, by the names that logs and metrics use.
+struct NamedCount {
+    std::string field; ///< Of log lines.
+    std::string label; ///< Of metrics.
+    std::uint64_t count = 0;
+};
+
+/// What a listener has left unanswered since its last report.
+struct ListenerLosses {
+    bool isPeers = false; ///< The listener for peers and operators; otherwise the one for callers.
+    std::vector<NamedCount> losses; ///< Requests and connections that were refused or closed, by kind.
+    std::vector<NamedCount> unanswered; ///< Requests that ended without a whole answer, by cause.
+    std::size_t connections = 0; ///< That are open.
+    std::size_t heldBytes = 0; ///< By all of them.
+};
+
 struct ExchangeHead {
     ExchangeId id = 0;
     unsigned status = 0;
@@ -115,9 +131,9 @@
 struct StopRequested {
 };
 
-using NodeEvent = std::variant<CallArrived, CallerGone, ControlArrived, QueryArrived, ExchangeHead, ExchangePiece,
-                               ExchangeEnded, ExchangeFailed, KeyReplied, StoreListed, StoreChanged, StoreConnection,
-                               LeaseTaken, VmsListed, CatalogueListed, StopRequested>;
+using NodeEvent = std::variant<CallArrived, CallerGone, ControlArrived, QueryArrived, ListenerLosses, ExchangeHead,
+                               ExchangePiece, ExchangeEnded, ExchangeFailed, KeyReplied, StoreListed, StoreChanged,
+                               StoreConnection, LeaseTaken, VmsListed, CatalogueListed, StopRequested>;
 
 // Actions: output of the node's core, performed by the I/O threads.
 
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -234,6 +234,26 @@
     }
 }
 
+// Listeners
+
+void NodeCore::on(const ListenerLosses &event)
+{
+    const std::string from = event.isPeers ? "peers" : "callers";
+    std::vector<std::pair<std::string, std::string>> fields{{"from", from}};
+    for (const auto &loss : event.losses) {
+        m_metrics.add(Metric::CallerLosses, {{"from", from}, {"kind", loss.label}}, static_cast<double>(loss.count));
+        fields.emplace_back(loss.field, std::to_string(loss.count));
+    }
+    for (const auto &cause : event.unanswered) {
+        m_metrics.add(Metric::UnansweredRequests, {{"from", from}, {"cause", cause.label}},
+                      static_cast<double>(cause.count));
+        fields.emplace_back(cause.field, std::to_string(cause.count));
+    }
+    fields.emplace_back("open", std::to_string(event.connections));
+    fields.emplace_back("held_bytes", std::to_string(event.heldBytes));
+    m_io.emit(LogEntry{Severity::Warning, "callers_unanswered", std::move(fields)});
+}
+
 std::string NodeCore::entriesBody(const QueryArrived &query) const
 {
     const auto region = query.region.empty() ? m_membership.self().region : query.region;
--- a/src/node/nodecore.h
+++ b/src/node/nodecore.h
@@ -58,6 +58,7 @@
     void on(const CallerGone &event);
     void on(const ControlArrived &event);
     void on(const QueryArrived &event);
+    void on(const ListenerLosses &event);
     void on(const ExchangeHead &event);
     void on(const ExchangePiece &event);
     void on(const ExchangeEnded &event);
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -83,6 +83,11 @@
         return m_request;
     }
 
+    Http::Request takeRequest() override
+    {
+        return std::move(m_request);
+    }
+
     Instant arrival() const override
     {
         return m_arrival;
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -7,6 +7,7 @@
 #include "relay/requestreader.h"
 #include "relay/unansweredrequest.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -35,6 +36,12 @@
 
     virtual const Http::Request &request() const = 0;
 
+    /// Moves the request out, so that its body is not kept for as long as the exchange. Call once.
+    virtual Http::Request takeRequest()
+    {
+        return request();
+    }
+
     /// Returns when the last byte of the request was read.
     virtual Instant arrival() const = 0;
 
@@ -125,6 +132,22 @@
     friend bool operator==(const CallerLosses &, const CallerLosses &) = default;
 };
 
+/// A count of CallerLosses and its names.
+struct CallerLossKind {
+    std::string_view field; ///< Of log lines.
+    std::string_view label; ///< Value of the label `kind` of the metric.
+    std::uint64_t CallerLosses::*count;
+};
+
+inline constexpr std::array<CallerLossKind, 6> callerLossKinds{{
+    {"requests", "request", &CallerLosses::requests},
+    {"connections", "connection", &CallerLosses::connections},
+    {"idle", "idle", &CallerLosses::idle},
+    {"slow", "slow", &CallerLosses::slow},
+    {"refused_for_memory", "refused_for_memory", &CallerLosses::refusedForMemory},
+    {"closed_for_memory", "closed_for_memory", &CallerLosses::closedForMemory},
+}};
+
 /// An HTTP/1.1 server on one event loop. Connections have no timers of their own: sweep() enforces the timeouts. Use
 /// only on the event loop's thread.
 class CallerServer
--- a/src/relay/requestreader.h
+++ b/src/relay/requestreader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/message.h"
+#include "relay/requestlimits.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -11,12 +12,6 @@
 namespace Gypsumtally::Relay
 {
 
-/// Size limits of a caller's request.
-struct RequestLimits {
-    std::size_t headerBytes = 16 * 1024;
-    std::size_t bodyBytes = 4 * 1024 * 1024;
-};
-
 /// Parses one HTTP/1.1 request from the bytes of a connection. Not thread-safe; does no I/O.
 ///
 /// Trailers of a chunked body are dropped, and a request with an ambiguous length is rejected, so that a forwarded
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -3,6 +3,8 @@
 #include "yaml/filereader.h"
 #include "yaml/mapreader.h"
 
+#include <algorithm>
+
 namespace Gypsumtally
 {
 
@@ -10,8 +12,19 @@
 {
 
 constexpr Bounds<std::uint64_t> headerBytesBounds{1024, 1024 * 1024};
-constexpr Bounds<std::uint64_t> bodyBytesBounds{1024, 1024 * 1024 * 1024};
+constexpr std::uint64_t minBodyBytes = 1024;
 constexpr Bounds<std::uint64_t> connectionBounds{1, 1'000'000};
+constexpr Bounds<std::uint64_t> memoryBounds{64, 1'000'000}; ///< In MB.
+constexpr Bounds<std::uint64_t> callerMemoryBounds{2, 1'000'000}; ///< In MB.
+constexpr std::uint64_t defaultMemoryMb = 260;
+constexpr std::size_t bytesPerMb = 1024 * 1024;
+/// Part of the VM's memory that callers, peers and operators may take together. The allocator may keep as much again
+/// after small blocks were freed; the rest is for the process itself.
+constexpr std::uint64_t callerMemoryDivisor = 3;
+/// Part of that memory for peers and operators, so that a crowd of callers leaves them theirs.
+constexpr std::size_t peersMemoryDivisor = 3;
+/// Body in progress over the memory of a listener: it is held twice, and a quarter is for small requests.
+constexpr std::size_t memoryPerBody = 3;
 constexpr Bounds<Duration> leaseTtlBounds{std::chrono::seconds{2}, std::chrono::minutes{5}};
 
 void readListener(MapReader &reader, ListenerSettings &listener)
@@ -28,11 +41,36 @@
     reader.scalar("weight_store", Presence::Required, platform.weightStore);
 }
 
-void readLimits(MapReader &reader, Http::ServerLimits &limits)
+void setCallerMemory(MachineSettings &machine, std::uint64_t megabytes)
+{
+    const auto bytes = megabytes * bytesPerMb;
+    machine.peersMemoryBytes = bytes / peersMemoryDivisor;
+    machine.callersMemoryBytes = bytes - machine.peersMemoryBytes;
+}
+
+std::size_t largestBody(const MachineSettings &machine)
+{
+    return machine.peersMemoryBytes / memoryPerBody;
+}
+
+void readMachine(MapReader &reader, MachineSettings &machine)
+{
+    auto memoryMb = defaultMemoryMb;
+    reader.scalar("memory_mb", Presence::Optional, memoryMb, memoryBounds);
+    auto callerMemoryMb = memoryMb / callerMemoryDivisor;
+    reader.scalar("caller_memory_mb", Presence::Optional, callerMemoryMb, callerMemoryBounds);
+    setCallerMemory(machine, callerMemoryMb);
+}
+
+/// Reads the limits on requests. A body is no larger than the memory of either listener allows, so that a single
+/// request within the limits is served. Precondition: the machine's settings were read.
+void readLimits(MapReader &reader, Settings &settings)
 {
-    reader.scalar("header_bytes", Presence::Optional, limits.maxHeaderBytes, headerBytesBounds);
-    reader.scalar("body_bytes", Presence::Optional, limits.maxBodyBytes, bodyBytesBounds);
-    reader.scalar("connections", Presence::Optional, limits.maxConnections, connectionBounds);
+    auto &limits = settings.requestLimits;
+    reader.scalar("header_bytes", Presence::Optional, limits.headerBytes, headerBytesBounds);
+    reader.scalar("body_bytes", Presence::Optional, limits.bodyBytes,
+                  Bounds<std::uint64_t>{minBodyBytes, largestBody(settings.machine)});
+    reader.scalar("connections", Presence::Optional, settings.maxConnections, connectionBounds);
 }
 
 void readTls(MapReader &reader, std::optional<TlsFiles> &files, Presence authority)
@@ -53,7 +91,10 @@
     reader.map("platform", Presence::Required, [&](MapReader &map) { readPlatform(map, settings.platform); });
     reader.list("peer_key_files", Presence::Required, settings.peerKeyFiles);
     reader.scalar("operator_token_file", Presence::Required, settings.operatorTokenFile);
-    reader.map("limits", Presence::Optional, [&](MapReader &map) { readLimits(map, settings.limits); });
+    setCallerMemory(settings.machine, defaultMemoryMb / callerMemoryDivisor);
+    reader.map("machine", Presence::Optional, [&](MapReader &map) { readMachine(map, settings.machine); });
+    settings.requestLimits.bodyBytes = std::min(settings.requestLimits.bodyBytes, largestBody(settings.machine));
+    reader.map("limits", Presence::Optional, [&](MapReader &map) { readLimits(map, settings); });
     reader.map("log", Presence::Optional, [&](MapReader &map) {
         map.scalar("level", Presence::Optional, settings.logLevel);
         map.scalar("format", Presence::Optional, settings.logFormat);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -4,9 +4,10 @@
 #include "common/enumtable.h"
 #include "common/identifiers.h"
 #include "http/message.h"
-#include "http/server.h"
+#include "relay/requestlimits.h"
 #include "yaml/problem.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -60,6 +61,12 @@
     Http::Endpoint weightStore;
 };
 
+/// What the process may use of its VM.
+struct MachineSettings {
+    std::size_t callersMemoryBytes = 0; ///< Limit in bytes for all that is held on behalf of callers.
+    std::size_t peersMemoryBytes = 0; ///< The same for peers and operators.
+};
+
 /// The settings of a single daemon. Settings shared by all nodes are in FleetConfiguration.
 struct Settings {
     NodeId node;
@@ -70,7 +77,9 @@
     PlatformSettings platform;
     std::vector<std::string> peerKeyFiles; ///< The first key signs; all keys are accepted.
     std::string operatorTokenFile;
-    Http::ServerLimits limits;
+    Relay::RequestLimits requestLimits;
+    std::size_t maxConnections = 4096; ///< Of each listener.
+    MachineSettings machine;
     LogLevel logLevel = LogLevel::Info;
     LogFormat logFormat = LogFormat::Text;
     Duration leaseTtl = std::chrono::seconds{10};
--- a/tests/settings/settingstest.cpp
+++ b/tests/settings/settingstest.cpp
@@ -38,6 +38,10 @@
      "n.yaml:3: log.level: 'loud' must be one of debug info warning error"},
     {"bad duration", "region: north", "region: north\nlease_ttl: 10",
      "n.yaml:3: lease_ttl: '10' must be a time from 2s to 5m"},
+    {"body beyond the memory", "region: north", "region: north\nlimits: {body_bytes: 20000000}",
+     "n.yaml:3: limits.body_bytes: '20000000' must be"},
+    {"too little memory", "region: north", "region: north\nmachine: {memory_mb: 8}",
+     "n.yaml:3: machine.memory_mb: '8' must be"},
     {"not YAML", "region: north", "region: [", "not YAML"},
     {"peer TLS without authority", "region: north", "region: north\ntls: {peers: {certificate: c, key: k}}",
      "n.yaml:3: tls.peers.ca: is missing"},
@@ -45,8 +49,35 @@
      "n.yaml:1: region: is missing\nn.yaml:1: failure_domain: is missing\nn.yaml:2: lease_ttl: '1h' must be"},
 };
 
+struct MemoryCase {
+    const char *lines;
+    std::size_t callersMb; ///< Of memory for callers.
+    std::size_t peersMb;
+    std::size_t bodyBytes; ///< Limit on a body.
+};
+
+constexpr std::size_t megabyte = 1024 * 1024;
+
+const MemoryCase memories[] = {
+    {"", 57, 28, 4 * megabyte},
+    {"machine: {memory_mb: 270}\n", 60, 30, 4 * megabyte},
+    {"machine: {memory_mb: 512, caller_memory_mb: 300}\nlimits: {body_bytes: 30000000}\n", 200, 100, 30'000'000},
+    {"machine: {memory_mb: 81}\n", 18, 9, 3 * megabyte},
+};
+
 } // namespace
 
+/// Guards against limits under which a crowd takes more than the machine has, or a single request is not served.
+TABLE_TEST(Settings, memoryOfListeners, memories)
+{
+    const auto parsed = parseSettings(minimal + row.lines, "n.yaml");
+    cr_assert(parsed.value.has_value(), "%s", toString(parsed.problems).c_str());
+    const auto &machine = parsed.value->machine;
+    cr_assert_eq(machine.callersMemoryBytes >> 20U, row.callersMb, "%zu", machine.callersMemoryBytes);
+    cr_assert_eq(machine.peersMemoryBytes >> 20U, row.peersMb, "%zu", machine.peersMemoryBytes);
+    cr_assert_eq(parsed.value->requestLimits.bodyBytes, row.bodyBytes, "%zu", parsed.value->requestLimits.bodyBytes);
+}
+
 Test(Settings, defaultValues)
 {
     const auto parsed = parseSettings(minimal, "n.yaml");
