Keep descriptors for the daemon's own connections

With fewer descriptors than connections are allowed, callers took all of them: the process had 1,024 of 1,024 open, and connections to engines, the key-value service and peers failed until a caller's was closed.

`machine.max_descriptors`, by default the process's own limit, is shared out as the gateway does it: 200 are reserved, half of the others are for callers' connections, a quarter for peers' and operators', the rest for the daemon's own. Both processes use Budget::connectionLimit.

daemoncallerstest, 1,100 idle connections under a limit of 1,024: at most 443 descriptors open (callers) and 236 (peers), 1,024 before.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "budget/connectionlimit.h"
 #include "budget/memorybudget.h"
 #include "daemon/corelink.h"
 #include "daemon/exchangerunner.h"
@@ -13,6 +14,7 @@
 #include <array>
 #include <memory>
 #include <random>
+#include <sys/resource.h>
 #include <system_error>
 #include <thread>
 #include <vector>
@@ -25,6 +27,9 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds{5};
 constexpr Duration idleTickInterval = std::chrono::milliseconds{10};
+/// Shares of the descriptors; the rest is for connections to upstreams, peers and the platform.
+constexpr double callersShare = 0.5;
+constexpr double peersShare = 0.25;
 constexpr int exitFailed = 1;
 constexpr int exitBadSettings = 2;
 
@@ -44,10 +49,19 @@
         settings.failureDomain, NodeState::Live};
 }
 
+std::size_t connectionsOf(const Settings &settings, double share)
+{
+    rlimit limit{};
+    auto descriptors = settings.machine.maxDescriptors;
+    if (!descriptors && ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
+        descriptors = limit.rlim_cur;
+    return Budget::connectionLimit(settings.maxConnections, descriptors, share);
+}
+
 /// The memory of all clients bounds the unsent answers of one.
-ListenerLimits listenerLimits(const Settings &settings, std::size_t memoryBytes)
+ListenerLimits listenerLimits(const Settings &settings, double share, std::size_t memoryBytes)
 {
-    return {settings.requestLimits, settings.maxConnections, memoryBytes};
+    return {settings.requestLimits, connectionsOf(settings, share), memoryBytes};
 }
 
 LogLevel toLogLevel(Severity severity)
@@ -94,10 +108,10 @@
                   m_platformLink.actions().drain([this](NodeAction action) { m_platform.perform(std::move(action)); });
               })
         , m_callers(m_callersLoop, RequestServer::Audience::Callers,
-                    listenerLimits(settings, settings.machine.callersMemoryBytes), m_callersMemory,
+                    listenerLimits(settings, callersShare, settings.machine.callersMemoryBytes), m_callersMemory,
                     m_callersLink.eventOutbox(), {})
         , m_peersServer(m_peersLoop, RequestServer::Audience::Peers,
-                        listenerLimits(settings, settings.machine.peersMemoryBytes), m_peersMemory,
+                        listenerLimits(settings, peersShare, settings.machine.peersMemoryBytes), m_peersMemory,
                         m_peersLink.eventOutbox(), [this](std::string_view token) { return bearerOf(token); })
         , m_peersClient(m_peersLoop, m_peersLink.eventOutbox())
         , m_upstreams(m_upstreamsLoop, m_upstreamsLink.eventOutbox())
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/connectionlimit.h"
 #include "common/jsonfields.h"
 #include "gateway/callforwarder.h"
 #include "gateway/crashquarantine.h"
@@ -244,9 +245,7 @@
     using Registry = RegistryViews<typename Platform::Store>;
     using Orders = PlacementController<typename Platform::Orders, typename Platform::Store>;
 
-    static constexpr std::size_t reservedDescriptors = 200; ///< For files and listening sockets.
-    static constexpr std::size_t minSharedDescriptors = 64; ///< Give each server a connection.
-    /// Shares of the other descriptors; the rest is for connections to upstreams, peers and the store.
+    /// Shares of the descriptors that are not reserved; the rest is for connections to upstreams, peers and the store.
     static constexpr double callerShare = 0.5;
     static constexpr double peerShare = 0.125;
     static constexpr double entryShare = 0.0625;
@@ -367,11 +366,7 @@
     /// Returns the limit on connections that may take @p share of the descriptors, or @p usual if there are enough.
     std::size_t connectionLimit(std::size_t usual, double share) const
     {
-        if (!m_settings.maxDescriptors)
-            return usual;
-        const auto available = static_cast<double>(
-            std::max(*m_settings.maxDescriptors, reservedDescriptors + minSharedDescriptors) - reservedDescriptors);
-        return std::min(usual, static_cast<std::size_t>(share * available));
+        return Budget::connectionLimit(usual, m_settings.maxDescriptors, share);
     }
 
     Relay::CallerServerSettings callerSettings()
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -16,6 +16,7 @@
 constexpr Bounds<std::uint64_t> connectionBounds{1, 1'000'000};
 constexpr Bounds<std::uint64_t> memoryBounds{64, 1'000'000}; ///< In MB.
 constexpr Bounds<std::uint64_t> callerMemoryBounds{2, 1'000'000}; ///< In MB.
+constexpr Bounds<std::uint64_t> descriptorBounds{264, 1'000'000};
 constexpr std::uint64_t defaultMemoryMb = 260;
 constexpr std::size_t bytesPerMb = 1024 * 1024;
 /// Part of the VM's memory that callers, peers and operators may take together. The allocator may keep as much again
@@ -60,6 +61,10 @@
     auto callerMemoryMb = memoryMb / callerMemoryDivisor;
     reader.scalar("caller_memory_mb", Presence::Optional, callerMemoryMb, callerMemoryBounds);
     setCallerMemory(machine, callerMemoryMb);
+    std::uint64_t descriptors = 0;
+    reader.scalar("max_descriptors", Presence::Optional, descriptors, descriptorBounds);
+    if (descriptors > 0)
+        machine.maxDescriptors = descriptors;
 }
 
 /// Reads the limits on requests. A body is no larger than the memory of either listener allows, so that a single
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -65,6 +65,7 @@
 struct MachineSettings {
     std::size_t callersMemoryBytes = 0; ///< Limit in bytes for all that is held on behalf of callers.
     std::size_t peersMemoryBytes = 0; ///< The same for peers and operators.
+    std::optional<std::size_t> maxDescriptors; ///< File descriptors; the process's own limit by default.
 };
 
 /// The settings of a single daemon. Settings shared by all nodes are in FleetConfiguration.
