Refuse strangers at the peers' listener by the head of their request

A request without a valid key or token was read whole before it was refused: 64 strangers held all of the memory for large requests of peers and operators until they were shed.

CallerServer can check a request as soon as its head has arrived. The daemon refuses with 401 there, before a byte of the body is kept.

daemoncallerstest, 64 bodies of 4 MB without a key: 18,452 kB at most (18,176 kB idle), 45,040 kB before. relaytest (rejectsARequestByItsHeadBeforeItsBodyHasArrived).

--- a/src/daemon/requestserver.cpp
+++ b/src/daemon/requestserver.cpp
@@ -86,6 +86,8 @@
     settings.maxBufferedBytes = limits.unsentBytes;
     settings.writeRejection = writeRejection;
     settings.memory = &m_memory;
+    if (m_audience == Audience::Peers)
+        settings.checkHead = [this](const Http::Request &head) { return checkPeerHead(head); };
     return settings;
 }
 
@@ -132,6 +134,14 @@
     m_outbox.send(std::move(report));
 }
 
+/// Rejects requests without a valid key before their bodies are read.
+std::optional<Http::Response> RequestServer::checkPeerHead(const Http::Request &head) const
+{
+    if (m_authenticate(tokenOf(head)) == Bearer::Nobody)
+        return unauthorized();
+    return std::nullopt;
+}
+
 void RequestServer::received(const Exchange &exchange)
 {
     auto request = exchange->takeRequest();
--- a/src/daemon/requestserver.h
+++ b/src/daemon/requestserver.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -64,6 +65,7 @@
     using Exchange = std::shared_ptr<Relay::CallerExchange>;
 
     Relay::CallerServerSettings serverSettings(const ListenerLimits &limits);
+    std::optional<Http::Response> checkPeerHead(const Http::Request &head) const;
     void received(const Exchange &exchange);
     void receivedFromCaller(Http::Request request, const Exchange &exchange);
     void receivedFromPeer(Http::Request request, const Exchange &exchange);
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -724,9 +724,22 @@
                     m_reader->refusalReason(),
                     Verdict::NotRun,
                     {}});
+        else if (m_reader->state() == RequestReader::State::Reading)
+            checkHead();
         return !m_lingering && !m_closed && isWhole();
     }
 
+    /// Rejects a request by its head, once, before the rest of it is read.
+    void checkHead()
+    {
+        const auto &check = m_shared->settings.checkHead;
+        if (!check || m_isHeadChecked || !m_reader->head())
+            return;
+        m_isHeadChecked = true;
+        if (const auto response = check(*m_reader->head()))
+            refuse(*response);
+    }
+
     /// Returns true if there is memory for the copies of the whole request, or if no other one takes it.
     bool mayDispatch() const
     {
@@ -740,6 +753,7 @@
         auto exchange = std::make_shared<Exchange>(shared_from_this(), m_reader->takeRequest(), BootClock{}.now());
         m_exchange = exchange;
         m_reader = std::make_unique<RequestReader>(m_shared->settings.limits);
+        m_isHeadChecked = false;
         ++m_shared->active;
         noteState();
         m_shared->handler(std::move(exchange));
@@ -840,6 +854,7 @@
     bool m_isParsing = false;
     bool m_waitingForWritable = false;
     bool m_lingering = false; ///< Sends only buffered bytes and gives the caller time to read them.
+    bool m_isHeadChecked = false; ///< Of the request that arrives.
     bool m_isRefused = false; ///< What still arrives belongs to a request that was refused.
     bool m_isHeldUp = false; ///< Has stopped reading, or does not dispatch a whole request, for want of memory.
     bool m_hasUnread = false; ///< Bytes after the last request are in the kernel's buffer.
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -115,6 +115,9 @@
     unsigned shedStatus = 503; ///< Of a request that has arrived in part when there is no memory for the rest.
     /// Creates the response to a request that the server rejects.
     std::function<Http::Response(const Rejection &)> writeRejection = plainRejection;
+    /// Returns the response that rejects a request whose head, but not yet its whole body, has arrived; nothing to
+    /// read on. Not called if it is empty.
+    std::function<std::optional<Http::Response>(const Http::Request &head)> checkHead;
     /// Limits the memory of all connections; null: nothing does. It must outlive the server and its connections.
     Budget::MemoryBudget *memory = nullptr;
 };
--- a/src/relay/requestreader.cpp
+++ b/src/relay/requestreader.cpp
@@ -187,6 +187,11 @@
     return std::exchange(m_expectContinue, false);
 }
 
+const Http::Request *RequestReader::head() const
+{
+    return m_d->hasHead && m_state != State::Failed ? &m_request : nullptr;
+}
+
 Http::Request RequestReader::takeRequest()
 {
     return std::move(m_request);
--- a/src/relay/requestreader.h
+++ b/src/relay/requestreader.h
@@ -55,6 +55,9 @@
         return m_refusalReason;
     }
 
+    /// Returns the head of the request, without its body; null if it has not arrived or the reader has failed.
+    const Http::Request *head() const;
+
     /// Moves the request out. Call once. Precondition: the state is Complete.
     Http::Request takeRequest();
 
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -1195,6 +1195,28 @@
     cr_assert_eq(server.requests, row.requests, "%s", row.name);
 }
 
+/// Guards against bodies that take memory although their head shows that they will be refused.
+Test(Relay, rejectsARequestByItsHeadBeforeItsBodyHasArrived)
+{
+    CallerServerSettings settings;
+    settings.checkHead = [](const Http::Request &head) -> std::optional<Http::Response> {
+        if (head.headers.contains("Authorization"))
+            return std::nullopt;
+        return Http::Response{401, {}, "who is it?"};
+    };
+    AnsweringServer server(settings);
+    RawCaller stranger(server.loop, server.endpoint);
+    stranger.send(headFor(budgetBytes) + "x");
+    RawCaller known(server.loop, server.endpoint);
+    known.send("POST /x HTTP/1.1\r\nHost: h\r\nAuthorization: a\r\nContent-Length: 2\r\n\r\nx");
+    known.wait();
+    cr_assert(stranger.received().starts_with("HTTP/1.1 401"), "%s", stranger.received().c_str());
+    known.send("x");
+    known.wait();
+    cr_assert_eq(answersIn(known.received()), 1U);
+    cr_assert_eq(server.requests, 1U);
+}
+
 /// Guards against answers that take memory without end because their caller does not read them.
 Test(Relay, closesConnectionWithUnreadAnswerWhileMemoryIsShort)
 {
