Count requests that go on although their callers have left

A call that must not run twice goes on when its caller disconnects, and the core keeps its body. Its connection's memory counted as free, so that callers who sent large bodies and left made the daemon grow without bound.

The listener counts such a call until the core tells that it has ended.

--- a/src/daemon/requestserver.cpp
+++ b/src/daemon/requestserver.cpp
@@ -206,13 +206,20 @@
     auto &call = std::get<ParsedCall>(result);
     const auto id = registerExchange(exchange);
     call.attributes.id = id;
-    exchange->onGone([this, id] {
-        m_exchanges.erase(id);
-        m_outbox.send(CallerGone{id});
-    });
+    exchange->onGone([this, id, bodyBytes = call.body.size()] { abandon(id, bodyBytes); });
     m_outbox.send(CallArrived{id, std::move(call)});
 }
 
+/// Handles the disconnect of a caller. A call that must not run twice goes on, and holds its body until it has ended.
+void RequestServer::abandon(CallId id, std::size_t bodyBytes)
+{
+    m_exchanges.erase(id);
+    auto share = std::make_unique<Budget::MemoryShare>(&m_memory);
+    share->set(Relay::requestCopies * bodyBytes);
+    m_abandoned.emplace(id, std::move(share));
+    m_outbox.send(CallerGone{id});
+}
+
 CallId RequestServer::registerExchange(const Exchange &exchange)
 {
     const auto id = (++m_calls << 1U) | (m_audience == Audience::Peers ? 1U : 0U);
@@ -241,6 +248,7 @@
 
 void RequestServer::reply(ReplyWhole &&action)
 {
+    m_abandoned.erase(action.id);
     if (auto found = m_exchanges.extract(action.id))
         found.mapped()->respond(action.response);
 }
@@ -259,6 +267,7 @@
 
 void RequestServer::reply(ReplyEnd &&action)
 {
+    m_abandoned.erase(action.id);
     if (auto found = m_exchanges.extract(action.id))
         found.mapped()->end();
 }
--- a/src/daemon/requestserver.h
+++ b/src/daemon/requestserver.h
@@ -71,6 +71,7 @@
     void receivedFromPeer(Http::Request request, const Exchange &exchange);
     void takeCall(std::variant<ParsedCall, Failure> result, const Exchange &exchange);
     CallId registerExchange(const Exchange &exchange);
+    void abandon(CallId id, std::size_t bodyBytes);
     bool shedIfFull(const Exchange &exchange);
     void tick();
     void reportLosses();
@@ -92,6 +93,8 @@
     std::map<Relay::UnansweredCause, std::uint64_t> m_unanswered; ///< Requests that were not.
     Relay::CallerServer m_server;
     std::unordered_map<CallId, Exchange> m_exchanges;
+    /// Memory of calls that go on although their callers have disconnected.
+    std::unordered_map<CallId, std::unique_ptr<Budget::MemoryShare>> m_abandoned;
 };
 
 } // namespace Gypsumtally
--- a/src/node/callanswers.cpp
+++ b/src/node/callanswers.cpp
@@ -317,6 +317,8 @@
 void CallTable::finish(Call &call, std::optional<Failure> failure)
 {
     const auto owned = m_calls.extract(call.id());
+    if (call.callerGone)
+        m_context.io.emit(ReplyEnd{call.id()}); // The listener counts the request until then.
     if (call.isClaimed) {
         ClaimActions actions;
         m_context.claims.finish(call.id(), failure ? failure->verdict : Verdict::Ran, {}, m_context.io.now(), actions);
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -156,7 +156,7 @@
     std::string bytes;
 };
 
-/// Ends a streamed response.
+/// Ends a streamed response, or a call whose caller has disconnected.
 struct ReplyEnd {
     CallId id = 0;
 };
--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -41,8 +41,6 @@
 /// that has just connected is about to send.
 constexpr Duration minWaitTime = std::chrono::seconds{1};
 constexpr Duration acceptPause = std::chrono::milliseconds{50}; ///< After a lack of descriptors.
-/// Copies of a request in progress: the request itself, and its text on the way to an upstream.
-constexpr std::size_t requestCopies = 2;
 constexpr Duration lingerTime = std::chrono::seconds{1}; ///< Lets a caller read a rejection before the close.
 
 std::string headText(unsigned status, const Http::Headers &headers)
--- a/src/relay/callerserver.h
+++ b/src/relay/callerserver.h
@@ -82,6 +82,9 @@
     }
 };
 
+/// Copies of a request in progress that count as held: the request itself, and its text on the way to an upstream.
+inline constexpr std::size_t requestCopies = 2;
+
 /// Why a server itself rejects a request.
 enum class RejectionCause {
     BadRequest, ///< It is malformed, too large or late.
