--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -957,7 +957,7 @@
         , shared(std::make_shared<Shared>())
         , acceptor(context)
     {
-        shared->settings = settings;
+        shared->settings = std::move(settings);
         shared->handler = std::move(handler);
     }
 
@@ -1047,7 +1047,7 @@
 };
 
 CallerServer::CallerServer(Http::EventLoop &loop, CallerServerSettings settings, Handler handler)
-    : m_d(std::make_shared<Private>(loop, settings, std::move(handler)))
+    : m_d(std::make_shared<Private>(loop, std::move(settings), std::move(handler)))
 {
 }
 
