Test crowds at relays, at planned stops and at a SIGHUP that lowers the memory

- untrustedcallerstest, leaveRelaysAlive: a node that is cut off from all upstreams gets 64 or 200 legal bodies; three nodes, 64 MB each.
- giveUpMemoryThatAReloadTakes: 64 bodies at a node of 256 MB, which is lowered to 64 MB.
It cannot pass before, as nothing was reloaded.
- letAPlannedStopEnd: 64 bodies that never end at a gateway, and five crowds at the daemon's listeners.

The callers of a crowd can be destroyed while their writes are pending.

--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -125,6 +125,7 @@
     for (unsigned number = 0; number < size.nodes; ++number) {
         Node node;
         node.name = "n" + std::to_string(number);
+        node.machine = m_size.machine;
         node.address = "127.1." + std::to_string(number / 250) + '.' + std::to_string(1 + number % 250);
         for (int port = 0; port < PortCount; ++port)
             node.ports.push_back(std::make_unique<Processes::ReservedPort>());
@@ -229,10 +230,11 @@
     m_client.fetch({node.ports[Callers]->endpoint(), {}}, request, onResponse, options);
 }
 
-void Fleet::start(Node &node)
+/// Writes the settings of a node and returns the name of the file.
+std::string Fleet::writeSettings(const Node &node) const
 {
     const auto address = [&](Port port) { return Http::toString(node.ports[port]->endpoint()); };
-    const auto settings = m_files.file(node.name + ".yaml");
+    auto settings = m_files.file(node.name + ".yaml");
     std::ofstream(settings) << "node: " << node.name
                             << "\nfailure_domain: a\nregion: r\nregions: {a: r}\nlisten:\n  callers: "
                             << address(Callers) << "\n  readiness: " << address(Readiness)
@@ -243,7 +245,24 @@
                             << m_size.stopGrace.count() / 1000
                             << "ms\nentry_ttl: 1s\nretries:\n  ratio: 0.2\n  slack: 58\n  window: 10s\nlog:\n"
                                "  level: info\n  format: json\n"
-                            << (m_size.machine.empty() ? "" : "machine: " + m_size.machine + '\n');
+                            << (node.machine.empty() ? "" : "machine: " + node.machine + '\n');
+    return settings;
+}
+
+void Fleet::allowUnread(std::size_t number)
+{
+    m_nodes[number].isCrowded = true;
+}
+
+void Fleet::setMachine(std::size_t number, const std::string &machine)
+{
+    m_nodes[number].machine = machine;
+    writeSettings(m_nodes[number]);
+}
+
+void Fleet::start(Node &node)
+{
+    const auto settings = writeSettings(node);
     node.process = std::make_unique<Processes::ChildProcess>(
         std::vector<std::string>{GYPSUMTALLY_GATEWAYD, "--settings=" + settings}, m_files.file(node.name + ".log"));
     node.isOpen = true;
@@ -447,7 +466,7 @@
         return; // Its connections may have been reset while no other node could go on.
     if (isStream(kind) && BootClock{}.now() - sentAt >= formOf(kind).timeout)
         return; // It was ended at its deadline.
-    if (!mayBeBrokenOff && node.disturbedAt < sentAt && node.keepsCallers) {
+    if (!mayBeBrokenOff && node.disturbedAt < sentAt && (node.keepsCallers || node.isCrowded)) {
         m_unanswered.insert(id);
         return;
     }
--- a/tests/gatewayfleet/gatewayfleet.h
+++ b/tests/gatewayfleet/gatewayfleet.h
@@ -143,6 +143,13 @@
     /// Lets a node read its settings again.
     void reload(std::size_t node);
 
+    /// Lets a node leave requests unread from now on, as it closes connections when there are too many. They must not
+    /// have run.
+    void allowUnread(std::size_t node);
+
+    /// Replaces the section `machine` of a node's settings, which it reads at its next start or reload.
+    void setMachine(std::size_t node, const std::string &machine);
+
     /// Excuses what all nodes do about crashing parts within @p time and until their rules bind again, as the store is
     /// down.
     void excuseAll(Duration time);
@@ -266,10 +273,12 @@
     struct Node {
         std::string name;
         std::string address; ///< Local address of its connections to upstreams.
+        std::string machine; ///< The section `machine` of its settings; empty if there is none.
         std::vector<std::unique_ptr<Processes::ReservedPort>> ports; ///< Callers, readiness, entries, peers, metrics.
         std::unique_ptr<Processes::ChildProcess> process;
         bool isOpen = true; ///< Callers use it for new requests.
         bool keepsCallers = false; ///< Callers used it to the end of a stop, so that requests may have remained unread.
+        bool isCrowded = false; ///< Untrusted callers use its connections, so that requests may remain unread.
         Instant disturbedAt{}; ///< When it was last killed, frozen or thawed.
         Instant partitionedUntil{}; ///< From all upstreams, which may break its requests that are in flight.
         Instant startedAt{};
@@ -286,6 +295,7 @@
     };
 
     void configure();
+    std::string writeSettings(const Node &node) const;
     void start(Node &node);
     void startAgain(std::size_t number, Instant since);
     void terminate(std::size_t number);
--- a/tests/gatewayfleet/untrustedcallerstest.cpp
+++ b/tests/gatewayfleet/untrustedcallerstest.cpp
@@ -134,7 +134,7 @@
 constexpr unsigned maxAttempts = 50; ///< Of the ordinary request.
 
 /// Returns true if one of a few ordinary requests, sent in turn, is answered by an upstream.
-bool isOrdinaryRequestAnswered(Fleet &fleet)
+bool isOrdinaryRequestAnswered(Fleet &fleet, std::size_t node = 0)
 {
     Relay::UpstreamClient client(fleet.loop());
     const auto isAnswered = std::make_shared<bool>(false);
@@ -142,7 +142,7 @@
         Relay::SendOptions options;
         options.maxIdleAge = {};
         client.fetch(
-            {fleet.callersOf(0), {}}, {"GET", "/read/1", {{"Host", "h"}, {"X-Request-Id", "n0:0"}}, {}},
+            {fleet.callersOf(node), {}}, {"GET", "/read/1", {{"Host", "h"}, {"X-Request-Id", "n0:0"}}, {}},
             [isAnswered](const Relay::WholeResponse &response) {
                 *isAnswered = *isAnswered || response.head.status == 200;
             },
@@ -190,6 +190,123 @@
     cr_expect_leq(open, maxOpen, "%s: %zu descriptors", row.name, open);
 }
 
+namespace
+{
+
+UntrustedBytes almostWholeBodies()
+{
+    return {legalBeginning(1), std::string(chunk, 'x'), maxBody / chunk - 1};
+}
+
+UntrustedBytes wholeBodies()
+{
+    return {legalBeginning(0), std::string(chunk, 'x'), maxBody / chunk - 1};
+}
+
+struct RelayedCase {
+    const char *name;
+    std::size_t callers;
+    UntrustedBytes (*bytes)(); ///< That each caller sends.
+    Duration answerTime; ///< Of an upstream for the crowd's requests.
+};
+
+const RelayedCase relayedCrowds[] = {
+    {"legal bodies, one byte short", crowd, almostWholeBodies, milliseconds{15}},
+    {"legal bodies", crowd, wholeBodies, milliseconds{15}},
+    {"many legal bodies at slow upstreams", largeCrowd, wholeBodies, seconds{20}},
+};
+
+constexpr Load ordinaryLoad{12, 6, 0};
+constexpr std::size_t relays = 3;
+constexpr Duration detectionTime = seconds{3}; ///< From a cut until calls are relayed.
+constexpr Duration cutTime = seconds{120}; ///< Longer than the test.
+
+std::string machineOf(std::size_t megabytes)
+{
+    return "{memory_mb: " + std::to_string(megabytes) + '}';
+}
+
+} // namespace
+
+/// Guards against peers that run out of memory, or serve nobody else, because of a crowd at a node whose calls they
+/// take.
+TABLE_TEST(UntrustedCallers, leaveRelaysAlive, relayedCrowds)
+{
+    FleetSize size{relays, 1, manyWorkers};
+    size.machine = machineOf(memoryMb);
+    size.limits = limits;
+    Fleet fleet(size, 1);
+    fleet.waitUntilReady();
+    fleet.setLoad(ordinaryLoad); // Shows the nodes what their peers reach.
+    fleet.run(detectionTime);
+    fleet.partition(0, PathState::Reset, cutTime);
+    fleet.run(detectionTime);
+    std::size_t idle[relays];
+    for (std::size_t node = 0; node < relays; ++node) {
+        cr_assert(isOrdinaryRequestAnswered(fleet, node), "%s: no answer before the crowd", row.name);
+        idle[node] = memoryOf(fleet.processOf(node).id(), "VmRSS");
+    }
+    setAnswers(fleet, 0, row.answerTime);
+    const UntrustedCallers callers(fleet.loop(), fleet.callersOf(0), row.callers, row.bytes());
+    Processes::watchCrowd(callers, fleet.processOf(0).id(), [&](Duration time) { fleet.run(time); });
+    setAnswers(fleet, 0);
+    for (std::size_t node = 0; node < relays; ++node) {
+        cr_expect(isOrdinaryRequestAnswered(fleet, node), "%s: no answer at node %zu", row.name, node);
+        cr_expect(fleet.processOf(node).isRunning(), "%s: node %zu has ended", row.name, node);
+        const auto peak = memoryOf(fleet.processOf(node).id(), "VmHWM");
+        cr_log_info("%s: node %zu: %zu kB idle, %zu kB at most", row.name, node, idle[node], peak);
+        cr_expect_leq(peak, idle[node] + maxGrowth, "%s: node %zu: %zu kB", row.name, node, peak);
+    }
+}
+
+/// Guards against callers that keep what they could take of a machine with more memory.
+Test(UntrustedCallers, giveUpMemoryThatAReloadTakes)
+{
+    FleetSize size{1, 1, workers};
+    size.machine = machineOf(4 * memoryMb);
+    size.limits = limits;
+    Fleet fleet(size, 1);
+    fleet.waitUntilReady();
+    cr_assert(isOrdinaryRequestAnswered(fleet), "no answer before the crowd");
+    const auto id = fleet.processOf(0).id();
+    const auto idle = memoryOf(id, "VmRSS");
+    const auto run = [&](Duration time) { fleet.run(time); };
+    const UntrustedCallers callers(fleet.loop(), fleet.callersOf(0), crowd, almostWholeBodies());
+    Processes::watchCrowd(callers, id, run);
+    cr_assert_gt(memoryOf(id, "VmRSS"), idle + maxGrowth);
+    fleet.setMachine(0, machineOf(memoryMb));
+    fleet.reload(0);
+    Processes::watchCrowd(callers, id, run);
+    const auto left = memoryOf(id, "VmRSS");
+    cr_expect_leq(left, idle + maxGrowth, "%zu kB, %zu kB idle", left, idle);
+    cr_expect(isOrdinaryRequestAnswered(fleet), "no answer beside the crowd");
+    cr_expect(fleet.processOf(0).isRunning(), "the process has ended");
+}
+
+/// Guards against callers that hold up a planned stop.
+Test(UntrustedCallers, letAPlannedStopEnd)
+{
+    FleetSize size{1, 1, workers};
+    size.machine = machineOf(memoryMb);
+    size.limits = limits;
+    Fleet fleet(size, 1);
+    fleet.waitUntilReady();
+    const UntrustedCallers callers(fleet.loop(), fleet.callersOf(0), crowd, almostWholeBodies());
+    const auto id = fleet.processOf(0).id();
+    Processes::watchCrowd(callers, id, [&](Duration time) { fleet.run(time); });
+    fleet.stop(0);
+    std::size_t peak = 0;
+    for (unsigned steps = 0; steps < maxAttempts && fleet.processOf(0).id() == id; ++steps) {
+        fleet.run(step);
+        peak = std::max(peak, memoryOf(id, "VmHWM"));
+    }
+    cr_expect_neq(fleet.processOf(0).id(), id, "the process has not ended");
+    cr_expect_leq(peak, memoryMb * kilobyte);
+    cr_expect(isOrdinaryRequestAnswered(fleet), "no answer after the stop");
+    const auto problems = fleet.finish();
+    cr_assert(problems.empty(), "%s", problems.front().c_str());
+}
+
 /// Guards against limits that a single request within the stated ones meets, on the smallest machine.
 Test(UntrustedCallers, singleLargeRequestIsServed)
 {
--- a/tests/processes/daemoncallerstest.cpp
+++ b/tests/processes/daemoncallerstest.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <csignal>
 #include <memory>
 #include <string>
 #include <sys/resource.h>
@@ -33,6 +35,7 @@
 constexpr std::size_t pipelined = 2000; ///< Requests of each caller whose answers exceed all buffers of the kernel.
 constexpr unsigned maxAttempts = 50; ///< Of the ordinary request.
 constexpr Duration attemptTime = milliseconds{200};
+constexpr unsigned maxStopSteps = 300; ///< Far more than a stop takes.
 
 enum class Listener {
     Callers,
@@ -261,6 +264,46 @@
     cr_expect_leq(open, maxOpen, "%s: %zu descriptors", row.name, open);
 }
 
+namespace
+{
+
+struct StopCase {
+    const char *name;
+    Listener listener;
+    UntrustedBytes (*bytes)(); ///< That each caller sends.
+};
+
+const StopCase stops[] = {
+    {"legal bodies, one byte short", Listener::Callers, almostWholeBodies},
+    {"chunked bodies in large chunks", Listener::Callers, almostWholeChunkedBodies},
+    {"idle connections", Listener::Callers, idleConnections},
+    {"legal bodies without a key, one byte short", Listener::Peers, almostWholeBodies},
+    {"idle connections of peers", Listener::Peers, idleConnections},
+};
+
+} // namespace
+
+/// Guards against callers that hold up a planned stop.
+TABLE_TEST(DaemonCallers, letAPlannedStopEnd, stops)
+{
+    const auto fleet = startFleet(0);
+    Http::EventLoop loop;
+    auto &daemon = fleet->daemons()[0]->process();
+    const auto idle = memoryOf(daemon.id(), "VmRSS");
+    const auto endpoint = row.listener == Listener::Callers ? fleet->daemons()[0]->endpoint() : fleet->peerEndpoint(0);
+    const UntrustedCallers callers(loop, endpoint, crowd, row.bytes());
+    watchCrowd(callers, daemon.id(), [&](Duration time) { runFor(loop, time); });
+    daemon.signal(SIGTERM);
+    std::size_t peak = 0;
+    for (unsigned steps = 0; steps < maxStopSteps && daemon.isRunning(); ++steps) {
+        runFor(loop, attemptTime);
+        peak = std::max(peak, memoryOf(daemon.id(), "VmHWM"));
+    }
+    const auto status = daemon.wait({});
+    cr_expect(status == 0, "%s: status %d", row.name, status.value_or(-1));
+    cr_expect_leq(peak, idle + maxGrowth, "%s: %zu kB", row.name, peak);
+}
+
 /// Guards against limits that a single request within the stated ones meets.
 Test(DaemonCallers, singleLargeRequestIsServed)
 {
--- a/tests/processes/untrustedcallers.cpp
+++ b/tests/processes/untrustedcallers.cpp
@@ -98,14 +98,14 @@
     auto left = std::string_view(textOf(*connection)).substr(connection->offset);
     if (m_bytes.isByteByByte || connection->part == endingPart)
         left = left.substr(0, 1);
-    connection->socket.async_write_some(asio::buffer(left),
-                                        [this, connection](const boost::system::error_code &error, std::size_t size) {
-                                            if (error)
-                                                return;
-                                            connection->offset += size;
-                                            m_written += size;
-                                            write(connection);
-                                        });
+    connection->socket.async_write_some(
+        asio::buffer(left), [this, connection, alive = std::weak_ptr(m_isAlive)](const Error &error, std::size_t size) {
+            if (error || alive.expired())
+                return;
+            connection->offset += size;
+            m_written += size;
+            write(connection);
+        });
 }
 
 std::size_t watchCrowd(const UntrustedCallers &callers, pid_t id, const std::function<void(Duration)> &run)
