Forget holders of memory that are too small to be tracked after a reload

A gateway ended by itself, without a line, some time after a SIGHUP that raised its memory while callers held some of it.

Cause: MemoryBudget tracks holders from 1/8192 of the total on, and removed one that ended only if it held that much. After setLimits() raised the threshold, holders below it stayed listed when their connections had been destroyed, and the next shed() called them.

--- a/src/budget/memorybudget.cpp
+++ b/src/budget/memorybudget.cpp
@@ -35,6 +35,8 @@
 void MemoryBudget::setLimits(const MemoryLimits &limits)
 {
     m_limits = limits;
+    // change() removes only holders that are large enough to be tracked.
+    std::erase_if(m_tracked, [&](const auto &tracked) { return tracked.second < limits.trackedBytes; });
 }
 
 bool MemoryBudget::mayGrow(std::size_t held, std::size_t growth)
--- a/tests/budget/memorybudgettest.cpp
+++ b/tests/budget/memorybudgettest.cpp
@@ -171,3 +171,16 @@
     budget.shed(now);
     cr_assert(holder.isShed);
 }
+
+/// Guards against a holder that is shed after it has ended, as it was tracked under lower limits than the present ones.
+Test(MemoryBudget, forgetsHoldersUnderHigherLimits)
+{
+    auto lower = limits;
+    lower.trackedBytes = kilobyte / 2;
+    MemoryBudget budget(lower);
+    auto holder = std::make_unique<Holder>(budget, kilobyte * 3 / 4, seconds{9});
+    budget.setLimits(limits);
+    holder.reset();
+    budget.change(nullptr, 0, 990 * kilobyte);
+    cr_assert_eq(budget.shed(now), 0U);
+}
