Crowds of the gateway's tests send requests with an id

The gateway refused their whole bodies with 400, as they had no X-Request-Id, so that none was passed to an upstream or a peer. The soak says how a process ended that has ended by itself.

--- a/tests/gatewayfleet/crowdsoakmain.cpp
+++ b/tests/gatewayfleet/crowdsoakmain.cpp
@@ -48,7 +48,7 @@
 const std::string limits = R"({"header_bytes": 16384, "max_body_bytes": )" + std::to_string(maxBody)
                            + R"(, "header_timeout_ms": 60000, "idle_timeout_ms": 60000})";
 
-const std::string head = "POST /book/1 HTTP/1.1\r\nHost: h\r\n";
+const std::string head = "POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd:{n}\r\n";
 const std::string legalHead = head + "Content-Length: " + std::to_string(maxBody) + "\r\n\r\n";
 const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string piece(chunk, 'x');
--- a/tests/gatewayfleet/gatewayfleet.cpp
+++ b/tests/gatewayfleet/gatewayfleet.cpp
@@ -757,7 +757,8 @@
         if (!node.isExpectedToRun || node.process->isRunning())
             continue;
         if (now - node.startedAt > loadingTime)
-            m_problems.push_back(node.name + " has ended by itself");
+            m_problems.push_back(node.name + " has ended by itself, wait status "
+                                 + std::to_string(node.process->wait({}).value_or(-1)));
         restart(number, restartPause);
     }
 }
--- a/tests/gatewayfleet/untrustedcallerstest.cpp
+++ b/tests/gatewayfleet/untrustedcallerstest.cpp
@@ -41,7 +41,7 @@
 const std::string limits = R"({"header_bytes": 16384, "max_body_bytes": )" + std::to_string(maxBody)
                            + R"(, "header_timeout_ms": 60000, "idle_timeout_ms": 60000})";
 
-const std::string head = "POST /book/1 HTTP/1.1\r\nHost: h\r\n";
+const std::string head = "POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd:{n}\r\n";
 const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string largeChunk = "10000\r\n" + std::string(chunk, 'x') + "\r\n";
 
