Check the head of a request before its caller is told to send the body

A stranger at the peers' listener that waits for 100 Continue was told to go on, and then refused by the head. relaytest, row "stranger who waits to send the body": fails before, as "HTTP/1.1 100" comes first.

--- a/src/relay/callerserver.cpp
+++ b/src/relay/callerserver.cpp
@@ -490,7 +490,8 @@
         return m_reader->state() == RequestReader::State::Complete;
     }
 
-    /// Returns when the caller of a request that is refused now should send it again; nothing without a budget.
+    /// Returns the time after which the caller should send a request again that is refused now; nothing without a
+    /// budget.
     std::optional<Duration> retryAfter() const
     {
         return m_memory.retryAfter(BootClock{}.now());
@@ -714,8 +715,6 @@
         m_input.take(m_reader->feed(m_input.view()));
         if (wasIdle)
             startState();
-        if (m_reader->takeExpectContinue() && m_reader->state() == RequestReader::State::Reading)
-            send("HTTP/1.1 100 Continue\r\n\r\n");
         if (m_reader->state() == RequestReader::State::Failed)
             refuse({RejectionCause::BadRequest,
                     m_reader->refusalStatus(),
@@ -724,6 +723,8 @@
                     {}});
         else if (m_reader->state() == RequestReader::State::Reading)
             checkHead();
+        if (m_reader->takeExpectContinue() && m_reader->state() == RequestReader::State::Reading)
+            send("HTTP/1.1 100 Continue\r\n\r\n");
         return !m_lingering && !m_closed && isWhole();
     }
 
