--- a/tests/gatewayfleet/crowdsoakmain.cpp
+++ b/tests/gatewayfleet/crowdsoakmain.cpp
@@ -1,9 +1,8 @@
 #include "gatewayfleet/gatewayfleet.h"
+#include "gatewayfleet/soakrunner.h"
 #include "processes/processstatus.h"
 #include "processes/untrustedcallers.h"
 
-#include "support/knownred.h"
-
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -11,7 +10,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <exception>
 #include <memory>
 #include <random>
 #include <string>
@@ -246,9 +244,7 @@
     fleet.run(seconds{2});
     std::ranges::move(fleet.finish(), std::back_inserter(problems));
     std::printf("seed %u: %u nodes, %zu problems\n", seed, size.nodes, problems.size());
-    for (std::size_t i = 0; i < std::min<std::size_t>(problems.size(), 10); ++i)
-        std::printf("  %s\n", problems[i].c_str());
-    std::fflush(stdout);
+    printProblems(problems);
     if (!problems.empty() && absl::GetFlag(FLAGS_keep))
         fleet.keepFiles();
     return problems.size();
@@ -260,16 +256,5 @@
 {
     absl::SetProgramUsageMessage("lets crowds of untrusted callers use gateways that are disturbed at random");
     absl::ParseCommandLine(argc, argv);
-    std::size_t problems = 0;
-    try {
-        const auto seeds = Gypsumtally::Testing::seedsToRun(absl::GetFlag(FLAGS_first_seed), absl::GetFlag(FLAGS_runs));
-        if (seeds.empty())
-            return Gypsumtally::Testing::allPassedOver;
-        for (const auto seed : seeds)
-            problems += run(static_cast<unsigned>(seed));
-    } catch (const std::exception &failure) {
-        std::fprintf(stderr, "crowd-soak: %s\n", failure.what());
-        return 2;
-    }
-    return problems == 0 ? 0 : 1;
+    return runSeeds("crowd-soak", absl::GetFlag(FLAGS_first_seed), absl::GetFlag(FLAGS_runs), run);
 }
--- a/tests/gatewayfleet/soakmain.cpp
+++ b/tests/gatewayfleet/soakmain.cpp
@@ -1,6 +1,5 @@
 #include "gatewayfleet/gatewayfleet.h"
-
-#include "support/knownred.h"
+#include "gatewayfleet/soakrunner.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -9,7 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <exception>
 #include <iterator>
 #include <random>
 #include <string>
@@ -389,9 +387,7 @@
     }
     std::printf("seed %u: %u nodes, %u engines, %u workers, %u streams taken up, %zu problems\n", seed, size.nodes,
                 size.engines, size.workers, streams.takenUp, problems.size());
-    for (std::size_t i = 0; i < std::min<std::size_t>(problems.size(), 10); ++i)
-        std::printf("  %s\n", problems[i].c_str());
-    std::fflush(stdout);
+    printProblems(problems);
     if (!problems.empty() && absl::GetFlag(FLAGS_keep))
         fleet.keepFiles();
     return problems.size();
@@ -403,16 +399,5 @@
 {
     absl::SetProgramUsageMessage("disturbs real gateways at random and checks what callers and upstreams see");
     absl::ParseCommandLine(argc, argv);
-    std::size_t problems = 0;
-    try {
-        const auto seeds = Gypsumtally::Testing::seedsToRun(absl::GetFlag(FLAGS_first_seed), absl::GetFlag(FLAGS_runs));
-        if (seeds.empty())
-            return Gypsumtally::Testing::allPassedOver;
-        for (const auto seed : seeds)
-            problems += run(static_cast<unsigned>(seed));
-    } catch (const std::exception &failure) {
-        std::fprintf(stderr, "gateway-soak: %s\n", failure.what());
-        return 2;
-    }
-    return problems == 0 ? 0 : 1;
+    return runSeeds("gateway-soak", absl::GetFlag(FLAGS_first_seed), absl::GetFlag(FLAGS_runs), run);
 }
