History of daemons under crowds of callers that they do not control

The scenario callers-crowd sends crowds of 16 to 1,000 callers to both listeners of three daemons, drawn by seed, while one daemon is killed and another one is stopped in order. It checks what the other histories check, the crowd's bookings included, which may run once, and that no daemon takes more than its VM's 260 MB.

--- a/tests/processes/scenariocontext.cpp
+++ b/tests/processes/scenariocontext.cpp
@@ -43,7 +43,8 @@
 } // namespace
 
 ScenarioContext::ScenarioContext(const FleetOptions &fleet, const WorkloadOptions &workload)
-    : m_fleet(fleet)
+    : m_seed(workload.seed)
+    , m_fleet(fleet)
     , m_workload((awaitAllListed(), entriesOf(m_fleet)), workload, m_results)
 {
 }
--- a/tests/processes/scenariocontext.h
+++ b/tests/processes/scenariocontext.h
@@ -39,6 +39,12 @@
         return *m_fleet.daemons()[index];
     }
 
+    /// Returns the seed of the run.
+    std::uint64_t seed() const
+    {
+        return m_seed;
+    }
+
     FleetProcess &engine(std::size_t index)
     {
         return *m_fleet.engines()[index];
@@ -69,6 +75,7 @@
     std::vector<std::string> finish();
 
 private:
+    const std::uint64_t m_seed;
     Fleet m_fleet;
     Results m_results;
     Workload m_workload;
--- a/tests/processes/scenarios.cpp
+++ b/tests/processes/scenarios.cpp
@@ -1,5 +1,7 @@
 #include "processes/scenarios.h"
 
+#include "processes/crowdthread.h"
+#include "processes/processstatus.h"
 #include "processes/waiting.h"
 
 #include <csignal>
@@ -135,6 +137,39 @@
         context.addViolation("the daemon did not exit with status 0");
 }
 
+void checkMemory(ScenarioContext &context)
+{
+    constexpr std::size_t machineKilobytes = std::size_t{260} * 1024;
+    for (const auto &daemon : context.fleet().daemons()) {
+        const auto peak = memoryOf(daemon->process().id(), "VmHWM");
+        if (peak > machineKilobytes)
+            context.addViolation("too much memory: " + daemon->name() + " has taken " + std::to_string(peak) + " kB");
+    }
+}
+
+/// Lets crowds of untrusted callers use both listeners of all daemons, while one daemon is stopped and started again
+/// and another one is killed.
+void sendCrowds(ScenarioContext &context)
+{
+    std::vector<Http::Endpoint> listeners;
+    for (std::size_t index = 0; index < context.fleet().daemons().size(); ++index) {
+        listeners.push_back(context.daemon(index).endpoint());
+        listeners.push_back(context.fleet().peerEndpoint(index));
+    }
+    const CrowdThread crowds(std::move(listeners), context.seed());
+    context.workload().awaitCompleteAnswers(callsDuringFault);
+    checkMemory(context);
+    context.allowLossAt(1);
+    context.daemon(1).process().kill();
+    context.daemon(1).start();
+    context.workload().awaitCompleteAnswers(callsDuringFault);
+    stopDaemonGracefully(context);
+    context.daemon(0).start();
+    context.fleet().awaitReady();
+    context.workload().awaitCompleteAnswers(callsDuringFault);
+    checkMemory(context);
+}
+
 std::size_t startCrashedEngines(ScenarioContext &context)
 {
     std::size_t crashed = 0;
@@ -216,6 +251,7 @@
     {"service-crashes-after", 13, fleet(), crashServiceAfterEffect},
     {"service-crashes-before", 14, fleet(), crashServiceBeforeEffect},
     {"crashing-request", 16, sixEngines(), sendCrashingRequest},
+    {"callers-crowd", 17, fleet(), sendCrowds},
 }};
 
 } // namespace Gypsumtally::Processes
