Fail answers without a length that a write's error has cut off

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as a whole answer. A write to the store that was reset the same way counted as applied.

Cause: the kernel reports an error of a socket to one call only. The write got ECONNRESET, posted the failure of the exchange and forgot the error; the read that ran before the posted task got the rest of the bytes and then an end of file, which completes a body without a length.

Change: a connection keeps the error of a write, reads what has arrived and then fails the exchange, unless the response is whole by its length or its chunks. Http::endsBody() decides whether the end of a connection is the end of a body: not after an error, and not in a 2xx to a request that was not delivered. A success states that the request was received (RFC 9110, 15.3), and a process that ends while its receive buffer is empty closes its connections in order. Other statuses may answer the first part of a request (RFC 9112, 9.6), so that an early refusal that is closed in order stays whole. Delivered means acknowledged by the peer's kernel (SIOCOUTQ), so that the sizes of the buffers do not matter: what the upstream has read is covered by the acknowledgement that comes with its FIN.

Evidence: the tests keep a write pending with a small receive buffer at the stand-in and a body larger than the largest send buffer.

--- a/src/relay/responsereader.cpp
+++ b/src/relay/responsereader.cpp
@@ -146,18 +146,19 @@
     m_observer.onHead(head);
 }
 
-void ResponseReader::finish()
+void ResponseReader::finish(const Http::ConnectionEnd &end)
 {
     if (m_state != State::Reading)
         return;
-    ErrorCode error;
-    if (m_d->hasHead && m_d->parser->need_eof())
-        m_d->parser->put_eof(error);
-    else
-        error = bhttp::error::partial_message;
-    m_state = error ? State::Failed : State::Complete;
-    if (error)
-        m_problem = "the connection ended inside the response";
+    const bool isDelimitedByEnd = m_d->hasHead && m_d->parser->need_eof();
+    if (isDelimitedByEnd && Http::endsBody(end, m_d->parser->get().result_int())) {
+        m_state = State::Complete;
+        return;
+    }
+    m_state = State::Failed;
+    m_problem = isDelimitedByEnd && end.isOrderly
+                    ? "the connection ended in a success without a length, before the request was received"
+                    : "the connection ended inside the response";
 }
 
 bool ResponseReader::keepsConnection() const
--- a/src/relay/responsereader.h
+++ b/src/relay/responsereader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/connectionend.h"
 #include "http/message.h"
 
 #include <cstddef>
@@ -49,9 +50,9 @@
         return m_surplus;
     }
 
-    /// Handles an orderly close of the connection. It completes a body without a stated length; any other unfinished
-    /// response fails.
-    void finish();
+    /// Handles the end of the connection, which completes a body without a stated length if Http::endsBody() says so.
+    /// Any other unfinished response fails.
+    void finish(const Http::ConnectionEnd &end);
 
     State state() const
     {
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -1,5 +1,6 @@
 #include "relay/upstreamclient.h"
 
+#include "http/connectionend.h"
 #include "http/eventloop.h"
 #include "relay/detail/socketwait.h"
 
@@ -236,10 +237,10 @@
         ErrorCode error;
         const auto written = m_socket.write_some(asio::buffer(bytes), error);
         m_exchange->sent = m_exchange->sent || (!error && written > 0);
-        if (error && error != asio::error::would_block)
-            return asio::post(m_shared->context, [self = shared_from_this(), error] {
-                self->fail(ExchangeFailure::Broken, error.message());
-            });
+        if (error && error != asio::error::would_block) {
+            m_writeError = error;
+            return asio::post(m_shared->context, [self = shared_from_this()] { self->readRest(); });
+        }
         bytes.erase(0, error ? 0 : written);
         if (bytes.empty())
             return;
@@ -249,6 +250,22 @@
         });
     }
 
+    /// Ends an exchange whose request cannot be written any more. What has arrived may hold a whole response.
+    void readRest()
+    {
+        ErrorCode ignored;
+        while (m_exchange && m_socket.available(ignored) > 0)
+            read();
+        fail(ExchangeFailure::Broken, m_writeError.message());
+    }
+
+    /// Returns what is known of the connection at an end of file, which a read also reports after an error that a write
+    /// has reported. Precondition: there is an exchange.
+    Http::ConnectionEnd connectionEnd()
+    {
+        return {!m_writeError, m_exchange->bytes.empty() && Http::isAllAcknowledged(m_socket.native_handle())};
+    }
+
     void waitForBytes()
     {
         if (!m_closed)
@@ -270,7 +287,7 @@
         if (!exchange)
             return close(); // The upstream closed an idle connection or sent unexpected bytes on it.
         if (error == asio::error::eof)
-            m_reader->finish();
+            m_reader->finish(connectionEnd());
         else if (error)
             return fail(ExchangeFailure::Broken, error.message());
         if (got > 0)
@@ -281,7 +298,9 @@
         case ResponseReader::State::Complete:
             return complete(!error && m_reader->surplus() == 0 && m_exchange->bytes.empty());
         case ResponseReader::State::Failed:
-            return fail(error ? ExchangeFailure::Broken : ExchangeFailure::Malformed, m_reader->problem());
+            if (!error)
+                return fail(ExchangeFailure::Malformed, m_reader->problem());
+            return fail(ExchangeFailure::Broken, m_writeError ? m_writeError.message() : m_reader->problem());
         case ResponseReader::State::Reading:
             waitForBytes();
         }
@@ -337,6 +356,7 @@
     std::string m_key;
     std::shared_ptr<PendingExchange> m_exchange; ///< Shared, because an observer may cancel its own exchange.
     std::unique_ptr<ResponseReader> m_reader;
+    ErrorCode m_writeError; ///< The kernel reports an error of a socket to one call only.
     Instant m_connectSince{};
     Instant m_idleSince{};
     Duration m_idleLimit = std::chrono::hours{1};
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -185,7 +185,7 @@
 
 /// Sends a request and returns the body of the answer; nothing if that is not whole.
 std::optional<std::string> wholeBody(EventLoop &loop, Client &client, const Endpoint &endpoint,
-                                     const RequestOptions &options)
+                                     const RequestOptions &options, const Request &request = {})
 {
     std::string body;
     bool ended = false;
@@ -196,7 +196,7 @@
         loop.stop();
     };
     observer.onFailure = [&](const TransportFailure &) { loop.stop(); };
-    client.send(endpoint, {}, observer, options);
+    client.send(endpoint, request, observer, options);
     loop.context().restart();
     loop.run();
     return ended ? std::optional(body) : std::nullopt;
@@ -221,6 +221,20 @@
     }
 }
 
+/// Guards against a part of an answer that counts as whole although its connection was reset while the request was
+/// being written. This client reads no answer until the request is written, and may lose whole ones.
+TABLE_TEST(Client, takesNoCutAnswersToHalfWrittenRequests, Testing::earlyAnswers)
+{
+    EventLoop loop;
+    Testing::RawServer server(loop, row.bytes, row.end, Testing::smallReceiveBuffer);
+    Client client(loop);
+    RequestOptions options;
+    options.idleTimeout = std::chrono::milliseconds{300};
+    const Request request{"POST", "/", {}, std::string(Testing::sizeOfPendingBody(), 'x')};
+    const auto body = wholeBody(loop, client, server.endpoint(), options, request);
+    cr_assert(!body || (row.isWhole && *body == "all of it"), "%s", row.name);
+}
+
 /// Guards against an answer that counts as whole although its connection ended inside its head or body.
 TABLE_TEST(Client, failsIfAnswerIsCutAtAnyByte, Testing::delimitedAnswers)
 {
--- a/tests/platformadapter/storeclienttest.cpp
+++ b/tests/platformadapter/storeclienttest.cpp
@@ -191,3 +191,48 @@
     cr_assert(reported == row.reported, "%s", row.name);
     cr_assert_eq(unreadable, row.unreadable, "%s", row.name);
 }
+
+namespace
+{
+
+struct EarlyReplyCase {
+    const char *name;
+    const char *bytes;
+    Testing::ConnectionEnd end;
+    KeyOutcome outcome;
+};
+
+const EarlyReplyCase earlyReplies[] = {
+    {"applied without a length, reset", "HTTP/1.1 200 OK\r\n\r\n{\"revision\":7}", Testing::ConnectionEnd::Reset,
+     KeyOutcome::Unknown},
+    {"applied without a length, closed", "HTTP/1.1 200 OK\r\n\r\n{\"revision\":7}", Testing::ConnectionEnd::Close,
+     KeyOutcome::Unknown},
+    {"applied without a length, shut down", "HTTP/1.1 200 OK\r\n\r\n{\"revision\":7}", Testing::ConnectionEnd::Shutdown,
+     KeyOutcome::Unknown},
+    {"applied without a body, reset", "HTTP/1.1 200 OK\r\n\r\n", Testing::ConnectionEnd::Reset, KeyOutcome::Unknown},
+    {"conflict without a length, reset", "HTTP/1.1 412 Conflict\r\n\r\n", Testing::ConnectionEnd::Reset,
+     KeyOutcome::Unknown},
+    {"refused without a length, shut down", "HTTP/1.1 503 Down\r\n\r\n", Testing::ConnectionEnd::Shutdown,
+     KeyOutcome::Unavailable},
+};
+
+} // namespace
+
+/// Guards against a write that counts as applied although its connection was reset before the store had read it.
+TABLE_TEST(StoreClient, reportsNoOutcomeOfAHalfWrittenTransaction, earlyReplies)
+{
+    Http::EventLoop loop;
+    Testing::RawServer server(loop, row.bytes, row.end, Testing::smallReceiveBuffer);
+    Platform::StoreClient client(loop, server.endpoint());
+    KeyTransaction transaction;
+    transaction.puts.push_back({"p/a", std::string(Testing::sizeOfPendingBody(), 'x'), KeyLifetime::Durable});
+    std::optional<KeyReply> reply;
+    client.transact(transaction, 0, [&](const KeyReply &each) {
+        reply = each;
+        loop.stop();
+    });
+    loop.runAfter(std::chrono::seconds{5}, [&] { loop.stop(); });
+    loop.run();
+    cr_assert(reply.has_value(), "%s", row.name);
+    cr_assert(reply->outcome == row.outcome, "%s", row.name);
+}
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -160,6 +160,68 @@
     }
 }
 
+/// A worker reset its connection while the request was being written, and its caller got the part of the answer that
+/// had arrived as a whole one.
+TABLE_TEST(Relay, answersToHalfWrittenRequestsEndWithTheirFraming, Testing::earlyAnswers)
+{
+    constexpr unsigned tries = 5; // Which of the client's calls on the socket reports the reset differs.
+    for (unsigned number = 0; number < tries; ++number) {
+        Http::EventLoop loop;
+        Testing::RawServer server(loop, row.bytes, row.end, Testing::smallReceiveBuffer);
+        UpstreamClient client(loop);
+        std::optional<WholeResponse> answer;
+        const auto onResponse = [&](const WholeResponse &response) {
+            answer = response;
+            loop.stop();
+        };
+        const Http::Request request{"POST", "/x", {{"Host", "h"}}, std::string(Testing::sizeOfPendingBody(), 'x')};
+        client.fetch({server.endpoint(), "a"}, request, onResponse, {});
+        loop.runAfter(std::chrono::seconds{5}, [&] { loop.stop(); });
+        loop.run();
+        cr_assert(answer.has_value(), "%s", row.name);
+        cr_assert_eq(answer->head.status != 0, row.isWhole, "%s: %s", row.name, answer->failure.c_str());
+        cr_assert(answer->sent, "%s", row.name);
+        if (row.isWhole)
+            cr_assert_eq(answer->body, std::string("all of it"), "%s", row.name);
+    }
+}
+
+namespace
+{
+
+struct UnreadRequestCase {
+    const char *name;
+    std::size_t bodyBytes; ///< All of which the client's kernel takes.
+    bool isWhole;
+};
+
+const UnreadRequestCase unreadRequests[] = {
+    {"received by the upstream's kernel", 1000, true},
+    {"still in the client's kernel", 300 * 1024, false},
+};
+
+} // namespace
+
+/// Guards against a success that counts as whole although its upstream cannot have received the request.
+TABLE_TEST(Relay, successesWithoutLengthFollowTheWholeRequest, unreadRequests)
+{
+    Http::EventLoop loop;
+    Testing::RawServer server(loop, "HTTP/1.1 200 OK\r\n\r\nall of it", Testing::ConnectionEnd::Shutdown,
+                              Testing::smallReceiveBuffer);
+    UpstreamClient client(loop);
+    std::optional<WholeResponse> answer;
+    const auto onResponse = [&](const WholeResponse &response) {
+        answer = response;
+        loop.stop();
+    };
+    client.fetch({server.endpoint(), "a"}, {"POST", "/x", {{"Host", "h"}}, std::string(row.bodyBytes, 'x')}, onResponse,
+                 {});
+    loop.runAfter(std::chrono::seconds{5}, [&] { loop.stop(); });
+    loop.run();
+    cr_assert(answer.has_value(), "%s", row.name);
+    cr_assert_eq(answer->head.status == 200, row.isWhole, "%s: %s", row.name, answer->failure.c_str());
+}
+
 /// Guards against an answer that counts as whole although its connection ended inside its head or body.
 TABLE_TEST(Relay, failsIfAnswerIsCutAtAnyByte, Testing::delimitedAnswers)
 {
--- a/tests/relay/responsereadertest.cpp
+++ b/tests/relay/responsereadertest.cpp
@@ -57,7 +57,7 @@
         bytes.remove_prefix(piece.size());
     }
     if (row.ends)
-        reader.finish();
+        reader.finish({});
     read.state = reader.state();
     read.surplus = reader.surplus();
     return read;
@@ -150,7 +150,7 @@
         if (length > 0)
             reader.feed(whole.substr(0, length));
         cr_assert(reader.state() == State::Reading, "complete after %zu bytes", length);
-        reader.finish();
+        reader.finish({});
         cr_assert(reader.state() == State::Failed, "whole after %zu bytes", length);
     }
     ResponseReader reader({[](const ResponseHead &) {}, [](std::string_view) {}});
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <cstddef>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <utility>
@@ -18,22 +20,40 @@
 
 /// How a RawServer ends a connection after its bytes.
 enum class ConnectionEnd {
-    Close, ///< In order.
+    Close, ///< In order; with a reset if a part of the request is unread.
     Reset,
+    Shutdown, ///< In order, for writing only; nothing more is read.
     KeepOpen,
 };
 
+/// Size of the receive buffer of a server that leaves requests unread, in bytes.
+inline constexpr int smallReceiveBuffer = 8 * 1024;
+
+/// Returns the size of a body that the kernel cannot take whole from its sender while a server with a small receive
+/// buffer leaves it unread, in bytes.
+inline std::size_t sizeOfPendingBody()
+{
+    std::size_t least = 0;
+    std::size_t usual = 0;
+    std::size_t most = 0;
+    std::ifstream("/proc/sys/net/ipv4/tcp_wmem") >> least >> usual >> most;
+    constexpr std::size_t beyondBuffers = 1024 * 1024;
+    return most + beyondBuffers;
+}
+
 /// A TCP server that answers the first request on each connection with given bytes and then ends the connection.
 class RawServer
 {
 public:
-    /// Listens on a free loopback port.
-    RawServer(Http::EventLoop &loop, std::string bytes, ConnectionEnd end)
+    /// Listens on a free loopback port. Connections get the kernel's usual receive buffer, unless its size is given.
+    RawServer(Http::EventLoop &loop, std::string bytes, ConnectionEnd end, int receiveBuffer = 0)
         : m_loop(loop)
         , m_acceptor(loop.context(), {boost::asio::ip::address_v4::loopback(), 0})
         , m_bytes(std::move(bytes))
         , m_end(end)
     {
+        if (receiveBuffer > 0)
+            m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer));
         accept();
     }
 
@@ -71,6 +91,10 @@
             return;
         m_loop.runAfter(deliveryTime, [this, connection] {
             boost::system::error_code error;
+            if (m_end == ConnectionEnd::Shutdown) {
+                connection->shutdown(tcp::socket::shutdown_send, error);
+                return;
+            }
             if (m_end == ConnectionEnd::Reset)
                 connection->set_option(boost::asio::socket_base::linger(true, 0), error);
             connection->close(error);
@@ -104,6 +128,36 @@
     {"silent without an end", "HTTP/1.1 200 OK\r\n\r\nonly a pa", ConnectionEnd::KeepOpen, false, ""},
 };
 
+/// An answer that is sent before the request has been written whole.
+struct EarlyAnswerCase {
+    const char *name;
+    const char *bytes;
+    ConnectionEnd end;
+    bool isWhole; ///< Expected; otherwise the exchange fails.
+};
+
+inline const EarlyAnswerCase earlyAnswers[] = {
+    {"success without a length, reset", "HTTP/1.1 200 OK\r\n\r\nall of it", ConnectionEnd::Reset, false},
+    {"success without a length, closed", "HTTP/1.1 200 OK\r\n\r\nall of it", ConnectionEnd::Close, false},
+    {"success without a length, shut down", "HTTP/1.1 200 OK\r\n\r\nall of it", ConnectionEnd::Shutdown, false},
+    {"success without a body, reset", "HTTP/1.1 200 OK\r\n\r\n", ConnectionEnd::Reset, false},
+    {"success without a body, shut down", "HTTP/1.1 200 OK\r\n\r\n", ConnectionEnd::Shutdown, false},
+    {"refusal without a length, reset", "HTTP/1.1 413 Large\r\n\r\nall of it", ConnectionEnd::Reset, false},
+    {"refusal without a length, closed", "HTTP/1.1 413 Large\r\n\r\nall of it", ConnectionEnd::Close, false},
+    {"refusal without a length, shut down", "HTTP/1.1 413 Large\r\n\r\nall of it", ConnectionEnd::Shutdown, true},
+    {"part of a length, reset", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nall of it", ConnectionEnd::Reset, false},
+    {"part of a length, shut down", "HTTP/1.1 413 Large\r\nContent-Length: 10\r\n\r\nall of it",
+     ConnectionEnd::Shutdown, false},
+    {"chunks without an end, reset", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n",
+     ConnectionEnd::Reset, false},
+    {"chunks without an end, shut down", "HTTP/1.1 413 Large\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n",
+     ConnectionEnd::Shutdown, false},
+    {"whole length, reset", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it", ConnectionEnd::Reset, true},
+    {"whole length, closed", "HTTP/1.1 413 Large\r\nContent-Length: 9\r\n\r\nall of it", ConnectionEnd::Close, true},
+    {"whole chunks, reset", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n",
+     ConnectionEnd::Reset, true},
+};
+
 /// Heads whose status line is not one of a response, up to the end of the line.
 inline const char *const invalidStatusLines[] = {
     "HTTP/1.1 000 Unknown",
