Test responses with invalid fields and statuses at both readers

Callers of other systems got heads with a status of 000, or with a blank or a control byte in the name of a field. Both readers refuse these already, so that only tests are added: each invalid line first and last in the head and as a trailer, at once and byte by byte, and invalid statuses byte by byte and after an interim response at Http::Client too. The body of its test of statuses moves into attemptWith(), which both tests share; what it asserts is unchanged.

--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -251,31 +251,67 @@
     }
 }
 
-/// Guards against bytes that are no response, of a worker in trouble, which the caller gets as one.
-TABLE_TEST(Client, failsIfTheStatusIsInvalid, Testing::invalidStatusLines)
+namespace
+{
+
+struct Attempt {
+    unsigned heads = 0; ///< Number of heads that were passed on.
+    bool ended = false;
+    bool failed = false; ///< The request was sent, and the answer failed before the time was over.
+};
+
+/// Sends a request to a server that writes @p bytes in pieces of @p pieceBytes, or all at once if that is 0.
+Attempt attemptWith(const std::string &bytes, std::size_t pieceBytes)
 {
     EventLoop loop;
-    Testing::RawServer server(loop, std::string(row) + "\r\nContent-Length: 3\r\n\r\nxyz",
-                              Testing::ConnectionEnd::KeepOpen);
+    Testing::RawServer server(loop, bytes, Testing::ConnectionEnd::KeepOpen);
+    server.pieceBytes = pieceBytes;
     Client client(loop);
-    unsigned heads = 0;
-    bool ended = false;
-    bool failed = false;
+    Attempt attempt;
     ResponseObserver observer;
-    observer.onHead = [&](unsigned, const Headers &) { ++heads; };
+    observer.onHead = [&](unsigned, const Headers &) { ++attempt.heads; };
     observer.onEnd = [&] {
-        ended = true;
+        attempt.ended = true;
         loop.stop();
     };
     observer.onFailure = [&](const TransportFailure &failure) {
-        failed = failure.sent && !failure.timedOut;
+        attempt.failed = failure.sent && !failure.timedOut;
         loop.stop();
     };
     client.send(server.endpoint(), {}, observer);
     loop.runAfter(std::chrono::seconds{3}, [&] { loop.stop(); });
     loop.run();
-    cr_assert(failed, "%s", row);
-    cr_assert(!ended && heads == 0, "%s", row);
+    return attempt;
+}
+
+constexpr std::size_t pieceSizes[] = {0, 1};
+
+} // namespace
+
+/// Guards against bytes that are no response, of a worker in trouble, which the caller gets as one.
+TABLE_TEST(Client, failsIfTheStatusIsInvalid, Testing::invalidStatusLines)
+{
+    const std::string invalid = std::string(row) + "\r\nContent-Length: 3\r\n\r\nxyz";
+    for (const auto &bytes : {invalid, "HTTP/1.1 100 Continue\r\n\r\n" + invalid}) {
+        for (const auto pieceBytes : pieceSizes) {
+            const auto attempt = attemptWith(bytes, pieceBytes);
+            cr_assert(attempt.failed, "%s", row);
+            cr_assert(!attempt.ended && attempt.heads == 0, "%s", row);
+        }
+    }
+}
+
+/// Guards against a line that is no field, of a worker in trouble, in a head that the caller gets.
+TABLE_TEST(Client, failsIfAFieldIsInvalid, Testing::invalidFields)
+{
+    const auto responses = Testing::responsesWith(row.line);
+    for (const auto &bytes : responses) {
+        for (const auto pieceBytes : pieceSizes) {
+            const auto attempt = attemptWith(bytes, pieceBytes);
+            cr_assert(attempt.failed && !attempt.ended, "%s", row.name);
+            cr_assert_eq(attempt.heads, &bytes == &responses.back() ? 1U : 0U, "%s", row.name);
+        }
+    }
 }
 
 namespace
--- a/tests/relay/responsereadertest.cpp
+++ b/tests/relay/responsereadertest.cpp
@@ -117,6 +117,23 @@
     }
 }
 
+/// Workers in trouble sent names of fields with blanks or control bytes, which callers got as they were, or which hid
+/// the length of the body.
+TABLE_TEST(ResponseReader, rejectsInvalidFields, Gypsumtally::Testing::invalidFields)
+{
+    const auto responses = Gypsumtally::Testing::responsesWith(row.line);
+    for (const auto &bytes : responses) {
+        for (const std::size_t pieceSize : {1000, 1}) {
+            unsigned heads = 0;
+            const bool isTrailer = &bytes == &responses.back();
+            const auto read = readWithHeads(bytes, pieceSize, heads);
+            cr_assert(read.state == State::Failed, "%s in pieces of %zu", row.name, pieceSize);
+            cr_assert_eq(heads, isTrailer ? 1U : 0U, "%s", row.name);
+            cr_assert_eq(read.body, std::string(isTrailer ? "xyz" : ""), "%s", row.name);
+        }
+    }
+}
+
 /// Guards against the rejection of a response with an unusual status.
 TABLE_TEST(ResponseReader, takesAllFinalStatuses, statusLines)
 {
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -7,11 +7,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <fstream>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -63,6 +65,7 @@
     }
 
     unsigned connections = 0; ///< Number of accepted connections.
+    std::size_t pieceBytes = 0; ///< Size of the pieces in which it writes; 0: it writes all at once.
 
 private:
     using tcp = boost::asio::ip::tcp;
@@ -76,17 +79,24 @@
             ++connections;
             const auto connection = std::make_shared<tcp::socket>(std::move(socket));
             m_open.push_back(connection);
-            connection->async_read_some(
-                boost::asio::buffer(m_request),
-                [this, connection](boost::system::error_code, std::size_t) { answer(connection); });
+            connection->async_read_some(boost::asio::buffer(m_request),
+                                        [this, connection](boost::system::error_code, std::size_t) {
+                                            boost::system::error_code ignored;
+                                            connection->set_option(tcp::no_delay(true), ignored);
+                                            answer(connection, 0);
+                                        });
             accept();
         });
     }
 
-    void answer(const std::shared_ptr<tcp::socket> &connection)
+    /// Writes its bytes from @p begin on.
+    void answer(const std::shared_ptr<tcp::socket> &connection, std::size_t begin)
     {
-        boost::system::error_code ignored;
-        boost::asio::write(*connection, boost::asio::buffer(m_bytes), ignored);
+        const auto end = pieceBytes == 0 ? m_bytes.size() : std::min(begin + pieceBytes, m_bytes.size());
+        boost::system::error_code error;
+        boost::asio::write(*connection, boost::asio::buffer(m_bytes.data() + begin, end - begin), error);
+        if (!error && end < m_bytes.size())
+            return m_loop.post([this, connection, end] { answer(connection, end); });
         if (m_end == ConnectionEnd::KeepOpen)
             return;
         m_loop.runAfter(deliveryTime, [this, connection] {
@@ -173,6 +183,47 @@
     "HTTP/1.1 101 Switching Protocols",
 };
 
+/// A line among the fields of a response that is no field.
+struct InvalidFieldCase {
+    const char *name;
+    std::string_view line; ///< Without its end.
+};
+
+inline const InvalidFieldCase invalidFields[] = {
+    {"blank before the colon", "X-B : c"},
+    {"tab before the colon", "X-B\t: c"},
+    {"blank in the name", "X B: c"},
+    {"tab in the name", "X\tB: c"},
+    {"NUL in the name", std::string_view("X\0B: c", 6)},
+    {"0x01 in the name", "X\x01"
+                         "B: c"},
+    {"DEL in the name", "X\x7f"
+                        "B: c"},
+    {"byte above ASCII in the name", "X\xc3\xa4: c"},
+    {"parenthesis in the name", "X(B): c"},
+    {"empty name", ": c"},
+    {"no colon", "X-B"},
+    {"blank in the name of the length", "Content Length: 2"},
+    {"blank after the name of the length", "Content-Length : 2"},
+    {"blank after the name of the coding", "Transfer-Encoding : chunked"},
+    {"NUL in the value", std::string_view("X-B: c\0d", 8)},
+    {"0x01 in the value", "X-B: c\x01"},
+    {"DEL in the value", "X-B: c\x7f"},
+    {"bare CR in the value", "X-B: c\rX-C: d"},
+    {"bare LF in the value", "X-B: c\nX-C: d"},
+    {"length that contradicts the framing", "Content-Length: 4"},
+};
+
+/// Returns responses with @p line first and last in the head, and as a trailer. Their body is `xyz`.
+inline std::vector<std::string> responsesWith(std::string_view line)
+{
+    const std::string field = std::string(line) + "\r\n";
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    return {status + field + "X-A: b\r\nContent-Length: 3\r\n\r\nxyz",
+            status + "X-A: b\r\nContent-Length: 3\r\n" + field + "\r\nxyz",
+            status + "Transfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n" + field + "\r\n"};
+}
+
 /// Responses whose end shows, so that a connection that ends before it leaves them incomplete.
 inline const char *const delimitedAnswers[] = {
     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz",
