Read responses with one reader in both HTTP clients

What callers could see: the daemon's client took a 200 without a length for whole that had been closed in order while 300 KB of the request were still in its own kernel.

Cause: Http::Client parsed responses by itself, where an end of file completes any body without a length.

Change: ResponseReader moves from relay to http, and Http::Client feeds it, so that endsBody() decides for all who read responses: gateway, store, daemon, peers, command line.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -1239,7 +1239,7 @@
                           onHeld(observed, arguments...);
                   };
               };
-        using Head = Relay::ResponseHead;
+        using Head = Http::ResponseHead;
         using Failure = Relay::FailedExchange;
         Relay::ExchangeObserver observer;
         observer.onHead = forward([this](const CallPtr &current, const Head &head) { onHead(current, head); },
@@ -1337,7 +1337,7 @@
         return call.route.kind == RequestKind::Streaming && send.reply.status / 100 == 2;
     }
 
-    void onHead(const CallPtr &call, const Relay::ResponseHead &head)
+    void onHead(const CallPtr &call, const Http::ResponseHead &head)
     {
         if (!call->peer.empty())
             return onPeerHead(call, head);
@@ -1360,7 +1360,7 @@
 
     /// Records the head of a stream. Drops the send and returns false if it cannot go on with the answer that has
     /// begun.
-    bool noteStreamHead(const CallPtr &call, const Relay::ResponseHead &head)
+    bool noteStreamHead(const CallPtr &call, const Http::ResponseHead &head)
     {
         const auto contentType = head.headers.get("Content-Type");
         call->contentType = std::string(contentType.substr(0, contentType.find(';')));
@@ -1378,7 +1378,7 @@
         return isOwn && (reply.status / 100 != 2 || (reply.isSigned && !reply.isEncoded));
     }
 
-    void onPeerHead(const CallPtr &call, const Relay::ResponseHead &head)
+    void onPeerHead(const CallPtr &call, const Http::ResponseHead &head)
     {
         noteProgress(call, BootClock{}.now());
         auto answer = readRelayedAnswer(head.headers);
@@ -2236,7 +2236,7 @@
     }
 
     /// Goes back to the held send when its upstream answers after all; drops it if that refuses or fails the call.
-    void onHeldHead(const CallPtr &call, const Relay::ResponseHead &head)
+    void onHeldHead(const CallPtr &call, const Http::ResponseHead &head)
     {
         const bool isFromPeer = !call->held->peer.empty();
         if (head.status / 100 != 2 || (!isFromPeer && !isAnswerTo(*call, Dialect::readReply(head))))
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -5,7 +5,7 @@
 #include "gateway/residency.h"
 #include "gateway/upstreamstatement.h"
 #include "http/message.h"
-#include "relay/responsereader.h"
+#include "http/responsereader.h"
 
 #include <concepts>
 #include <cstdint>
@@ -65,7 +65,7 @@
 template<typename D>
 concept CallDialect
     = requires(const Http::Request &request, const CallerRequest &decoded, const SendInstructions &instructions,
-               const Relay::ResponseHead &head, const std::string &text)
+               const Http::ResponseHead &head, const std::string &text)
 {
     {
         D::readRequest(request)
--- a/src/gateway/placementcontroller.h
+++ b/src/gateway/placementcontroller.h
@@ -30,7 +30,7 @@
 /// Encodes orders and inspections for engines and decodes their answers. Implementations are stateless.
 template<typename D>
 concept OrderDialect = requires(const EngineOrder &order, const std::string &text, std::uint64_t fence, unsigned status,
-                                const Relay::ResponseHead &head)
+                                const Http::ResponseHead &head)
 {
     {
         D::writeOrder(order, text, fence)
--- a/src/gateway/upstreammonitor.h
+++ b/src/gateway/upstreammonitor.h
@@ -163,7 +163,7 @@
         Relay::ExchangeObserver observer;
         const auto &instance = process.instance;
         const auto sentAt = BootClock{}.now();
-        observer.onHead = [this, process, sentAt](const Relay::ResponseHead &head) {
+        observer.onHead = [this, process, sentAt](const Http::ResponseHead &head) {
             m_context.reach.onProbeEnded(process, sentAt);
             if (Dialect::readReply(head).wrongInstance)
                 onCrashed(process.instance, BootClock{}.now());
@@ -274,7 +274,7 @@
     }
 
     /// Records an answer of @p process to a question, and what the process states of itself in it.
-    void recordReply(const UpstreamProcess &process, const Relay::ResponseHead &head, Instant sentAt)
+    void recordReply(const UpstreamProcess &process, const Http::ResponseHead &head, Instant sentAt)
     {
         const auto now = BootClock{}.now();
         m_context.recordContact(process, now, sentAt);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,7 +1,8 @@
 #include "http/client.h"
 
+#include "http/connectionend.h"
 #include "http/eventloop.h"
-#include "http/interimresponse.h"
+#include "http/responsereader.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -10,7 +11,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -78,6 +78,13 @@
     bool sent = false;
 };
 
+/// What became of the wait for a response.
+struct Reception {
+    ErrorCode error; ///< Of the connection.
+    std::string problem; ///< Of the response's bytes; empty if it is whole.
+    bool isReusable = false; ///< The connection may be used for another request.
+};
+
 } // namespace
 
 struct Client::Private : std::enable_shared_from_this<Client::Private> {
@@ -90,8 +97,8 @@
                               RequestOptions options);
     asio::awaitable<StreamPtr> connect(const std::shared_ptr<Exchange> &exchange, const Endpoint &endpoint,
                                        const RequestOptions &options, ErrorCode &error);
-    asio::awaitable<bool> receive(beast::tcp_stream &stream, const std::shared_ptr<Exchange> &exchange,
-                                  const RequestOptions &options, ErrorCode &error);
+    asio::awaitable<Reception> receive(beast::tcp_stream &stream, const std::shared_ptr<Exchange> &exchange,
+                                       const RequestOptions &options);
     StreamPtr takeIdle(const Endpoint &endpoint);
     void keep(const Endpoint &endpoint, StreamPtr stream);
 
@@ -120,9 +127,6 @@
         streams.push_back(std::move(stream));
 }
 
-/// Limit for an incomplete head, chunk header or trailer. A response that exceeds it fails.
-constexpr std::size_t maxUnparsedBytes = 64 * 1024;
-
 asio::awaitable<StreamPtr> Client::Private::connect(const std::shared_ptr<Exchange> &exchange, const Endpoint &endpoint,
                                                     const RequestOptions &options, ErrorCode &error)
 {
@@ -146,48 +150,39 @@
     co_return stream;
 }
 
-asio::awaitable<bool> Client::Private::receive(beast::tcp_stream &stream, const std::shared_ptr<Exchange> &exchange,
-                                               const RequestOptions &options, ErrorCode &error)
+asio::awaitable<Reception> Client::Private::receive(beast::tcp_stream &stream,
+                                                    const std::shared_ptr<Exchange> &exchange,
+                                                    const RequestOptions &options)
 {
-    beast::flat_buffer buffer(maxUnparsedBytes);
-    std::optional<bhttp::response_parser<bhttp::buffer_body>> response;
-    for (unsigned interim = 0; !response || isInterim(response->get().result_int()); ++interim) {
-        if (interim > maxInterimResponses)
-            error = bhttp::error::bad_status;
-        if (error || exchange->cancelled)
-            co_return false;
-        response.emplace();
-        response->body_limit(boost::none);
-        stream.expires_after(options.idleTimeout);
-        co_await bhttp::async_read_header(stream, buffer, *response, into(error));
-    }
-    if (!error && !isFinal(response->get().result_int()))
-        error = bhttp::error::bad_status;
-    if (error || exchange->cancelled)
-        co_return false;
-    auto &parser = *response;
-    Headers headers;
-    for (const auto &field : parser.get())
-        headers.add(std::string(field.name_string()), std::string(field.value()));
-    if (exchange->observer.onHead)
-        exchange->observer.onHead(parser.get().result_int(), headers);
+    unsigned status = 0;
+    ResponseReader reader({[&](const ResponseHead &head) {
+                               status = head.status;
+                               if (!exchange->cancelled && exchange->observer.onHead)
+                                   exchange->observer.onHead(head.status, head.headers);
+                           },
+                           [&](std::string_view piece) {
+                               if (!exchange->cancelled && exchange->observer.onBody)
+                                   exchange->observer.onBody(piece);
+                           }});
     std::array<char, readBufferBytes> bytes{};
-    while (!parser.is_done() && !exchange->cancelled) {
-        parser.get().body().data = bytes.data();
-        parser.get().body().size = bytes.size();
+    Reception reception;
+    while (reader.state() == ResponseReader::State::Reading && !exchange->cancelled) {
         stream.expires_after(options.idleTimeout);
-        co_await bhttp::async_read_some(stream, buffer, parser, into(error));
-        if (error == bhttp::error::need_buffer)
-            error = {};
-        const auto received = bytes.size() - parser.get().body().size;
-        if (received > 0 && !exchange->cancelled && exchange->observer.onBody)
-            exchange->observer.onBody(std::string_view(bytes.data(), received));
-        if (error)
-            co_return false;
+        const auto got = co_await stream.async_read_some(asio::buffer(bytes), into(reception.error));
+        if (reception.error == asio::error::eof) {
+            reception.error = {};
+            reader.finish({.isRequestDelivered = isAllAcknowledged(stream.socket().native_handle())});
+        }
+        if (reception.error || exchange->cancelled)
+            co_return reception;
+        if (got > 0)
+            reader.feed({bytes.data(), got});
     }
+    reception.problem = reader.problem();
     // Bytes after the response, or a later repetition of a refusal, would be taken for the next response.
-    co_return parser.is_done() && parser.keep_alive() && buffer.size() == 0
-        && parser.get().result_int() < minErrorStatus;
+    reception.isReusable = reader.state() == ResponseReader::State::Complete && reader.keepsConnection()
+                           && reader.surplus() == 0 && status < minErrorStatus;
+    co_return reception;
 }
 
 asio::awaitable<void> Client::Private::run(Token token, std::shared_ptr<Exchange> exchange, Endpoint endpoint,
@@ -196,7 +191,7 @@
     const auto self = shared_from_this();
     ErrorCode error;
     auto stream = co_await connect(exchange, endpoint, options, error);
-    bool reusable = false;
+    Reception reception;
     if (!error && !exchange->cancelled) {
         exchange->stream = stream.get();
         const auto message = toMessage(endpoint, std::move(request));
@@ -205,18 +200,20 @@
         const auto written = co_await bhttp::async_write(*stream, message, into(error));
         exchange->sent = !error || written > 0;
         if (!error && !exchange->cancelled)
-            reusable = co_await receive(*stream, exchange, options, error);
+            reception = co_await receive(*stream, exchange, options);
+        error = error ? error : reception.error;
     }
     exchange->stream = nullptr;
     exchanges.erase(token);
     if (exchange->cancelled)
         co_return;
-    if (error) {
+    if (error || !reception.problem.empty()) {
         if (exchange->observer.onFailure)
-            exchange->observer.onFailure({exchange->sent, error == beast::error::timeout, error.message()});
+            exchange->observer.onFailure(
+                {exchange->sent, error == beast::error::timeout, error ? error.message() : reception.problem});
         co_return;
     }
-    if (reusable) {
+    if (reception.isReusable) {
         stream->expires_never();
         keep(endpoint, std::move(stream));
     }
--- a/src/relay/responsereader.cpp
+++ b/src/http/responsereader.cpp
@@ -1,4 +1,4 @@
-#include "relay/responsereader.h"
+#include "http/responsereader.h"
 
 #include "http/interimresponse.h"
 
@@ -9,7 +9,7 @@
 #include <charconv>
 #include <optional>
 
-namespace Gypsumtally::Relay
+namespace Gypsumtally::Http
 {
 
 namespace bhttp = boost::beast::http;
@@ -95,11 +95,11 @@
         used += taken;
         const auto received = m_d->hasHead ? m_d->bytes.size() - parser.get().body().size : 0;
         if (parser.is_header_done() && !m_d->hasHead) {
-            if (Http::isInterim(parser.get().result_int())) {
+            if (isInterim(parser.get().result_int())) {
                 skipInterim();
                 continue;
             }
-            if (!Http::isFinal(parser.get().result_int())) {
+            if (!isFinal(parser.get().result_int())) {
                 m_state = State::Failed;
                 m_problem = "the status is not one of a response";
                 return used;
@@ -125,7 +125,7 @@
 void ResponseReader::skipInterim()
 {
     m_d->restart();
-    if (++m_d->interimResponses <= Http::maxInterimResponses)
+    if (++m_d->interimResponses <= maxInterimResponses)
         return;
     m_state = State::Failed;
     m_problem = "interim responses have no end";
@@ -146,12 +146,12 @@
     m_observer.onHead(head);
 }
 
-void ResponseReader::finish(const Http::ConnectionEnd &end)
+void ResponseReader::finish(const ConnectionEnd &end)
 {
     if (m_state != State::Reading)
         return;
     const bool isDelimitedByEnd = m_d->hasHead && m_d->parser->need_eof();
-    if (isDelimitedByEnd && Http::endsBody(end, m_d->parser->get().result_int())) {
+    if (isDelimitedByEnd && endsBody(end, m_d->parser->get().result_int())) {
         m_state = State::Complete;
         return;
     }
@@ -166,4 +166,4 @@
     return m_d->parser->keep_alive() && !m_d->parser->need_eof();
 }
 
-} // namespace Gypsumtally::Relay
+} // namespace Gypsumtally::Http
--- a/src/relay/responsereader.h
+++ b/src/http/responsereader.h
@@ -10,13 +10,13 @@
 #include <string>
 #include <string_view>
 
-namespace Gypsumtally::Relay
+namespace Gypsumtally::Http
 {
 
 /// Status and headers of a response.
 struct ResponseHead {
     unsigned status = 0;
-    Http::Headers headers;
+    Headers headers;
     std::optional<std::uint64_t> length; ///< Length of the body in bytes, if the head states it.
 };
 
@@ -50,9 +50,9 @@
         return m_surplus;
     }
 
-    /// Handles the end of the connection, which completes a body without a stated length if Http::endsBody() says so.
+    /// Handles the end of the connection, which completes a body without a stated length if endsBody() says so.
     /// Any other unfinished response fails.
-    void finish(const Http::ConnectionEnd &end);
+    void finish(const ConnectionEnd &end);
 
     State state() const
     {
@@ -90,4 +90,4 @@
     std::size_t m_surplus = 0;
 };
 
-} // namespace Gypsumtally::Relay
+} // namespace Gypsumtally::Http
--- a/src/relay/upstreamclient.cpp
+++ b/src/relay/upstreamclient.cpp
@@ -130,17 +130,17 @@
     void begin(PendingExchange exchange)
     {
         m_exchange = std::make_shared<PendingExchange>(std::move(exchange));
-        m_reader = std::make_unique<ResponseReader>(
-            ResponseReader::Observer{[this](const ResponseHead &head) {
-                                         if (m_exchange && m_exchange->isAnonymous && head.status >= minErrorStatus)
-                                             noteRefusal({});
-                                         if (m_exchange && m_exchange->observer.onHead)
-                                             m_exchange->observer.onHead(head);
-                                     },
-                                     [this](std::string_view piece) {
-                                         if (m_exchange && m_exchange->observer.onBody)
-                                             m_exchange->observer.onBody(piece);
-                                     }});
+        m_reader = std::make_unique<Http::ResponseReader>(Http::ResponseReader::Observer{
+            [this](const ResponseHead &head) {
+                if (m_exchange && m_exchange->isAnonymous && head.status >= minErrorStatus)
+                    noteRefusal({});
+                if (m_exchange && m_exchange->observer.onHead)
+                    m_exchange->observer.onHead(head);
+            },
+            [this](std::string_view piece) {
+                if (m_exchange && m_exchange->observer.onBody)
+                    m_exchange->observer.onBody(piece);
+            }});
         if (m_connected)
             transmit();
     }
@@ -295,13 +295,13 @@
         if (!m_exchange)
             return; // The observer has cancelled the exchange.
         switch (m_reader->state()) {
-        case ResponseReader::State::Complete:
+        case Http::ResponseReader::State::Complete:
             return complete(!error && m_reader->surplus() == 0 && m_exchange->bytes.empty());
-        case ResponseReader::State::Failed:
+        case Http::ResponseReader::State::Failed:
             if (!error)
                 return fail(ExchangeFailure::Malformed, m_reader->problem());
             return fail(ExchangeFailure::Broken, m_writeError ? m_writeError.message() : m_reader->problem());
-        case ResponseReader::State::Reading:
+        case Http::ResponseReader::State::Reading:
             waitForBytes();
         }
     }
@@ -355,7 +355,7 @@
     std::shared_ptr<Shared> m_shared;
     std::string m_key;
     std::shared_ptr<PendingExchange> m_exchange; ///< Shared, because an observer may cancel its own exchange.
-    std::unique_ptr<ResponseReader> m_reader;
+    std::unique_ptr<Http::ResponseReader> m_reader;
     ErrorCode m_writeError; ///< The kernel reports an error of a socket to one call only.
     Instant m_connectSince{};
     Instant m_idleSince{};
--- a/src/relay/upstreamclient.h
+++ b/src/relay/upstreamclient.h
@@ -2,7 +2,7 @@
 
 #include "common/clock.h"
 #include "http/message.h"
-#include "relay/responsereader.h"
+#include "http/responsereader.h"
 
 #include <concepts>
 #include <cstdint>
@@ -19,6 +19,8 @@
 namespace Gypsumtally::Relay
 {
 
+using Http::ResponseHead;
+
 /// The endpoint of a request, and the instance whose pooled connections it may use.
 struct Destination {
     Http::Endpoint endpoint;
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -235,6 +235,18 @@
     cr_assert(!body || (row.isWhole && *body == "all of it"), "%s", row.name);
 }
 
+/// Guards against a success that counts as whole although its server cannot have received the request.
+TABLE_TEST(Client, successesWithoutLengthFollowTheWholeRequest, Testing::unreadRequests)
+{
+    EventLoop loop;
+    Testing::RawServer server(loop, "HTTP/1.1 200 OK\r\n\r\nall of it", Testing::ConnectionEnd::Shutdown,
+                              Testing::smallReceiveBuffer);
+    Client client(loop);
+    const auto body
+        = wholeBody(loop, client, server.endpoint(), {}, {"POST", "/", {}, std::string(row.bodyBytes, 'x')});
+    cr_assert_eq(body.has_value(), row.isWhole, "%s", row.name);
+}
+
 /// Guards against an answer that counts as whole although its connection ended inside its head or body.
 TABLE_TEST(Client, failsIfAnswerIsCutAtAnyByte, Testing::delimitedAnswers)
 {
--- a/tests/relay/responsereadertest.cpp
+++ b/tests/http/responsereadertest.cpp
@@ -1,4 +1,4 @@
-#include "relay/responsereader.h"
+#include "http/responsereader.h"
 
 #include "support/rawserver.h"
 #include "support/table.h"
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-using namespace Gypsumtally::Relay;
+using namespace Gypsumtally::Http;
 
 namespace
 {
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -186,24 +186,8 @@
     }
 }
 
-namespace
-{
-
-struct UnreadRequestCase {
-    const char *name;
-    std::size_t bodyBytes; ///< All of which the client's kernel takes.
-    bool isWhole;
-};
-
-const UnreadRequestCase unreadRequests[] = {
-    {"received by the upstream's kernel", 1000, true},
-    {"still in the client's kernel", 300 * 1024, false},
-};
-
-} // namespace
-
 /// Guards against a success that counts as whole although its upstream cannot have received the request.
-TABLE_TEST(Relay, successesWithoutLengthFollowTheWholeRequest, unreadRequests)
+TABLE_TEST(Relay, successesWithoutLengthFollowTheWholeRequest, Testing::unreadRequests)
 {
     Http::EventLoop loop;
     Testing::RawServer server(loop, "HTTP/1.1 200 OK\r\n\r\nall of it", Testing::ConnectionEnd::Shutdown,
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -168,6 +168,19 @@
      ConnectionEnd::Reset, true},
 };
 
+/// A request that a server with a small receive buffer leaves unread, when it answers with a success without a length
+/// and closes the connection in order.
+struct UnreadRequestCase {
+    const char *name;
+    std::size_t bodyBytes; ///< All of which the client's kernel takes.
+    bool isWhole; ///< Expected of the answer.
+};
+
+inline const UnreadRequestCase unreadRequests[] = {
+    {"received by the server's kernel", 1000, true},
+    {"still in the client's kernel", 300 * 1024, false},
+};
+
 /// Heads whose status line is not one of a response, up to the end of the line.
 inline const char *const invalidStatusLines[] = {
     "HTTP/1.1 000 Unknown",
