Refuse responses with transfer codings other than chunks

What callers could see: a body in a transfer coding such as gzip, as the field that names the coding concerns one connection and is not passed on; the first bytes of such a body as a whole one, if a length followed the coding; lines of chunks as a part of the body after "chunked, chunked" or "chunked, gzip".

Cause: the parser takes off chunks only where they are named last, and otherwise ignores the codings: the body then ends at the stated length or with the connection.

Change: a head is refused unless all codings that it names are taken off by the reader: nothing, "identity" or chunks once. No request of this system sends TE, so that no other coding is owed to it (RFC 9112, 7.4).

Already right and unchanged: chunks in HTTP/1.0, an empty field, "identity", and the same length twice.

--- a/src/http/responsereader.cpp
+++ b/src/http/responsereader.cpp
@@ -18,6 +18,8 @@
 namespace
 {
 
+using Parser = bhttp::response_parser<bhttp::buffer_body>;
+
 constexpr std::size_t bodyBufferBytes = 16 * 1024;
 /// Limit for a head, a chunk header or a trailer, which are buffered until they are complete.
 constexpr std::size_t maxUnparsedBytes = 32 * 1024;
@@ -34,6 +36,35 @@
     return error == std::errc{} ? std::optional(seconds) : std::nullopt;
 }
 
+/// Returns true if @p parser takes off all transfer codings that the head names. Codings other than chunks are owed to
+/// a client only if it asks for them (RFC 9112, 7.4), and are not known to those that the body is passed on to.
+bool removesTransferCodings(const Parser &parser)
+{
+    unsigned chunkedTimes = 0;
+    for (const auto &field : parser.get()) {
+        if (field.name() != bhttp::field::transfer_encoding)
+            continue;
+        const bhttp::token_list codings(field.value());
+        if (codings.begin() == codings.end() && !field.value().empty())
+            return false;
+        for (const auto &coding : codings) {
+            if (boost::beast::iequals(coding, "chunked"))
+                ++chunkedTimes;
+            else if (!boost::beast::iequals(coding, "identity"))
+                return false;
+        }
+    }
+    return chunkedTimes == (parser.chunked() ? 1U : 0U);
+}
+
+/// Returns why a complete head is not one of a response that can be passed on, or an empty string.
+std::string problemOfHead(const Parser &parser)
+{
+    if (!isFinal(parser.get().result_int()))
+        return "the status is not one of a response";
+    return removesTransferCodings(parser) ? "" : "the body has an unknown transfer coding";
+}
+
 } // namespace
 
 struct ResponseReader::Private {
@@ -50,7 +81,7 @@
         parser->eager(false);
     }
 
-    std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
+    std::optional<Parser> parser;
     bool hasHead = false;
     unsigned interimResponses = 0;
     std::array<char, bodyBufferBytes> bytes;
@@ -99,9 +130,9 @@
                 skipInterim();
                 continue;
             }
-            if (!isFinal(parser.get().result_int())) {
+            m_problem = problemOfHead(parser);
+            if (!m_problem.empty()) {
                 m_state = State::Failed;
-                m_problem = "the status is not one of a response";
                 return used;
             }
             readHead();
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -966,6 +966,20 @@
         cr_assert_eq(fixture.body, std::string(row.body), "%s", row.name);
 }
 
+/// Guards against a caller that gets a body in a transfer coding, whose name is not passed on.
+TABLE_TEST(CallForwarder, passesOnNoCodedBody, Testing::codedAnswers)
+{
+    ForwarderFixture fixture({answer});
+    Testing::RawServer server(
+        fixture.loop(), std::string(row.version) + " 200 OK\r\nId: r1\r\nProof: p\r\n" + row.fields + "\r\n" + row.body,
+        Testing::ConnectionEnd::Close);
+    fixture.replaceUpstreams(server.endpoint());
+    const auto status = fixture.ask("/once/1");
+    cr_assert_eq(status, row.isWhole ? 200U : 502U, "%s: status %u", row.name, status);
+    if (row.isWhole)
+        cr_assert_eq(fixture.body, std::string(row.decoded), "%s: %s", row.name, fixture.body.c_str());
+}
+
 namespace
 {
 
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -300,6 +300,19 @@
 
 } // namespace
 
+/// Guards against a body that the caller gets in a coding that it has not asked for.
+TABLE_TEST(Client, removesAllTransferCodings, Testing::codedAnswers)
+{
+    EventLoop loop;
+    Testing::RawServer server(loop, std::string(row.version) + " 200 OK\r\n" + row.fields + "\r\n" + row.body,
+                              Testing::ConnectionEnd::Close);
+    Client client(loop);
+    const auto body = wholeBody(loop, client, server.endpoint(), {});
+    cr_assert_eq(body.has_value(), row.isWhole, "%s", row.name);
+    if (row.isWhole)
+        cr_assert_eq(*body, std::string(row.decoded), "%s", row.name);
+}
+
 /// Guards against bytes that are no response, of a worker in trouble, which the caller gets as one.
 TABLE_TEST(Client, failsIfTheStatusIsInvalid, Testing::invalidStatusLines)
 {
--- a/tests/http/responsereadertest.cpp
+++ b/tests/http/responsereadertest.cpp
@@ -134,6 +134,18 @@
     }
 }
 
+/// Guards against a body that is passed on in a coding that nobody names to the caller, or together with lines of
+/// chunks.
+TABLE_TEST(ResponseReader, removesAllTransferCodings, Gypsumtally::Testing::codedAnswers)
+{
+    const auto bytes = std::string(row.version) + " 200 OK\r\n" + row.fields + "\r\n" + row.body;
+    for (const std::size_t pieceSize : {1000, 1}) {
+        const auto read = readInPieces({bytes.c_str(), true, State::Reading, "", 0}, pieceSize);
+        cr_assert(read.state == (row.isWhole ? State::Complete : State::Failed), "%s", row.name);
+        cr_assert_eq(read.body, std::string(row.decoded), "%s: %s", row.name, read.body.c_str());
+    }
+}
+
 /// Guards against the rejection of a response with an unusual status.
 TABLE_TEST(ResponseReader, takesAllFinalStatuses, statusLines)
 {
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -237,6 +237,37 @@
             status + "Transfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n" + field + "\r\n"};
 }
 
+/// A response with transfer codings, whose connection is closed in order.
+struct CodedAnswerCase {
+    const char *name;
+    const char *version;
+    const char *fields; ///< Of the head, that frame the body.
+    const char *body; ///< As sent.
+    bool isWhole; ///< Expected; otherwise the exchange fails.
+    const char *decoded; ///< Expected of a whole answer.
+};
+
+inline const CodedAnswerCase codedAnswers[] = {
+    {"chunks", "HTTP/1.1", "Transfer-Encoding: chunked\r\n", "3\r\nxyz\r\n0\r\n\r\n", true, "xyz"},
+    {"chunks in capitals", "HTTP/1.1", "Transfer-Encoding: CHUNKED\r\n", "3\r\nxyz\r\n0\r\n\r\n", true, "xyz"},
+    {"chunks in an older version", "HTTP/1.0", "Transfer-Encoding: chunked\r\n", "3\r\nxyz\r\n0\r\n\r\n", true, "xyz"},
+    {"no coding, with a length", "HTTP/1.1", "Transfer-Encoding:\r\nContent-Length: 3\r\n", "xyz", true, "xyz"},
+    {"identity, with a length", "HTTP/1.1", "Transfer-Encoding: identity\r\nContent-Length: 3\r\n", "xyz", true, "xyz"},
+    {"identity, without a length", "HTTP/1.1", "Transfer-Encoding: identity\r\n", "xyz", true, "xyz"},
+    {"the same length twice", "HTTP/1.1", "Content-Length: 3, 3\r\n", "xyz", true, "xyz"},
+    {"gzip, then a length", "HTTP/1.1", "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n", "xyz", false, ""},
+    {"gzip after a length", "HTTP/1.1", "Content-Length: 3\r\nTransfer-Encoding: gzip\r\n", "xyz", false, ""},
+    {"gzip to the end", "HTTP/1.1", "Transfer-Encoding: gzip\r\n", "xyz", false, ""},
+    {"gzip in chunks", "HTTP/1.1", "Transfer-Encoding: gzip, chunked\r\n", "3\r\nxyz\r\n0\r\n\r\n", false, ""},
+    {"gzip in chunks, two fields", "HTTP/1.1", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+     "3\r\nxyz\r\n0\r\n\r\n", false, ""},
+    {"chunks in gzip", "HTTP/1.1", "Transfer-Encoding: chunked, gzip\r\n", "3\r\nxyz\r\n0\r\n\r\n", false, ""},
+    {"chunks in chunks", "HTTP/1.1", "Transfer-Encoding: chunked, chunked\r\n", "3\r\nxyz\r\n0\r\n\r\n", false, ""},
+    {"chunks before identity", "HTTP/1.1", "Transfer-Encoding: chunked, identity\r\n", "3\r\nxyz\r\n0\r\n\r\n", false,
+     ""},
+    {"not a list of codings", "HTTP/1.1", "Transfer-Encoding: \"chunked\"\r\nContent-Length: 3\r\n", "xyz", false, ""},
+};
+
 /// Responses whose end shows, so that a connection that ends before it leaves them incomplete.
 inline const char *const delimitedAnswers[] = {
     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz",
