Refuse heads of responses with folded lines

What callers could see: a line of the head that begins with a blank, as a part of the value of the field before it. Such a line can be a field whose name was written wrongly: after " Content-Length: 2" the body went on to the end of the connection.

Cause: the parser unfolds lines. Blanks and control bytes elsewhere in a name were refused already, also in the first line.

Change: a head with a line that begins with a blank or a tab is refused, as RFC 9112, 5.2 allows a gateway; senders may not write such lines. The caller gets 502, or the request is sent again where that is safe.

Evidence: three rows of invalidFields, whose lines now stand in the middle of the head as well, and a row of CallForwarder/passesOnNoInvalidResponse (the caller got 200).

--- a/src/http/responsereader.cpp
+++ b/src/http/responsereader.cpp
@@ -57,11 +57,21 @@
     return chunkedTimes == (parser.chunked() ? 1U : 0U);
 }
 
-/// Returns why a complete head is not one of a response that can be passed on, or an empty string.
-std::string problemOfHead(const Parser &parser)
+/// Returns true if a line of @p head begins with a blank, which the parser takes for a part of the value before it. A
+/// gateway may refuse such a head (RFC 9112, 5.2); the line can be a field of its own that was written wrongly.
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos;
+}
+
+/// Returns why a complete head, of which @p fields holds all fields, is not one of a response that can be passed on, or
+/// an empty string.
+std::string problemOfHead(const Parser &parser, std::string_view fields)
 {
     if (!isFinal(parser.get().result_int()))
         return "the status is not one of a response";
+    if (hasFoldedLine(fields))
+        return "a line of the head begins with a blank";
     return removesTransferCodings(parser) ? "" : "the body has an unknown transfer coding";
 }
 
@@ -130,7 +140,7 @@
                 skipInterim();
                 continue;
             }
-            m_problem = problemOfHead(parser);
+            m_problem = problemOfHead(parser, bytes.substr(used - taken, taken));
             if (!m_problem.empty()) {
                 m_state = State::Failed;
                 return used;
--- a/tests/gateway/callforwardertest.cpp
+++ b/tests/gateway/callforwardertest.cpp
@@ -901,6 +901,7 @@
     {"not idempotent, 600", "/once/1", "HTTP/1.1 600 Unknown", "", 1, 502, 1},
     {"not idempotent, 999", "/once/1", "HTTP/1.1 999 Unknown", "", 1, 502, 1},
     {"not idempotent, 101", "/once/1", "HTTP/1.1 101 Switching Protocols", "", 1, 502, 1},
+    {"not idempotent, folded line", "/once/1", "HTTP/1.1 200 OK", "Folded: a\r\n b\r\n", 1, 502, 1},
     {"not idempotent, said to be not run", "/once/1", "HTTP/1.1 000 Unknown", "Not-Run: 1\r\n", 1, 502, 1},
     {"idempotent, once", "/safe/1", "HTTP/1.1 000 Unknown", "", 1, 200, 2},
     {"idempotent, each time", "/safe/1", "HTTP/1.1 000 Unknown", "", 9, 502, 2},
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -214,6 +214,9 @@
                         "B: c"},
     {"byte above ASCII in the name", "X\xc3\xa4: c"},
     {"parenthesis in the name", "X(B): c"},
+    {"blank before the name", " X-B: c"},
+    {"tab before the name", "\tX-B: c"},
+    {"blank before the name of the length", " Content-Length: 2"},
     {"empty name", ": c"},
     {"no colon", "X-B"},
     {"blank in the name of the length", "Content Length: 2"},
@@ -227,13 +230,15 @@
     {"length that contradicts the framing", "Content-Length: 4"},
 };
 
-/// Returns responses with @p line first and last in the head, and as a trailer. Their body is `xyz`.
+/// Returns responses with @p line first, in the middle and last in the head, and as a trailer. Their body is `xyz`.
 inline std::vector<std::string> responsesWith(std::string_view line)
 {
     const std::string field = std::string(line) + "\r\n";
     const std::string status = "HTTP/1.1 200 OK\r\n";
     return {status + field + "X-A: b\r\nContent-Length: 3\r\n\r\nxyz",
+            status + "X-A: b\r\n" + field + "Content-Length: 3\r\n\r\nxyz",
             status + "X-A: b\r\nContent-Length: 3\r\n" + field + "\r\nxyz",
+            status + "Content-Length: 3\r\nX-A: b\r\n" + field + "\r\nxyz",
             status + "Transfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n" + field + "\r\n"};
 }
 
