--- a/tests/gatewayfleet/earlyanswertest.cpp
+++ b/tests/gatewayfleet/earlyanswertest.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace Gypsumtally;
 using namespace Gypsumtally::GatewayFleet;
@@ -45,6 +46,11 @@
 
 private:
     struct Connection {
+        explicit Connection(tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+
         tcp::socket socket;
         boost::asio::streambuf bytes{maxHeadBytes};
     };
@@ -202,6 +208,7 @@
     }
     if (row.isRelayed)
         cr_expect_gt(fleet.logLines("call_relayed"), 0U, "%s", row.name);
+    cr_expect_geq(fleet.logLines("send_failed"), tries, "%s: an operator sees no broken answer", row.name);
     const auto &reads = fleet.tally(CallerRequest::Read);
     cr_expect_gt(reads.served, 0U, "%s", row.name);
 }
