--- a/review/standin-2/fence.cpp
+++ b/review/standin-2/fence.cpp
@@ -223,7 +223,8 @@
         for (const auto &machine : m_machines)
             writeSettings(m_folder, machine, m_store.server.address());
         std::ofstream(m_folder + "/ready");
-        if (!co_await areReady(m_machines, milliseconds(20000))) {
+        const bool isReady = co_await areReady(m_machines, milliseconds(20000));
+        if (!isReady) {
             m_record.line("the gateways did not become ready");
             m_context.stop();
             co_return;
--- a/review/standin-2/stalledlog.cpp
+++ b/review/standin-2/stalledlog.cpp
@@ -169,7 +169,8 @@
 
     awaitable<void> play()
     {
-        if (!co_await areReady(m_machines, milliseconds(20000))) {
+        const bool isReady = co_await areReady(m_machines, milliseconds(20000));
+        if (!isReady) {
             m_record.line("the gateways did not become ready");
             m_context.stop();
             co_return;
