--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -309,9 +309,57 @@
         server.refuses = false;
     }
 
+    /// The store as one machine reaches it.
+    struct Path {
+        std::unique_ptr<Server> server;
+        bool isCut = false; ///< Calls get no response, also not later.
+        unsigned unansweredReads = 0; ///< Of the workers' entries, while it was cut.
+    };
+
+    /// Adds a path to this store at @p address.
+    Path &addPath(asio::io_context &context, const std::string &address)
+    {
+        auto &path = *m_paths.emplace_back(std::make_unique<Path>());
+        path.server = std::make_unique<Server>(context, address, [this, &path](SessionPtr session, Request request) {
+            return serveOn(path, std::move(session), std::move(request));
+        });
+        return path;
+    }
+
     Server server;
 
 private:
+    /// Serves a call on @p path. A path that is cut takes calls and answers that were on their way with it.
+    awaitable<void> serveOn(Path &path, SessionPtr session, Request request)
+    {
+        const bool isRead = request.target().starts_with("/kv-range?prefix=servers/");
+        if (path.isCut && isRead)
+            ++path.unansweredReads;
+        if (!path.isCut && request.target().starts_with("/kv-watch"))
+            co_return co_await watchOn(path, session, std::move(request));
+        if (path.isCut)
+            co_return co_await pause(milliseconds(60000));
+        co_await serve(session, std::move(request));
+    }
+
+    /// Serves a watch, which gets no response if the path is cut before its end.
+    awaitable<void> watchOn(Path &path, SessionPtr session, Request request)
+    {
+        const std::string target(request.target());
+        const auto prefix = queryOf(target, "prefix");
+        const auto after = std::atoll(queryOf(target, "after").c_str());
+        const auto end = Clock::now() + milliseconds(std::atoll(queryOf(target, "wait_ms").c_str()));
+        const auto hasEvent = [&] {
+            return std::ranges::any_of(
+                m_events, [&](const Event &event) { return event.revision > after && event.key.starts_with(prefix); });
+        };
+        while (!path.isCut && !hasEvent() && Clock::now() < end)
+            co_await pause(milliseconds(5));
+        if (path.isCut)
+            co_return co_await pause(milliseconds(60000));
+        co_await watch(session, prefix, after, milliseconds(0));
+    }
+
     struct Event {
         std::int64_t revision = 0;
         std::string key;
@@ -517,6 +565,7 @@
         co_await answer(session, isKnown ? 200 : 404);
     }
 
+    std::vector<std::unique_ptr<Path>> m_paths;
     Copy m_state;
     std::deque<Event> m_events;
     std::int64_t m_oldestKnown = 0;
