--- a/review/standin-2/callercrash.cpp
+++ b/review/standin-2/callercrash.cpp
@@ -1,7 +1,7 @@
-// A request that crashes each worker that begins to run it has been recognised. The store comes back from a copy that
-// is older than that, and the request's impatient caller sends it again.
+// A request of one caller crashes each worker that begins to run it. Other callers read the same path, which workers
+// answer.
 //
-// Usage: poison FOLDER RECORD. Writes the settings of the gateways to FOLDER and waits until they are ready.
+// Usage: callercrash FOLDER RECORD. Writes the settings of the gateways to FOLDER and waits until they are ready.
 
 #include "platform.h"
 
--- a/review/standin-2/run-case.sh
+++ b/review/standin-2/run-case.sh
@@ -27,14 +27,32 @@
     sleep 0.1
 done
 [ -e "$folder/ready" ] || exit 2
-for settings in "$folder"/*.yaml; do
-    node=$(basename "$settings" .yaml)
-    mkfifo "$folder/$node.pipe"
-    cat "$folder/$node.pipe" >"${KEEP_LOGS:-$folder}/$node.log" &
-    pids+=("$!")
-    echo "$!" >"$folder/$node.reader"
-    "$gateway" "--settings=$settings" >"$folder/$node.pipe" 2>&1 &
-    pids+=("$!")
+gateways=()
+start_gateways() {
+    gateways=()
+    for settings in "$folder"/*.yaml; do
+        node=$(basename "$settings" .yaml)
+        [ -e "$folder/$node.pipe" ] || mkfifo "$folder/$node.pipe"
+        cat "$folder/$node.pipe" >>"${KEEP_LOGS:-$folder}/$node.log" &
+        pids+=("$!")
+        echo "$!" >"$folder/$node.reader"
+        "$gateway" "--settings=$settings" >"$folder/$node.pipe" 2>&1 &
+        gateways+=("$!")
+    done
+    pids+=("${gateways[@]}")
+}
+start_gateways
+while kill -0 "$standin" 2>/dev/null; do
+    if [ -e "$folder/off" ]; then # The gateways are without power for as long as PROGRAM keeps this file.
+        kill -9 "${gateways[@]}"
+        wait "${gateways[@]}" 2>/dev/null
+        while [ -e "$folder/off" ] && kill -0 "$standin" 2>/dev/null; do
+            sleep 0.05
+        done
+        pids=("$standin")
+        start_gateways
+    fi
+    sleep 0.05
 done
 wait "$standin"
 status=$?
